Serve a request end to end through entry hosts and stand-ins

Cause: the repository was empty; nothing could run a pipeline. Change: npm workspaces with a package per concern; the request reducer and its interpreter; HTTP transport, store client, callers' interface with streams and problem documents; claims as one create-only key; stand-ins of the store, host list, engines and stage servers; bergamotctl validate, apply, status, drain and trace; quickstart; service documents of both deployments; the design page.

--- /dev/null
+++ b/packages/bench/src/deployment/startProcess.ts
@@ -0,0 +1,45 @@
+import { spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+
+/** A process that the bench started. */
+export interface BenchProcess {
+  readonly name: string;
+  /** The JSON line that the process printed when it was ready. */
+  readonly ready: Readonly<Record<string, unknown>>;
+  /** Sends a signal to this process only. */
+  signal(name: NodeJS.Signals): void;
+  /** Resolves with the exit code, or null after a signal. */
+  readonly exited: Promise<number | null>;
+}
+
+const READY_TIMEOUT_MS = 15_000;
+
+/**
+ * Starts a Node process and waits for its ready line.
+ *
+ * @param name - name in messages
+ * @param args - script and arguments
+ * @returns the process
+ * @throws Error when the process ends or stays silent
+ */
+export default function startProcess(name: string, args: readonly string[]): Promise<BenchProcess> {
+  const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  const exited = new Promise<number | null>((resolve) => {
+    child.on('exit', (code) => resolve(code));
+  });
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL');
+      reject(new Error(`${name} was not ready after ${READY_TIMEOUT_MS} ms`));
+    }, READY_TIMEOUT_MS);
+    createInterface({ input: child.stdout }).once('line', (line) => {
+      clearTimeout(timer);
+      const ready = JSON.parse(line) as Record<string, unknown>;
+      resolve({ name, ready, exited, signal: (signal) => child.kill(signal) });
+    });
+    exited.then((code) => {
+      clearTimeout(timer);
+      reject(new Error(`${name} ended with code ${code} before it was ready`));
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/deployment/types.ts
@@ -0,0 +1,24 @@
+/** Kind of a backend server's pool. */
+export type PoolKind = 'encode' | 'retrieve' | 'rerank' | 'generate' | 'call';
+
+/** One pool of a deployment. */
+export interface PoolSpec {
+  readonly pool: string;
+  readonly kind: PoolKind;
+  readonly servers: number;
+}
+
+/** A place of a deployment. */
+export interface FailureDomainSpec {
+  readonly failureDomain: string;
+  readonly region: string;
+}
+
+/** Shape of one deployment. */
+export interface DeploymentSpec {
+  readonly name: string;
+  readonly failureDomains: readonly FailureDomainSpec[];
+  readonly pools: readonly PoolSpec[];
+  /** Service documents, in the order in which they are accepted. */
+  readonly documents: readonly string[];
+}
--- /dev/null
+++ b/packages/bench/src/quickstart/runCtl.ts
@@ -0,0 +1,23 @@
+import { execFile } from 'node:child_process';
+import { builtScript } from '../deployment/paths.js';
+
+/** How a `bergamotctl` run ended. */
+export interface CtlResult {
+  readonly exitCode: number;
+  readonly output: string;
+}
+
+/**
+ * Runs `bergamotctl`.
+ *
+ * @param args - its arguments
+ * @returns exit code and printed text
+ */
+export default function runCtl(args: readonly string[]): Promise<CtlResult> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [builtScript('ctl', 'main.js'), ...args], (error, stdout, stderr) => {
+      const exitCode = error === null ? 0 : Number(error.code ?? 1);
+      resolve({ exitCode, output: (stdout + stderr).trim() });
+    });
+  });
+}
--- /dev/null
+++ b/packages/config/src/settingsSchema.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+
+const portSchema = z.int().min(0).max(65_535);
+const ipSchema = z.union([z.ipv4(), z.ipv6()], 'expected an IP address');
+
+/** Schema of the settings file of an entry host. */
+export const settingsSchema = z.strictObject({
+  host: z.strictObject({
+    id: z.string().min(1),
+    address: ipSchema,
+    failureDomain: z.string().min(1),
+    region: z.string().min(1),
+  }),
+  callers: z.strictObject({ port: portSchema }),
+  peers: z.strictObject({
+    port: portSchema,
+    /** The first key signs; all keys are accepted. */
+    keys: z.array(z.strictObject({ id: z.string().min(1), secret: z.string().min(16) })).min(1),
+  }),
+  store: z.strictObject({ urls: z.array(z.url()).min(1), timeoutMs: z.int().min(10).default(1_000) }),
+  hostList: z.strictObject({ url: z.url(), pollMs: z.int().min(50).default(1_000) }),
+  drain: z
+    .strictObject({ balancerLagMs: z.int().min(0), timeoutMs: z.int().min(0) })
+    .default({ balancerLagMs: 5_000, timeoutMs: 60_000 }),
+  trace: z.strictObject({ sampleRatio: z.number().min(0).max(1) }).default({ sampleRatio: 1 }),
+  metrics: z.strictObject({ address: ipSchema, port: portSchema }).optional(),
+  log: z.strictObject({ namespaces: z.string() }).optional(),
+});
--- /dev/null
+++ b/packages/ctl/bin/bergamotctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export * from './exitCodes.js';
--- /dev/null
+++ b/packages/decide/src/request/_lib/acceptTokens.ts
@@ -0,0 +1,25 @@
+import type { Attempt, RequestState, RequestStep } from '../types.js';
+
+/**
+ * Accepts generated tokens in order. Tokens that already arrived from an earlier attempt are dropped, and a gap is
+ * ignored, because the attempt's final answer is checked against the token count.
+ */
+export default function acceptTokens(
+  state: RequestState,
+  attempt: Attempt,
+  firstTokenIndex: number,
+  tokens: readonly string[],
+): RequestStep {
+  const known = state.tokenCount - firstTokenIndex;
+  if (attempt.stageIndex !== (state.phase.type === 'running' ? state.phase.stageIndex : -1) || known < 0) {
+    return { state, actions: [] };
+  }
+  const fresh = tokens.slice(known);
+  if (fresh.length === 0) {
+    return { state, actions: [] };
+  }
+  return {
+    state: { ...state, text: state.text + fresh.join(''), tokenCount: state.tokenCount + fresh.length },
+    actions: [{ type: 'emit-tokens', firstTokenIndex: state.tokenCount, tokens: fresh }],
+  };
+}
--- /dev/null
+++ b/packages/decide/src/request/advanceRequest.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import advanceRequest from './advanceRequest.js';
+import createRequestState from './createRequestState.js';
+import type { PlannedStage, RequestEvent, RequestState, RequestStep } from './types.js';
+
+const makeStage = (index: number, name: string, effect: 'repeatable' | 'once' = 'repeatable'): PlannedStage => ({
+  index,
+  name,
+  kind: effect === 'once' ? 'call' : 'encode',
+  pool: `${name}-pool`,
+  effect,
+  serversCheckFencing: false,
+  serversCheckKeys: false,
+  statusQuery: false,
+});
+
+const makeState = (stages: readonly PlannedStage[]): RequestState =>
+  createRequestState({
+    requestId: 'r1',
+    service: 'clerk',
+    organisation: 'acme',
+    operation: { name: 'op', idempotent: true, priority: 'draft', expectedOutputTokens: 8, longOutputTokens: 64 },
+    stages,
+    deadlineAtMs: 1_000,
+    maxAttempts: 3,
+  });
+
+const play = (state: RequestState, events: readonly RequestEvent[]): RequestStep =>
+  events.reduce<RequestStep>((step, event) => advanceRequest(step.state, event, 10), { state, actions: [] });
+
+const sent = (attemptId: string, serverId = 's1'): RequestEvent => ({ type: 'attempt-sent', attemptId, serverId });
+const answered = (attemptId: string, output: unknown): RequestEvent => ({
+  type: 'attempt-answered',
+  attemptId,
+  output,
+});
+const lost = (attemptId: string): RequestEvent => ({
+  type: 'attempt-failed',
+  attemptId,
+  failure: { type: 'connection-lost' },
+  retryAllowed: true,
+});
+
+test('ignores an answer for an attempt that is not open, so that a late answer cannot reach another stage', () => {
+  const step = play(makeState([makeStage(0, 'a'), makeStage(1, 'b')]), [
+    { type: 'started' },
+    sent('r1.0'),
+    answered('r1.0', 'first'),
+    answered('r1.0', 'late'),
+  ]);
+  assert.deepEqual(step.state.outputs, [{ stage: 'a', output: 'first' }]);
+});
+
+test('never sends a once stage again after its connection broke, and says that the outcome is unknown', () => {
+  const step = play(makeState([makeStage(0, 'post', 'once')]), [
+    { type: 'started' },
+    { type: 'claim-decided', decision: { type: 'granted' } },
+    sent('r1.0'),
+    lost('r1.0'),
+  ]);
+  assert.deepEqual(step.actions, [
+    { type: 'record', result: { type: 'refused', outcome: 'unknown', reason: 'outcome-unknown' } },
+  ]);
+});
+
+test('does not send a once stage before the claim is durable', () => {
+  const step = play(makeState([makeStage(0, 'post', 'once')]), [{ type: 'started' }]);
+  assert.deepEqual(step.actions, [{ type: 'claim' }]);
+});
+
+test('retries a repeatable stage on another server after a crash', () => {
+  const step = play(makeState([makeStage(0, 'a')]), [{ type: 'started' }, sent('r1.0', 's7'), lost('r1.0')]);
+  const action = step.actions[0];
+  assert.equal(action?.type === 'dispatch' && action.avoidServers.includes('s7'), true);
+});
+
+test('resumes a broken stream at the next token and drops repeated tokens', () => {
+  const stage = { ...makeStage(0, 'g'), kind: 'generate' as const };
+  const step = play(makeState([stage]), [
+    { type: 'started' },
+    sent('r1.0'),
+    { type: 'tokens-arrived', attemptId: 'r1.0', firstTokenIndex: 0, tokens: ['a', 'b'] },
+    lost('r1.0'),
+    sent('r1.1', 's2'),
+    { type: 'tokens-arrived', attemptId: 'r1.1', firstTokenIndex: 1, tokens: ['b', 'c'] },
+  ]);
+  assert.equal(step.state.text, 'abc');
+  assert.deepEqual(step.actions, [{ type: 'emit-tokens', firstTokenIndex: 2, tokens: ['c'] }]);
+});
--- /dev/null
+++ b/packages/decide/src/request/index.ts
@@ -0,0 +1,6 @@
+/** Life of one request. */
+export * from './types.js';
+export { default as advanceRequest } from './advanceRequest.js';
+export { default as createRequestState } from './createRequestState.js';
+export { default as planRequest } from './planRequest.js';
+export type { PlanOptions } from './planRequest.js';
--- /dev/null
+++ b/packages/decide/src/request/planRequest.ts
@@ -0,0 +1,34 @@
+import type { OperationSpec, ServiceDocument } from '@bergamotcove/config';
+import type { RequestPlan } from './types.js';
+
+/** Facts of one request that its plan depends on. */
+export interface PlanOptions {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly operation: OperationSpec;
+  /** Monotonic time of the deadline. */
+  readonly deadlineAtMs: number;
+}
+
+/**
+ * Lays out the stages of a request.
+ *
+ * @param document - service document in force
+ * @param options - facts of the request
+ * @returns the plan; it does not change when a newer document arrives
+ * @example
+ * planRequest(document, { requestId: 'r1', organisation: 'acme', operation, deadlineAtMs: 5_000 });
+ */
+export default function planRequest(document: ServiceDocument, options: PlanOptions): RequestPlan {
+  const used = options.operation.stages ?? document.stages.map((stage) => stage.name);
+  const stages = document.stages.filter((stage) => used.includes(stage.name));
+  return {
+    requestId: options.requestId,
+    service: document.service,
+    organisation: options.organisation,
+    operation: options.operation,
+    stages: stages.map((stage, index) => ({ ...stage, index })),
+    deadlineAtMs: options.deadlineAtMs,
+    maxAttempts: document.retry.maxAttempts,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/callers/CallerError.ts
@@ -0,0 +1,12 @@
+import { LayerError } from '@bergamotcove/errors';
+import type { Problem } from './types.js';
+
+/** A request that is answered with a problem document before it starts. */
+export default class CallerError extends LayerError<'wrong-input' | 'not-found' | 'conflict' | 'not-ready'> {
+  readonly problem: Problem;
+
+  constructor(code: 'wrong-input' | 'not-found' | 'conflict' | 'not-ready', problem: Problem, cause?: unknown) {
+    super(code, problem.title, { cause });
+    this.problem = problem;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,51 @@
+/** The daemon of an entry host: `bergamotd --settings FILE`. */
+import { parseArgs } from 'node:util';
+import { ConfigError, readSettings } from '@bergamotcove/config';
+import { toError } from '@bergamotcove/errors';
+import { enableLogging } from '@bergamotcove/log';
+import startEntryHost from './wire.js';
+
+const USAGE =
+  'usage: bergamotd --settings FILE\n\n  --settings FILE  JSON settings of this entry host\n  --help           show this text';
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+const fail = (message: string, code: number): never => {
+  console.error(`bergamotd: ${message}`);
+  return process.exit(code);
+};
+
+const readArguments = (): string => {
+  try {
+    const { values } = parseArgs({ options: { settings: { type: 'string' }, help: { type: 'boolean' } } });
+    if (values.help === true) {
+      console.log(USAGE);
+      process.exit(0);
+    }
+    return values.settings ?? fail(`--settings is missing\n${USAGE}`, EXIT_USAGE);
+  } catch (cause) {
+    return fail(`${toError(cause).message}\n${USAGE}`, EXIT_USAGE);
+  }
+};
+
+const main = async (): Promise<void> => {
+  const settings = readSettings(readArguments());
+  enableLogging(settings.log?.namespaces);
+  const host = await startEntryHost(settings);
+  console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
+  let stopping = false;
+  const stop = (): void => {
+    if (stopping) {
+      process.exit(EXIT_FAILED);
+    }
+    stopping = true;
+    host.drain().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+};
+
+main().catch((cause: unknown) => {
+  const error = toError(cause);
+  fail(error.message, cause instanceof ConfigError ? EXIT_USAGE : EXIT_FAILED);
+});
--- /dev/null
+++ b/packages/entry/src/wire.ts
@@ -0,0 +1,189 @@
+import { createSystemClock, type Clock } from '@bergamotcove/clock';
+import type { Settings } from '@bergamotcove/config';
+import { createLogger, type Logger } from '@bergamotcove/log';
+import { createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
+import {
+  createHttpClient,
+  createHttpServer,
+  readBody,
+  sendJson,
+  type HttpClient,
+  type HttpExchange,
+  type HttpServer,
+} from '@bergamotcove/transport';
+import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
+import createClaimBook from './claims/createClaimBook.js';
+import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
+import createOperatorApi, { type RpcHandler } from './operators/createOperatorApi.js';
+import createDispatcher from './requests/createDispatcher.js';
+import createRequestService, { type RequestService } from './requests/createRequestService.js';
+import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
+
+/** A running entry host. */
+export interface EntryHost {
+  readonly callersPort: number;
+  readonly peersPort: number;
+  /** Finishes the requests in flight, then stops. */
+  drain(): Promise<void>;
+  /** Stops at once. */
+  close(): Promise<void>;
+}
+
+/** Parts that every other part is built from. */
+interface Base {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tracer: Tracer;
+  readonly http: HttpClient;
+  readonly store: StoreClient;
+  readonly directory: ServerDirectory;
+  readonly config: ConfigHolder;
+}
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+
+const createBase = (settings: Settings): Base => {
+  const clock = createSystemClock();
+  const { id: hostId, failureDomain } = settings.host;
+  const logger = createLogger('entry', { hostId, failureDomain });
+  const metrics = createMetrics({ hostId, ...settings.metrics });
+  const http = createHttpClient();
+  const store = createStoreClient({
+    ...settings.store,
+    onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
+  });
+  const { url, pollMs } = settings.hostList;
+  const fetchList = () => fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs });
+  return {
+    settings,
+    clock,
+    logger,
+    metrics,
+    http,
+    store,
+    tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
+    directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
+    config: createConfigHolder({ clock, logger, store }),
+  };
+};
+
+const createRequests = (base: Base): RequestService => {
+  const { failureDomain, region } = base.settings.host;
+  return createRequestService({
+    clock: base.clock,
+    config: base.config,
+    claims: createClaimBook(base.store),
+    tracer: base.tracer,
+    dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
+    onFinished: (plan, result, durationMs) => {
+      const tags = { service: plan.service, result: result.type };
+      base.metrics.report('request.count', 1, tags);
+      base.metrics.report('request.duration', durationMs, tags);
+      if (result.type === 'refused') {
+        const { outcome, reason } = result;
+        base.logger.event('requestRefused', { requestId: plan.requestId, service: plan.service, outcome, reason });
+      }
+    },
+  });
+};
+
+/** State of a planned stop. */
+interface DrainState {
+  draining: boolean;
+}
+
+const createCallersHandler =
+  (base: Base, requests: RequestService, drainState: DrainState) =>
+  async (exchange: HttpExchange): Promise<void> => {
+    const { path, response } = exchange;
+    const service = exchange.request.method === 'POST' ? matchServicePath(path) : undefined;
+    if (service !== undefined) {
+      await handleCallerRequest(exchange, service, requests);
+    } else if (path === '/healthz') {
+      sendJson(response, STATUS_OK, { status: 'live' });
+    } else if (path === '/readyz') {
+      const ready = !drainState.draining && base.config.list().length > 0;
+      sendJson(response, ready ? STATUS_OK : STATUS_UNAVAILABLE, { ready, draining: drainState.draining });
+    } else {
+      sendJson(response, STATUS_NOT_FOUND, { error: `no resource at ${path}` });
+    }
+  };
+
+const createPeersHandler =
+  (handleRpc: RpcHandler) =>
+  async (exchange: HttpExchange): Promise<void> => {
+    const text = await handleRpc(await readBody(exchange.request));
+    exchange.response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
+    exchange.response.end(text);
+  };
+
+const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
+  const wait = (delayMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      base.clock.schedule(delayMs, resolve);
+    });
+  return async (): Promise<void> => {
+    const { balancerLagMs, timeoutMs } = base.settings.drain;
+    const state = drainState;
+    state.draining = true;
+    base.logger.event('drainStarted', { inFlight: requests.inFlight() });
+    await wait(balancerLagMs);
+    const result = await Promise.race([requests.idle(), wait(timeoutMs).then(() => 'timeout' as const)]);
+    base.logger.event(result === 'timeout' ? 'drainTimedOut' : 'drainFinished', { inFlight: requests.inFlight() });
+    await close();
+  };
+};
+
+const listen = (base: Base, port: number, handler: (exchange: HttpExchange) => Promise<void>): Promise<HttpServer> =>
+  createHttpServer(handler, {
+    address: base.settings.host.address,
+    port,
+    onError: (error) => base.logger.event('processFailed', { error: error.message }),
+  });
+
+/**
+ * Builds and starts an entry host.
+ *
+ * @param settings - checked settings
+ * @returns the running host, once it listens and has tried to read its configuration
+ */
+export default async function startEntryHost(settings: Settings): Promise<EntryHost> {
+  const base = createBase(settings);
+  const requests = createRequests(base);
+  const drainState: DrainState = { draining: false };
+  let drain: () => Promise<void> = () => Promise.resolve();
+  const handleRpc = createOperatorApi({
+    status: () => ({
+      hostId: settings.host.id,
+      failureDomain: settings.host.failureDomain,
+      region: settings.host.region,
+      ready: !drainState.draining && base.config.list().length > 0,
+      draining: drainState.draining,
+      inFlight: requests.inFlight(),
+      services: base.config.list().map(({ document, version }) => ({ service: document.service, version })),
+    }),
+    trace: base.tracer.findTrace,
+    drain: () => {
+      drain().catch(() => undefined);
+    },
+  });
+  await Promise.all([base.directory.start(), base.config.start()]);
+  const peers = await listen(base, settings.peers.port, createPeersHandler(handleRpc));
+  const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
+  const close = async (): Promise<void> => {
+    base.directory.close();
+    base.config.close();
+    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    base.http.close();
+    base.store.close();
+    base.tracer.close();
+  };
+  drain = createDrain(base, requests, drainState, close);
+  base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
+  return { callersPort: callers.port, peersPort: peers.port, drain, close };
+}
--- /dev/null
+++ b/packages/log/src/events.ts
@@ -0,0 +1,32 @@
+/** Severity of a log event. */
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** One entry of the event catalogue. */
+export interface LogEventSpec {
+  readonly id: number;
+  readonly level: LogLevel;
+  /** What happened, and what an operator can do about it. */
+  readonly text: string;
+}
+
+/** Every event that the system logs. Ids are stable: a removed event's id is not used again. */
+export const LOG_EVENTS = {
+  hostStarted: { id: 1001, level: 'info', text: 'The entry host listens for callers and peers.' },
+  hostReady: { id: 1002, level: 'info', text: 'The entry host has its configuration and accepts requests.' },
+  drainStarted: { id: 1003, level: 'info', text: 'A planned stop began; readiness turned 503.' },
+  drainFinished: { id: 1004, level: 'info', text: 'All requests in flight finished; the process exits.' },
+  drainTimedOut: { id: 1005, level: 'warn', text: 'The drain time ran out with requests in flight.' },
+  processFailed: { id: 1006, level: 'error', text: 'An unexpected error reached the top of the process.' },
+  requestRefused: { id: 2001, level: 'info', text: 'A request ended without an answer; see its outcome.' },
+  requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
+  attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
+  storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
+  storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
+  configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
+  configInvalid: { id: 4002, level: 'error', text: 'A service document in the store does not match the schema.' },
+  configRegressed: { id: 4003, level: 'error', text: 'The store offers an older version than the one in force.' },
+  hostListUnavailable: { id: 5001, level: 'warn', text: 'The host list does not answer; the last list stays in use.' },
+} as const satisfies Record<string, LogEventSpec>;
+
+/** Name of a catalogued event. */
+export type LogEventName = keyof typeof LOG_EVENTS;
--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,17 @@
+/** Numbered log events. */
+import debug from 'debug';
+
+export { LOG_EVENTS } from './events.js';
+export type { LogEventName, LogEventSpec, LogLevel } from './events.js';
+export { default as createLogger } from './createLogger.js';
+export type { Logger, LogFields } from './createLogger.js';
+
+/** Namespaces that are on when the `DEBUG` variable is not set. */
+export const DEFAULT_NAMESPACES = 'bergamot:*:error,bergamot:*:warn,bergamot:*:info';
+
+/** Turns on the given namespaces unless the `DEBUG` variable already chose some. */
+export function enableLogging(namespaces: string = DEFAULT_NAMESPACES): void {
+  if (process.env.DEBUG === undefined) {
+    debug.enable(namespaces);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** I/O around membership and configuration convergence. */
+export {};
--- /dev/null
+++ b/packages/platform/src/servers/callServer.ts
@@ -0,0 +1,152 @@
+import { Observable, type Subscriber } from 'rxjs';
+import { z } from 'zod';
+import { parseEventStream, readBody, TransportError, type HttpClient } from '@bergamotcove/transport';
+import type { ServerCall, ServerEvent, ServerFailure } from './types.js';
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+const answerSchema = z.object({ attemptId: z.string(), output: z.unknown() });
+const refusalSchema = z.object({ executed: z.literal(false), leaving: z.boolean().default(false) });
+const chunkSchema = z.object({
+  id: z.string(),
+  choices: z.array(z.object({ text: z.string(), index: z.number(), finish_reason: z.string().nullable() })).min(1),
+  token_index: z.number(),
+});
+
+/** Signals that the server's message does not answer this attempt. */
+class InvalidAnswer extends Error {}
+
+const parseJson = <Schema extends z.ZodType>(schema: Schema, text: string): z.output<Schema> => {
+  try {
+    return schema.parse(JSON.parse(text));
+  } catch (cause) {
+    throw new InvalidAnswer('answer does not match the protocol', { cause });
+  }
+};
+
+const toFailure = (cause: unknown): ServerFailure => {
+  if (cause instanceof InvalidAnswer) {
+    return { type: 'invalid-answer' };
+  }
+  return cause instanceof TransportError && cause.code === 'not-connected'
+    ? { type: 'not-sent' }
+    : { type: 'connection-lost' };
+};
+
+/** A 503 that states `executed: false` proves that nothing ran; any other error status does not. */
+const readFailure = (status: number, body: string): ServerFailure => {
+  if (status === STATUS_UNAVAILABLE) {
+    const refusal = refusalSchema.safeParse(JSON.parse(body));
+    return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : { type: 'connection-lost' };
+  }
+  return status >= 400 && status < 500 ? { type: 'failed', message: `status ${status}` } : { type: 'connection-lost' };
+};
+
+const formatBody = (call: ServerCall): string => {
+  if (call.kind === 'generate') {
+    return JSON.stringify({
+      model: call.model,
+      prompt: JSON.stringify(call.input),
+      stream: true,
+      user: call.organisation,
+      priority: call.priority,
+      resume_token_index: call.resumeTokenIndex,
+    });
+  }
+  const { attemptId, requestId, organisation, operation, input } = call;
+  return JSON.stringify({ attemptId, requestId, organisation, operation, input });
+};
+
+const readGeneration = async (
+  call: ServerCall,
+  body: AsyncIterable<{ readonly data: string }>,
+  subscriber: Subscriber<ServerEvent>,
+): Promise<void> => {
+  let tokenCount: number | undefined;
+  for await (const { data } of body) {
+    if (data === '[DONE]') {
+      break;
+    }
+    const chunk = parseJson(chunkSchema, data);
+    const choice = chunk.choices[0];
+    if (chunk.id !== call.attemptId || choice === undefined) {
+      throw new InvalidAnswer('chunk belongs to another attempt');
+    }
+    if (choice.finish_reason === null) {
+      subscriber.next({ type: 'tokens', firstTokenIndex: chunk.token_index, tokens: [choice.text] });
+    } else {
+      tokenCount = chunk.token_index;
+    }
+  }
+  if (tokenCount === undefined) {
+    throw new TransportError('connection-lost', 'stream ended without its final chunk');
+  }
+  subscriber.next({ type: 'answer', output: { tokenCount } });
+};
+
+const runCall = async (
+  client: HttpClient,
+  call: ServerCall,
+  signal: AbortSignal,
+  subscriber: Subscriber<ServerEvent>,
+): Promise<void> => {
+  const response = await client.open(call.target, {
+    method: 'POST',
+    path: call.kind === 'generate' ? '/v1/completions' : `/v1/stages/${call.kind}`,
+    headers: {
+      'content-type': 'application/json',
+      'x-attempt-id': call.attemptId,
+      'x-timeout-ms': String(Math.max(1, Math.floor(call.timeoutMs))),
+      traceparent: call.traceparent,
+      ...(call.idempotencyKey === undefined ? {} : { 'idempotency-key': call.idempotencyKey }),
+    },
+    body: formatBody(call),
+    signal,
+    onSending: () => subscriber.next({ type: 'sending' }),
+  });
+  if (response.statusCode !== STATUS_OK) {
+    const failure = readFailure(response.statusCode ?? 0, await readBody(response));
+    subscriber.next({ type: 'failure', failure });
+    return;
+  }
+  if (call.kind === 'generate') {
+    await readGeneration(call, parseEventStream(response), subscriber);
+    return;
+  }
+  const answer = parseJson(answerSchema, await readBody(response));
+  if (answer.attemptId !== call.attemptId) {
+    throw new InvalidAnswer('answer belongs to another attempt');
+  }
+  subscriber.next({ type: 'answer', output: answer.output });
+};
+
+/**
+ * Sends one attempt to a backend server. Unsubscribing cancels it.
+ *
+ * @param client - HTTP client
+ * @param call - the attempt
+ * @returns what the server sent; exactly one `answer` or `failure` comes last
+ * @example
+ * callServer(client, call).subscribe((event) => handle(event));
+ */
+export default function callServer(client: HttpClient, call: ServerCall): Observable<ServerEvent> {
+  return new Observable((subscriber) => {
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(), call.timeoutMs);
+    let finished = false;
+    runCall(client, call, abort.signal, subscriber)
+      .catch((cause: unknown) => subscriber.next({ type: 'failure', failure: toFailure(cause) }))
+      .finally(() => {
+        finished = true;
+        clearTimeout(timer);
+        subscriber.complete();
+      });
+    return () => {
+      clearTimeout(timer);
+      if (!finished) {
+        abort.abort();
+      }
+    };
+  });
+}
--- /dev/null
+++ b/packages/platform/src/store/_lib/wire.ts
@@ -0,0 +1,87 @@
+import { z } from 'zod';
+import PlatformError from '../../PlatformError.js';
+import type { Compare, StoreEntry, StoreOp } from '../types.js';
+
+/** Wire format of the store: JSON with base64 keys and values and 64-bit integers as strings. */
+
+const entrySchema = z.object({
+  key: z.string(),
+  value: z.string().default(''),
+  create_revision: z.string(),
+  mod_revision: z.string(),
+});
+const headerSchema = z.object({ revision: z.string().default('0') });
+
+export const rangeAnswerSchema = z.object({ header: headerSchema, kvs: z.array(entrySchema).default([]) });
+export const txnAnswerSchema = z.object({
+  header: headerSchema,
+  succeeded: z.boolean().default(false),
+  responses: z
+    .array(z.object({ response_range: z.object({ kvs: z.array(entrySchema).default([]) }).optional() }))
+    .default([]),
+});
+export const watchAnswerSchema = z.object({
+  result: z.object({
+    header: headerSchema,
+    created: z.boolean().default(false),
+    events: z
+      .array(z.object({ type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: entrySchema.partial() }))
+      .default([]),
+  }),
+});
+export const leaseAnswerSchema = z.object({ ID: z.string() });
+export const keepAliveAnswerSchema = z.object({ result: z.object({ TTL: z.string().default('0') }) });
+
+/** Encodes a key or value. */
+export const encodeText = (text: string): string => Buffer.from(text, 'utf8').toString('base64');
+
+/** Decodes a key or value. */
+export const decodeText = (text: string): string => Buffer.from(text, 'base64').toString('utf8');
+
+/** End of the range of all keys that start with the prefix. */
+export const prefixEnd = (prefix: string): string => {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+};
+
+/** Converts an entry from the wire. */
+export const toEntry = (entry: z.output<typeof entrySchema>): StoreEntry => ({
+  key: decodeText(entry.key),
+  value: decodeText(entry.value),
+  createRevision: entry.create_revision,
+  modRevision: entry.mod_revision,
+});
+
+/** Converts a compare to the wire. */
+export const formatCompare = (compare: Compare): object => {
+  const key = encodeText(compare.key);
+  return compare.type === 'create-revision'
+    ? { key, target: 'CREATE', result: 'EQUAL', create_revision: compare.revision }
+    : { key, target: 'MOD', result: 'EQUAL', mod_revision: compare.revision };
+};
+
+/** Converts an operation to the wire. */
+export const formatOp = (op: StoreOp): object => {
+  const key = encodeText(op.key);
+  switch (op.type) {
+    case 'put':
+      return {
+        request_put: { key, value: encodeText(op.value), ...(op.leaseId === undefined ? {} : { lease: op.leaseId }) },
+      };
+    case 'delete':
+      return {
+        request_delete_range: { key, ...(op.rangeEnd === undefined ? {} : { range_end: encodeText(op.rangeEnd) }) },
+      };
+    default:
+      return { request_range: { key } };
+  }
+};
+
+/** Checks an answer of the store. */
+export const parseAnswer = <Schema extends z.ZodType>(schema: Schema, text: string): z.output<Schema> => {
+  try {
+    return schema.parse(JSON.parse(text));
+  } catch (cause) {
+    throw new PlatformError('invalid-answer', 'the store sent an answer that does not match its protocol', { cause });
+  }
+};
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,3 @@
+/** Messages between the processes of the system. */
+export * from './operator.js';
+export * from './config.js';
--- /dev/null
+++ b/packages/transport/src/TransportError.ts
@@ -0,0 +1,17 @@
+import { LayerError } from '@bergamotcove/errors';
+
+/** Reason of a transport failure. */
+export type TransportErrorCode =
+  /** No connection was made; no byte of the request left this process. */
+  | 'not-connected'
+  /** The connection broke after the request was sent. */
+  | 'connection-lost'
+  /** The time limit passed or the caller cancelled. */
+  | 'aborted'
+  /** The other side sent something that is not a valid message. */
+  | 'invalid-message'
+  /** A message is larger than its limit. */
+  | 'too-large';
+
+/** Failure of a connection or message between processes. */
+export default class TransportError extends LayerError<TransportErrorCode> {}
--- /dev/null
+++ b/packages/transport/src/createHttpClient.ts
@@ -0,0 +1,109 @@
+import http, { type IncomingMessage } from 'node:http';
+import readBody from './readBody.js';
+import TransportError from './TransportError.js';
+
+/** Address of another process. */
+export interface Target {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** One HTTP request. */
+export interface HttpRequest {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+  /** Called when the connection exists, just before the first byte of the request is written. */
+  readonly onSending?: () => void;
+}
+
+/** A whole HTTP response. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+}
+
+/** Sends requests over kept-alive connections. */
+export interface HttpClient {
+  /** Sends a request and reads the whole response. */
+  send(target: Target, request: HttpRequest): Promise<HttpResponse>;
+  /** Sends a request and returns the response as soon as its headers arrived. */
+  open(target: Target, request: HttpRequest): Promise<IncomingMessage>;
+  close(): void;
+}
+
+const toTransportError = (cause: Error, aborted: boolean, sent: boolean): TransportError => {
+  if (aborted) {
+    return new TransportError('aborted', 'request was cancelled or timed out', { cause });
+  }
+  return sent
+    ? new TransportError('connection-lost', 'connection broke after the request was sent', { cause })
+    : new TransportError('not-connected', 'no connection could be made', { cause });
+};
+
+/**
+ * Creates an HTTP client.
+ *
+ * @param options - `maxSockets` limits the connections to one target
+ * @returns the client; close it to drop idle connections
+ * @throws TransportError from `send` and `open`; `not-connected` guarantees that no byte of the request was sent
+ * @example
+ * const response = await client.send({ address: '10.0.0.1', port: 80 }, { method: 'GET', path: '/load' });
+ */
+export default function createHttpClient(options: { readonly maxSockets?: number } = {}): HttpClient {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: options.maxSockets ?? Infinity });
+
+  const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
+    new Promise((resolve, reject) => {
+      let sent = false;
+      const body = request.body ?? '';
+      const outgoing = http.request({
+        agent,
+        host: target.address,
+        port: target.port,
+        method: request.method,
+        path: request.path,
+        headers: { ...request.headers, 'content-length': Buffer.byteLength(body) },
+        ...(request.signal === undefined ? {} : { signal: request.signal }),
+      });
+      outgoing.on('response', (response) => {
+        // A response that is cancelled after its reader has finished reports an error that nobody awaits.
+        response.on('error', () => undefined);
+        resolve(response);
+      });
+      outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
+      const sendBody = (): void => {
+        if (request.signal?.aborted === true) {
+          return;
+        }
+        sent = true;
+        request.onSending?.();
+        outgoing.end(body);
+      };
+      outgoing.on('socket', (socket) => {
+        if (socket.connecting) {
+          socket.once('connect', sendBody);
+        } else {
+          sendBody();
+        }
+      });
+    });
+
+  const send = async (target: Target, request: HttpRequest): Promise<HttpResponse> => {
+    const response = await open(target, request);
+    try {
+      const body = await readBody(response);
+      return { status: response.statusCode ?? 0, headers: response.headers, body };
+    } catch (cause) {
+      if (request.signal?.aborted === true) {
+        throw new TransportError('aborted', 'request was cancelled or timed out', { cause });
+      }
+      throw cause;
+    }
+  };
+
+  return { open, send, close: () => agent.destroy() };
+}
--- /dev/null
+++ b/packages/transport/src/createHttpServer.ts
@@ -0,0 +1,82 @@
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { toError } from '@bergamotcove/errors';
+
+/** One request with its parsed location. */
+export interface HttpExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly path: string;
+  readonly query: URLSearchParams;
+}
+
+/** Handles one request; a rejection becomes status 500. */
+export type HttpHandler = (exchange: HttpExchange) => Promise<void>;
+
+/** Options of {@link createHttpServer}. */
+export interface HttpServerOptions {
+  readonly address: string;
+  /** Zero takes a free port. */
+  readonly port: number;
+  readonly onError: (error: Error) => void;
+}
+
+/** A listening HTTP server. */
+export interface HttpServer {
+  readonly port: number;
+  /** Stops listening and waits for open responses; idle connections are dropped. */
+  close(): Promise<void>;
+  /** Drops every connection at once. */
+  abort(): void;
+}
+
+/** Answers with a JSON body. */
+export const sendJson = (
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void => {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+};
+
+/**
+ * Starts an HTTP server.
+ *
+ * @param handler - called for each request
+ * @param options - address, port and error sink
+ * @returns the server once it listens
+ * @example
+ * const server = await createHttpServer(handle, { address: '127.0.0.1', port: 0, onError });
+ */
+export default function createHttpServer(handler: HttpHandler, options: HttpServerOptions): Promise<HttpServer> {
+  const server = http.createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://host');
+    handler({ request, response, path: url.pathname, query: url.searchParams }).catch((cause: unknown) => {
+      options.onError(toError(cause));
+      if (!response.headersSent) {
+        sendJson(response, 500, { error: 'internal error' });
+      } else {
+        response.destroy();
+      }
+    });
+  });
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeIdleConnections();
+    });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.address, () => {
+      server.removeListener('error', reject);
+      resolve({ port: (server.address() as AddressInfo).port, close, abort: () => server.closeAllConnections() });
+    });
+  });
+}
