Share JSON-RPC between peers and operators and publish entry hosts

Cause: claims, membership and operators each need calls between entry hosts. Conclusion: packages can register their own peer methods.

--- a/packages/bench/src/deployment/startDeployment.ts
+++ b/packages/bench/src/deployment/startDeployment.ts
@@ -88,6 +88,15 @@
   return { process, callersPort: readPort(process, 'callersPort'), peersPort: readPort(process, 'peersPort') };
 };
 
+const describeEntryHost = (host: RunningEntryHost, place: FailureDomainSpec, index: number): StandinHost => ({
+  id: `entry-${index}`,
+  role: 'entry',
+  address: ADDRESS,
+  port: host.callersPort,
+  peerPort: host.peersPort,
+  ...place,
+});
+
 const publishHosts = async (port: number, hosts: readonly StandinHost[]): Promise<void> => {
   const http = createHttpClient();
   await http.send({ address: ADDRESS, port }, { method: 'POST', path: '/control/hosts', body: JSON.stringify(hosts) });
@@ -120,6 +129,10 @@
   const entryHosts = await Promise.all(
     spec.failureDomains.map((place, index) => startEntryHost(place, index, { directory, storeUrl, hostListUrl })),
   );
+  await publishHosts(readPort(hostList), [
+    ...servers.map((server) => server.host),
+    ...entryHosts.map((host, index) => describeEntryHost(host, spec.failureDomains[index] as FailureDomainSpec, index)),
+  ]);
   return {
     storeUrl,
     entryHosts,
--- a/packages/ctl/src/commands/callHost.ts
+++ b/packages/ctl/src/commands/callHost.ts
@@ -1,5 +1,4 @@
-import { createHttpClient } from '@bergamotcove/transport';
-import { JSONRPCClient } from 'json-rpc-2.0';
+import { createHttpClient, createPeerClient } from '@bergamotcove/transport';
 
 const TIMEOUT_MS = 5_000;
 
@@ -16,17 +15,8 @@
   const url = new URL(hostUrl);
   const http = createHttpClient();
   const target = { address: url.hostname, port: Number(url.port) };
-  const client = new JSONRPCClient(async (request) => {
-    const response = await http.send(target, {
-      method: 'POST',
-      path: '/rpc',
-      body: JSON.stringify(request),
-      signal: AbortSignal.timeout(TIMEOUT_MS),
-    });
-    client.receive(JSON.parse(response.body));
-  });
   try {
-    return await client.request(method, params);
+    return await createPeerClient(http).call(target, method, params, { timeoutMs: TIMEOUT_MS });
   } finally {
     http.close();
   }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -6,16 +6,19 @@
 import {
   createHttpClient,
   createHttpServer,
-  readBody,
+  createPeerClient,
+  createPeerServer,
   sendJson,
   type HttpClient,
   type HttpExchange,
   type HttpServer,
+  type PeerClient,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
 import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
-import createOperatorApi, { type RpcHandler } from './operators/createOperatorApi.js';
+import registerOperatorMethods from './operators/registerOperatorMethods.js';
+import type { EntryHostView, PeerDirectory } from './peers/types.js';
 import createDispatcher from './requests/createDispatcher.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
@@ -26,8 +29,15 @@
   readonly peersPort: number;
   /** Finishes the requests in flight, then stops. */
   drain(): Promise<void>;
-  /** Stops at once. */
+  /** Stops listening and closes every part; requests in flight finish first. */
   close(): Promise<void>;
+  /** Drops every connection at once, as a crash does. */
+  abort(): void;
+}
+
+/** Parts that tests replace. */
+export interface EntryHostOptions {
+  readonly clock?: Clock;
 }
 
 /** Parts that every other part is built from. */
@@ -38,6 +48,7 @@
   readonly metrics: Metrics;
   readonly tracer: Tracer;
   readonly http: HttpClient;
+  readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
   readonly config: ConfigHolder;
@@ -47,8 +58,8 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
 
-const createBase = (settings: Settings): Base => {
-  const clock = createSystemClock();
+const createBase = (settings: Settings, options: EntryHostOptions): Base => {
+  const clock = options.clock ?? createSystemClock();
   const { id: hostId, failureDomain } = settings.host;
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
@@ -65,6 +76,7 @@
     logger,
     metrics,
     http,
+    peerClient: createPeerClient(http),
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
     directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
@@ -114,13 +126,20 @@
     }
   };
 
-const createPeersHandler =
-  (handleRpc: RpcHandler) =>
-  async (exchange: HttpExchange): Promise<void> => {
-    const text = await handleRpc(await readBody(exchange.request));
-    exchange.response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
-    exchange.response.end(text);
+/** Live entry hosts according to the host list; this host is always among them. */
+const createPeerDirectory = (base: Base): PeerDirectory => {
+  const { host, peers } = base.settings;
+  const self: EntryHostView = { ...host, hostId: host.id, peersPort: peers.port };
+  return {
+    liveHosts: () => {
+      const listed = base.directory
+        .listEntryHosts()
+        .filter((entry) => entry.state === 'live')
+        .map((entry): EntryHostView => ({ ...entry, hostId: entry.id, peersPort: entry.peerPort ?? 0 }));
+      return listed.some((entry) => entry.hostId === self.hostId) ? listed : [...listed, self];
+    },
   };
+};
 
 const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
   const wait = (delayMs: number): Promise<void> =>
@@ -150,14 +169,17 @@
  * Builds and starts an entry host.
  *
  * @param settings - checked settings
+ * @param options - parts that tests replace
  * @returns the running host, once it listens and has tried to read its configuration
  */
-export default async function startEntryHost(settings: Settings): Promise<EntryHost> {
-  const base = createBase(settings);
+export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
+  const base = createBase(settings, options);
+  const peerDirectory = createPeerDirectory(base);
   const requests = createRequests(base);
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
-  const handleRpc = createOperatorApi({
+  const peerServer = createPeerServer();
+  registerOperatorMethods(peerServer, {
     status: () => ({
       hostId: settings.host.id,
       failureDomain: settings.host.failureDomain,
@@ -165,6 +187,7 @@
       ready: !drainState.draining && base.config.list().length > 0,
       draining: drainState.draining,
       inFlight: requests.inFlight(),
+      entryHosts: peerDirectory.liveHosts().map((peer) => peer.hostId),
       services: base.config.list().map(({ document, version }) => ({ service: document.service, version })),
     }),
     trace: base.tracer.findTrace,
@@ -173,7 +196,7 @@
     },
   });
   await Promise.all([base.directory.start(), base.config.start()]);
-  const peers = await listen(base, settings.peers.port, createPeersHandler(handleRpc));
+  const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const close = async (): Promise<void> => {
     base.directory.close();
@@ -185,5 +208,17 @@
   };
   drain = createDrain(base, requests, drainState, close);
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
-  return { callersPort: callers.port, peersPort: peers.port, drain, close };
+  return {
+    callersPort: callers.port,
+    peersPort: peers.port,
+    drain,
+    close,
+    abort: () => {
+      callers.abort();
+      peers.abort();
+      base.http.close();
+      base.store.close();
+      close().catch(() => undefined);
+    },
+  };
 }
--- a/packages/protocol/src/operator.ts
+++ b/packages/protocol/src/operator.ts
@@ -8,6 +8,8 @@
   readonly ready: boolean;
   readonly draining: boolean;
   readonly inFlight: number;
+  /** Ids of the entry hosts that this host believes to be live. */
+  readonly entryHosts: readonly string[];
   readonly services: readonly ServiceStatus[];
 }
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -9,3 +9,7 @@
 export { default as parseEventStream } from './parseEventStream.js';
 export type { StreamEvent } from './parseEventStream.js';
 export { default as readBody, MAX_BODY_BYTES } from './readBody.js';
+export { default as createPeerClient } from './peers/createPeerClient.js';
+export type { PeerCallOptions, PeerClient } from './peers/createPeerClient.js';
+export { default as createPeerServer } from './peers/createPeerServer.js';
+export type { PeerMethod, PeerServer } from './peers/createPeerServer.js';
