--- /dev/null
+++ b/packages/decide/src/claims/advanceShard.test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { ClaimOp } from '@bergamotcove/protocol';
+import { readStatus, ShardSimulation, type CallFate, type SimulatedHost } from './_lib/simulateShard.test.js';
+import compactRecords, { fromSnapshot, toSnapshot } from './compactRecords.js';
+import { CLAIM_RETENTION_MS } from './constants.js';
+
+const RUNS = 1_500;
+const HOSTS = 3;
+const KEYS = ['k0', 'k1'];
+
+type Fields = Pick<Extract<ClaimOp, { type: 'claim' }>, 'keyHash' | 'bodyHash' | 'claimId' | 'hostId' | 'wallMs'>;
+
+/** One request of the model: at most one of them may send per key. */
+interface ModelClaim {
+  readonly fields: Fields;
+  readonly host: SimulatedHost;
+  state: 'waiting' | 'given-up' | 'sent' | 'released' | 'refused';
+}
+
+class Model {
+  readonly simulation = new ShardSimulation(HOSTS);
+
+  readonly claims: ModelClaim[] = [];
+
+  readonly sent = new Map<string, number>();
+
+  host(index: number): SimulatedHost {
+    return this.simulation.hosts[index] as SimulatedHost;
+  }
+
+  claim(hostIndex: number, keyHash: string): void {
+    const host = this.host(hostIndex);
+    const fields = { keyHash, bodyHash: 'b', claimId: `c${this.claims.length}`, hostId: host.hostId, wallMs: 0 };
+    this.claims.push({ fields, host, state: 'waiting' });
+    this.simulation.submit(host, fields.claimId, { type: 'claim', ...fields });
+  }
+
+  /** The request stops waiting, as at its deadline, and fences its claim. */
+  giveUp(index: number): void {
+    const claim = this.claims[index % Math.max(1, this.claims.length)];
+    if (claim?.state === 'waiting') {
+      this.simulation.send(claim.host, { type: 'abandoned', opId: claim.fields.claimId });
+      this.release(claim);
+      claim.state = 'given-up';
+    }
+  }
+
+  /** Every granted request that still waits sends, or gives its claim back without sending. */
+  act(send: boolean): void {
+    this.claims.forEach((claim) => {
+      const result = claim.host.results.get(claim.fields.claimId);
+      if (claim.state !== 'waiting' || result === undefined) {
+        return;
+      }
+      if (result.type !== 'done') {
+        Object.assign(claim, { state: 'refused' });
+      } else if (send) {
+        Object.assign(claim, { state: 'sent' });
+        this.sent.set(claim.fields.keyHash, (this.sent.get(claim.fields.keyHash) ?? 0) + 1);
+        const outcome = { type: 'answered' as const, answer: '1' };
+        const { keyHash, claimId } = claim.fields;
+        this.simulation.submit(claim.host, `${claimId}/o`, { type: 'outcome', keyHash, claimId, outcome, wallMs: 0 });
+      } else {
+        this.release(claim);
+        Object.assign(claim, { state: 'released' });
+      }
+    });
+  }
+
+  check(): void {
+    this.sent.forEach((count, key) => assert.ok(count <= 1, `${count} requests were sent under ${key}`));
+  }
+
+  private release(claim: ModelClaim): void {
+    this.simulation.submit(claim.host, `${claim.fields.claimId}/r`, { type: 'release', ...claim.fields });
+  }
+}
+
+const act = (name: string, apply: (model: Model) => void): fc.Command<object, Model> => ({
+  check: () => true,
+  run: (_, model) => {
+    apply(model);
+    model.check();
+  },
+  toString: () => name,
+});
+
+const hostIndex = fc.nat({ max: HOSTS - 1 });
+const fates: CallFate[] = ['answered', 'answered', 'answered', 'not-arrived', 'reply-lost', 'late-effect'];
+const commands = [
+  fc
+    .tuple(hostIndex, fc.constantFrom(...KEYS))
+    .map(([host, key]) => act(`claim h${host} ${key}`, (model) => model.claim(host, key))),
+  fc
+    .tuple(hostIndex, fc.constantFrom(...fates))
+    .map(([host, fate]) => act(`call h${host} ${fate}`, (m) => m.simulation.runCall(m.host(host), fate))),
+  fc
+    .tuple(hostIndex, fc.constantFrom(...fates))
+    .map(([host, fate]) => act(`call h${host} ${fate}`, (m) => m.simulation.runCall(m.host(host), fate))),
+  hostIndex.map((host) => act(`wake h${host}`, (model) => model.simulation.wake(model.host(host)))),
+  fc.constant(act('late call arrives', (model) => model.simulation.runLate())),
+  fc.nat({ max: 9 }).map((index) => act(`give up ${index}`, (model) => model.giveUp(index))),
+  fc.boolean().map((send) => act(send ? 'send' : 'give back', (model) => model.act(send))),
+  hostIndex.map((host) =>
+    act(`refresh h${host}`, (m) => m.simulation.send(m.host(host), { type: 'refresh-requested', readId: 'r' })),
+  ),
+];
+
+const finish = (model: Model): void => {
+  model.simulation.settle();
+  model.act(true);
+  model.simulation.settle();
+  model.check();
+  model.simulation.hosts.forEach((host) => model.simulation.send(host, { type: 'refresh-requested', readId: 'last' }));
+  model.simulation.settle();
+  KEYS.forEach((key) => {
+    const views = new Set(model.simulation.hosts.map((host) => readStatus(host, key)));
+    assert.equal(views.size, 1, `the hosts disagree about ${key}: ${[...views].join(', ')}`);
+  });
+  const waiting = model.claims.filter((claim) => claim.state === 'waiting');
+  assert.equal(waiting.length, 0, 'a claim was never decided although the store answers');
+};
+
+test('at most one host sends per key under lost replies, late writes, pauses, compaction and takeover', () => {
+  fc.assert(
+    fc.property(fc.commands(commands, { maxCommands: 60, size: 'max' }), (run) => {
+      const model = new Model();
+      fc.modelRun(() => ({ model: {}, real: model }), run);
+      finish(model);
+    }),
+    { numRuns: RUNS, seed: 4_711 },
+  );
+});
+
+test('a released key runs again once, so that a call that never left does not block its key', () => {
+  const model = new Model();
+  model.claim(0, 'k0');
+  model.simulation.settle();
+  model.act(false);
+  model.simulation.settle();
+  model.claim(1, 'k0');
+  model.claim(2, 'k0');
+  finish(model);
+  assert.deepEqual([...model.sent], [['k0', 1]]);
+});
+
+test('a wall clock that was stepped forward drops no claim of its own host', () => {
+  const record = { bodyHash: 'b', claimId: 'c', wallMs: 0, status: { type: 'open' as const } };
+  const records = new Map([
+    ['own', { ...record, hostId: 'h0' }],
+    ['other', { ...record, hostId: 'h1' }],
+  ]);
+  const kept = compactRecords(records, { hostId: 'h0', wallMs: CLAIM_RETENTION_MS * 2 });
+  assert.deepEqual([...(kept ?? [])].length, 2);
+});
+
+test('a snapshot gives back body hash and outcome of finished claims in short form', () => {
+  const status = { type: 'finished' as const, outcome: { type: 'dropped' as const }, wallMs: 5_000 };
+  const records = new Map([['k', { bodyHash: 'b', claimId: 'c', hostId: 'h', wallMs: 5_000, status }]]);
+  const [restored] = fromSnapshot(toSnapshot(records, 3)).values();
+  assert.deepEqual([restored?.bodyHash, restored?.status], ['b', status]);
+});
--- /dev/null
+++ b/packages/decide/src/claims/types.ts
@@ -0,0 +1,109 @@
+import type { ClaimOp, ClaimOpResult, ClaimRecord, LogEntry } from '@bergamotcove/protocol';
+
+/** Records by key hash. */
+export type ClaimRecords = ReadonlyMap<string, ClaimRecord>;
+
+/** An operation that waits to become durable. */
+export interface PendingOp {
+  readonly opId: string;
+  readonly op: ClaimOp;
+  /** Whether an append with this operation was sent; it may take effect even if nobody waits for it. */
+  readonly tried: boolean;
+}
+
+/** Snapshot as it stands in the store; revision '0' when there is none. */
+export interface SnapshotView {
+  readonly revision: string;
+  readonly throughSeq: number;
+  readonly records: ClaimRecords;
+}
+
+/** An entry with its place in the log. */
+export interface PlacedEntry {
+  readonly seq: number;
+  readonly entry: LogEntry;
+}
+
+/** What the shard is doing; at most one store call is in flight. */
+export type ShardPhase =
+  | { readonly type: 'cold' }
+  | { readonly type: 'loading' }
+  | { readonly type: 'ready' }
+  | { readonly type: 'appending'; readonly entry: LogEntry; readonly ops: readonly PendingOp[] }
+  | { readonly type: 'compacting'; readonly records: ClaimRecords; readonly throughSeq: number }
+  /** Waits before it repeats a failed read. */
+  | { readonly type: 'load-paused' }
+  /** Waits before it repeats an append whose reply was lost. */
+  | { readonly type: 'append-paused'; readonly entry: LogEntry; readonly ops: readonly PendingOp[] };
+
+/** One shard log as one host knows it. */
+export interface ShardState {
+  readonly phase: ShardPhase;
+  readonly snapshotRevision: string;
+  readonly nextSeq: number;
+  /** Records of the snapshot. */
+  readonly base: ClaimRecords;
+  /** Records changed by the log after the snapshot; kept apart so that a commit copies only these. */
+  readonly recent: ClaimRecords;
+  readonly logEntries: number;
+  readonly logBytes: number;
+  readonly pending: readonly PendingOp[];
+  /** Reads that wait for a fresh view of the log. */
+  readonly refreshes: readonly string[];
+  readonly commitTokens: number;
+  readonly tokensAtMs: number;
+  readonly wakeArmed: boolean;
+  readonly failures: number;
+  readonly nextEntry: number;
+  readonly full: boolean;
+}
+
+/** Identity of the process that keeps the state. */
+export interface ShardOptions {
+  /** Unique per process; part of the entry ids. */
+  readonly hostId: string;
+  /** Wall time for retention. */
+  readonly wallMs: number;
+  /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
+  readonly compactEntries?: number;
+}
+
+/** Something that happened to a shard. */
+export type ShardEvent =
+  | { readonly type: 'submitted'; readonly opId: string; readonly op: ClaimOp }
+  /** Nobody waits for the operation any more; it is not appended if it has not been yet. */
+  | { readonly type: 'abandoned'; readonly opId: string }
+  | { readonly type: 'refresh-requested'; readonly readId: string }
+  | {
+      readonly type: 'loaded';
+      /** Absent when the snapshot is still the known one; the entries then follow the known log. */
+      readonly snapshot?: SnapshotView;
+      readonly entries: readonly PlacedEntry[];
+    }
+  | { readonly type: 'load-failed' }
+  | { readonly type: 'append-decided'; readonly succeeded: boolean }
+  /** No reply; the append may have taken effect. */
+  | { readonly type: 'append-lost' }
+  | { readonly type: 'compact-decided'; readonly succeeded: boolean; readonly revision: string }
+  | { readonly type: 'compact-lost' }
+  | { readonly type: 'woken' };
+
+/** What the interpreter must do next. */
+export type ShardAction =
+  | { readonly type: 'load'; readonly fromSeq: number; readonly knownRevision: string | undefined }
+  | { readonly type: 'append'; readonly seq: number; readonly snapshotRevision: string; readonly entry: LogEntry }
+  | {
+      readonly type: 'compact';
+      readonly snapshotRevision: string;
+      readonly throughSeq: number;
+      readonly records: ClaimRecords;
+    }
+  | { readonly type: 'settle'; readonly opId: string; readonly result: ClaimOpResult }
+  | { readonly type: 'refreshed'; readonly readId: string }
+  | { readonly type: 'wake'; readonly delayMs: number };
+
+/** New state and the actions that lead there. */
+export interface ShardStep {
+  readonly state: ShardState;
+  readonly actions: readonly ShardAction[];
+}
--- a/packages/decide/src/request/_lib/acceptTokens.ts
+++ b/packages/decide/src/request/_lib/acceptTokens.ts
@@ -18,8 +18,18 @@
   if (fresh.length === 0) {
     return { state, actions: [] };
   }
+  // Two engines may word the same answer differently; the first that delivers a token produces the whole text.
+  const others = state.attempts.filter((other) => other !== attempt && other.stageIndex === attempt.stageIndex);
   return {
-    state: { ...state, text: state.text + fresh.join(''), tokenCount: state.tokenCount + fresh.length },
-    actions: [{ type: 'emit-tokens', firstTokenIndex: state.tokenCount, tokens: fresh }],
+    state: {
+      ...state,
+      attempts: state.attempts.filter((other) => !others.includes(other)),
+      text: state.text + fresh.join(''),
+      tokenCount: state.tokenCount + fresh.length,
+    },
+    actions: [
+      ...others.map(({ attemptId }) => ({ type: 'cancel' as const, attemptId })),
+      { type: 'emit-tokens', firstTokenIndex: state.tokenCount, tokens: fresh },
+    ],
   };
 }
--- a/packages/decide/src/request/_lib/failAttempt.ts
+++ b/packages/decide/src/request/_lib/failAttempt.ts
@@ -1,45 +1,72 @@
-import type { Attempt, AttemptFailure, Outcome, PlannedStage, RequestState, RequestStep } from '../types.js';
+import type {
+  Attempt,
+  AttemptFailure,
+  Outcome,
+  PlannedStage,
+  RefusalReason,
+  RequestState,
+  RequestStep,
+} from '../types.js';
 import finishRequest from './finishRequest.js';
+import readOutcome from './readOutcome.js';
 import startAttempt from './startAttempt.js';
 
 const RETRY_AFTER_MS = 1_000;
 
-/** Whether the failure leaves open that a `once` stage took effect. */
-const mayHaveRun = (failure: AttemptFailure): boolean =>
-  failure.type === 'connection-lost' || failure.type === 'invalid-answer';
-
-const isSafeToRepeat = (stage: PlannedStage, failure: AttemptFailure): boolean =>
-  stage.effect === 'repeatable' || stage.serversCheckKeys || !mayHaveRun(failure);
-
-/** What is known about the effect of the request when the given attempt ends it. */
-const settleOutcome = (stage: PlannedStage, failure: AttemptFailure): Outcome => {
-  if (stage.effect === 'once' && failure.type === 'failed') {
-    return 'ran';
+/** Whether the failed attempt leaves open that a `once` stage took effect. An attempt that never left cannot have. */
+const mayHaveRun = (stage: PlannedStage, attempt: Attempt, failure: AttemptFailure): boolean => {
+  if (stage.effect !== 'once' || attempt.status === 'queued') {
+    return false;
   }
-  return stage.effect === 'once' && mayHaveRun(failure) ? 'unknown' : 'not-run';
+  return (
+    failure.type === 'connection-lost' ||
+    failure.type === 'invalid-answer' ||
+    (failure.type === 'failed' && failure.executed === undefined)
+  );
 };
 
-const withoutAttempt = (state: RequestState, attempt: Attempt, failure: AttemptFailure): RequestState => ({
+const withoutAttempt = (
+  state: RequestState,
+  stage: PlannedStage,
+  attempt: Attempt,
+  failure: AttemptFailure,
+): RequestState => ({
   ...state,
   attempts: state.attempts.filter((other) => other !== attempt),
+  mayHaveRun: state.mayHaveRun || mayHaveRun(stage, attempt, failure),
   suspectServers:
     attempt.serverId !== undefined && failure.type !== 'failed'
       ? [...state.suspectServers, attempt.serverId]
       : state.suspectServers,
 });
 
-const refuse = (state: RequestState, stage: PlannedStage, failure: AttemptFailure): RequestStep => {
-  const outcome = settleOutcome(stage, failure);
+const nameReason = (outcome: Outcome, failure: AttemptFailure): RefusalReason => {
+  if (failure.type === 'failed') {
+    return 'stage-failed';
+  }
   if (outcome === 'unknown') {
-    return finishRequest(state, { type: 'refused', outcome, reason: 'outcome-unknown' });
+    return 'outcome-unknown';
   }
-  if (failure.type === 'failed') {
-    return finishRequest(state, { type: 'refused', outcome, reason: 'stage-failed' });
+  if (failure.type === 'poisoned') {
+    return 'poisoned';
   }
-  const reason = failure.type === 'queue-timeout' ? 'no-server' : 'attempts-exhausted';
-  return finishRequest(state, { type: 'refused', outcome, reason, retryAfterMs: RETRY_AFTER_MS });
+  return failure.type === 'queue-timeout' ? 'no-server' : 'attempts-exhausted';
 };
 
+const refuse = (state: RequestState, stage: PlannedStage, failure: AttemptFailure): RequestStep => {
+  const executed = stage.effect === 'once' && failure.type === 'failed' && failure.executed === true;
+  const outcome = executed ? 'ran' : readOutcome(state);
+  const reason = nameReason(outcome, failure);
+  if (outcome !== 'not-run' || failure.type === 'failed') {
+    return finishRequest(state, { type: 'refused', outcome, reason });
+  }
+  const retryAfterMs = failure.type === 'poisoned' ? failure.retryAfterMs : RETRY_AFTER_MS;
+  return finishRequest(state, { type: 'refused', outcome, reason, retryAfterMs });
+};
+
+const isFinal = (failure: AttemptFailure): boolean =>
+  failure.type === 'failed' || failure.type === 'queue-timeout' || failure.type === 'poisoned';
+
 /** Handles the failure of an open attempt: waits for a parallel attempt, retries, or ends the request. */
 export default function failAttempt(
   state: RequestState,
@@ -48,14 +75,14 @@
   options: { readonly retryAllowed: boolean; readonly nowMs: number },
 ): RequestStep {
   const stage = state.plan.stages[attempt.stageIndex] as PlannedStage;
-  const rest = withoutAttempt(state, attempt, failure);
+  const rest = withoutAttempt(state, stage, attempt, failure);
   if (rest.attempts.length > 0) {
     return { state: rest, actions: [] };
   }
+  const safe = stage.effect === 'repeatable' || stage.serversCheckKeys || !rest.mayHaveRun;
   const retry =
-    failure.type !== 'failed' &&
-    failure.type !== 'queue-timeout' &&
-    isSafeToRepeat(stage, failure) &&
+    !isFinal(failure) &&
+    safe &&
     options.retryAllowed &&
     state.stageAttempts < state.plan.maxAttempts &&
     options.nowMs < state.plan.deadlineAtMs;
--- a/packages/decide/src/request/_lib/passDeadline.ts
+++ b/packages/decide/src/request/_lib/passDeadline.ts
@@ -1,23 +1,20 @@
 import type { RequestState, RequestStep } from '../types.js';
 import finishRequest from './finishRequest.js';
+import readOutcome from './readOutcome.js';
 
 const RETRY_AFTER_MS = 1_000;
 
-/** Ends a request at its deadline; a sent `once` attempt without an answer leaves the outcome unknown. */
+/** Ends a request at its deadline; the outcome depends on what has left this host by then. */
 export default function passDeadline(state: RequestState): RequestStep {
   if (state.phase.type === 'finished' || state.phase.type === 'recording') {
     return { state, actions: [] };
   }
-  const sentOnce = state.attempts.some(
-    (attempt) => attempt.status === 'sent' && state.plan.stages[attempt.stageIndex]?.effect === 'once',
-  );
-  if (sentOnce) {
-    return finishRequest(state, { type: 'refused', outcome: 'unknown', reason: 'outcome-unknown' });
+  const outcome = readOutcome(state);
+  if (outcome !== 'not-run') {
+    const reason = outcome === 'unknown' ? 'outcome-unknown' : 'deadline-passed';
+    return finishRequest(state, { type: 'refused', outcome, reason });
   }
-  return finishRequest(state, {
-    type: 'refused',
-    outcome: 'not-run',
-    reason: 'deadline-passed',
-    retryAfterMs: RETRY_AFTER_MS,
-  });
+  // A request that waits for its claim at the deadline has waited for the store.
+  const reason = state.phase.type === 'claiming' ? 'store-unavailable' : 'deadline-passed';
+  return finishRequest(state, { type: 'refused', outcome, reason, retryAfterMs: RETRY_AFTER_MS });
 }
--- /dev/null
+++ b/packages/decide/src/request/_lib/readOutcome.ts
@@ -0,0 +1,19 @@
+import type { Outcome, RequestState } from '../types.js';
+
+/**
+ * What is known about the effect of a request that ends now without an answer. `not-run` needs proof: no `once` stage
+ * has answered, and each of its attempts either never left this host or was refused by its server as not executed.
+ */
+export default function readOutcome(state: RequestState): Outcome {
+  const { stages } = state.plan;
+  const answered = state.outputs.some(({ stage }) =>
+    stages.some((planned) => planned.name === stage && planned.effect === 'once'),
+  );
+  if (answered) {
+    return 'ran';
+  }
+  const sent = state.attempts.some(
+    (attempt) => attempt.status === 'sent' && stages[attempt.stageIndex]?.effect === 'once',
+  );
+  return sent || state.mayHaveRun ? 'unknown' : 'not-run';
+}
--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -5,23 +5,42 @@
 import passDeadline from './_lib/passDeadline.js';
 import startAttempt from './_lib/startAttempt.js';
 import startStage from './_lib/startStage.js';
-import type { Attempt, ClaimDecision, PlannedStage, RequestEvent, RequestState, RequestStep } from './types.js';
+import type {
+  Attempt,
+  ClaimDecision,
+  PlannedStage,
+  RequestEvent,
+  RequestResult,
+  RequestState,
+  RequestStep,
+} from './types.js';
 
 const unchanged = (state: RequestState): RequestStep => ({ state, actions: [] });
 
-const decideClaim = (state: RequestState, decision: ClaimDecision): RequestStep => {
+const NOT_RUN: RequestResult = { type: 'refused', outcome: 'not-run', reason: 'deadline-passed' };
+
+const refuseUnclaimed = (state: RequestState, stageIndex: number, retryAfterMs: number): RequestStep => {
+  if (state.plan.stages[stageIndex]?.serversCheckKeys === true) {
+    // The servers run one key only once by themselves; the claim may still become durable and is recorded.
+    return startStage({ ...state, claimed: true }, stageIndex);
+  }
+  return finishRequest(state, { type: 'refused', outcome: 'not-run', reason: 'store-unavailable', retryAfterMs });
+};
+
+const decideClaim = (state: RequestState, decision: ClaimDecision, nowMs: number): RequestStep => {
   if (state.phase.type !== 'claiming') {
-    return unchanged(state);
+    const late = decision.type === 'granted';
+    return { state, actions: late ? [{ type: 'release', result: NOT_RUN }] : [] };
   }
-  if (decision.type === 'granted') {
-    return startStage({ ...state, claimed: true }, state.phase.stageIndex);
+  if (decision.type === 'settled') {
+    return finishRequest(state, decision.result);
   }
-  return finishRequest(state, {
-    type: 'refused',
-    outcome: 'not-run',
-    reason: 'store-unavailable',
-    retryAfterMs: decision.retryAfterMs,
-  });
+  if (decision.type === 'unavailable') {
+    return refuseUnclaimed(state, state.phase.stageIndex, decision.retryAfterMs);
+  }
+  const claimed = { ...state, claimed: true };
+  // A host that was paused can learn of its claim after the deadline, before its deadline timer runs.
+  return nowMs < state.plan.deadlineAtMs ? startStage(claimed, state.phase.stageIndex) : passDeadline(claimed);
 };
 
 const markSent = (state: RequestState, sent: Attempt, serverId: string, nowMs: number): RequestStep =>
@@ -36,8 +55,22 @@
 const settleOutput = (state: RequestState, stage: PlannedStage, output: unknown): unknown =>
   stage.kind === 'generate' ? { text: state.text, tokenCount: state.tokenCount } : output;
 
-const answerAttempt = (state: RequestState, answered: Attempt, received: unknown): RequestStep => {
+const isWhole = (state: RequestState, stage: PlannedStage, received: unknown): boolean =>
+  stage.kind !== 'generate' ||
+  (typeof received === 'object' && received !== null && Reflect.get(received, 'tokenCount') === state.tokenCount);
+
+const answerAttempt = (
+  state: RequestState,
+  answered: Attempt,
+  event: Extract<RequestEvent, { type: 'attempt-answered' }>,
+  nowMs: number,
+): RequestStep => {
   const stage = state.plan.stages[answered.stageIndex] as PlannedStage;
+  const received = event.output;
+  if (!isWhole(state, stage, received)) {
+    // Tokens are missing; the generation resumes at the first one that did not arrive.
+    return failAttempt(state, answered, { type: 'invalid-answer' }, { retryAllowed: true, nowMs });
+  }
   const output = settleOutput(state, stage, received);
   const losers = state.attempts.filter((attempt) => attempt !== answered);
   const next = startStage(
@@ -50,7 +83,7 @@
 
 const startHedge = (state: RequestState, attempt: Attempt): RequestStep => {
   const stage = state.plan.stages[attempt.stageIndex];
-  if (stage === undefined || stage.effect === 'once' || state.attempts.length > 1) {
+  if (stage === undefined || stage.effect === 'once' || state.attempts.length > 1 || state.tokenCount > 0) {
     return unchanged(state);
   }
   return startAttempt(state, stage, state.outputs, { hedge: true });
@@ -91,11 +124,11 @@
     case 'started':
       return state.phase.type === 'new' ? startStage(state, 0) : unchanged(state);
     case 'claim-decided':
-      return decideClaim(state, event.decision);
+      return decideClaim(state, event.decision, nowMs);
     case 'attempt-sent':
       return withOpenAttempt(state, event.attemptId, (attempt) => markSent(state, attempt, event.serverId, nowMs));
     case 'attempt-answered':
-      return withOpenAttempt(state, event.attemptId, (attempt) => answerAttempt(state, attempt, event.output));
+      return withOpenAttempt(state, event.attemptId, (attempt) => answerAttempt(state, attempt, event, nowMs));
     case 'tokens-arrived':
       return withOpenAttempt(state, event.attemptId, (attempt) =>
         acceptTokens(state, attempt, event.firstTokenIndex, event.tokens),
--- a/packages/decide/src/request/types.ts
+++ b/packages/decide/src/request/types.ts
@@ -48,15 +48,19 @@
   | { readonly type: 'queue-timeout' }
   /** The server answered with something that is not an answer to this attempt. */
   | { readonly type: 'invalid-answer' }
-  /** The server ran the request and reports that it failed for good. */
-  | { readonly type: 'failed'; readonly message: string };
+  /** The server reports a failure for good; without `executed` it leaves open whether a call took effect. */
+  | { readonly type: 'failed'; readonly message: string; readonly executed?: boolean }
+  /** The request is suspected of crashing servers and is not sent to another one. */
+  | { readonly type: 'poisoned'; readonly retryAfterMs: number };
 
 /** Result of the attempt to claim an idempotency key. */
 export type ClaimDecision =
   /** The claim is durable and belongs to this request. */
   | { readonly type: 'granted' }
   /** The claim could not be made durable; nothing was sent. */
-  | { readonly type: 'unavailable'; readonly retryAfterMs: number };
+  | { readonly type: 'unavailable'; readonly retryAfterMs: number }
+  /** Another request holds the key; this is its result. */
+  | { readonly type: 'settled'; readonly result: RequestResult };
 
 /** How a request ended. */
 export type RequestResult =
@@ -79,6 +83,10 @@
   | 'stage-failed'
   | 'attempts-exhausted'
   | 'outcome-unknown'
+  /** The request ran, but its answer is not kept any more. */
+  | 'answer-dropped'
+  /** The idempotency key belongs to a request with another body. */
+  | 'key-reused'
   | 'poisoned'
   | 'over-limit'
   | 'draining';
@@ -106,6 +114,8 @@
   /** Tokens of the generation in progress that arrived in order. */
   readonly tokenCount: number;
   readonly claimed: boolean;
+  /** An attempt of the `once` stage left this host and ended without proof that it did not run. */
+  readonly mayHaveRun: boolean;
   /** Servers on which an attempt of this request broke without an answer. */
   readonly suspectServers: readonly string[];
 }
@@ -136,6 +146,8 @@
 /** What the interpreter must do next. */
 export type RequestAction =
   | { readonly type: 'claim' }
+  /** Gives back a claim that was granted after the request had ended. */
+  | { readonly type: 'release'; readonly result: RequestResult }
   | {
       readonly type: 'dispatch';
       readonly attemptId: string;
--- a/packages/entry/src/callers/formatProblem.ts
+++ b/packages/entry/src/callers/formatProblem.ts
@@ -8,6 +8,8 @@
   'stage-failed': 502,
   'attempts-exhausted': 502,
   'outcome-unknown': 502,
+  'answer-dropped': 409,
+  'key-reused': 422,
   poisoned: 422,
   'over-limit': 429,
   draining: 503,
--- /dev/null
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -0,0 +1,209 @@
+import type { Clock } from '@bergamotcove/clock';
+import { rankShardOwners, shardOfKey } from '@bergamotcove/decide';
+import type { StoreClient } from '@bergamotcove/platform';
+import {
+  CLAIMS_APPEND,
+  CLAIMS_QUERY,
+  claimOpResultSchema,
+  claimsAnswerSchema,
+  type ClaimOp,
+  type ClaimOpResult,
+  type ClaimRecord,
+  type ClaimsAnswer,
+} from '@bergamotcove/protocol';
+import { TransportError, type PeerClient } from '@bergamotcove/transport';
+import type { EntryHostView, PeerDirectory } from '../peers/types.js';
+import withLimit from './_lib/withLimit.js';
+import createShardLog, { type ShardLog } from './createShardLog.js';
+import createShardStore from './createShardStore.js';
+
+/** Options of {@link createClaimLogs}. */
+export interface ClaimLogsOptions {
+  readonly clock: Clock;
+  readonly store: StoreClient;
+  readonly peers: PeerClient;
+  readonly directory: PeerDirectory;
+  readonly hostId: string;
+  /** Unique per process. */
+  readonly processId: string;
+}
+
+/** What the logs say about a key. */
+export type LogView =
+  | { readonly type: 'free' }
+  | { readonly type: 'record'; readonly record: ClaimRecord }
+  | { readonly type: 'unavailable' };
+
+/** The shard logs, reached through their owners or directly. */
+export interface ClaimLogs {
+  /** Makes an operation durable through the shard owner, or by itself when the owner cannot be reached. */
+  submit(op: ClaimOp, limitMs: number): Promise<ClaimOpResult>;
+  /** Like `submit`, on this host only. */
+  submitHere(op: ClaimOp, limitMs: number): Promise<ClaimOpResult>;
+  /** Makes an operation durable, however long it takes. */
+  persist(op: ClaimOp): Promise<void>;
+  /** Gives an operation to another host, which keeps it until it is durable. Returns whether a host accepted it. */
+  handOver(op: ClaimOp): Promise<boolean>;
+  read(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView>;
+  readHere(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView>;
+  close(): void;
+}
+
+/** Longest wait for the shard owner before this host appends by itself. */
+const OWNER_LIMIT_MS = 400;
+/** Time for the reply of the owner to come back after its own limit. */
+const REPLY_MARGIN_MS = 50;
+/** A host that did not answer is left out for this time, so that not every request waits for it. */
+const OWNER_BACKOFF_MS = 1_000;
+
+class Logs implements ClaimLogs {
+  private readonly logs = new Map<number, ShardLog>();
+
+  private readonly backoffUntilMs = new Map<string, number>();
+
+  constructor(private readonly options: ClaimLogsOptions) {}
+
+  async submit(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
+    const { clock } = this.options;
+    const startedAtMs = clock.monotonicMs();
+    const remote = await this.submitToOwner(op, Math.min(limitMs, OWNER_LIMIT_MS));
+    if (remote !== undefined && remote.type !== 'unavailable') {
+      return remote;
+    }
+    const result = await this.submitHere(op, Math.max(0, startedAtMs + limitMs - clock.monotonicMs()));
+    if (result.type !== 'unavailable') {
+      return result;
+    }
+    return { type: 'unavailable', mayApply: result.mayApply || remote?.mayApply === true };
+  }
+
+  async submitHere(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
+    const submission = this.logOf(op.keyHash).submit(op);
+    const result = await withLimit(this.options.clock, limitMs, submission.result);
+    return result ?? { type: 'unavailable', mayApply: submission.abandon() };
+  }
+
+  async persist(op: ClaimOp): Promise<void> {
+    const remote = await this.submitToOwner(op, OWNER_LIMIT_MS);
+    if (remote === undefined || remote.type === 'unavailable') {
+      await this.logOf(op.keyHash).submit(op).result;
+    }
+  }
+
+  async handOver(op: ClaimOp): Promise<boolean> {
+    const ranked = this.rankHosts(op.keyHash).filter((host) => host.hostId !== this.options.hostId);
+    return ranked.slice(0, 2).reduce<Promise<boolean>>(async (before, host) => {
+      if (await before) {
+        return true;
+      }
+      const result = await this.callAppend(host, op, { waitMs: 0, handOver: true });
+      return result?.type === 'done';
+    }, Promise.resolve(false));
+  }
+
+  async read(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView> {
+    const owner = this.findOwner(keyHash);
+    if (owner !== undefined) {
+      const limitMs = Math.min(options.limitMs, OWNER_LIMIT_MS);
+      const about = { type: 'log', refresh: options.refresh };
+      const answer = await this.callQuery(owner, { keyHash, about, waitMs: limitMs }, limitMs);
+      if (answer?.type === 'free' || answer?.type === 'record') {
+        return answer;
+      }
+    }
+    return this.readHere(keyHash, options);
+  }
+
+  async readHere(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView> {
+    const log = this.logOf(keyHash);
+    if (options.refresh || !log.isKnown()) {
+      const fresh = log.refresh().then(() => true);
+      if ((await withLimit(this.options.clock, options.limitMs, fresh)) === undefined) {
+        return { type: 'unavailable' };
+      }
+    }
+    const record = log.find(keyHash);
+    return record === undefined ? { type: 'free' } : { type: 'record', record };
+  }
+
+  close(): void {
+    this.logs.forEach((log) => log.close());
+  }
+
+  private logOf(keyHash: string): ShardLog {
+    const shard = shardOfKey(keyHash);
+    const known = this.logs.get(shard);
+    if (known !== undefined) {
+      return known;
+    }
+    const { clock, store, processId } = this.options;
+    const log = createShardLog({ clock, processId, store: createShardStore(store, shard) });
+    this.logs.set(shard, log);
+    return log;
+  }
+
+  private rankHosts(keyHash: string): readonly EntryHostView[] {
+    const hosts = this.options.directory.liveHosts();
+    const ranked = rankShardOwners(
+      hosts.map((host) => host.hostId),
+      shardOfKey(keyHash),
+    );
+    return ranked.flatMap((hostId) => hosts.filter((host) => host.hostId === hostId));
+  }
+
+  /** Owner of the shard when it is another host that can be asked now. */
+  private findOwner(keyHash: string): EntryHostView | undefined {
+    const owner = this.rankHosts(keyHash)[0];
+    const backoffMs = this.backoffUntilMs.get(owner?.hostId ?? '') ?? 0;
+    return owner?.hostId === this.options.hostId || backoffMs > this.options.clock.monotonicMs() ? undefined : owner;
+  }
+
+  private async submitToOwner(op: ClaimOp, waitMs: number): Promise<ClaimOpResult | undefined> {
+    const owner = this.findOwner(op.keyHash);
+    return owner === undefined ? undefined : this.callAppend(owner, op, { waitMs, handOver: false });
+  }
+
+  private async callAppend(
+    host: EntryHostView,
+    op: ClaimOp,
+    options: { readonly waitMs: number; readonly handOver: boolean },
+  ): Promise<ClaimOpResult> {
+    const limitMs = Math.max(options.waitMs, REPLY_MARGIN_MS) + REPLY_MARGIN_MS;
+    try {
+      return claimOpResultSchema.parse(await this.call(host, CLAIMS_APPEND, { op, ...options }, limitMs));
+    } catch (cause) {
+      // A call that may have arrived can be appended a second time by this host; it takes effect only once.
+      const arrived = !(cause instanceof TransportError) || cause.code !== 'not-connected';
+      return { type: 'unavailable', mayApply: arrived };
+    }
+  }
+
+  private async callQuery(host: EntryHostView, query: object, limitMs: number): Promise<ClaimsAnswer | undefined> {
+    try {
+      return claimsAnswerSchema.parse(await this.call(host, CLAIMS_QUERY, query, limitMs + REPLY_MARGIN_MS));
+    } catch {
+      return undefined;
+    }
+  }
+
+  private async call(host: EntryHostView, method: string, params: object, limitMs: number): Promise<unknown> {
+    const { clock, peers } = this.options;
+    try {
+      const target = { address: host.address, port: host.peersPort };
+      return await peers.call(target, method, params, { timeoutMs: Math.ceil(limitMs) });
+    } catch (cause) {
+      this.backoffUntilMs.set(host.hostId, clock.monotonicMs() + OWNER_BACKOFF_MS);
+      throw cause;
+    }
+  }
+}
+
+/**
+ * Creates the access to the shard logs.
+ *
+ * @param options - store, peers and identity of this host
+ * @returns the logs
+ */
+export default function createClaimLogs(options: ClaimLogsOptions): ClaimLogs {
+  return new Logs(options);
+}
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -35,7 +35,7 @@
   action: DispatchAction,
   context: DispatchContext,
   server: ServerView,
-  options: { readonly timeoutMs: number; readonly traceparent: string },
+  options: { readonly timeoutMs: number; readonly traceparent: string; readonly maySend: () => boolean },
 ): ServerCall => ({
   target: { address: server.address, port: server.port },
   kind: action.stage.kind,
@@ -52,6 +52,7 @@
   traceparent: options.traceparent,
   resumeTokenIndex: action.resumeTokenIndex,
   priority: context.plan.operation.priority,
+  maySend: options.maySend,
 });
 
 /** One attempt: waits for a server, sends the call and reports what happens. */
@@ -101,7 +102,9 @@
     this.span.setAttribute('serverId', server.serverId);
     this.options.directory.noteSent(server.serverId);
     const { traceparent } = this.span;
-    const call = toCall(this.action, this.context, server, { timeoutMs, traceparent });
+    // A host that was paused while it connected must not send after the deadline.
+    const maySend = (): boolean => this.options.clock.monotonicMs() < this.context.plan.deadlineAtMs;
+    const call = toCall(this.action, this.context, server, { timeoutMs, traceparent, maySend });
     this.call = callServer(this.options.http, call).subscribe((event) => this.handle(server, event));
   }
 
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -9,6 +9,8 @@
 import type { ClaimBook, ClaimRequest } from '../claims/types.js';
 import type { ConfigHolder } from '../config/createConfigHolder.js';
 import type { Dispatcher } from './createDispatcher.js';
+import createKeyedRuns, { type KeyedRuns } from './createKeyedRuns.js';
+import type { StatusQuery } from './createStatusQuery.js';
 import startRun from './startRun.js';
 import type { RequestRun } from './types.js';
 
@@ -19,6 +21,7 @@
   readonly claims: ClaimBook;
   readonly dispatch: Dispatcher;
   readonly tracer: Tracer;
+  readonly queryStatus: StatusQuery;
   readonly onFinished: (plan: RequestPlan, result: RequestResult, durationMs: number) => void;
 }
 
@@ -35,15 +38,8 @@
 const STATUS_BAD_REQUEST = 400;
 const STATUS_CONFLICT = 409;
 const STATUS_UNPROCESSABLE = 422;
-const STATUS_UNAVAILABLE = 503;
-const KEPT_RUN_MS = 60_000;
 const IDLE_POLL_MS = 20;
 
-interface KeyedRun {
-  readonly run: RequestRun;
-  readonly bodyHash: string;
-}
-
 const hashBody = (request: CallerRequest): string =>
   createHash('sha256')
     .update(JSON.stringify([request.operation, request.input]))
@@ -56,25 +52,36 @@
   code: 'wrong-input' | 'not-found' | 'conflict' | 'not-ready',
   status: number,
   title: string,
-  extra: { readonly outcome?: 'not-run' | 'unknown'; readonly retryAfterMs?: number } = {},
-): CallerError => new CallerError(code, { type: 'about:blank', title, status, outcome: 'not-run', ...extra });
+): CallerError => new CallerError(code, { type: 'about:blank', title, status, outcome: 'not-run' });
 
 const rejectOtherBody = (): CallerError =>
   rejectWith('conflict', STATUS_UNPROCESSABLE, 'the Idempotency-Key was used with another body');
 
-/** Builds a run that replays a recorded result. */
-const toFinishedRun = (plan: RequestPlan, result: RequestResult): RequestRun => ({
+/**
+ * Events are numbered by the host that runs the request. Another host cannot continue the numbers, and its tokens could
+ * differ, so that a stream which is resumed here is refused unless its result is known.
+ */
+const rejectForeignStream = (request: CallerRequest): void => {
+  if (request.lastEventId !== undefined) {
+    throw rejectWith('conflict', STATUS_CONFLICT, 'this host does not have the stream; send the request without it');
+  }
+};
+
+/** Builds a run that replays a recorded result; its only event follows the last one that the caller has. */
+const toFinishedRun = (plan: RequestPlan, result: RequestResult, request: CallerRequest): RequestRun => ({
   plan,
-  events: of({ type: 'final', eventId: 1, result }),
+  events: of({ type: 'final', eventId: (request.lastEventId ?? 0) + 1, result }),
   result: Promise.resolve(result),
 });
 
 class Service implements RequestService {
-  private readonly runs = new Map<string, KeyedRun>();
+  private readonly runs: KeyedRuns;
 
   private inFlightCount = 0;
 
-  constructor(private readonly options: RequestServiceOptions) {}
+  constructor(private readonly options: RequestServiceOptions) {
+    this.runs = createKeyedRuns(options.clock);
+  }
 
   inFlight(): number {
     return this.inFlightCount;
@@ -97,6 +104,7 @@
     const accepted = this.findDocument(request);
     const plan = this.plan(accepted, request);
     if (request.idempotencyKey === undefined) {
+      rejectForeignStream(request);
       return this.run(plan, request, undefined);
     }
     const joined = this.join(request);
@@ -104,6 +112,7 @@
       return joined;
     }
     if (plan.operation.idempotent) {
+      rejectForeignStream(request);
       return this.run(plan, request, undefined);
     }
     return this.submitOnce(plan, request, request.idempotencyKey);
@@ -137,39 +146,66 @@
   }
 
   private join(request: CallerRequest): RequestRun | undefined {
-    const keyed = this.runs.get(formatRunKey(request));
+    const keyed = this.runs.find(formatRunKey(request));
     if (keyed !== undefined && keyed.bodyHash !== hashBody(request)) {
       throw rejectOtherBody();
     }
     return keyed?.run;
   }
 
-  private async submitOnce(plan: RequestPlan, request: CallerRequest, idempotencyKey: string): Promise<RequestRun> {
-    const claim: ClaimRequest = {
+  private formatClaim(plan: RequestPlan, request: CallerRequest, idempotencyKey: string): ClaimRequest {
+    const once = plan.stages.find((stage) => stage.effect === 'once');
+    return {
       organisation: request.organisation,
       service: request.service,
       idempotencyKey,
       bodyHash: hashBody(request),
       requestId: plan.requestId,
       deadlineAtMs: plan.deadlineAtMs,
+      longestMs: this.findDocument(request).document.deadlineMs,
+      serversCheckKeys: once?.serversCheckKeys === true,
+      ...(once?.statusQuery === true ? { queryStatus: () => this.options.queryStatus(plan, idempotencyKey) } : {}),
     };
+  }
+
+  private async submitOnce(plan: RequestPlan, request: CallerRequest, idempotencyKey: string): Promise<RequestRun> {
+    const claim = this.formatClaim(plan, request, idempotencyKey);
+    this.inFlightCount += 1;
+    try {
+      return (await this.findResult(plan, request, claim)) ?? this.startOnce(plan, request, claim);
+    } finally {
+      this.inFlightCount -= 1;
+    }
+  }
+
+  /** Result of an earlier request under the same key, or undefined when this request has to run. */
+  private async findResult(
+    plan: RequestPlan,
+    request: CallerRequest,
+    claim: ClaimRequest,
+  ): Promise<RequestRun | undefined> {
     const found = await this.options.claims.lookUp(claim);
-    switch (found.type) {
-      case 'other-body':
-        throw rejectOtherBody();
-      case 'finished':
-        return toFinishedRun(plan, found.result);
-      case 'claimed':
-        throw rejectWith('conflict', STATUS_CONFLICT, 'the first request under this key has no outcome', {
-          outcome: 'unknown',
-        });
-      case 'unavailable':
-        throw rejectWith('not-ready', STATUS_UNAVAILABLE, 'the configuration store does not answer', {
-          retryAfterMs: found.retryAfterMs,
-        });
-      default:
-        return this.join(request) ?? this.run(plan, request, claim);
+    if (found.type === 'other-body') {
+      throw rejectOtherBody();
+    }
+    if (found.type === 'finished') {
+      return toFinishedRun(plan, found.result, request);
+    }
+    if (found.type === 'claimed') {
+      const waited = await this.options.claims.awaitOutcome(claim);
+      return waited.type === 'settled' ? toFinishedRun(plan, waited.result, request) : undefined;
+    }
+    // Without the store, the repeatable stages run and the claim waits within the deadline.
+    return undefined;
+  }
+
+  private startOnce(plan: RequestPlan, request: CallerRequest, claim: ClaimRequest): RequestRun {
+    const joined = this.join(request);
+    if (joined !== undefined) {
+      return joined;
     }
+    rejectForeignStream(request);
+    return this.run(plan, request, claim);
   }
 
   private run(plan: RequestPlan, request: CallerRequest, claim: ClaimRequest | undefined): RequestRun {
@@ -187,23 +223,15 @@
           ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
         }),
       claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
-      record: (result) =>
-        claim === undefined ? Promise.resolve() : claims.record(claim, result).catch(() => undefined),
+      record: (result) => (claim === undefined ? Promise.resolve() : claims.record(claim, result)),
     });
-    this.keep(request, run);
+    if (request.idempotencyKey !== undefined) {
+      this.runs.keep(formatRunKey(request), { run, bodyHash: hashBody(request) });
+    }
     run.result.then((result) => this.finish(plan, result, span, clock.monotonicMs() - startedAtMs));
     return run;
   }
 
-  private keep(request: CallerRequest, run: RequestRun): void {
-    if (request.idempotencyKey === undefined) {
-      return;
-    }
-    const key = formatRunKey(request);
-    this.runs.set(key, { run, bodyHash: hashBody(request) });
-    run.result.then(() => this.options.clock.schedule(KEPT_RUN_MS, () => this.runs.delete(key)));
-  }
-
   private finish(plan: RequestPlan, result: RequestResult, span: Span, durationMs: number): void {
     this.inFlightCount -= 1;
     span.end(result.type === 'refused' ? result.reason : undefined);
--- a/packages/entry/src/requests/startRun.ts
+++ b/packages/entry/src/requests/startRun.ts
@@ -85,6 +85,9 @@
       case 'claim':
         this.ports.claim().then((decision) => this.handle({ type: 'claim-decided', decision }));
         break;
+      case 'release':
+        this.ports.record(action.result).catch(() => undefined);
+        break;
       case 'dispatch':
         this.dispatch(action);
         break;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -2,6 +2,7 @@
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import type { HostStatus } from '@bergamotcove/protocol';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
 import {
   createHttpClient,
@@ -16,10 +17,12 @@
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
+import type { ClaimBook } from './claims/types.js';
 import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
 import createDispatcher from './requests/createDispatcher.js';
+import createStatusQuery from './requests/createStatusQuery.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
 
@@ -84,12 +87,13 @@
   };
 };
 
-const createRequests = (base: Base): RequestService => {
+const createRequests = (base: Base, claims: ClaimBook): RequestService => {
   const { failureDomain, region } = base.settings.host;
   return createRequestService({
     clock: base.clock,
     config: base.config,
-    claims: createClaimBook(base.store),
+    claims,
+    queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
     dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
     onFinished: (plan, result, durationMs) => {
@@ -158,6 +162,26 @@
   };
 };
 
+const readStatus = (
+  base: Base,
+  requests: RequestService,
+  peerDirectory: PeerDirectory,
+  drainState: DrainState,
+): HostStatus => {
+  const { id: hostId, failureDomain, region } = base.settings.host;
+  const services = base.config.list();
+  return {
+    hostId,
+    failureDomain,
+    region,
+    ready: !drainState.draining && services.length > 0,
+    draining: drainState.draining,
+    inFlight: requests.inFlight(),
+    entryHosts: peerDirectory.liveHosts().map((peer) => peer.hostId),
+    services: services.map(({ document, version }) => ({ service: document.service, version })),
+  };
+};
+
 const listen = (base: Base, port: number, handler: (exchange: HttpExchange) => Promise<void>): Promise<HttpServer> =>
   createHttpServer(handler, {
     address: base.settings.host.address,
@@ -175,21 +199,19 @@
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
-  const requests = createRequests(base);
+  const peerServer = createPeerServer();
+  const claims = createClaimBook({
+    ...base,
+    peers: base.peerClient,
+    peerServer,
+    directory: peerDirectory,
+    hostId: settings.host.id,
+  });
+  const requests = createRequests(base, claims);
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
-  const peerServer = createPeerServer();
   registerOperatorMethods(peerServer, {
-    status: () => ({
-      hostId: settings.host.id,
-      failureDomain: settings.host.failureDomain,
-      region: settings.host.region,
-      ready: !drainState.draining && base.config.list().length > 0,
-      draining: drainState.draining,
-      inFlight: requests.inFlight(),
-      entryHosts: peerDirectory.liveHosts().map((peer) => peer.hostId),
-      services: base.config.list().map(({ document, version }) => ({ service: document.service, version })),
-    }),
+    status: () => readStatus(base, requests, peerDirectory, drainState),
     trace: base.tracer.findTrace,
     drain: () => {
       drain().catch(() => undefined);
@@ -202,6 +224,7 @@
     base.directory.close();
     base.config.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    claims.close();
     base.http.close();
     base.store.close();
     base.tracer.close();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,6 +7,7 @@
 export { default as fetchHostList } from './hosts/fetchHostList.js';
 export type { HostList, ListedHost } from './hosts/fetchHostList.js';
 export { default as callServer } from './servers/callServer.js';
+export { default as queryStatus } from './servers/queryStatus.js';
 export type { ServerCall, ServerEvent, ServerFailure } from './servers/types.js';
 export { default as acceptDocument } from './documents/acceptDocument.js';
 export type { AcceptOptions, AcceptResult } from './documents/acceptDocument.js';
--- a/packages/platform/src/servers/callServer.ts
+++ b/packages/platform/src/servers/callServer.ts
@@ -8,6 +8,7 @@
 
 const answerSchema = z.object({ attemptId: z.string(), output: z.unknown() });
 const refusalSchema = z.object({ executed: z.literal(false), leaving: z.boolean().default(false) });
+const failureSchema = z.object({ executed: z.boolean().optional() });
 const chunkSchema = z.object({
   id: z.string(),
   choices: z.array(z.object({ text: z.string(), index: z.number(), finish_reason: z.string().nullable() })).min(1),
@@ -25,22 +26,33 @@
   }
 };
 
-const toFailure = (cause: unknown): ServerFailure => {
-  if (cause instanceof InvalidAnswer) {
-    return { type: 'invalid-answer' };
+const toFailure = (cause: unknown, sent: boolean): ServerFailure => {
+  if (!sent) {
+    return { type: 'not-sent' };
+  }
+  return cause instanceof InvalidAnswer ? { type: 'invalid-answer' } : { type: 'connection-lost' };
+};
+
+const parseOptional = (body: string): unknown => {
+  try {
+    return JSON.parse(body);
+  } catch {
+    return undefined;
   }
-  return cause instanceof TransportError && cause.code === 'not-connected'
-    ? { type: 'not-sent' }
-    : { type: 'connection-lost' };
 };
 
 /** A 503 that states `executed: false` proves that nothing ran; any other error status does not. */
 const readFailure = (status: number, body: string): ServerFailure => {
   if (status === STATUS_UNAVAILABLE) {
-    const refusal = refusalSchema.safeParse(JSON.parse(body));
+    const refusal = refusalSchema.safeParse(parseOptional(body));
     return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : { type: 'connection-lost' };
   }
-  return status >= 400 && status < 500 ? { type: 'failed', message: `status ${status}` } : { type: 'connection-lost' };
+  if (status < 400 || status >= 500) {
+    return { type: 'connection-lost' };
+  }
+  const failure = failureSchema.safeParse(parseOptional(body));
+  const executed = failure.success ? failure.data.executed : undefined;
+  return { type: 'failed', message: `status ${status}`, ...(executed === undefined ? {} : { executed }) };
 };
 
 const formatBody = (call: ServerCall): string => {
@@ -89,7 +101,7 @@
   client: HttpClient,
   call: ServerCall,
   signal: AbortSignal,
-  subscriber: Subscriber<ServerEvent>,
+  { subscriber, noteSending }: { readonly subscriber: Subscriber<ServerEvent>; readonly noteSending: () => void },
 ): Promise<void> => {
   const response = await client.open(call.target, {
     method: 'POST',
@@ -103,7 +115,12 @@
     },
     body: formatBody(call),
     signal,
-    onSending: () => subscriber.next({ type: 'sending' }),
+    freshConnection: call.idempotencyKey !== undefined,
+    ...(call.maySend === undefined ? {} : { maySend: call.maySend }),
+    onSending: () => {
+      noteSending();
+      subscriber.next({ type: 'sending' });
+    },
   });
   if (response.statusCode !== STATUS_OK) {
     const failure = readFailure(response.statusCode ?? 0, await readBody(response));
@@ -135,8 +152,12 @@
     const abort = new AbortController();
     const timer = setTimeout(() => abort.abort(), call.timeoutMs);
     let finished = false;
-    runCall(client, call, abort.signal, subscriber)
-      .catch((cause: unknown) => subscriber.next({ type: 'failure', failure: toFailure(cause) }))
+    let sent = false;
+    const noteSending = (): void => {
+      sent = true;
+    };
+    runCall(client, call, abort.signal, { subscriber, noteSending })
+      .catch((cause: unknown) => subscriber.next({ type: 'failure', failure: toFailure(cause, sent) }))
       .finally(() => {
         finished = true;
         clearTimeout(timer);
--- a/packages/platform/src/servers/types.ts
+++ b/packages/platform/src/servers/types.ts
@@ -18,6 +18,8 @@
   /** First token wanted from a generation. */
   readonly resumeTokenIndex: number;
   readonly priority: string;
+  /** Asked just before the first byte is written; false gives the attempt up as `not-sent`. */
+  readonly maySend?: () => boolean;
 }
 
 /** Why a backend server gave no answer. */
@@ -26,7 +28,7 @@
   | { readonly type: 'refused'; readonly leaving: boolean }
   | { readonly type: 'connection-lost' }
   | { readonly type: 'invalid-answer' }
-  | { readonly type: 'failed'; readonly message: string };
+  | { readonly type: 'failed'; readonly message: string; readonly executed?: boolean };
 
 /** What a backend server sent back, in order. `sending` comes just before the first byte leaves. */
 export type ServerEvent =
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -17,6 +17,10 @@
   readonly signal?: AbortSignal;
   /** Called when the connection exists, just before the first byte of the request is written. */
   readonly onSending?: () => void;
+  /** Asked when the connection exists; false gives the request up as `not-connected` before any byte is written. */
+  readonly maySend?: () => boolean;
+  /** Opens a connection for this request alone, because a kept one may break before the server reads from it. */
+  readonly freshConnection?: boolean;
 }
 
 /** A whole HTTP response. */
@@ -44,6 +48,16 @@
     : new TransportError('not-connected', 'no connection could be made', { cause });
 };
 
+const formatOptions = (target: Target, request: HttpRequest, agent: http.Agent): http.RequestOptions => ({
+  agent: request.freshConnection === true ? false : agent,
+  host: target.address,
+  port: target.port,
+  method: request.method,
+  path: request.path,
+  headers: { ...request.headers, 'content-length': Buffer.byteLength(request.body ?? '') },
+  ...(request.signal === undefined ? {} : { signal: request.signal }),
+});
+
 /**
  * Creates an HTTP client.
  *
@@ -59,16 +73,7 @@
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
     new Promise((resolve, reject) => {
       let sent = false;
-      const body = request.body ?? '';
-      const outgoing = http.request({
-        agent,
-        host: target.address,
-        port: target.port,
-        method: request.method,
-        path: request.path,
-        headers: { ...request.headers, 'content-length': Buffer.byteLength(body) },
-        ...(request.signal === undefined ? {} : { signal: request.signal }),
-      });
+      const outgoing = http.request(formatOptions(target, request, agent));
       outgoing.on('response', (response) => {
         // A response that is cancelled after its reader has finished reports an error that nobody awaits.
         response.on('error', () => undefined);
@@ -79,9 +84,13 @@
         if (request.signal?.aborted === true) {
           return;
         }
+        if (request.maySend?.() === false) {
+          outgoing.destroy(new Error('the request was given up before it was sent'));
+          return;
+        }
         sent = true;
         request.onSending?.();
-        outgoing.end(body);
+        outgoing.end(request.body ?? '');
       };
       outgoing.on('socket', (socket) => {
         if (socket.connecting) {
