Stop requests that crash servers and bound the planned stop

Cause: a request that crashes its server was retried on every server of the pool; a drain lost outcomes that were not durable and could wait for ever for a connection.

Change: two crashes of different servers under one fingerprint block it for ten minutes on every live host; several requests that shared both crashes are told apart by a third. Drain flushes outcomes or hands them to another host within its time limit, then aborts what is left.

Conclusion: the reducers are covered by tests; the wired hosts follow.

--- /dev/null
+++ b/packages/decide/src/poison/advancePoison.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import advancePoison from './advancePoison.js';
+import { POISON_BLOCK_MS } from './constants.js';
+import readBlock from './readBlock.js';
+import type { PoisonEvent, PoisonState } from './types.js';
+
+const EMPTY: PoisonState = { crashes: [], blocks: new Map() };
+const STEP_MS = 5_000;
+
+const play = (events: readonly PoisonEvent[]): PoisonState =>
+  events.reduce((state, event, index) => advancePoison(state, event, index * STEP_MS).state, EMPTY);
+
+const crash = (serverId: string, ...fingerprints: string[]): PoisonEvent => ({ type: 'crash', serverId, fingerprints });
+
+test('blocks a request after two servers and for ten minutes, so that it cannot take down a whole pool', () => {
+  const state = play([crash('s1', 'f'), crash('s2', 'f')]);
+  assert.equal(readBlock(state, 'f', STEP_MS), POISON_BLOCK_MS);
+  assert.equal(readBlock(state, 'f', STEP_MS + POISON_BLOCK_MS), undefined);
+});
+
+test('does not block a request that shared one crashing server with the culprit', () => {
+  const state = play([crash('s1', 'bad', 'good'), crash('s2', 'bad', 'other')]);
+  assert.deepEqual([...state.blocks.keys()], ['bad']);
+});
+
+test('a request alone on a server tells it from the one that it met before', () => {
+  const state = play([crash('s1', 'bad', 'good'), crash('s2', 'bad', 'good'), crash('s3', 'bad')]);
+  assert.deepEqual([...state.blocks.keys()], ['bad']);
+});
+
+test('the reports of two hosts about one crash are one crash, so that nobody is blocked by it', () => {
+  const reports = [crash('s1', 'f'), crash('s1', 'g'), crash('s1', 'f')];
+  const state = reports.reduce((before, event) => advancePoison(before, event, 0).state, EMPTY);
+  assert.deepEqual([state.crashes.length, state.blocks.size], [1, 0]);
+});
+
+test('a release forgets the earlier crashes, so that the next single crash does not block again', () => {
+  const state = play([crash('s1', 'f'), crash('s2', 'f'), { type: 'release', fingerprint: 'f' }, crash('s3', 'f')]);
+  assert.equal(state.blocks.size, 0);
+});
+
+test('whatever else crashes, only a request that ran on two crashed servers is blocked', () => {
+  const anyCrash = fc
+    .tuple(fc.constantFrom('s1', 's2', 's3', 's4'), fc.uniqueArray(fc.constantFrom('f', 'g', 'h'), { minLength: 1 }))
+    .map(([serverId, fingerprints]) => ({ type: 'crash' as const, serverId, fingerprints }));
+  fc.assert(
+    fc.property(fc.array(anyCrash, { maxLength: 8 }), (events) => {
+      play(events).blocks.forEach((_, fingerprint) => {
+        const servers = events
+          .filter((event) => new Set<string>(event.fingerprints).has(fingerprint))
+          .map((e) => e.serverId);
+        assert.ok(new Set(servers).size >= 2, `${fingerprint} was blocked after ${new Set(servers).size} servers`);
+      });
+    }),
+    { numRuns: 500, seed: 4_712 },
+  );
+});
--- /dev/null
+++ b/packages/decide/src/poison/index.ts
@@ -0,0 +1,5 @@
+/** Requests that crash the servers which run them. */
+export * from './constants.js';
+export * from './types.js';
+export { default as advancePoison } from './advancePoison.js';
+export { default as readBlock } from './readBlock.js';
--- /dev/null
+++ b/packages/decide/src/poison/types.ts
@@ -0,0 +1,27 @@
+/** One crash of one backend server and the requests that ran on it, as far as known. */
+export interface Crash {
+  readonly serverId: string;
+  readonly atMs: number;
+  readonly fingerprints: ReadonlySet<string>;
+}
+
+/** Suspicions of one host. */
+export interface PoisonState {
+  readonly crashes: readonly Crash[];
+  /** Monotonic time at which each block ends, by fingerprint. */
+  readonly blocks: ReadonlyMap<string, number>;
+}
+
+/** Something that happened to a fingerprint. */
+export type PoisonEvent =
+  | { readonly type: 'crash'; readonly serverId: string; readonly fingerprints: readonly string[] }
+  /** Another host blocked the fingerprint. */
+  | { readonly type: 'block'; readonly fingerprint: string; readonly remainingMs: number }
+  /** An operator released the fingerprint. */
+  | { readonly type: 'release'; readonly fingerprint: string };
+
+/** New state and the fingerprints that it blocks in addition. */
+export interface PoisonStep {
+  readonly state: PoisonState;
+  readonly blocked: readonly string[];
+}
--- a/packages/decide/src/request/types.ts
+++ b/packages/decide/src/request/types.ts
@@ -42,8 +42,8 @@
   | { readonly type: 'not-sent' }
   /** The server itself says that it did not run the request. */
   | { readonly type: 'refused'; readonly leaving: boolean }
-  /** The connection broke or the server crashed; it may have run. */
-  | { readonly type: 'connection-lost' }
+  /** The connection broke or the server crashed, or it answered with an error status (`answered`); it may have run. */
+  | { readonly type: 'connection-lost'; readonly answered?: boolean }
   /** No server became available before the deadline. */
   | { readonly type: 'queue-timeout' }
   /** The server answered with something that is not an answer to this attempt. */
--- /dev/null
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -0,0 +1,157 @@
+import { createHash } from 'node:crypto';
+import { finalize, Observable, of, tap } from 'rxjs';
+import type { Clock } from '@bergamotcove/clock';
+import { advancePoison, readBlock, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import {
+  OPERATOR_LIST_POISON,
+  OPERATOR_RELEASE_POISON,
+  POISON_REPORT,
+  poisonReportSchema,
+  releasePoisonSchema,
+  type PoisonBlock,
+  type PoisonReport,
+} from '@bergamotcove/protocol';
+import type { PeerClient, PeerServer } from '@bergamotcove/transport';
+import type { CallerRequest } from '../callers/types.js';
+import type { PeerDirectory } from '../peers/types.js';
+import type { AttemptEvent } from '../requests/startRun.js';
+import RunningAttempts from './_lib/RunningAttempts.js';
+
+/** Options of {@link createPoisonGuard}. */
+export interface PoisonGuardOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly peers: PeerClient;
+  readonly peerServer: PeerServer;
+  readonly directory: PeerDirectory;
+  readonly hostId: string;
+}
+
+/** What an attempt is watched for. */
+export interface WatchedRequest {
+  readonly fingerprint: string;
+  /** Monotonic time; a connection that this host drops at the deadline is not a crash. */
+  readonly deadlineAtMs: number;
+}
+
+/** Stops requests that crash the servers which run them. */
+export interface PoisonGuard {
+  /** Starts an attempt unless its request is blocked, and watches it for a crash of its server. */
+  watch(request: WatchedRequest, dispatch: () => Observable<AttemptEvent>): Observable<AttemptEvent>;
+  listBlocks(): readonly PoisonBlock[];
+}
+
+const REPORT_TIMEOUT_MS = 500;
+const FINGERPRINT_CHARS = 22;
+
+/** Fingerprint of a request: the same request gets the same one on every host. */
+export const formatFingerprint = (request: CallerRequest): string =>
+  createHash('sha256')
+    .update(JSON.stringify([request.organisation, request.service, request.operation, request.input]))
+    .digest('base64url')
+    .slice(0, FINGERPRINT_CHARS);
+
+class Guard implements PoisonGuard {
+  private state: PoisonState = { crashes: [], blocks: new Map() };
+
+  private readonly running = new RunningAttempts();
+
+  constructor(private readonly options: PoisonGuardOptions) {
+    const { peerServer } = options;
+    peerServer.register(POISON_REPORT, (params) => {
+      this.handle(poisonReportSchema.parse(params));
+      return {};
+    });
+    peerServer.register(OPERATOR_RELEASE_POISON, (params) => {
+      const { fingerprint } = releasePoisonSchema.parse(params);
+      const blocked = readBlock(this.state, fingerprint, options.clock.monotonicMs()) !== undefined;
+      this.handle({ type: 'release', fingerprint });
+      this.report({ type: 'release', fingerprint });
+      return { released: blocked };
+    });
+    peerServer.register(OPERATOR_LIST_POISON, () => this.listBlocks());
+  }
+
+  listBlocks(): readonly PoisonBlock[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return [...this.state.blocks]
+      .filter(([, untilMs]) => untilMs > nowMs)
+      .map(([fingerprint, untilMs]) => ({ fingerprint, remainingMs: untilMs - nowMs }));
+  }
+
+  watch(request: WatchedRequest, dispatch: () => Observable<AttemptEvent>): Observable<AttemptEvent> {
+    const retryAfterMs = readBlock(this.state, request.fingerprint, this.options.clock.monotonicMs());
+    if (retryAfterMs !== undefined) {
+      return of({ type: 'failed', failure: { type: 'poisoned', retryAfterMs }, retryAllowed: false });
+    }
+    const attempt = {};
+    let serverId: string | undefined;
+    const end = (): void => {
+      if (serverId !== undefined) {
+        this.running.remove(serverId, attempt);
+      }
+    };
+    return dispatch().pipe(
+      tap((event) => {
+        if (event.type === 'sent') {
+          serverId = event.serverId;
+          this.running.add(serverId, attempt, request.fingerprint);
+        } else if (serverId !== undefined && this.isCrash(request, event)) {
+          this.noteCrash(serverId);
+        }
+      }),
+      finalize(end),
+    );
+  }
+
+  private isCrash(request: WatchedRequest, event: AttemptEvent): boolean {
+    return (
+      event.type === 'failed' &&
+      event.failure.type === 'connection-lost' &&
+      event.failure.answered !== true &&
+      this.options.clock.monotonicMs() < request.deadlineAtMs
+    );
+  }
+
+  private noteCrash(serverId: string): void {
+    const crash = { type: 'crash' as const, serverId, fingerprints: [...this.running.list(serverId)] };
+    this.report(crash);
+    this.handle(crash);
+  }
+
+  private handle(event: PoisonEvent): void {
+    const step = advancePoison(this.state, event, this.options.clock.monotonicMs());
+    this.state = step.state;
+    if (event.type === 'block') {
+      return;
+    }
+    step.blocked.forEach((fingerprint) => {
+      this.options.logger.event('requestPoisoned', { fingerprint });
+      const remainingMs = readBlock(this.state, fingerprint, this.options.clock.monotonicMs()) ?? 0;
+      this.report({ type: 'block', fingerprint, remainingMs });
+    });
+  }
+
+  private report(report: PoisonReport): void {
+    const { directory, peers, hostId } = this.options;
+    directory
+      .liveHosts()
+      .filter((host) => host.hostId !== hostId)
+      .forEach((host) => {
+        const target = { address: host.address, port: host.peersPort };
+        // A host that misses a report learns of the request when it crashes a server there.
+        peers.call(target, POISON_REPORT, report, { timeoutMs: REPORT_TIMEOUT_MS }).catch(() => undefined);
+      });
+  }
+}
+
+/**
+ * Creates the guard against requests that crash servers, and registers its peer and operator methods.
+ *
+ * @param options - peers and identity of this host
+ * @returns the guard
+ */
+export default function createPoisonGuard(options: PoisonGuardOptions): PoisonGuard {
+  return new Guard(options);
+}
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -8,6 +8,7 @@
 import type { CallerRequest } from '../callers/types.js';
 import type { ClaimBook, ClaimRequest } from '../claims/types.js';
 import type { ConfigHolder } from '../config/createConfigHolder.js';
+import { formatFingerprint, type PoisonGuard } from '../poison/createPoisonGuard.js';
 import type { Dispatcher } from './createDispatcher.js';
 import createKeyedRuns, { type KeyedRuns } from './createKeyedRuns.js';
 import type { StatusQuery } from './createStatusQuery.js';
@@ -22,6 +23,7 @@
   readonly dispatch: Dispatcher;
   readonly tracer: Tracer;
   readonly queryStatus: StatusQuery;
+  readonly poison: PoisonGuard;
   readonly onFinished: (plan: RequestPlan, result: RequestResult, durationMs: number) => void;
 }
 
@@ -214,14 +216,15 @@
     const span = tracer.startSpan(`request ${plan.service}/${plan.operation.name}`, request.traceparent);
     span.setAttribute('requestId', plan.requestId);
     this.inFlightCount += 1;
+    const watched = { fingerprint: formatFingerprint(request), deadlineAtMs: plan.deadlineAtMs };
+    const context = {
+      plan,
+      requestTraceparent: span.traceparent,
+      ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
+    };
     const run = startRun(plan, {
       clock,
-      dispatch: (action) =>
-        this.options.dispatch(action, {
-          plan,
-          requestTraceparent: span.traceparent,
-          ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
-        }),
+      dispatch: (action) => this.options.poison.watch(watched, () => this.options.dispatch(action, context)),
       claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
       record: (result) => (claim === undefined ? Promise.resolve() : claims.record(claim, result)),
     });
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -19,8 +19,10 @@
 import createClaimBook from './claims/createClaimBook.js';
 import type { ClaimBook } from './claims/types.js';
 import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
+import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createDispatcher from './requests/createDispatcher.js';
 import createStatusQuery from './requests/createStatusQuery.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
@@ -87,12 +89,13 @@
   };
 };
 
-const createRequests = (base: Base, claims: ClaimBook): RequestService => {
+const createRequests = (base: Base, claims: ClaimBook, poison: PoisonGuard): RequestService => {
   const { failureDomain, region } = base.settings.host;
   return createRequestService({
     clock: base.clock,
     config: base.config,
     claims,
+    poison,
     queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
     dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
@@ -117,6 +120,10 @@
   (base: Base, requests: RequestService, drainState: DrainState) =>
   async (exchange: HttpExchange): Promise<void> => {
     const { path, response } = exchange;
+    if (drainState.draining) {
+      // Callers and the balancer open their next connection elsewhere.
+      response.setHeader('connection', 'close');
+    }
     const service = exchange.request.method === 'POST' ? matchServicePath(path) : undefined;
     if (service !== undefined) {
       await handleCallerRequest(exchange, service, requests);
@@ -145,21 +152,28 @@
   };
 };
 
-const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
-  const wait = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      base.clock.schedule(delayMs, resolve);
-    });
-  return async (): Promise<void> => {
-    const { balancerLagMs, timeoutMs } = base.settings.drain;
-    const state = drainState;
-    state.draining = true;
-    base.logger.event('drainStarted', { inFlight: requests.inFlight() });
-    await wait(balancerLagMs);
-    const result = await Promise.race([requests.idle(), wait(timeoutMs).then(() => 'timeout' as const)]);
-    base.logger.event(result === 'timeout' ? 'drainTimedOut' : 'drainFinished', { inFlight: requests.inFlight() });
-    await close();
-  };
+interface DrainParts {
+  readonly requests: RequestService;
+  readonly claims: ClaimBook;
+  readonly drainState: DrainState;
+  readonly close: () => Promise<void>;
+  readonly abort: () => void;
+}
+
+const wireDrain = (base: Base, { requests, claims, drainState, close, abort }: DrainParts): (() => Promise<void>) => {
+  const state = drainState;
+  return createDrain({
+    ...base,
+    ...base.settings.drain,
+    onStart: () => {
+      state.draining = true;
+    },
+    inFlight: () => requests.inFlight(),
+    idle: () => requests.idle(),
+    flush: (limitMs) => claims.flush(limitMs),
+    close,
+    abort,
+  });
 };
 
 const readStatus = (
@@ -200,14 +214,9 @@
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
   const peerServer = createPeerServer();
-  const claims = createClaimBook({
-    ...base,
-    peers: base.peerClient,
-    peerServer,
-    directory: peerDirectory,
-    hostId: settings.host.id,
-  });
-  const requests = createRequests(base, claims);
+  const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
+  const claims = createClaimBook(peerParts);
+  const requests = createRequests(base, claims, createPoisonGuard(peerParts));
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -229,19 +238,20 @@
     base.store.close();
     base.tracer.close();
   };
-  drain = createDrain(base, requests, drainState, close);
+  const abort = (): void => {
+    callers.abort();
+    peers.abort();
+    base.http.close();
+    base.store.close();
+    close().catch(() => undefined);
+  };
+  drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
     callersPort: callers.port,
     peersPort: peers.port,
     drain,
     close,
-    abort: () => {
-      callers.abort();
-      peers.abort();
-      base.http.close();
-      base.store.close();
-      close().catch(() => undefined);
-    },
+    abort,
   };
 }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -20,6 +20,7 @@
   requestRefused: { id: 2001, level: 'info', text: 'A request ended without an answer; see its outcome.' },
   requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
   attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
+  requestPoisoned: { id: 2101, level: 'warn', text: 'A request crashed two servers; release it with releasePoison.' },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
--- a/packages/platform/src/servers/callServer.ts
+++ b/packages/platform/src/servers/callServer.ts
@@ -41,14 +41,17 @@
   }
 };
 
+/** The server lives, but says nothing about the effect of the call. */
+const ERROR_STATUS: ServerFailure = { type: 'connection-lost', answered: true };
+
 /** A 503 that states `executed: false` proves that nothing ran; any other error status does not. */
 const readFailure = (status: number, body: string): ServerFailure => {
   if (status === STATUS_UNAVAILABLE) {
     const refusal = refusalSchema.safeParse(parseOptional(body));
-    return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : { type: 'connection-lost' };
+    return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : ERROR_STATUS;
   }
   if (status < 400 || status >= 500) {
-    return { type: 'connection-lost' };
+    return ERROR_STATUS;
   }
   const failure = failureSchema.safeParse(parseOptional(body));
   const executed = failure.success ? failure.data.executed : undefined;
--- a/packages/platform/src/servers/types.ts
+++ b/packages/platform/src/servers/types.ts
@@ -26,7 +26,7 @@
 export type ServerFailure =
   | { readonly type: 'not-sent' }
   | { readonly type: 'refused'; readonly leaving: boolean }
-  | { readonly type: 'connection-lost' }
+  | { readonly type: 'connection-lost'; readonly answered?: boolean }
   | { readonly type: 'invalid-answer' }
   | { readonly type: 'failed'; readonly message: string; readonly executed?: boolean };
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -2,3 +2,4 @@
 export * from './operator.js';
 export * from './config.js';
 export * from './claims.js';
+export * from './poison.js';
--- /dev/null
+++ b/packages/protocol/src/poison.ts
@@ -0,0 +1,36 @@
+/** Suspicions that a request crashes backend servers, shared between entry hosts. */
+import { z } from 'zod';
+
+/** Method that tells another host of a crash, a block or a release. */
+export const POISON_REPORT = 'poison.report';
+/** Method by which an operator releases a blocked fingerprint. */
+export const OPERATOR_RELEASE_POISON = 'operator.releasePoison';
+/** Method by which an operator lists the blocked fingerprints. */
+export const OPERATOR_LIST_POISON = 'operator.listPoison';
+
+const fingerprintSchema = z.string().min(1).max(64);
+
+const MAX_FINGERPRINTS = 1_000;
+
+/** Parameters of {@link POISON_REPORT}. */
+export const poisonReportSchema = z.discriminatedUnion('type', [
+  /** A backend server broke the connections of the requests that ran on it. */
+  z.strictObject({
+    type: z.literal('crash'),
+    serverId: z.string().min(1),
+    fingerprints: z.array(fingerprintSchema).min(1).max(MAX_FINGERPRINTS),
+  }),
+  z.strictObject({ type: z.literal('block'), fingerprint: fingerprintSchema, remainingMs: z.number().min(0) }),
+  z.strictObject({ type: z.literal('release'), fingerprint: fingerprintSchema }),
+]);
+
+/** Parameters of {@link OPERATOR_RELEASE_POISON}. */
+export const releasePoisonSchema = z.strictObject({ fingerprint: fingerprintSchema });
+
+export type PoisonReport = Readonly<z.output<typeof poisonReportSchema>>;
+
+/** One blocked fingerprint as operators see it. */
+export interface PoisonBlock {
+  readonly fingerprint: string;
+  readonly remainingMs: number;
+}
