Send the caller's input to every stage

Backend servers got only the outputs of earlier stages, so the first stage got an empty list and no server ever saw the caller's input. The dispatcher now sends { request, outputs }. The fault matrix checks that every answer carries the marker of its caller's input, which fails without this.

--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -23,6 +23,8 @@
 export interface DispatchContext {
   readonly plan: RequestPlan;
   readonly requestTraceparent: string;
+  /** The caller's input; every stage gets it together with the outputs of the stages before. */
+  readonly callerInput: unknown;
   readonly idempotencyKey?: string;
 }
 
@@ -43,7 +45,7 @@
   requestId: context.plan.requestId,
   organisation: context.plan.organisation,
   operation: context.plan.operation.name,
-  input: action.input,
+  input: { request: context.callerInput, outputs: action.input },
   ...(action.stage.model === undefined ? {} : { model: action.stage.model }),
   ...(action.stage.effect === 'once' && context.idempotencyKey !== undefined
     ? { idempotencyKey: context.idempotencyKey }
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -184,6 +184,7 @@
         this.options.dispatch(action, {
           plan,
           requestTraceparent: span.traceparent,
+          callerInput: request.input,
           ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
         }),
       claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
