Ready: stand-ins with faults, counters and observers

The stand-ins served only the fault-free path, so no test could show a lost reply, a crash or a late answer.

- Backend servers: crash on the same port, reset before and after the execution, reply lost, late, duplicate and swapped answers, leaving, poison; status query, key checks, load report with a lag.
Answers carry the caller's marker.
- Engines: continuous batching with a token budget, prefix cache in limited memory, priorities, resume and cancel, KV cache export and import, cache events with lag and gaps, orders with and without fencing checks.
- Weight store with a rate limit, balancer that ignores a drain for a settable time, host list with a lag.

--- /dev/null
+++ b/packages/standins/src/_lib/startFaultyServer.ts
@@ -0,0 +1,90 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { HttpServer } from '@bergamotcove/transport';
+import type { ListenOptions, Standin } from '../types.js';
+import serveJson, { type JsonRoute } from './serveJson.js';
+import createServerFaults, { serverFaultsSchema, type ServerFaultInput, type ServerFaults } from './serverFaults.js';
+
+/** A running backend server whose faults can be set. */
+export interface FaultyServer extends Standin {
+  setFaults(faults: readonly ServerFaultInput[]): void;
+  addFault(fault: ServerFaultInput): void;
+  /** Drops every connection and refuses new ones for the time; forever when it is infinite. */
+  crash(downMs: number): void;
+}
+
+/** What routes of a backend server use. */
+export interface ServerControls {
+  readonly faults: ServerFaults;
+  crash(downMs: number): void;
+}
+
+/** Options of {@link startFaultyServer}. */
+export interface FaultyServerOptions {
+  readonly clock: Clock;
+  readonly createRoutes: (controls: ServerControls) => Readonly<Record<string, JsonRoute>>;
+  /** Called when the server crashes; everything in memory is lost. */
+  readonly onCrash?: () => void;
+}
+
+const createControlRoutes = (faults: ServerFaults, crash: (downMs: number) => void): Record<string, JsonRoute> => ({
+  'GET /control/faults': () => ({ faults: faults.list() }),
+  'POST /control/faults': (body) => {
+    faults.set(serverFaultsSchema.parse(body).faults);
+    return {};
+  },
+  'POST /control/crash': (body) => {
+    crash((body as { readonly downMs?: number }).downMs ?? Infinity);
+    return undefined;
+  },
+});
+
+/**
+ * Starts an HTTP server that can crash and come back on the same port. A server that is down refuses connections,
+ * its control endpoint too, as a dead process does.
+ *
+ * @param listen - address and port
+ * @param options - clock and routes
+ * @returns the running server
+ */
+export default async function startFaultyServer(
+  listen: ListenOptions,
+  options: FaultyServerOptions,
+): Promise<FaultyServer> {
+  const faults = createServerFaults();
+  let server: HttpServer | undefined;
+  let { port } = listen;
+  let closed = false;
+  let start: () => Promise<void> = () => Promise.resolve();
+
+  const crash = (downMs: number): void => {
+    const crashed = server;
+    server = undefined;
+    crashed?.close().catch(() => undefined);
+    crashed?.abort();
+    options.onCrash?.();
+    if (crashed !== undefined && Number.isFinite(downMs)) {
+      options.clock.schedule(downMs, () => {
+        start().catch(() => undefined);
+      });
+    }
+  };
+  const routes = { ...options.createRoutes({ faults, crash }), ...createControlRoutes(faults, crash) };
+  start = async () => {
+    if (!closed && server === undefined) {
+      server = await serveJson(routes, { address: listen.address, port });
+      ({ port } = server);
+    }
+  };
+  await start();
+  return {
+    port,
+    crash,
+    setFaults: (orders) => faults.set(serverFaultsSchema.parse({ faults: orders }).faults),
+    addFault: (order) => serverFaultsSchema.parse({ faults: [order] }).faults.forEach(faults.add),
+    close: async () => {
+      closed = true;
+      server?.abort();
+      await server?.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/_lib/wait.ts
@@ -0,0 +1,8 @@
+import type { Clock } from '@bergamotcove/clock';
+
+/** Resolves after the delay. */
+export default function wait(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.schedule(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/balancer/startBalancer.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createSystemClock } from '@bergamotcove/clock';
+import { createHttpClient } from '@bergamotcove/transport';
+import serveJson, { StatusReply } from '../_lib/serveJson.js';
+import startBalancer from './startBalancer.js';
+
+test('goes on using a draining host for the settable time, as the platform does', async (context) => {
+  const place = { address: '127.0.0.1', port: 0 };
+  let ready = true;
+  const startHost = (id: string) =>
+    serveJson(
+      {
+        'GET /readyz': () => (id === 'a' && !ready ? new StatusReply(503, {}) : {}),
+        'GET /who': () => id,
+      },
+      place,
+    );
+  const hosts = { a: await startHost('a'), b: await startHost('b') };
+  const backends = Object.entries(hosts).map(([id, { port }]) => ({ id, address: '127.0.0.1', port }));
+  const clock = createSystemClock();
+  const balancer = await startBalancer(place, { clock, backends, checkMs: 10, ignoreDrainMs: 150 });
+  const http = createHttpClient({ maxSockets: 1 });
+  context.after(async () => {
+    http.close();
+    await balancer.close();
+    await Promise.all([hosts.a.close(), hosts.b.close()]);
+  });
+  const ask = async (count: number): Promise<readonly string[]> => {
+    const names: string[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const request = { method: 'GET', path: '/who', headers: { connection: 'close' } } as const;
+      names.push((await http.send({ address: '127.0.0.1', port: balancer.port }, request)).body);
+    }
+    return names;
+  };
+  assert.deepEqual(new Set(await ask(4)), new Set(['"a"', '"b"']));
+  ready = false;
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  assert.deepEqual(new Set(await ask(4)), new Set(['"a"', '"b"']));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 250);
+  });
+  assert.deepEqual(new Set(await ask(4)), new Set(['"b"']));
+});
--- /dev/null
+++ b/packages/standins/src/engines/streamCompletion.ts
@@ -0,0 +1,140 @@
+import type { Clock } from '@bergamotcove/clock';
+import { formatStreamEvent, type HttpExchange } from '@bergamotcove/transport';
+import findEcho from '../_lib/findEcho.js';
+import type { ServerControls } from '../_lib/startFaultyServer.js';
+import wait from '../_lib/wait.js';
+import type { Observe, ServerPoint } from '../types.js';
+import type { Batch } from './createBatch.js';
+
+/** One generation to stream. */
+export interface CompletionRequest {
+  readonly attemptId: string;
+  readonly requestId: string;
+  readonly prompt: string;
+  readonly priority: string;
+  readonly resumeTokenIndex: number;
+  readonly prefillTokens: number;
+  /** Prompt tokens found in the prefix cache. */
+  readonly cachedTokens: number;
+}
+
+/** What a stream needs of its engine. */
+export interface CompletionParts {
+  readonly options: {
+    readonly clock: Clock;
+    readonly serverId: string;
+    readonly tokensPerAnswer: number;
+    readonly observe?: Observe<ServerPoint>;
+  };
+  readonly batch: Batch;
+  readonly controls: ServerControls;
+  readonly sampleLoad: () => void;
+}
+
+const STATUS_OK = 200;
+const PRIORITIES = ['money', 'booking', 'interactive', 'draft'];
+const LENGTH_PATTERN = /\\*"outputTokens\\*":(\d+)/;
+
+/** Text of one token; it depends only on the prompt. */
+const formatToken = (echo: string, index: number): string => (echo === '' ? `token${index} ` : `${echo}#${index} `);
+
+/** Applies the faults that act within a stream; true when nothing more is sent. */
+const breakStream = async (parts: CompletionParts, exchange: HttpExchange, tokenIndex: number): Promise<boolean> => {
+  const { faults, crash } = parts.controls;
+  const reached = (fault: { readonly atToken: number }): boolean => fault.atToken <= tokenIndex;
+  const crashed = faults.take('crash-after', reached);
+  if (crashed !== undefined) {
+    crash(crashed.delayMs);
+    return true;
+  }
+  if (faults.take('reset-after', reached) !== undefined) {
+    exchange.request.socket.resetAndDestroy();
+    return true;
+  }
+  if (faults.take('reply-lost', reached) !== undefined) {
+    return true;
+  }
+  const late = faults.take('late', reached);
+  if (late !== undefined) {
+    await wait(parts.options.clock, late.delayMs);
+  }
+  return false;
+};
+
+/** Writes chunks of one stream, with the faults that change single chunks. */
+const createChunkWriter = (request: CompletionRequest, exchange: HttpExchange, parts: CompletionParts) => {
+  const { faults } = parts.controls;
+  const { response } = exchange;
+  const write = (id: string, index: number, text: string, finishReason: string | null): void => {
+    const data = { id, token_index: index, choices: [{ index: 0, text, finish_reason: finishReason }] };
+    response.write(formatStreamEvent({ event: 'message', data: JSON.stringify(data) }));
+  };
+  return (index: number, text: string, finishReason: string | null): void => {
+    const reached = (fault: { readonly atToken: number }): boolean => fault.atToken <= index;
+    if (faults.take('swapped', reached) !== undefined) {
+      const other = parts.batch.ids().find((id) => id !== request.attemptId) ?? 'foreign.0';
+      write(other, index, `${other}#${index} `, finishReason);
+      return;
+    }
+    write(request.attemptId, index, text, finishReason);
+    if (faults.take('duplicate', reached) !== undefined) {
+      write(request.attemptId, index, text, finishReason);
+    }
+  };
+};
+
+/**
+ * Streams one completion as server-sent events. A stream whose connection ends leaves the batch.
+ *
+ * @param request - the generation
+ * @param exchange - HTTP request and response
+ * @param parts - batch, faults and observer of the engine
+ */
+export default function streamCompletion(
+  request: CompletionRequest,
+  exchange: HttpExchange,
+  parts: CompletionParts,
+): void {
+  const { options, batch } = parts;
+  const { response } = exchange;
+  const echo = findEcho(request.prompt);
+  const tokenCount = Number(LENGTH_PATTERN.exec(request.prompt)?.[1] ?? options.tokensPerAnswer);
+  const writeChunk = createChunkWriter(request, exchange, parts);
+  let ended = false;
+  const sendToken = async (index: number): Promise<void> => {
+    if (ended || response.closed) {
+      return;
+    }
+    const point = { serverId: options.serverId, kind: 'generate', requestId: request.requestId };
+    await options.observe?.({ type: 'token', ...point, tokenIndex: index, tokenCount });
+    ended = await breakStream(parts, exchange, index);
+    if (ended) {
+      return;
+    }
+    if (index < tokenCount) {
+      writeChunk(index, formatToken(echo, index), null);
+    } else {
+      writeChunk(index, '', 'stop');
+      response.end(formatStreamEvent({ event: 'message', data: '[DONE]' }));
+    }
+  };
+  // Tokens leave in order although the observer and late chunks wait.
+  let sending = Promise.resolve();
+  response.writeHead(STATUS_OK, {
+    'content-type': 'text/event-stream',
+    'x-cached-tokens': String(request.cachedTokens),
+  });
+  response.on('close', () => batch.cancel(request.attemptId));
+  batch.add({
+    id: request.attemptId,
+    priority: PRIORITIES.includes(request.priority) ? PRIORITIES.indexOf(request.priority) : PRIORITIES.length,
+    prefillTokens: request.prefillTokens,
+    firstTokenIndex: Math.min(request.resumeTokenIndex, tokenCount),
+    tokenCount,
+    emit: (index) => {
+      parts.sampleLoad();
+      sending = sending.then(() => sendToken(index));
+    },
+  });
+  parts.sampleLoad();
+}
--- /dev/null
+++ b/packages/standins/src/servers/startStageServer.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { createSystemClock } from '@bergamotcove/clock';
+import { createHttpClient, TransportError } from '@bergamotcove/transport';
+import startStageServer, { type StageServerOptions } from './startStageServer.js';
+
+const open = async (context: TestContext, options: Partial<StageServerOptions> = {}) => {
+  const clock = createSystemClock();
+  const common = { clock, serverId: 's1', kind: 'call', serviceMs: 1 } as const;
+  const server = await startStageServer({ address: '127.0.0.1', port: 0 }, { ...common, ...options });
+  const http = createHttpClient();
+  context.after(async () => {
+    http.close();
+    await server.close();
+  });
+  const target = { address: '127.0.0.1', port: server.port };
+  const call = (attemptId: string, key: string, echo = attemptId) =>
+    http.send(target, {
+      method: 'POST',
+      path: '/v1/stages/call',
+      headers: { 'idempotency-key': key },
+      body: JSON.stringify({ attemptId, requestId: key, organisation: 'o', operation: 'p', input: { echo } }),
+      signal: AbortSignal.timeout(1_000),
+    });
+  return { server, http, target, call };
+};
+
+const isCode = (code: string) => (error: unknown) => error instanceof TransportError && error.code === code;
+
+test('counts executions truly: refused and reset-before requests did not run, reset-after did', async (context) => {
+  const { server, call, http, target } = await open(context);
+  server.setFaults([{ type: 'leaving', times: 1 }]);
+  const refusal = await call('a.0', 'k1');
+  assert.deepEqual([refusal.status, JSON.parse(refusal.body)], [503, { executed: false, leaving: true }]);
+  server.setFaults([{ type: 'reset-before', times: 1 }]);
+  await assert.rejects(call('a.1', 'k1'), isCode('connection-lost'));
+  assert.deepEqual(server.executions(), {});
+  server.setFaults([{ type: 'reset-after', times: 1 }]);
+  await assert.rejects(call('a.2', 'k1'), isCode('connection-lost'));
+  assert.deepEqual(server.executions(), { k1: 1 });
+  const status = await http.send(target, { method: 'GET', path: '/v1/status?key=k1' });
+  assert.deepEqual(JSON.parse(status.body), { executed: true });
+});
+
+test('a server that checks keys runs a key once and gives the first answer again', async (context) => {
+  const { server, call } = await open(context, { checkKeys: true });
+  const first = JSON.parse((await call('a.0', 'k1')).body) as { output: unknown };
+  const second = JSON.parse((await call('a.1', 'k1')).body) as { attemptId: string; output: unknown };
+  assert.deepEqual([second.attemptId, second.output], ['a.1', first.output]);
+  assert.deepEqual(server.executions(), { k1: 1 });
+});
+
+test('swapped answers reach the wrong requests, so that attempt ids have something to catch', async (context) => {
+  const { server, call } = await open(context);
+  server.setFaults([{ type: 'swapped', times: 2 }]);
+  const [first, second] = await Promise.all([call('a.0', 'k1'), call('b.0', 'k2')]);
+  assert.match(first.body, /"attemptId":"b\.0".*"echo":"b\.0"/);
+  assert.match(second.body, /"attemptId":"a\.0".*"echo":"a\.0"/);
+});
+
+test('a crashed server refuses connections and comes back on its port', async (context) => {
+  const { server, call } = await open(context);
+  server.setFaults([{ type: 'poison', marker: 'bad', delayMs: 100, times: 1 }]);
+  await assert.rejects(call('a.0', 'k1', 'bad-input'), isCode('connection-lost'));
+  await assert.rejects(call('a.1', 'k1'), isCode('not-connected'));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 200);
+  });
+  assert.equal((await call('a.2', 'k1')).status, 200);
+});
--- a/packages/standins/src/store/startStore.ts
+++ b/packages/standins/src/store/startStore.ts
@@ -1,163 +1,156 @@
-import type { ServerResponse } from 'node:http';
-import type { Clock, Timer } from '@bergamotcove/clock';
-import serveJson, { StatusReply } from '../_lib/serveJson.js';
-import type { ListenOptions, Standin } from '../types.js';
-import createStoreState, { type StoreChange, type StoreState, type StoreWrite } from './createStoreState.js';
-import {
-  decode,
-  decodeEnd,
-  formatChange,
-  formatEntry,
-  leaseGrantSchema,
-  leaseIdSchema,
-  rangeRequestSchema,
-  txnRequestSchema,
-  watchRequestSchema,
-  type WireCompare,
-  type WireOp,
-} from './wire.js';
+import type { Clock } from '@bergamotcove/clock';
+import type { HttpExchange } from '@bergamotcove/transport';
+import serveJson, { StatusReply, type JsonRoute } from '../_lib/serveJson.js';
+import wait from '../_lib/wait.js';
+import type { ListenOptions, Observe, Standin, StorePoint } from '../types.js';
+import createCallBudget from './createCallBudget.js';
+import createLeases, { type Leases } from './createLeases.js';
+import createStoreState, { type StoreState } from './createStoreState.js';
+import runTxn, { listWrittenKeys, readRange } from './runTxn.js';
+import runWatch from './runWatch.js';
+import createStoreFaults, { storeFaultsSchema, type StoreFaultInput, type StoreFaults } from './storeFaults.js';
+import { leaseGrantSchema, leaseIdSchema, rangeRequestSchema, txnRequestSchema } from './wire.js';
 
-const MS_PER_SECOND = 1_000;
-const STATUS_OK = 200;
-const STATUS_NOT_FOUND = 404;
-
-const header = (state: StoreState): object => ({ revision: String(state.revision()) });
-
-const holds = (state: StoreState, compare: WireCompare): boolean => {
-  const entry = state.get(decode(compare.key));
-  return compare.target === 'CREATE'
-    ? (entry?.createRevision ?? 0) === compare.create_revision
-    : (entry?.modRevision ?? 0) === compare.mod_revision;
-};
+/** Options of {@link startStore}. */
+export interface StoreOptions {
+  readonly clock: Clock;
+  /** Calls per second over which calls are rejected with status 429 and no effect. */
+  readonly callsPerSecond?: number;
+  readonly observe?: Observe<StorePoint>;
+}
 
-const toWrites = (op: WireOp): readonly StoreWrite[] => {
-  if (op.request_put !== undefined) {
-    const { key, value, lease } = op.request_put;
-    return [
-      { type: 'put', key: decode(key), value: decode(value), ...(lease === undefined ? {} : { leaseId: lease }) },
-    ];
-  }
-  if (op.request_delete_range !== undefined) {
-    const from = decode(op.request_delete_range.key);
-    return [{ type: 'delete', from, to: decodeEnd(from, op.request_delete_range.range_end) }];
-  }
-  return [];
-};
+/** A running store. */
+export interface StoreStandin extends Standin {
+  setFaults(faults: readonly StoreFaultInput[]): void;
+  /** Calls so far by kind. */
+  counters(): Readonly<Record<string, number>>;
+}
 
-const readRange = (state: StoreState, body: unknown): object => {
-  const request = rangeRequestSchema.parse(body);
-  const from = decode(request.key);
-  const entries = state.range(from, decodeEnd(from, request.range_end));
-  return { header: header(state), kvs: entries.slice(0, request.limit ?? entries.length).map(formatEntry) };
-};
+const MS_PER_SECOND = 1_000;
+const STATUS_TOO_MANY = 429;
+const STATUS_NOT_FOUND = 404;
 
-const runTxn = (state: StoreState, body: unknown): object => {
-  const request = txnRequestSchema.parse(body);
-  const succeeded = request.compare.every((compare) => holds(state, compare));
-  const ops = succeeded ? request.success : request.failure;
-  const writes = ops.flatMap(toWrites);
-  if (writes.length > 0) {
-    state.write(writes);
-  }
-  const responses = ops.map((op) =>
-    op.request_range === undefined ? {} : { response_range: readRange(state, op.request_range) },
-  );
-  return { header: header(state), succeeded, responses };
-};
+interface Parts {
+  readonly options: StoreOptions;
+  readonly state: StoreState;
+  readonly leases: Leases;
+  readonly faults: StoreFaults;
+  readonly counters: Map<string, number>;
+  readonly budget: { take(): boolean };
+}
 
-const runWatch = (state: StoreState, body: unknown, response: ServerResponse): void => {
-  const { create_request: request } = watchRequestSchema.parse(body);
-  const from = decode(request.key);
-  const to = decodeEnd(from, request.range_end);
-  const send = (changes: readonly StoreChange[], created = false): void => {
-    const events = changes
-      .filter((change) => {
-        const key = change.type === 'put' ? change.entry.key : change.key;
-        return key >= from && key < to;
-      })
-      .map(formatChange);
-    if (created || events.length > 0) {
-      response.write(`${JSON.stringify({ result: { header: header(state), created, events } })}\n`);
+/** Counts a call, applies the faults around it and tells the observer. */
+const guardCall = (
+  parts: Parts,
+  call: string,
+  run: (body: unknown, exchange: HttpExchange) => unknown,
+  listWrites: (body: unknown) => readonly string[] = () => [],
+): JsonRoute => {
+  const { options, faults, counters, budget } = parts;
+  return async (body, exchange) => {
+    counters.set(call, (counters.get(call) ?? 0) + 1);
+    const writtenKeys = listWrites(body);
+    await options.observe?.({ type: 'before', call, writtenKeys });
+    if (!budget.take()) {
+      return new StatusReply(STATUS_TOO_MANY, { error: 'over the call budget' });
     }
+    const slow = faults.take('slow', writtenKeys);
+    if (slow !== undefined) {
+      await wait(options.clock, slow.delayMs);
+    }
+    if (faults.take('down', writtenKeys) !== undefined) {
+      exchange.request.socket.destroy();
+      return undefined;
+    }
+    const reply = run(body, exchange);
+    await options.observe?.({ type: 'after', call, writtenKeys });
+    if (faults.take('reply-lost', writtenKeys) !== undefined) {
+      exchange.request.socket.destroy();
+      return undefined;
+    }
+    return reply;
   };
-  response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
-  send(request.start_revision === 0 ? [] : state.changesSince(request.start_revision), true);
-  response.on(
-    'close',
-    state.onChange((changes) => send(changes)),
-  );
 };
 
-/** Leases: keys attached to one are deleted when it lapses. */
-const createLeases = (state: StoreState, clock: Clock) => {
-  const leases = new Map<string, { readonly ttlMs: number; readonly timer: Timer }>();
-  let nextId = 1;
+const createLeaseRoutes = (parts: Parts): Record<string, JsonRoute> => ({
+  'POST /v3/lease/grant': guardCall(parts, 'lease-grant', (body) => {
+    const ttlSeconds = leaseGrantSchema.parse(body).TTL;
+    return { ID: parts.leases.grant(ttlSeconds * MS_PER_SECOND), TTL: String(ttlSeconds) };
+  }),
+  'POST /v3/lease/keepalive': guardCall(parts, 'lease-keepalive', (body) => {
+    const id = leaseIdSchema.parse(body).ID;
+    return { result: { ID: id, TTL: String(parts.leases.keepAlive(id) / MS_PER_SECOND) } };
+  }),
+  'POST /v3/kv/lease/revoke': guardCall(parts, 'lease-revoke', (body) =>
+    parts.leases.revoke(leaseIdSchema.parse(body).ID) ? {} : new StatusReply(STATUS_NOT_FOUND, {}),
+  ),
+});
 
-  const revoke = (id: string): void => {
-    leases.get(id)?.timer.close();
-    leases.delete(id);
-    const attached = state.range('', '\uffff').filter((entry) => entry.leaseId === id);
-    if (attached.length > 0) {
-      state.write(attached.map(({ key }) => ({ type: 'delete', from: key, to: `${key}\0` })));
-    }
-  };
-  const arm = (id: string, ttlMs: number): void => {
-    leases.get(id)?.timer.close();
-    leases.set(id, { ttlMs, timer: clock.schedule(ttlMs, () => revoke(id)) });
-  };
+const createKeyRoutes = (parts: Parts): Record<string, JsonRoute> => {
+  const { state, faults } = parts;
   return {
-    revoke,
-    grant: (ttlMs: number): string => {
-      const id = String(nextId);
-      nextId += 1;
-      arm(id, ttlMs);
-      return id;
-    },
-    keepAlive: (id: string): number => {
-      const lease = leases.get(id);
-      if (lease === undefined) {
-        return 0;
-      }
-      arm(id, lease.ttlMs);
-      return lease.ttlMs;
-    },
-    close: () => leases.forEach((lease) => lease.timer.close()),
+    'POST /v3/kv/range': guardCall(parts, 'range', (body) => {
+      const stale = faults.take('stale-reads', []) === undefined ? undefined : faults.staleView();
+      return readRange(stale ?? state, rangeRequestSchema.parse(body));
+    }),
+    'POST /v3/kv/txn': guardCall(
+      parts,
+      'txn',
+      (body) => {
+        const request = txnRequestSchema.parse(body);
+        const loseWrites = faults.take('lost-writes', listWrittenKeys(request)) !== undefined;
+        return runTxn(state, request, { loseWrites });
+      },
+      (body) => listWrittenKeys(txnRequestSchema.parse(body)),
+    ),
+    'POST /v3/watch': guardCall(parts, 'watch', (body, { response }) => {
+      runWatch(state, body, response);
+      return undefined;
+    }),
   };
 };
 
 /**
- * Starts a stand-in of the configuration store.
+ * Starts a stand-in of the configuration store. `POST /control/faults` sets its faults, `GET /control/counters`
+ * gives the calls by kind; a waiting watch counts as one call. While it is down, open watches are cut.
  *
  * @param listen - address and port
- * @param options - clock for leases
+ * @param options - clock for leases, call budget, observer
  * @returns the running stand-in
  */
-export default async function startStore(listen: ListenOptions, options: { readonly clock: Clock }): Promise<Standin> {
+export default async function startStore(listen: ListenOptions, options: StoreOptions): Promise<StoreStandin> {
   const state = createStoreState();
   const leases = createLeases(state, options.clock);
+  const faults = createStoreFaults();
+  const counters = new Map<string, number>();
+  const budget = createCallBudget(options.clock, options.callsPerSecond);
+  const parts: Parts = { options, state, leases, faults, counters, budget };
+  let cutWatches: () => void = () => undefined;
+  const setFaults = (orders: unknown): void => {
+    const parsed = storeFaultsSchema.parse(orders).faults;
+    faults.set(parsed, () => state.freeze());
+    if (parsed.some((fault) => fault.type === 'down' && fault.writePrefix === undefined)) {
+      cutWatches();
+    }
+  };
   const server = await serveJson(
     {
-      'POST /v3/kv/range': (body) => readRange(state, body),
-      'POST /v3/kv/txn': (body) => runTxn(state, body),
-      'POST /v3/watch': (body, { response }) => runWatch(state, body, response),
-      'POST /v3/lease/grant': (body) => {
-        const ttlSeconds = leaseGrantSchema.parse(body).TTL;
-        return { ID: leases.grant(ttlSeconds * MS_PER_SECOND), TTL: String(ttlSeconds) };
-      },
-      'POST /v3/lease/keepalive': (body) => {
-        const id = leaseIdSchema.parse(body).ID;
-        return { result: { ID: id, TTL: String(leases.keepAlive(id) / MS_PER_SECOND) } };
-      },
-      'POST /v3/kv/lease/revoke': (body) => {
-        const id = leaseIdSchema.parse(body).ID;
-        leases.revoke(id);
-        return id === '' ? new StatusReply(STATUS_NOT_FOUND, {}) : {};
+      ...createKeyRoutes(parts),
+      ...createLeaseRoutes(parts),
+      'GET /control/counters': () => Object.fromEntries(counters),
+      'GET /control/faults': () => ({ faults: faults.list() }),
+      'POST /control/faults': (body, exchange) => {
+        exchange.response.end('{}');
+        setFaults(body);
       },
     },
     listen,
   );
+  cutWatches = server.abort;
   return {
     port: server.port,
+    setFaults: (orders) => setFaults({ faults: orders }),
+    counters: () => Object.fromEntries(counters),
     close: async () => {
       leases.close();
       server.abort();
--- a/packages/standins/src/store/wire.ts
+++ b/packages/standins/src/store/wire.ts
@@ -39,6 +39,12 @@
 export const leaseGrantSchema = z.object({ TTL: z.coerce.number() });
 export const leaseIdSchema = z.object({ ID: z.string() });
 
+/** A range read. */
+export type RangeRequest = z.output<typeof rangeSchema>;
+
+/** A transaction. */
+export type TxnRequest = z.output<typeof txnRequestSchema>;
+
 /** One operation of a transaction. */
 export type WireOp = z.output<typeof opSchema>;
 
