--- a/packages/config/src/parseServiceDocument.ts
+++ b/packages/config/src/parseServiceDocument.ts
@@ -1,7 +1,17 @@
+import ConfigError from './ConfigError.js';
 import parseWith from './parseWith.js';
 import { acceptedDocumentSchema, serviceDocumentSchema } from './serviceDocumentSchema.js';
 import type { AcceptedDocument, ServiceDocument } from './types.js';
 
+const parseJson = (text: string, source: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    // The parser's message quotes the text, which may be long; the cause keeps it.
+    throw new ConfigError('unreadable', `${source}: expected JSON, found other text`, { cause });
+  }
+};
+
 /**
  * Checks a service document that an operator wrote.
  *
@@ -25,11 +35,5 @@
  * @throws ConfigError when the text is not JSON or has wrong fields
  */
 export function parseAcceptedDocument(text: string, options: { readonly source: string }): AcceptedDocument {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (cause) {
-    value = cause;
-  }
-  return parseWith(acceptedDocumentSchema, value, options);
+  return parseWith(acceptedDocumentSchema, parseJson(text, options.source), options);
 }
--- a/packages/config/src/parseWith.ts
+++ b/packages/config/src/parseWith.ts
@@ -1,24 +1,21 @@
 import type { z } from 'zod';
 import ConfigError, { type FieldProblem } from './ConfigError.js';
+import describeExpected from './_lib/describeExpected.js';
+import describeFound from './_lib/describeFound.js';
 
-const MAX_SHOWN_LENGTH = 60;
+const formatPath = (path: readonly PropertyKey[]): string => path.map(String).join('.');
 
-const lookUp = (value: unknown, path: readonly PropertyKey[]): unknown =>
-  path.reduce<unknown>(
-    (current, key) => (typeof current === 'object' && current !== null ? Reflect.get(current, key) : undefined),
-    value,
-  );
-
-const describeFound = (value: unknown): string => {
-  const text = value === undefined ? 'nothing' : JSON.stringify(value);
-  return text.length > MAX_SHOWN_LENGTH ? `${text.slice(0, MAX_SHOWN_LENGTH)}…` : text;
+const toProblems = (value: unknown, issue: z.core.$ZodIssue): readonly FieldProblem[] => {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      path: formatPath([...issue.path, key]),
+      message: 'expected no field of this name, found an unknown field',
+    }));
+  }
+  const message = `${describeExpected(issue)}, found ${describeFound(value, issue.path)}`;
+  return [{ path: formatPath(issue.path), message }];
 };
 
-const toProblem = (value: unknown, issue: z.core.$ZodIssue): FieldProblem => ({
-  path: issue.path.map(String).join('.'),
-  message: `${issue.message}; found ${describeFound(lookUp(value, issue.path))}`,
-});
-
 /**
  * Checks a value against a schema.
  *
@@ -26,7 +23,7 @@
  * @param value - the value to check
  * @param options - `source` names the file or message in the error
  * @returns the checked value
- * @throws ConfigError with one problem per wrong field
+ * @throws ConfigError with one problem per wrong field: its path, what was expected and what was found
  * @example
  * const settings = parseWith(settingsSchema, json, { source: 'settings.json' });
  */
@@ -39,7 +36,7 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.map((issue) => toProblem(value, issue));
+  const problems = result.error.issues.flatMap((issue) => toProblems(value, issue));
   const lines = problems.map(
     (problem) => `${problem.path === '' ? '(whole value)' : problem.path}: ${problem.message}`,
   );
--- a/packages/config/src/readSettings.ts
+++ b/packages/config/src/readSettings.ts
@@ -12,10 +12,16 @@
  * @throws ConfigError when the file cannot be read or is not JSON
  */
 export function readJsonFile(file: string): unknown {
+  let text: string;
   try {
-    return JSON.parse(readFileSync(file, 'utf8'));
+    text = readFileSync(file, 'utf8');
   } catch (cause) {
-    throw new ConfigError('unreadable', `${file}: cannot read JSON`, { cause });
+    throw new ConfigError('unreadable', `${file}: expected a readable file`, { cause });
+  }
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    throw new ConfigError('unreadable', `${file}: expected JSON`, { cause });
   }
 }
 
--- a/packages/config/src/serviceDocumentSchema.ts
+++ b/packages/config/src/serviceDocumentSchema.ts
@@ -2,6 +2,8 @@
 
 const MIN_STAGES = 3;
 const MAX_STAGES = 6;
+// Largest time that the Date type holds.
+const MAX_TIME_MS = 8.64e15;
 
 const nameSchema = z
   .string()
@@ -84,7 +86,7 @@
       context.addIssue({
         code: 'custom',
         path: ['stages', index, 'effect'],
-        message: 'only a call stage may be "once"',
+        message: 'expected "repeatable", because only a call stage may be "once"',
       });
     }
   });
@@ -137,5 +139,5 @@
   /** Random id of the accepting write; settles a lost store reply. */
   changeId: z.string().min(1),
   acceptedBy: z.string(),
-  acceptedAtMs: z.number(),
+  acceptedAtMs: z.number().min(0).max(MAX_TIME_MS),
 });
--- /dev/null
+++ b/packages/ctl/src/commands/hosts.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { TransportError } from '@bergamotcove/transport';
+import runCli from '../cli/runCli.js';
+import createTestPorts from '../testing/createTestPorts.js';
+import type { CtlPorts } from '../types.js';
+import COMMANDS from './index.js';
+
+const A = 'http://10.0.0.7:7000';
+const B = 'http://10.0.0.8:7000';
+const TRACE_ID = '4bf92f3577b34da6a3ce929d0e0e4736';
+
+const run = async (callHost: CtlPorts['callHost'], ...argv: string[]) => {
+  const ports = createTestPorts({ callHost });
+  const exitCode = await runCli(COMMANDS, argv, ports);
+  return { exitCode, text: ports.out.join('\n'), ports };
+};
+
+const status = (hostId: string, version: number): object => ({
+  hostId,
+  failureDomain: 'd1',
+  region: 'r1',
+  ready: true,
+  draining: false,
+  inFlight: 2,
+  entryHosts: ['a', 'b'],
+  services: [{ service: 'clerk', version }],
+});
+
+const span = (spanId: string, startMs: number, parentSpanId?: string): object => ({
+  traceId: TRACE_ID,
+  spanId,
+  ...(parentSpanId === undefined ? {} : { parentSpanId }),
+  name: spanId,
+  startMs,
+  durationMs: 10,
+  ok: true,
+  attributes: { hostId: 'a' },
+});
+
+test('status shows a host that does not answer and versions that differ', async () => {
+  const { exitCode, text } = await run(
+    (url) =>
+      url === B
+        ? Promise.reject(new TransportError('not-connected', 'no connection'))
+        : Promise.resolve(status('a', url === A ? 1 : 2)),
+    ...['status', '--host', A, '--host', B, '--host', 'http://10.0.0.9:7000'],
+  );
+  assert.equal(exitCode, 1);
+  assert.match(text, /10\.0\.0\.8:7000 .*no answer/);
+  assert.match(text, /clerk +1 +2 +versions differ/);
+});
+
+test('a drain order whose reply was lost ends with 4, one that never arrived with 1', async () => {
+  const fail = (code: 'not-connected' | 'connection-lost') =>
+    run(() => Promise.reject(new TransportError(code, 'broken')), 'drain', '--host', A);
+  assert.equal((await fail('not-connected')).exitCode, 1);
+  assert.equal((await fail('connection-lost')).exitCode, 4);
+});
+
+test('drain --wait ends when the host no longer accepts connections', async () => {
+  let polls = 0;
+  const { exitCode, text } = await run(
+    (_, method) => {
+      polls += 1;
+      return method === 'operator.drain' || polls < 4
+        ? Promise.resolve({ draining: true })
+        : Promise.reject(new TransportError('not-connected', 'refused'));
+    },
+    ...['drain', '--host', A, '--wait'],
+  );
+  assert.equal(exitCode, 0);
+  assert.match(text, /the host has stopped/);
+});
+
+test('trace joins the spans of several hosts and draws each span once, children below parents', async () => {
+  const { exitCode, text } = await run(
+    (url) => Promise.resolve(url === A ? [span('child', 5, 'root'), span('root', 0)] : [span('root', 0)]),
+    ...['trace', TRACE_ID, '--host', A, '--host', B],
+  );
+  assert.equal(exitCode, 0);
+  const lines = text.split('\n');
+  assert.match(lines[0] ?? '', /2 spans, 15\.00 ms/);
+  assert.match(lines[1] ?? '', /^root/);
+  assert.match(lines[2] ?? '', /^ {2}child/);
+});
+
+test('an answer of another shape is a failure, not a crash', async () => {
+  const { exitCode, text } = await run(() => Promise.resolve({ odd: 1 }), 'status', '--host', A);
+  assert.equal(exitCode, 1);
+  assert.match(text, /does not match this version/);
+});
--- /dev/null
+++ b/packages/ctl/src/commands/index.ts
@@ -0,0 +1,15 @@
+import type { CommandSpec } from '../types.js';
+import apply from './apply.js';
+import diff from './diff.js';
+import drain from './drain.js';
+import get from './get.js';
+import history from './history.js';
+import rollback from './rollback.js';
+import status from './status.js';
+import trace from './trace.js';
+import validate from './validate.js';
+
+/** Every command, in the order of the help text. */
+const COMMANDS: readonly CommandSpec[] = [validate, apply, get, diff, history, rollback, status, drain, trace];
+
+export default COMMANDS;
--- /dev/null
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+
+/** Answers of entry hosts. Fields of newer versions pass through to `--json`. */
+
+export const hostStatusSchema = z.looseObject({
+  hostId: z.string(),
+  failureDomain: z.string(),
+  region: z.string(),
+  ready: z.boolean(),
+  draining: z.boolean(),
+  inFlight: z.number(),
+  entryHosts: z.array(z.string()),
+  services: z.array(z.looseObject({ service: z.string(), version: z.number() })),
+});
+
+export const drainAnswerSchema = z.looseObject({ draining: z.boolean() });
+
+export const spanSchema = z.looseObject({
+  traceId: z.string(),
+  spanId: z.string(),
+  parentSpanId: z.string().optional(),
+  name: z.string(),
+  startMs: z.number(),
+  durationMs: z.number(),
+  ok: z.boolean(),
+  attributes: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
+});
+
+/** Status of one host. */
+export type HostStatusAnswer = z.output<typeof hostStatusSchema>;
+
+/** One finished span. */
+export type SpanAnswer = z.output<typeof spanSchema>;
--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -1,11 +1,44 @@
-/** Command line after parsing. */
-export interface Invocation {
-  readonly command: string;
-  readonly positionals: readonly string[];
-  readonly storeUrls: readonly string[];
-  readonly hostUrl?: string;
+import type { Clock } from '@bergamotcove/clock';
+import type { StoreClient } from '@bergamotcove/platform';
+
+/** Options that the commands take; each command lists its own. */
+export interface CommandOptions {
+  readonly store: readonly string[];
+  readonly host: readonly string[];
+  readonly expect?: number;
+  readonly version?: number;
+  readonly limit?: number;
+  readonly change?: string;
+  /** How long a change whose reply was lost is settled, or a drain is waited for. */
+  readonly timeoutSeconds: number;
+  readonly wait: boolean;
   readonly json: boolean;
-  readonly expectedVersion?: number;
+}
+
+/** Name of an option on the command line. */
+export type OptionName = 'store' | 'host' | 'expect' | 'version' | 'limit' | 'change' | 'timeout' | 'wait';
+
+/** What the commands need from the process. */
+export interface CtlPorts {
+  readonly clock: Clock;
+  readonly openStore: (urls: readonly string[]) => StoreClient;
+  /** Calls an operator method of an entry host; rejects with TransportError. */
+  readonly callHost: (hostUrl: string, method: string, params: object) => Promise<unknown>;
+  /** Reads a JSON file; throws ConfigError. */
+  readonly readJson: (file: string) => unknown;
+  readonly newChangeId: () => string;
+  readonly userName: () => string;
+  readonly writeOut: (line: string) => void;
+  readonly writeErr: (line: string) => void;
+  /** Width of the terminal. */
+  readonly columns: number;
+}
+
+/** A parsed command line with the ports. */
+export interface CommandContext {
+  readonly ports: CtlPorts;
+  readonly args: readonly string[];
+  readonly options: CommandOptions;
 }
 
 /** What a command prints and how it ends. */
@@ -16,3 +49,25 @@
   /** Printed otherwise. */
   readonly text: string;
 }
+
+/** One positional argument. */
+export interface ArgumentSpec {
+  readonly name: string;
+  readonly optional?: boolean;
+  /** Takes all remaining positionals. */
+  readonly repeated?: boolean;
+}
+
+/** One command. */
+export interface CommandSpec {
+  readonly name: string;
+  readonly summary: string;
+  /** Paragraph of the help text. */
+  readonly description: string;
+  readonly args: readonly ArgumentSpec[];
+  readonly options: readonly OptionName[];
+  /** Options without which the command cannot run. */
+  readonly required: readonly OptionName[];
+  readonly example: string;
+  readonly run: (context: CommandContext) => Promise<CommandResult>;
+}
--- a/packages/platform/src/documents/acceptDocument.ts
+++ b/packages/platform/src/documents/acceptDocument.ts
@@ -1,57 +1,124 @@
+import type { Clock } from '@bergamotcove/clock';
 import {
   formatVersionKey,
   HEADS_PREFIX,
-  parseAcceptedDocument,
+  planAcceptance,
+  settleAcceptance,
+  type AcceptanceOutcome,
+  type AcceptanceRequest,
   type AcceptedDocument,
   type ServiceDocument,
 } from '@bergamotcove/config';
-import type { StoreClient, StoreEntry } from '../store/types.js';
+import PlatformError from '../PlatformError.js';
+import type { StoreClient, TxnResult } from '../store/types.js';
+import { parseEntry, readHead, readHistory } from './readDocuments.js';
 
-/** Facts of one acceptance. */
-export interface AcceptOptions {
-  readonly changeId: string;
-  readonly acceptedBy: string;
-  readonly acceptedAtMs: number;
-  /** Version that the document replaces; the current one when absent. Zero means that none exists. */
-  readonly expectedVersion?: number;
+/** How long a write whose reply was lost is sent again. */
+export interface AcceptRetry {
+  readonly clock: Clock;
+  readonly giveUpAfterMs: number;
+  readonly pauseMs: number;
+}
+
+/** Facts of one acceptance, and how it settles a lost reply. */
+export interface AcceptOptions extends AcceptanceRequest {
+  /** One further attempt when absent. */
+  readonly retry?: AcceptRetry;
 }
 
 /** Result of an acceptance. */
 export type AcceptResult =
-  | { readonly type: 'accepted'; readonly version: number }
-  | { readonly type: 'conflict'; readonly current: AcceptedDocument | undefined }
+  | AcceptanceOutcome
   /** The write may have taken effect and the store cannot be asked. */
   | { readonly type: 'unknown'; readonly changeId: string };
 
-const readHead = (entry: StoreEntry | undefined): AcceptedDocument | undefined =>
-  entry === undefined ? undefined : parseAcceptedDocument(entry.value, { source: entry.key });
+/** One acceptance with the head that it replaces. */
+interface Write {
+  readonly store: StoreClient;
+  readonly accepted: AcceptedDocument;
+  readonly headRevision: string;
+}
 
-const settleLostReply = async (
-  store: StoreClient,
-  document: ServiceDocument,
-  accepted: AcceptedDocument,
-): Promise<AcceptResult> => {
+const sendWrite = ({ store, accepted, headRevision }: Write): Promise<TxnResult> => {
+  const headKey = HEADS_PREFIX + accepted.document.service;
+  const versionKey = formatVersionKey(accepted.document.service, accepted.version);
+  const value = JSON.stringify(accepted);
+  return store.txn(
+    [
+      { type: 'mod-revision', key: headKey, revision: headRevision },
+      { type: 'create-revision', key: versionKey, revision: '0' },
+    ],
+    [
+      { type: 'put', key: headKey, value },
+      { type: 'put', key: versionKey, value },
+    ],
+    [
+      { type: 'get', key: versionKey },
+      { type: 'get', key: headKey },
+    ],
+  );
+};
+
+const toOutcome = (accepted: AcceptedDocument, result: TxnResult): AcceptanceOutcome => {
+  if (result.succeeded) {
+    return { type: 'accepted', version: accepted.version };
+  }
+  const [atVersion, head] = result.gets;
+  return settleAcceptance(accepted, { atVersion: parseEntry(atVersion), head: parseEntry(head) });
+};
+
+const pause = (retry: AcceptRetry | undefined): Promise<void> =>
+  new Promise((resolve) => {
+    if (retry === undefined) {
+      resolve();
+    } else {
+      retry.clock.schedule(retry.pauseMs, resolve);
+    }
+  });
+
+/** Progress of a write that is sent until the store answers. */
+interface Tries {
+  readonly count: number;
+  readonly startedAtMs: number;
+  /** Whether an earlier try may have taken effect. */
+  readonly mayHaveRun: boolean;
+}
+
+const mayTryAgain = (tries: Tries, retry: AcceptRetry | undefined): boolean =>
+  retry === undefined ? tries.count < 2 : retry.clock.monotonicMs() - tries.startedAtMs < retry.giveUpAfterMs;
+
+/**
+ * Sends the write until the store answers. Sending it again is safe: the transaction creates the version key, so it
+ * takes effect at most once, and its failure shows whose change id stands there.
+ */
+const writeUntilKnown = async (write: Write, retry: AcceptRetry | undefined, tries: Tries): Promise<AcceptResult> => {
+  let result: TxnResult;
   try {
-    const entry = await store.get(formatVersionKey(document.service, accepted.version));
-    if (readHead(entry)?.changeId === accepted.changeId) {
-      return { type: 'accepted', version: accepted.version };
+    result = await sendWrite(write);
+  } catch (cause) {
+    const hadNoEffect = cause instanceof PlatformError && cause.code === 'unavailable';
+    const next = { ...tries, count: tries.count + 1, mayHaveRun: tries.mayHaveRun || !hadNoEffect };
+    if (mayTryAgain(tries, retry)) {
+      await pause(retry);
+      return writeUntilKnown(write, retry, next);
     }
-    return entry === undefined
-      ? { type: 'unknown', changeId: accepted.changeId }
-      : { type: 'conflict', current: readHead(await store.get(HEADS_PREFIX + document.service)) };
-  } catch {
-    return { type: 'unknown', changeId: accepted.changeId };
+    if (!next.mayHaveRun) {
+      throw cause;
+    }
+    return { type: 'unknown', changeId: write.accepted.changeId };
   }
+  return toOutcome(write.accepted, result);
 };
 
 /**
- * Accepts a service document as the next version by compare-and-swap.
+ * Accepts a service document as the next version by compare-and-swap. A write whose reply was lost is sent again and
+ * settled by its change id.
  *
  * @param store - configuration store
  * @param document - checked document
  * @param options - who accepts, and the version that it replaces
  * @returns whether the version is accepted, lost a race, or cannot be known
- * @throws PlatformError when the store could not be read before anything was written
+ * @throws PlatformError when nothing was written because the store could not be reached
  * @example
  * await acceptDocument(store, document, { changeId: randomUUID(), acceptedBy: 'ann', acceptedAtMs: Date.now() });
  */
@@ -60,33 +127,16 @@
   document: ServiceDocument,
   options: AcceptOptions,
 ): Promise<AcceptResult> {
-  const headKey = HEADS_PREFIX + document.service;
-  const entry = await store.get(headKey);
-  const current = readHead(entry);
-  const currentVersion = current?.version ?? 0;
-  if (options.expectedVersion !== undefined && options.expectedVersion !== currentVersion) {
-    return { type: 'conflict', current };
-  }
-  const accepted: AcceptedDocument = {
-    document,
-    version: currentVersion + 1,
-    changeId: options.changeId,
-    acceptedBy: options.acceptedBy,
-    acceptedAtMs: options.acceptedAtMs,
-  };
-  const value = JSON.stringify(accepted);
-  try {
-    const result = await store.txn(
-      [{ type: 'mod-revision', key: headKey, revision: entry?.modRevision ?? '0' }],
-      [
-        { type: 'put', key: headKey, value },
-        { type: 'put', key: formatVersionKey(document.service, accepted.version), value },
-      ],
-    );
-    return result.succeeded
-      ? { type: 'accepted', version: accepted.version }
-      : { type: 'conflict', current: readHead(await store.get(headKey)) };
-  } catch {
-    return settleLostReply(store, document, accepted);
-  }
+  const { retry, ...request } = options;
+  const head = await readHead(store, document.service);
+  const newer = await readHistory(store, document.service, { afterVersion: head.current?.version ?? 0 });
+  const highestVersion = newer.at(-1)?.version ?? head.current?.version ?? 0;
+  const plan = planAcceptance({ current: head.current, highestVersion }, document, request);
+  return plan.type === 'conflict'
+    ? plan
+    : writeUntilKnown({ store, accepted: plan.accepted, headRevision: head.revision }, retry, {
+        count: 1,
+        startedAtMs: retry?.clock.monotonicMs() ?? 0,
+        mayHaveRun: false,
+      });
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,4 +9,6 @@
 export { default as callServer } from './servers/callServer.js';
 export type { ServerCall, ServerEvent, ServerFailure } from './servers/types.js';
 export { default as acceptDocument } from './documents/acceptDocument.js';
-export type { AcceptOptions, AcceptResult } from './documents/acceptDocument.js';
+export type { AcceptOptions, AcceptResult, AcceptRetry } from './documents/acceptDocument.js';
+export { readHead, readHistory, readVersion } from './documents/readDocuments.js';
+export type { Head, HistoryBounds } from './documents/readDocuments.js';
