--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -220,6 +220,7 @@
     const context = {
       plan,
       requestTraceparent: span.traceparent,
+      callerInput: request.input,
       ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
     };
     const run = startRun(plan, {
