--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -151,6 +151,7 @@
 
   close(): void {
     this.options.logs.close();
+    this.options.open.close();
   }
 
   /** The key belongs to another request: waits for its outcome, and claims again if it did not run. */
--- a/packages/entry/src/claims/createOpenClaims.ts
+++ b/packages/entry/src/claims/createOpenClaims.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@bergamotcove/clock';
+import type { Clock, Timer } from '@bergamotcove/clock';
 import type { ClaimOp, ClaimsAnswer, RecordedOutcome } from '@bergamotcove/protocol';
 import withLimit from './_lib/withLimit.js';
 import type { ClaimLogs } from './createClaimLogs.js';
@@ -19,6 +19,7 @@
   unsettled(): readonly ClaimOp[];
   /** Outcome that is accepted here, but not durable yet. */
   findUnsettled(keyHash: string): Extract<ClaimOp, { type: 'outcome' }> | undefined;
+  close(): void;
 }
 
 interface OpenClaim {
@@ -34,6 +35,10 @@
 
   private readonly pending = new Set<ClaimOp>();
 
+  private readonly timers = new Set<Timer>();
+
+  private closed = false;
+
   constructor(
     private readonly clock: Clock,
     private readonly logs: ClaimLogs,
@@ -62,7 +67,14 @@
   async settle(claimId: string, outcome: RecordedOutcome | undefined, op: ClaimOp): Promise<void> {
     this.claims.get(claimId)?.resolve(outcome === undefined ? { type: 'never-sent' } : { type: 'outcome', outcome });
     await this.persist(op);
-    this.clock.schedule(KEPT_MS, () => this.claims.delete(claimId));
+    if (this.closed) {
+      return;
+    }
+    const timer = this.clock.schedule(KEPT_MS, () => {
+      this.timers.delete(timer);
+      this.claims.delete(claimId);
+    });
+    this.timers.add(timer);
   }
 
   async ask(claimId: string, waitMs: number): Promise<ClaimsAnswer> {
@@ -87,6 +99,11 @@
     );
   }
 
+  close(): void {
+    this.closed = true;
+    this.timers.forEach((timer) => timer.close());
+  }
+
   private async persist(op: ClaimOp): Promise<void> {
     this.pending.add(op);
     await this.logs.persist(op);
--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { finalize, Observable, of, tap } from 'rxjs';
+import { concatMap, finalize, Observable, of } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
 import { advancePoison, readBlock, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
@@ -26,11 +26,15 @@
   readonly peerServer: PeerServer;
   readonly directory: PeerDirectory;
   readonly hostId: string;
+  /** Whether a server refuses connections; must not reject. */
+  readonly isDown: (pool: string, serverId: string) => Promise<boolean>;
 }
 
 /** What an attempt is watched for. */
 export interface WatchedRequest {
   readonly fingerprint: string;
+  /** Pool of the attempt. */
+  readonly pool: string;
   /** Monotonic time; a connection that this host drops at the deadline is not a crash. */
   readonly deadlineAtMs: number;
 }
@@ -93,19 +97,21 @@
       }
     };
     return dispatch().pipe(
-      tap((event) => {
+      concatMap((event) => {
         if (event.type === 'sent') {
           serverId = event.serverId;
           this.running.add(serverId, attempt, request.fingerprint);
-        } else if (serverId !== undefined && this.isCrash(request, event)) {
-          this.noteCrash(serverId);
         }
+        // The failure is passed on after the crash is known, because it starts the next attempt.
+        return serverId !== undefined && this.mayBeCrash(request, event)
+          ? this.checkCrash(request, serverId).then(() => event)
+          : of(event);
       }),
       finalize(end),
     );
   }
 
-  private isCrash(request: WatchedRequest, event: AttemptEvent): boolean {
+  private mayBeCrash(request: WatchedRequest, event: AttemptEvent): boolean {
     return (
       event.type === 'failed' &&
       event.failure.type === 'connection-lost' &&
@@ -114,8 +120,13 @@
     );
   }
 
-  private noteCrash(serverId: string): void {
-    const crash = { type: 'crash' as const, serverId, fingerprints: [...this.running.list(serverId)] };
+  /** A connection can break without a crash; a crashed server also refuses new connections. */
+  private async checkCrash(request: WatchedRequest, serverId: string): Promise<void> {
+    const fingerprints = [...this.running.list(serverId)];
+    if (!(await this.options.isDown(request.pool, serverId))) {
+      return;
+    }
+    const crash = { type: 'crash' as const, serverId, fingerprints };
     this.report(crash);
     this.handle(crash);
   }
--- a/packages/entry/src/requests/createKeyedRuns.ts
+++ b/packages/entry/src/requests/createKeyedRuns.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@bergamotcove/clock';
+import type { Clock, Timer } from '@bergamotcove/clock';
 import type { RequestRun } from './types.js';
 
 /** A run with the body that started it. */
@@ -11,6 +11,7 @@
 export interface KeyedRuns {
   find(key: string): KeyedRun | undefined;
   keep(key: string, keyed: KeyedRun): void;
+  close(): void;
 }
 
 /** Time that a finished run can still be joined, for instance to resume its stream. */
@@ -24,6 +25,8 @@
  */
 export default function createKeyedRuns(clock: Clock): KeyedRuns {
   const runs = new Map<string, KeyedRun>();
+  const timers = new Set<Timer>();
+  let closed = false;
   const forget = (key: string, keyed: KeyedRun): void => {
     if (runs.get(key) === keyed) {
       runs.delete(key);
@@ -34,10 +37,21 @@
     keep: (key, keyed) => {
       runs.set(key, keyed);
       keyed.run.result.then((result) => {
+        if (closed) {
+          return;
+        }
         // A request that did not run must be able to run when it is sent again.
         const keptMs = result.type === 'refused' && result.outcome === 'not-run' ? 0 : KEPT_RUN_MS;
-        clock.schedule(keptMs, () => forget(key, keyed));
+        const timer = clock.schedule(keptMs, () => {
+          timers.delete(timer);
+          forget(key, keyed);
+        });
+        timers.add(timer);
       });
     },
+    close: () => {
+      closed = true;
+      timers.forEach((timer) => timer.close());
+    },
   };
 }
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -34,6 +34,8 @@
   inFlight(): number;
   /** Resolves when no request is in flight. */
   idle(): Promise<void>;
+  /** Forgets the finished runs. */
+  close(): void;
 }
 
 const STATUS_NOT_FOUND = 404;
@@ -89,6 +91,10 @@
     return this.inFlightCount;
   }
 
+  close(): void {
+    this.runs.close();
+  }
+
   idle(): Promise<void> {
     return new Promise((resolve) => {
       const poll = (): void => {
@@ -216,7 +222,8 @@
     const span = tracer.startSpan(`request ${plan.service}/${plan.operation.name}`, request.traceparent);
     span.setAttribute('requestId', plan.requestId);
     this.inFlightCount += 1;
-    const watched = { fingerprint: formatFingerprint(request), deadlineAtMs: plan.deadlineAtMs };
+    const { deadlineAtMs } = plan;
+    const fingerprint = formatFingerprint(request);
     const context = {
       plan,
       requestTraceparent: span.traceparent,
@@ -225,7 +232,10 @@
     };
     const run = startRun(plan, {
       clock,
-      dispatch: (action) => this.options.poison.watch(watched, () => this.options.dispatch(action, context)),
+      dispatch: (action) =>
+        this.options.poison.watch({ fingerprint, pool: action.stage.pool, deadlineAtMs }, () =>
+          this.options.dispatch(action, context),
+        ),
       claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
       record: (result) => (claim === undefined ? Promise.resolve() : claims.record(claim, result)),
     });
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -22,6 +22,7 @@
 import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createDispatcher from './requests/createDispatcher.js';
 import createStatusQuery from './requests/createStatusQuery.js';
@@ -216,7 +217,8 @@
   const peerServer = createPeerServer();
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
-  const requests = createRequests(base, claims, createPoisonGuard(peerParts));
+  const isDown = createDownCheck(base.http, base.directory);
+  const requests = createRequests(base, claims, createPoisonGuard({ ...peerParts, isDown }));
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -234,11 +236,13 @@
     base.config.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
+    requests.close();
     base.http.close();
     base.store.close();
     base.tracer.close();
   };
   const abort = (): void => {
+    claims.close();
     callers.abort();
     peers.abort();
     base.http.close();
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -36,6 +36,7 @@
   send(target: Target, request: HttpRequest): Promise<HttpResponse>;
   /** Sends a request and returns the response as soon as its headers arrived. */
   open(target: Target, request: HttpRequest): Promise<IncomingMessage>;
+  /** Breaks every connection; later requests fail as `not-connected`. */
   close(): void;
 }
 
@@ -48,8 +49,19 @@
     : new TransportError('not-connected', 'no connection could be made', { cause });
 };
 
+/** Runs the callback once the request has a connection, new or kept. */
+const whenConnected = (outgoing: http.ClientRequest, run: () => void): void => {
+  outgoing.on('socket', (socket) => {
+    if (socket.connecting) {
+      socket.once('connect', run);
+    } else {
+      run();
+    }
+  });
+};
+
 const formatOptions = (target: Target, request: HttpRequest, agent: http.Agent): http.RequestOptions => ({
-  agent: request.freshConnection === true ? false : agent,
+  agent,
   host: target.address,
   port: target.port,
   method: request.method,
@@ -69,35 +81,32 @@
  */
 export default function createHttpClient(options: { readonly maxSockets?: number } = {}): HttpClient {
   const agent = new http.Agent({ keepAlive: true, maxSockets: options.maxSockets ?? Infinity });
+  const freshAgent = new http.Agent({ keepAlive: false });
+  let closed = false;
 
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
     new Promise((resolve, reject) => {
       let sent = false;
-      const outgoing = http.request(formatOptions(target, request, agent));
+      if (closed) {
+        reject(new TransportError('not-connected', 'the client is closed'));
+        return;
+      }
+      const chosen = request.freshConnection === true ? freshAgent : agent;
+      const outgoing = http.request(formatOptions(target, request, chosen));
       outgoing.on('response', (response) => {
         // A response that is cancelled after its reader has finished reports an error that nobody awaits.
         response.on('error', () => undefined);
         resolve(response);
       });
       outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
-      const sendBody = (): void => {
-        if (request.signal?.aborted === true) {
-          return;
-        }
-        if (request.maySend?.() === false) {
+      whenConnected(outgoing, () => {
+        if (request.signal?.aborted === true || request.maySend?.() === false) {
           outgoing.destroy(new Error('the request was given up before it was sent'));
           return;
         }
         sent = true;
         request.onSending?.();
         outgoing.end(request.body ?? '');
-      };
-      outgoing.on('socket', (socket) => {
-        if (socket.connecting) {
-          socket.once('connect', sendBody);
-        } else {
-          sendBody();
-        }
       });
     });
 
@@ -114,5 +123,12 @@
     }
   };
 
-  return { open, send, close: () => agent.destroy() };
+  return {
+    open,
+    send,
+    close: () => {
+      closed = true;
+      [agent, freshAgent].forEach((each) => each.destroy());
+    },
+  };
 }
