Choose servers by predicted completion and run load scenarios in virtual time

Cause: the choice of a server knew only this host's outstanding attempts, and no load run could compare policies. Change: server statistics, power of two choices among the best, demotion, prefix affinity, admission, budgets, estimates and queues as decision logic; a load bench in virtual time with the baselines; the daemon chooses with the new functions.

--- /dev/null
+++ b/packages/bench/src/load/constants.ts
@@ -0,0 +1,30 @@
+/** Interval at which hosts look at attempts in flight. */
+export const TICK_MS = 100;
+
+/** Interval at which each host polls load reports. */
+export const REPORT_POLL_MS = 500;
+
+/** Age of a load report when it arrives. */
+export const REPORT_LAG_MS = 300;
+
+/** One-way latency within a failure domain, between domains of a region and between regions. */
+export const ONE_WAY_MS = { failureDomain: 0.1, region: 1, otherRegion: 12 } as const;
+
+/** Input tokens that an engine prefills in the time of one output token. */
+export const PREFILL_TOKENS_PER_TOKEN = 10;
+
+/** Bytes on the wire of one streamed token with its event frame. */
+export const BYTES_PER_TOKEN = 100;
+
+/** Bytes of a reply that is not streamed, and of the headers of any message. */
+export const BYTES_PER_MESSAGE = 500;
+
+/** Part of the link that the system may use; the rest is for other traffic. */
+export const LINK_SHARE = 0.8;
+
+/** Longest output as a multiple of the mean; callers set a limit on the tokens. */
+export const MAX_LENGTH_FACTOR = 2.5;
+
+/** Spread of output lengths and of service times (sigma of the log-normal distribution). */
+export const LENGTH_SIGMA = 0.5;
+export const SERVICE_SIGMA = 0.3;
--- a/packages/decide/src/routing/chooseServer.test.ts
+++ b/packages/decide/src/routing/chooseServer.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import chooseServer from './chooseServer.js';
-import type { ServerView } from './types.js';
+import { NEW_SERVER_STATS } from './updateServerStats.js';
+import type { DispatchRequest, PoolView, ServerView } from './types.js';
 
 const makeServer = (serverId: string, change: Partial<ServerView> = {}): ServerView => ({
+  ...NEW_SERVER_STATS,
   serverId,
   address: '127.0.0.1',
   port: 1,
@@ -11,19 +13,67 @@
   failureDomain: 'a',
   region: 'r1',
   state: 'live',
-  outstanding: 0,
+  slowness: 1,
   ...change,
 });
 
-const options = { avoidServers: [], failureDomain: 'a', region: 'r1', random: () => 0.5 };
+const makePool = (...servers: readonly ServerView[]): PoolView => ({ servers, msPerToken: 10, meanTokens: 10 });
+
+const request: DispatchRequest = {
+  tokens: 10,
+  long: false,
+  remainingMs: 1_000,
+  avoidServers: [],
+  failureDomain: 'a',
+  region: 'r1',
+  crossRegionAllowed: true,
+  nowMs: 1_000,
+};
+
+const choose = (pool: PoolView, change: Partial<DispatchRequest> = {}, draw = 0.5): string | undefined => {
+  const choice = chooseServer(pool, { ...request, ...change }, () => draw);
+  return choice?.type === 'send' ? choice.server.serverId : choice?.type;
+};
 
 test('gives no work to a leaving server', () => {
-  const servers = [makeServer('s1', { state: 'leaving' }), makeServer('s2', { failureDomain: 'b' })];
-  assert.equal(chooseServer(servers, options)?.serverId, 's2');
-  assert.equal(chooseServer([makeServer('s1', { state: 'leaving' })], options), undefined);
+  const leaving = makeServer('s1', { state: 'leaving' });
+  assert.equal(choose(makePool(leaving, makeServer('s2', { failureDomain: 'b' }))), 's2');
+  assert.equal(choose(makePool(leaving)), undefined);
+});
+
+test('stays in the own region while a server there meets the deadline', () => {
+  const far = makeServer('far', { region: 'r2', failureDomain: 'c' });
+  const near = makeServer('near', { failureDomain: 'b', outstandingTokens: 200 });
+  assert.equal(choose(makePool(far, near)), 'near');
+});
+
+test('uses another region only for a deadline that the local region cannot meet, and only with byte budget', () => {
+  const far = makeServer('far', { region: 'r2', failureDomain: 'c' });
+  const near = makeServer('near', { outstandingTokens: 2_000 });
+  assert.equal(choose(makePool(far, near)), 'far');
+  assert.equal(choose(makePool(far, near), { crossRegionAllowed: false }), 'near');
+});
+
+test('waits instead of overfilling servers, and gives long work no more than its share', () => {
+  const full = makeServer('full', { outstanding: 4, limit: 4 });
+  assert.equal(choose(makePool(full)), 'wait');
+  const longFull = makeServer('long-full', { longOutstanding: 2, limit: 4 });
+  assert.equal(choose(makePool(longFull), { long: true }), 'wait');
+  assert.equal(choose(makePool(longFull)), 'long-full');
+});
+
+test('gives a straggler no work between two probes', () => {
+  const slow = makeServer('slow', { slowness: 5, lastSentAtMs: 900 });
+  const pool = makePool(slow, makeServer('s1'), makeServer('s2'));
+  assert.notEqual(choose(pool), 'slow');
+  assert.equal(choose(pool, { nowMs: 10_000 }), 'slow');
 });
 
-test('stays in the own region while a server there is live', () => {
-  const servers = [makeServer('far', { region: 'r2', failureDomain: 'c' }), makeServer('near', { failureDomain: 'b' })];
-  assert.equal(chooseServer(servers, options)?.serverId, 'near');
+test('follows a prefix only while the server is within its bounded load', () => {
+  const savedTokens = new Map([['home', 9]]);
+  const others = ['s1', 's2', 's3'].map((id) => makeServer(id, { outstanding: 2, outstandingTokens: 20 }));
+  const home = makeServer('home', { outstanding: 2, outstandingTokens: 30 });
+  assert.equal(choose(makePool(home, ...others), { savedTokens }, 0.99), 'home');
+  const loaded = makeServer('home', { outstanding: 8, outstandingTokens: 30 });
+  assert.notEqual(choose(makePool(loaded, ...others), { savedTokens }, 0.99), 'home');
 });
--- a/packages/decide/src/routing/chooseServer.ts
+++ b/packages/decide/src/routing/chooseServer.ts
@@ -1,35 +1,121 @@
-import type { ChoiceOptions, ServerView } from './types.js';
+import { BOUNDED_LOAD_FACTOR, LOCAL_DEADLINE_SHARE, LONG_LIMIT_SHARE, PROBE_INTERVAL_MS } from './constants.js';
+import estimateLoad from './estimateLoad.js';
+import limitDemotions from './limitDemotions.js';
+import predictCompletion from './predictCompletion.js';
+import type { Choice, DispatchRequest, PoolView, Random, ServerView } from './types.js';
 
-/** Distance of a server from this host: same failure domain, same region, other region. */
-const rankDistance = (server: ServerView, options: ChoiceOptions): number => {
-  if (server.failureDomain === options.failureDomain) {
-    return 0;
+interface Candidate {
+  readonly server: ServerView;
+  readonly predictedMs: number;
+}
+
+const MIN_BEST = 2;
+
+/**
+ * Each host may always have one attempt at a server: reports of the other hosts' attempts are too old to keep a host
+ * away from a server whose attempts are shorter than the lag.
+ */
+const hasRoom = (server: ServerView, request: DispatchRequest): boolean => {
+  if (server.outstanding > 0 && estimateLoad(server) >= server.limit) {
+    return false;
+  }
+  return !request.long || server.longOutstanding < Math.max(1, Math.floor(server.limit * LONG_LIMIT_SHARE));
+};
+
+/** A demoted server is due for one probe at a time; a request with little time left does not take the risk. */
+const isProbeDue = (server: ServerView, request: DispatchRequest): boolean =>
+  !request.long && request.avoidServers.length === 0 && request.nowMs - server.lastSentAtMs >= PROBE_INTERVAL_MS;
+
+const pickRandom = <Item>(items: readonly Item[], random: Random): Item | undefined =>
+  items[Math.floor(random() * items.length)];
+
+const better = (a: Candidate, b: Candidate): Candidate => (b.predictedMs < a.predictedMs ? b : a);
+
+/** The server with the largest expected prefix saving, unless it carries more than its bounded load. */
+const findAffine = (candidates: readonly Candidate[], request: DispatchRequest): Candidate | undefined => {
+  const saved = (candidate: Candidate): number => request.savedTokens?.get(candidate.server.serverId) ?? 0;
+  const total = candidates.reduce((sum, candidate) => sum + estimateLoad(candidate.server) + 1, 0);
+  const bound = (total / candidates.length) * BOUNDED_LOAD_FACTOR;
+  return candidates
+    .filter((candidate) => saved(candidate) > 0 && estimateLoad(candidate.server) + 1 <= bound)
+    .reduce<Candidate | undefined>((best, one) => (best && saved(best) >= saved(one) ? best : one), undefined);
+};
+
+const pickAmong = (
+  servers: readonly ServerView[],
+  pool: PoolView,
+  request: DispatchRequest,
+  random: Random,
+): Candidate | undefined => {
+  const candidates = servers
+    .map((server) => ({ server, predictedMs: predictCompletion(server, pool, request) }))
+    .sort((a, b) => a.predictedMs - b.predictedMs);
+  const best = candidates.slice(0, Math.max(MIN_BEST, Math.ceil(candidates.length / 2)));
+  const first = pickRandom(best, random);
+  const second = pickRandom(best, random);
+  if (first === undefined || second === undefined) {
+    return undefined;
   }
-  return server.region === options.region ? 1 : 2;
+  const drawn = better(first, second);
+  const affine = findAffine(candidates, request);
+  return affine === undefined ? drawn : better(drawn, affine);
 };
 
-const pickRandom = (servers: readonly ServerView[], options: ChoiceOptions): ServerView | undefined =>
-  servers[Math.floor(options.random() * servers.length)];
+const pickUsable = (
+  servers: readonly ServerView[],
+  pool: PoolView,
+  request: DispatchRequest,
+  random: Random,
+): Candidate | undefined => {
+  const demoted = limitDemotions(servers);
+  const usable = servers.filter((server) => hasRoom(server, request));
+  const probe = usable.find((server) => demoted.has(server.serverId) && isProbeDue(server, request));
+  if (probe !== undefined) {
+    return { server: probe, predictedMs: predictCompletion(probe, pool, request) };
+  }
+  // A demoted server takes part with a probability that falls with its slowness.
+  const taking = usable.filter((server) => !demoted.has(server.serverId) || random() < 1 / server.slowness ** 2);
+  return pickAmong(taking.length > 0 ? taking : usable, pool, request, random);
+};
+
+const toChoice = (candidate: Candidate, request: DispatchRequest): Choice => ({
+  type: 'send',
+  server: candidate.server,
+  predictedMs: candidate.predictedMs,
+  crossRegion: candidate.server.region !== request.region,
+});
 
 /**
- * Chooses a backend server for one attempt: the nearer group first, then the less loaded of two random candidates.
+ * Chooses a backend server for one attempt by predicted completion. Local servers come first; another region is used
+ * only when it meets a deadline that the local region cannot meet and the byte budget has room.
  *
- * @param servers - servers of one pool
- * @param options - servers to avoid, this host's place, random source
- * @returns the server, or undefined when no live server remains
+ * @param pool - servers of one pool as this host sees them
+ * @param request - facts of the attempt
+ * @param random - random source
+ * @returns the choice, or undefined when no live server remains
  * @example
- * const server = chooseServer(pool, { avoidServers: [], failureDomain: 'a', region: 'r', random });
+ * const choice = chooseServer(pool, request, random);
  */
-export default function chooseServer(servers: readonly ServerView[], options: ChoiceOptions): ServerView | undefined {
-  const live = servers.filter((server) => server.state === 'live');
-  const preferred = live.filter((server) => !options.avoidServers.includes(server.serverId));
-  const usable = preferred.length > 0 ? preferred : live;
-  const nearest = Math.min(...usable.map((server) => rankDistance(server, options)));
-  const near = usable.filter((server) => rankDistance(server, options) === nearest);
-  const first = pickRandom(near, options);
-  const second = pickRandom(near, options);
-  if (first === undefined || second === undefined) {
-    return undefined;
+export default function chooseServer(pool: PoolView, request: DispatchRequest, random: Random): Choice | undefined {
+  const live = pool.servers.filter((server) => server.state === 'live');
+  const reachable = live.filter((server) => server.unreachableUntilMs <= request.nowMs);
+  const preferred = reachable.filter((server) => !request.avoidServers.includes(server.serverId));
+  const allowed = preferred.length > 0 ? preferred : reachable;
+  const local = allowed.filter((server) => server.region === request.region);
+  const remote = allowed.filter((server) => server.region !== request.region);
+  const near = pickUsable(local, pool, request, random);
+  if (near !== undefined && near.predictedMs <= request.remainingMs * LOCAL_DEADLINE_SHARE) {
+    return toChoice(near, request);
+  }
+  const far = request.crossRegionAllowed ? pickUsable(remote, pool, request, random) : undefined;
+  const farHelps = far !== undefined && (far.predictedMs <= request.remainingMs || local.length === 0);
+  // A full local region is waited for while the time left allows another turn.
+  const mayWait = near === undefined && local.length > 0 && request.remainingMs > request.tokens * pool.msPerToken * 2;
+  if (farHelps && !mayWait) {
+    return toChoice(far, request);
+  }
+  if (near !== undefined) {
+    return toChoice(near, request);
   }
-  return second.outstanding < first.outstanding ? second : first;
+  return live.length > 0 ? { type: 'wait' } : undefined;
 }
--- /dev/null
+++ b/packages/decide/src/routing/predictCompletion.ts
@@ -0,0 +1,28 @@
+import { ROUND_TRIP_MS } from './constants.js';
+import type { DispatchRequest, PoolView, ServerView } from './types.js';
+
+const roundTripMs = (server: ServerView, request: DispatchRequest): number => {
+  if (server.failureDomain === request.failureDomain) {
+    return ROUND_TRIP_MS.failureDomain;
+  }
+  return server.region === request.region ? ROUND_TRIP_MS.region : ROUND_TRIP_MS.otherRegion;
+};
+
+/**
+ * Predicts how long an attempt takes on a server: the work outstanding there shared by its parallel slots, and the
+ * attempt itself less the expected prefix saving, at the learnt speed of the server.
+ *
+ * @param server - the server
+ * @param pool - its pool
+ * @param request - the attempt
+ * @returns predicted time in milliseconds
+ * @example
+ * predictCompletion(server, pool, request) <= request.remainingMs;
+ */
+export default function predictCompletion(server: ServerView, pool: PoolView, request: DispatchRequest): number {
+  const savedTokens = request.savedTokens?.get(server.serverId) ?? 0;
+  const ownTokens = Math.max(1, request.tokens - savedTokens);
+  const aheadTokens = server.outstandingTokens + server.othersOutstanding * pool.meanTokens;
+  const work = ownTokens + aheadTokens / Math.max(1, server.limit);
+  return roundTripMs(server, request) + work * pool.msPerToken * server.slowness;
+}
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -12,16 +12,83 @@
   readonly state: 'live' | 'leaving';
 }
 
-/** A backend server as seen by one entry host. */
-export interface ServerView extends ServerDescription {
+/** Load report of a backend server; it is older than its arrival. */
+export interface LoadReport {
+  readonly running: number;
+  readonly queued: number;
+  readonly tokensPerSecond: number;
+  readonly reportedAtMs: number;
+}
+
+/** What one entry host has learnt about a backend server. */
+export interface ServerStats {
   /** Attempts of this host that wait for an answer. */
   readonly outstanding: number;
+  /** Estimated tokens that these attempts still need. */
+  readonly outstandingTokens: number;
+  /** Outstanding attempts that count as long work. */
+  readonly longOutstanding: number;
+  /** Attempts of other entry hosts, from the last load report. */
+  readonly othersOutstanding: number;
+  /** Attempts that the server handles well at the same time, over all entry hosts. */
+  readonly limit: number;
+  /** Recent time per token of work, or undefined before the first sample. */
+  readonly msPerToken?: number;
+  readonly sampledAtMs: number;
+  readonly lastSentAtMs: number;
+  /** Connections that failed in a row. */
+  readonly failures: number;
+  /** The server gets no work before this time, because a connection to it failed. */
+  readonly unreachableUntilMs: number;
+}
+
+/** A backend server as seen by one entry host. */
+export interface ServerView extends ServerDescription, ServerStats {
+  /** Time per token relative to the median of the pool; 1 for a server of ordinary speed. */
+  readonly slowness: number;
+}
+
+/** A pool as seen by one entry host. */
+export interface PoolView {
+  readonly servers: readonly ServerView[];
+  /** Median time per token over the servers. */
+  readonly msPerToken: number;
+  /** Mean size of an attempt. */
+  readonly meanTokens: number;
 }
 
-/** What the choice of a server depends on. */
-export interface ChoiceOptions {
+/** Facts of one attempt that the choice of a server depends on. */
+export interface DispatchRequest {
+  /** Estimated work of the attempt. */
+  readonly tokens: number;
+  readonly long: boolean;
+  /** Time that is left for this stage. */
+  readonly remainingMs: number;
   readonly avoidServers: readonly string[];
   readonly failureDomain: string;
   readonly region: string;
-  readonly random: Random;
+  /** Expected saving by the prefix cache in tokens of work, by server id. */
+  readonly savedTokens?: ReadonlyMap<string, number>;
+  /** Whether the cross-region byte budget has room for the attempt. */
+  readonly crossRegionAllowed: boolean;
+  readonly nowMs: number;
 }
+
+/** Result of the choice of a server. */
+export type Choice =
+  | { readonly type: 'send'; readonly server: ServerView; readonly predictedMs: number; readonly crossRegion: boolean }
+  /** Every usable server is at its concurrency limit. */
+  | { readonly type: 'wait' };
+
+/** What changes the statistics of a server. */
+export type ServerEventInput =
+  | { readonly type: 'sent'; readonly tokens: number; readonly long: boolean }
+  /** An outstanding attempt produced tokens, or produced none for the given time. */
+  | { readonly type: 'progress'; readonly tokens: number; readonly elapsedMs: number }
+  /** The estimate of the tokens that an outstanding attempt still needs changed, also because tokens arrived. */
+  | { readonly type: 'corrected'; readonly tokensChange: number; readonly longChange: number }
+  /** No connection, or the connection broke before the answer. */
+  | { readonly type: 'failed' }
+  | { readonly type: 'answered' }
+  | { readonly type: 'done'; readonly tokensLeft: number; readonly long: boolean }
+  | { readonly type: 'reported'; readonly report: LoadReport; readonly ownAtReport: number };
--- /dev/null
+++ b/packages/decide/src/routing/updateServerStats.ts
@@ -0,0 +1,85 @@
+import { exhaustive } from '@bergamotcove/errors';
+import { INITIAL_LIMIT, SPEED_SAMPLE_LIFETIME_MS, SPEED_SAMPLE_WEIGHT } from './constants.js';
+import adaptLimit from './adaptLimit.js';
+import type { ServerEventInput, ServerStats } from './types.js';
+
+/** Statistics of a server of which nothing is known. */
+export const NEW_SERVER_STATS: ServerStats = {
+  outstanding: 0,
+  outstandingTokens: 0,
+  longOutstanding: 0,
+  othersOutstanding: 0,
+  limit: INITIAL_LIMIT,
+  sampledAtMs: 0,
+  lastSentAtMs: 0,
+  failures: 0,
+  unreachableUntilMs: 0,
+};
+
+const addSample = (stats: ServerStats, sampleMsPerToken: number, nowMs: number): ServerStats => {
+  const fresh = nowMs - stats.sampledAtMs < SPEED_SAMPLE_LIFETIME_MS;
+  const before = fresh ? stats.msPerToken : undefined;
+  const msPerToken =
+    before === undefined ? sampleMsPerToken : before + (sampleMsPerToken - before) * SPEED_SAMPLE_WEIGHT;
+  return { ...stats, msPerToken, sampledAtMs: nowMs };
+};
+
+/** Pause after a failed connection; it doubles with each failure in a row. */
+const MIN_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 3_200;
+
+const countDown = (value: number, change: number): number => Math.max(0, value - change);
+
+/**
+ * Updates the statistics of a server.
+ *
+ * @param stats - statistics before
+ * @param event - what happened
+ * @param nowMs - monotonic time
+ * @returns statistics after
+ * @example
+ * updateServerStats(stats, { type: 'sent', tokens: 64, long: false }, nowMs);
+ */
+export default function updateServerStats(stats: ServerStats, event: ServerEventInput, nowMs: number): ServerStats {
+  switch (event.type) {
+    case 'sent':
+      return {
+        ...stats,
+        outstanding: stats.outstanding + 1,
+        outstandingTokens: stats.outstandingTokens + event.tokens,
+        longOutstanding: stats.longOutstanding + (event.long ? 1 : 0),
+        lastSentAtMs: nowMs,
+      };
+    case 'progress':
+      // Without a token yet, the elapsed time is a lower bound of the time per token.
+      return addSample(stats, event.elapsedMs / Math.max(1, event.tokens), nowMs);
+    case 'corrected':
+      return {
+        ...stats,
+        outstandingTokens: countDown(stats.outstandingTokens, -event.tokensChange),
+        longOutstanding: countDown(stats.longOutstanding, -event.longChange),
+      };
+    case 'failed': {
+      const failures = stats.failures + 1;
+      const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
+      return { ...stats, failures, unreachableUntilMs: nowMs + backoffMs };
+    }
+    case 'answered':
+      return { ...stats, failures: 0, unreachableUntilMs: 0 };
+    case 'done':
+      return {
+        ...stats,
+        outstanding: countDown(stats.outstanding, 1),
+        outstandingTokens: stats.outstanding <= 1 ? 0 : countDown(stats.outstandingTokens, event.tokensLeft),
+        longOutstanding: countDown(stats.longOutstanding, event.long ? 1 : 0),
+      };
+    case 'reported':
+      return {
+        ...stats,
+        othersOutstanding: countDown(event.report.running + event.report.queued, event.ownAtReport),
+        limit: adaptLimit(stats.limit, event.report),
+      };
+    default:
+      return exhaustive(event);
+  }
+}
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -74,17 +74,25 @@
   start(): void {
     const { clock, directory } = this.options;
     const remainingMs = this.context.plan.deadlineAtMs - clock.monotonicMs();
-    const server = chooseServer(directory.listPool(this.action.stage.pool), {
-      avoidServers: this.action.avoidServers,
-      failureDomain: this.options.failureDomain,
-      region: this.options.region,
-      random: this.options.random,
-    });
-    if (server === undefined) {
+    const choice = chooseServer(
+      directory.viewPool(this.action.stage.pool),
+      {
+        tokens: this.estimateTokens(),
+        long: this.isLong(),
+        remainingMs,
+        avoidServers: this.action.avoidServers,
+        failureDomain: this.options.failureDomain,
+        region: this.options.region,
+        crossRegionAllowed: true,
+        nowMs: clock.monotonicMs(),
+      },
+      this.options.random,
+    );
+    if (choice?.type !== 'send') {
       this.timer = clock.schedule(POLL_FOR_SERVER_MS, () => this.start());
       return;
     }
-    this.send(server, remainingMs);
+    this.send(choice.server, remainingMs);
   }
 
   close(): void {
@@ -94,12 +102,26 @@
     this.release();
   }
 
+  private estimateTokens(): number {
+    const { operation } = this.context.plan;
+    return this.action.stage.kind === 'generate' ? operation.expectedOutputTokens : 1;
+  }
+
+  private isLong(): boolean {
+    const { operation } = this.context.plan;
+    return this.action.stage.kind === 'generate' && operation.expectedOutputTokens >= operation.longOutputTokens;
+  }
+
   private send(server: ServerView, timeoutMs: number): void {
     this.server = server;
     this.span = this.options.tracer.startSpan(`stage ${this.action.stage.name}`, this.context.requestTraceparent);
     this.span.setAttribute('attemptId', this.action.attemptId);
     this.span.setAttribute('serverId', server.serverId);
-    this.options.directory.noteSent(server.serverId);
+    this.options.directory.note(server.serverId, {
+      type: 'sent',
+      tokens: this.estimateTokens(),
+      long: this.isLong(),
+    });
     const { traceparent } = this.span;
     const call = toCall(this.action, this.context, server, { timeoutMs, traceparent });
     this.call = callServer(this.options.http, call).subscribe((event) => this.handle(server, event));
@@ -144,7 +166,11 @@
 
   private release(): void {
     if (this.server !== undefined) {
-      this.options.directory.noteDone(this.server.serverId);
+      this.options.directory.note(this.server.serverId, {
+        type: 'done',
+        tokensLeft: this.estimateTokens(),
+        long: this.isLong(),
+      });
       this.server = undefined;
     }
   }
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
-import type { ServerView } from '@bergamotcove/decide';
+import { createPoolBook, type PoolView, type ServerDescription, type ServerEventInput } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { HostList, ListedHost } from '@bergamotcove/platform';
 
@@ -13,12 +13,18 @@
 
 /** Backend servers as this host sees them. */
 export interface ServerDirectory {
-  /** Servers of a pool. */
-  listPool(pool: string): readonly ServerView[];
+  /** Servers of a pool with what this host has learnt about them. */
+  viewPool(pool: string): PoolView;
+  /** All backend servers of the last host list. */
+  listServers(): readonly ServerDescription[];
   /** Entry hosts of the last host list. */
   listEntryHosts(): readonly ListedHost[];
-  noteSent(serverId: string): void;
-  noteDone(serverId: string): void;
+  /** Attempts of this host that wait for an answer of the server. */
+  outstanding(serverId: string): number;
+  /** Something happened on a server. */
+  note(serverId: string, event: ServerEventInput): void;
+  /** Size of an attempt in tokens of work. */
+  noteSize(pool: string, tokens: number): void;
   /** The server itself said that it is leaving. */
   noteLeaving(serverId: string): void;
   /** Resolves after the first list arrived. */
@@ -26,7 +32,7 @@
   close(): void;
 }
 
-const toView = (host: ListedHost, outstanding: number, leaving: boolean): ServerView => ({
+const toServer = (host: ListedHost, leaving: boolean): ServerDescription => ({
   serverId: host.id,
   address: host.address,
   port: host.port,
@@ -34,7 +40,6 @@
   failureDomain: host.failureDomain,
   region: host.region,
   state: leaving ? 'leaving' : host.state,
-  outstanding,
 });
 
 /**
@@ -44,7 +49,7 @@
  * @returns the directory; close it to stop polling
  */
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
-  const outstanding = new Map<string, number>();
+  const book = createPoolBook();
   const leaving = new Set<string>();
   let hosts: readonly ListedHost[] = [];
   let timer: Timer | undefined;
@@ -53,6 +58,7 @@
   const poll = async (): Promise<void> => {
     try {
       hosts = (await options.fetchList()).hosts;
+      book.retain(new Set(hosts.map((host) => host.id)));
     } catch (cause) {
       options.logger.event('hostListUnavailable', { error: String(cause) });
     }
@@ -63,18 +69,21 @@
     }
   };
 
-  const add = (serverId: string, change: number): void => {
-    outstanding.set(serverId, Math.max(0, (outstanding.get(serverId) ?? 0) + change));
-  };
+  const listServers = (): readonly ServerDescription[] =>
+    hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
 
   return {
-    listPool: (pool) =>
-      hosts
-        .filter((host) => host.role === 'server' && host.pool === pool)
-        .map((host) => toView(host, outstanding.get(host.id) ?? 0, leaving.has(host.id))),
+    viewPool: (pool) =>
+      book.view(
+        pool,
+        listServers().filter((server) => server.pool === pool),
+        options.clock.monotonicMs(),
+      ),
+    listServers,
     listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
-    noteSent: (serverId) => add(serverId, 1),
-    noteDone: (serverId) => add(serverId, -1),
+    outstanding: (serverId) => book.stats(serverId).outstanding,
+    note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
+    noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
       leaving.add(serverId);
     },
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,5 +8,7 @@
 export type { HostList, ListedHost } from './hosts/fetchHostList.js';
 export { default as callServer } from './servers/callServer.js';
 export type { ServerCall, ServerEvent, ServerFailure } from './servers/types.js';
+export { default as fetchLoad } from './servers/fetchLoad.js';
+export type { ServerLoad } from './servers/fetchLoad.js';
 export { default as acceptDocument } from './documents/acceptDocument.js';
 export type { AcceptOptions, AcceptResult } from './documents/acceptDocument.js';
