--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -23,6 +23,8 @@
 export interface DispatchContext {
   readonly plan: RequestPlan;
   readonly requestTraceparent: string;
+  /** The caller's input; every stage gets it together with the outputs of the stages before. */
+  readonly callerInput: unknown;
   readonly idempotencyKey?: string;
 }
 
@@ -35,7 +37,7 @@
   action: DispatchAction,
   context: DispatchContext,
   server: ServerView,
-  options: { readonly timeoutMs: number; readonly traceparent: string },
+  options: { readonly timeoutMs: number; readonly traceparent: string; readonly maySend: () => boolean },
 ): ServerCall => ({
   target: { address: server.address, port: server.port },
   kind: action.stage.kind,
@@ -43,7 +45,7 @@
   requestId: context.plan.requestId,
   organisation: context.plan.organisation,
   operation: context.plan.operation.name,
-  input: action.input,
+  input: { request: context.callerInput, outputs: action.input },
   ...(action.stage.model === undefined ? {} : { model: action.stage.model }),
   ...(action.stage.effect === 'once' && context.idempotencyKey !== undefined
     ? { idempotencyKey: context.idempotencyKey }
@@ -52,6 +54,7 @@
   traceparent: options.traceparent,
   resumeTokenIndex: action.resumeTokenIndex,
   priority: context.plan.operation.priority,
+  maySend: options.maySend,
 });
 
 /** One attempt: waits for a server, sends the call and reports what happens. */
@@ -123,7 +126,9 @@
       long: this.isLong(),
     });
     const { traceparent } = this.span;
-    const call = toCall(this.action, this.context, server, { timeoutMs, traceparent });
+    // A host that was paused while it connected must not send after the deadline.
+    const maySend = (): boolean => this.options.clock.monotonicMs() < this.context.plan.deadlineAtMs;
+    const call = toCall(this.action, this.context, server, { timeoutMs, traceparent, maySend });
     this.call = callServer(this.options.http, call).subscribe((event) => this.handle(server, event));
   }
 
