--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -13,6 +13,8 @@
 
 /** Backend servers as this host sees them. */
 export interface ServerDirectory {
+  /** Servers of a pool. */
+  listPool(pool: string): readonly ServerDescription[];
   /** Servers of a pool with what this host has learnt about them. */
   viewPool(pool: string): PoolView;
   /** All backend servers of the last host list. */
@@ -72,13 +74,12 @@
   const listServers = (): readonly ServerDescription[] =>
     hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
 
+  const listPool = (pool: string): readonly ServerDescription[] =>
+    listServers().filter((server) => server.pool === pool);
+
   return {
-    viewPool: (pool) =>
-      book.view(
-        pool,
-        listServers().filter((server) => server.pool === pool),
-        options.clock.monotonicMs(),
-      ),
+    listPool,
+    viewPool: (pool) => book.view(pool, listPool(pool), options.clock.monotonicMs()),
     listServers,
     listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
     outstanding: (serverId) => book.stats(serverId).outstanding,
