Bound each host's window at a server and trust load reports by age

Cause: hosts followed the same old report together, a few slow answers kept every request out, and the limit per server came from stale totals. Change: a window for each host and server, reports weighted by age in attempt durations, admission of a request without a wait by the typical run time, early refusal of queued requests, two homes for a prefix.

--- a/packages/bench/src/load/host/createEstimates.ts
+++ b/packages/bench/src/load/host/createEstimates.ts
@@ -11,6 +11,8 @@
   stageMs(run: RunState, stage: LoadStage, quantile: number): number;
   /** Time from admission to the answer that nearly all requests of this kind keep. */
   runMs(arrival: Arrival, estimateTokens: number): number;
+  /** Time that half of the requests of this kind need from admission to the answer. */
+  typicalMs(arrival: Arrival, estimateTokens: number): number;
   /** Time for the present stage. */
   stageShareMs(run: RunState): number;
   /** Time that the stages that are left need at least. */
@@ -19,10 +21,14 @@
   learnRun(run: RunState): void;
   learnPace(ratio: number): void;
   paceQuantile(quantile: number): number | undefined;
+  /** Time from sending to the first token, relative to the usual prefill time. */
+  learnSilence(ratio: number): void;
+  silenceQuantile(quantile: number): number | undefined;
 }
 
 const DEFAULT_STAGE_MS = 30;
 const RUN_QUANTILE = 0.99;
+const TYPICAL_QUANTILE = 0.5;
 const SHARE_QUANTILE = 0.95;
 const RATIO_SCALE = 100;
 /** Allowance for the spread of lengths before the run times are learnt. */
@@ -53,6 +59,11 @@
   const stagesLeft = (run: RunState): readonly LoadStage[] => run.arrival.operation.stages.slice(run.stageIndex);
   const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
+  const readRatio = (key: string, quantile: number): number | undefined => {
+    const value = quantiles.quantile(key, quantile);
+    return value === undefined ? undefined : value / RATIO_SCALE;
+  };
+
   return {
     prefillTokens,
     stageMs,
@@ -60,6 +71,9 @@
     runMs: (arrival, estimateTokens) =>
       quantiles.quantile(`run ${arrival.operation.name}`, RUN_QUANTILE) ??
       arrival.operation.stages.length * DEFAULT_STAGE_MS + estimateTokens * poolMsPerToken() * FIRST_RUN_FACTOR,
+    typicalMs: (arrival, estimateTokens) =>
+      quantiles.quantile(`run ${arrival.operation.name}`, TYPICAL_QUANTILE) ??
+      arrival.operation.stages.length * DEFAULT_STAGE_MS + estimateTokens * poolMsPerToken(),
     stageShareMs: (run) =>
       shareDeadline(
         run.deadlineAtMs - nowMs(),
@@ -72,9 +86,8 @@
       quantiles.record(`run ${run.arrival.operation.name}`, nowMs() - run.releasedAtMs, nowMs());
     },
     learnPace: (ratio) => quantiles.record('pace', ratio * RATIO_SCALE, nowMs()),
-    paceQuantile: (quantile) => {
-      const value = quantiles.quantile('pace', quantile);
-      return value === undefined ? undefined : value / RATIO_SCALE;
-    },
+    paceQuantile: (quantile) => readRatio('pace', quantile),
+    learnSilence: (ratio) => quantiles.record('silence', ratio * RATIO_SCALE, nowMs()),
+    silenceQuantile: (quantile) => readRatio('silence', quantile),
   };
 }
--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -45,8 +45,6 @@
 
   private readonly sender: AttemptSender;
 
-  private readonly ownHistory = new Map<string, { atMs: number; outstanding: number }[]>();
-
   constructor(
     private readonly world: LoadWorld,
     hostIndex: number,
@@ -107,6 +105,7 @@
       costTokens: estimateTokens + this.estimates.prefillTokens(arrival, 0),
       deadlineAtMs: arrival.atMs + arrival.operation.deadlineMs,
       runMs: this.estimates.runMs(arrival, estimateTokens),
+      typicalMs: this.estimates.typicalMs(arrival, estimateTokens),
       arrival,
       stageIndex: 0,
       stageStartedAtMs: 0,
@@ -304,6 +303,7 @@
     });
     this.world.deployment.pools.forEach((pool) => this.drainStage(pool.stage));
     this.pump();
+    this.admission.expire(this.nowMs()).forEach((run) => this.finish(run, 'refused', TICK_MS));
   }
 
   private poll(): void {
@@ -322,15 +322,7 @@
     if (server.crashed) {
       return;
     }
-    const report = server.report();
-    const nowMs = this.nowMs();
-    const history = this.ownHistory.get(serverId) ?? [];
-    const ownAtReport = history.findLast((one) => one.atMs <= report.reportedAtMs)?.outstanding ?? 0;
-    this.book.note(serverId, { type: 'reported', report, ownAtReport }, nowMs);
-    this.ownHistory.set(serverId, [
-      ...history.slice(-4),
-      { atMs: nowMs, outstanding: this.book.stats(serverId).outstanding },
-    ]);
+    this.book.noteReport(serverId, server.report(), { hosts: this.hostCount(), nowMs: this.nowMs() });
   }
 }
 
--- a/packages/bench/src/load/host/createServerPicker.ts
+++ b/packages/bench/src/load/host/createServerPicker.ts
@@ -1,7 +1,7 @@
 import {
   chooseServer,
   estimateSaving,
-  findHome,
+  findHomes,
   type ByteBudget,
   type ByteEstimate,
   type DispatchRequest,
@@ -47,6 +47,7 @@
 }
 
 const NO_LONG_LIMIT = false;
+const HOMES = 2;
 
 const prefixKeyOf = (run: RunState): string => `${run.arrival.organisation}/${run.arrival.operation.name}`;
 
@@ -105,11 +106,11 @@
     }
     const key = prefixKeyOf(facts.run);
     const local = servers.filter((server) => server.region === place.region).map((server) => server.serverId);
-    const home = findHome(key, local);
+    const homes = findHomes(key, local, HOMES);
     return new Map(
       servers.map(({ serverId }) => {
         const sentAtMs = hints.get(`${serverId} ${key}`);
-        const hint = { home: serverId === home, ...(sentAtMs === undefined ? {} : { sentAtMs }) };
+        const hint = { homeIndex: homes.indexOf(serverId), ...(sentAtMs === undefined ? {} : { sentAtMs }) };
         return [serverId, estimateSaving(hint, prefixTokens / PREFILL_TOKENS_PER_TOKEN, world.events.nowMs())];
       }),
     );
--- a/packages/bench/src/load/host/followAttempts.ts
+++ b/packages/bench/src/load/host/followAttempts.ts
@@ -13,6 +13,7 @@
 
 /** Without a token for this multiple of the usual time, the silence itself is a sample. */
 const SILENCE_FACTOR = 2;
+const SILENCE_QUANTILE = 0.98;
 const HEDGE_QUANTILE = 0.95;
 const STAGE_HEDGE_QUANTILE = 0.99;
 const MIN_SAMPLE_TOKENS = 4;
@@ -51,9 +52,10 @@
   const { serverId } = attempt.server.description;
   const tokens = attempt.server.progress(attempt.job);
   const elapsedMs = nowMs - attempt.seenAtMs;
+  const usualMs = (attempt.prefillTokens + 1) * poolMsPerToken;
   if (tokens === 0) {
-    const usualMs = (attempt.prefillTokens + 1) * poolMsPerToken;
-    if (nowMs - attempt.sentAtMs < usualMs * SILENCE_FACTOR) {
+    const factor = Math.max(SILENCE_FACTOR, estimates.silenceQuantile(SILENCE_QUANTILE) ?? SILENCE_FACTOR);
+    if (nowMs - attempt.sentAtMs < usualMs * factor) {
       return false;
     }
     attempt.paceMs = (nowMs - attempt.sentAtMs) / (attempt.prefillTokens + 1);
@@ -69,6 +71,7 @@
   book.note(serverId, { type: 'corrected', tokensChange: -done, longChange: 0 }, nowMs);
   attempt.run.arrivedTokens = Math.max(attempt.run.arrivedTokens, attempt.resumeTokens + tokens);
   if (first) {
+    estimates.learnSilence((nowMs - attempt.sentAtMs) / usualMs);
     return false;
   }
   attempt.paceMs = elapsedMs / Math.max(1, change);
--- a/packages/bench/src/load/scenarios/loadScenarios.ts
+++ b/packages/bench/src/load/scenarios/loadScenarios.ts
@@ -181,9 +181,9 @@
 const poolLoss: LoadScenario = {
   ...BASE,
   name: 'pool-loss',
-  text: 'the engines of the smaller region are lost for 20 s; inputs of 40 kB',
+  text: 'the engines of the smaller region are lost for 20 s; inputs of 100 kB',
   durationMs: 45 * SECOND_MS,
-  operations: BASE.operations.map((operation) => ({ ...operation, inputBytes: 40_000 })),
+  operations: BASE.operations.map((operation) => ({ ...operation, inputBytes: 100_000 })),
   loadAt: () => POOL_LOSS_LOAD,
   faults: [
     { type: 'crash-region', stage: 'generate', region: 1, atMs: POOL_LOSS_AT_MS },
--- a/packages/decide/src/admission/createAdmission.ts
+++ b/packages/decide/src/admission/createAdmission.ts
@@ -11,6 +11,8 @@
   offer(item: Item, share: LimitShare, nowMs: number): AdmissionDecision;
   /** Releases the next request, or undefined when none may go. A request that is too late by now comes with `late`. */
   release(nowMs: number): Release<Item> | undefined;
+  /** Removes and returns the requests that will not be released in time, so that they are refused early. */
+  expire(nowMs: number): readonly Item[];
   /** Time at which the next request comes within its limits, or undefined when none is held back. */
   nextHeldMs(): number | undefined;
   remove(item: Item): void;
@@ -86,13 +88,25 @@
     if (item === undefined) {
       return undefined;
     }
-    const late = nowMs + item.runMs > item.deadlineAtMs;
+    const late = nowMs + item.typicalMs > item.deadlineAtMs;
     if (!late) {
       this.rate.add(item.costTokens, nowMs);
     }
     return { item, late };
   }
 
+  expire(nowMs: number): readonly Item[] {
+    const tokensPerMs = Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs));
+    let tokensBefore = 0;
+    const expired = this.queue.list().filter((item) => {
+      const late = nowMs + tokensBefore / tokensPerMs + item.runMs > item.deadlineAtMs;
+      tokensBefore += late ? 0 : item.costTokens;
+      return late;
+    });
+    expired.forEach((item) => this.queue.remove(item));
+    return expired;
+  }
+
   nextHeldMs(): number | undefined {
     return this.held.peek()?.eligibleAtMs;
   }
--- a/packages/decide/src/admission/createFairQueue.ts
+++ b/packages/decide/src/admission/createFairQueue.ts
@@ -13,6 +13,8 @@
   /** Work that would be released before an item with the tag. */
   tokensBefore(tag: number): number;
   remove(item: Item): void;
+  /** Items in the order of their release. */
+  list(): readonly Item[];
 }
 
 interface Entry<Item> {
@@ -68,6 +70,7 @@
     pop,
     tokensBefore: (limit) =>
       heap.data.reduce((sum, entry) => (entry.tag <= limit ? sum + entry.item.costTokens : sum), 0),
+    list: () => [...heap.data].sort(compare).map((entry) => entry.item),
     remove: (item) => {
       heap = new TinyQueue(
         heap.data.filter((entry) => entry.item !== item),
--- a/packages/decide/src/admission/decideAdmission.ts
+++ b/packages/decide/src/admission/decideAdmission.ts
@@ -30,7 +30,10 @@
 ): AdmissionDecision {
   const queueMs = outlook.tokensBefore === 0 ? 0 : outlook.tokensBefore / outlook.drainTokensPerMs;
   const waitMs = Math.max(queueMs, outlook.limitWaitMs);
-  const overMs = nowMs + waitMs + request.runMs - request.deadlineAtMs;
+  // Without a wait a request is admitted unless it is likely to miss. Otherwise a few slow answers would keep every
+  // request out, and the learnt times would never recover.
+  const runMs = waitMs === 0 ? request.typicalMs : request.runMs;
+  const overMs = nowMs + waitMs + runMs - request.deadlineAtMs;
   if (overMs <= 0) {
     return { type: 'queued' };
   }
--- a/packages/decide/src/admission/types.ts
+++ b/packages/decide/src/admission/types.ts
@@ -9,8 +9,10 @@
   /** Estimated work over all stages, in tokens. */
   readonly costTokens: number;
   readonly deadlineAtMs: number;
-  /** Learnt time from admission to the answer. */
+  /** Time from admission to the answer that nearly all requests of the kind keep. */
   readonly runMs: number;
+  /** Time from admission to the answer that half of the requests of the kind need. */
+  readonly typicalMs: number;
 }
 
 /** Answer to a request for admission. */
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -2,14 +2,15 @@
 export * from './request/index.js';
 export * from './claims/index.js';
 export * from './routing/types.js';
-export { default as adaptLimit } from './routing/adaptLimit.js';
+export { default as adaptWindow } from './routing/adaptWindow.js';
+export type { WindowFacts } from './routing/adaptWindow.js';
 export { default as chooseServer } from './routing/chooseServer.js';
 export { default as createPoolBook } from './routing/createPoolBook.js';
 export type { PoolBook } from './routing/createPoolBook.js';
 export { default as estimateLoad } from './routing/estimateLoad.js';
 export { default as estimateSaving } from './routing/estimateSaving.js';
 export type { PrefixHint } from './routing/estimateSaving.js';
-export { default as findHome } from './routing/findHome.js';
+export { default as findHomes } from './routing/findHomes.js';
 export { default as limitDemotions } from './routing/limitDemotions.js';
 export { default as predictCompletion } from './routing/predictCompletion.js';
 export { default as updateServerStats, NEW_SERVER_STATS } from './routing/updateServerStats.js';
--- a/packages/decide/src/routing/chooseServer.test.ts
+++ b/packages/decide/src/routing/chooseServer.test.ts
@@ -55,9 +55,9 @@
 });
 
 test('waits instead of overfilling servers, and gives long work no more than its share', () => {
-  const full = makeServer('full', { outstanding: 4, limit: 4 });
+  const full = makeServer('full', { outstanding: 4, window: 4 });
   assert.equal(choose(makePool(full)), 'wait');
-  const longFull = makeServer('long-full', { longOutstanding: 2, limit: 4 });
+  const longFull = makeServer('long-full', { longOutstanding: 2, window: 4 });
   assert.equal(choose(makePool(longFull), { long: true }), 'wait');
   assert.equal(choose(makePool(longFull)), 'long-full');
 });
--- a/packages/decide/src/routing/chooseServer.ts
+++ b/packages/decide/src/routing/chooseServer.ts
@@ -15,11 +15,11 @@
  * Each host may always have one attempt at a server: reports of the other hosts' attempts are too old to keep a host
  * away from a server whose attempts are shorter than the lag.
  */
-const hasRoom = (server: ServerView, request: DispatchRequest): boolean => {
-  if (server.outstanding > 0 && estimateLoad(server) >= server.limit) {
+const hasRoom = (server: ServerView, request: DispatchRequest, random: Random): boolean => {
+  if (server.outstanding > 0 && server.outstanding + random() >= server.window) {
     return false;
   }
-  return !request.long || server.longOutstanding < Math.max(1, Math.floor(server.limit * LONG_LIMIT_SHARE));
+  return !request.long || server.longOutstanding < Math.max(1, Math.floor(server.window * LONG_LIMIT_SHARE));
 };
 
 /** A demoted server is due for one probe at a time; a request with little time left does not take the risk. */
@@ -68,7 +68,7 @@
   random: Random,
 ): Candidate | undefined => {
   const demoted = limitDemotions(servers);
-  const usable = servers.filter((server) => hasRoom(server, request));
+  const usable = servers.filter((server) => hasRoom(server, request, random));
   const probe = usable.find((server) => demoted.has(server.serverId) && isProbeDue(server, request));
   if (probe !== undefined) {
     return { server: probe, predictedMs: predictCompletion(probe, pool, request) };
--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -16,13 +16,19 @@
 /** A speed sample older than this says nothing about a server; stragglers are slow for seconds. */
 export const SPEED_SAMPLE_LIFETIME_MS = 10_000;
 
-/** Concurrency limit of a server before anything is known about it. */
-export const INITIAL_LIMIT = 16;
+/** Window of a host at a server of which there is no report. */
+export const INITIAL_WINDOW = 16;
 
 /** Attempts that may wait at a server, so that it does not idle between two attempts. */
 export const SERVER_QUEUE_TARGET = 2;
 
-/** Share of a server's limit that long work may use. */
+/**
+ * Multiple of its share of the free slots that a host may use until the next report. Hosts are not busy at the same
+ * moment; twice the share absorbs the variation and bounds the queue that a sudden rise can cause.
+ */
+export const FREE_SLOT_OVERCOMMIT = 2;
+
+/** Share of a server's slots that long work may use. */
 export const LONG_LIMIT_SHARE = 0.5;
 
 /** Round trip within a failure domain, within a region and between regions. */
@@ -31,8 +37,11 @@
 /** Share of the time left that a local server may use before another region counts as necessary. */
 export const LOCAL_DEADLINE_SHARE = 0.9;
 
-/** Probability that the home server of a prefix holds it although this host has not sent it there itself. */
-export const HOME_HIT_PROBABILITY = 0.5;
+/** Probability that a home server of a prefix holds it, in the order of the homes. */
+export const HOME_HIT_PROBABILITIES: readonly number[] = [0.9, 0.6];
+
+/** Probability that another server still holds a prefix that this host has just sent there. */
+export const SENT_HIT_PROBABILITY = 0.5;
 
 /** Time after which half of the prefixes sent to a server are expected to be evicted. */
 export const PREFIX_HALF_LIFE_MS = 30_000;
--- a/packages/decide/src/routing/estimateSaving.ts
+++ b/packages/decide/src/routing/estimateSaving.ts
@@ -1,11 +1,11 @@
-import { HOME_HIT_PROBABILITY, PREFIX_HALF_LIFE_MS } from './constants.js';
+import { HOME_HIT_PROBABILITIES, PREFIX_HALF_LIFE_MS, SENT_HIT_PROBABILITY } from './constants.js';
 
 /** What this host knows about a prefix on a server. */
 export interface PrefixHint {
   /** When this host last sent the prefix there; undefined when it never did. */
   readonly sentAtMs?: number;
-  /** Whether rendezvous hashing names the server as home of the prefix. */
-  readonly home: boolean;
+  /** Place of the server among the homes of the prefix; negative when it is none. */
+  readonly homeIndex: number;
 }
 
 /**
@@ -16,10 +16,10 @@
  * @param nowMs - monotonic time
  * @returns expected saving in tokens of work
  * @example
- * estimateSaving({ sentAtMs: nowMs - 500, home: true }, 120, nowMs);
+ * estimateSaving({ sentAtMs: nowMs - 500, homeIndex: 0 }, 120, nowMs);
  */
 export default function estimateSaving(hint: PrefixHint, prefillTokens: number, nowMs: number): number {
-  const sent = hint.sentAtMs === undefined ? 0 : 0.5 ** ((nowMs - hint.sentAtMs) / PREFIX_HALF_LIFE_MS);
-  const probability = Math.max(sent, hint.home ? HOME_HIT_PROBABILITY : 0);
+  const kept = hint.sentAtMs === undefined ? 0 : 0.5 ** ((nowMs - hint.sentAtMs) / PREFIX_HALF_LIFE_MS);
+  const probability = Math.max(kept * SENT_HIT_PROBABILITY, HOME_HIT_PROBABILITIES[hint.homeIndex] ?? 0);
   return probability * prefillTokens;
 }
--- a/packages/decide/src/routing/predictCompletion.ts
+++ b/packages/decide/src/routing/predictCompletion.ts
@@ -23,6 +23,6 @@
   const savedTokens = request.savedTokens?.get(server.serverId) ?? 0;
   const ownTokens = Math.max(1, request.tokens - savedTokens);
   const aheadTokens = server.outstandingTokens + server.othersOutstanding * pool.meanTokens;
-  const work = ownTokens + aheadTokens / Math.max(1, server.limit);
+  const work = ownTokens + aheadTokens / Math.max(1, server.slots);
   return roundTripMs(server, request) + work * pool.msPerToken * server.slowness;
 }
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -30,8 +30,12 @@
   readonly longOutstanding: number;
   /** Attempts of other entry hosts, from the last load report. */
   readonly othersOutstanding: number;
-  /** Attempts that the server handles well at the same time, over all entry hosts. */
-  readonly limit: number;
+  /** Age of that report is counted from this time; undefined without a report. */
+  readonly reportedAtMs?: number;
+  /** Attempts that the server was seen to run at the same time. */
+  readonly slots: number;
+  /** Attempts that this host may have at the server; a fraction is a probability. */
+  readonly window: number;
   /** Recent time per token of work, or undefined before the first sample. */
   readonly msPerToken?: number;
   readonly sampledAtMs: number;
@@ -91,4 +95,11 @@
   | { readonly type: 'failed' }
   | { readonly type: 'answered' }
   | { readonly type: 'done'; readonly tokensLeft: number; readonly long: boolean }
-  | { readonly type: 'reported'; readonly report: LoadReport; readonly ownAtReport: number };
+  | {
+      readonly type: 'reported';
+      readonly report: LoadReport;
+      /** Outstanding attempts of this host at the time of the report. */
+      readonly ownAtReport: number;
+      /** Entry hosts that send to the server. */
+      readonly hosts: number;
+    };
--- a/packages/decide/src/routing/updateServerStats.ts
+++ b/packages/decide/src/routing/updateServerStats.ts
@@ -1,7 +1,7 @@
 import { exhaustive } from '@bergamotcove/errors';
-import { INITIAL_LIMIT, SPEED_SAMPLE_LIFETIME_MS, SPEED_SAMPLE_WEIGHT } from './constants.js';
-import adaptLimit from './adaptLimit.js';
-import type { ServerEventInput, ServerStats } from './types.js';
+import { INITIAL_WINDOW, SPEED_SAMPLE_LIFETIME_MS, SPEED_SAMPLE_WEIGHT } from './constants.js';
+import adaptWindow from './adaptWindow.js';
+import type { LoadReport, ServerEventInput, ServerStats } from './types.js';
 
 /** Statistics of a server of which nothing is known. */
 export const NEW_SERVER_STATS: ServerStats = {
@@ -9,7 +9,8 @@
   outstandingTokens: 0,
   longOutstanding: 0,
   othersOutstanding: 0,
-  limit: INITIAL_LIMIT,
+  slots: INITIAL_WINDOW,
+  window: INITIAL_WINDOW,
   sampledAtMs: 0,
   lastSentAtMs: 0,
   failures: 0,
@@ -30,6 +31,29 @@
 
 const countDown = (value: number, change: number): number => Math.max(0, value - change);
 
+/** A server with a queue uses all its slots, so the report then shows their number. */
+const learnSlots = (stats: ServerStats, report: LoadReport): number => {
+  if (report.queued > 0) {
+    return Math.max(1, report.running);
+  }
+  return Math.max(stats.slots, report.running);
+};
+
+const applyReport = (
+  stats: ServerStats,
+  event: Extract<ServerEventInput, { readonly type: 'reported' }>,
+): ServerStats => {
+  const { report, ownAtReport, hosts } = event;
+  const slots = learnSlots(stats, report);
+  return {
+    ...stats,
+    othersOutstanding: countDown(report.running + report.queued, ownAtReport),
+    reportedAtMs: report.reportedAtMs,
+    slots,
+    window: adaptWindow(report, { ownAtReport, slots, hosts }),
+  };
+};
+
 /**
  * Updates the statistics of a server.
  *
@@ -74,11 +98,7 @@
         longOutstanding: countDown(stats.longOutstanding, event.long ? 1 : 0),
       };
     case 'reported':
-      return {
-        ...stats,
-        othersOutstanding: countDown(event.report.running + event.report.queued, event.ownAtReport),
-        limit: adaptLimit(stats.limit, event.report),
-      };
+      return applyReport(stats, event);
     default:
       return exhaustive(event);
   }
