--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -25,6 +25,8 @@
 const RELEASE_WINDOW = 2;
 const MAX_ATTEMPTS = 3;
 const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
+/** A longer wait for admission means that local servers cannot serve everything in time. */
+const OVERLOAD_WAIT_MS = 300;
 const LONG_OUTPUT_TOKENS = 512;
 const NO_LIMIT_PER_SECOND = 1e9;
 
@@ -165,7 +167,7 @@
   private enqueue(run: RunState, stage: LoadStage): void {
     const long = this.isLong(run, stage);
     const nowMs = this.nowMs();
-    const latestStartAtMs = run.deadlineAtMs - this.estimates.leastMs(run);
+    const latestStartAtMs = run.deadlineAtMs - this.estimates.typicalLeftMs(run);
     const rank = this.world.policy.stageQueues
       ? rankUrgency({ latestStartAtMs, enqueuedAtMs: nowMs, priority: run.priority })
       : nowMs;
@@ -211,6 +213,7 @@
       long,
       remainingMs: this.estimates.stageShareMs(run),
       avoidServers: [...run.avoidServers, ...busy],
+      localOverloaded: this.admission.waitMs(this.nowMs()) > OVERLOAD_WAIT_MS,
       bytes: {
         requestBytes: run.arrival.operation.inputBytes + BYTES_PER_MESSAGE,
         replyBytes: BYTES_PER_MESSAGE + (stage === 'generate' ? run.estimateTokens * BYTES_PER_TOKEN : 0),
--- a/packages/bench/src/load/host/createServerPicker.ts
+++ b/packages/bench/src/load/host/createServerPicker.ts
@@ -23,6 +23,7 @@
   readonly remainingMs: number;
   readonly avoidServers: readonly string[];
   readonly bytes: ByteEstimate;
+  readonly localOverloaded: boolean;
 }
 
 /** Server for an attempt, or why there is none. */
@@ -130,6 +131,7 @@
       ...place,
       savedTokens: savedTokens(facts, servers),
       crossRegionAllowed: world.policy.spill && options.bytes.hasRoom(facts.bytes, nowMs),
+      localOverloaded: facts.localOverloaded,
       nowMs,
     };
     return chooseServer(adjust(book.view(facts.stage, servers, nowMs)), request, random);
--- a/packages/decide/src/admission/createAdmission.ts
+++ b/packages/decide/src/admission/createAdmission.ts
@@ -13,6 +13,8 @@
   release(nowMs: number): Release<Item> | undefined;
   /** Removes and returns the requests that will not be released in time, so that they are refused early. */
   expire(nowMs: number): readonly Item[];
+  /** Expected wait of a request that comes last. */
+  waitMs(nowMs: number): number;
   /** Time at which the next request comes within its limits, or undefined when none is held back. */
   nextHeldMs(): number | undefined;
   remove(item: Item): void;
@@ -107,6 +109,10 @@
     return expired;
   }
 
+  waitMs(nowMs: number): number {
+    return this.queue.tokensBefore(Infinity) / Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs));
+  }
+
   nextHeldMs(): number | undefined {
     return this.held.peek()?.eligibleAtMs;
   }
--- a/packages/decide/src/budget/createByteBudget.ts
+++ b/packages/decide/src/budget/createByteBudget.ts
@@ -1,6 +1,3 @@
-import takeFromBucket from './takeFromBucket.js';
-import type { Bucket } from './types.js';
-
 /** Owner of the cross-region byte budget of one entry host. */
 export interface ByteBudget {
   /** Whether the bytes fit now; nothing is taken. */
@@ -14,17 +11,22 @@
   readonly replyBytes: number;
 }
 
-/** Part of the budget that may be sent at once; the rest is the rate. Their sum bounds every window of 1 s. */
-const BURST_SHARE = 0.25;
-
 /**
  * Part of the budget for requests. Replies use the other direction of the link, together with the requests of the
  * other region, so both kinds have a part of each direction.
  */
-const REQUEST_SHARE = 0.75;
+const REQUEST_SHARE = 0.8;
+
+/** The window is a little longer than the 1 s of the bound, because sending takes time. */
+const WINDOW_MS = 1_100;
+
+interface Taken extends ByteEstimate {
+  readonly atMs: number;
+}
 
 /**
- * Creates the byte budget of one entry host.
+ * Creates the byte budget of one entry host. It counts the bytes of the last second exactly, because a token bucket
+ * with the same bound on every window needs a burst and loses that part of the sustained rate.
  *
  * @param bytesPerSecond - this host's share of the bytes of the link in any window of 1 s, in each direction
  * @returns the budget
@@ -32,33 +34,21 @@
  * const budget = createByteBudget(222_000);
  */
 export default function createByteBudget(bytesPerSecond: number): ByteBudget {
-  const toSpec = (share: number) => ({
-    ratePerSecond: bytesPerSecond * share * (1 - BURST_SHARE),
-    capacity: bytesPerSecond * share * BURST_SHARE,
-  });
-  const requestSpec = toSpec(REQUEST_SHARE);
-  const replySpec = toSpec(1 - REQUEST_SHARE);
-  let requests: Bucket | undefined;
-  let replies: Bucket | undefined;
-
-  const probe = (bytes: ByteEstimate, nowMs: number) => ({
-    request: takeFromBucket(requests, requestSpec, { amount: bytes.requestBytes, nowMs }),
-    reply: takeFromBucket(replies, replySpec, { amount: bytes.replyBytes, nowMs }),
-  });
-
+  let taken: readonly Taken[] = [];
+  const hasRoom = (bytes: ByteEstimate, nowMs: number): boolean => {
+    taken = taken.filter((one) => one.atMs > nowMs - WINDOW_MS);
+    const requests = taken.reduce((sum, one) => sum + one.requestBytes, bytes.requestBytes);
+    const replies = taken.reduce((sum, one) => sum + one.replyBytes, bytes.replyBytes);
+    return requests <= bytesPerSecond * REQUEST_SHARE && replies <= bytesPerSecond * (1 - REQUEST_SHARE);
+  };
   return {
-    hasRoom: (bytes, nowMs) => {
-      const { request, reply } = probe(bytes, nowMs);
-      return request.taken && reply.taken;
-    },
+    hasRoom,
     take: (bytes, nowMs) => {
-      const { request, reply } = probe(bytes, nowMs);
-      if (!request.taken || !reply.taken) {
-        return false;
+      const fits = hasRoom(bytes, nowMs);
+      if (fits) {
+        taken = [...taken, { ...bytes, atMs: nowMs }];
       }
-      requests = request.bucket;
-      replies = reply.bucket;
-      return true;
+      return fits;
     },
   };
 }
--- a/packages/decide/src/routing/chooseServer.ts
+++ b/packages/decide/src/routing/chooseServer.ts
@@ -109,8 +109,10 @@
   }
   const far = request.crossRegionAllowed ? pickUsable(remote, pool, request, random) : undefined;
   const farHelps = far !== undefined && (far.predictedMs <= request.remainingMs || local.length === 0);
-  // A full local region is waited for while the time left allows another turn.
-  const mayWait = near === undefined && local.length > 0 && request.remainingMs > request.tokens * pool.msPerToken * 2;
+  // A full local region is waited for while the time left allows another turn, unless requests behind this one would
+  // then miss their deadline.
+  const hasTime = request.remainingMs > request.tokens * pool.msPerToken * 2;
+  const mayWait = near === undefined && local.length > 0 && hasTime && request.localOverloaded !== true;
   if (farHelps && !mayWait) {
     return toChoice(far, request);
   }
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -75,6 +75,8 @@
   readonly savedTokens?: ReadonlyMap<string, number>;
   /** Whether the cross-region byte budget has room for the attempt. */
   readonly crossRegionAllowed: boolean;
+  /** Whether requests that wait for admission will miss their deadline in the local region. */
+  readonly localOverloaded?: boolean;
   readonly nowMs: number;
 }
 
