--- a/packages/decide/src/admission/createAdmission.ts
+++ b/packages/decide/src/admission/createAdmission.ts
@@ -69,7 +69,7 @@
   offer(item: Item, share: LimitShare, nowMs: number): AdmissionDecision {
     const reservation = this.limiter.reserve(item.organisation, share, item.costTokens, nowMs);
     const outlook = {
-      tokensBefore: this.queue.tokensBefore(this.queue.tag(item)),
+      tokensBefore: this.queue.tokensBefore(item),
       drainTokensPerMs: Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs)),
       limitWaitMs: reservation.waitMs,
     };
@@ -99,18 +99,16 @@
 
   expire(nowMs: number): readonly Item[] {
     const tokensPerMs = Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs));
-    let tokensBefore = 0;
-    const expired = this.queue.list().filter((item) => {
-      const late = nowMs + tokensBefore / tokensPerMs + item.runMs > item.deadlineAtMs;
-      tokensBefore += late ? 0 : item.costTokens;
-      return late;
-    });
+    const expired = this.queue
+      .list()
+      .filter(({ item, tokensBefore }) => nowMs + tokensBefore / tokensPerMs + item.runMs > item.deadlineAtMs)
+      .map(({ item }) => item);
     expired.forEach((item) => this.queue.remove(item));
     return expired;
   }
 
   waitMs(nowMs: number): number {
-    return this.queue.tokensBefore(Infinity) / Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs));
+    return this.queue.tokens / Math.max(MIN_TOKENS_PER_MS, this.rate.read(nowMs));
   }
 
   nextHeldMs(): number | undefined {
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -18,7 +18,7 @@
 export { default as createAdmission } from './admission/createAdmission.js';
 export type { Admission, Release } from './admission/createAdmission.js';
 export { default as createFairQueue } from './admission/createFairQueue.js';
-export type { FairQueue } from './admission/createFairQueue.js';
+export type { FairQueue, QueuedItem } from './admission/createFairQueue.js';
 export { default as createLimiter, BURST_SECONDS } from './admission/createLimiter.js';
 export type { Limiter, LimitReservation } from './admission/createLimiter.js';
 export { default as decideAdmission } from './admission/decideAdmission.js';
