--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -22,7 +22,7 @@
 }
 
 /** Stages of this host that may wait for a server before admission holds requests back. */
-const RELEASE_WINDOW = 2;
+const RELEASE_WINDOW = 1;
 const MAX_ATTEMPTS = 3;
 const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
 /** A longer wait for admission means that local servers cannot serve everything in time. */
--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -20,7 +20,7 @@
 export const INITIAL_WINDOW = 16;
 
 /** Attempts that may wait at a server, so that it does not idle between two attempts. */
-export const SERVER_QUEUE_TARGET = 2;
+export const SERVER_QUEUE_TARGET = 1;
 
 /**
  * Multiple of its share of the free slots that a host may use until the next report. Hosts are not busy at the same
