Generate the log and metric catalogues and the JSON Schemas

Cause: the catalogues and the shapes of the operators' files existed in the code only, and nothing kept payloads out of log fields.

Change: `npm run docs` writes docs/log-events.md, docs/metrics.md and the two schemas under schemas/; `npm test` fails when a committed file differs. Log fields take scalars and lists of scalars, the compiler rejects objects and names that stand for payloads, and texts are cut at 300 characters.

Conclusion: adding an event or metric now requires `npm run docs`.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -16,3 +16,5 @@
 export { default as planAcceptance } from './acceptance/planAcceptance.js';
 export { default as settleAcceptance } from './acceptance/settleAcceptance.js';
 export type { AcceptanceEvidence } from './acceptance/settleAcceptance.js';
+export { default as formatJsonSchemas } from './formatJsonSchemas.js';
+export type { SchemaFile } from './formatJsonSchemas.js';
--- a/packages/log/src/createLogger.ts
+++ b/packages/log/src/createLogger.ts
@@ -1,8 +1,32 @@
 import debug from 'debug';
 import { LOG_EVENTS, type LogEventName } from './events.js';
 
+/** Value of a log field: an id, a size, a reason, or a list of such. Objects are left out, since payloads are objects. */
+export type LogValue = string | number | boolean | null | undefined | readonly (string | number | boolean)[];
+
+/** Names of fields that would carry payloads of requests or secrets. */
+type PayloadName =
+  | 'answer'
+  | 'body'
+  | 'document'
+  | 'input'
+  | 'output'
+  | 'payload'
+  | 'prompt'
+  | 'result'
+  | 'secret'
+  | 'text'
+  | 'tokens'
+  | 'value';
+
 /** Facts of one occurrence of an event. */
-export type LogFields = Readonly<Record<string, unknown>>;
+export type LogFields = Readonly<Record<string, LogValue>> & Partial<Readonly<Record<PayloadName, never>>>;
+
+// Longer texts are quotations of what a caller or server sent, for instance in a parser's message.
+const MAX_TEXT_LENGTH = 300;
+
+const shorten = (_: string, value: unknown): unknown =>
+  typeof value === 'string' && value.length > MAX_TEXT_LENGTH ? `${value.slice(0, MAX_TEXT_LENGTH)}…` : value;
 
 /** Writes catalogued events. */
 export interface Logger {
@@ -29,7 +53,7 @@
       const spec = LOG_EVENTS[name];
       const write = writers.get(spec.level);
       if (write?.enabled === true) {
-        write('%s', JSON.stringify({ event: spec.id, name, level: spec.level, ...base, ...fields }));
+        write('%s', JSON.stringify({ event: spec.id, name, level: spec.level, ...base, ...fields }, shorten));
       }
     },
   };
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Metrics and traces. */
 export { METRICS } from './metrics.js';
+export { default as formatMetricCatalogue } from './formatMetricCatalogue.js';
 export type { MetricName, MetricSpec } from './metrics.js';
 export { default as createMetrics } from './createMetrics.js';
 export type { Metrics, MetricsOptions } from './createMetrics.js';
--- a/tools/verify.mjs
+++ b/tools/verify.mjs
@@ -41,6 +41,7 @@
 run('npx', ['--no-install', 'tsc', '-b']);
 run('npx', ['--no-install', 'prettier', '--check', '--log-level', 'warn', '.']);
 run('npx', ['--no-install', 'eslint', '--max-warnings', '0', '.']);
+run(process.execPath, ['tools/docs.mjs', '--check']);
 printKnownRed();
 const result = spawnSync(
   process.execPath,
