Realistic example documents and requests, sent by a quickstart of 8 and 9 hosts

Cause: the examples had no organisation with its own limits and no request bodies, and the quickstart sent {"text": "Hello"} to three entry hosts.

Brescia starts 9 entry hosts, Stille Vaart 8.

--- a/packages/bench/src/deployment/deployments.ts
+++ b/packages/bench/src/deployment/deployments.ts
@@ -22,6 +22,7 @@
     { failureDomain: 'lombardy-2', region: 'lombardy' },
     { failureDomain: 'veneto-1', region: 'veneto' },
   ],
+  entryHosts: 9,
   pools: [
     ...STAGE_POOLS,
     ...toCallPools(['invoice-ledger', 'meter-intake', 'customer-portal', 'clerk-backend-server']),
@@ -37,6 +38,7 @@
     { failureDomain: 'noord-holland-2', region: 'noord-holland' },
     { failureDomain: 'friesland-1', region: 'friesland' },
   ],
+  entryHosts: 8,
   pools: [...STAGE_POOLS, ...toCallPools(['bookings', 'skipper-rostering', 'partner-portal', 'tide-feed'])],
   documents: ['model-serving', 'bookings', 'skipper-rostering', 'partner-portal', 'tide-feed'],
 };
--- a/packages/bench/src/deployment/startDeployment.ts
+++ b/packages/bench/src/deployment/startDeployment.ts
@@ -57,13 +57,14 @@
   return { process, host };
 };
 
+/** Spreads processes evenly over the failure domains. */
+const pickPlace = (spec: DeploymentSpec, index: number): FailureDomainSpec =>
+  spec.failureDomains[index % spec.failureDomains.length] as FailureDomainSpec;
+
 const startServers = (spec: DeploymentSpec) =>
   Promise.all(
     spec.pools.flatMap((pool) =>
-      Array.from({ length: pool.servers }, (_, index) => {
-        const place = spec.failureDomains[index % spec.failureDomains.length] as FailureDomainSpec;
-        return startServer(pool, place, index);
-      }),
+      Array.from({ length: pool.servers }, (_, index) => startServer(pool, pickPlace(spec, index), index)),
     ),
   );
 
@@ -126,12 +127,13 @@
   const directory = mkdtempSync(path.join(tmpdir(), 'bergamot-'));
   const storeUrl = `http://${ADDRESS}:${readPort(store)}`;
   const hostListUrl = `http://${ADDRESS}:${readPort(hostList)}/v1/hosts`;
+  const places = Array.from({ length: spec.entryHosts }, (_, index) => pickPlace(spec, index));
   const entryHosts = await Promise.all(
-    spec.failureDomains.map((place, index) => startEntryHost(place, index, { directory, storeUrl, hostListUrl })),
+    places.map((place, index) => startEntryHost(place, index, { directory, storeUrl, hostListUrl })),
   );
   await publishHosts(readPort(hostList), [
     ...servers.map((server) => server.host),
-    ...entryHosts.map((host, index) => describeEntryHost(host, spec.failureDomains[index] as FailureDomainSpec, index)),
+    ...entryHosts.map((host, index) => describeEntryHost(host, pickPlace(spec, index), index)),
   ]);
   return {
     storeUrl,
--- a/packages/bench/src/deployment/types.ts
+++ b/packages/bench/src/deployment/types.ts
@@ -18,6 +18,8 @@
 export interface DeploymentSpec {
   readonly name: string;
   readonly failureDomains: readonly FailureDomainSpec[];
+  /** Number of entry hosts, spread over the failure domains. */
+  readonly entryHosts: number;
   readonly pools: readonly PoolSpec[];
   /** Service documents, in the order in which they are accepted. */
   readonly documents: readonly string[];
--- a/packages/bench/src/quickstart/runQuickstart.ts
+++ b/packages/bench/src/quickstart/runQuickstart.ts
@@ -1,18 +1,29 @@
-import { readFileSync } from 'node:fs';
 import { randomBytes } from 'node:crypto';
-import { createHttpClient, type HttpClient, type HttpResponse } from '@bergamotcove/transport';
-import { parseServiceDocument } from '@bergamotcove/config';
+import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
 import { exampleFile } from '../deployment/paths.js';
 import type { RunningDeployment, RunningEntryHost } from '../deployment/startDeployment.js';
 import type { DeploymentSpec } from '../deployment/types.js';
+import readSamples, { type Sample } from './readSamples.js';
 import runCtl from './runCtl.js';
+import sendSample, { type SampleHeaders } from './sendSample.js';
 
 /** Prints one line of progress. */
 export type Print = (line: string) => void;
 
+/** What the steps of the quickstart need. */
+interface Session {
+  readonly spec: DeploymentSpec;
+  readonly deployment: RunningDeployment;
+  readonly samples: readonly Sample[];
+  readonly http: HttpClient;
+  readonly print: Print;
+}
+
 const ADDRESS = '127.0.0.1';
 const READY_POLLS = 100;
 const READY_POLL_MS = 50;
+const KEY_BYTES = 8;
+const TRACE_ID_BYTES = 16;
 
 const expectTrue = (condition: boolean, message: string): void => {
   if (!condition) {
@@ -20,7 +31,20 @@
   }
 };
 
-const applyDocuments = async (spec: DeploymentSpec, deployment: RunningDeployment, print: Print): Promise<void> => {
+const newKey = (): string => randomBytes(KEY_BYTES).toString('hex');
+
+const hostUrl = (host: RunningEntryHost): string => `http://${ADDRESS}:${host.peersPort}`;
+
+/** Non-idempotent operations need a key. */
+const keyHeaders = (sample: Sample): SampleHeaders =>
+  sample.operation.idempotent ? {} : { 'idempotency-key': newKey() };
+
+const describe = (sample: Sample): string => `${sample.service}/${sample.operation.name}`;
+
+const pickHost = ({ deployment }: Session, index: number): RunningEntryHost =>
+  deployment.entryHosts[index % deployment.entryHosts.length] as RunningEntryHost;
+
+const applyDocuments = async ({ spec, deployment, print }: Session): Promise<void> => {
   for (const service of spec.documents) {
     const file = exampleFile(spec.name, service);
     const { exitCode, output } = await runCtl(['apply', file, '--store', deployment.storeUrl]);
@@ -36,9 +60,9 @@
   return answer.result.services.length;
 };
 
-const waitUntilInForce = async (http: HttpClient, host: RunningEntryHost, count: number): Promise<void> => {
+const waitUntilInForce = async ({ spec, http }: Session, host: RunningEntryHost): Promise<void> => {
   for (let poll = 0; poll < READY_POLLS; poll += 1) {
-    if ((await countServices(http, host)) === count) {
+    if ((await countServices(http, host)) === spec.documents.length) {
       return;
     }
     await new Promise((resolve) => {
@@ -48,90 +72,56 @@
   throw new Error('the service documents did not come into force');
 };
 
-interface SampleRequest {
-  readonly service: string;
-  readonly operation: string;
-  readonly idempotencyKey?: string;
-  readonly traceparent?: string;
-}
-
-const sendRequest = (http: HttpClient, host: RunningEntryHost, sample: SampleRequest): Promise<HttpResponse> =>
-  http.send(
-    { address: ADDRESS, port: host.callersPort },
-    {
-      method: 'POST',
-      path: `/v1/services/${sample.service}/requests`,
-      headers: {
-        'content-type': 'application/json',
-        ...(sample.idempotencyKey === undefined ? {} : { 'idempotency-key': sample.idempotencyKey }),
-        ...(sample.traceparent === undefined ? {} : { traceparent: sample.traceparent }),
-      },
-      body: JSON.stringify({ organisation: 'sample', operation: sample.operation, input: { text: 'Hello' } }),
-    },
-  );
-
-const readOperations = (spec: DeploymentSpec, service: string) => {
-  const file = exampleFile(spec.name, service);
-  return parseServiceDocument(JSON.parse(readFileSync(file, 'utf8')), { source: file }).operations;
+const showStatus = async ({ deployment, print }: Session): Promise<void> => {
+  const hosts = deployment.entryHosts.flatMap((host) => ['--host', hostUrl(host)]);
+  const { exitCode, output } = await runCtl(['status', ...hosts]);
+  print(`\nbergamotctl status:\n${output}\n`);
+  expectTrue(exitCode === 0, `bergamotctl status ended with code ${exitCode}`);
 };
 
-const requestEachService = async (
-  spec: DeploymentSpec,
-  hosts: readonly RunningEntryHost[],
-  http: HttpClient,
-  print: Print,
-): Promise<void> => {
-  for (const [index, service] of spec.documents.entries()) {
-    const operation = readOperations(spec, service)[0]?.name ?? '';
-    const host = hosts[index % hosts.length] as RunningEntryHost;
-    const response = await sendRequest(http, host, { service, operation });
-    print(`${service}/${operation}: ${response.status} ${response.body}`);
-    expectTrue(response.status === 200, `${service} answered with status ${response.status}`);
+const sendEachSample = async (session: Session): Promise<void> => {
+  for (const [index, sample] of session.samples.entries()) {
+    const startedAtMs = performance.now();
+    const response = await sendSample(session.http, pickHost(session, index), sample, keyHeaders(sample));
+    const durationMs = Math.round(performance.now() - startedAtMs);
+    session.print(`${describe(sample)}: ${response.status} after ${durationMs} ms ${response.body}`);
+    expectTrue(response.status === 200, `${describe(sample)} answered with status ${response.status}`);
   }
 };
 
-const requestOnceTwice = async (
-  spec: DeploymentSpec,
-  hosts: readonly RunningEntryHost[],
-  http: HttpClient,
-  print: Print,
-): Promise<void> => {
-  const service = spec.documents.find((name) => readOperations(spec, name).some((operation) => !operation.idempotent));
-  const operation = readOperations(spec, service ?? '').find((candidate) => !candidate.idempotent);
-  const sample = {
-    service: service ?? '',
-    operation: operation?.name ?? '',
-    idempotencyKey: randomBytes(8).toString('hex'),
-  };
-  const first = await sendRequest(http, hosts[0] as RunningEntryHost, sample);
-  const second = await sendRequest(http, hosts[1] as RunningEntryHost, sample);
-  print(`${sample.service}/${sample.operation} first: ${first.status} ${first.body}`);
-  print(`${sample.service}/${sample.operation} again, other host: ${second.status} ${second.body}`);
-  const outputs = [first, second].map((response) =>
+const sendOnceTwice = async (session: Session): Promise<void> => {
+  const { samples, http, print } = session;
+  const sample = samples.find(({ operation }) => !operation.idempotent);
+  if (sample === undefined) {
+    throw new Error('no sample request of a non-idempotent operation');
+  }
+  const headers = { 'idempotency-key': newKey() };
+  const first = await sendSample(http, pickHost(session, 0), sample, headers);
+  const second = await sendSample(http, pickHost(session, 1), sample, headers);
+  print(`\nsame Idempotency-Key on two hosts, the call runs once:`);
+  print(`${describe(sample)} first: ${first.status} ${first.body}`);
+  print(`${describe(sample)} again: ${second.status} ${second.body}`);
+  const [firstOutput, secondOutput] = [first, second].map((response) =>
     JSON.stringify((JSON.parse(response.body) as { output: unknown }).output),
   );
-  expectTrue(first.status === 200 && outputs[0] === outputs[1], 'the same key did not get the first answer');
+  expectTrue(first.status === 200 && firstOutput === secondOutput, 'the same key did not get the first answer');
 };
 
-const showTrace = async (
-  spec: DeploymentSpec,
-  host: RunningEntryHost,
-  http: HttpClient,
-  print: Print,
-): Promise<void> => {
-  const traceId = randomBytes(16).toString('hex');
-  const service = spec.documents[0] ?? '';
-  const operation = readOperations(spec, service)[0];
-  const traceparent = `00-${traceId}-${randomBytes(8).toString('hex')}-01`;
-  await sendRequest(http, host, { service, operation: operation?.name ?? '', traceparent });
-  const hostUrl = `http://${ADDRESS}:${host.peersPort}`;
-  const { output } = await runCtl(['trace', traceId, '--host', hostUrl]);
-  print(output);
-  const spans = JSON.parse(
-    (await runCtl(['trace', traceId, '--host', hostUrl, '--json'])).output,
-  ) as readonly unknown[];
-  const hops = (operation?.stages?.length ?? 0) + 1;
-  expectTrue(spans.length === hops, `expected ${hops} spans, one a hop, found ${spans.length}`);
+const showTrace = async (session: Session): Promise<void> => {
+  const { deployment, samples, http, print } = session;
+  const sample = samples[0] as Sample;
+  const traceId = randomBytes(TRACE_ID_BYTES).toString('hex');
+  const headers = { ...keyHeaders(sample), traceparent: `00-${traceId}-${newKey()}-01` };
+  await sendSample(http, pickHost(session, 0), sample, headers);
+  const hosts = deployment.entryHosts.flatMap((host) => ['--host', hostUrl(host)]);
+  const { output } = await runCtl(['trace', traceId, ...hosts]);
+  print(`\nbergamotctl trace:\n${output}\n`);
+  const spans = JSON.parse((await runCtl(['trace', traceId, ...hosts, '--json'])).output) as readonly {
+    readonly name: string;
+  }[];
+  const found = [...new Set(spans.map((span) => span.name))].sort().join(', ');
+  const expected = [`request ${describe(sample)}`, ...sample.stages.map((stage) => `stage ${stage}`)].sort().join(', ');
+  expectTrue(found === expected, `expected spans for ${expected}, found ${found}`);
 };
 
 /**
@@ -147,14 +137,15 @@
   deployment: RunningDeployment,
   print: Print,
 ): Promise<void> {
-  const http = createHttpClient();
+  const session: Session = { spec, deployment, print, http: createHttpClient(), samples: readSamples(spec.name) };
   try {
-    await applyDocuments(spec, deployment, print);
-    await Promise.all(deployment.entryHosts.map((host) => waitUntilInForce(http, host, spec.documents.length)));
-    await requestEachService(spec, deployment.entryHosts, http, print);
-    await requestOnceTwice(spec, deployment.entryHosts, http, print);
-    await showTrace(spec, deployment.entryHosts[0] as RunningEntryHost, http, print);
+    await applyDocuments(session);
+    await Promise.all(deployment.entryHosts.map((host) => waitUntilInForce(session, host)));
+    await showStatus(session);
+    await sendEachSample(session);
+    await sendOnceTwice(session);
+    await showTrace(session);
   } finally {
-    http.close();
+    session.http.close();
   }
 }
