--- a/packages/bench/src/deployment/startProcess.ts
+++ b/packages/bench/src/deployment/startProcess.ts
@@ -4,6 +4,7 @@
 /** A process that the bench started. */
 export interface BenchProcess {
   readonly name: string;
+  readonly pid: number;
   /** The JSON line that the process printed when it was ready. */
   readonly ready: Readonly<Record<string, unknown>>;
   /** Sends a signal to this process only. */
@@ -35,7 +36,7 @@
     createInterface({ input: child.stdout }).once('line', (line) => {
       clearTimeout(timer);
       const ready = JSON.parse(line) as Record<string, unknown>;
-      resolve({ name, ready, exited, signal: (signal) => child.kill(signal) });
+      resolve({ name, pid: child.pid ?? 0, ready, exited, signal: (signal) => child.kill(signal) });
     });
     exited.then((code) => {
       clearTimeout(timer);
