Add the fault matrix: steps by faults over real sockets

Nothing exercised the system under faults. Each cell starts three entry hosts and the stand-ins in one process (the paused host is a process of its own), makes a fault happen at a step, resends the request through the other hosts and checks the answers, the execution counts and the deadline.

--- /dev/null
+++ b/packages/bench/src/faults.main.ts
@@ -0,0 +1,80 @@
+/** `npm run faults`: the fault matrix. */
+import { parseArgs } from 'node:util';
+import { toError } from '@bergamotcove/errors';
+import listCells, { listPairs } from './faults/listCells.js';
+import runMatrix from './faults/runMatrix.js';
+import type { Cell, CellResult } from './faults/types.js';
+
+const USAGE = `usage: npm run faults -- [--list] [--only NAME] [--seed N] [--seeds N] [--pairs]
+
+  --list       print the cells and their allowed outcomes
+  --only NAME  run the cells whose name contains NAME
+  --seed N     first seed (1)
+  --seeds N    number of seeds (1)
+  --pairs      run seeded pairs of faults as well, as many as there are single faults`;
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+const readOptions = () => {
+  const { values } = parseArgs({
+    options: {
+      list: { type: 'boolean', default: false },
+      only: { type: 'string' },
+      seed: { type: 'string', default: '1' },
+      seeds: { type: 'string', default: '1' },
+      pairs: { type: 'boolean', default: false },
+      help: { type: 'boolean', default: false },
+    },
+  });
+  const seed = Number(values.seed);
+  const seeds = Number(values.seeds);
+  if (!Number.isInteger(seed) || !Number.isInteger(seeds) || seeds < 1) {
+    throw new Error('--seed and --seeds: expected whole numbers');
+  }
+  return { ...values, seed, seeds };
+};
+
+type Options = ReturnType<typeof readOptions>;
+
+const selectCells = (options: Options, seed: number): readonly Cell[] => {
+  const singles = listCells();
+  const cells = options.pairs ? [...singles, ...listPairs(seed, singles.length)] : singles;
+  return cells.filter((cell) => options.only === undefined || cell.name.includes(options.only));
+};
+
+const printRed = (result: CellResult): void => {
+  console.log(`RED ${result.cell.name} seed ${result.seed}: ${result.outcomes.join(' > ')}`);
+  result.violations.forEach((violation) => console.log(`  ${violation}`));
+};
+
+const runAll = async (options: Options): Promise<void> => {
+  const seeds = Array.from({ length: options.seeds }, (_, index) => options.seed + index);
+  const runs = seeds.flatMap((seed) => selectCells(options, seed).map((cell) => ({ cell, options: { seed } })));
+  console.log(`${runs.length} runs, seeds ${seeds[0]} to ${seeds.at(-1)}`);
+  const results = await runMatrix(runs, {
+    onResult: (result) => {
+      if (result.violations.length > 0) {
+        printRed(result);
+      }
+    },
+  });
+  const red = results.filter((result) => result.violations.length > 0).length;
+  console.log(`run ${results.length}, passed ${results.length - red}, red ${red}, first seed ${options.seed}`);
+  process.exit(red > 0 ? EXIT_FAILED : 0);
+};
+
+const main = async (): Promise<void> => {
+  const options = readOptions();
+  if (options.help) {
+    console.log(USAGE);
+  } else if (options.list) {
+    selectCells(options, options.seed).forEach((cell) => console.log(`${cell.name}: ${cell.allowed.join(', ')}`));
+  } else {
+    await runAll(options);
+  }
+};
+
+main().catch((cause: unknown) => {
+  console.error(`faults: ${toError(cause).message}\n${USAGE}`);
+  process.exit(EXIT_USAGE);
+});
--- /dev/null
+++ b/packages/bench/src/faults/expectOutcomes.ts
@@ -0,0 +1,99 @@
+import type { CellOutcome, Fault, Injection, OperationName, Step, Variant } from './types.js';
+
+/** Steps after which the `once` call may have been sent. */
+const CALL_STEPS: readonly Step[] = ['claim', 'send-call', 'resend'];
+
+/** Faults after which a sent attempt may or may not have run. */
+const UNCERTAIN_FAULTS: readonly Fault[] = ['server-crash', 'reset', 'reply-lost', 'swapped', 'poison'];
+
+/** Faults that keep the first host from writing claims for a while or for good. */
+const STORE_CUTS: readonly Fault[] = ['store-down', 'cut-store', 'one-way-cut'];
+
+const AFTER_CLAIM: readonly Step[] = ['send-call', 'record', 'answer'];
+
+/** The caller's connection ends with its host; a pause outlasts the deadline. */
+const LOST_HOSTS: readonly Fault[] = ['entry-crash', 'pause'];
+
+const expectOfExplain = ({ step, fault }: Injection): readonly CellOutcome[] => {
+  if (LOST_HOSTS.includes(fault)) {
+    return step === 'resend' ? ['answered'] : ['answered', 'broken'];
+  }
+  // A lost reply can be noticed only by waiting; a hedge or the deadline ends the wait.
+  if (fault === 'reply-lost') {
+    return ['answered', 'not-run'];
+  }
+  return fault === 'poison' ? ['answered', 'not-run'] : ['answered'];
+};
+
+const expectOfResentCall = (fault: Fault): readonly CellOutcome[] => {
+  if (LOST_HOSTS.includes(fault) || UNCERTAIN_FAULTS.includes(fault)) {
+    return ['answered', 'unknown', 'ran'];
+  }
+  // The outcome is known to the claiming host only, until its record is durable and can be read.
+  return STORE_CUTS.includes(fault) ? ['answered', 'unknown'] : ['answered'];
+};
+
+const expectOfPost = (injection: Injection): readonly CellOutcome[] => {
+  const { step, fault } = injection;
+  if (step === 'resend') {
+    return expectOfResentCall(fault);
+  }
+  if (LOST_HOSTS.includes(fault)) {
+    return ['answered', 'broken'];
+  }
+  if (STORE_CUTS.includes(fault)) {
+    return AFTER_CLAIM.includes(step) ? ['answered'] : ['answered', 'not-run'];
+  }
+  if (UNCERTAIN_FAULTS.includes(fault)) {
+    if (CALL_STEPS.includes(step)) {
+      return ['answered', 'unknown'];
+    }
+    return step === 'record' || step === 'answer' ? ['answered'] : expectOfExplain(injection);
+  }
+  return ['answered'];
+};
+
+const addVariant = (allowed: readonly CellOutcome[], variant: Variant): readonly CellOutcome[] => {
+  if (variant === 'plain' || !allowed.includes('unknown')) {
+    return allowed;
+  }
+  // A status query or the servers' own key checks settle what else would stay unknown.
+  return [...new Set<CellOutcome>([...allowed, 'answered', 'not-run', 'ran'])];
+};
+
+/** Two faults may take both servers of a pool or leave a claim without its host. */
+const addPair = (allowed: readonly CellOutcome[], operation: OperationName): readonly CellOutcome[] => [
+  ...new Set<CellOutcome>([
+    ...allowed,
+    'not-run',
+    ...(operation === 'post-entry' ? (['unknown', 'ran'] as const) : []),
+  ]),
+];
+
+/**
+ * States how a request may end under the given faults. `not-run` and `unknown` are checked against the execution
+ * counts besides, so a wider set here never allows a false statement.
+ *
+ * @param operation - operation of the request
+ * @param injections - faults and their steps
+ * @returns the allowed ends of the request
+ */
+export default function expectOutcomes(
+  operation: OperationName,
+  injections: readonly Injection[],
+): readonly CellOutcome[] {
+  const expectOne = operation === 'explain' ? expectOfExplain : expectOfPost;
+  const union = [...new Set(injections.flatMap(expectOne))];
+  return injections.length > 1 ? addPair(union, operation) : union;
+}
+
+/**
+ * Widens the allowed ends for a deployment whose servers settle unknown outcomes.
+ *
+ * @param allowed - ends allowed with plain servers
+ * @param variant - how the servers treat keys
+ * @returns the allowed ends
+ */
+export function expectVariant(allowed: readonly CellOutcome[], variant: Variant): readonly CellOutcome[] {
+  return addVariant(allowed, variant);
+}
--- /dev/null
+++ b/packages/bench/src/faults/runCell.ts
@@ -0,0 +1,275 @@
+import { isDeepStrictEqual } from 'node:util';
+import checkReply, { checkTokens, toOutcome } from './checkReply.js';
+import { MAX_POISON_CRASHES, PAUSE_MS, SETTLE_MS } from './constants.js';
+import createRandom from './createRandom.js';
+import createTrigger, { type Trigger } from './createTrigger.js';
+import { expectVariant } from './expectOutcomes.js';
+import { healWorld } from './injectFault.js';
+import sendCallerRequest, { type CallerCall, type CallerReply } from './sendCallerRequest.js';
+import type { Cell, CellOutcome, CellResult, Fault, Protection, Variant } from './types.js';
+import startWorld, { type World, type WorldHost } from './world/startWorld.js';
+
+/** Options of {@link runCell}. */
+export interface RunOptions {
+  readonly seed: number;
+  /** Protection that is turned off in this process. */
+  readonly without?: Protection;
+}
+
+/** Drain settings; the lag is longer than the time at which the balancer still sends requests. */
+const DRAIN = { balancerLagMs: 250, timeoutMs: 5_000 };
+const DRAIN_WITHOUT_WAIT = { balancerLagMs: 0, timeoutMs: 0 };
+
+/** Requests that the balancer still sends to a draining host, after this time each. */
+const LATE_ARRIVALS_MS = [60, 140];
+
+/** Poison suspicions reach the other hosts of a failure domain with the summaries of the next second. */
+const GOSSIP_MS = 1_300;
+
+const VARIANTS: readonly Variant[] = ['plain', 'plain', 'status-query', 'check-keys'];
+
+const delay = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+class CellRun {
+  private readonly outcomes: CellOutcome[] = [];
+
+  private readonly violations: string[] = [];
+
+  private readonly replies: CallerReply[] = [];
+
+  private companions: readonly Promise<void>[] = [];
+
+  constructor(
+    private readonly cell: Cell,
+    private readonly world: World,
+    private readonly trigger: Trigger,
+    private readonly marker: string,
+    private readonly allowed: readonly CellOutcome[],
+  ) {}
+
+  async run(): Promise<Pick<CellResult, 'outcomes' | 'violations'>> {
+    await this.sendFirst();
+    await Promise.all(this.companions);
+    if (this.has('pause')) {
+      await delay(PAUSE_MS);
+    }
+    if (this.has('poison')) {
+      await delay(GOSSIP_MS);
+    }
+    this.trigger.pending().forEach(({ step }) => {
+      if (this.cell.injections.length === 1) {
+        this.violations.push(`the request did not reach the step ${step}`);
+      }
+    });
+    await this.resend(this.host(1));
+    this.checkCrashes();
+    healWorld(this.world);
+    const last = await this.resend(this.host(2));
+    this.checkLast(last);
+    await this.checkExecutions();
+    return { outcomes: this.outcomes, violations: this.violations };
+  }
+
+  private has(fault: Fault): boolean {
+    return this.cell.injections.some((injection) => injection.fault === fault);
+  }
+
+  private host(index: number): WorldHost {
+    return this.world.hosts[index] as WorldHost;
+  }
+
+  private executions(marker = this.marker): number {
+    return this.world.executions.get(marker) ?? 0;
+  }
+
+  private makeCall(host: WorldHost, marker = this.marker): CallerCall {
+    return { port: host.callers.port, operation: this.cell.operation, marker, idempotencyKey: marker };
+  }
+
+  /** Sends the request, and at once again through another host when a fault is to strike the resend. */
+  private async sendFirst(): Promise<void> {
+    const resends = this.cell.injections.some(({ step }) => step === 'resend');
+    const first = this.host(0);
+    if (resends) {
+      this.trigger.holdForResend(() => {
+        first.callers.setMode('refuse');
+        first.callers.setMode('pass');
+      });
+    }
+    this.watchAnswer(first);
+    if (this.has('swapped')) {
+      this.startCompanion(0);
+    }
+    if (this.has('drain')) {
+      LATE_ARRIVALS_MS.forEach((delayMs) => this.startCompanion(delayMs));
+    }
+    const reply = await sendCallerRequest({
+      ...this.makeCall(first),
+      onAccepted: async () => this.trigger.reach('accept'),
+      onSent: async () => this.trigger.reach('parse'),
+    });
+    if (!resends) {
+      await this.note(reply, { mayBreak: this.has('entry-crash') || this.has('pause') });
+      this.checkAllowed();
+      return;
+    }
+    this.replies.push(reply);
+    await this.sendResentRequest(reply);
+  }
+
+  private async sendResentRequest(first: CallerReply): Promise<void> {
+    const reply = await sendCallerRequest({
+      ...this.makeCall(this.host(1)),
+      lastEventId: first.lastEventId,
+      onSent: async () => {
+        this.trigger.reach('resend');
+        this.trigger.releaseResend();
+      },
+    });
+    await this.note(reply, { mayBreak: false });
+    this.checkAllowed();
+  }
+
+  private checkAllowed(): void {
+    const outcome = this.outcomes.at(-1) as CellOutcome;
+    if (!this.allowed.includes(outcome)) {
+      this.violations.push(`the request ended as ${outcome}; allowed: ${this.allowed.join(', ')}`);
+    }
+  }
+
+  /** The step `answer` is reached when the last part of the answer arrives at the caller's side of the link. */
+  private watchAnswer(host: WorldHost): void {
+    host.callers.onReply((chunk) => {
+      if (this.cell.operation === 'post-entry' || chunk.includes('event: final')) {
+        this.trigger.reach('answer');
+      }
+    });
+  }
+
+  /** Another caller's request on the first host. */
+  private startCompanion(delayMs: number): void {
+    const marker = `${this.marker}-companion-${this.companions.length}`;
+    const send = async (): Promise<void> => {
+      await delay(delayMs);
+      const reply = await sendCallerRequest(this.makeCall(this.host(0), marker));
+      const { operation } = this.cell;
+      const mayBreak = this.has('entry-crash') || this.has('pause');
+      this.violations.push(
+        ...checkReply(reply, { operation, marker, mayBreak }).map((text) => `companion after ${delayMs} ms: ${text}`),
+      );
+      if (this.executions(marker) > 1) {
+        this.violations.push(`the companion's call ran ${this.executions(marker)} times`);
+      }
+    };
+    this.companions = [...this.companions, send()];
+  }
+
+  private async resend(host: WorldHost): Promise<CallerReply> {
+    const broken = this.replies.at(-1)?.end.type === 'broken';
+    const lastEventId = broken ? (this.replies.at(-1)?.lastEventId ?? 0) : 0;
+    const reply = await sendCallerRequest({ ...this.makeCall(host), lastEventId });
+    await this.note(reply, { mayBreak: false });
+    return reply;
+  }
+
+  /** Checks one reply by itself and against the execution counts and the earlier replies. */
+  private async note(reply: CallerReply, options: { readonly mayBreak: boolean }): Promise<void> {
+    const outcome = toOutcome(reply);
+    const { operation } = this.cell;
+    const earlier = this.replies.at(-1);
+    const position = `reply ${this.outcomes.length}`;
+    this.replies.push(reply);
+    this.outcomes.push(outcome);
+    const problems = [...checkReply(reply, { operation, marker: this.marker, ...options })];
+    if (operation === 'explain') {
+      const resumed = earlier?.end.type === 'broken' ? earlier.tokens.slice(0, earlier.lastEventId) : [];
+      problems.push(...checkTokens([...resumed, ...reply.tokens], this.marker));
+    } else {
+      problems.push(...this.checkSameOutput(reply));
+      if (outcome === 'not-run') {
+        await delay(SETTLE_MS);
+        if (this.executions() > 0) {
+          problems.push('the request is refused with not-run, but its call ran');
+        }
+      }
+    }
+    this.violations.push(...problems.map((text) => `${position}: ${text}`));
+  }
+
+  private checkSameOutput(reply: CallerReply): readonly string[] {
+    const first = this.replies.find(({ end }) => end.type === 'answered');
+    if (reply.end.type !== 'answered' || first?.end.type !== 'answered') {
+      return [];
+    }
+    return isDeepStrictEqual(reply.end.output, first.end.output) ? [] : ['the answer differs from the first answer'];
+  }
+
+  /** After every fault has ended, an idempotent request is answered and a known answer is given again. */
+  private checkLast(last: CallerReply): void {
+    const outcome = toOutcome(last);
+    if (this.cell.operation === 'explain') {
+      if (outcome !== 'answered' && !(this.has('poison') && outcome === 'not-run')) {
+        this.violations.push(`after the faults the request ended as ${outcome}`);
+      }
+      return;
+    }
+    const answered = this.replies.some(({ end }) => end.type === 'answered');
+    const hostLost = this.has('entry-crash') || this.has('pause');
+    if (answered && !hostLost && outcome !== 'answered') {
+      this.violations.push(`after the faults a known answer was withheld: ${outcome}`);
+    }
+  }
+
+  private checkCrashes(): void {
+    if (this.cell.injections.length > 1 || !this.has('poison')) {
+      return;
+    }
+    const crashes = this.world.servers.reduce((sum, { server }) => sum + server.crashes(), 0);
+    if (crashes > MAX_POISON_CRASHES) {
+      this.violations.push(`the request crashed ${crashes} servers, more than ${MAX_POISON_CRASHES}`);
+    }
+  }
+
+  private async checkExecutions(): Promise<void> {
+    await delay(SETTLE_MS);
+    const count = this.executions();
+    if (count > 1) {
+      this.violations.push(`the call ran ${count} times`);
+    }
+    if (this.cell.operation === 'post-entry' && this.outcomes.includes('answered') && count === 0) {
+      this.violations.push('the request was answered, but its call did not run');
+    }
+  }
+}
+
+/**
+ * Runs one cell in a world of its own.
+ *
+ * @param cell - faults, their steps and the allowed outcomes
+ * @param options - seed; a protection that is turned off
+ * @returns outcomes and violations
+ */
+export default async function runCell(cell: Cell, options: RunOptions): Promise<CellResult> {
+  const startedAtMs = performance.now();
+  const random = createRandom(options.seed, cell.name);
+  // The first seed uses plain servers, whose unknown outcomes nothing settles.
+  const variant = options.seed === 1 ? 'plain' : (VARIANTS[Math.floor(random() * VARIANTS.length)] as Variant);
+  const marker = `m${Math.floor(random() * 1e9).toString(36)}`;
+  const trigger = createTrigger(cell, { marker, random });
+  const faults = cell.injections.map(({ fault }) => fault);
+  const world = await startWorld({
+    variant,
+    separateFirstHost: faults.includes('pause'),
+    singleServers: faults.includes('swapped'),
+    drain: options.without === 'drain-wait' ? DRAIN_WITHOUT_WAIT : DRAIN,
+    onServerPoint: trigger.onServerPoint.bind(trigger),
+    onStorePoint: trigger.onStorePoint.bind(trigger),
+  });
+  trigger.attach(world);
+  const result = await new CellRun(cell, world, trigger, marker, expectVariant(cell.allowed, variant)).run();
+  await world.close();
+  return { cell, seed: options.seed, ...result, durationMs: performance.now() - startedAtMs };
+}
--- a/packages/standins/src/_lib/startFaultyServer.ts
+++ b/packages/standins/src/_lib/startFaultyServer.ts
@@ -10,6 +10,8 @@
   addFault(fault: ServerFaultInput): void;
   /** Drops every connection and refuses new ones for the time; forever when it is infinite. */
   crash(downMs: number): void;
+  /** Crashes so far. */
+  crashes(): number;
 }
 
 /** What routes of a backend server use. */
@@ -54,10 +56,12 @@
   let server: HttpServer | undefined;
   let { port } = listen;
   let closed = false;
+  let crashes = 0;
   let start: () => Promise<void> = () => Promise.resolve();
 
   const crash = (downMs: number): void => {
     const crashed = server;
+    crashes += crashed === undefined ? 0 : 1;
     server = undefined;
     crashed?.close().catch(() => undefined);
     crashed?.abort();
@@ -79,6 +83,7 @@
   return {
     port,
     crash,
+    crashes: () => crashes,
     setFaults: (orders) => faults.set(serverFaultsSchema.parse({ faults: orders }).faults),
     addFault: (order) => serverFaultsSchema.parse({ faults: [order] }).faults.forEach(faults.add),
     close: async () => {
--- a/packages/standins/src/engines/startEngine.ts
+++ b/packages/standins/src/engines/startEngine.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { Clock } from '@bergamotcove/clock';
 import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
+import findEcho from '../_lib/findEcho.js';
 import refuseBefore from '../_lib/refuseBefore.js';
 import { StatusReply, type JsonRoute } from '../_lib/serveJson.js';
 import startFaultyServer, { type FaultyServer, type ServerControls } from '../_lib/startFaultyServer.js';
@@ -119,7 +120,8 @@
     const body = bodySchema.parse(value);
     const attemptId = String(exchange.request.headers['x-attempt-id']);
     const requestId = attemptId.replace(/\.\d+$/, '');
-    await options.observe?.({ type: 'received', serverId: options.serverId, kind: 'generate', requestId });
+    const point = { serverId: options.serverId, kind: 'generate', requestId, echo: findEcho(body.prompt) };
+    await options.observe?.({ type: 'received', ...point });
     if (!isLoaded(parts, body.model)) {
       return new StatusReply(STATUS_UNAVAILABLE, { executed: false, leaving: false });
     }
--- a/packages/standins/src/engines/streamCompletion.ts
+++ b/packages/standins/src/engines/streamCompletion.ts
@@ -105,7 +105,7 @@
     if (ended || response.closed) {
       return;
     }
-    const point = { serverId: options.serverId, kind: 'generate', requestId: request.requestId };
+    const point = { serverId: options.serverId, kind: 'generate', requestId: request.requestId, echo };
     await options.observe?.({ type: 'token', ...point, tokenIndex: index, tokenCount });
     ended = await breakStream(parts, exchange, index);
     if (ended) {
--- a/packages/standins/src/servers/startStageServer.ts
+++ b/packages/standins/src/servers/startStageServer.ts
@@ -92,9 +92,10 @@
   const reply = createFaultyReply(clock, controls);
   return async (value, exchange) => {
     const body = bodySchema.parse(value);
-    const point = { serverId, kind, requestId: body.requestId };
+    const inputText = JSON.stringify(body.input);
+    const point = { serverId, kind, requestId: body.requestId, echo: findEcho(inputText) };
     await options.observe?.({ type: 'received', ...point });
-    const refusal = await refuseBefore(controls, exchange, { clock, inputText: JSON.stringify(body.input) });
+    const refusal = await refuseBefore(controls, exchange, { clock, inputText });
     if (refusal.type === 'end') {
       return refusal.reply;
     }
--- a/packages/standins/src/types.ts
+++ b/packages/standins/src/types.ts
@@ -17,6 +17,8 @@
   readonly serverId: string;
   readonly kind: string;
   readonly requestId: string;
+  /** Marker of the caller in the input. */
+  readonly echo: string;
   readonly tokenIndex?: number;
   /** Tokens of the whole answer; only for `token`. */
   readonly tokenCount?: number;
