--- a/packages/decide/src/claims/applyOp.ts
+++ b/packages/decide/src/claims/applyOp.ts
@@ -1,10 +1,17 @@
-import type { ClaimOp, ClaimRecord } from '@bergamotcove/protocol';
+import type { ClaimOp, ClaimRecord, RecordedOutcome } from '@bergamotcove/protocol';
 
-const isUnsettled = (record: ClaimRecord): boolean =>
-  record.status.type === 'open' ||
-  (record.status.type === 'finished' &&
-    record.status.outcome.type === 'refused' &&
-    record.status.outcome.outcome === 'unknown');
+const isUnknown = (outcome: RecordedOutcome): boolean => outcome.type === 'refused' && outcome.outcome === 'unknown';
+
+/**
+ * Whether the operation still tells something about the claim. An unknown outcome over an unknown outcome does not;
+ * if it counted as a change, its writer would append it again after each append.
+ */
+const settlesMore = (record: ClaimRecord, op: ClaimOp): boolean => {
+  if (record.status.type === 'finished' && isUnknown(record.status.outcome)) {
+    return op.type !== 'outcome' || !isUnknown(op.outcome);
+  }
+  return record.status.type === 'open';
+};
 
 const applyClaim = (record: ClaimRecord | undefined, op: Extract<ClaimOp, { type: 'claim' }>): ClaimRecord => {
   const { bodyHash, claimId, hostId, wallMs } = op;
@@ -32,7 +39,7 @@
     const { bodyHash, claimId, hostId, wallMs } = op;
     return { bodyHash, claimId, hostId, wallMs, status: { type: 'released' } };
   }
-  if (record === undefined || record.claimId !== op.claimId || !isUnsettled(record)) {
+  if (record === undefined || record.claimId !== op.claimId || !settlesMore(record, op)) {
     return record;
   }
   return op.type === 'release'
--- /dev/null
+++ b/packages/decide/src/claims/evaluateOp.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ClaimOp } from '@bergamotcove/protocol';
+import applyOp from './applyOp.js';
+import evaluateOp from './evaluateOp.js';
+
+const claim: ClaimOp = { type: 'claim', keyHash: 'k', bodyHash: 'b', claimId: 'c', hostId: 'h', wallMs: 0 };
+const unknown: ClaimOp = {
+  type: 'outcome',
+  keyHash: 'k',
+  claimId: 'c',
+  outcome: { type: 'refused', outcome: 'unknown', reason: 'outcome-unknown' },
+  wallMs: 1,
+};
+
+test('every operation is done after it was applied once, so that no host appends it for ever', () => {
+  const answered: ClaimOp = { ...unknown, outcome: { type: 'answered', answer: '{}' } };
+  const release: ClaimOp = { ...claim, type: 'release' };
+  [claim, unknown, answered, release].forEach((op) => {
+    const record = applyOp(op.type === 'claim' ? undefined : applyOp(undefined, claim), op);
+    assert.deepEqual(evaluateOp(record, op), { type: 'done' }, op.type);
+  });
+});
+
+test('an unknown outcome can still be settled by a known one', () => {
+  const record = applyOp(applyOp(undefined, claim), unknown);
+  const ran: ClaimOp = { ...unknown, outcome: { type: 'refused', outcome: 'ran', reason: 'answer-dropped' } };
+  assert.equal(evaluateOp(record, ran), undefined);
+});
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -73,7 +73,8 @@
       if (typeof next !== 'string') {
         return next;
       }
-      refresh = next === 'refresh';
+      // While the claimant cannot be reached, only the store can show its outcome.
+      refresh = next !== 'again';
       if (next === 'pause') {
         // eslint-disable-next-line no-await-in-loop
         await this.pause(Math.min(PAUSE_MS, this.remaining(request)));
