--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decision logic: no timers, sockets, ambient time or randomness. */
 export * from './request/index.js';
 export * from './claims/index.js';
+export * from './poison/index.js';
 export * from './routing/types.js';
 export { default as adaptWindow } from './routing/adaptWindow.js';
 export type { WindowFacts } from './routing/adaptWindow.js';
