--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,6 +9,8 @@
 export { default as callServer } from './servers/callServer.js';
 export { default as queryStatus } from './servers/queryStatus.js';
 export type { ServerCall, ServerEvent, ServerFailure } from './servers/types.js';
+export { default as fetchLoad } from './servers/fetchLoad.js';
+export type { ServerLoad } from './servers/fetchLoad.js';
 export { default as acceptDocument } from './documents/acceptDocument.js';
 export type { AcceptOptions, AcceptResult, AcceptRetry } from './documents/acceptDocument.js';
 export { readHead, readHistory, readVersion } from './documents/readDocuments.js';
