State unknown while another request holds the key

Change: the claim book says when another request holds the key, and the request reducer then states unknown.

--- a/packages/bench/src/faults/constants.ts
+++ b/packages/bench/src/faults/constants.ts
@@ -57,6 +57,9 @@
 /** Pause of an entry host; longer than the deadline, so that its requests are late when it wakes. */
 export const PAUSE_MS = 2_400;
 
+/** Time for which a crashed server refuses connections. */
+export const SERVER_DOWN_MS = 400;
+
 /** Wait before execution counts are read, for calls that are sent late. */
 export const SETTLE_MS = 150;
 
--- a/packages/decide/src/request/_lib/readOutcome.ts
+++ b/packages/decide/src/request/_lib/readOutcome.ts
@@ -3,6 +3,7 @@
 /**
  * What is known about the effect of a request that ends now without an answer. `not-run` needs proof: no `once` stage
  * has answered, and each of its attempts either never left this host or was refused by its server as not executed.
+ * While another request holds the key, that request may have run the call.
  */
 export default function readOutcome(state: RequestState): Outcome {
   const { stages } = state.plan;
@@ -15,5 +16,5 @@
   const sent = state.attempts.some(
     (attempt) => attempt.status === 'sent' && stages[attempt.stageIndex]?.effect === 'once',
   );
-  return sent || state.mayHaveRun ? 'unknown' : 'not-run';
+  return sent || state.mayHaveRun || state.contended ? 'unknown' : 'not-run';
 }
--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -38,7 +38,7 @@
   if (decision.type === 'unavailable') {
     return refuseUnclaimed(state, state.phase.stageIndex, decision.retryAfterMs);
   }
-  const claimed = { ...state, claimed: true };
+  const claimed = { ...state, claimed: true, contended: false };
   // A host that was paused can learn of its claim after the deadline, before its deadline timer runs.
   return nowMs < state.plan.deadlineAtMs ? startStage(claimed, state.phase.stageIndex) : passDeadline(claimed);
 };
@@ -123,6 +123,8 @@
   switch (event.type) {
     case 'started':
       return state.phase.type === 'new' ? startStage(state, 0) : unchanged(state);
+    case 'claim-contended':
+      return unchanged(state.phase.type === 'claiming' ? { ...state, contended: true } : state);
     case 'claim-decided':
       return decideClaim(state, event.decision, nowMs);
     case 'attempt-sent':
--- a/packages/decide/src/request/createRequestState.ts
+++ b/packages/decide/src/request/createRequestState.ts
@@ -17,6 +17,7 @@
     text: '',
     tokenCount: 0,
     claimed: false,
+    contended: false,
     mayHaveRun: false,
     suspectServers: [],
   };
--- a/packages/decide/src/request/types.ts
+++ b/packages/decide/src/request/types.ts
@@ -114,6 +114,8 @@
   /** Tokens of the generation in progress that arrived in order. */
   readonly tokenCount: number;
   readonly claimed: boolean;
+  /** Whether another request holds the key; until it is settled, nothing proves that the call did not run. */
+  readonly contended: boolean;
   /** An attempt of the `once` stage left this host and ended without proof that it did not run. */
   readonly mayHaveRun: boolean;
   /** Servers on which an attempt of this request broke without an answer. */
@@ -124,6 +126,8 @@
 export type RequestEvent =
   | { readonly type: 'started' }
   | { readonly type: 'claim-decided'; readonly decision: ClaimDecision }
+  /** The key belongs to another request, whose outcome is awaited. */
+  | { readonly type: 'claim-contended' }
   | { readonly type: 'attempt-sent'; readonly attemptId: string; readonly serverId: string }
   | { readonly type: 'attempt-answered'; readonly attemptId: string; readonly output: unknown }
   | {
--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -97,7 +97,7 @@
     return this.options.wait(request);
   }
 
-  async claim(request: ClaimRequest): Promise<ClaimDecision> {
+  async claim(request: ClaimRequest, onContended: () => void = () => undefined): Promise<ClaimDecision> {
     const { clock, processId, open, logs } = this.options;
     open.start(request.requestId);
     const remainingMs = this.remaining(request);
@@ -111,7 +111,7 @@
         // A claim that was released, here or by a peer, cannot be granted any more.
         return result.record.claimId === request.requestId
           ? { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
-          : this.yieldKey(request);
+          : this.yieldKey(request, onContended);
       default:
         return this.giveUp(request, result);
     }
@@ -155,7 +155,8 @@
   }
 
   /** The key belongs to another request: waits for its outcome, and claims again if it did not run. */
-  private async yieldKey(request: ClaimRequest): Promise<ClaimDecision> {
+  private async yieldKey(request: ClaimRequest, onContended: () => void): Promise<ClaimDecision> {
+    onContended();
     this.options.open.drop(request.requestId);
     const waited = await this.options.wait(request);
     switch (waited.type) {
@@ -163,7 +164,7 @@
         return { type: 'settled', result: waited.result };
       case 'free':
         return this.remaining(request) > 0
-          ? this.claim(request)
+          ? this.claim(request, onContended)
           : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
       default:
         return { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
--- a/packages/entry/src/claims/types.ts
+++ b/packages/entry/src/claims/types.ts
@@ -39,7 +39,8 @@
   lookUp(request: ClaimRequest): Promise<ClaimLookup>;
   /** Waits, within the deadline, for the outcome of the request that holds the key. */
   awaitOutcome(request: ClaimRequest): Promise<ClaimWait>;
-  claim(request: ClaimRequest): Promise<ClaimDecision>;
+  /** Claims the key; `onContended` is called when the claim waits for another request that holds it. */
+  claim(request: ClaimRequest, onContended?: () => void): Promise<ClaimDecision>;
   /** Records how a request that asked for a claim ended; waits at most 500 ms for the store. */
   record(request: ClaimRequest, result: RequestResult): Promise<void>;
   /** Waits until every outcome is durable or handed to another host; returns how many are neither. */
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -236,7 +236,8 @@
         this.options.poison.watch({ fingerprint, pool: action.stage.pool, deadlineAtMs }, () =>
           this.options.dispatch(action, context),
         ),
-      claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
+      claim: (onContended) =>
+        claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim, onContended),
       record: (result) => (claim === undefined ? Promise.resolve() : claims.record(claim, result)),
     });
     if (request.idempotencyKey !== undefined) {
--- a/packages/entry/src/requests/startRun.ts
+++ b/packages/entry/src/requests/startRun.ts
@@ -28,7 +28,8 @@
 export interface RunPorts {
   readonly clock: Clock;
   readonly dispatch: (action: DispatchAction) => Observable<AttemptEvent>;
-  readonly claim: () => Promise<ClaimDecision>;
+  /** Claims the key; `onContended` is called when another request holds it. */
+  readonly claim: (onContended: () => void) => Promise<ClaimDecision>;
   readonly record: (result: RequestResult) => Promise<void>;
 }
 
@@ -83,7 +84,9 @@
   private perform(action: RequestAction): void {
     switch (action.type) {
       case 'claim':
-        this.ports.claim().then((decision) => this.handle({ type: 'claim-decided', decision }));
+        this.ports
+          .claim(() => this.handle({ type: 'claim-contended' }))
+          .then((decision) => this.handle({ type: 'claim-decided', decision }));
         break;
       case 'release':
         this.ports.record(action.result).catch(() => undefined);
