--- a/packages/decide/src/request/_lib/passDeadline.ts
+++ b/packages/decide/src/request/_lib/passDeadline.ts
@@ -15,6 +15,6 @@
     return finishRequest(state, { type: 'refused', outcome, reason });
   }
   // A request that waits for its claim at the deadline has waited for the store.
-  const reason = state.phase.type === 'claiming' ? 'store-unavailable' : 'deadline-passed';
+  const reason = state.phase.type === 'claiming' && !state.claimed ? 'store-unavailable' : 'deadline-passed';
   return finishRequest(state, { type: 'refused', outcome, reason, retryAfterMs: RETRY_AFTER_MS });
 }
