--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -1,6 +1,6 @@
 /** The operators' command line: `bergamotctl COMMAND [ARGUMENTS] [OPTIONS]`. */
 import { parseArgs } from 'node:util';
-import { parseServiceDocument, readJsonFile } from '@bergamotcove/config';
+import { parseServiceDocument, readJsonFile, readSettings } from '@bergamotcove/config';
 import { toError } from '@bergamotcove/errors';
 import { createStoreClient } from '@bergamotcove/platform';
 import applyDocument from './commands/applyDocument.js';
@@ -18,6 +18,7 @@
 
   --store URL          address of the configuration store (repeatable)
   --host URL           peer address of an entry host
+  --settings FILE      settings of an entry host; their peer keys sign the calls to --host
   --expect VERSION     accept only if this version is current
   --json               print JSON`;
 
@@ -29,6 +30,7 @@
     options: {
       store: { type: 'string', multiple: true, default: [] },
       host: { type: 'string' },
+      settings: { type: 'string' },
       expect: { type: 'string' },
       json: { type: 'boolean', default: false },
     },
@@ -38,6 +40,7 @@
     positionals: positionals.slice(1),
     storeUrls: values.store,
     json: values.json,
+    ...(values.settings === undefined ? {} : { settingsFile: values.settings }),
     ...(values.host === undefined ? {} : { hostUrl: values.host }),
     ...(values.expect === undefined ? {} : { expectedVersion: Number(values.expect) }),
   };
@@ -52,7 +55,9 @@
   const [argument = ''] = invocation.positionals;
   const hostUrl = invocation.hostUrl ?? '';
   const showHost = async (method: string, params: object = {}): Promise<CommandResult> => {
-    const value = await callHost(hostUrl, method, params);
+    const keys =
+      invocation.settingsFile === undefined ? {} : { keys: readSettings(invocation.settingsFile).peers.keys };
+    const value = await callHost(hostUrl, method, params, keys);
     return { exitCode: EXIT_DONE, value, text: JSON.stringify(value, null, 2) };
   };
   switch (invocation.command) {
--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -4,6 +4,8 @@
   readonly positionals: readonly string[];
   readonly storeUrls: readonly string[];
   readonly hostUrl?: string;
+  /** Settings file whose peer keys sign operator calls. */
+  readonly settingsFile?: string;
   readonly json: boolean;
   readonly expectedVersion?: number;
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,8 +2,8 @@
 import { parseArgs } from 'node:util';
 import { ConfigError, readSettings } from '@bergamotcove/config';
 import { toError } from '@bergamotcove/errors';
-import { enableLogging } from '@bergamotcove/log';
-import startEntryHost from './wire.js';
+import { createLogger, enableLogging } from '@bergamotcove/log';
+import startEntryHost, { type EntryHost } from './wire.js';
 
 const USAGE =
   'usage: bergamotd --settings FILE\n\n  --settings FILE  JSON settings of this entry host\n  --help           show this text';
@@ -28,8 +28,21 @@
   }
 };
 
+/** Reads the peer keys again; wrong settings leave the keys as they are. */
+const reloadKeys = (file: string, host: EntryHost): void => {
+  const logger = createLogger('entry');
+  try {
+    const { keys } = readSettings(file).peers;
+    host.setPeerKeys(keys);
+    logger.event('peerKeysChanged', { keyIds: keys.map((key) => key.id) });
+  } catch (cause) {
+    logger.event('settingsUnreadable', { error: toError(cause).message });
+  }
+};
+
 const main = async (): Promise<void> => {
-  const settings = readSettings(readArguments());
+  const file = readArguments();
+  const settings = readSettings(file);
   enableLogging(settings.log?.namespaces);
   const host = await startEntryHost(settings);
   console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
@@ -43,6 +56,7 @@
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
+  process.on('SIGHUP', () => reloadKeys(file, host));
 };
 
 main().catch((cause: unknown) => {
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -6,13 +6,17 @@
 import {
   createHttpClient,
   createHttpServer,
+  createPeerAuth,
   createPeerClient,
   createPeerServer,
   sendJson,
   type HttpClient,
   type HttpExchange,
   type HttpServer,
+  type PeerAuth,
   type PeerClient,
+  type PeerKey,
+  type PeerServer,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
@@ -33,6 +37,8 @@
   close(): Promise<void>;
   /** Drops every connection at once, as a crash does. */
   abort(): void;
+  /** Replaces the peer keys; the first one signs. */
+  setPeerKeys(keys: readonly PeerKey[]): void;
 }
 
 /** Parts that tests replace. */
@@ -48,6 +54,7 @@
   readonly metrics: Metrics;
   readonly tracer: Tracer;
   readonly http: HttpClient;
+  readonly auth: PeerAuth;
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
@@ -64,6 +71,7 @@
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
+  const auth = createPeerAuth({ clock, keys: settings.peers.keys });
   const store = createStoreClient({
     ...settings.store,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
@@ -76,7 +84,8 @@
     logger,
     metrics,
     http,
-    peerClient: createPeerClient(http),
+    auth,
+    peerClient: createPeerClient(http, { auth }),
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
     directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
@@ -165,25 +174,26 @@
     onError: (error) => base.logger.event('processFailed', { error: error.message }),
   });
 
-/**
- * Builds and starts an entry host.
- *
- * @param settings - checked settings
- * @param options - parts that tests replace
- * @returns the running host, once it listens and has tried to read its configuration
- */
-export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
-  const base = createBase(settings, options);
-  const peerDirectory = createPeerDirectory(base);
-  const requests = createRequests(base);
-  const drainState: DrainState = { draining: false };
-  let drain: () => Promise<void> = () => Promise.resolve();
-  const peerServer = createPeerServer();
+/** Parts that operators ask about. */
+interface OperatedParts {
+  readonly requests: RequestService;
+  readonly drainState: DrainState;
+  readonly peerDirectory: PeerDirectory;
+  readonly drain: () => Promise<void>;
+}
+
+const createPeerMethods = (base: Base, parts: OperatedParts): PeerServer => {
+  const { requests, drainState, peerDirectory, drain } = parts;
+  const { id: hostId, failureDomain, region } = base.settings.host;
+  const peerServer = createPeerServer({
+    auth: base.auth,
+    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
+  });
   registerOperatorMethods(peerServer, {
     status: () => ({
-      hostId: settings.host.id,
-      failureDomain: settings.host.failureDomain,
-      region: settings.host.region,
+      hostId,
+      failureDomain,
+      region,
       ready: !drainState.draining && base.config.list().length > 0,
       draining: drainState.draining,
       inFlight: requests.inFlight(),
@@ -195,6 +205,23 @@
       drain().catch(() => undefined);
     },
   });
+  return peerServer;
+};
+
+/**
+ * Builds and starts an entry host.
+ *
+ * @param settings - checked settings
+ * @param options - parts that tests replace
+ * @returns the running host, once it listens and has tried to read its configuration
+ */
+export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
+  const base = createBase(settings, options);
+  const peerDirectory = createPeerDirectory(base);
+  const requests = createRequests(base);
+  const drainState: DrainState = { draining: false };
+  let drain: () => Promise<void> = () => Promise.resolve();
+  const peerServer = createPeerMethods(base, { requests, drainState, peerDirectory, drain: () => drain() });
   await Promise.all([base.directory.start(), base.config.start()]);
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
@@ -213,6 +240,7 @@
     peersPort: peers.port,
     drain,
     close,
+    setPeerKeys: base.auth.setKeys,
     abort: () => {
       callers.abort();
       peers.abort();
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -26,6 +26,9 @@
   configInvalid: { id: 4002, level: 'error', text: 'A service document in the store does not match the schema.' },
   configRegressed: { id: 4003, level: 'error', text: 'The store offers an older version than the one in force.' },
   hostListUnavailable: { id: 5001, level: 'warn', text: 'The host list does not answer; the last list stays in use.' },
+  peerCallRefused: { id: 6001, level: 'warn', text: 'A peer call had no valid signature; compare the peer keys.' },
+  peerKeysChanged: { id: 6002, level: 'info', text: 'The peer keys were read again and are in use.' },
+  settingsUnreadable: { id: 6003, level: 'error', text: 'The settings could not be read again; the old ones stay.' },
 } as const satisfies Record<string, LogEventSpec>;
 
 /** Name of a catalogued event. */
--- a/packages/protocol/src/config.ts
+++ b/packages/protocol/src/config.ts
@@ -1,9 +1,47 @@
+import { z } from 'zod';
+
 /** Exchange of service documents between entry hosts. */
 
-/** Version of one document, without its content. */
-export interface DocumentVersion {
-  readonly service: string;
-  readonly version: number;
+const versionSchema = z.object({
+  service: z.string().min(1),
+  version: z.int().min(1),
   /** Hash of the accepted content. */
-  readonly hash: string;
-}
+  hash: z.string().min(1),
+});
+
+const documentSchema = versionSchema.extend({
+  /** The accepted document as it stands in the store. */
+  text: z.string(),
+});
+
+/** Version of one document, without its content. */
+export type DocumentVersion = Readonly<z.output<typeof versionSchema>>;
+
+/** A document with its version. */
+export type VersionedDocument = Readonly<z.output<typeof documentSchema>>;
+
+/** Parameters of `config.push`: documents that the receiver may lack. */
+export const configPushSchema = z.object({ from: z.string(), documents: z.array(documentSchema) });
+
+/** Parameters of `config.offer`: versions that the receiver may pull. */
+export const configOfferSchema = z.object({ from: z.string(), versions: z.array(versionSchema) });
+
+/** Parameters of `config.pull`: all versions that the caller holds, or only the named services. */
+export const configPullSchema = z.object({
+  from: z.string(),
+  versions: z.array(versionSchema),
+  services: z.array(z.string()).optional(),
+});
+
+/** Answer to `config.pull`. */
+export const configPullAnswerSchema = z.object({
+  /** Documents that are newer at the answering host, and those of the same version with another hash. */
+  documents: z.array(documentSchema),
+  /** Services of which the caller holds a newer version. */
+  wanted: z.array(z.string()),
+  /** Whether the answering host has learnt the heads itself. */
+  learnt: z.boolean(),
+});
+
+/** Answer to `config.pull`. */
+export type ConfigPullAnswer = Readonly<z.output<typeof configPullAnswerSchema>>;
--- /dev/null
+++ b/packages/protocol/src/control/_lib/messageSchema.ts
@@ -0,0 +1,75 @@
+import { z } from 'zod';
+import type { DomainState, MemberState } from '../types.js';
+
+/** Message kinds in the order of their codes on the wire; new kinds go to the end. */
+export const MESSAGE_TYPES = ['ping', 'ack', 'indirect-ping', 'relayed-ack', 'summary'] as const;
+
+/** Member states in the order of their codes on the wire. */
+export const MEMBER_STATES: readonly MemberState[] = ['alive', 'suspect', 'leaving', 'dead', 'left'];
+
+/** Failure domain states in the order of their codes on the wire. */
+export const DOMAIN_STATES: readonly DomainState[] = ['live', 'suspect', 'lost'];
+
+const MAX_NAME = 64;
+const MAX_PORT = 65_535;
+
+const nameSchema = z.string().min(1).max(MAX_NAME);
+const counterSchema = z.int().min(0);
+const codeOf = <Value>(values: readonly Value[]) =>
+  z
+    .int()
+    .min(0)
+    .max(values.length - 1)
+    .transform((code) => values[code] as Value);
+
+const addressSchema = z
+  .tuple([nameSchema, nameSchema, z.int().min(0).max(MAX_PORT), nameSchema, nameSchema])
+  .transform(([hostId, address, peersPort, failureDomain, region]) => ({
+    hostId,
+    address,
+    peersPort,
+    failureDomain,
+    region,
+  }));
+
+const updateSchema = z
+  .tuple([nameSchema, codeOf(MEMBER_STATES), counterSchema, addressSchema.nullable()])
+  .transform(([hostId, state, incarnation, host]) => ({
+    hostId,
+    state,
+    incarnation,
+    ...(host === null ? {} : { host }),
+  }));
+
+const domainSchema = z
+  .tuple([nameSchema, codeOf(DOMAIN_STATES), counterSchema])
+  .transform(([failureDomain, state, version]) => ({ failureDomain, state, version }));
+
+const headFields = [counterSchema, codeOf(MESSAGE_TYPES), counterSchema, addressSchema, counterSchema] as const;
+const updatesSchema = z.array(updateSchema);
+const extraSchema = z.array(z.unknown());
+
+/** Version 1: `[version, type, sequence, from, incarnation, updates, extra]`. */
+export const firstVersionSchema = z
+  .tuple([...headFields, updatesSchema, extraSchema])
+  .transform(([, type, sequence, from, incarnation, updates, extra]) => ({
+    type,
+    extra,
+    header: { sequence, from, incarnation, updates, domains: [], digest: '' },
+  }));
+
+/** Version 2 adds the failure domains and the digest of the documents. */
+export const secondVersionSchema = z
+  .tuple([...headFields, updatesSchema, extraSchema, z.array(domainSchema), z.string().max(MAX_NAME)])
+  .transform(([, type, sequence, from, incarnation, updates, extra, domains, digest]) => ({
+    type,
+    extra,
+    header: { sequence, from, incarnation, updates, domains, digest },
+  }));
+
+/** Fields beyond the header, by message kind. */
+export const extraSchemas = {
+  'indirect-ping': z.tuple([addressSchema]),
+  'relayed-ack': z.tuple([nameSchema]),
+  summary: z.tuple([nameSchema, z.instanceof(Uint8Array)]),
+};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,11 @@
 /** Messages between the processes of the system. */
+export * from './constants.js';
+export { default as ProtocolError } from './ProtocolError.js';
+export type { ProtocolErrorCode } from './ProtocolError.js';
+export { default as chooseVersion } from './chooseVersion.js';
+export * from './control/types.js';
+export { default as decodeMessage } from './control/decodeMessage.js';
+export { default as encodeMessage } from './control/encodeMessage.js';
 export * from './operator.js';
 export * from './config.js';
+export * from './membershipSyncSchema.js';
--- a/packages/transport/src/TransportError.ts
+++ b/packages/transport/src/TransportError.ts
@@ -11,7 +11,9 @@
   /** The other side sent something that is not a valid message. */
   | 'invalid-message'
   /** A message is larger than its limit. */
-  | 'too-large';
+  | 'too-large'
+  /** A message carries no valid signature, or one that is too old or was used before. */
+  | 'unauthenticated';
 
 /** Failure of a connection or message between processes. */
 export default class TransportError extends LayerError<TransportErrorCode> {}
