--- a/packages/ctl/src/commands/drain.ts
+++ b/packages/ctl/src/commands/drain.ts
@@ -35,7 +35,7 @@
 
 const isStopped = async (context: CommandContext, hostUrl: string): Promise<boolean> => {
   try {
-    await context.ports.callHost(hostUrl, 'operator.status', {});
+    await context.ports.callHost(hostUrl, 'operator.status', {}, context.options);
     return false;
   } catch (cause) {
     return cause instanceof TransportError && cause.code === 'not-connected';
@@ -87,7 +87,7 @@
     'Orders entry hosts to stop gracefully: they report not ready, wait for the balancer, finish the requests in ' +
     'flight and exit. With --wait the command ends when they have stopped.',
   args: [],
-  options: ['host', 'wait', 'timeout'],
+  options: ['host', 'settings', 'wait', 'timeout'],
   required: ['host'],
   example: 'bergamotctl drain --host http://10.0.0.7:7000 --wait --timeout 90',
   run,
--- a/packages/ctl/src/commands/trace.ts
+++ b/packages/ctl/src/commands/trace.ts
@@ -37,7 +37,7 @@
     'Gathers the spans of a trace from entry hosts and draws them on a common time axis. The id is the second field ' +
     'of the traceparent header that the answer carries.',
   args: [{ name: 'ID' }],
-  options: ['host'],
+  options: ['host', 'settings'],
   required: ['host'],
   example: 'bergamotctl trace 4bf92f3577b34da6a3ce929d0e0e4736 --host http://10.0.0.7:7000',
   run,
--- a/packages/ctl/src/hosts/askHosts.ts
+++ b/packages/ctl/src/hosts/askHosts.ts
@@ -30,7 +30,7 @@
   const { ports, options } = context;
   const ask = async (hostUrl: string): Promise<HostAnswer<z.output<Schema>>> => {
     try {
-      const parsed = method.schema.safeParse(await ports.callHost(hostUrl, method.name, method.params));
+      const parsed = method.schema.safeParse(await ports.callHost(hostUrl, method.name, method.params, options));
       if (!parsed.success) {
         throw new CtlError('invalid-answer', `answer to ${method.name} does not match this version of bergamotctl`);
       }
