--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -7,13 +7,16 @@
 import {
   createHttpClient,
   createHttpServer,
+  createPeerAuth,
   createPeerClient,
   createPeerServer,
   sendJson,
   type HttpClient,
   type HttpExchange,
   type HttpServer,
+  type PeerAuth,
   type PeerClient,
+  type PeerKey,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
@@ -39,6 +42,8 @@
   close(): Promise<void>;
   /** Drops every connection at once, as a crash does. */
   abort(): void;
+  /** Replaces the peer keys; the first one signs. */
+  setPeerKeys(keys: readonly PeerKey[]): void;
 }
 
 /** Parts that tests replace. */
@@ -54,6 +59,7 @@
   readonly metrics: Metrics;
   readonly tracer: Tracer;
   readonly http: HttpClient;
+  readonly auth: PeerAuth;
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
@@ -70,6 +76,7 @@
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
+  const auth = createPeerAuth({ clock, keys: settings.peers.keys });
   const store = createStoreClient({
     ...settings.store,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
@@ -82,7 +89,8 @@
     logger,
     metrics,
     http,
-    peerClient: createPeerClient(http),
+    auth,
+    peerClient: createPeerClient(http, { auth }),
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
     directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
@@ -214,7 +222,10 @@
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
-  const peerServer = createPeerServer();
+  const peerServer = createPeerServer({
+    auth: base.auth,
+    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
+  });
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
@@ -257,5 +268,6 @@
     drain,
     close,
     abort,
+    setPeerKeys: base.auth.setKeys,
   };
 }
