--- a/packages/bench/src/faults.main.ts
+++ b/packages/bench/src/faults.main.ts
@@ -1,17 +1,23 @@
 /** `npm run faults`: the fault matrix. */
 import { parseArgs } from 'node:util';
 import { toError } from '@bergamotcove/errors';
+import turnOff from './faults/mutations/turnOff.js';
 import listCells, { listPairs } from './faults/listCells.js';
+import { PROTECTIONS } from './faults/constants.js';
 import runMatrix from './faults/runMatrix.js';
 import type { Cell, CellResult } from './faults/types.js';
 
 const USAGE = `usage: npm run faults -- [--list] [--only NAME] [--seed N] [--seeds N] [--pairs]
+                         [--pair-count N] [--without PROTECTION]
 
   --list       print the cells and their allowed outcomes
   --only NAME  run the cells whose name contains NAME
   --seed N     first seed (1)
   --seeds N    number of seeds (1)
-  --pairs      run seeded pairs of faults as well, as many as there are single faults`;
+  --pairs      run seeded pairs of faults as well
+  --pair-count N  number of pairs for each seed (as many as there are single faults)
+  --without PROTECTION  turn one protection off; expected red cells show that the matrix notices
+                        ${PROTECTIONS.join(', ')}`;
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
@@ -23,6 +29,8 @@
       seed: { type: 'string', default: '1' },
       seeds: { type: 'string', default: '1' },
       pairs: { type: 'boolean', default: false },
+      'pair-count': { type: 'string' },
+      without: { type: 'string' },
       help: { type: 'boolean', default: false },
     },
   });
@@ -31,14 +39,19 @@
   if (!Number.isInteger(seed) || !Number.isInteger(seeds) || seeds < 1) {
     throw new Error('--seed and --seeds: expected whole numbers');
   }
-  return { ...values, seed, seeds };
+  const without = PROTECTIONS.find((name) => name === values.without);
+  if (values.without !== undefined && without === undefined) {
+    throw new Error(`--without: expected one of ${PROTECTIONS.join(', ')}`);
+  }
+  const pairCount = values['pair-count'] === undefined ? undefined : Number(values['pair-count']);
+  return { ...values, seed, seeds, pairCount, without };
 };
 
 type Options = ReturnType<typeof readOptions>;
 
 const selectCells = (options: Options, seed: number): readonly Cell[] => {
   const singles = listCells();
-  const cells = options.pairs ? [...singles, ...listPairs(seed, singles.length)] : singles;
+  const cells = options.pairs ? [...singles, ...listPairs(seed, options.pairCount ?? singles.length)] : singles;
   return cells.filter((cell) => options.only === undefined || cell.name.includes(options.only));
 };
 
@@ -48,8 +61,14 @@
 };
 
 const runAll = async (options: Options): Promise<void> => {
+  const { without } = options;
   const seeds = Array.from({ length: options.seeds }, (_, index) => options.seed + index);
-  const runs = seeds.flatMap((seed) => selectCells(options, seed).map((cell) => ({ cell, options: { seed } })));
+  const runs = seeds.flatMap((seed) =>
+    selectCells(options, seed).map((cell) => ({
+      cell,
+      options: { seed, ...(without === undefined ? {} : { without }) },
+    })),
+  );
   console.log(`${runs.length} runs, seeds ${seeds[0]} to ${seeds.at(-1)}`);
   const results = await runMatrix(runs, {
     onResult: (result) => {
@@ -70,6 +89,7 @@
   } else if (options.list) {
     selectCells(options, options.seed).forEach((cell) => console.log(`${cell.name}: ${cell.allowed.join(', ')}`));
   } else {
+    turnOff(options.without);
     await runAll(options);
   }
 };
--- a/packages/bench/src/faults/constants.ts
+++ b/packages/bench/src/faults/constants.ts
@@ -1,4 +1,4 @@
-import type { Fault, Step } from './types.js';
+import type { Fault, Protection, Step } from './types.js';
 
 /** Every step, in the order of a request's path. */
 export const STEPS: readonly Step[] = [
@@ -45,6 +45,15 @@
   'poison',
 ];
 
+/** Protections that the mutation check can turn off. */
+export const PROTECTIONS: readonly Protection[] = [
+  'sequence-fencing',
+  'attempt-id',
+  'claim-before-send',
+  'drain-wait',
+  'poison-stop',
+];
+
 /** Deadline of the requests of the matrix. */
 export const DEADLINE_MS = 2_000;
 
--- /dev/null
+++ b/packages/bench/src/faults/matrixTest.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { test } from 'node:test';
+import { builtScript } from '../deployment/paths.js';
+
+/** A group of cells that one test stands for, recognised by a part of their names. */
+export interface MatrixGroup {
+  readonly name: string;
+  readonly matches: (cellName: string) => boolean;
+}
+
+const TIMEOUT_MS = 240_000;
+
+/** Runs the matrix as a process, because hosts that crashed leave timers behind that only the process end removes. */
+const runMatrixProcess = (args: readonly string[]): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const script = builtScript('bench', 'faults.main.js');
+    execFile(process.execPath, [script, ...args], { timeout: TIMEOUT_MS }, (error, stdout, stderr) => {
+      if (/^run \d+, passed/m.test(stdout)) {
+        resolve(stdout);
+      } else {
+        reject(new Error(`the matrix did not finish: ${String(error)} ${stderr}`));
+      }
+    });
+  });
+
+/**
+ * Registers one test for each group of cells. All cells run together when the first test starts.
+ *
+ * @param args - arguments of the fault matrix that select the cells
+ * @param groups - names of the tests and their cells
+ */
+export default function registerMatrixTests(args: readonly string[], groups: readonly MatrixGroup[]): void {
+  let output: Promise<string> | undefined;
+  groups.forEach(({ name, matches }) => {
+    test(name, async () => {
+      output ??= runMatrixProcess(args);
+      const blocks = (await output).split(/^(?=RED |run \d)/m).filter((block) => block.startsWith('RED '));
+      const red = blocks.filter((block) => matches(block.split(' ')[1] ?? ''));
+      assert.equal(red.join(''), '');
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/faults/mutations/registerHooks.ts
@@ -0,0 +1,6 @@
+/** Installs the module hooks of the mutation check. */
+// The API is a release candidate in Node 20 and does all that the mutation check needs.
+// eslint-disable-next-line n/no-unsupported-features/node-builtins
+import { register } from 'node:module';
+
+register('./hooks.js', import.meta.url, { data: process.env.BERGAMOT_MUTATION });
--- a/packages/bench/src/faults/runCell.ts
+++ b/packages/bench/src/faults/runCell.ts
@@ -31,6 +31,15 @@
 
 const VARIANTS: readonly Variant[] = ['plain', 'plain', 'status-query', 'check-keys'];
 
+/** Faults that cut two hosts from each other. */
+const CUT_PAIRS: Readonly<Record<string, readonly Fault[]>> = {
+  'host-0/host-1': ['cut-peer', 'one-way-cut'],
+  'host-0/host-2': ['cut-domain'],
+  'host-1/host-2': ['cut-domain'],
+};
+
+const pairOf = (hostId: string, otherId: string): string => [hostId, otherId].sort().join('/');
+
 const delay = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, delayMs);
@@ -275,6 +284,9 @@
     variant,
     separateFirstHost: faults.includes('pause'),
     singleServers: faults.includes('swapped'),
+    linkServers: faults.includes('cut-domain') || faults.includes('entry-crash'),
+    isPeerCut: (hostId, otherId) =>
+      CUT_PAIRS[pairOf(hostId, otherId)]?.some((fault) => faults.includes(fault)) === true,
     drain: options.without === 'drain-wait' ? DRAIN_WITHOUT_WAIT : DRAIN,
     onServerPoint: trigger.onServerPoint.bind(trigger),
     onStorePoint: trigger.onStorePoint.bind(trigger),
--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -26,9 +26,9 @@
   readonly callers: Link;
   readonly store: Link;
   readonly hostList: HostListStandin;
-  /** Links to other entry hosts by host id. */
+  /** Links to the entry hosts that this one is cut from, by host id. */
   readonly peers: ReadonlyMap<string, Link>;
-  /** Links to backend servers by server id. */
+  /** Links to backend servers by server id; empty when they are reached directly. */
   readonly servers: ReadonlyMap<string, Link>;
 }
 
@@ -52,6 +52,16 @@
   readonly separateFirstHost: boolean;
   /** One failure domain with servers instead of two, so that requests meet on one server. */
   readonly singleServers: boolean;
+  /**
+   * Whether traffic to backend servers takes links. A link accepts connections while its server is down, so worlds
+   * in which no link is cut do without.
+   */
+  readonly linkServers: boolean;
+  /**
+   * Whether two hosts are to be cut from each other. Peer calls are signed for the address that is dialled, so a link
+   * cannot carry them: such a pair has no peer calls from the start. All other peers reach each other directly.
+   */
+  readonly isPeerCut: (hostId: string, otherId: string) => boolean;
   readonly drain: { readonly balancerLagMs: number; readonly timeoutMs: number };
   readonly onServerPoint: (point: ServerPoint) => Promise<void> | void;
   readonly onStorePoint: (point: StorePoint) => Promise<void> | void;
@@ -74,11 +84,11 @@
 const READY_POLL_MS = 15;
 const PEER_KEYS = [{ id: 'k1', secret: 'fault-matrix-peer-secret' }];
 
-const describeServer = (server: WorldServer, link: Link): StandinHost => ({
+const describeServer = (server: WorldServer, link: Link | undefined): StandinHost => ({
   id: server.serverId,
   role: 'server',
   address: ADDRESS,
-  port: link.port,
+  port: link?.port ?? server.server.port,
   pool: server.pool,
   failureDomain: server.failureDomain,
   region: REGION,
@@ -112,12 +122,12 @@
 }
 
 const startWorldHost = async (place: Place, around: Surroundings, options: WorldOptions): Promise<WorldHost> => {
-  const others = PLACES.filter((other) => other !== place);
+  const others = PLACES.filter((other) => options.isPeerCut(place.hostId, other.hostId));
   const [store, callers, servers, peers] = await Promise.all([
     createLink(around.store.port),
     createLink(),
     createLinks(
-      around.servers,
+      options.linkServers ? around.servers : [],
       (server) => server.serverId,
       (server) => server.server.port,
     ),
@@ -127,7 +137,7 @@
       () => 0,
     ),
   ]);
-  const described = around.servers.map((server) => describeServer(server, servers.get(server.serverId) as Link));
+  const described = around.servers.map((server) => describeServer(server, servers.get(server.serverId)));
   const listen = { address: ADDRESS, port: 0 };
   const hostList = await startHostList(listen, { hosts: described, clock: around.clock });
   const settings = {
@@ -153,7 +163,7 @@
       link?.setTarget(other.process.peersPort);
       return describeHost(other, other.process.callersPort, link?.port ?? other.process.peersPort);
     });
-    const described = servers.map((server) => describeServer(server, host.servers.get(server.serverId) as Link));
+    const described = servers.map((server) => describeServer(server, host.servers.get(server.serverId)));
     host.hostList.setHosts([...described, ...entries]);
   });
 };
