--- a/packages/bench/src/faults/runCell.ts
+++ b/packages/bench/src/faults/runCell.ts
@@ -117,6 +117,9 @@
     if (this.has('swapped')) {
       this.startCompanion(0);
     }
+    if (this.has('cut-peer') && !resends) {
+      this.startTwin();
+    }
     if (this.has('drain')) {
       LATE_ARRIVALS_MS.forEach((delayMs) => this.startCompanion(delayMs));
     }
@@ -127,7 +130,7 @@
     });
     if (!resends) {
       await this.note(reply, { mayBreak: this.has('entry-crash') || this.has('pause') });
-      this.checkAllowed();
+      this.checkAllowed(reply);
       return;
     }
     this.replies.push(reply);
@@ -144,13 +147,13 @@
       },
     });
     await this.note(reply, { mayBreak: false });
-    this.checkAllowed();
+    this.checkAllowed(reply);
   }
 
-  private checkAllowed(): void {
-    const outcome = this.outcomes.at(-1) as CellOutcome;
+  private checkAllowed(reply: CallerReply): void {
+    const outcome = toOutcome(reply);
     if (!this.allowed.includes(outcome)) {
-      const { end } = this.replies.at(-1) as CallerReply;
+      const { end } = reply;
       const reason = end.type === 'refused' ? ` (${end.title})` : '';
       this.violations.push(`the request ended as ${outcome}${reason}; allowed: ${this.allowed.join(', ')}`);
     }
@@ -186,6 +189,17 @@
     this.companions = [...this.companions, send()];
   }
 
+  /**
+   * The same request through two hosts that cannot ask each other: both have read the log before either claims, so
+   * that only the sequence numbers of the log keep the second from being granted.
+   */
+  private startTwin(): void {
+    const send = async (): Promise<void> => {
+      await this.note(await sendCallerRequest(this.makeCall(this.host(1))), { mayBreak: false });
+    };
+    this.companions = [...this.companions, send()];
+  }
+
   private async resend(host: WorldHost): Promise<CallerReply> {
     const reply = await sendCallerRequest(this.makeCall(host));
     await this.note(reply, { mayBreak: false });
