--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -79,6 +79,8 @@
   { hostId: 'host-2', failureDomain: 'domain-1' },
 ];
 const STORE_TIMEOUT_MS = 250;
+/** Set-up is no part of the run and may wait for a busy machine. */
+const SETUP_TIMEOUT_MS = 10_000;
 const HOST_LIST_POLL_MS = 50;
 const READY_POLLS = 200;
 const READY_POLL_MS = 15;
@@ -169,7 +171,7 @@
 };
 
 const acceptMatrixDocument = async (store: StoreStandin, variant: Variant): Promise<void> => {
-  const client = createStoreClient({ urls: [`http://${ADDRESS}:${store.port}`], timeoutMs: STORE_TIMEOUT_MS });
+  const client = createStoreClient({ urls: [`http://${ADDRESS}:${store.port}`], timeoutMs: SETUP_TIMEOUT_MS });
   const facts = { changeId: 'matrix', acceptedBy: 'matrix', acceptedAtMs: 0 };
   await acceptDocument(client, createMatrixDocument(variant), facts);
   client.close();
