Wire admission, queues, budgets, load reports and hedges into the daemon

Cause: the daemon sent every attempt at once to any server and never refused. Change: requests pass the admission gate, attempts wait in a queue for each pool, load reports are polled, retries and hedges have budgets, a slow stream goes on at its next token elsewhere. The bench follows the same rule for streams that have begun.

--- a/packages/bench/src/load/host/createAttemptSender.ts
+++ b/packages/bench/src/load/host/createAttemptSender.ts
@@ -19,7 +19,8 @@
 /** Sends attempts and cancels them. */
 export interface AttemptSender {
   send(order: AttemptOrder): AttemptState;
-  cancel(attempt: AttemptState): void;
+  /** Cancels an attempt that lost; its work counts as extra unless another attempt goes on where it stopped. */
+  cancel(attempt: AttemptState, options?: { readonly resumed: boolean }): void;
 }
 
 /** Options of {@link createAttemptSender}. */
@@ -68,10 +69,12 @@
     return attempt;
   }
 
-  cancel(cancelled: AttemptState): void {
+  cancel(cancelled: AttemptState, options = { resumed: false }): void {
     const attempt = cancelled;
     if (!attempt.closed) {
-      this.options.world.noteExtraWork(attempt.stage, attempt.server.workDone(attempt.job));
+      if (!options.resumed) {
+        this.options.world.noteExtraWork(attempt.stage, attempt.server.workDone(attempt.job));
+      }
       this.close(attempt);
       attempt.server.cancel(attempt.job);
     }
--- a/packages/bench/src/load/host/createEstimates.ts
+++ b/packages/bench/src/load/host/createEstimates.ts
@@ -38,19 +38,23 @@
 /** Allowance for the spread of lengths before the run times are learnt. */
 const FIRST_RUN_FACTOR = 2.5;
 
+const facts = ({ operation, organisation }: Arrival) => ({
+  operation: operation.name,
+  organisation,
+  inputTokens: operation.inputTokens,
+  expectedOutputTokens: operation.meanOutputTokens,
+});
+
+const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+
+const prefillTokens = (arrival: Arrival, resumeTokens: number): number =>
+  (arrival.operation.inputTokens + resumeTokens) / PREFILL_TOKENS_PER_TOKEN;
+
 /** Creates the estimates of one host. */
 export default function createEstimates(world: LoadWorld, book: PoolBook): Estimates {
   const lengths = createLengthBook();
   const quantiles = createQuantileBook();
   const nowMs = (): number => world.events.nowMs();
-  const facts = ({ operation, organisation }: Arrival) => ({
-    operation: operation.name,
-    organisation,
-    inputTokens: operation.inputTokens,
-    expectedOutputTokens: operation.meanOutputTokens,
-  });
-  const prefillTokens = (arrival: Arrival, resumeTokens: number): number =>
-    (arrival.operation.inputTokens + resumeTokens) / PREFILL_TOKENS_PER_TOKEN;
   const poolMsPerToken = (): number => book.msPerToken('generate', world.listServers('generate'), nowMs());
 
   const stageMs = (run: RunState, stage: LoadStage, quantile: number): number => {
@@ -61,7 +65,6 @@
     return Math.max(1, tokens) * poolMsPerToken();
   };
   const stagesLeft = (run: RunState): readonly LoadStage[] => run.arrival.operation.stages.slice(run.stageIndex);
-  const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
   const readRatio = (key: string, quantile: number): number | undefined => {
     const value = quantiles.quantile(key, quantile);
--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -234,6 +234,20 @@
     return true;
   }
 
+  /** A stream that has begun goes on elsewhere at its next token; before that a second attempt runs beside the first. */
+  private sendSecond(attempt: AttemptState): boolean {
+    const { run } = attempt;
+    const before = run.attempts.length;
+    this.trySend({ run, hedge: true }, attempt.stage, attempt.long);
+    const sent = run.attempts.length > before;
+    if (sent && run.arrivedTokens > 0) {
+      this.sender.cancel(attempt, { resumed: true });
+      this.open.delete(attempt);
+      run.attempts = run.attempts.filter((other) => other !== attempt);
+    }
+    return sent;
+  }
+
   private stageTokens(run: RunState, stage: LoadStage): number {
     if (stage !== 'generate') {
       return 1;
@@ -301,7 +315,7 @@
       world: this.world,
       book: this.book,
       estimates: this.estimates,
-      hedge: (attempt) => policy.hedges && this.trySend({ run: attempt.run, hedge: true }, attempt.stage, attempt.long),
+      hedge: (attempt) => policy.hedges && this.sendSecond(attempt),
       isLong: (run) => this.isLong(run, 'generate'),
     });
     this.world.deployment.pools.forEach((pool) => this.drainStage(pool.stage));
--- a/packages/decide/src/admission/createFairQueue.ts
+++ b/packages/decide/src/admission/createFairQueue.ts
@@ -47,6 +47,11 @@
 
 const compareEntries = <Item>(a: Entry<Item>, b: Entry<Item>): number => a.tag - b.tag || a.order - b.order;
 
+const toClassTag = <Item>(flow: Flow<Item>, item: AdmissionRequest): number => {
+  const start = Math.max(flow.classTime, flow.classTags.get(item.priority) ?? 0);
+  return start + item.costTokens / CLASS_WEIGHT[item.priority];
+};
+
 class TwoLevelQueue<Item extends AdmissionRequest> implements FairQueue<Item> {
   length = 0;
 
@@ -62,7 +67,7 @@
 
   push(item: Item): void {
     const flow = this.flows.get(item.organisation) ?? this.startFlow(item);
-    const tag = this.classTag(flow, item);
+    const tag = toClassTag(flow, item);
     flow.classTags.set(item.priority, tag);
     this.order += 1;
     flow.entries.push({ item, tag, order: this.order });
@@ -91,7 +96,7 @@
     if (flow === undefined) {
       return this.othersBefore(item.organisation, this.startTagOf(item.organisation));
     }
-    const tag = this.classTag(flow, item);
+    const tag = toClassTag(flow, item);
     const own = flow.entries.data.reduce((sum, entry) => (entry.tag <= tag ? sum + entry.item.costTokens : sum), 0);
     return own + this.othersBefore(item.organisation, flow.startTag + own / flow.weight);
   }
@@ -135,11 +140,6 @@
     return flow;
   }
 
-  private classTag(flow: Flow<Item>, item: AdmissionRequest): number {
-    const start = Math.max(flow.classTime, flow.classTags.get(item.priority) ?? 0);
-    return start + item.costTokens / CLASS_WEIGHT[item.priority];
-  }
-
   /** Work of the other organisations that starts before the virtual time. */
   private othersBefore(organisation: string, startTag: number): number {
     let sum = 0;
--- a/packages/decide/src/estimate/createQuantileBook.ts
+++ b/packages/decide/src/estimate/createQuantileBook.ts
@@ -8,11 +8,16 @@
 }
 
 interface Recent {
-  current: Histogram;
-  previous: Histogram | undefined;
-  startedAtMs: number;
+  readonly current: Histogram;
+  readonly previous: Histogram | undefined;
+  readonly startedAtMs: number;
+  /** Quantiles that were read, with the number of values behind them. */
+  readonly cache: Map<number, { readonly value: number; readonly count: number }>;
 }
 
+/** A quantile is read again when the number of values has grown by this factor; reading walks the histogram. */
+const CACHE_GROWTH = 1.05;
+
 /** Values are forgotten after one to two windows, so that the quantiles follow the load. */
 const WINDOW_MS = 15_000;
 const MIN_COUNT = 20;
@@ -38,7 +43,7 @@
     if (recent !== undefined && nowMs - recent.startedAtMs < WINDOW_MS) {
       return recent;
     }
-    const next: Recent = { current: newHistogram(), previous: recent?.current, startedAtMs: nowMs };
+    const next: Recent = { current: newHistogram(), previous: recent?.current, startedAtMs: nowMs, cache: new Map() };
     recents.set(key, next);
     return next;
   };
@@ -50,7 +55,18 @@
     quantile: (key, quantile) => {
       const recent = recents.get(key);
       const enough = [recent?.current, recent?.previous].filter((one) => (one?.totalCount ?? 0) >= MIN_COUNT);
-      return enough[0]?.getValueAtPercentile(quantile * PERCENT);
+      const [histogram] = enough;
+      if (recent === undefined || histogram === undefined) {
+        return undefined;
+      }
+      const cached = recent.cache.get(quantile);
+      const count = histogram.totalCount;
+      if (cached !== undefined && count >= cached.count && count <= cached.count * CACHE_GROWTH) {
+        return cached.value;
+      }
+      const value = histogram.getValueAtPercentile(quantile * PERCENT);
+      recent.cache.set(quantile, { value, count });
+      return value;
     },
   };
 }
--- a/packages/decide/src/routing/createPoolBook.ts
+++ b/packages/decide/src/routing/createPoolBook.ts
@@ -71,81 +71,95 @@
   slowness: isFresh(known, norm.nowMs) ? (known.msPerToken ?? norm.msPerToken) / norm.msPerToken : 1,
 });
 
-/**
- * Creates the owner of server statistics.
- *
- * @returns the book
- * @example
- * const book = createPoolBook();
- * book.note('e1', { type: 'sent', tokens: 64, long: false }, nowMs);
- */
-export default function createPoolBook(): PoolBook {
-  const statsById = new Map<string, ServerStats>();
-  const historyById = new Map<string, readonly { readonly atMs: number; readonly outstanding: number }[]>();
-  const sizeByPool = new Map<string, number>();
-  const speedByPool = new Map<string, { readonly msPerToken: number; readonly atMs: number }>();
-  const stats = (serverId: string): ServerStats => statsById.get(serverId) ?? NEW_SERVER_STATS;
+interface OwnSample {
+  readonly atMs: number;
+  readonly outstanding: number;
+}
 
-  /** Keeps the outstanding attempts of this host over the lag of a report. */
-  const keepHistory = (serverId: string, outstanding: number, nowMs: number): void => {
-    const history = historyById.get(serverId) ?? [];
-    const firstKept = history.findLastIndex((one) => one.atMs < nowMs - HISTORY_MS);
-    historyById.set(serverId, [...history.slice(Math.max(0, firstKept)), { atMs: nowMs, outstanding }]);
-  };
+class Book implements PoolBook {
+  private readonly statsById = new Map<string, ServerStats>();
+
+  private readonly historyById = new Map<string, readonly OwnSample[]>();
+
+  private readonly sizeByPool = new Map<string, number>();
+
+  private readonly speedByPool = new Map<string, { readonly msPerToken: number; readonly atMs: number }>();
+
+  stats(serverId: string): ServerStats {
+    return this.statsById.get(serverId) ?? NEW_SERVER_STATS;
+  }
 
-  const note = (serverId: string, event: ServerEventInput, nowMs: number): void => {
-    const next = updateServerStats(stats(serverId), event, nowMs);
-    statsById.set(serverId, next);
+  note(serverId: string, event: ServerEventInput, nowMs: number): void {
+    const next = updateServerStats(this.stats(serverId), event, nowMs);
+    this.statsById.set(serverId, next);
     if (event.type === 'sent' || event.type === 'done') {
-      keepHistory(serverId, next.outstanding, nowMs);
+      this.keepHistory(serverId, next.outstanding, nowMs);
     }
-  };
+  }
+
+  noteReport(serverId: string, report: LoadReport, options: { readonly hosts: number; readonly nowMs: number }): void {
+    const { hosts, nowMs } = options;
+    const history = this.historyById.get(serverId) ?? [];
+    const ownAtReport = history.findLast((one) => one.atMs <= report.reportedAtMs)?.outstanding ?? 0;
+    this.note(serverId, { type: 'reported', report, ownAtReport, hosts }, nowMs);
+  }
+
+  noteSize(pool: string, tokens: number): void {
+    const before = this.sizeByPool.get(pool) ?? tokens;
+    this.sizeByPool.set(pool, before + (tokens - before) * SIZE_WEIGHT);
+  }
+
+  view(pool: string, servers: readonly ServerDescription[], nowMs: number): PoolView {
+    const known = servers.map((server) => this.stats(server.serverId));
+    const norm: PoolNorm = {
+      msPerToken: this.msPerToken(pool, servers, nowMs),
+      meanTokens: this.sizeByPool.get(pool) ?? 1,
+      meanOthers: known.reduce((sum, one) => sum + one.othersOutstanding, 0) / Math.max(1, known.length),
+      nowMs,
+    };
+    return {
+      servers: servers.map((server, index) => toView(server, known[index] as ServerStats, norm)),
+      msPerToken: norm.msPerToken,
+      meanTokens: norm.meanTokens,
+    };
+  }
 
-  const msPerToken = (pool: string, servers: readonly ServerDescription[], nowMs: number): number => {
-    const cached = speedByPool.get(pool);
+  msPerToken(pool: string, servers: readonly ServerDescription[], nowMs: number): number {
+    const cached = this.speedByPool.get(pool);
     if (cached !== undefined && nowMs - cached.atMs < SPEED_REFRESH_MS) {
       return cached.msPerToken;
     }
-    const known = servers.map((server) => stats(server.serverId)).filter((one) => isFresh(one, nowMs));
+    const known = servers.map((server) => this.stats(server.serverId)).filter((one) => isFresh(one, nowMs));
     const value = median(known.map((one) => one.msPerToken ?? DEFAULT_MS_PER_TOKEN)) ?? DEFAULT_MS_PER_TOKEN;
-    speedByPool.set(pool, { msPerToken: value, atMs: nowMs });
+    this.speedByPool.set(pool, { msPerToken: value, atMs: nowMs });
     return value;
-  };
-
-  return {
-    stats,
-    note,
-    noteReport: (serverId, report, { hosts, nowMs }) => {
-      const history = historyById.get(serverId) ?? [];
-      const ownAtReport = history.findLast((one) => one.atMs <= report.reportedAtMs)?.outstanding ?? 0;
-      note(serverId, { type: 'reported', report, ownAtReport, hosts }, nowMs);
-    },
-    noteSize: (pool, tokens) => {
-      const before = sizeByPool.get(pool) ?? tokens;
-      sizeByPool.set(pool, before + (tokens - before) * SIZE_WEIGHT);
-    },
-    msPerToken,
-    view: (pool, servers, nowMs) => {
-      const known = servers.map((server) => stats(server.serverId));
-      const norm: PoolNorm = {
-        msPerToken: msPerToken(pool, servers, nowMs),
-        meanTokens: sizeByPool.get(pool) ?? 1,
-        meanOthers: known.reduce((sum, one) => sum + one.othersOutstanding, 0) / Math.max(1, known.length),
-        nowMs,
-      };
-      return {
-        servers: servers.map((server, index) => toView(server, known[index] as ServerStats, norm)),
-        msPerToken: norm.msPerToken,
-        meanTokens: norm.meanTokens,
-      };
-    },
-    retain: (serverIds) => {
-      [...statsById.keys()]
-        .filter((serverId) => !serverIds.has(serverId))
-        .forEach((id) => {
-          statsById.delete(id);
-          historyById.delete(id);
-        });
-    },
-  };
+  }
+
+  retain(serverIds: ReadonlySet<string>): void {
+    [...this.statsById.keys()]
+      .filter((serverId) => !serverIds.has(serverId))
+      .forEach((serverId) => {
+        this.statsById.delete(serverId);
+        this.historyById.delete(serverId);
+      });
+  }
+
+  /** Keeps the outstanding attempts of this host over the lag of a report. */
+  private keepHistory(serverId: string, outstanding: number, nowMs: number): void {
+    const history = this.historyById.get(serverId) ?? [];
+    const firstKept = history.findLastIndex((one) => one.atMs < nowMs - HISTORY_MS);
+    this.historyById.set(serverId, [...history.slice(Math.max(0, firstKept)), { atMs: nowMs, outstanding }]);
+  }
+}
+
+/**
+ * Creates the owner of server statistics.
+ *
+ * @returns the book
+ * @example
+ * const book = createPoolBook();
+ * book.note('e1', { type: 'sent', tokens: 64, long: false }, nowMs);
+ */
+export default function createPoolBook(): PoolBook {
+  return new Book();
 }
--- a/packages/decide/src/routing/updateServerStats.ts
+++ b/packages/decide/src/routing/updateServerStats.ts
@@ -86,10 +86,15 @@
     case 'failed': {
       const failures = stats.failures + 1;
       const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
-      return { ...stats, failures, unreachableUntilMs: nowMs + backoffMs };
+      const window = stats.reportedAtMs === undefined ? Math.max(1, stats.window / 2) : stats.window;
+      return { ...stats, failures, window, unreachableUntilMs: nowMs + backoffMs };
+    }
+    case 'answered': {
+      // Without load reports the window grows with each answer while it is used, and halves with each failure.
+      const grows = stats.reportedAtMs === undefined && stats.outstanding >= stats.window - 1;
+      const window = grows ? stats.window + 1 / stats.window : stats.window;
+      return { ...stats, failures: 0, window, unreachableUntilMs: 0 };
     }
-    case 'answered':
-      return { ...stats, failures: 0, unreachableUntilMs: 0 };
     case 'done':
       return {
         ...stats,
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -1,11 +1,25 @@
 import { Observable, type Subscriber, type Subscription } from 'rxjs';
 import type { Clock, Timer } from '@bergamotcove/clock';
-import { chooseServer, type Random, type RequestPlan, type ServerView } from '@bergamotcove/decide';
+import type { ServiceDocument } from '@bergamotcove/config';
+import {
+  chooseServer,
+  rankUrgency,
+  shareDeadline,
+  type AttemptFailure,
+  type Choice,
+  type Random,
+  type RequestPlan,
+  type ServerView,
+} from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import { callServer, type ServerCall, type ServerEvent } from '@bergamotcove/platform';
 import type { Span, Tracer } from '@bergamotcove/telemetry';
 import type { HttpClient } from '@bergamotcove/transport';
+import createAttemptFollower, { type AttemptFollower } from '../servers/createAttemptFollower.js';
+import type { Estimates } from '../servers/createEstimates.js';
+import type { PoolQueues, WaitingAttempt } from '../servers/createPoolQueues.js';
 import type { ServerDirectory } from '../servers/createServerDirectory.js';
+import type { ServiceBudgets } from '../servers/createServiceBudgets.js';
 import type { AttemptEvent, DispatchAction } from './startRun.js';
 
 /** Options of {@link createDispatcher}. */
@@ -15,6 +29,12 @@
   readonly http: HttpClient;
   readonly tracer: Tracer;
   readonly random: Random;
+  readonly estimates: Estimates;
+  readonly queues: PoolQueues;
+  readonly findBudgets: (service: string) => ServiceBudgets | undefined;
+  readonly findDocument: (service: string) => ServiceDocument | undefined;
+  /** Whether requests that wait for admission would miss their deadline with local servers alone. */
+  readonly isOverloaded: () => boolean;
   readonly failureDomain: string;
   readonly region: string;
 }
@@ -31,7 +51,16 @@
 /** Sends attempts to backend servers. */
 export type Dispatcher = (action: DispatchAction, context: DispatchContext) => Observable<AttemptEvent>;
 
-const POLL_FOR_SERVER_MS = 20;
+/** Interval at which an attempt in flight is checked; detection of a straggler within 1 s needs several checks. */
+const FOLLOW_MS = 50;
+const SHARE_QUANTILE = 0.95;
+const TYPICAL_QUANTILE = 0.5;
+/** A request is given up in a queue only without this part of the usual time; estimates may be too high. */
+const SURE_TIME_SHARE = 0.25;
+const DEFAULT_HEDGE_QUANTILE = 0.95;
+/** Headers of a message, and one streamed token with its event frame. */
+const BYTES_PER_MESSAGE = 500;
+const BYTES_PER_TOKEN = 100;
 
 const toCall = (
   action: DispatchAction,
@@ -65,71 +94,192 @@
 
   private span: Span | undefined;
 
-  private server: ServerView | undefined;
+  private follower: AttemptFollower | undefined;
+
+  private waiting: WaitingAttempt | undefined;
+
+  private hedged = false;
+
+  private readonly tokens: number;
+
+  private readonly long: boolean;
 
   constructor(
     private readonly options: DispatcherOptions,
     private readonly action: DispatchAction,
     private readonly context: DispatchContext,
     private readonly subscriber: Subscriber<AttemptEvent>,
-  ) {}
+  ) {
+    const { plan } = context;
+    this.tokens = options.estimates.stageTokens(plan, action.stage, action.resumeTokenIndex);
+    this.long = action.stage.kind === 'generate' && this.tokens >= plan.operation.longOutputTokens;
+  }
 
   start(): void {
-    const { clock, directory } = this.options;
-    const remainingMs = this.context.plan.deadlineAtMs - clock.monotonicMs();
-    const choice = chooseServer(
-      directory.viewPool(this.action.stage.pool),
-      {
-        tokens: this.estimateTokens(),
-        long: this.isLong(),
-        remainingMs,
-        avoidServers: this.action.avoidServers,
-        failureDomain: this.options.failureDomain,
-        region: this.options.region,
-        crossRegionAllowed: true,
-        nowMs: clock.monotonicMs(),
-      },
-      this.options.random,
-    );
-    if (choice?.type !== 'send') {
-      this.timer = clock.schedule(POLL_FOR_SERVER_MS, () => this.start());
-      return;
+    const { clock, queues } = this.options;
+    const { plan } = this.context;
+    const latestStartAtMs = plan.deadlineAtMs - this.leftMs(TYPICAL_QUANTILE);
+    this.waiting = {
+      pool: this.action.stage.pool,
+      long: this.long,
+      rank: rankUrgency({
+        latestStartAtMs,
+        enqueuedAtMs: clock.monotonicMs(),
+        priority: plan.operation.priority,
+      }),
+      tryStart: () => this.tryStart(),
+    };
+    if (this.isFirstAttempt()) {
+      const budgets = this.options.findBudgets(plan.service);
+      budgets?.retries.earn();
+      budgets?.hedges.earn();
     }
-    this.send(choice.server, remainingMs);
+    queues.enqueue(this.waiting);
   }
 
   close(): void {
-    this.timer?.close();
+    if (this.waiting !== undefined) {
+      this.options.queues.remove(this.waiting);
+      this.waiting = undefined;
+    }
     this.call?.unsubscribe();
     this.endSpan('cancelled');
     this.release();
   }
 
-  private estimateTokens(): number {
-    const { operation } = this.context.plan;
-    return this.action.stage.kind === 'generate' ? operation.expectedOutputTokens : 1;
+  private isFirstAttempt(): boolean {
+    const { hedge, avoidServers, resumeTokenIndex } = this.action;
+    return !hedge && avoidServers.length === 0 && resumeTokenIndex === 0;
+  }
+
+  private leftMs(quantile: number): number {
+    const { estimates } = this.options;
+    return estimates
+      .stagesLeftMs(this.context.plan, this.action.stage.index, quantile)
+      .reduce((sum, ms) => sum + ms, 0);
+  }
+
+  private remainingMs(): number {
+    return this.context.plan.deadlineAtMs - this.options.clock.monotonicMs();
+  }
+
+  /** Sends the attempt or gives it up; false while it has to wait. */
+  private tryStart(): boolean {
+    if (this.remainingMs() < this.leftMs(TYPICAL_QUANTILE) * SURE_TIME_SHARE) {
+      this.waiting = undefined;
+      this.finish({ type: 'queue-timeout' }, false);
+      return true;
+    }
+    const choice = this.choose(this.action.avoidServers);
+    if (choice?.type !== 'send' || (choice.crossRegion && !this.takeBytes())) {
+      return false;
+    }
+    this.waiting = undefined;
+    this.send(choice.server, this.remainingMs());
+    return true;
+  }
+
+  private choose(avoidServers: readonly string[]): Choice | undefined {
+    const { clock, directory, estimates, failureDomain, region } = this.options;
+    const { stage } = this.action;
+    const pool = directory.viewPool(stage.pool);
+    const hasRemote = pool.servers.some((server) => server.region !== region);
+    const stagesMs = estimates.stagesLeftMs(this.context.plan, stage.index, SHARE_QUANTILE);
+    return chooseServer(
+      pool,
+      {
+        tokens: this.tokens,
+        long: this.long,
+        remainingMs: shareDeadline(this.remainingMs(), stagesMs),
+        avoidServers,
+        failureDomain,
+        region,
+        crossRegionAllowed: hasRemote && this.hasByteRoom(),
+        localOverloaded: this.options.isOverloaded(),
+        nowMs: clock.monotonicMs(),
+      },
+      this.options.random,
+    );
+  }
+
+  private estimateBytes() {
+    const input = JSON.stringify([this.context.callerInput ?? null, this.action.input ?? null]);
+    const replyTokens = this.action.stage.kind === 'generate' ? this.tokens : 0;
+    return {
+      requestBytes: Buffer.byteLength(input) + BYTES_PER_MESSAGE,
+      replyBytes: BYTES_PER_MESSAGE + replyTokens * BYTES_PER_TOKEN,
+    };
+  }
+
+  private hasByteRoom(): boolean {
+    const budgets = this.options.findBudgets(this.context.plan.service);
+    if (budgets?.crossRegionAllowed !== true) {
+      return false;
+    }
+    return budgets.bytes.hasRoom(this.estimateBytes(), this.options.clock.monotonicMs());
   }
 
-  private isLong(): boolean {
-    const { operation } = this.context.plan;
-    return this.action.stage.kind === 'generate' && operation.expectedOutputTokens >= operation.longOutputTokens;
+  private takeBytes(): boolean {
+    const budgets = this.options.findBudgets(this.context.plan.service);
+    return budgets?.bytes.take(this.estimateBytes(), this.options.clock.monotonicMs()) ?? false;
   }
 
   private send(server: ServerView, timeoutMs: number): void {
-    this.server = server;
-    this.span = this.options.tracer.startSpan(`stage ${this.action.stage.name}`, this.context.requestTraceparent);
+    const { clock, tracer, http } = this.options;
+    this.span = tracer.startSpan(`stage ${this.action.stage.name}`, this.context.requestTraceparent);
     this.span.setAttribute('attemptId', this.action.attemptId);
     this.span.setAttribute('serverId', server.serverId);
-    this.options.directory.note(server.serverId, {
-      type: 'sent',
-      tokens: this.estimateTokens(),
-      long: this.isLong(),
-    });
+    this.follower = this.createFollower(server);
+    this.follower.sent();
     const { traceparent } = this.span;
     // A host that was paused while it connected must not send after the deadline.
-    const maySend = (): boolean => this.options.clock.monotonicMs() < this.context.plan.deadlineAtMs;
+    const maySend = (): boolean => clock.monotonicMs() < this.context.plan.deadlineAtMs;
     const call = toCall(this.action, this.context, server, { timeoutMs, traceparent, maySend });
-    this.call = callServer(this.options.http, call).subscribe((event) => this.handle(server, event));
+    this.scheduleCheck(server);
+    this.call = callServer(http, call).subscribe((event) => this.handle(server, event));
+  }
+
+  private createFollower(server: ServerView): AttemptFollower {
+    const { plan } = this.context;
+    return createAttemptFollower({
+      ...this.options,
+      plan,
+      stage: this.action.stage,
+      serverId: server.serverId,
+      tokens: this.tokens,
+      resumeTokenIndex: this.action.resumeTokenIndex,
+      long: this.long,
+      hedgeQuantile: this.options.findDocument(plan.service)?.hedge.quantile ?? DEFAULT_HEDGE_QUANTILE,
+    });
+  }
+
+  private scheduleCheck(server: ServerView): void {
+    this.timer = this.options.clock.schedule(FOLLOW_MS, () => {
+      this.checkProgress(server);
+      if (this.follower !== undefined) {
+        this.scheduleCheck(server);
+      }
+    });
+  }
+
+  private checkProgress(server: ServerView): void {
+    const verdict = this.follower?.check() ?? 'none';
+    if (verdict === 'none' || this.hedged) {
+      return;
+    }
+    const other = this.choose([...this.action.avoidServers, server.serverId]);
+    const elsewhere = other?.type === 'send' && other.server.serverId !== server.serverId;
+    if (!elsewhere || this.options.findBudgets(this.context.plan.service)?.hedges.spend() !== true) {
+      return;
+    }
+    this.hedged = true;
+    if (verdict === 'hedge') {
+      this.subscriber.next({ type: 'hedge-due' });
+      return;
+    }
+    // The stream is repeatable and resumes at its next token, so to the request it is a refusal that may be retried.
+    this.call?.unsubscribe();
+    this.finish({ type: 'refused', leaving: false }, true);
   }
 
   private handle(server: ServerView, event: ServerEvent): void {
@@ -138,9 +288,11 @@
         this.subscriber.next({ type: 'sent', serverId: server.serverId });
         break;
       case 'tokens':
+        this.follower?.tokensArrived(event.tokens.length);
         this.subscriber.next(event);
         break;
       case 'answer':
+        this.follower?.answered();
         this.endSpan();
         this.release();
         this.subscriber.next({ type: 'answered', output: event.output });
@@ -155,12 +307,23 @@
   }
 
   private fail(server: ServerView, event: Extract<ServerEvent, { type: 'failure' }>): void {
-    if (event.failure.type === 'refused' && event.failure.leaving) {
-      this.options.directory.noteLeaving(server.serverId);
+    const { directory, findBudgets } = this.options;
+    const { failure } = event;
+    const leaving = failure.type === 'refused' && failure.leaving;
+    if (leaving) {
+      directory.noteLeaving(server.serverId);
+    } else if (failure.type !== 'failed' && this.remainingMs() > 0) {
+      directory.note(server.serverId, { type: 'failed' });
     }
-    this.endSpan(event.failure.type);
+    // A server that leaves is a planned stop; the retry that it causes does not use up the budget.
+    const retryAllowed = leaving || findBudgets(this.context.plan.service)?.retries.spend() === true;
+    this.finish(failure, retryAllowed);
+  }
+
+  private finish(failure: AttemptFailure, retryAllowed: boolean): void {
+    this.endSpan(failure.type);
     this.release();
-    this.subscriber.next({ type: 'failed', failure: event.failure, retryAllowed: true });
+    this.subscriber.next({ type: 'failed', failure, retryAllowed });
     this.subscriber.complete();
   }
 
@@ -170,13 +333,11 @@
   }
 
   private release(): void {
-    if (this.server !== undefined) {
-      this.options.directory.note(this.server.serverId, {
-        type: 'done',
-        tokensLeft: this.estimateTokens(),
-        long: this.isLong(),
-      });
-      this.server = undefined;
+    this.timer?.close();
+    if (this.follower !== undefined) {
+      this.follower.closed();
+      this.follower = undefined;
+      this.options.queues.drain(this.action.stage.pool);
     }
   }
 }
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -1,9 +1,10 @@
 import { createHash, randomUUID } from 'node:crypto';
 import { of } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
-import type { AcceptedDocument } from '@bergamotcove/config';
+import type { AcceptedDocument, ServiceDocument } from '@bergamotcove/config';
 import { planRequest, type RequestPlan, type RequestResult } from '@bergamotcove/decide';
 import type { Span, Tracer } from '@bergamotcove/telemetry';
+import type { GateDecision } from '../admission/createAdmissionGate.js';
 import CallerError from '../callers/CallerError.js';
 import type { CallerRequest } from '../callers/types.js';
 import type { ClaimBook, ClaimRequest } from '../claims/types.js';
@@ -21,6 +22,8 @@
   readonly claims: ClaimBook;
   readonly dispatch: Dispatcher;
   readonly tracer: Tracer;
+  /** Resolves when the request may start or is refused; nothing has run until then. */
+  readonly admit: (plan: RequestPlan, document: ServiceDocument) => Promise<GateDecision>;
   readonly queryStatus: StatusQuery;
   readonly onFinished: (plan: RequestPlan, result: RequestResult, durationMs: number) => void;
 }
@@ -57,6 +60,17 @@
 const rejectOtherBody = (): CallerError =>
   rejectWith('conflict', STATUS_UNPROCESSABLE, 'the Idempotency-Key was used with another body');
 
+const STATUS_BY_REFUSAL = { 'over-limit': 429, 'deadline-passed': 503 } as const;
+
+const rejectOverload = ({ reason, retryAfterMs }: Extract<GateDecision, { type: 'refused' }>): CallerError =>
+  new CallerError('not-ready', {
+    type: 'about:blank',
+    title: reason,
+    status: STATUS_BY_REFUSAL[reason],
+    outcome: 'not-run',
+    retryAfterMs,
+  });
+
 /**
  * Events are numbered by the host that runs the request. Another host cannot continue the numbers, and its tokens could
  * differ, so that a stream which is resumed here is refused unless its result is known.
@@ -105,6 +119,7 @@
     const plan = this.plan(accepted, request);
     if (request.idempotencyKey === undefined) {
       rejectForeignStream(request);
+      await this.admit(plan, accepted.document);
       return this.run(plan, request, undefined);
     }
     const joined = this.join(request);
@@ -113,11 +128,24 @@
     }
     if (plan.operation.idempotent) {
       rejectForeignStream(request);
-      return this.run(plan, request, undefined);
+      await this.admit(plan, accepted.document);
+      return this.join(request) ?? this.run(plan, request, undefined);
     }
     return this.submitOnce(plan, request, request.idempotencyKey);
   }
 
+  private async admit(plan: RequestPlan, document: ServiceDocument): Promise<void> {
+    this.inFlightCount += 1;
+    try {
+      const decision = await this.options.admit(plan, document);
+      if (decision.type === 'refused') {
+        throw rejectOverload(decision);
+      }
+    } finally {
+      this.inFlightCount -= 1;
+    }
+  }
+
   private findDocument(request: CallerRequest): AcceptedDocument {
     const accepted = this.options.config.get(request.service);
     if (accepted === undefined) {
@@ -172,7 +200,12 @@
     const claim = this.formatClaim(plan, request, idempotencyKey);
     this.inFlightCount += 1;
     try {
-      return (await this.findResult(plan, request, claim)) ?? this.startOnce(plan, request, claim);
+      const found = await this.findResult(plan, request, claim);
+      if (found !== undefined) {
+        return found;
+      }
+      await this.admit(plan, this.findDocument(request).document);
+      return this.startOnce(plan, request, claim);
     } finally {
       this.inFlightCount -= 1;
     }
--- a/packages/entry/src/requests/startRun.ts
+++ b/packages/entry/src/requests/startRun.ts
@@ -19,6 +19,8 @@
   | { readonly type: 'sent'; readonly serverId: string }
   | { readonly type: 'tokens'; readonly firstTokenIndex: number; readonly tokens: readonly string[] }
   | { readonly type: 'answered'; readonly output: unknown }
+  /** The attempt is slow and the hedge budget has room for a second one. */
+  | { readonly type: 'hedge-due' }
   | { readonly type: 'failed'; readonly failure: AttemptFailure; readonly retryAllowed: boolean };
 
 /** The action that starts an attempt. */
@@ -40,6 +42,8 @@
       return { type: 'tokens-arrived', attemptId, firstTokenIndex: event.firstTokenIndex, tokens: event.tokens };
     case 'answered':
       return { type: 'attempt-answered', attemptId, output: event.output };
+    case 'hedge-due':
+      return { type: 'hedge-due', attemptId };
     case 'failed':
       return { type: 'attempt-failed', attemptId, failure: event.failure, retryAllowed: event.retryAllowed };
     default:
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -1,5 +1,11 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
-import { createPoolBook, type PoolView, type ServerDescription, type ServerEventInput } from '@bergamotcove/decide';
+import {
+  createPoolBook,
+  type LoadReport,
+  type PoolView,
+  type ServerDescription,
+  type ServerEventInput,
+} from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { HostList, ListedHost } from '@bergamotcove/platform';
 
@@ -25,6 +31,10 @@
   outstanding(serverId: string): number;
   /** Something happened on a server. */
   note(serverId: string, event: ServerEventInput): void;
+  /** A load report arrived; `hosts` entry hosts share the server. */
+  noteReport(serverId: string, report: LoadReport, hosts: number): void;
+  /** Median time per token of a pool. */
+  msPerToken(pool: string): number;
   /** Size of an attempt in tokens of work. */
   noteSize(pool: string, tokens: number): void;
   /** The server itself said that it is leaving. */
@@ -84,6 +94,9 @@
     listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
     outstanding: (serverId) => book.stats(serverId).outstanding,
     note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
+    noteReport: (serverId, report, sharing) =>
+      book.noteReport(serverId, report, { hosts: sharing, nowMs: options.clock.monotonicMs() }),
+    msPerToken: (pool) => book.msPerToken(pool, listPool(pool), options.clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
       leaving.add(serverId);
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -21,8 +21,8 @@
 import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
-import createDispatcher from './requests/createDispatcher.js';
 import createStatusQuery from './requests/createStatusQuery.js';
+import createRouting from './servers/createRouting.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
 
@@ -87,16 +87,26 @@
   };
 };
 
-const createRequests = (base: Base, claims: ClaimBook): RequestService => {
-  const { failureDomain, region } = base.settings.host;
-  return createRequestService({
+/** Requests and the parts behind them that have timers. */
+interface RequestParts {
+  readonly requests: RequestService;
+  close(): void;
+}
+
+const createRequests = (base: Base, claims: ClaimBook, peers: PeerDirectory): RequestParts => {
+  const routing = createRouting(base, peers);
+  const requests = createRequestService({
     clock: base.clock,
     config: base.config,
     claims,
     queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
-    dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
+    admit: (plan, document) => routing.gate.admit(plan, document),
+    dispatch: routing.dispatch,
     onFinished: (plan, result, durationMs) => {
+      if (result.type === 'answered') {
+        routing.estimates.learnRun(plan, durationMs);
+      }
       const tags = { service: plan.service, result: result.type };
       base.metrics.report('request.count', 1, tags);
       base.metrics.report('request.duration', durationMs, tags);
@@ -106,6 +116,7 @@
       }
     },
   });
+  return { requests, close: () => routing.close() };
 };
 
 /** State of a planned stop. */
@@ -207,7 +218,7 @@
     directory: peerDirectory,
     hostId: settings.host.id,
   });
-  const requests = createRequests(base, claims);
+  const { requests, close: closeRequests } = createRequests(base, claims, peerDirectory);
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -222,6 +233,7 @@
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const close = async (): Promise<void> => {
     base.directory.close();
+    closeRequests();
     base.config.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
