Charge hedges what they repeat, probe less and let reports clear suspicion

Cause: half of the slow answers met a server on which the hedge budget was used up, or were probes; a region of two servers could not demote one.

--- a/packages/bench/src/load/host/followAttempts.ts
+++ b/packages/bench/src/load/host/followAttempts.ts
@@ -98,7 +98,9 @@
   };
   const norm = { poolMsPerToken, paceQuantile: estimates.paceQuantile(HEDGE_QUANTILE) };
   if (run.attempts.length === 1 && decideHedge(facts, norm)) {
-    if (budgetOf(book).spend(facts.repeatTokens + facts.remainingTokens / SILENCE_FACTOR)) {
+    // A stream that goes on elsewhere repeats only the prefill; a second attempt also repeats part of the answer.
+    const parallelTokens = run.arrivedTokens > 0 ? 0 : facts.remainingTokens / 2;
+    if (budgetOf(book).spend(facts.repeatTokens + parallelTokens)) {
       options.hedge(attempt);
     }
   }
--- a/packages/decide/src/routing/chooseServer.ts
+++ b/packages/decide/src/routing/chooseServer.ts
@@ -65,9 +65,9 @@
   servers: readonly ServerView[],
   pool: PoolView,
   request: DispatchRequest,
-  random: Random,
+  options: { readonly demoted: ReadonlySet<string>; readonly random: Random },
 ): Candidate | undefined => {
-  const demoted = limitDemotions(servers);
+  const { demoted, random } = options;
   const usable = servers.filter((server) => hasRoom(server, request, random));
   const probe = usable.find((server) => demoted.has(server.serverId) && isProbeDue(server, request));
   if (probe !== undefined) {
@@ -101,13 +101,15 @@
   const reachable = live.filter((server) => server.unreachableUntilMs <= request.nowMs);
   const preferred = reachable.filter((server) => !request.avoidServers.includes(server.serverId));
   const allowed = preferred.length > 0 ? preferred : reachable;
+  // The bound on demotions is for the whole pool; a region of two servers must be able to demote one.
+  const options = { demoted: limitDemotions(live), random };
   const local = allowed.filter((server) => server.region === request.region);
   const remote = allowed.filter((server) => server.region !== request.region);
-  const near = pickUsable(local, pool, request, random);
+  const near = pickUsable(local, pool, request, options);
   if (near !== undefined && near.predictedMs <= request.remainingMs * LOCAL_DEADLINE_SHARE) {
     return toChoice(near, request);
   }
-  const far = request.crossRegionAllowed ? pickUsable(remote, pool, request, random) : undefined;
+  const far = request.crossRegionAllowed ? pickUsable(remote, pool, request, options) : undefined;
   const farHelps = far !== undefined && (far.predictedMs <= request.remainingMs || local.length === 0);
   // A full local region is waited for while the time left allows another turn, unless requests behind this one would
   // then miss their deadline.
--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -7,8 +7,11 @@
 /** Largest share of a pool that is demoted at the same time. */
 export const MAX_DEMOTED_SHARE = 1 / 3;
 
-/** Interval of the requests that test if a demoted server has recovered; each costs about one hedge. */
-export const PROBE_INTERVAL_MS = 3_000;
+/**
+ * Interval of the requests with which a host tests if a demoted server has recovered. Each costs about one hedge, and
+ * every host probes; load reports show the result of a probe to the other hosts.
+ */
+export const PROBE_INTERVAL_MS = 8_000;
 
 /** Weight of one speed sample; three samples in a row move the mean two thirds of the way. */
 export const SPEED_SAMPLE_WEIGHT = 0.3;
--- a/packages/decide/src/routing/updateServerStats.ts
+++ b/packages/decide/src/routing/updateServerStats.ts
@@ -27,6 +27,7 @@
 
 /** Pause after a failed connection; it doubles with each failure in a row. */
 const MIN_BACKOFF_MS = 200;
+const MS_PER_SECOND = 1_000;
 const MAX_BACKOFF_MS = 3_200;
 
 const countDown = (value: number, change: number): number => Math.max(0, value - change);
@@ -39,6 +40,19 @@
   return Math.max(stats.slots, report.running);
 };
 
+/**
+ * A report only makes a server faster in the view of this host, so that another host's probe brings it back here too.
+ * It does not make it slower: engines in their prefill phase report few tokens.
+ */
+const clearSuspicion = (stats: ServerStats, report: LoadReport): ServerStats => {
+  if (stats.msPerToken === undefined || report.reportedAtMs <= stats.sampledAtMs || report.tokensPerSecond <= 0) {
+    return stats;
+  }
+  const reportedMsPerToken = (report.running * MS_PER_SECOND) / report.tokensPerSecond;
+  const faster = report.running > 0 && reportedMsPerToken < stats.msPerToken;
+  return faster ? addSample(stats, reportedMsPerToken, report.reportedAtMs) : stats;
+};
+
 const applyReport = (
   stats: ServerStats,
   event: Extract<ServerEventInput, { readonly type: 'reported' }>,
@@ -46,7 +60,7 @@
   const { report, ownAtReport, hosts } = event;
   const slots = learnSlots(stats, report);
   return {
-    ...stats,
+    ...clearSuspicion(stats, report),
     othersOutstanding: countDown(report.running + report.queued, ownAtReport),
     reportedAtMs: report.reportedAtMs,
     slots,
