--- /dev/null
+++ b/packages/decide/src/estimate/estimates.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import correctLength from './correctLength.js';
+import createLengthBook from './createLengthBook.js';
+import createQuantileBook from './createQuantileBook.js';
+import shareDeadline from './shareDeadline.js';
+
+test('a wrong estimate of the length is corrected as tokens arrive', () => {
+  let estimate = 64;
+  for (let arrived = 0; arrived < 1_920; arrived += 10) {
+    estimate = correctLength(estimate, arrived);
+  }
+  assert.ok(estimate >= 1_920);
+  assert.equal(correctLength(64, 10), 64);
+});
+
+test('lengths are learnt for an organisation apart from the others', () => {
+  const book = createLengthBook();
+  const facts = { operation: 'draft', inputTokens: 300, expectedOutputTokens: 64 };
+  for (let count = 0; count < 50; count += 1) {
+    book.learn({ ...facts, organisation: 'wordy' }, 400);
+    book.learn({ ...facts, organisation: 'terse' }, 40);
+  }
+  assert.ok(book.estimate({ ...facts, organisation: 'wordy' }) > 300);
+  assert.ok(book.estimate({ ...facts, organisation: 'terse' }) < 80);
+});
+
+test('quantiles follow a change of the load instead of keeping the past', () => {
+  const book = createQuantileBook();
+  const record = (valueMs: number, fromMs: number): void => {
+    for (let count = 0; count < 200; count += 1) {
+      book.record('stage', valueMs, fromMs + count * 100);
+    }
+  };
+  record(100, 0);
+  record(500, 20_000);
+  record(500, 40_000);
+  assert.ok((book.quantile('stage', 0.5) ?? 0) >= 490);
+  assert.equal(book.quantile('other', 0.5), undefined);
+});
+
+test('a stage that finishes early leaves its slack to the later stages', () => {
+  assert.equal(shareDeadline(1_000, [100, 400]), 200);
+  assert.equal(shareDeadline(950, [400]), 950);
+});
--- /dev/null
+++ b/packages/decide/src/routing/createPoolBook.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import createPoolBook from './createPoolBook.js';
+import limitDemotions from './limitDemotions.js';
+import type { ServerDescription } from './types.js';
+
+const SERVERS: readonly ServerDescription[] = ['s1', 's2', 's3', 's4', 's5', 's6'].map((serverId) => ({
+  serverId,
+  address: '127.0.0.1',
+  port: 1,
+  pool: 'p',
+  failureDomain: 'a',
+  region: 'r',
+  state: 'live',
+}));
+
+const noteSpeeds = (book: ReturnType<typeof createPoolBook>, speeds: readonly number[], nowMs: number): void => {
+  speeds.forEach((msPerToken, index) => {
+    const serverId = SERVERS[index]?.serverId ?? '';
+    book.note(serverId, { type: 'progress', tokens: 10, elapsedMs: msPerToken * 10 }, nowMs);
+  });
+};
+
+const demotedAt = (book: ReturnType<typeof createPoolBook>, nowMs: number): readonly string[] => [
+  ...limitDemotions(book.view('p', SERVERS, nowMs).servers),
+];
+
+test('a server that slows down 5 times is demoted within 1 s', () => {
+  const book = createPoolBook();
+  noteSpeeds(book, [10, 10, 10, 10, 10, 10], 0);
+  [250, 500, 750].forEach((nowMs) => noteSpeeds(book, [50, 10, 10, 10, 10, 10], nowMs));
+  assert.deepEqual(demotedAt(book, 1_000), ['s1']);
+});
+
+test('at most a third of a pool is demoted, the slowest first', () => {
+  const book = createPoolBook();
+  noteSpeeds(book, [90, 80, 70, 10, 10, 10], 0);
+  noteSpeeds(book, [90, 80, 70, 10, 10, 10], 100);
+  assert.deepEqual(demotedAt(book, 200), ['s1', 's2']);
+});
+
+test('a load report counts only the attempts of other hosts, corrected by what was sent since', () => {
+  const book = createPoolBook();
+  const sent = { type: 'sent', tokens: 10, long: false } as const;
+  book.note('s1', sent, 100);
+  book.note('s1', sent, 200);
+  book.note('s1', sent, 400);
+  const report = { running: 6, queued: 0, tokensPerSecond: 500, reportedAtMs: 300 };
+  book.noteReport('s1', report, { hosts: 3, nowMs: 600 });
+  assert.equal(book.stats('s1').othersOutstanding, 4);
+  assert.equal(book.stats('s1').outstanding, 3);
+});
+
+test('a server that a report shows at full speed again is no longer a straggler', () => {
+  const book = createPoolBook();
+  noteSpeeds(book, [50, 10, 10, 10, 10, 10], 0);
+  assert.deepEqual(demotedAt(book, 100), ['s1']);
+  [1_000, 1_500, 2_000, 2_500, 3_000].forEach((reportedAtMs) => {
+    const report = { running: 4, queued: 0, tokensPerSecond: 400, reportedAtMs };
+    book.noteReport('s1', report, { hosts: 3, nowMs: reportedAtMs + 300 });
+  });
+  assert.deepEqual(demotedAt(book, 3_400), []);
+});
