--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -9,6 +9,7 @@
 import type { CallerRequest } from '../callers/types.js';
 import type { ClaimBook, ClaimRequest } from '../claims/types.js';
 import type { ConfigHolder } from '../config/createConfigHolder.js';
+import { formatFingerprint, type PoisonGuard } from '../poison/createPoisonGuard.js';
 import type { Dispatcher } from './createDispatcher.js';
 import createKeyedRuns, { type KeyedRuns } from './createKeyedRuns.js';
 import type { StatusQuery } from './createStatusQuery.js';
@@ -25,6 +26,7 @@
   /** Resolves when the request may start or is refused; nothing has run until then. */
   readonly admit: (plan: RequestPlan, document: ServiceDocument) => Promise<GateDecision>;
   readonly queryStatus: StatusQuery;
+  readonly poison: PoisonGuard;
   readonly onFinished: (plan: RequestPlan, result: RequestResult, durationMs: number) => void;
 }
 
@@ -35,6 +37,8 @@
   inFlight(): number;
   /** Resolves when no request is in flight. */
   idle(): Promise<void>;
+  /** Forgets the finished runs. */
+  close(): void;
 }
 
 const STATUS_NOT_FOUND = 404;
@@ -101,6 +105,10 @@
     return this.inFlightCount;
   }
 
+  close(): void {
+    this.runs.close();
+  }
+
   idle(): Promise<void> {
     return new Promise((resolve) => {
       const poll = (): void => {
@@ -247,15 +255,20 @@
     const span = tracer.startSpan(`request ${plan.service}/${plan.operation.name}`, request.traceparent);
     span.setAttribute('requestId', plan.requestId);
     this.inFlightCount += 1;
+    const { deadlineAtMs } = plan;
+    const fingerprint = formatFingerprint(request);
+    const context = {
+      plan,
+      requestTraceparent: span.traceparent,
+      callerInput: request.input,
+      ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
+    };
     const run = startRun(plan, {
       clock,
       dispatch: (action) =>
-        this.options.dispatch(action, {
-          plan,
-          requestTraceparent: span.traceparent,
-          callerInput: request.input,
-          ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
-        }),
+        this.options.poison.watch({ fingerprint, pool: action.stage.pool, deadlineAtMs }, () =>
+          this.options.dispatch(action, context),
+        ),
       claim: () => (claim === undefined ? Promise.resolve({ type: 'granted' }) : claims.claim(claim)),
       record: (result) => (claim === undefined ? Promise.resolve() : claims.record(claim, result)),
     });
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -19,8 +19,11 @@
 import createClaimBook from './claims/createClaimBook.js';
 import type { ClaimBook } from './claims/types.js';
 import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
+import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createDownCheck from './poison/createDownCheck.js';
+import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createStatusQuery from './requests/createStatusQuery.js';
 import createRouting from './servers/createRouting.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
@@ -93,12 +96,18 @@
   close(): void;
 }
 
-const createRequests = (base: Base, claims: ClaimBook, peers: PeerDirectory): RequestParts => {
+/** Guards that the service asks before it runs a request. */
+interface Guards {
+  readonly claims: ClaimBook;
+  readonly poison: PoisonGuard;
+}
+
+const createRequests = (base: Base, guards: Guards, peers: PeerDirectory): RequestParts => {
   const routing = createRouting(base, peers);
   const requests = createRequestService({
     clock: base.clock,
     config: base.config,
-    claims,
+    ...guards,
     queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
     admit: (plan, document) => routing.gate.admit(plan, document),
@@ -128,6 +137,10 @@
   (base: Base, requests: RequestService, drainState: DrainState) =>
   async (exchange: HttpExchange): Promise<void> => {
     const { path, response } = exchange;
+    if (drainState.draining) {
+      // Callers and the balancer open their next connection elsewhere.
+      response.setHeader('connection', 'close');
+    }
     const service = exchange.request.method === 'POST' ? matchServicePath(path) : undefined;
     if (service !== undefined) {
       await handleCallerRequest(exchange, service, requests);
@@ -156,21 +169,28 @@
   };
 };
 
-const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
-  const wait = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      base.clock.schedule(delayMs, resolve);
-    });
-  return async (): Promise<void> => {
-    const { balancerLagMs, timeoutMs } = base.settings.drain;
-    const state = drainState;
-    state.draining = true;
-    base.logger.event('drainStarted', { inFlight: requests.inFlight() });
-    await wait(balancerLagMs);
-    const result = await Promise.race([requests.idle(), wait(timeoutMs).then(() => 'timeout' as const)]);
-    base.logger.event(result === 'timeout' ? 'drainTimedOut' : 'drainFinished', { inFlight: requests.inFlight() });
-    await close();
-  };
+interface DrainParts {
+  readonly requests: RequestService;
+  readonly claims: ClaimBook;
+  readonly drainState: DrainState;
+  readonly close: () => Promise<void>;
+  readonly abort: () => void;
+}
+
+const wireDrain = (base: Base, { requests, claims, drainState, close, abort }: DrainParts): (() => Promise<void>) => {
+  const state = drainState;
+  return createDrain({
+    ...base,
+    ...base.settings.drain,
+    onStart: () => {
+      state.draining = true;
+    },
+    inFlight: () => requests.inFlight(),
+    idle: () => requests.idle(),
+    flush: (limitMs) => claims.flush(limitMs),
+    close,
+    abort,
+  });
 };
 
 const readStatus = (
@@ -211,14 +231,11 @@
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
   const peerServer = createPeerServer();
-  const claims = createClaimBook({
-    ...base,
-    peers: base.peerClient,
-    peerServer,
-    directory: peerDirectory,
-    hostId: settings.host.id,
-  });
-  const { requests, close: closeRequests } = createRequests(base, claims, peerDirectory);
+  const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
+  const claims = createClaimBook(peerParts);
+  const isDown = createDownCheck(base.http, base.directory);
+  const poison = createPoisonGuard({ ...peerParts, isDown });
+  const { requests, close: closeRequests } = createRequests(base, { claims, poison }, peerDirectory);
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -237,23 +254,26 @@
     base.config.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
+    requests.close();
     base.http.close();
     base.store.close();
     base.tracer.close();
   };
-  drain = createDrain(base, requests, drainState, close);
+  const abort = (): void => {
+    claims.close();
+    callers.abort();
+    peers.abort();
+    base.http.close();
+    base.store.close();
+    close().catch(() => undefined);
+  };
+  drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
     callersPort: callers.port,
     peersPort: peers.port,
     drain,
     close,
-    abort: () => {
-      callers.abort();
-      peers.abort();
-      base.http.close();
-      base.store.close();
-      close().catch(() => undefined);
-    },
+    abort,
   };
 }
--- a/packages/platform/src/servers/callServer.ts
+++ b/packages/platform/src/servers/callServer.ts
@@ -41,14 +41,17 @@
   }
 };
 
+/** The server lives, but says nothing about the effect of the call. */
+const ERROR_STATUS: ServerFailure = { type: 'connection-lost', answered: true };
+
 /** A 503 that states `executed: false` proves that nothing ran; any other error status does not. */
 const readFailure = (status: number, body: string): ServerFailure => {
   if (status === STATUS_UNAVAILABLE) {
     const refusal = refusalSchema.safeParse(parseOptional(body));
-    return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : { type: 'connection-lost' };
+    return refusal.success ? { type: 'refused', leaving: refusal.data.leaving } : ERROR_STATUS;
   }
   if (status < 400 || status >= 500) {
-    return { type: 'connection-lost' };
+    return ERROR_STATUS;
   }
   const failure = failureSchema.safeParse(parseOptional(body));
   const executed = failure.success ? failure.data.executed : undefined;
@@ -70,10 +73,13 @@
   return JSON.stringify({ attemptId, requestId, organisation, operation, input });
 };
 
+/** Receives the events of a call. */
+type EventSink = Pick<Subscriber<ServerEvent>, 'next'>;
+
 const readGeneration = async (
   call: ServerCall,
   body: AsyncIterable<{ readonly data: string }>,
-  subscriber: Subscriber<ServerEvent>,
+  subscriber: EventSink,
 ): Promise<void> => {
   let tokenCount: number | undefined;
   for await (const { data } of body) {
@@ -101,7 +107,7 @@
   client: HttpClient,
   call: ServerCall,
   signal: AbortSignal,
-  { subscriber, noteSending }: { readonly subscriber: Subscriber<ServerEvent>; readonly noteSending: () => void },
+  { subscriber, noteSending }: { readonly subscriber: EventSink; readonly noteSending: () => void },
 ): Promise<void> => {
   const response = await client.open(call.target, {
     method: 'POST',
@@ -156,7 +162,14 @@
     const noteSending = (): void => {
       sent = true;
     };
-    runCall(client, call, abort.signal, { subscriber, noteSending })
+    // The receiver of the last event unsubscribes while it handles it; an abort then would only cost time.
+    const sink: EventSink = {
+      next: (event) => {
+        finished ||= event?.type === 'answer';
+        subscriber.next(event);
+      },
+    };
+    runCall(client, call, abort.signal, { subscriber: sink, noteSending })
       .catch((cause: unknown) => subscriber.next({ type: 'failure', failure: toFailure(cause, sent) }))
       .finally(() => {
         finished = true;
