Do not refuse requests for lack of knowledge

Cause: without a learnt time, expected tokens at the default speed exceeded a deadline of 600 ms, so that a request was refused although it would have run. Change: a stage of which nothing is known counts 20 ms.

--- a/packages/entry/src/servers/createEstimates.ts
+++ b/packages/entry/src/servers/createEstimates.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
 import { createLengthBook, createQuantileBook, type PlannedStage, type RequestPlan } from '@bergamotcove/decide';
-import type { ServerDirectory } from './createServerDirectory.js';
 
 /** What this host expects of requests, from the documents and from what it has seen. */
 export interface Estimates {
@@ -38,10 +37,9 @@
  * Creates the estimates of this host.
  *
  * @param clock - time of the samples
- * @param directory - learnt speed of the pools
  * @returns the estimates
  */
-export default function createEstimates(clock: Clock, directory: ServerDirectory): Estimates {
+export default function createEstimates(clock: Clock): Estimates {
   const lengths = createLengthBook();
   const quantiles = createQuantileBook();
   const facts = ({ service, operation, organisation }: RequestPlan) => ({
@@ -54,15 +52,8 @@
   const stageTokens = (plan: RequestPlan, stage: PlannedStage, resumeTokenIndex: number): number =>
     stage.kind === 'generate' ? Math.max(1, outputTokens(plan) - resumeTokenIndex) : 1;
 
-  const stageMs = (plan: RequestPlan, stage: PlannedStage, quantile: number): number => {
-    const learnt = quantiles.quantile(formatStageKey(plan, stage), quantile);
-    if (learnt !== undefined) {
-      return learnt;
-    }
-    return stage.kind === 'generate'
-      ? stageTokens(plan, stage, 0) * directory.msPerToken(stage.pool)
-      : DEFAULT_STAGE_MS;
-  };
+  const stageMs = (plan: RequestPlan, stage: PlannedStage, quantile: number): number =>
+    quantiles.quantile(formatStageKey(plan, stage), quantile) ?? DEFAULT_STAGE_MS;
   const stagesLeftMs = (plan: RequestPlan, fromIndex: number, quantile: number): readonly number[] =>
     plan.stages.slice(fromIndex).map((stage) => stageMs(plan, stage, quantile));
   const record = (key: string, elapsedMs: number): void => quantiles.record(key, elapsedMs, clock.monotonicMs());
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -38,12 +38,12 @@
  * @returns the parts; close them to stop their timers
  */
 export default function createRouting(base: RoutingBase, peers: PeerDirectory): Routing {
-  const { clock, directory } = base;
+  const { clock } = base;
   const { failureDomain, region } = base.settings.host;
   const liveHosts = (): number => peers.liveHosts().length;
   const regionHosts = (): number => peers.liveHosts().filter((host) => host.region === region).length;
   const findDocument = (service: string) => base.config.get(service)?.document;
-  const estimates = createEstimates(clock, directory);
+  const estimates = createEstimates(clock);
   const queues = createPoolQueues(clock);
   const gate = createAdmissionGate({ clock, estimates, queues, liveHosts });
   const poller = createLoadPoller({ ...base, liveHosts, onReports: () => queues.drainAll() });
