Merge routing into the daemon; a cold host refuses nothing by guesswork

Cause: after the merge of admission, an idempotent request with a deadline of 600 ms was refused on a host that had served nothing, because the time of a generation was guessed from the document's expected tokens.

--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -27,8 +27,8 @@
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
 import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
-import createDispatcher from './requests/createDispatcher.js';
 import createStatusQuery from './requests/createStatusQuery.js';
+import createRouting from './servers/createRouting.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
 
@@ -98,17 +98,34 @@
   };
 };
 
-const createRequests = (base: Base, claims: ClaimBook, poison: PoisonGuard): RequestService => {
-  const { failureDomain, region } = base.settings.host;
-  return createRequestService({
+/** Requests and the parts behind them that have timers. */
+interface RequestParts {
+  readonly requests: RequestService;
+  close(): void;
+}
+
+/** Parts that requests are built from. */
+interface RequestNeeds {
+  readonly claims: ClaimBook;
+  readonly poison: PoisonGuard;
+  readonly peers: PeerDirectory;
+}
+
+const createRequests = (base: Base, { claims, poison, peers }: RequestNeeds): RequestParts => {
+  const routing = createRouting(base, peers);
+  const requests = createRequestService({
     clock: base.clock,
     config: base.config,
     claims,
     poison,
     queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
-    dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
+    admit: (plan, document) => routing.gate.admit(plan, document),
+    dispatch: routing.dispatch,
     onFinished: (plan, result, durationMs) => {
+      if (result.type === 'answered') {
+        routing.estimates.learnRun(plan, durationMs);
+      }
       const tags = { service: plan.service, result: result.type };
       base.metrics.report('request.count', 1, tags);
       base.metrics.report('request.duration', durationMs, tags);
@@ -118,6 +135,7 @@
       }
     },
   });
+  return { requests, close: () => routing.close() };
 };
 
 /** State of a planned stop. */
@@ -212,6 +230,38 @@
     onError: (error) => base.logger.event('processFailed', { error: error.message }),
   });
 
+interface StopParts {
+  readonly requests: RequestService;
+  readonly claims: ClaimBook;
+  readonly closeRequests: () => void;
+  readonly callers: HttpServer;
+  readonly peers: HttpServer;
+}
+
+/** Closes every part, in order or at once. */
+const createStop = (base: Base, { requests, claims, closeRequests, callers, peers }: StopParts) => {
+  const close = async (): Promise<void> => {
+    base.directory.close();
+    closeRequests();
+    base.config.close();
+    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    claims.close();
+    requests.close();
+    base.http.close();
+    base.store.close();
+    base.tracer.close();
+  };
+  const abort = (): void => {
+    claims.close();
+    callers.abort();
+    peers.abort();
+    base.http.close();
+    base.store.close();
+    close().catch(() => undefined);
+  };
+  return { close, abort };
+};
+
 /**
  * Builds and starts an entry host.
  *
@@ -229,7 +279,8 @@
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
-  const requests = createRequests(base, claims, createPoisonGuard({ ...peerParts, isDown }));
+  const poison = createPoisonGuard({ ...peerParts, isDown });
+  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: peerDirectory });
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -242,24 +293,7 @@
   await Promise.all([base.directory.start(), base.config.start()]);
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const close = async (): Promise<void> => {
-    base.directory.close();
-    base.config.close();
-    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
-    claims.close();
-    requests.close();
-    base.http.close();
-    base.store.close();
-    base.tracer.close();
-  };
-  const abort = (): void => {
-    claims.close();
-    callers.abort();
-    peers.abort();
-    base.http.close();
-    base.store.close();
-    close().catch(() => undefined);
-  };
+  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
