--- a/packages/bench/src/claims/startClaimHosts.ts
+++ b/packages/bench/src/claims/startClaimHosts.ts
@@ -73,6 +73,8 @@
         { name: 'draft', kind: 'generate', pool: 'engines', model: 'base' },
         { name: 'post', kind: 'call', pool: 'books', effect: 'once', ...options.once },
       ],
+      // Few requests earn too little of the usual retry budget for a repeatable test.
+      retry: { budgetRatio: 1, maxAttempts: 3 },
       operations: [
         { name: 'draft', idempotent: true, priority: 'draft', stages: ['encode', 'draft'] },
         { name: 'post', idempotent: false, priority: 'money', stages: ['encode', 'post'] },
--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -85,8 +85,9 @@
   }
 
   watch(request: WatchedRequest, dispatch: () => Observable<AttemptEvent>): Observable<AttemptEvent> {
-    const retryAfterMs = readBlock(this.state, request.fingerprint, this.options.clock.monotonicMs());
-    if (retryAfterMs !== undefined) {
+    const remainingMs = readBlock(this.state, request.fingerprint, this.options.clock.monotonicMs());
+    if (remainingMs !== undefined) {
+      const retryAfterMs = Math.ceil(remainingMs);
       return of({ type: 'failed', failure: { type: 'poisoned', retryAfterMs }, retryAllowed: false });
     }
     const attempt = {};
