--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -5,6 +5,8 @@
 export interface CommandOptions {
   readonly store: readonly string[];
   readonly host: readonly string[];
+  /** Settings file whose peer keys sign the calls to the hosts. */
+  readonly settings?: string;
   readonly expect?: number;
   readonly version?: number;
   readonly limit?: number;
@@ -16,14 +18,20 @@
 }
 
 /** Name of an option on the command line. */
-export type OptionName = 'store' | 'host' | 'expect' | 'version' | 'limit' | 'change' | 'timeout' | 'wait';
+export type OptionName = 'store' | 'host' | 'settings' | 'expect' | 'version' | 'limit' | 'change' | 'timeout' | 'wait';
+
+/** Options of a call to an entry host. */
+export interface CallHostOptions {
+  /** Settings file whose peer keys sign the call; a host answers unsigned calls only over loopback. */
+  readonly settings?: string;
+}
 
 /** What the commands need from the process. */
 export interface CtlPorts {
   readonly clock: Clock;
   readonly openStore: (urls: readonly string[]) => StoreClient;
   /** Calls an operator method of an entry host; rejects with TransportError. */
-  readonly callHost: (hostUrl: string, method: string, params: object) => Promise<unknown>;
+  readonly callHost: (hostUrl: string, method: string, params: object, options: CallHostOptions) => Promise<unknown>;
   /** Reads a JSON file; throws ConfigError. */
   readonly readJson: (file: string) => unknown;
   readonly newChangeId: () => string;
