--- a/packages/ctl/src/commands/trace.ts
+++ b/packages/ctl/src/commands/trace.ts
@@ -35,7 +35,7 @@
   summary: 'draw the hops of one request as a waterfall',
   description:
     'Gathers the spans of a trace from entry hosts and draws them on a common time axis. The id is the second field ' +
-    'of the traceparent header that the answer carries.',
+    'of the traceparent header that the caller sent.',
   args: [{ name: 'ID' }],
   options: ['host'],
   required: ['host'],
