--- a/packages/ctl/src/cli/parseCommandLine.ts
+++ b/packages/ctl/src/cli/parseCommandLine.ts
@@ -57,13 +57,14 @@
   const expect = readNumber(values, 'expect', 0);
   const version = readNumber(values, 'version', 1);
   const limit = readNumber(values, 'limit', 1);
-  const { change } = values;
+  const { change, settings } = values;
   return {
     store: readUrls(values, 'store'),
     host: readUrls(values, 'host'),
     ...(expect === undefined ? {} : { expect }),
     ...(version === undefined ? {} : { version }),
     ...(limit === undefined ? {} : { limit }),
+    ...(typeof settings === 'string' ? { settings } : {}),
     ...(typeof change === 'string' ? { change } : {}),
     timeoutSeconds: readNumber(values, 'timeout', 1) ?? DEFAULT_TIMEOUT_SECONDS,
     wait: values.wait === true,
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -29,7 +29,7 @@
     'Prints a table of the entry hosts and a table of the services with the version in force on each host. ' +
     'Exit code 1 when a host does not answer.',
   args: [],
-  options: ['host'],
+  options: ['host', 'settings'],
   required: ['host'],
   example: 'bergamotctl status --host http://10.0.0.7:7000 --host http://10.0.0.8:7000',
   run,
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -7,13 +7,16 @@
 import {
   createHttpClient,
   createHttpServer,
+  createPeerAuth,
   createPeerClient,
   createPeerServer,
   sendJson,
   type HttpClient,
   type HttpExchange,
   type HttpServer,
+  type PeerAuth,
   type PeerClient,
+  type PeerKey,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
@@ -22,6 +25,7 @@
 import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createDispatcher from './requests/createDispatcher.js';
 import createStatusQuery from './requests/createStatusQuery.js';
@@ -38,6 +42,8 @@
   close(): Promise<void>;
   /** Drops every connection at once, as a crash does. */
   abort(): void;
+  /** Replaces the peer keys; the first one signs. */
+  setPeerKeys(keys: readonly PeerKey[]): void;
 }
 
 /** Parts that tests replace. */
@@ -53,6 +59,7 @@
   readonly metrics: Metrics;
   readonly tracer: Tracer;
   readonly http: HttpClient;
+  readonly auth: PeerAuth;
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
@@ -69,6 +76,7 @@
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
+  const auth = createPeerAuth({ clock, keys: settings.peers.keys });
   const store = createStoreClient({
     ...settings.store,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
@@ -81,7 +89,8 @@
     logger,
     metrics,
     http,
-    peerClient: createPeerClient(http),
+    auth,
+    peerClient: createPeerClient(http, { auth }),
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
     directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
@@ -213,10 +222,14 @@
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
-  const peerServer = createPeerServer();
+  const peerServer = createPeerServer({
+    auth: base.auth,
+    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
+  });
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
-  const requests = createRequests(base, claims, createPoisonGuard(peerParts));
+  const isDown = createDownCheck(base.http, base.directory);
+  const requests = createRequests(base, claims, createPoisonGuard({ ...peerParts, isDown }));
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -234,11 +247,13 @@
     base.config.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
+    requests.close();
     base.http.close();
     base.store.close();
     base.tracer.close();
   };
   const abort = (): void => {
+    claims.close();
     callers.abort();
     peers.abort();
     base.http.close();
@@ -253,5 +268,6 @@
     drain,
     close,
     abort,
+    setPeerKeys: base.auth.setKeys,
   };
 }
