Plan engine orders and give them under a lease

Change: planEngines (decide) derives desired models, versions, adapters and roles of a pool from what the engines report and what is demanded; loads are limited for the weight store, and a model in use keeps a ready copy.

Conclusion: not wired into the daemon yet.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -2,6 +2,7 @@
 export * from './request/index.js';
 export * from './claims/index.js';
 export * from './poison/index.js';
+export * from './planner/index.js';
 export * from './routing/types.js';
 export { default as adaptWindow } from './routing/adaptWindow.js';
 export type { WindowFacts } from './routing/adaptWindow.js';
--- /dev/null
+++ b/packages/decide/src/planner/_lib/assignModels.ts
@@ -0,0 +1,45 @@
+import type { EngineView, ModelDemand, PlannerInput } from '../types.js';
+import countCopies from './countCopies.js';
+
+/** Models by engine id. */
+export type Assignment = ReadonlyMap<string, readonly ModelDemand[]>;
+
+/** Order of preference: what has the version, what has the model, what loads it, any other engine. */
+const rankEngine = (engine: EngineView, demand: ModelDemand): number => {
+  const version = engine.models[demand.model];
+  if (version === demand.version) {
+    return 0;
+  }
+  if (version !== undefined) {
+    return 1;
+  }
+  const loads = engine.loading.some((order) => 'model' in order && order.model === demand.model);
+  return loads ? 2 : 3;
+};
+
+const assignOne = (assignment: Assignment, demand: ModelDemand, input: PlannerInput): Assignment => {
+  const { limits } = input;
+  const live = input.engines.filter((engine) => !engine.leaving);
+  const countOf = (engine: EngineView): number => assignment.get(engine.engineId)?.length ?? 0;
+  const currentCopies = live.filter((engine) => engine.models[demand.model] !== undefined).length;
+  const copies = countCopies(demand, currentCopies, { limits, engineCount: live.length });
+  const chosen = live
+    .filter((engine) => countOf(engine) < limits.maxModelsPerEngine)
+    .sort(
+      (a, b) =>
+        rankEngine(a, demand) - rankEngine(b, demand) ||
+        countOf(a) - countOf(b) ||
+        a.engineId.localeCompare(b.engineId),
+    )
+    .slice(0, copies);
+  return new Map([
+    ...assignment,
+    ...chosen.map(({ engineId }) => [engineId, [...(assignment.get(engineId) ?? []), demand]] as const),
+  ]);
+};
+
+/** Assigns models to live engines, where possible to those that have them. */
+export default function assignModels(input: PlannerInput): Assignment {
+  const sorted = [...input.demand].sort((a, b) => a.model.localeCompare(b.model));
+  return sorted.reduce<Assignment>((assignment, demand) => assignOne(assignment, demand, input), new Map());
+}
--- /dev/null
+++ b/packages/decide/src/planner/_lib/listLoads.ts
@@ -0,0 +1,21 @@
+import type { AddressedOrder, DesiredEngine, EngineOrder, EngineView } from '../types.js';
+
+const isSame = (a: EngineOrder, b: EngineOrder): boolean => JSON.stringify(a) === JSON.stringify(b);
+
+const listWanted = (engine: EngineView, desired: DesiredEngine): readonly EngineOrder[] => {
+  const models = desired.models
+    .filter(({ model, version }) => engine.models[model] !== version)
+    .map(({ model, version }): EngineOrder => ({ type: 'load-version', model, version }));
+  const adapters = desired.models
+    .flatMap((demand) => demand.adapters)
+    .filter((adapter, index, all) => all.indexOf(adapter) === index && !engine.adapters.includes(adapter))
+    .map((adapter): EngineOrder => ({ type: 'load-adapter', adapter }));
+  return [...models, ...adapters];
+};
+
+/** Lists the loads that an engine lacks and has not begun. */
+export default function listLoads(engine: EngineView, desired: DesiredEngine): readonly AddressedOrder[] {
+  return listWanted(engine, desired)
+    .filter((wanted) => !engine.loading.some((order) => isSame(order, wanted)))
+    .map((order) => ({ engineId: engine.engineId, order }));
+}
--- /dev/null
+++ b/packages/decide/src/planner/_lib/listUnloads.ts
@@ -0,0 +1,42 @@
+import type { AddressedOrder, DesiredEngine, EngineView, PlannerInput } from '../types.js';
+
+/** Whether every copy that the plan wants is loaded in the wanted version. */
+const isComplete = (input: PlannerInput, desired: readonly DesiredEngine[], model: string): boolean => {
+  const wanted = desired.flatMap(({ engineId, models }) =>
+    models.filter((demand) => demand.model === model).map(({ version }) => ({ engineId, version })),
+  );
+  return (
+    wanted.length > 0 &&
+    wanted.every(({ engineId, version }) =>
+      input.engines.some(
+        (engine) =>
+          engine.engineId === engineId &&
+          engine.models[model] === version &&
+          !engine.loading.some((order) => 'model' in order && order.model === model),
+      ),
+    )
+  );
+};
+
+const listSurplus = (engine: EngineView, desired: DesiredEngine | undefined): readonly string[] =>
+  Object.keys(engine.models).filter(
+    (model) =>
+      desired?.models.some((demand) => demand.model === model) !== true &&
+      !engine.loading.some((order) => 'model' in order && order.model === model),
+  );
+
+/**
+ * Lists the models that may be unloaded: those that no document names, and surplus copies of a model in use after every
+ * wanted copy is ready. A leaving engine keeps its models until it stops.
+ */
+export default function listUnloads(input: PlannerInput, desired: readonly DesiredEngine[]): readonly AddressedOrder[] {
+  const inUse = new Set(input.demand.map(({ model }) => model));
+  return input.engines
+    .filter((engine) => !engine.leaving)
+    .flatMap((engine) => {
+      const wanted = desired.find(({ engineId }) => engineId === engine.engineId);
+      return listSurplus(engine, wanted)
+        .filter((model) => !inUse.has(model) || isComplete(input, desired, model))
+        .map((model): AddressedOrder => ({ engineId: engine.engineId, order: { type: 'unload-model', model } }));
+    });
+}
--- /dev/null
+++ b/packages/decide/src/planner/index.ts
@@ -0,0 +1,13 @@
+/** Planning of engine orders. */
+export type {
+  AddressedOrder,
+  DesiredEngine,
+  EngineOrder,
+  EnginePlan,
+  EngineRole,
+  EngineView,
+  ModelDemand,
+  PlannerInput,
+  PlannerLimits,
+} from './types.js';
+export { default as planEngines } from './planEngines.js';
--- /dev/null
+++ b/packages/decide/src/planner/planEngines.ts
@@ -0,0 +1,47 @@
+import assignModels from './_lib/assignModels.js';
+import assignRoles from './_lib/assignRoles.js';
+import limitLoads from './_lib/limitLoads.js';
+import listLoads from './_lib/listLoads.js';
+import listUnloads from './_lib/listUnloads.js';
+import type { AddressedOrder, DesiredEngine, EnginePlan, PlannerInput } from './types.js';
+
+/** The first engine whose role differs; one role changes at a time, so that the others carry the work meanwhile. */
+const planRoleChange = (input: PlannerInput, desired: readonly DesiredEngine[]): readonly AddressedOrder[] => {
+  const isChanging = input.engines.some((engine) => engine.loading.some((order) => order.type === 'set-role'));
+  const change = desired.find(({ engineId, role }) =>
+    input.engines.some((engine) => engine.engineId === engineId && engine.role !== role),
+  );
+  return isChanging || change === undefined
+    ? []
+    : [{ engineId: change.engineId, order: { type: 'set-role', role: change.role } }];
+};
+
+/**
+ * Plans the models, versions, adapters and roles of the engines of a pool from what the engines report and what is
+ * demanded. The plan depends on the reported state only, so that a new planner corrects what an earlier one ordered.
+ *
+ * @param input - engines, demand and limits
+ * @returns the desired state of each live engine, and the orders that may be given now: loads within the limit of the
+ *   weight store, unloads that leave every model in use with its wanted copies, at most one change of role
+ * @example
+ * const { orders } = planEngines({ engines, demand, limits });
+ */
+export default function planEngines(input: PlannerInput): EnginePlan {
+  const assignment = assignModels(input);
+  const roles = assignRoles(input);
+  const desired = input.engines
+    .filter((engine) => !engine.leaving)
+    .map(({ engineId }): DesiredEngine => ({
+      engineId,
+      models: assignment.get(engineId) ?? [],
+      role: roles.get(engineId) ?? 'mixed',
+    }));
+  const loads = desired.flatMap((wanted) => {
+    const engine = input.engines.find(({ engineId }) => engineId === wanted.engineId);
+    return engine === undefined ? [] : listLoads(engine, wanted);
+  });
+  return {
+    desired,
+    orders: [...limitLoads(input, loads), ...listUnloads(input, desired), ...planRoleChange(input, desired)],
+  };
+}
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -30,6 +30,15 @@
   peerCallRefused: { id: 6001, level: 'warn', text: 'A peer call had no valid signature; compare the peer keys.' },
   peerKeysChanged: { id: 6002, level: 'info', text: 'The peer keys were read again and are in use.' },
   settingsUnreadable: { id: 6003, level: 'error', text: 'The settings could not be read again; the old ones stay.' },
+  plannerStarted: { id: 8001, level: 'info', text: 'This host gives the orders to the engines of a pool.' },
+  plannerStopped: { id: 8002, level: 'info', text: 'This host no longer gives the orders to the engines of a pool.' },
+  engineOrdered: { id: 8003, level: 'info', text: 'An engine accepted an order.' },
+  engineOrderFailed: {
+    id: 7004,
+    level: 'warn',
+    text: 'An engine did not take an order; the next round gives it again.',
+  },
+  plannerRoundFailed: { id: 8005, level: 'warn', text: 'The store or the engines did not answer a planning round.' },
 } as const satisfies Record<string, LogEventSpec>;
 
 /** Name of a catalogued event. */
--- /dev/null
+++ b/packages/platform/src/engines/callEngine.ts
@@ -0,0 +1,104 @@
+import { z } from 'zod';
+import type { EngineOrder } from '@bergamotcove/decide';
+import type { HttpClient, HttpRequest, Target } from '@bergamotcove/transport';
+import PlatformError from '../PlatformError.js';
+
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+
+const orderSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('load-model'), model: z.string() }),
+  z.object({ type: z.literal('load-version'), model: z.string(), version: z.string() }),
+  z.object({ type: z.literal('load-adapter'), adapter: z.string() }),
+  z.object({ type: z.literal('unload-model'), model: z.string() }),
+  z.object({ type: z.literal('set-role'), role: z.enum(['mixed', 'prefill', 'decode']) }),
+]);
+
+const stateSchema = z.object({
+  models: z.record(z.string(), z.string()),
+  adapters: z.array(z.string()),
+  role: z.enum(['mixed', 'prefill', 'decode']),
+  loading: z.array(orderSchema),
+});
+
+const loadSchema = z.object({ running: z.number(), waiting: z.number().default(0) });
+
+/** Orders carried out and in progress, and the load, of one engine. */
+export interface EngineReport extends z.output<typeof stateSchema> {
+  readonly openRequests: number;
+}
+
+/** Whether an engine took an order; `fenced` means that it has seen a higher fencing number. */
+export type OrderResult = 'accepted' | 'fenced';
+
+const readJson = async <Schema extends z.ZodType>(
+  http: HttpClient,
+  target: Target,
+  request: HttpRequest,
+  schema: Schema,
+): Promise<z.output<Schema>> => {
+  const response = await http.send(target, request);
+  if (response.status !== STATUS_OK) {
+    throw new PlatformError('rejected', `the engine answered ${request.path} with status ${response.status}`);
+  }
+  try {
+    return schema.parse(JSON.parse(response.body));
+  } catch (cause) {
+    throw new PlatformError('invalid-answer', `the engine's answer to ${request.path} is not as agreed`, { cause });
+  }
+};
+
+/**
+ * Reads what an engine runs and how much.
+ *
+ * @param http - HTTP client
+ * @param target - address of the engine
+ * @param options - time limit
+ * @returns its state and load
+ * @throws TransportError or PlatformError when the engine does not answer as agreed
+ */
+export async function readEngine(
+  http: HttpClient,
+  target: Target,
+  options: { readonly timeoutMs: number },
+): Promise<EngineReport> {
+  const signal = AbortSignal.timeout(options.timeoutMs);
+  const [state, load] = await Promise.all([
+    readJson(http, target, { method: 'GET', path: '/orders/state', signal }, stateSchema),
+    readJson(http, target, { method: 'GET', path: '/load', signal }, loadSchema),
+  ]);
+  return { ...state, openRequests: load.running + load.waiting };
+}
+
+/**
+ * Gives an engine an order. Orders name a wanted state, so that giving one twice does no harm.
+ *
+ * @param http - HTTP client
+ * @param target - address of the engine
+ * @param order - the order with the fencing number of the planner's lease
+ * @param options - time limit; `maySend` is asked just before the first byte is sent
+ * @returns whether the engine took the order
+ * @throws TransportError or PlatformError when that is not known
+ */
+export async function giveOrder(
+  http: HttpClient,
+  target: Target,
+  order: { readonly fencingNumber: number; readonly order: EngineOrder },
+  options: { readonly timeoutMs: number; readonly maySend: () => boolean },
+): Promise<OrderResult> {
+  const response = await http.send(target, {
+    method: 'POST',
+    path: '/orders',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(order),
+    signal: AbortSignal.timeout(options.timeoutMs),
+    maySend: options.maySend,
+  });
+  if (response.status === STATUS_CONFLICT) {
+    return 'fenced';
+  }
+  if (response.status !== STATUS_OK) {
+    throw new PlatformError('rejected', `the engine answered an order with status ${response.status}`);
+  }
+  return 'accepted';
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -15,3 +15,5 @@
 export type { AcceptOptions, AcceptResult, AcceptRetry } from './documents/acceptDocument.js';
 export { readHead, readHistory, readVersion } from './documents/readDocuments.js';
 export type { Head, HistoryBounds } from './documents/readDocuments.js';
+export { giveOrder, readEngine } from './engines/callEngine.js';
+export type { EngineReport, OrderResult } from './engines/callEngine.js';
