--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -82,6 +82,31 @@
   outgoing.once('close', () => signal.removeEventListener('abort', destroy));
 };
 
+/** Sends a request and resolves with the response as soon as its headers arrived. */
+const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    let sent = false;
+    const outgoing = http.request(formatOptions(target, request, agent));
+    if (request.signal !== undefined) {
+      destroyOnAbort(outgoing, request.signal);
+    }
+    outgoing.on('response', (response) => {
+      // A response that is cancelled after its reader has finished reports an error that nobody awaits.
+      response.on('error', () => undefined);
+      resolve(response);
+    });
+    outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
+    whenConnected(outgoing, () => {
+      if (request.signal?.aborted === true || request.maySend?.() === false) {
+        outgoing.destroy(new Error('the request was given up before it was sent'));
+        return;
+      }
+      sent = true;
+      request.onSending?.();
+      outgoing.end(request.body ?? '');
+    });
+  });
+
 /**
  * Creates an HTTP client.
  *
@@ -97,33 +122,9 @@
   let closed = false;
 
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
-    new Promise((resolve, reject) => {
-      let sent = false;
-      if (closed) {
-        reject(new TransportError('not-connected', 'the client is closed'));
-        return;
-      }
-      const chosen = request.freshConnection === true ? freshAgent : agent;
-      const outgoing = http.request(formatOptions(target, request, chosen));
-      if (request.signal !== undefined) {
-        destroyOnAbort(outgoing, request.signal);
-      }
-      outgoing.on('response', (response) => {
-        // A response that is cancelled after its reader has finished reports an error that nobody awaits.
-        response.on('error', () => undefined);
-        resolve(response);
-      });
-      outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
-      whenConnected(outgoing, () => {
-        if (request.signal?.aborted === true || request.maySend?.() === false) {
-          outgoing.destroy(new Error('the request was given up before it was sent'));
-          return;
-        }
-        sent = true;
-        request.onSending?.();
-        outgoing.end(request.body ?? '');
-      });
-    });
+    closed
+      ? Promise.reject(new TransportError('not-connected', 'the client is closed'))
+      : openRequest(target, request, request.freshConnection === true ? freshAgent : agent);
 
   const send = async (target: Target, request: HttpRequest): Promise<HttpResponse> => {
     const response = await open(target, request);
