--- a/packages/entry/src/servers/createEstimates.ts
+++ b/packages/entry/src/servers/createEstimates.ts
@@ -66,7 +66,10 @@
     stagesLeftMs,
     runMs: (plan, quantile) =>
       quantiles.quantile(formatRunKey(plan), quantile) ??
-      stagesLeftMs(plan, 0, quantile).reduce((sum, ms) => sum + ms, 0),
+      plan.stages.reduce(
+        (sum, stage) => sum + (quantiles.quantile(formatStageKey(plan, stage), quantile) ?? DEFAULT_STAGE_MS),
+        0,
+      ),
     firstTokenMs: (plan, stage, quantile) => quantiles.quantile(`first ${formatStageKey(plan, stage)}`, quantile),
     paceRatio: (pool, quantile) => {
       const scaled = quantiles.quantile(`pace ${pool}`, quantile);
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -104,18 +104,20 @@
   close(): void;
 }
 
-/** Guards that the service asks before it runs a request. */
-interface Guards {
+/** Parts that requests are built from. */
+interface RequestNeeds {
   readonly claims: ClaimBook;
   readonly poison: PoisonGuard;
+  readonly peers: PeerDirectory;
 }
 
-const createRequests = (base: Base, guards: Guards, peers: PeerDirectory): RequestParts => {
+const createRequests = (base: Base, { claims, poison, peers }: RequestNeeds): RequestParts => {
   const routing = createRouting(base, peers);
   const requests = createRequestService({
     clock: base.clock,
     config: base.config,
-    ...guards,
+    claims,
+    poison,
     queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
     admit: (plan, document) => routing.gate.admit(plan, document),
@@ -228,6 +230,38 @@
     onError: (error) => base.logger.event('processFailed', { error: error.message }),
   });
 
+interface StopParts {
+  readonly requests: RequestService;
+  readonly claims: ClaimBook;
+  readonly closeRequests: () => void;
+  readonly callers: HttpServer;
+  readonly peers: HttpServer;
+}
+
+/** Closes every part, in order or at once. */
+const createStop = (base: Base, { requests, claims, closeRequests, callers, peers }: StopParts) => {
+  const close = async (): Promise<void> => {
+    base.directory.close();
+    closeRequests();
+    base.config.close();
+    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    claims.close();
+    requests.close();
+    base.http.close();
+    base.store.close();
+    base.tracer.close();
+  };
+  const abort = (): void => {
+    claims.close();
+    callers.abort();
+    peers.abort();
+    base.http.close();
+    base.store.close();
+    close().catch(() => undefined);
+  };
+  return { close, abort };
+};
+
 /**
  * Builds and starts an entry host.
  *
@@ -246,7 +280,7 @@
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
   const poison = createPoisonGuard({ ...peerParts, isDown });
-  const { requests, close: closeRequests } = createRequests(base, { claims, poison }, peerDirectory);
+  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: peerDirectory });
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
@@ -259,25 +293,7 @@
   await Promise.all([base.directory.start(), base.config.start()]);
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const close = async (): Promise<void> => {
-    base.directory.close();
-    closeRequests();
-    base.config.close();
-    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
-    claims.close();
-    requests.close();
-    base.http.close();
-    base.store.close();
-    base.tracer.close();
-  };
-  const abort = (): void => {
-    claims.close();
-    callers.abort();
-    peers.abort();
-    base.http.close();
-    base.store.close();
-    close().catch(() => undefined);
-  };
+  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
