Add membership and configuration convergence as pure reducers and wire them into the daemon

Cause: every host watched the store and took its peers from the lagging host list. Change: SWIM-style membership with domain verdicts, two watchers per failure domain, pushes, offers, digests and pulls; findings and lost domains are shown in operator.status; a host is ready once the heads are learnt. Conclusion: PeerDirectory now answers from membership and ConfigHolder from the distribution.

--- /dev/null
+++ b/packages/decide/src/convergence/index.ts
@@ -0,0 +1,7 @@
+/** Distribution of the configuration among the entry hosts. */
+export * from './types.js';
+export { default as advanceConvergence } from './advanceConvergence.js';
+export { default as compareVersions } from './compareVersions.js';
+export type { VersionDifference } from './compareVersions.js';
+export { default as createConvergenceState } from './createConvergenceState.js';
+export { default as hashVersions } from './hashVersions.js';
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -2,3 +2,5 @@
 export * from './request/index.js';
 export * from './routing/types.js';
 export { default as chooseServer } from './routing/chooseServer.js';
+export * from './membership/index.js';
+export * from './convergence/index.js';
--- /dev/null
+++ b/packages/decide/src/membership/advanceMembership.ts
@@ -0,0 +1,132 @@
+import { exhaustive } from '@bergamotcove/errors';
+import type { Random } from '../routing/types.js';
+import Draft from './_lib/Draft.js';
+import handleMessage from './_lib/handleMessage.js';
+import { representDomain, trackDomains } from './_lib/probeDomains.js';
+import { checkProbes, checkSuspects, probeNext, reconnect } from './_lib/probeNeighbours.js';
+import { FORGET_MS, INDIRECT_PROBES, PAUSE_THRESHOLD_MS, PROBE_PERIOD_MS, SYNC_MS } from './constants.js';
+import type { ListedPeer, MembershipEvent, MembershipState, MembershipStep } from './types.js';
+
+/** After a pause the host was silent, not its peers: open probes and suspicions start again. */
+const wake = (draft: Draft, pausedMs: number): void => {
+  draft.act({ type: 'woke', pausedMs });
+  draft.probes.clear();
+  draft.relays.clear();
+  [...draft.members.values()]
+    .filter(({ state }) => state === 'suspect')
+    .forEach((member) => draft.members.set(member.host.hostId, { ...member, sinceMs: draft.nowMs }));
+  [...draft.domains].forEach(([name, view]) =>
+    draft.domains.set(name, { ...view, heardMs: draft.nowMs, sinceMs: draft.nowMs }),
+  );
+  draft.set({ nextSyncMs: draft.nowMs });
+};
+
+const forget = (draft: Draft): void => {
+  [...draft.members.values()]
+    .filter(
+      ({ state, listed, sinceMs }) =>
+        (state === 'dead' || state === 'left') && !listed && draft.nowMs - sinceMs > FORGET_MS,
+    )
+    .forEach(({ host }) => draft.members.delete(host.hostId));
+};
+
+const syncWhenDue = (draft: Draft): void => {
+  if (draft.nowMs >= draft.state.nextSyncMs) {
+    draft.set({ nextSyncMs: draft.nowMs + SYNC_MS * (0.5 + draft.random()) });
+    draft.draw(draft.live(), 1).forEach(({ host }) => draft.act({ type: 'sync', peer: host }));
+  }
+};
+
+const tick = (draft: Draft): void => {
+  const gapMs = draft.nowMs - draft.state.lastTickMs;
+  draft.set({ lastTickMs: draft.nowMs });
+  if (gapMs > PAUSE_THRESHOLD_MS) {
+    wake(draft, gapMs);
+  }
+  checkProbes(draft);
+  checkSuspects(draft);
+  if (draft.nowMs >= draft.state.nextPeriodMs) {
+    draft.set({ nextPeriodMs: draft.nowMs + PROBE_PERIOD_MS });
+    trackDomains(draft);
+    probeNext(draft);
+    representDomain(draft);
+    reconnect(draft);
+    forget(draft);
+    syncWhenDue(draft);
+  }
+};
+
+/** Takes the host list as seeds: it adds hosts and marks leaving ones; it never gives a verdict. */
+const applyList = (draft: Draft, peers: readonly ListedPeer[]): void => {
+  draft.set({ listedLeaving: peers.some(({ host, leaving }) => leaving && host.hostId === draft.self.hostId) });
+  const listedIds = new Set(peers.map(({ host }) => host.hostId));
+  [...draft.members.values()].forEach((member) =>
+    draft.members.set(member.host.hostId, { ...member, listed: listedIds.has(member.host.hostId) }),
+  );
+  peers
+    .filter(({ host }) => host.hostId !== draft.self.hostId)
+    .forEach(({ host, leaving }) => {
+      const known = draft.members.get(host.hostId);
+      const incarnation = known?.incarnation ?? 0;
+      draft.apply({ hostId: host.hostId, state: leaving ? 'leaving' : 'alive', incarnation, host });
+      const member = draft.members.get(host.hostId);
+      if (member !== undefined) {
+        // The list knows where a restarted host is before that host is heard.
+        const moved = member.state === 'dead' || member.state === 'left';
+        draft.members.set(host.hostId, { ...member, listed: true, host: moved ? host : member.host });
+      }
+    });
+  trackDomains(draft);
+};
+
+const announceEnd = (draft: Draft, phase: 'leaving' | 'left'): void => {
+  const { self, state } = draft;
+  draft.set({ phase });
+  draft.spread({ hostId: self.hostId, state: phase, incarnation: state.incarnation, host: self });
+  draft.draw(draft.neighbours(), INDIRECT_PROBES).forEach(({ host }) => draft.send(host, { type: 'ping' }));
+};
+
+/**
+ * Advances the membership of one host by one event.
+ *
+ * @param state - membership
+ * @param event - what happened
+ * @param nowMs - monotonic time
+ * @param random - source of random numbers
+ * @returns the new state and what the interpreter has to do
+ * @example
+ * const { state: next, actions } = advanceMembership(state, { type: 'tick' }, clock.monotonicMs(), Math.random);
+ */
+export default function advanceMembership(
+  state: MembershipState,
+  event: MembershipEvent,
+  nowMs: number,
+  random: Random,
+): MembershipStep {
+  const draft = new Draft(state, nowMs, random);
+  switch (event.type) {
+    case 'tick':
+      tick(draft);
+      break;
+    case 'message':
+      handleMessage(draft, event.message);
+      break;
+    case 'listed':
+      applyList(draft, event.peers);
+      break;
+    case 'synced':
+      event.updates.forEach((update) => draft.apply(update));
+      trackDomains(draft);
+      break;
+    case 'digest-changed':
+      draft.set({ digest: event.digest });
+      break;
+    case 'leaving':
+    case 'left':
+      announceEnd(draft, event.type);
+      break;
+    default:
+      exhaustive(event);
+  }
+  return draft.finish();
+}
--- /dev/null
+++ b/packages/decide/src/membership/constants.ts
@@ -0,0 +1,47 @@
+/** Interval of the `tick` event. */
+export const TICK_MS = 250;
+
+/** Interval between two probes of one host. */
+export const PROBE_PERIOD_MS = 1_000;
+
+/** Wait for a direct ack; ten times the longest round trip inside a failure domain plus a scheduling delay. */
+export const DIRECT_TIMEOUT_MS = 400;
+
+/** Wait for any ack before a suspicion; longer than a pause of 1 s, which is common and not a failure. */
+export const PROBE_TIMEOUT_MS = 1_500;
+
+/** Peers that are asked to probe indirectly. */
+export const INDIRECT_PROBES = 3;
+
+/** Verdict timeout of a suspicion for up to ten hosts; it grows with the decimal logarithm of the group. */
+export const SUSPICION_BASE_MS = 3_000;
+
+/** Hosts of a failure domain that probe the other failure domains. */
+export const REPRESENTATIVES = 2;
+
+/** Other failure domains that one representative probes in a period; bounds its traffic in large fleets. */
+export const REMOTE_PROBES_PER_PERIOD = 3;
+
+/** Silence of a failure domain before a suspicion, in rounds of remote probes. */
+export const SILENT_ROUNDS = 3;
+
+/** Wait from the suspicion of a failure domain to its verdict. */
+export const DOMAIN_SUSPICION_MS = 3_000;
+
+/** A gap between two ticks from which the host takes itself as paused and not its peers as silent. */
+export const PAUSE_THRESHOLD_MS = 1_000;
+
+/** Interval of probes of hosts under a verdict; they end wrong verdicts after a cut has healed. */
+export const RECONNECT_MS = 5_000;
+
+/** Time after which a dead or left host that the host list does not name is forgotten. */
+export const FORGET_MS = 60_000;
+
+/** Mean interval between two exchanges of the whole view with a random peer. */
+export const SYNC_MS = 30_000;
+
+/** Updates in one message; keeps a message under its size limit. */
+export const MAX_UPDATES = 8;
+
+/** Time for which a change is repeated in messages to other failure domains. */
+export const REMOTE_REPEAT_MS = 15_000;
--- a/packages/entry/src/config/createConfigHolder.ts
+++ b/packages/entry/src/config/createConfigHolder.ts
@@ -1,108 +1,47 @@
-import type { Subscription } from 'rxjs';
-import type { Clock, Timer } from '@bergamotcove/clock';
-import { HEADS_PREFIX, parseAcceptedDocument, type AcceptedDocument } from '@bergamotcove/config';
+import { parseAcceptedDocument, type AcceptedDocument } from '@bergamotcove/config';
 import type { Logger } from '@bergamotcove/log';
-import type { StoreClient, StoreEntry } from '@bergamotcove/platform';
+import type { VersionedDocument } from '@bergamotcove/protocol';
 
 /** Options of {@link createConfigHolder}. */
 export interface ConfigHolderOptions {
-  readonly clock: Clock;
   readonly logger: Logger;
-  readonly store: StoreClient;
 }
 
 /** Service documents in force on this host. */
 export interface ConfigHolder {
   get(service: string): AcceptedDocument | undefined;
   list(): readonly AcceptedDocument[];
-  /** Resolves after the documents were read once. */
-  start(): Promise<void>;
-  close(): void;
 }
 
-const RESYNC_DELAY_MS = 500;
-
-class StoreConfigHolder implements ConfigHolder {
-  private readonly documents = new Map<string, AcceptedDocument>();
-
-  private subscription: Subscription | undefined;
-
-  private timer: Timer | undefined;
-
-  private closed = false;
-
-  constructor(private readonly options: ConfigHolderOptions) {}
-
-  get(service: string): AcceptedDocument | undefined {
-    return this.documents.get(service);
-  }
-
-  list(): readonly AcceptedDocument[] {
-    return [...this.documents.values()];
-  }
-
-  async start(): Promise<void> {
-    try {
-      await this.follow();
-    } catch (cause) {
-      this.options.logger.event('storeUnavailable', { error: String(cause) });
-      this.resync();
-    }
-  }
-
-  close(): void {
-    this.closed = true;
-    this.subscription?.unsubscribe();
-    this.timer?.close();
-  }
-
-  private async follow(): Promise<void> {
-    const { entries, revision } = await this.options.store.range(HEADS_PREFIX);
-    entries.forEach((entry) => this.apply(entry));
-    const next = String(BigInt(revision) + 1n);
-    this.subscription = this.options.store.watch(HEADS_PREFIX, next).subscribe({
-      next: (event) => {
-        if (event.type === 'put') {
-          this.apply(event.entry);
-        }
-      },
-      error: () => this.resync(),
-    });
-  }
-
-  private resync(): void {
-    if (this.closed) {
-      return;
-    }
-    this.timer = this.options.clock.schedule(RESYNC_DELAY_MS, () => {
-      this.follow().catch(() => this.resync());
-    });
-  }
-
-  private apply(entry: StoreEntry): void {
-    const { logger } = this.options;
-    try {
-      const accepted = parseAcceptedDocument(entry.value, { source: entry.key });
-      const { service } = accepted.document;
-      const inForce = this.documents.get(service)?.version ?? 0;
-      if (accepted.version < inForce) {
-        logger.event('configRegressed', { service, inForce, offered: accepted.version });
-      } else if (accepted.version > inForce) {
-        this.documents.set(service, accepted);
-        logger.event('configApplied', { service, version: accepted.version });
-      }
-    } catch (cause) {
-      logger.event('configInvalid', { key: entry.key, error: String(cause) });
-    }
-  }
+/** Takes the documents that the distribution puts in force. */
+export interface DocumentSink {
+  apply(document: VersionedDocument): void;
 }
 
 /**
- * Follows the service documents in the store and keeps the highest version of each in force.
+ * Holds the service documents in force. A document replaces only a lower version of its service.
  *
- * @param options - store, clock and logger
+ * @param options - logger
  * @returns the holder
+ * @example
+ * const holder = createConfigHolder({ logger });
+ * holder.apply({ service: 'clerk', version: 2, hash, text });
  */
-export default function createConfigHolder(options: ConfigHolderOptions): ConfigHolder {
-  return new StoreConfigHolder(options);
+export default function createConfigHolder({ logger }: ConfigHolderOptions): ConfigHolder & DocumentSink {
+  const documents = new Map<string, AcceptedDocument>();
+  return {
+    get: (service) => documents.get(service),
+    list: () => [...documents.values()],
+    apply: ({ service, version, text }) => {
+      try {
+        const accepted = parseAcceptedDocument(text, { source: service });
+        if (accepted.version > (documents.get(service)?.version ?? 0)) {
+          documents.set(service, accepted);
+          logger.event('configApplied', { service, version });
+        }
+      } catch (cause) {
+        logger.event('configInvalid', { service, version, error: String(cause) });
+      }
+    },
+  };
 }
--- /dev/null
+++ b/packages/entry/src/config/readHead.ts
@@ -0,0 +1,27 @@
+import { createHash } from 'node:crypto';
+import { parseAcceptedDocument } from '@bergamotcove/config';
+import type { Logger } from '@bergamotcove/log';
+import type { StoreEntry } from '@bergamotcove/platform';
+import type { VersionedDocument } from '@bergamotcove/protocol';
+
+const HASH_CHARS = 16;
+
+/**
+ * Reads a head of the store.
+ *
+ * @param entry - key and value
+ * @param logger - receives `configInvalid` for a head that does not match the schema
+ * @returns the document with its version and hash, or undefined
+ * @example
+ * const document = readHead(entry, logger);
+ */
+export default function readHead(entry: StoreEntry, logger: Logger): VersionedDocument | undefined {
+  try {
+    const { document, version } = parseAcceptedDocument(entry.value, { source: entry.key });
+    const hash = createHash('sha256').update(entry.value).digest('hex').slice(0, HASH_CHARS);
+    return { service: document.service, version, hash, text: entry.value };
+  } catch (cause) {
+    logger.event('configInvalid', { key: entry.key, error: String(cause) });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/createControlPlane.ts
@@ -0,0 +1,213 @@
+import type { Subscription } from 'rxjs';
+import type { Clock, Timer } from '@bergamotcove/clock';
+import { HEADS_PREFIX, type Settings } from '@bergamotcove/config';
+import type { Logger } from '@bergamotcove/log';
+import {
+  createConfigDistribution,
+  createMembership,
+  type ConfigDistribution,
+  type Membership,
+} from '@bergamotcove/membership';
+import type { ListedHost, StoreClient } from '@bergamotcove/platform';
+import type { ConfigFindingStatus } from '@bergamotcove/protocol';
+import {
+  createDatagramSocket,
+  type DatagramSocket,
+  type PeerAuth,
+  type PeerClient,
+  type PeerServer,
+} from '@bergamotcove/transport';
+import type { DocumentSink } from '../config/createConfigHolder.js';
+import readHead from '../config/readHead.js';
+import type { EntryHostView, PeerDirectory } from './types.js';
+
+/** Options of {@link createControlPlane}. */
+export interface ControlPlaneOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly auth: PeerAuth;
+  readonly peerClient: PeerClient;
+  readonly store: StoreClient;
+  readonly config: DocumentSink;
+  /** Entry hosts of the last host list. */
+  readonly listEntryHosts: () => readonly ListedHost[];
+  readonly random?: () => number;
+}
+
+/** Membership and configuration distribution of this host. */
+export interface ControlPlane extends PeerDirectory {
+  /** Whether the heads of the documents were learnt. */
+  ready(): boolean;
+  findings(): readonly ConfigFindingStatus[];
+  lostDomains(): readonly string[];
+  /** The membership, for summaries inside the failure domain; undefined before `start`. */
+  membership(): Membership | undefined;
+  /** Resolves when the documents are known, or after a short wait in an outage. */
+  start(peersPort: number, server: PeerServer): Promise<void>;
+  /** Tells the peers that this host is leaving. */
+  announceLeaving(): void;
+  /** Tells the peers that this host is gone, then stops. */
+  close(): void;
+  /** Stops without a word, as a crash does. */
+  abort(): void;
+}
+
+const LIST_CHECK_MS = 1_000;
+const HOSTS_CHECK_MS = 250;
+
+/** Datagrams are sent in a later turn of the event loop; a socket that closes at once drops the last ones. */
+const LINGER_MS = 50;
+
+/** Running parts of the control plane. */
+interface Parts {
+  readonly membership: Membership;
+  readonly distribution: ConfigDistribution;
+  readonly socket: DatagramSocket;
+  readonly news: Subscription;
+}
+
+const toListed = (host: ListedHost) => ({
+  host: {
+    hostId: host.id,
+    address: host.address,
+    peersPort: host.peerPort ?? 0,
+    failureDomain: host.failureDomain,
+    region: host.region,
+  },
+  leaving: host.state === 'leaving',
+});
+
+const createParts = async (options: ControlPlaneOptions, self: EntryHostView): Promise<Parts> => {
+  const { auth, clock, logger, config, store, peerClient } = options;
+  const common = { clock, logger, peerClient, self, random: options.random ?? Math.random };
+  let receive: (bytes: Uint8Array) => void = () => undefined;
+  const socket = await createDatagramSocket({
+    address: self.address,
+    port: self.peersPort,
+    auth,
+    onMessage: (bytes) => receive(bytes),
+    onRefused: (error) => logger.event('peerDatagramRefused', { error: error.message }),
+  });
+  const membership = createMembership({
+    ...common,
+    send: (to, bytes) => socket.send({ address: to.address, port: to.peersPort }, bytes),
+  });
+  receive = (bytes) => membership.receive(bytes);
+  const distribution = createConfigDistribution({
+    ...common,
+    store,
+    headsPrefix: HEADS_PREFIX,
+    readHead: (entry) => readHead(entry, logger),
+    onApply: config.apply,
+    onDigest: (digest) => membership.setDigest(digest),
+  });
+  const news = membership.news.subscribe((item) => {
+    if (item.type === 'digest-heard') {
+      distribution.noteDigest(item.from, item.digest);
+    } else if (item.type === 'woke') {
+      distribution.noteWoke();
+    }
+  });
+  return { membership, distribution, socket, news };
+};
+
+/** Control plane of one host. */
+class HostControlPlane implements ControlPlane {
+  private readonly timers = new Map<string, Timer>();
+
+  private parts: Parts | undefined;
+
+  private liveKey = '';
+
+  private self: EntryHostView;
+
+  constructor(private readonly options: ControlPlaneOptions) {
+    const { host, peers } = options.settings;
+    const { address, failureDomain, region } = host;
+    this.self = { hostId: host.id, address, failureDomain, region, peersPort: peers.port };
+  }
+
+  liveHosts(): readonly EntryHostView[] {
+    return this.parts?.membership.liveHosts() ?? [this.self];
+  }
+
+  ready(): boolean {
+    return this.parts?.distribution.ready() ?? false;
+  }
+
+  findings(): readonly ConfigFindingStatus[] {
+    return this.parts?.distribution.findings() ?? [];
+  }
+
+  lostDomains(): readonly string[] {
+    const domains = this.parts?.membership.state().domains ?? new Map();
+    return [...domains].flatMap(([name, { state }]) => (state === 'lost' ? [name] : []));
+  }
+
+  membership(): Membership | undefined {
+    return this.parts?.membership;
+  }
+
+  async start(peersPort: number, server: PeerServer): Promise<void> {
+    this.self = { ...this.self, peersPort };
+    this.parts = await createParts(this.options, this.self);
+    const { membership, distribution } = this.parts;
+    membership.register(server);
+    distribution.register(server);
+    membership.start();
+    this.repeat('list', LIST_CHECK_MS, () => membership.setListed(this.options.listEntryHosts().map(toListed)));
+    this.repeat('hosts', HOSTS_CHECK_MS, () => this.passHosts());
+    await distribution.start();
+  }
+
+  announceLeaving(): void {
+    this.parts?.membership.announceLeaving();
+  }
+
+  close(): void {
+    this.timers.forEach((timer) => timer.close());
+    this.parts?.news.unsubscribe();
+    this.parts?.distribution.close();
+    this.parts?.membership.close();
+    this.options.clock.schedule(LINGER_MS, () => this.parts?.socket.close());
+  }
+
+  abort(): void {
+    this.parts?.socket.close();
+    this.close();
+  }
+
+  /** Tells the distribution when the live hosts changed. */
+  private passHosts(): void {
+    const hosts = this.liveHosts();
+    const key = hosts
+      .map(({ hostId, address, peersPort }) => `${hostId}=${address}:${peersPort}`)
+      .sort()
+      .join(' ');
+    if (key !== this.liveKey) {
+      this.liveKey = key;
+      this.parts?.distribution.setHosts(hosts);
+    }
+  }
+
+  private repeat(name: string, periodMs: number, run: () => void): void {
+    run();
+    this.timers.set(
+      name,
+      this.options.clock.schedule(periodMs, () => this.repeat(name, periodMs, run)),
+    );
+  }
+}
+
+/**
+ * Creates the control plane of an entry host.
+ *
+ * @param options - parts that it uses
+ * @returns the control plane; it knows only this host before `start`
+ * @example
+ * const control = createControlPlane({ ...base, config: holder, listEntryHosts });
+ */
+export default function createControlPlane(options: ControlPlaneOptions): ControlPlane {
+  return new HostControlPlane(options);
+}
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -20,9 +20,9 @@
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
-import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
+import createConfigHolder, { type ConfigHolder, type DocumentSink } from './config/createConfigHolder.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
-import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
 import createDispatcher from './requests/createDispatcher.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
@@ -58,7 +58,8 @@
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
-  readonly config: ConfigHolder;
+  readonly config: ConfigHolder & DocumentSink;
+  readonly control: ControlPlane;
 }
 
 const STATUS_OK = 200;
@@ -78,6 +79,10 @@
   });
   const { url, pollMs } = settings.hostList;
   const fetchList = () => fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs });
+  const directory = createServerDirectory({ clock, logger, pollMs, fetchList });
+  const config = createConfigHolder({ logger });
+  const peerClient = createPeerClient(http, { auth });
+  const { listEntryHosts } = directory;
   return {
     settings,
     clock,
@@ -85,11 +90,12 @@
     metrics,
     http,
     auth,
-    peerClient: createPeerClient(http, { auth }),
+    peerClient,
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
-    directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
-    config: createConfigHolder({ clock, logger, store }),
+    directory,
+    config,
+    control: createControlPlane({ settings, clock, logger, auth, peerClient, store, config, listEntryHosts }),
   };
 };
 
@@ -128,28 +134,13 @@
     } else if (path === '/healthz') {
       sendJson(response, STATUS_OK, { status: 'live' });
     } else if (path === '/readyz') {
-      const ready = !drainState.draining && base.config.list().length > 0;
+      const ready = !drainState.draining && base.control.ready();
       sendJson(response, ready ? STATUS_OK : STATUS_UNAVAILABLE, { ready, draining: drainState.draining });
     } else {
       sendJson(response, STATUS_NOT_FOUND, { error: `no resource at ${path}` });
     }
   };
 
-/** Live entry hosts according to the host list; this host is always among them. */
-const createPeerDirectory = (base: Base): PeerDirectory => {
-  const { host, peers } = base.settings;
-  const self: EntryHostView = { ...host, hostId: host.id, peersPort: peers.port };
-  return {
-    liveHosts: () => {
-      const listed = base.directory
-        .listEntryHosts()
-        .filter((entry) => entry.state === 'live')
-        .map((entry): EntryHostView => ({ ...entry, hostId: entry.id, peersPort: entry.peerPort ?? 0 }));
-      return listed.some((entry) => entry.hostId === self.hostId) ? listed : [...listed, self];
-    },
-  };
-};
-
 const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
   const wait = (delayMs: number): Promise<void> =>
     new Promise((resolve) => {
@@ -159,6 +150,7 @@
     const { balancerLagMs, timeoutMs } = base.settings.drain;
     const state = drainState;
     state.draining = true;
+    base.control.announceLeaving();
     base.logger.event('drainStarted', { inFlight: requests.inFlight() });
     await wait(balancerLagMs);
     const result = await Promise.race([requests.idle(), wait(timeoutMs).then(() => 'timeout' as const)]);
@@ -178,12 +170,11 @@
 interface OperatedParts {
   readonly requests: RequestService;
   readonly drainState: DrainState;
-  readonly peerDirectory: PeerDirectory;
   readonly drain: () => Promise<void>;
 }
 
 const createPeerMethods = (base: Base, parts: OperatedParts): PeerServer => {
-  const { requests, drainState, peerDirectory, drain } = parts;
+  const { requests, drainState, drain } = parts;
   const { id: hostId, failureDomain, region } = base.settings.host;
   const peerServer = createPeerServer({
     auth: base.auth,
@@ -194,11 +185,13 @@
       hostId,
       failureDomain,
       region,
-      ready: !drainState.draining && base.config.list().length > 0,
+      ready: !drainState.draining && base.control.ready(),
       draining: drainState.draining,
       inFlight: requests.inFlight(),
-      entryHosts: peerDirectory.liveHosts().map((peer) => peer.hostId),
+      entryHosts: base.control.liveHosts().map((peer) => peer.hostId),
       services: base.config.list().map(({ document, version }) => ({ service: document.service, version })),
+      configFindings: base.control.findings(),
+      lostDomains: base.control.lostDomains(),
     }),
     trace: base.tracer.findTrace,
     drain: () => {
@@ -217,17 +210,17 @@
  */
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
-  const peerDirectory = createPeerDirectory(base);
   const requests = createRequests(base);
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
-  const peerServer = createPeerMethods(base, { requests, drainState, peerDirectory, drain: () => drain() });
-  await Promise.all([base.directory.start(), base.config.start()]);
+  const peerServer = createPeerMethods(base, { requests, drainState, drain: () => drain() });
+  await base.directory.start();
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
+  await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const close = async (): Promise<void> => {
     base.directory.close();
-    base.config.close();
+    base.control.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     base.http.close();
     base.store.close();
@@ -242,6 +235,7 @@
     close,
     setPeerKeys: base.auth.setKeys,
     abort: () => {
+      base.control.abort();
       callers.abort();
       peers.abort();
       base.http.close();
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -24,11 +24,22 @@
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
   configInvalid: { id: 4002, level: 'error', text: 'A service document in the store does not match the schema.' },
-  configRegressed: { id: 4003, level: 'error', text: 'The store offers an older version than the one in force.' },
+  configRegressed: {
+    id: 4003,
+    level: 'error',
+    text: 'An older version, or other content of the same version, is offered and not followed.',
+  },
   hostListUnavailable: { id: 5001, level: 'warn', text: 'The host list does not answer; the last list stays in use.' },
   peerCallRefused: { id: 6001, level: 'warn', text: 'A peer call had no valid signature; compare the peer keys.' },
   peerKeysChanged: { id: 6002, level: 'info', text: 'The peer keys were read again and are in use.' },
   settingsUnreadable: { id: 6003, level: 'error', text: 'The settings could not be read again; the old ones stay.' },
+  peerMessageInvalid: { id: 6004, level: 'warn', text: 'A signed datagram is not a message; compare the versions.' },
+  peerDatagramRefused: { id: 6005, level: 'debug', text: 'A datagram was dropped: size, signature or socket.' },
+  memberChanged: { id: 7001, level: 'info', text: 'The state of another entry host changed in this view.' },
+  domainChanged: { id: 7002, level: 'warn', text: 'The state of another failure domain changed in this view.' },
+  hostPaused: { id: 7003, level: 'warn', text: 'This process did not run for a while and judges its peers anew.' },
+  configLearnt: { id: 4004, level: 'info', text: 'The heads of all documents are known; the host turns ready.' },
+  configFindingCleared: { id: 4005, level: 'info', text: 'The store agrees again with the document in force.' },
 } as const satisfies Record<string, LogEventSpec>;
 
 /** Name of a catalogued event. */
--- /dev/null
+++ b/packages/membership/src/createMembership.ts
@@ -0,0 +1,231 @@
+import { Subject, type Observable } from 'rxjs';
+import type { Clock, Timer } from '@bergamotcove/clock';
+import {
+  advanceMembership,
+  createMembershipState,
+  listLiveMembers,
+  TICK_MS,
+  type ListedPeer,
+  type MembershipAction,
+  type MembershipEvent,
+  type MembershipState,
+} from '@bergamotcove/decide';
+import { exhaustive } from '@bergamotcove/errors';
+import type { Logger } from '@bergamotcove/log';
+import {
+  chooseVersion,
+  decodeMessage,
+  encodeMessage,
+  membershipSyncSchema,
+  ProtocolError,
+  type ControlMessage,
+  type MemberUpdate,
+  type PeerAddress,
+} from '@bergamotcove/protocol';
+import type { PeerClient, PeerServer } from '@bergamotcove/transport';
+import { PEER_TIMEOUT_MS } from './constants.js';
+
+/** Options of {@link createMembership}. */
+export interface MembershipOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly self: PeerAddress;
+  readonly peerClient: PeerClient;
+  /** Sends one datagram; it may be lost. */
+  readonly send: (to: PeerAddress, bytes: Uint8Array) => void;
+}
+
+/** A peer's digest of its documents, or its load or suspicion summary. */
+export type PeerNews = Extract<MembershipAction, { type: 'digest-heard' | 'summary-heard' | 'woke' }>;
+
+/** Live entry hosts as this host sees them. */
+export interface Membership {
+  state(): MembershipState;
+  /** Live hosts, this one included. */
+  liveHosts(): readonly PeerAddress[];
+  /** What peers say beside membership, and the end of a pause of this host. */
+  readonly news: Observable<PeerNews>;
+  /** Takes the content of a datagram. */
+  receive(bytes: Uint8Array): void;
+  /** Takes the host list. */
+  setListed(peers: readonly ListedPeer[]): void;
+  setDigest(digest: string): void;
+  /** Sends a summary to every live host of the own failure domain. */
+  broadcastSummary(topic: string, payload: Uint8Array): void;
+  /** Announces a planned stop. */
+  announceLeaving(): void;
+  /** Registers `membership.sync`. */
+  register(server: PeerServer): void;
+  start(): void;
+  close(): void;
+}
+
+const describeAll = ({ self, incarnation, phase, members }: MembershipState): readonly MemberUpdate[] => [
+  { hostId: self.hostId, state: phase, incarnation, host: self },
+  ...[...members.values()].map((member) => ({
+    hostId: member.host.hostId,
+    state: member.state,
+    incarnation: member.incarnation,
+    host: member.host,
+  })),
+];
+
+/** Interpreter of the membership reducer. */
+class ReducedMembership implements Membership {
+  private readonly subject = new Subject<PeerNews>();
+
+  private readonly versions = new Map<string, number>();
+
+  private current: MembershipState;
+
+  private timer: Timer | undefined;
+
+  private closed = false;
+
+  readonly news = this.subject.asObservable();
+
+  constructor(private readonly options: MembershipOptions) {
+    this.current = createMembershipState(options.self, options.clock.monotonicMs());
+  }
+
+  state(): MembershipState {
+    return this.current;
+  }
+
+  liveHosts(): readonly PeerAddress[] {
+    return [this.options.self, ...listLiveMembers(this.current).map(({ host }) => host)];
+  }
+
+  receive(bytes: Uint8Array): void {
+    try {
+      const { message, version } = decodeMessage(bytes);
+      this.versions.set(message.from.hostId, version);
+      this.handle({ type: 'message', message });
+    } catch (cause) {
+      if (!(cause instanceof ProtocolError)) {
+        throw cause;
+      }
+      this.options.logger.event('peerMessageInvalid', { error: cause.message });
+    }
+  }
+
+  setListed(peers: readonly ListedPeer[]): void {
+    this.handle({ type: 'listed', peers });
+  }
+
+  setDigest(digest: string): void {
+    this.handle({ type: 'digest-changed', digest });
+  }
+
+  broadcastSummary(topic: string, payload: Uint8Array): void {
+    const { self } = this.options;
+    const header = { from: self, incarnation: this.current.incarnation, sequence: 0, updates: [], domains: [] };
+    this.liveHosts()
+      .filter((host) => host.failureDomain === self.failureDomain && host.hostId !== self.hostId)
+      .forEach((host) => this.send(host, { type: 'summary', ...header, digest: '', topic, payload }));
+  }
+
+  announceLeaving(): void {
+    this.handle({ type: 'leaving' });
+  }
+
+  register(server: PeerServer): void {
+    server.register('membership.sync', (params) => {
+      this.applyView(params);
+      return { from: this.options.self.hostId, updates: describeAll(this.current) };
+    });
+  }
+
+  start(): void {
+    this.timer = this.options.clock.schedule(TICK_MS, () => {
+      this.handle({ type: 'tick' });
+      if (!this.closed) {
+        this.start();
+      }
+    });
+  }
+
+  close(): void {
+    this.handle({ type: 'left' });
+    this.closed = true;
+    this.timer?.close();
+    this.subject.complete();
+  }
+
+  private handle(event: MembershipEvent): void {
+    if (this.closed) {
+      return;
+    }
+    const { clock, random } = this.options;
+    const { state, actions } = advanceMembership(this.current, event, clock.monotonicMs(), random);
+    this.current = state;
+    actions.forEach((action) => this.perform(action));
+  }
+
+  private perform(action: MembershipAction): void {
+    const { logger } = this.options;
+    switch (action.type) {
+      case 'send':
+        this.send(action.to, action.message);
+        break;
+      case 'sync':
+        this.sync(action.peer).catch(() => undefined);
+        break;
+      case 'member-changed':
+        logger.event('memberChanged', { peer: action.host.hostId, state: action.state });
+        break;
+      case 'domain-changed':
+        logger.event('domainChanged', { domain: action.failureDomain, state: action.state });
+        break;
+      case 'woke':
+        logger.event('hostPaused', { pausedMs: action.pausedMs });
+        this.subject.next(action);
+        break;
+      case 'digest-heard':
+      case 'summary-heard':
+        this.subject.next(action);
+        break;
+      default:
+        exhaustive(action);
+    }
+  }
+
+  /** Sends a message; one that is too large loses updates, which spread with later messages. */
+  private send(to: PeerAddress, message: ControlMessage): void {
+    const version = chooseVersion(this.versions.get(to.hostId));
+    try {
+      this.options.send(to, encodeMessage(message, version));
+    } catch (cause) {
+      const { updates } = message;
+      if (!(cause instanceof ProtocolError) || updates.length === 0) {
+        throw cause;
+      }
+      this.send(to, { ...message, updates: updates.slice(0, Math.floor(updates.length / 2)) });
+    }
+  }
+
+  private applyView(value: unknown): void {
+    const { updates } = membershipSyncSchema.parse(value);
+    this.handle({ type: 'synced', updates });
+  }
+
+  private async sync(peer: PeerAddress): Promise<void> {
+    const { peerClient, self } = this.options;
+    const params = { from: self.hostId, updates: describeAll(this.current) };
+    const target = { address: peer.address, port: peer.peersPort };
+    this.applyView(await peerClient.call(target, 'membership.sync', params, { timeoutMs: PEER_TIMEOUT_MS }));
+  }
+}
+
+/**
+ * Creates the membership of a host.
+ *
+ * @param options - clock, own address and ways to reach peers
+ * @returns the membership; it probes from `start` to `close`
+ * @example
+ * const membership = createMembership({ clock, logger, random: Math.random, self, peerClient, send });
+ */
+export default function createMembership(options: MembershipOptions): Membership {
+  return new ReducedMembership(options);
+}
--- a/packages/protocol/src/operator.ts
+++ b/packages/protocol/src/operator.ts
@@ -11,6 +11,19 @@
   /** Ids of the entry hosts that this host believes to be live. */
   readonly entryHosts: readonly string[];
   readonly services: readonly ServiceStatus[];
+  /** Document versions that are offered to this host and not followed. */
+  readonly configFindings?: readonly ConfigFindingStatus[];
+  /** Failure domains that this host believes to be lost. */
+  readonly lostDomains?: readonly string[];
+}
+
+/** A document version that the store or a peer offers and that is not followed. */
+export interface ConfigFindingStatus {
+  readonly type: 'store-regressed' | 'hash-conflict';
+  readonly service: string;
+  readonly inForce: number;
+  readonly offered: number;
+  readonly source: string;
 }
 
 /** Version of a service document in force on a host. */
--- a/packages/transport/src/datagrams/createDatagramSocket.ts
+++ b/packages/transport/src/datagrams/createDatagramSocket.ts
@@ -73,8 +73,10 @@
       socket.on('error', refuse);
       socket.on('message', (bytes, { address: from, port }) => receive(bytes, { address: from, port }));
       const close = (): void => {
-        closed = true;
-        socket.close();
+        if (!closed) {
+          closed = true;
+          socket.close();
+        }
       };
       resolve({ port: socket.address().port, send, close });
     });
