Ready: guard calls to the store with one breaker and one retry budget, and hold leases in one place

Cause: each caller of the store retried by its own rules and no code fenced a lease holder after a pause.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -4,3 +4,4 @@
 export { default as chooseServer } from './routing/chooseServer.js';
 export * from './membership/index.js';
 export * from './convergence/index.js';
+export * from './lease/index.js';
--- /dev/null
+++ b/packages/decide/src/lease/index.ts
@@ -0,0 +1,4 @@
+/** Leases of the store as their holder sees them. */
+export * from './types.js';
+export { default as advanceLease } from './advanceLease.js';
+export { default as isLeaseHeld } from './isLeaseHeld.js';
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -1,7 +1,7 @@
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
-import { createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
 import {
   createHttpClient,
@@ -73,10 +73,11 @@
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
   const auth = createPeerAuth({ clock, keys: settings.peers.keys });
-  const store = createStoreClient({
+  const client = createStoreClient({
     ...settings.store,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
   });
+  const store = createGuardedStore(client, { clock, random: Math.random });
   const { url, pollMs } = settings.hostList;
   const fetchList = () => fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs });
   const directory = createServerDirectory({ clock, logger, pollMs, fetchList });
