--- a/packages/decide/src/request/createRequestState.ts
+++ b/packages/decide/src/request/createRequestState.ts
@@ -17,6 +17,8 @@
     text: '',
     tokenCount: 0,
     claimed: false,
+    contended: false,
+    mayHaveRun: false,
     suspectServers: [],
   };
 }
--- a/packages/entry/src/peers/createControlPlane.ts
+++ b/packages/entry/src/peers/createControlPlane.ts
@@ -156,7 +156,8 @@
     membership.register(server);
     distribution.register(server);
     membership.start();
-    this.repeat('list', LIST_CHECK_MS, () => membership.setListed(this.options.listEntryHosts().map(toListed)));
+    const listCheckMs = Math.min(LIST_CHECK_MS, this.options.settings.hostList.pollMs);
+    this.repeat('list', listCheckMs, () => membership.setListed(this.options.listEntryHosts().map(toListed)));
     this.repeat('hosts', HOSTS_CHECK_MS, () => this.passHosts());
     await distribution.start();
   }
--- a/packages/entry/src/requests/startRun.ts
+++ b/packages/entry/src/requests/startRun.ts
@@ -19,6 +19,8 @@
   | { readonly type: 'sent'; readonly serverId: string }
   | { readonly type: 'tokens'; readonly firstTokenIndex: number; readonly tokens: readonly string[] }
   | { readonly type: 'answered'; readonly output: unknown }
+  /** The attempt is slow and the hedge budget has room for a second one. */
+  | { readonly type: 'hedge-due' }
   | { readonly type: 'failed'; readonly failure: AttemptFailure; readonly retryAllowed: boolean };
 
 /** The action that starts an attempt. */
@@ -28,7 +30,8 @@
 export interface RunPorts {
   readonly clock: Clock;
   readonly dispatch: (action: DispatchAction) => Observable<AttemptEvent>;
-  readonly claim: () => Promise<ClaimDecision>;
+  /** Claims the key; `onContended` is called when another request holds it. */
+  readonly claim: (onContended: () => void) => Promise<ClaimDecision>;
   readonly record: (result: RequestResult) => Promise<void>;
 }
 
@@ -40,6 +43,8 @@
       return { type: 'tokens-arrived', attemptId, firstTokenIndex: event.firstTokenIndex, tokens: event.tokens };
     case 'answered':
       return { type: 'attempt-answered', attemptId, output: event.output };
+    case 'hedge-due':
+      return { type: 'hedge-due', attemptId };
     case 'failed':
       return { type: 'attempt-failed', attemptId, failure: event.failure, retryAllowed: event.retryAllowed };
     default:
@@ -83,7 +88,12 @@
   private perform(action: RequestAction): void {
     switch (action.type) {
       case 'claim':
-        this.ports.claim().then((decision) => this.handle({ type: 'claim-decided', decision }));
+        this.ports
+          .claim(() => this.handle({ type: 'claim-contended' }))
+          .then((decision) => this.handle({ type: 'claim-decided', decision }));
+        break;
+      case 'release':
+        this.ports.record(action.result).catch(() => undefined);
         break;
       case 'dispatch':
         this.dispatch(action);
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -2,6 +2,7 @@
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import type { HostStatus } from '@bergamotcove/protocol';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
 import {
   createHttpClient,
@@ -16,14 +17,19 @@
   type PeerAuth,
   type PeerClient,
   type PeerKey,
-  type PeerServer,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
+import type { ClaimBook } from './claims/types.js';
 import createConfigHolder, { type ConfigHolder, type DocumentSink } from './config/createConfigHolder.js';
+import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
-import createDispatcher from './requests/createDispatcher.js';
+import type { PeerDirectory } from './peers/types.js';
+import createDownCheck from './poison/createDownCheck.js';
+import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
+import createStatusQuery from './requests/createStatusQuery.js';
+import createRouting from './servers/createRouting.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
 
@@ -100,15 +106,34 @@
   };
 };
 
-const createRequests = (base: Base): RequestService => {
-  const { failureDomain, region } = base.settings.host;
-  return createRequestService({
+/** Requests and the parts behind them that have timers. */
+interface RequestParts {
+  readonly requests: RequestService;
+  close(): void;
+}
+
+/** Parts that requests are built from. */
+interface RequestNeeds {
+  readonly claims: ClaimBook;
+  readonly poison: PoisonGuard;
+  readonly peers: PeerDirectory;
+}
+
+const createRequests = (base: Base, { claims, poison, peers }: RequestNeeds): RequestParts => {
+  const routing = createRouting(base, peers);
+  const requests = createRequestService({
     clock: base.clock,
     config: base.config,
-    claims: createClaimBook(base.store),
+    claims,
+    poison,
+    queryStatus: createStatusQuery(base.http, base.directory),
     tracer: base.tracer,
-    dispatch: createDispatcher({ ...base, random: Math.random, failureDomain, region }),
+    admit: (plan, document) => routing.gate.admit(plan, document),
+    dispatch: routing.dispatch,
     onFinished: (plan, result, durationMs) => {
+      if (result.type === 'answered') {
+        routing.estimates.learnRun(plan, durationMs);
+      }
       const tags = { service: plan.service, result: result.type };
       base.metrics.report('request.count', 1, tags);
       base.metrics.report('request.duration', durationMs, tags);
@@ -118,6 +143,7 @@
       }
     },
   });
+  return { requests, close: () => routing.close() };
 };
 
 /** State of a planned stop. */
@@ -129,6 +155,10 @@
   (base: Base, requests: RequestService, drainState: DrainState) =>
   async (exchange: HttpExchange): Promise<void> => {
     const { path, response } = exchange;
+    if (drainState.draining) {
+      // Callers and the balancer open their next connection elsewhere.
+      response.setHeader('connection', 'close');
+    }
     const service = exchange.request.method === 'POST' ? matchServicePath(path) : undefined;
     if (service !== undefined) {
       await handleCallerRequest(exchange, service, requests);
@@ -142,21 +172,45 @@
     }
   };
 
-const createDrain = (base: Base, requests: RequestService, drainState: DrainState, close: () => Promise<void>) => {
-  const wait = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      base.clock.schedule(delayMs, resolve);
-    });
-  return async (): Promise<void> => {
-    const { balancerLagMs, timeoutMs } = base.settings.drain;
-    const state = drainState;
-    state.draining = true;
-    base.control.announceLeaving();
-    base.logger.event('drainStarted', { inFlight: requests.inFlight() });
-    await wait(balancerLagMs);
-    const result = await Promise.race([requests.idle(), wait(timeoutMs).then(() => 'timeout' as const)]);
-    base.logger.event(result === 'timeout' ? 'drainTimedOut' : 'drainFinished', { inFlight: requests.inFlight() });
-    await close();
+interface DrainParts {
+  readonly requests: RequestService;
+  readonly claims: ClaimBook;
+  readonly drainState: DrainState;
+  readonly close: () => Promise<void>;
+  readonly abort: () => void;
+}
+
+const wireDrain = (base: Base, { requests, claims, drainState, close, abort }: DrainParts): (() => Promise<void>) => {
+  const state = drainState;
+  return createDrain({
+    ...base,
+    ...base.settings.drain,
+    onStart: () => {
+      state.draining = true;
+      base.control.announceLeaving();
+    },
+    inFlight: () => requests.inFlight(),
+    idle: () => requests.idle(),
+    flush: (limitMs) => claims.flush(limitMs),
+    close,
+    abort,
+  });
+};
+
+const readStatus = (base: Base, requests: RequestService, drainState: DrainState): HostStatus => {
+  const { id: hostId, failureDomain, region } = base.settings.host;
+  const services = base.config.list();
+  return {
+    hostId,
+    failureDomain,
+    region,
+    ready: !drainState.draining && base.control.ready(),
+    draining: drainState.draining,
+    inFlight: requests.inFlight(),
+    entryHosts: base.control.liveHosts().map((peer) => peer.hostId),
+    services: services.map(({ document, version }) => ({ service: document.service, version })),
+    configFindings: base.control.findings(),
+    lostDomains: base.control.lostDomains(),
   };
 };
 
@@ -167,39 +221,37 @@
     onError: (error) => base.logger.event('processFailed', { error: error.message }),
   });
 
-/** Parts that operators ask about. */
-interface OperatedParts {
+interface StopParts {
   readonly requests: RequestService;
-  readonly drainState: DrainState;
-  readonly drain: () => Promise<void>;
+  readonly claims: ClaimBook;
+  readonly closeRequests: () => void;
+  readonly callers: HttpServer;
+  readonly peers: HttpServer;
 }
 
-const createPeerMethods = (base: Base, parts: OperatedParts): PeerServer => {
-  const { requests, drainState, drain } = parts;
-  const { id: hostId, failureDomain, region } = base.settings.host;
-  const peerServer = createPeerServer({
-    auth: base.auth,
-    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
-  });
-  registerOperatorMethods(peerServer, {
-    status: () => ({
-      hostId,
-      failureDomain,
-      region,
-      ready: !drainState.draining && base.control.ready(),
-      draining: drainState.draining,
-      inFlight: requests.inFlight(),
-      entryHosts: base.control.liveHosts().map((peer) => peer.hostId),
-      services: base.config.list().map(({ document, version }) => ({ service: document.service, version })),
-      configFindings: base.control.findings(),
-      lostDomains: base.control.lostDomains(),
-    }),
-    trace: base.tracer.findTrace,
-    drain: () => {
-      drain().catch(() => undefined);
-    },
-  });
-  return peerServer;
+/** Closes every part, in order or at once. */
+const createStop = (base: Base, { requests, claims, closeRequests, callers, peers }: StopParts) => {
+  const close = async (): Promise<void> => {
+    base.directory.close();
+    closeRequests();
+    base.control.close();
+    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    claims.close();
+    requests.close();
+    base.http.close();
+    base.store.close();
+    base.tracer.close();
+  };
+  const abort = (): void => {
+    base.control.abort();
+    claims.close();
+    callers.abort();
+    peers.abort();
+    base.http.close();
+    base.store.close();
+    close().catch(() => undefined);
+  };
+  return { close, abort };
 };
 
 /**
@@ -211,37 +263,37 @@
  */
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
-  const requests = createRequests(base);
+  const peerServer = createPeerServer({
+    auth: base.auth,
+    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
+  });
+  const peerParts = { ...base, peers: base.peerClient, peerServer, directory: base.control, hostId: settings.host.id };
+  const claims = createClaimBook(peerParts);
+  const isDown = createDownCheck(base.http, base.directory);
+  const poison = createPoisonGuard({ ...peerParts, isDown });
+  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: base.control });
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
-  const peerServer = createPeerMethods(base, { requests, drainState, drain: () => drain() });
+  registerOperatorMethods(peerServer, {
+    status: () => readStatus(base, requests, drainState),
+    trace: base.tracer.findTrace,
+    drain: () => {
+      drain().catch(() => undefined);
+    },
+  });
   await base.directory.start();
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const close = async (): Promise<void> => {
-    base.directory.close();
-    base.control.close();
-    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
-    base.http.close();
-    base.store.close();
-    base.tracer.close();
-  };
-  drain = createDrain(base, requests, drainState, close);
+  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
+  drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
     callersPort: callers.port,
     peersPort: peers.port,
     drain,
     close,
+    abort,
     setPeerKeys: base.auth.setKeys,
-    abort: () => {
-      base.control.abort();
-      callers.abort();
-      peers.abort();
-      base.http.close();
-      base.store.close();
-      close().catch(() => undefined);
-    },
   };
 }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -20,6 +20,7 @@
   requestRefused: { id: 2001, level: 'info', text: 'A request ended without an answer; see its outcome.' },
   requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
   attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
+  requestPoisoned: { id: 2101, level: 'warn', text: 'A request crashed two servers; release it with releasePoison.' },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
@@ -40,6 +41,15 @@
   hostPaused: { id: 7003, level: 'warn', text: 'This process did not run for a while and judges its peers anew.' },
   configLearnt: { id: 4004, level: 'info', text: 'The heads of all documents are known; the host turns ready.' },
   configFindingCleared: { id: 4005, level: 'info', text: 'The store agrees again with the document in force.' },
+  plannerStarted: { id: 8001, level: 'info', text: 'This host gives the orders to the engines of a pool.' },
+  plannerStopped: { id: 8002, level: 'info', text: 'This host no longer gives the orders to the engines of a pool.' },
+  engineOrdered: { id: 8003, level: 'info', text: 'An engine accepted an order.' },
+  engineOrderFailed: {
+    id: 7004,
+    level: 'warn',
+    text: 'An engine did not take an order; the next round gives it again.',
+  },
+  plannerRoundFailed: { id: 8005, level: 'warn', text: 'The store or the engines did not answer a planning round.' },
 } as const satisfies Record<string, LogEventSpec>;
 
 /** Name of a catalogued event. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,4 +8,6 @@
 export { default as encodeMessage } from './control/encodeMessage.js';
 export * from './operator.js';
 export * from './config.js';
+export * from './claims.js';
+export * from './poison.js';
 export * from './membershipSyncSchema.js';
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,4 +1,4 @@
-import http, { type IncomingMessage } from 'node:http';
+import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
 
@@ -17,6 +17,10 @@
   readonly signal?: AbortSignal;
   /** Called when the connection exists, just before the first byte of the request is written. */
   readonly onSending?: () => void;
+  /** Asked when the connection exists; false gives the request up as `not-connected` before any byte is written. */
+  readonly maySend?: () => boolean;
+  /** Opens a connection for this request alone, because a kept one may break before the server reads from it. */
+  readonly freshConnection?: boolean;
 }
 
 /** A whole HTTP response. */
@@ -32,6 +36,7 @@
   send(target: Target, request: HttpRequest): Promise<HttpResponse>;
   /** Sends a request and returns the response as soon as its headers arrived. */
   open(target: Target, request: HttpRequest): Promise<IncomingMessage>;
+  /** Breaks every connection; later requests fail as `not-connected`. */
   close(): void;
 }
 
@@ -44,6 +49,64 @@
     : new TransportError('not-connected', 'no connection could be made', { cause });
 };
 
+/** Runs the callback once the request has a connection, new or kept. */
+const whenConnected = (outgoing: http.ClientRequest, run: () => void): void => {
+  outgoing.on('socket', (socket) => {
+    if (socket.connecting) {
+      socket.once('connect', run);
+    } else {
+      run();
+    }
+  });
+};
+
+const formatOptions = (target: Target, request: HttpRequest, agent: http.Agent): http.RequestOptions => ({
+  agent,
+  host: target.address,
+  port: target.port,
+  method: request.method,
+  path: request.path,
+  headers: { ...request.headers, 'content-length': Buffer.byteLength(request.body ?? '') },
+});
+
+/** Cancels a request; the option `signal` of Node would attach its own observers to request and response as well. */
+const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal): void => {
+  const destroy = (): void => {
+    outgoing.destroy(new Error('the request was cancelled'));
+  };
+  if (signal.aborted) {
+    destroy();
+    return;
+  }
+  signal.addEventListener('abort', destroy, { once: true });
+  outgoing.once('close', () => signal.removeEventListener('abort', destroy));
+};
+
+/** Sends a request and resolves with the response as soon as its headers arrived. */
+const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    let sent = false;
+    const outgoing = http.request(formatOptions(target, request, agent));
+    if (request.signal !== undefined) {
+      destroyOnAbort(outgoing, request.signal);
+    }
+    outgoing.on('response', (response) => {
+      // A response that is cancelled after its reader has finished reports an error that nobody awaits.
+      response.on('error', () => undefined);
+      resolve(response);
+    });
+    outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
+    whenConnected(outgoing, () => {
+      if (request.signal?.aborted === true || request.maySend?.() === false) {
+        outgoing.destroy(new Error('the request was given up before it was sent'));
+        return;
+      }
+      sent = true;
+      request.onSending?.();
+      outgoing.end(request.body ?? '');
+    });
+  });
+
 /**
  * Creates an HTTP client.
  *
@@ -55,42 +118,13 @@
  */
 export default function createHttpClient(options: { readonly maxSockets?: number } = {}): HttpClient {
   const agent = new http.Agent({ keepAlive: true, maxSockets: options.maxSockets ?? Infinity });
+  const freshAgent = new http.Agent({ keepAlive: false });
+  let closed = false;
 
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
-    new Promise((resolve, reject) => {
-      let sent = false;
-      const body = request.body ?? '';
-      const outgoing = http.request({
-        agent,
-        host: target.address,
-        port: target.port,
-        method: request.method,
-        path: request.path,
-        headers: { ...request.headers, 'content-length': Buffer.byteLength(body) },
-        ...(request.signal === undefined ? {} : { signal: request.signal }),
-      });
-      outgoing.on('response', (response) => {
-        // A response that is cancelled after its reader has finished reports an error that nobody awaits.
-        response.on('error', () => undefined);
-        resolve(response);
-      });
-      outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
-      const sendBody = (): void => {
-        if (request.signal?.aborted === true) {
-          return;
-        }
-        sent = true;
-        request.onSending?.();
-        outgoing.end(body);
-      };
-      outgoing.on('socket', (socket) => {
-        if (socket.connecting) {
-          socket.once('connect', sendBody);
-        } else {
-          sendBody();
-        }
-      });
-    });
+    closed
+      ? Promise.reject(new TransportError('not-connected', 'the client is closed'))
+      : openRequest(target, request, request.freshConnection === true ? freshAgent : agent);
 
   const send = async (target: Target, request: HttpRequest): Promise<HttpResponse> => {
     const response = await open(target, request);
@@ -105,5 +139,12 @@
     }
   };
 
-  return { open, send, close: () => agent.destroy() };
+  return {
+    open,
+    send,
+    close: () => {
+      closed = true;
+      [agent, freshAgent].forEach((each) => each.destroy());
+    },
+  };
 }
