--- a/packages/bench/src/deployment/startDeployment.ts
+++ b/packages/bench/src/deployment/startDeployment.ts
@@ -82,6 +82,7 @@
     store: { urls: [options.storeUrl] },
     hostList: { url: options.hostListUrl, pollMs: 200 },
     drain: { balancerLagMs: 100, timeoutMs: 10_000 },
+    planner: {},
     log: { namespaces: 'bergamot:*:error,bergamot:*:warn' },
   };
   writeFileSync(file, JSON.stringify(settings));
--- a/packages/config/src/serviceDocumentSchema.ts
+++ b/packages/config/src/serviceDocumentSchema.ts
@@ -25,6 +25,10 @@
   statusQuery: z.boolean().default(false),
   /** Model of a generation stage. */
   model: nameSchema.optional(),
+  /** Version of the model that engines should load; any version serves when absent. */
+  modelVersion: z.string().min(1).optional(),
+  /** Adapters that engines should load beside the model. */
+  adapters: z.array(nameSchema).optional(),
 });
 
 /** One operation of a service. */
--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -23,6 +23,19 @@
     .strictObject({ balancerLagMs: z.int().min(0), timeoutMs: z.int().min(0) })
     .default({ balancerLagMs: 5_000, timeoutMs: 60_000 }),
   trace: z.strictObject({ sampleRatio: z.number().min(0).max(1) }).default({ sampleRatio: 1 }),
+  /** Engine orders; a host without this section gives none. */
+  planner: z
+    .strictObject({
+      /** Open requests that one copy of a model serves well. */
+      requestsPerCopy: z.number().positive().default(16),
+      minCopies: z.int().min(1).default(2),
+      maxModelsPerEngine: z.int().min(1).default(2),
+      /** Loads in progress over a pool; the weight store is rate-limited. */
+      maxLoads: z.int().min(1).default(2),
+      /** Share of the engines that run prefill only. */
+      prefillShare: z.number().min(0).max(0.9).default(0),
+    })
+    .optional(),
   metrics: z.strictObject({ address: ipSchema, port: portSchema }).optional(),
   log: z.strictObject({ namespaces: z.string() }).optional(),
 });
--- a/packages/decide/src/planner/_lib/assignModels.ts
+++ b/packages/decide/src/planner/_lib/assignModels.ts
@@ -1,16 +1,16 @@
 import type { EngineView, ModelDemand, PlannerInput } from '../types.js';
 import countCopies from './countCopies.js';
+import hasModel from './hasModel.js';
 
 /** Models by engine id. */
 export type Assignment = ReadonlyMap<string, readonly ModelDemand[]>;
 
 /** Order of preference: what has the version, what has the model, what loads it, any other engine. */
 const rankEngine = (engine: EngineView, demand: ModelDemand): number => {
-  const version = engine.models[demand.model];
-  if (version === demand.version) {
+  if (hasModel(engine, demand)) {
     return 0;
   }
-  if (version !== undefined) {
+  if (engine.models[demand.model] !== undefined) {
     return 1;
   }
   const loads = engine.loading.some((order) => 'model' in order && order.model === demand.model);
--- a/packages/decide/src/planner/_lib/listLoads.ts
+++ b/packages/decide/src/planner/_lib/listLoads.ts
@@ -1,11 +1,14 @@
 import type { AddressedOrder, DesiredEngine, EngineOrder, EngineView } from '../types.js';
+import hasModel from './hasModel.js';
 
 const isSame = (a: EngineOrder, b: EngineOrder): boolean => JSON.stringify(a) === JSON.stringify(b);
 
 const listWanted = (engine: EngineView, desired: DesiredEngine): readonly EngineOrder[] => {
   const models = desired.models
-    .filter(({ model, version }) => engine.models[model] !== version)
-    .map(({ model, version }): EngineOrder => ({ type: 'load-version', model, version }));
+    .filter((demand) => !hasModel(engine, demand))
+    .map(({ model, version }): EngineOrder =>
+      version === undefined ? { type: 'load-model', model } : { type: 'load-version', model, version },
+    );
   const adapters = desired.models
     .flatMap((demand) => demand.adapters)
     .filter((adapter, index, all) => all.indexOf(adapter) === index && !engine.adapters.includes(adapter))
--- a/packages/decide/src/planner/_lib/listUnloads.ts
+++ b/packages/decide/src/planner/_lib/listUnloads.ts
@@ -1,19 +1,17 @@
-import type { AddressedOrder, DesiredEngine, EngineView, PlannerInput } from '../types.js';
+import type { AddressedOrder, DesiredEngine, EngineView, ModelDemand, PlannerInput } from '../types.js';
+import hasModel from './hasModel.js';
 
 /** Whether every copy that the plan wants is loaded in the wanted version. */
 const isComplete = (input: PlannerInput, desired: readonly DesiredEngine[], model: string): boolean => {
   const wanted = desired.flatMap(({ engineId, models }) =>
-    models.filter((demand) => demand.model === model).map(({ version }) => ({ engineId, version })),
+    models.filter((demand) => demand.model === model).map((demand) => ({ engineId, demand })),
   );
+  const isReady = (engine: EngineView, demand: ModelDemand): boolean =>
+    hasModel(engine, demand) && !engine.loading.some((order) => 'model' in order && order.model === model);
   return (
     wanted.length > 0 &&
-    wanted.every(({ engineId, version }) =>
-      input.engines.some(
-        (engine) =>
-          engine.engineId === engineId &&
-          engine.models[model] === version &&
-          !engine.loading.some((order) => 'model' in order && order.model === model),
-      ),
+    wanted.every(({ engineId, demand }) =>
+      input.engines.some((engine) => engine.engineId === engineId && isReady(engine, demand)),
     )
   );
 };
--- a/packages/decide/src/planner/index.ts
+++ b/packages/decide/src/planner/index.ts
@@ -10,4 +10,5 @@
   PlannerInput,
   PlannerLimits,
 } from './types.js';
+export { default as isPlannerCandidate } from './isPlannerCandidate.js';
 export { default as planEngines } from './planEngines.js';
--- a/packages/decide/src/planner/types.ts
+++ b/packages/decide/src/planner/types.ts
@@ -24,7 +24,8 @@
 /** What one model needs. */
 export interface ModelDemand {
   readonly model: string;
-  readonly version: string;
+  /** Any version serves when absent. */
+  readonly version?: string;
   readonly adapters: readonly string[];
   /** Requests that run or wait, over all engines of the pool. */
   readonly openRequests: number;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -25,6 +25,8 @@
 import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import type { Planner } from './planner/createPlanner.js';
+import startPlanner from './planner/startPlanner.js';
 import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createStatusQuery from './requests/createStatusQuery.js';
@@ -236,15 +238,16 @@
   readonly closeRequests: () => void;
   readonly callers: HttpServer;
   readonly peers: HttpServer;
+  readonly planner: Planner;
 }
 
 /** Closes every part, in order or at once. */
-const createStop = (base: Base, { requests, claims, closeRequests, callers, peers }: StopParts) => {
+const createStop = (base: Base, { requests, claims, closeRequests, callers, peers, planner }: StopParts) => {
   const close = async (): Promise<void> => {
     base.directory.close();
     closeRequests();
     base.config.close();
-    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    await Promise.all([planner.close(), callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
     requests.close();
     base.http.close();
@@ -293,7 +296,8 @@
   await Promise.all([base.directory.start(), base.config.start()]);
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
+  const planner = startPlanner(base, peerDirectory);
+  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers, planner });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
