--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -26,6 +26,8 @@
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
 import type { PeerDirectory } from './peers/types.js';
+import type { Planner } from './planner/createPlanner.js';
+import startPlanner from './planner/startPlanner.js';
 import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createStatusQuery from './requests/createStatusQuery.js';
@@ -227,15 +229,16 @@
   readonly closeRequests: () => void;
   readonly callers: HttpServer;
   readonly peers: HttpServer;
+  readonly planner: Planner;
 }
 
 /** Closes every part, in order or at once. */
-const createStop = (base: Base, { requests, claims, closeRequests, callers, peers }: StopParts) => {
+const createStop = (base: Base, { requests, claims, closeRequests, callers, peers, planner }: StopParts) => {
   const close = async (): Promise<void> => {
     base.directory.close();
     closeRequests();
     base.control.close();
-    await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
+    await Promise.all([planner.close(), callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
     requests.close();
     base.http.close();
@@ -285,7 +288,8 @@
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
+  const planner = startPlanner(base, peerDirectory);
+  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers, planner });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
