Model open attempts and the token stream of a request

Cause: a failure after an attempt was sent counted as not-run unless it was one of three listed kinds; tokens of a stage that does not generate were emitted; two generations of one pipeline numbered their tokens alike.

Change: a sent attempt of a once stage needs proof that it did not run, in place of proof that it may have.

--- a/packages/bench/src/claims/startClaimHosts.ts
+++ b/packages/bench/src/claims/startClaimHosts.ts
@@ -3,7 +3,13 @@
 import { parseServiceDocument, settingsSchema, type StageSpec } from '@bergamotcove/config';
 import { startEntryHost, type EntryHost } from '@bergamotcove/entry';
 import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
-import { createHttpClient, type HttpClient, type HttpResponse } from '@bergamotcove/transport';
+import {
+  createHttpClient,
+  createPeerAuth,
+  createPeerClient,
+  type HttpClient,
+  type HttpResponse,
+} from '@bergamotcove/transport';
 import {
   createLedger,
   startEngine,
@@ -20,6 +26,7 @@
 
 const ADDRESS = '127.0.0.1';
 const REGION = 'lombardy';
+const PEER_KEYS = [{ id: 'k1', secret: 'claims-bench-peer-secret' }];
 const READY_POLL_MS = 20;
 const READY_POLLS = 200;
 export const CLAIM_SERVICE = 'ledger';
@@ -57,6 +64,8 @@
   readonly ledger: Ledger;
   readonly http: HttpClient;
   post(hostIndex: number, request: ClaimRequestOptions): Promise<HttpResponse>;
+  /** Calls a peer or operator method of a host. */
+  callPeer(hostIndex: number, method: string, params: object): Promise<unknown>;
   /** Takes a host out of the host list. */
   unlist(hostIndex: number): void;
   close(): Promise<void>;
@@ -133,7 +142,7 @@
     settingsSchema.parse({
       host: { id: `entry-${index}`, address: ADDRESS, failureDomain: 'a', region: REGION },
       callers: { port: 0 },
-      peers: { port: 0, keys: [{ id: 'k1', secret: 'claims-bench-peer-secret' }] },
+      peers: { port: 0, keys: PEER_KEYS },
       store: { urls: [`http://${ADDRESS}:${ports.store}`], timeoutMs: 300 },
       hostList: { url: `http://${ADDRESS}:${ports.hostList}/v1/hosts`, pollMs: 50 },
       drain: options.drain ?? { balancerLagMs: 50, timeoutMs: 2_000 },
@@ -219,6 +228,7 @@
   const entries = hosts.map(describeHost);
   hostList.setHosts([...listed, ...entries]);
   const http = createHttpClient();
+  const peers = createPeerClient(http, { auth: createPeerAuth({ clock, keys: PEER_KEYS }) });
   await waitUntilReady(http, hosts);
   await new Promise((resolve) => {
     setTimeout(resolve, LIST_LAG_MS);
@@ -230,6 +240,10 @@
     ...servers,
     http,
     post: (hostIndex, request) => postTo(http, hosts[hostIndex] as EntryHost, request),
+    callPeer: (hostIndex, method, params) => {
+      const target = { address: ADDRESS, port: hosts[hostIndex]?.peersPort ?? 0 };
+      return peers.call(target, method, params, { timeoutMs: 1_000 });
+    },
     unlist: (hostIndex) => hostList.setHosts([...listed, ...entries.filter((_, index) => index !== hostIndex)]),
     close: async () => {
       http.close();
--- a/packages/bench/src/claims/stops.test.ts
+++ b/packages/bench/src/claims/stops.test.ts
@@ -21,12 +21,6 @@
     setTimeout(resolve, delayMs);
   });
 
-const callPeer = (hosts: ClaimHosts, hostIndex: number, method: string, params: object): Promise<HttpResponse> =>
-  hosts.http.send(
-    { address: '127.0.0.1', port: hosts.hosts[hostIndex]?.peersPort ?? 0 },
-    { method: 'POST', path: '/rpc', body: JSON.stringify({ jsonrpc: '2.0', id: 1, method, params }) },
-  );
-
 const readReady = async (hosts: ClaimHosts, hostIndex: number): Promise<number> => {
   const target = { address: '127.0.0.1', port: hosts.hosts[hostIndex]?.callersPort ?? 0 };
   return (await hosts.http.send(target, { method: 'GET', path: '/readyz' })).status;
@@ -68,12 +62,8 @@
   const other = await hosts.post(1, { operation: 'draft', input: 'good', key: 'c' });
   assert.equal(other.status, 200);
   hosts.encoders.forEach((server) => server.setFaults([]));
-  const [block] = (
-    JSON.parse((await callPeer(hosts, 1, 'operator.listPoison', {})).body) as {
-      readonly result: readonly { readonly fingerprint: string }[];
-    }
-  ).result;
-  await callPeer(hosts, 1, 'operator.releasePoison', { fingerprint: block?.fingerprint });
+  const [block] = (await hosts.callPeer(1, 'operator.listPoison', {})) as readonly { readonly fingerprint: string }[];
+  await hosts.callPeer(1, 'operator.releasePoison', { fingerprint: block?.fingerprint });
   await pause(100);
   assert.equal((await hosts.post(0, { ...request, key: 'd' })).status, 200);
 });
--- a/packages/decide/src/request/_lib/acceptTokens.ts
+++ b/packages/decide/src/request/_lib/acceptTokens.ts
@@ -11,6 +11,10 @@
   tokens: readonly string[],
 ): RequestStep {
   const known = state.tokenCount - firstTokenIndex;
+  const stage = state.plan.stages[attempt.stageIndex];
+  if (stage?.kind !== 'generate') {
+    return { state, actions: [] };
+  }
   if (attempt.stageIndex !== (state.phase.type === 'running' ? state.phase.stageIndex : -1) || known < 0) {
     return { state, actions: [] };
   }
@@ -18,6 +22,9 @@
   if (fresh.length === 0) {
     return { state, actions: [] };
   }
+  // Only the last generation of a pipeline is the caller's text; the numbers of two would overlap in one stream.
+  const isLastGeneration = !state.plan.stages.slice(stage.index + 1).some((later) => later.kind === 'generate');
+  const emit = { type: 'emit-tokens' as const, firstTokenIndex: state.tokenCount, tokens: fresh };
   // Two engines may word the same answer differently; the first that delivers a token produces the whole text.
   const others = state.attempts.filter((other) => other !== attempt && other.stageIndex === attempt.stageIndex);
   return {
@@ -29,7 +36,7 @@
     },
     actions: [
       ...others.map(({ attemptId }) => ({ type: 'cancel' as const, attemptId })),
-      { type: 'emit-tokens', firstTokenIndex: state.tokenCount, tokens: fresh },
+      ...(isLastGeneration ? [emit] : []),
     ],
   };
 }
--- a/packages/decide/src/request/_lib/failAttempt.ts
+++ b/packages/decide/src/request/_lib/failAttempt.ts
@@ -13,16 +13,16 @@
 
 const RETRY_AFTER_MS = 1_000;
 
-/** Whether the failed attempt leaves open that a `once` stage took effect. An attempt that never left cannot have. */
+/** Whether the failed attempt leaves open that a `once` stage took effect: it left, and nothing proves what happened. */
 const mayHaveRun = (stage: PlannedStage, attempt: Attempt, failure: AttemptFailure): boolean => {
   if (stage.effect !== 'once' || attempt.status === 'queued') {
     return false;
   }
-  return (
-    failure.type === 'connection-lost' ||
-    failure.type === 'invalid-answer' ||
-    (failure.type === 'failed' && failure.executed === undefined)
-  );
+  const proven =
+    failure.type === 'not-sent' ||
+    failure.type === 'refused' ||
+    (failure.type === 'failed' && failure.executed !== undefined);
+  return !proven;
 };
 
 const withoutAttempt = (
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -16,6 +16,7 @@
   type HttpServer,
   type PeerAuth,
   type PeerClient,
+  type PeerServer,
   type PeerKey,
 } from '@bergamotcove/transport';
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
@@ -205,6 +206,12 @@
   };
 };
 
+const startPeerServer = (base: Base): PeerServer =>
+  createPeerServer({
+    auth: base.auth,
+    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
+  });
+
 const listen = (base: Base, port: number, handler: (exchange: HttpExchange) => Promise<void>): Promise<HttpServer> =>
   createHttpServer(handler, {
     address: base.settings.host.address,
@@ -222,10 +229,7 @@
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
   const peerDirectory = createPeerDirectory(base);
-  const peerServer = createPeerServer({
-    auth: base.auth,
-    onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
-  });
+  const peerServer = startPeerServer(base);
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -70,7 +70,10 @@
 });
 
 /** Cancels a request; the option `signal` of Node would attach its own observers to request and response as well. */
-const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal): void => {
+const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal | undefined): void => {
+  if (signal === undefined) {
+    return;
+  }
   const destroy = (): void => {
     outgoing.destroy(new Error('the request was cancelled'));
   };
@@ -105,9 +108,7 @@
       }
       const chosen = request.freshConnection === true ? freshAgent : agent;
       const outgoing = http.request(formatOptions(target, request, chosen));
-      if (request.signal !== undefined) {
-        destroyOnAbort(outgoing, request.signal);
-      }
+      destroyOnAbort(outgoing, request.signal);
       outgoing.on('response', (response) => {
         // A response that is cancelled after its reader has finished reports an error that nobody awaits.
         response.on('error', () => undefined);
