--- /dev/null
+++ b/packages/bench/src/scenarios/decision-time.scenario.ts
@@ -0,0 +1,104 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import {
+  chooseServer,
+  createLimiter,
+  createPoolBook,
+  type DispatchRequest,
+  type PoolBook,
+  type ServerDescription,
+} from '@bergamotcove/decide';
+import createRandomSource from '../load/_lib/createRandomSource.js';
+import type { BenchRun } from '../load/benchTypes.js';
+import { formatRows } from '../load/formatLoadTable.js';
+
+const POOL_SIZES = [8, 32, 160];
+const WARM_UP_CHOICES = 5_000;
+const CHOICES = 20_000;
+const MEMORY_ITEMS = 10_000;
+const US_PER_MS = 1_000;
+const PERCENT = 100;
+
+const createServers = (count: number): readonly ServerDescription[] =>
+  Array.from({ length: count }, (_, index) => ({
+    serverId: `engine-${index}`,
+    address: '10.0.0.1',
+    port: index,
+    pool: 'engines',
+    failureDomain: `domain-${index % 3}`,
+    region: index % 3 === 2 ? 'far' : 'near',
+    state: 'live',
+  }));
+
+const REQUEST: DispatchRequest = {
+  tokens: 94,
+  long: false,
+  remainingMs: 3_000,
+  avoidServers: [],
+  failureDomain: 'domain-0',
+  region: 'near',
+  crossRegionAllowed: true,
+  nowMs: 1_000,
+};
+
+const fillBook = (servers: readonly ServerDescription[]): PoolBook => {
+  const book = createPoolBook();
+  servers.forEach(({ serverId }, index) => {
+    book.note(serverId, { type: 'sent', tokens: index % 50, long: false }, index % 900);
+    book.note(serverId, { type: 'progress', tokens: 10, elapsedMs: 80 + (index % 7) }, 900);
+    const report = { running: index % 12, queued: 0, tokensPerSecond: 900, reportedAtMs: 500 };
+    book.noteReport(serverId, report, { hosts: 9, nowMs: 900 });
+  });
+  return book;
+};
+
+/** Time of one choice with the view of the pool that it needs. */
+const measureChoice = (poolSize: number, seed: number) => {
+  const servers = createServers(poolSize);
+  const book = fillBook(servers);
+  const random = createRandomSource(seed, 1);
+  const choose = (): void => {
+    chooseServer(book.view('engines', servers, REQUEST.nowMs), REQUEST, random);
+  };
+  Array.from({ length: WARM_UP_CHOICES }).forEach(choose);
+  const timesUs = Array.from({ length: CHOICES }, () => {
+    const startedMs = performance.now();
+    choose();
+    return (performance.now() - startedMs) * US_PER_MS;
+  }).sort((a, b) => a - b);
+  const at = (percent: number): number => timesUs[Math.floor((CHOICES * percent) / PERCENT)] ?? 0;
+  return { poolSize, p50Us: at(50), p99Us: at(99) };
+};
+
+/** Heap that the items built by the function keep alive, in bytes an item. */
+const measureMemory = (build: () => unknown): number => {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const kept = build();
+  collect();
+  const bytes = process.memoryUsage().heapUsed - before;
+  return kept === undefined ? 0 : bytes / MEMORY_ITEMS;
+};
+
+const buildLimiter = () => {
+  const limiter = createLimiter();
+  const share = { requestsPerSecond: 5, tokensPerSecond: 2_000 };
+  Array.from({ length: MEMORY_ITEMS }, (_, index) => limiter.reserve(`organisation-${index}`, share, 64, index));
+  return limiter;
+};
+
+/** Time of a choice at 8, 32 and 160 candidate servers, and memory for each server and organisation. */
+const runDecisionTime: BenchRun = ({ seeds }) => {
+  const choices = POOL_SIZES.map((poolSize) => measureChoice(poolSize, seeds[0] ?? 1));
+  const servers = createServers(MEMORY_ITEMS);
+  const serverBytes = measureMemory(() => fillBook(servers));
+  const organisationBytes = measureMemory(buildLimiter);
+  const rows = choices.map(({ poolSize, p50Us, p99Us }) => [String(poolSize), p50Us.toFixed(1), p99Us.toFixed(1)]);
+  const memory = `memory: ${serverBytes.toFixed(0)} B a server, ${organisationBytes.toFixed(0)} B an organisation`;
+  const table = `${formatRows([['servers', 'p50 µs', 'p99 µs'], ...rows])}\n${memory}`;
+  return Promise.resolve({ table, json: { choices, serverBytes, organisationBytes } });
+};
+
+export default runDecisionTime;
--- a/packages/standins/src/engines/startEngine.ts
+++ b/packages/standins/src/engines/startEngine.ts
@@ -6,7 +6,8 @@
 import { StatusReply, type JsonRoute } from '../_lib/serveJson.js';
 import startFaultyServer, { type FaultyServer, type ServerControls } from '../_lib/startFaultyServer.js';
 import wait from '../_lib/wait.js';
-import { pickLagged } from '../servers/createLoadReport.js';
+import { pickLagged, type LoadSample } from '../servers/createLoadReport.js';
+import formatLoad from '../servers/formatLoad.js';
 import type { ListenOptions, Observe, ServerPoint } from '../types.js';
 import createBatch, { type Batch } from './createBatch.js';
 import createCacheEvents from './createCacheEvents.js';
@@ -47,6 +48,7 @@
 const DEFAULT_TOKEN_BUDGET = 512;
 const DEFAULT_MAX_RUNNING = 64;
 const DEFAULT_CACHE_BLOCKS = 4_096;
+const MS_PER_SECOND = 1_000;
 const LOAD_SAMPLE_MS = 50;
 const KEPT_LOAD_SAMPLES = 600;
 const STATUS_UNAVAILABLE = 503;
@@ -96,7 +98,10 @@
         samples.splice(0, Math.max(0, samples.length - KEPT_LOAD_SAMPLES));
       }
     },
-    read: () => pickLagged(samples, clock.monotonicMs() - (options.loadLagMs ?? 0)),
+    read: () => {
+      const sample = pickLagged<LoadSample>(samples, clock.monotonicMs() - (options.loadLagMs ?? 0));
+      return formatLoad(sample as LoadSample, clock, MS_PER_SECOND / options.tokenMs);
+    },
   };
 };
 
--- a/packages/standins/src/servers/startStageServer.ts
+++ b/packages/standins/src/servers/startStageServer.ts
@@ -9,6 +9,7 @@
 import wait from '../_lib/wait.js';
 import type { ListenOptions, Observe, ServerPoint } from '../types.js';
 import createLoadReport from './createLoadReport.js';
+import formatLoad from './formatLoad.js';
 
 /** Kinds of stages that answer in one piece. */
 export type StageKind = 'encode' | 'retrieve' | 'rerank' | 'call';
@@ -127,7 +128,7 @@
     createRoutes: (controls) => ({
       [`POST /v1/stages/${options.kind}`]: load.track(createRun(options, ledger, controls)),
       'GET /v1/status': (_, { query }) => ({ executed: ledger.executions.has(query.get('key') ?? '') }),
-      'GET /load': () => load.read(),
+      'GET /load': () => formatLoad(load.read(), options.clock),
       'GET /control/executions': () => Object.fromEntries(ledger.executions),
       'GET /control/counters': () => load.counters(),
     }),
