--- a/packages/bench/src/load/host/createServerPicker.ts
+++ b/packages/bench/src/load/host/createServerPicker.ts
@@ -49,6 +49,7 @@
 
 const NO_LONG_LIMIT = false;
 const HOMES = 2;
+const HOME_LOAD_FACTOR = 1.25;
 
 const prefixKeyOf = (run: RunState): string => `${run.arrival.organisation}/${run.arrival.operation.name}`;
 
@@ -65,12 +66,27 @@
   return inRegion.length > 0 ? inRegion : servers;
 };
 
+/** The first home of the prefix that is within its bounded load. */
+const pickHome = (
+  servers: readonly ServerDescription[],
+  prefixKey: string,
+  outstanding: (server: ServerDescription) => number,
+): ServerDescription | undefined => {
+  const ids = servers.map((server) => server.serverId);
+  const total = servers.reduce((sum, server) => sum + outstanding(server), 1);
+  const bound = Math.ceil((total / servers.length) * HOME_LOAD_FACTOR);
+  return findHomes(prefixKey, ids, ids.length)
+    .map((serverId) => servers.find((server) => server.serverId === serverId) as ServerDescription)
+    .find((server) => outstanding(server) < bound);
+};
+
 /** Choice of the baselines; they know only what this host sent. */
 const createBaseline = (options: PickerOptions) => {
   const { book, random, world, place } = options;
   const turns = new Map<LoadStage, number>();
   const draw = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)] as Item;
   const outstanding = (server: ServerDescription): number => book.stats(server.serverId).outstanding;
+  const load = (server: ServerDescription): number => world.findServer(server.serverId).load();
   return (facts: PickFacts): ServerDescription | undefined => {
     const live = world.listServers(facts.stage).filter((server) => server.state === 'live');
     const preferred = live.filter((server) => !facts.avoidServers.includes(server.serverId));
@@ -91,7 +107,13 @@
       const least = Math.min(...near.map(outstanding));
       return draw(near.filter((server) => outstanding(server) === least));
     }
+    if (world.policy.choice === 'rendezvous') {
+      return pickHome(near, prefixKeyOf(facts.run), outstanding);
+    }
     const [first, second] = [draw(near), draw(near)];
+    if (world.policy.choice === 'probing') {
+      return load(second) < load(first) ? second : first;
+    }
     return outstanding(second) < outstanding(first) ? second : first;
   };
 };
--- a/packages/bench/src/load/model/createServerModel.ts
+++ b/packages/bench/src/load/model/createServerModel.ts
@@ -32,6 +32,8 @@
   setSlow(factor: number): void;
   crash(): void;
   restore(): void;
+  /** Jobs that run or wait now; only a probe sees it. */
+  load(): number;
   /** The load report that a poll gets now; it shows the state of a moment ago. */
   report(): LoadReport;
   /** Server time used so far in milliseconds: work in tokens times the time per token in a full batch. */
@@ -143,6 +145,10 @@
     return this.snapshots.findLast((one) => one.reportedAtMs <= dueMs) ?? (this.snapshots[0] as LoadReport);
   }
 
+  load(): number {
+    return this.running.length + this.waiting.length;
+  }
+
   usedTokens(): number {
     this.advance();
     return this.used;
--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -33,6 +33,8 @@
   baseline('round-robin', 'round-robin', 'the servers of the region in turn'),
   baseline('least-outstanding', 'least-outstanding', 'fewest outstanding attempts of this host in the region'),
   baseline('previous', 'previous', 'nearest failure domain, then the less loaded of two random servers'),
+  baseline('probing', 'probing', 'asks two random servers of the region for their load; the probe itself is free'),
+  baseline('rendezvous', 'rendezvous', 'rendezvous hashing of the prefix with a load bound of 1.25 times the mean'),
   { ...current, name: 'no-admission', text: 'current without admission', admission: false },
   { ...current, name: 'no-hedges', text: 'current without hedges', hedges: false },
   { ...current, name: 'no-affinity', text: 'current without prefix affinity', affinity: false },
--- a/packages/bench/src/load/types.ts
+++ b/packages/bench/src/load/types.ts
@@ -80,7 +80,7 @@
 export interface LoadPolicy {
   readonly name: string;
   readonly text: string;
-  readonly choice: 'predicted' | 'random' | 'round-robin' | 'least-outstanding' | 'previous';
+  readonly choice: 'predicted' | 'random' | 'round-robin' | 'least-outstanding' | 'previous' | 'probing' | 'rendezvous';
   readonly admission: boolean;
   readonly stageQueues: boolean;
   readonly hedges: boolean;
--- a/packages/bench/src/load/writeLoadReport.ts
+++ b/packages/bench/src/load/writeLoadReport.ts
@@ -32,15 +32,22 @@
     })),
   );
 
-const costRows = (results: readonly LoadResult[]) =>
-  results.flatMap((result) =>
-    Object.entries(result.figures.costMs).map(([stage, costMs]) => ({
-      policy: seriesOf(result),
-      deployment: result.deployment,
-      stage,
-      costMs,
-    })),
-  );
+/** Mean over the seeds; the chart stacks stages, which cannot be combined with a mean of its own. */
+const costRows = (results: readonly LoadResult[]) => {
+  const rows = new Map<string, { policy: string; deployment: string; stage: string; costMs: number }>();
+  results.forEach((result) => {
+    const seeds = results.filter(
+      ({ policy, deployment }) => policy === result.policy && deployment === result.deployment,
+    ).length;
+    Object.entries(result.figures.costMs).forEach(([stage, costMs]) => {
+      const key = `${result.deployment} ${result.policy} ${stage}`;
+      const before = rows.get(key)?.costMs ?? 0;
+      const { deployment } = result;
+      rows.set(key, { policy: seriesOf(result), deployment, stage, costMs: before + costMs / seeds });
+    });
+  });
+  return [...rows.values()];
+};
 
 /** Three charts under each other, one column for each deployment. */
 const createSpec = (results: readonly LoadResult[]): TopLevelSpec => {
@@ -75,7 +82,7 @@
         mark: 'bar',
         encoding: {
           x: { field: 'policy', type: 'nominal' },
-          y: { aggregate: 'mean', field: 'costMs', type: 'quantitative', title: 'server time (ms)' },
+          y: { field: 'costMs', type: 'quantitative', title: 'server time (ms)' },
           color: { field: 'stage', type: 'nominal' },
         },
       }),
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -18,6 +18,7 @@
 import createAttemptFollower, { type AttemptFollower } from '../servers/createAttemptFollower.js';
 import type { Estimates } from '../servers/createEstimates.js';
 import type { PoolQueues, WaitingAttempt } from '../servers/createPoolQueues.js';
+import type { PrefixHints } from '../servers/createPrefixHints.js';
 import type { ServerDirectory } from '../servers/createServerDirectory.js';
 import type { ServiceBudgets } from '../servers/createServiceBudgets.js';
 import type { AttemptEvent, DispatchAction } from './startRun.js';
@@ -31,6 +32,7 @@
   readonly random: Random;
   readonly estimates: Estimates;
   readonly queues: PoolQueues;
+  readonly prefixes: PrefixHints;
   readonly findBudgets: (service: string) => ServiceBudgets | undefined;
   readonly findDocument: (service: string) => ServiceDocument | undefined;
   /** Whether requests that wait for admission would miss their deadline with local servers alone. */
@@ -195,6 +197,7 @@
         failureDomain,
         region,
         crossRegionAllowed: hasRemote && this.hasByteRoom(),
+        savedTokens: this.options.prefixes.savedTokens(this.context.plan, stage),
         localOverloaded: this.options.isOverloaded(),
         nowMs: clock.monotonicMs(),
       },
@@ -229,6 +232,9 @@
     this.span = tracer.startSpan(`stage ${this.action.stage.name}`, this.context.requestTraceparent);
     this.span.setAttribute('attemptId', this.action.attemptId);
     this.span.setAttribute('serverId', server.serverId);
+    if (this.action.stage.kind === 'generate') {
+      this.options.prefixes.noteSent(this.context.plan, server.serverId);
+    }
     this.follower = this.createFollower(server);
     this.follower.sent();
     const { traceparent } = this.span;
--- /dev/null
+++ b/packages/entry/src/servers/createPrefixHints.ts
@@ -0,0 +1,63 @@
+import type { Clock } from '@bergamotcove/clock';
+import { estimateSaving, findHomes, type PlannedStage, type RequestPlan } from '@bergamotcove/decide';
+import { LRUCache } from 'lru-cache';
+import type { Estimates } from './createEstimates.js';
+import type { ServerDirectory } from './createServerDirectory.js';
+
+/** What this host expects of the prefix caches of the engines. */
+export interface PrefixHints {
+  /** Expected saving in tokens of work by server id; empty while the prefill time is not known. */
+  savedTokens(plan: RequestPlan, stage: PlannedStage): ReadonlyMap<string, number>;
+  noteSent(plan: RequestPlan, serverId: string): void;
+}
+
+/** Options of {@link createPrefixHints}. */
+export interface PrefixHintsOptions {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly estimates: Estimates;
+  readonly region: string;
+}
+
+const MAX_HINTS = 20_000;
+const HOMES = 2;
+/** The slower first tokens are those without a cached prefix. */
+const COLD_QUANTILE = 0.9;
+
+/** Requests of an organisation for one operation begin with the same instructions and context. */
+const formatPrefixKey = (plan: RequestPlan): string => `${plan.service} ${plan.operation.name} ${plan.organisation}`;
+
+/**
+ * Creates the prefix hints of this host. The home servers of a prefix follow from rendezvous hashing, so that hosts
+ * agree on them without messages; what this host sent itself adds to that.
+ *
+ * @param options - servers and learnt times
+ * @returns the hints
+ */
+export default function createPrefixHints(options: PrefixHintsOptions): PrefixHints {
+  const { clock, directory, estimates, region } = options;
+  const sentAtMs = new LRUCache<string, number>({ max: MAX_HINTS });
+  return {
+    savedTokens: (plan, stage) => {
+      const coldMs = stage.kind === 'generate' ? estimates.firstTokenMs(plan, stage, COLD_QUANTILE) : undefined;
+      if (coldMs === undefined) {
+        return new Map();
+      }
+      const key = formatPrefixKey(plan);
+      const prefillTokens = coldMs / directory.msPerToken(stage.pool);
+      const local = directory.listPool(stage.pool).filter((server) => server.region === region);
+      const ids = local.map((server) => server.serverId);
+      const homes = findHomes(key, ids, HOMES);
+      return new Map(
+        ids.map((serverId) => {
+          const sent = sentAtMs.get(`${serverId} ${key}`);
+          const hint = { homeIndex: homes.indexOf(serverId), ...(sent === undefined ? {} : { sentAtMs: sent }) };
+          return [serverId, estimateSaving(hint, prefillTokens, clock.monotonicMs())];
+        }),
+      );
+    },
+    noteSent: (plan, serverId) => {
+      sentAtMs.set(`${serverId} ${formatPrefixKey(plan)}`, clock.monotonicMs());
+    },
+  };
+}
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -9,6 +9,7 @@
 import createEstimates, { type Estimates } from './createEstimates.js';
 import createLoadPoller from './createLoadPoller.js';
 import createPoolQueues from './createPoolQueues.js';
+import createPrefixHints from './createPrefixHints.js';
 import type { ServerDirectory } from './createServerDirectory.js';
 import createServiceBudgets from './createServiceBudgets.js';
 
@@ -52,6 +53,7 @@
     random: Math.random,
     estimates,
     queues,
+    prefixes: createPrefixHints({ ...base, estimates, region }),
     findBudgets: createServiceBudgets({ findDocument, regionHosts }),
     findDocument,
     isOverloaded: () => gate.isOverloaded(),
