--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -1,7 +1,7 @@
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
-import { createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
 import type { HostStatus } from '@bergamotcove/protocol';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
 import {
@@ -21,10 +21,11 @@
 import handleCallerRequest, { matchServicePath } from './callers/handleCallerRequest.js';
 import createClaimBook from './claims/createClaimBook.js';
 import type { ClaimBook } from './claims/types.js';
-import createConfigHolder, { type ConfigHolder } from './config/createConfigHolder.js';
+import createConfigHolder, { type ConfigHolder, type DocumentSink } from './config/createConfigHolder.js';
 import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
-import type { EntryHostView, PeerDirectory } from './peers/types.js';
+import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
+import type { PeerDirectory } from './peers/types.js';
 import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createStatusQuery from './requests/createStatusQuery.js';
@@ -63,7 +64,8 @@
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly directory: ServerDirectory;
-  readonly config: ConfigHolder;
+  readonly config: ConfigHolder & DocumentSink;
+  readonly control: ControlPlane;
 }
 
 const STATUS_OK = 200;
@@ -77,12 +79,17 @@
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
   const auth = createPeerAuth({ clock, keys: settings.peers.keys });
-  const store = createStoreClient({
+  const client = createStoreClient({
     ...settings.store,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
   });
+  const store = createGuardedStore(client, { clock, random: Math.random });
   const { url, pollMs } = settings.hostList;
   const fetchList = () => fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs });
+  const directory = createServerDirectory({ clock, logger, pollMs, fetchList });
+  const config = createConfigHolder({ logger });
+  const peerClient = createPeerClient(http, { auth });
+  const { listEntryHosts } = directory;
   return {
     settings,
     clock,
@@ -90,11 +97,12 @@
     metrics,
     http,
     auth,
-    peerClient: createPeerClient(http, { auth }),
+    peerClient,
     store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
-    directory: createServerDirectory({ clock, logger, pollMs, fetchList }),
-    config: createConfigHolder({ clock, logger, store }),
+    directory,
+    config,
+    control: createControlPlane({ settings, clock, logger, auth, peerClient, store, config, listEntryHosts }),
   };
 };
 
@@ -157,28 +165,13 @@
     } else if (path === '/healthz') {
       sendJson(response, STATUS_OK, { status: 'live' });
     } else if (path === '/readyz') {
-      const ready = !drainState.draining && base.config.list().length > 0;
+      const ready = !drainState.draining && base.control.ready();
       sendJson(response, ready ? STATUS_OK : STATUS_UNAVAILABLE, { ready, draining: drainState.draining });
     } else {
       sendJson(response, STATUS_NOT_FOUND, { error: `no resource at ${path}` });
     }
   };
 
-/** Live entry hosts according to the host list; this host is always among them. */
-const createPeerDirectory = (base: Base): PeerDirectory => {
-  const { host, peers } = base.settings;
-  const self: EntryHostView = { ...host, hostId: host.id, peersPort: peers.port };
-  return {
-    liveHosts: () => {
-      const listed = base.directory
-        .listEntryHosts()
-        .filter((entry) => entry.state === 'live')
-        .map((entry): EntryHostView => ({ ...entry, hostId: entry.id, peersPort: entry.peerPort ?? 0 }));
-      return listed.some((entry) => entry.hostId === self.hostId) ? listed : [...listed, self];
-    },
-  };
-};
-
 interface DrainParts {
   readonly requests: RequestService;
   readonly claims: ClaimBook;
@@ -194,6 +187,7 @@
     ...base.settings.drain,
     onStart: () => {
       state.draining = true;
+      base.control.announceLeaving();
     },
     inFlight: () => requests.inFlight(),
     idle: () => requests.idle(),
@@ -203,23 +197,20 @@
   });
 };
 
-const readStatus = (
-  base: Base,
-  requests: RequestService,
-  peerDirectory: PeerDirectory,
-  drainState: DrainState,
-): HostStatus => {
+const readStatus = (base: Base, requests: RequestService, drainState: DrainState): HostStatus => {
   const { id: hostId, failureDomain, region } = base.settings.host;
   const services = base.config.list();
   return {
     hostId,
     failureDomain,
     region,
-    ready: !drainState.draining && services.length > 0,
+    ready: !drainState.draining && base.control.ready(),
     draining: drainState.draining,
     inFlight: requests.inFlight(),
-    entryHosts: peerDirectory.liveHosts().map((peer) => peer.hostId),
+    entryHosts: base.control.liveHosts().map((peer) => peer.hostId),
     services: services.map(({ document, version }) => ({ service: document.service, version })),
+    configFindings: base.control.findings(),
+    lostDomains: base.control.lostDomains(),
   };
 };
 
@@ -243,7 +234,7 @@
   const close = async (): Promise<void> => {
     base.directory.close();
     closeRequests();
-    base.config.close();
+    base.control.close();
     await Promise.all([callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
     requests.close();
@@ -252,6 +243,7 @@
     base.tracer.close();
   };
   const abort = (): void => {
+    base.control.abort();
     claims.close();
     callers.abort();
     peers.abort();
@@ -271,27 +263,27 @@
  */
 export default async function startEntryHost(settings: Settings, options: EntryHostOptions = {}): Promise<EntryHost> {
   const base = createBase(settings, options);
-  const peerDirectory = createPeerDirectory(base);
   const peerServer = createPeerServer({
     auth: base.auth,
     onRefused: (reason, remoteAddress) => base.logger.event('peerCallRefused', { reason, remoteAddress }),
   });
-  const peerParts = { ...base, peers: base.peerClient, peerServer, directory: peerDirectory, hostId: settings.host.id };
+  const peerParts = { ...base, peers: base.peerClient, peerServer, directory: base.control, hostId: settings.host.id };
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
   const poison = createPoisonGuard({ ...peerParts, isDown });
-  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: peerDirectory });
+  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: base.control });
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
-    status: () => readStatus(base, requests, peerDirectory, drainState),
+    status: () => readStatus(base, requests, drainState),
     trace: base.tracer.findTrace,
     drain: () => {
       drain().catch(() => undefined);
     },
   });
-  await Promise.all([base.directory.start(), base.config.start()]);
+  await base.directory.start();
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
+  await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
