--- /dev/null
+++ b/packages/bench/src/claims/benchHost.main.ts
@@ -0,0 +1,107 @@
+/** One host of the claims measurement, in a thread of its own so that the hosts do not share an event loop. */
+import { parentPort, workerData } from 'node:worker_threads';
+import { createSystemClock, type Clock } from '@bergamotcove/clock';
+import { createClaimBook, type ClaimBook, type ClaimRequest, type EntryHostView } from '@bergamotcove/entry';
+import { createStoreClient } from '@bergamotcove/platform';
+import { createHttpClient, createHttpServer, createPeerClient, createPeerServer } from '@bergamotcove/transport';
+import createRandomSource from '../load/_lib/createRandomSource.js';
+
+/** What the measurement gives to each host. */
+export interface BenchHostData {
+  readonly index: number;
+  readonly storePort: number;
+  readonly ratePerSecond: number;
+  readonly seconds: number;
+  readonly seed: number;
+}
+
+/** Delays of one host. */
+export interface BenchHostResult {
+  readonly claimMs: readonly number[];
+  readonly recordMs: readonly number[];
+  readonly refused: number;
+}
+
+const ADDRESS = '127.0.0.1';
+const MS_PER_SECOND = 1_000;
+const DEADLINE_MS = 3_000;
+const CALL_MS = 5;
+
+interface Tally {
+  readonly claimMs: number[];
+  readonly recordMs: number[];
+  refused: number;
+}
+
+const wait = (clock: Clock, delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    clock.schedule(delayMs, resolve);
+  });
+
+/** One non-idempotent request as the request service drives the claim book. */
+const runRequest = async (clock: Clock, book: ClaimBook, key: string, tally: Tally): Promise<void> => {
+  const startedAtMs = clock.monotonicMs();
+  const request: ClaimRequest = {
+    organisation: 'acme',
+    service: 'ledger',
+    idempotencyKey: key,
+    bodyHash: 'body',
+    requestId: key,
+    deadlineAtMs: startedAtMs + DEADLINE_MS,
+    longestMs: DEADLINE_MS,
+    serversCheckKeys: false,
+  };
+  const decision = await book.claim(request);
+  if (decision.type !== 'granted') {
+    Object.assign(tally, { refused: tally.refused + 1 });
+    return;
+  }
+  tally.claimMs.push(clock.monotonicMs() - startedAtMs);
+  await wait(clock, CALL_MS);
+  const answeredAtMs = clock.monotonicMs();
+  await book.record(request, { type: 'answered', output: { receipt: key }, stages: [] });
+  tally.recordMs.push(clock.monotonicMs() - answeredAtMs);
+};
+
+/** Sends requests with exponential gaps; a slow answer does not slow the arrivals down. */
+const sendOpenLoop = async (clock: Clock, book: ClaimBook, data: BenchHostData): Promise<BenchHostResult> => {
+  const random = createRandomSource(data.seed, data.index);
+  const tally: Tally = { claimMs: [], recordMs: [], refused: 0 };
+  const nextGapMs = (): number => (-Math.log(1 - random()) * MS_PER_SECOND) / data.ratePerSecond;
+  const startedAtMs = clock.monotonicMs();
+  const running: Promise<void>[] = [];
+  let dueMs = nextGapMs();
+  while (dueMs < data.seconds * MS_PER_SECOND) {
+    await wait(clock, startedAtMs + dueMs - clock.monotonicMs());
+    running.push(runRequest(clock, book, `${data.index}/${data.seed}/${running.length}`, tally));
+    dueMs += nextGapMs();
+  }
+  await Promise.all(running);
+  return tally;
+};
+
+const startHost = async (data: BenchHostData): Promise<void> => {
+  const clock = createSystemClock();
+  const hostId = `entry-${data.index}`;
+  const http = createHttpClient();
+  const store = createStoreClient({ urls: [`http://${ADDRESS}:${data.storePort}`], timeoutMs: MS_PER_SECOND });
+  const peerServer = createPeerServer();
+  const listen = { address: ADDRESS, port: 0, onError: () => undefined };
+  const server = await createHttpServer((exchange) => peerServer.handle(exchange), listen);
+  let views: readonly EntryHostView[] = [];
+  const directory = { liveHosts: () => views };
+  const book = createClaimBook({ clock, store, peers: createPeerClient(http), peerServer, directory, hostId });
+  const view: EntryHostView = { hostId, address: ADDRESS, peersPort: server.port, failureDomain: 'a', region: 'r' };
+  parentPort?.on('message', (message: { readonly views?: readonly EntryHostView[] }) => {
+    if (message.views === undefined) {
+      process.exit(0);
+    }
+    views = message.views;
+    sendOpenLoop(clock, book, data).then((result) => parentPort?.postMessage({ result }));
+  });
+  parentPort?.postMessage({ view });
+};
+
+startHost(workerData as BenchHostData).catch((cause: unknown) => {
+  throw cause;
+});
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -51,8 +51,10 @@
 
 /** Longest wait for the shard owner before this host appends by itself. */
 const OWNER_LIMIT_MS = 400;
-/** Time for the reply of the owner to come back after its own limit. */
-const REPLY_MARGIN_MS = 50;
+/** Time for a busy owner to reply after its own limit; taking a busy owner for a dead one makes many writers conflict. */
+const REPLY_MARGIN_MS = 600;
+/** Time for the answer to a query to come back; a query that is repeated here only costs a read. */
+const QUERY_MARGIN_MS = 100;
 /** A host that did not answer is left out for this time, so that not every request waits for it. */
 const OWNER_BACKOFF_MS = 1_000;
 
@@ -64,27 +66,27 @@
   constructor(private readonly options: ClaimLogsOptions) {}
 
   async submit(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
-    const { clock } = this.options;
-    const startedAtMs = clock.monotonicMs();
-    const remote = await this.submitToOwner(op, Math.min(limitMs, OWNER_LIMIT_MS));
+    const endsAtMs = this.options.clock.monotonicMs() + limitMs;
+    const remote = await this.waitForOwner(op, endsAtMs);
     if (remote !== undefined && remote.type !== 'unavailable') {
       return remote;
     }
-    const result = await this.submitHere(op, Math.max(0, startedAtMs + limitMs - clock.monotonicMs()));
+    const result = await this.submitHere(op, this.remaining(endsAtMs));
     if (result.type !== 'unavailable') {
       return result;
     }
-    return { type: 'unavailable', mayApply: result.mayApply || remote?.mayApply === true };
+    return { type: 'unavailable', mayApply: result.mayApply || remote?.mayApply === true, busy: false };
   }
 
   async submitHere(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
-    const submission = this.logOf(op.keyHash).submit(op);
+    const log = this.logOf(op.keyHash);
+    const submission = log.submit(op);
     const result = await withLimit(this.options.clock, limitMs, submission.result);
-    return result ?? { type: 'unavailable', mayApply: submission.abandon() };
+    return result ?? { type: 'unavailable', mayApply: submission.abandon(), busy: !log.isFailing() };
   }
 
   async persist(op: ClaimOp): Promise<void> {
-    const remote = await this.submitToOwner(op, OWNER_LIMIT_MS);
+    const remote = await this.waitForOwner(op, Infinity);
     if (remote === undefined || remote.type === 'unavailable') {
       await this.logOf(op.keyHash).submit(op).result;
     }
@@ -158,6 +160,31 @@
     return owner?.hostId === this.options.hostId || backoffMs > this.options.clock.monotonicMs() ? undefined : owner;
   }
 
+  /**
+   * Waits for the owner as long as it answers and its store does. An owner with a long queue is no reason to append
+   * here: appends of many hosts to one log conflict, and each conflict costs further store calls.
+   */
+  private async waitForOwner(op: ClaimOp, endsAtMs: number): Promise<ClaimOpResult | undefined> {
+    let mayApply = false;
+    for (;;) {
+      const waitMs = Math.min(OWNER_LIMIT_MS, this.remaining(endsAtMs));
+      // Each wait follows the answer to the one before.
+      // eslint-disable-next-line no-await-in-loop
+      const result = await this.submitToOwner(op, waitMs);
+      if (result?.type !== 'unavailable') {
+        return result ?? (mayApply ? { type: 'unavailable', mayApply, busy: false } : undefined);
+      }
+      mayApply = mayApply || result.mayApply;
+      if (!result.busy || this.remaining(endsAtMs) === 0) {
+        return { ...result, mayApply };
+      }
+    }
+  }
+
+  private remaining(endsAtMs: number): number {
+    return Math.max(0, endsAtMs - this.options.clock.monotonicMs());
+  }
+
   private async submitToOwner(op: ClaimOp, waitMs: number): Promise<ClaimOpResult | undefined> {
     const owner = this.findOwner(op.keyHash);
     return owner === undefined ? undefined : this.callAppend(owner, op, { waitMs, handOver: false });
@@ -168,33 +195,28 @@
     op: ClaimOp,
     options: { readonly waitMs: number; readonly handOver: boolean },
   ): Promise<ClaimOpResult> {
-    const limitMs = Math.max(options.waitMs, REPLY_MARGIN_MS) + REPLY_MARGIN_MS;
+    const limitMs = options.waitMs + REPLY_MARGIN_MS;
     try {
       return claimOpResultSchema.parse(await this.call(host, CLAIMS_APPEND, { op, ...options }, limitMs));
     } catch (cause) {
+      this.backoffUntilMs.set(host.hostId, this.options.clock.monotonicMs() + OWNER_BACKOFF_MS);
       // A call that may have arrived can be appended a second time by this host; it takes effect only once.
       const arrived = !(cause instanceof TransportError) || cause.code !== 'not-connected';
-      return { type: 'unavailable', mayApply: arrived };
+      return { type: 'unavailable', mayApply: arrived, busy: false };
     }
   }
 
   private async callQuery(host: EntryHostView, query: object, limitMs: number): Promise<ClaimsAnswer | undefined> {
     try {
-      return claimsAnswerSchema.parse(await this.call(host, CLAIMS_QUERY, query, limitMs + REPLY_MARGIN_MS));
+      return claimsAnswerSchema.parse(await this.call(host, CLAIMS_QUERY, query, limitMs + QUERY_MARGIN_MS));
     } catch {
       return undefined;
     }
   }
 
-  private async call(host: EntryHostView, method: string, params: object, limitMs: number): Promise<unknown> {
-    const { clock, peers } = this.options;
-    try {
-      const target = { address: host.address, port: host.peersPort };
-      return await peers.call(target, method, params, { timeoutMs: Math.ceil(limitMs) });
-    } catch (cause) {
-      this.backoffUntilMs.set(host.hostId, clock.monotonicMs() + OWNER_BACKOFF_MS);
-      throw cause;
-    }
+  private call(host: EntryHostView, method: string, params: object, limitMs: number): Promise<unknown> {
+    const target = { address: host.address, port: host.peersPort };
+    return this.options.peers.call(target, method, params, { timeoutMs: Math.ceil(limitMs) });
   }
 }
 
--- a/packages/entry/src/claims/createShardLog.ts
+++ b/packages/entry/src/claims/createShardLog.ts
@@ -26,6 +26,8 @@
   find(keyHash: string): ClaimRecord | undefined;
   /** Whether the log was read at least once. */
   isKnown(): boolean;
+  /** Whether the last call to the store failed. */
+  isFailing(): boolean;
   close(): void;
 }
 
@@ -81,6 +83,10 @@
     return this.known;
   }
 
+  isFailing(): boolean {
+    return this.state.failures > 0;
+  }
+
   close(): void {
     this.closed = true;
   }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,7 @@
 /** The daemon of an entry host. */
 export { default as startEntryHost } from './wire.js';
 export type { EntryHost } from './wire.js';
+export { default as createClaimBook } from './claims/createClaimBook.js';
+export type { ClaimBookOptions } from './claims/createClaimBook.js';
+export type { ClaimBook, ClaimRequest } from './claims/types.js';
+export type { EntryHostView, PeerDirectory } from './peers/types.js';
--- a/packages/protocol/src/claims.ts
+++ b/packages/protocol/src/claims.ts
@@ -86,8 +86,11 @@
   z.strictObject({ type: z.literal('taken'), record: claimRecordSchema }),
   /** The snapshot of the shard has no room for more claims. */
   z.strictObject({ type: z.literal('full') }),
-  /** Not settled within the time limit; `mayApply` says whether the operation may still take effect. */
-  z.strictObject({ type: z.literal('unavailable'), mayApply: z.boolean() }),
+  /**
+   * Not settled within the time limit; `mayApply` says whether the operation may still take effect, `busy` that the
+   * store answers this host and the operation only waits for its turn.
+   */
+  z.strictObject({ type: z.literal('unavailable'), mayApply: z.boolean(), busy: z.boolean().default(false) }),
 ]);
 
 /** Parameters of {@link CLAIMS_APPEND}. */
