--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -2,10 +2,14 @@
 export * from './request/index.js';
 export * from './claims/index.js';
 export * from './poison/index.js';
+export * from './planner/index.js';
 export * from './routing/types.js';
 export { default as adaptWindow } from './routing/adaptWindow.js';
 export type { WindowFacts } from './routing/adaptWindow.js';
 export { default as chooseServer } from './routing/chooseServer.js';
+export * from './membership/index.js';
+export * from './convergence/index.js';
+export * from './lease/index.js';
 export { default as createPoolBook } from './routing/createPoolBook.js';
 export type { PoolBook } from './routing/createPoolBook.js';
 export { default as estimateLoad } from './routing/estimateLoad.js';
