Settle a resend by the servers' answer while the claiming host is unreachable

Change: an unreachable claimant makes the wait ask the servers; only a positive answer settles, because the claimant may still be about to send.

--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -116,11 +116,30 @@
       case 'absent':
         // The outcome may have become durable just before its host went away.
         return fresh ? this.settle(request, record) : 'refresh';
+      case 'unreachable':
+        return this.settleIfRan(request, record);
       default:
         return 'pause';
     }
   }
 
+  /**
+   * Membership needs seconds to declare a crashed host dead. Meanwhile only a positive answer of the servers settles
+   * the request: the claiming host may still be about to send the call.
+   */
+  private async settleIfRan(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
+    const executed = await request.queryStatus?.();
+    return executed === true ? this.settleRecorded(request, record) : 'pause';
+  }
+
+  /** Records that the call ran and its answer is lost. */
+  private settleRecorded(request: ClaimRequest, record: ClaimRecord): ClaimWait {
+    const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
+    const { open, clock } = this.options;
+    open.adopt(formatOutcome(hashKey(request), record.claimId, outcome, clock.wallMs()));
+    return settleRan();
+  }
+
   private async askClaimant(keyHash: string, record: ClaimRecord, limitMs: number): Promise<ClaimantAnswer> {
     const { open, directory, peers, processId } = this.options;
     const waitMs = Math.max(1, Math.min(ASK_MS, limitMs));
@@ -158,11 +177,8 @@
       return request.serversCheckKeys ? { type: 'server-decides' } : settleUnknown();
     }
     const executed = await request.queryStatus();
-    const keyHash = hashKey(request);
     if (executed === true) {
-      const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
-      this.options.open.adopt(formatOutcome(keyHash, record.claimId, outcome, this.options.clock.wallMs()));
-      return settleRan();
+      return this.settleRecorded(request, record);
     }
     if (request.serversCheckKeys) {
       return { type: 'server-decides' };
@@ -172,7 +188,7 @@
     if (executed === undefined || waitMs > 0) {
       return settleUnknown(executed === undefined ? RETRY_AFTER_MS : Math.min(Math.ceil(waitMs), request.longestMs));
     }
-    return this.release(keyHash, record);
+    return this.release(hashKey(request), record);
   }
 
   private remaining(request: ClaimRequest): number {
