Make two tests independent of the speed of the machine

Cause: under load the balancer test missed a window of 100 ms and the progress test of bergamotctl raced a 20 ms timer against an immediate; both failed once in a run with a load average of 27. Change: both use the manual clock; the bounds are the same.

--- a/packages/ctl/src/cli/runCli.test.ts
+++ b/packages/ctl/src/cli/runCli.test.ts
@@ -51,7 +51,7 @@
   const { store } = ports;
   store.get = () =>
     new Promise((resolve) => {
-      setTimeout(() => resolve(undefined), 20);
+      ports.clock.schedule(500, () => ports.clock.schedule(1_000, () => resolve(undefined)));
     });
   await runCli(COMMANDS, ['get', 'clerk', ...STORE], ports);
   assert.match(ports.err[0] ?? '', /reading clerk \(1 s\)/);
--- a/packages/standins/src/balancer/startBalancer.test.ts
+++ b/packages/standins/src/balancer/startBalancer.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createSystemClock } from '@bergamotcove/clock';
+import { createManualClock } from '@bergamotcove/clock';
 import { createHttpClient } from '@bergamotcove/transport';
 import serveJson, { StatusReply } from '../_lib/serveJson.js';
 import startBalancer from './startBalancer.js';
@@ -18,7 +18,7 @@
     );
   const hosts = { a: await startHost('a'), b: await startHost('b') };
   const backends = Object.entries(hosts).map(([id, { port }]) => ({ id, address: '127.0.0.1', port }));
-  const clock = createSystemClock();
+  const clock = createManualClock();
   const balancer = await startBalancer(place, { clock, backends, checkMs: 10, ignoreDrainMs: 150 });
   const http = createHttpClient({ maxSockets: 1 });
   context.after(async () => {
@@ -34,14 +34,20 @@
     }
     return names;
   };
+  // The balancer schedules its next check only when the present one has its answers.
+  const advance = async (deltaMs: number): Promise<void> => {
+    clock.advance(deltaMs);
+    while (clock.nextDueMs() === undefined) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  };
   assert.deepEqual(new Set(await ask(4)), new Set(['"a"', '"b"']));
   ready = false;
-  await new Promise((resolve) => {
-    setTimeout(resolve, 50);
-  });
+  await advance(10);
+  await advance(140);
   assert.deepEqual(new Set(await ask(4)), new Set(['"a"', '"b"']));
-  await new Promise((resolve) => {
-    setTimeout(resolve, 250);
-  });
+  await advance(10);
   assert.deepEqual(new Set(await ask(4)), new Set(['"b"']));
 });
