Settle a waiting resend by status query before its deadline

Cause: with membership, a crashed host stays in the view until its verdict; a resend waited for it until the deadline and never asked the servers.

Change: the last 450 ms of the deadline are kept for the status query. Its answer that the call ran is given, but not recorded, because the claiming host may still record the whole answer.

--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -25,6 +25,8 @@
 const ASK_MS = 1_000;
 const REPLY_MARGIN_MS = 100;
 const PAUSE_MS = 100;
+/** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
+const STATUS_RESERVE_MS = 450;
 const RELEASE_LIMIT_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
@@ -102,7 +104,13 @@
   }
 
   private async lookAtOpen(request: ClaimRequest, record: ClaimRecord, fresh: boolean): Promise<ClaimWait | Next> {
-    const answer = await this.askClaimant(hashKey(request), record, this.remaining(request));
+    const reserveMs = request.queryStatus === undefined ? 0 : STATUS_RESERVE_MS;
+    const limitMs = this.remaining(request) - reserveMs;
+    if (limitMs <= 0) {
+      // The claiming host may still record its answer; nothing is recorded for it here.
+      return (await request.queryStatus?.()) === true ? settleRan() : settleUnknown(RETRY_AFTER_MS);
+    }
+    const answer = await this.askClaimant(hashKey(request), record, limitMs);
     switch (answer.type) {
       case 'outcome':
         return isUnknown(answer.outcome)
@@ -134,7 +142,7 @@
     const about = { type: 'claimant', claimId: record.claimId };
     try {
       const target = { address: host.address, port: host.peersPort };
-      const timeoutMs = Math.ceil(waitMs + REPLY_MARGIN_MS);
+      const timeoutMs = Math.ceil(Math.min(waitMs + REPLY_MARGIN_MS, limitMs));
       return claimsAnswerSchema.parse(
         await peers.call(target, CLAIMS_QUERY, { keyHash, about, waitMs }, { timeoutMs }),
       );
