Ready: spread findings at once, pass documents to the watchers and take delisted hosts as a hint

Cause: with 60 hosts, 2% loss and pauses of 1 s live hosts were judged dead (8.3 false verdict reports a host-hour); after a healed cut the last of 60 hosts needed up to 2,800 ms; a crashed host that the list dropped was known after seconds. Change: suspicions, refutations and ends are sent to neighbours at once; a host that learns a document elsewhere passes it to its watchers; a host that the list drops and that gives no ack in 800 ms is dead; view exchanges slow with size.

--- a/packages/bench/src/control/runControlBench.ts
+++ b/packages/bench/src/control/runControlBench.ts
@@ -1,4 +1,4 @@
-import measureCost from './measureCost.js';
+import measureCost, { measureTargetCost } from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureDigests from './measureDigests.js';
 import measureInForce from './measureInForce.js';
@@ -11,6 +11,7 @@
 export const CONTROL_MEASUREMENTS: Readonly<Record<string, Measure>> = {
   'in-force': measureInForce,
   cost: measureCost,
+  'target-cost': measureTargetCost,
   process: measureProcess,
   detection: measureDetection,
   restart: measureRestart,
--- a/packages/decide/src/convergence/_lib/distribute.ts
+++ b/packages/decide/src/convergence/_lib/distribute.ts
@@ -8,6 +8,14 @@
   return names.flatMap((name) => draft.watchersOf(name));
 };
 
+/** A host that learnt a document in another way than from its watchers gives it to them. */
+const passToWatchers = (draft: Draft, source: 'store' | PeerAddress): void => {
+  const { self } = draft.state;
+  if (source === 'store' || source.failureDomain !== self.failureDomain) {
+    draft.act({ type: 'push', to: draft.watchersOf(self.failureDomain), documents: draft.newDocuments() });
+  }
+};
+
 /**
  * Passes on what this event put in force. The first watcher pushes documents to its failure domain; the second one
  * only offers their versions, so that a document crosses the network twice only if the first watcher failed. What
@@ -16,7 +24,11 @@
 export default function distribute(draft: Draft, source: 'store' | PeerAddress): void {
   const documents = draft.newDocuments();
   const { watcherRank } = draft.state;
-  if (documents.length === 0 || watcherRank === undefined) {
+  if (documents.length === 0) {
+    return;
+  }
+  if (watcherRank === undefined) {
+    passToWatchers(draft, source);
     return;
   }
   const versions = documents.map(({ service, version, hash }) => ({ service, version, hash }));
--- a/packages/decide/src/membership/_lib/Draft.ts
+++ b/packages/decide/src/membership/_lib/Draft.ts
@@ -7,7 +7,7 @@
   PeerAddress,
 } from '@bergamotcove/protocol';
 import type { Random } from '../../routing/types.js';
-import { MAX_UPDATES, REMOTE_REPEAT_MS } from '../constants.js';
+import { INDIRECT_PROBES, MAX_UPDATES, REMOTE_REPEAT_MS } from '../constants.js';
 import listLiveMembers from '../listLiveMembers.js';
 import type {
   DomainView,
@@ -174,6 +174,11 @@
     }
   }
 
+  /** Sends what this host has just found out at once; waiting for the next probes costs seconds of the verdict time. */
+  tellNeighbours(): void {
+    this.draw(this.neighbours(), INDIRECT_PROBES).forEach(({ host }) => this.send(host, { type: 'ping' }));
+  }
+
   private takeSequence(): number {
     const { nextSequence } = this.fields;
     this.set({ nextSequence: nextSequence + 1 });
@@ -191,6 +196,7 @@
       const own = { hostId: this.self.hostId, state: phase, incarnation: update.incarnation + 1, host: this.self };
       this.set({ incarnation: own.incarnation });
       this.spread(own);
+      this.tellNeighbours();
     }
   }
 
--- a/packages/decide/src/membership/_lib/probeNeighbours.ts
+++ b/packages/decide/src/membership/_lib/probeNeighbours.ts
@@ -1,12 +1,23 @@
-import { DIRECT_TIMEOUT_MS, INDIRECT_PROBES, PROBE_TIMEOUT_MS, RECONNECT_MS } from '../constants.js';
+import {
+  DELISTED_TIMEOUT_MS,
+  DIRECT_TIMEOUT_MS,
+  INDIRECT_PROBES,
+  PROBE_TIMEOUT_MS,
+  RECONNECT_MS,
+} from '../constants.js';
 import suspicionTimeoutMs from '../suspicionTimeoutMs.js';
 import type { Probe } from '../types.js';
 import type Draft from './Draft.js';
 
 const failProbe = (draft: Draft, probe: Probe): void => {
   const target = draft.members.get(probe.targetId);
-  if (target?.state === 'alive') {
+  if (target !== undefined && probe.delisted === true) {
+    draft.apply({ hostId: probe.targetId, state: 'dead', incarnation: target.incarnation });
+  } else if (target?.state === 'alive') {
     draft.apply({ hostId: probe.targetId, state: 'suspect', incarnation: target.incarnation });
+    // The suspect learns of it at once, so that a live one can refute in time.
+    draft.send(target.host, { type: 'ping' });
+    draft.tellNeighbours();
   } else if (target?.state === 'leaving') {
     draft.apply({ hostId: probe.targetId, state: 'dead', incarnation: target.incarnation });
   }
@@ -28,7 +39,7 @@
 export function checkProbes(draft: Draft): void {
   [...draft.probes].forEach(([sequence, probe]) => {
     const ageMs = draft.nowMs - probe.sentMs;
-    if (ageMs >= PROBE_TIMEOUT_MS) {
+    if (ageMs >= (probe.delisted === true ? DELISTED_TIMEOUT_MS : PROBE_TIMEOUT_MS)) {
       draft.probes.delete(sequence);
       if (!draft.relays.delete(sequence)) {
         failProbe(draft, probe);
--- a/packages/decide/src/membership/advanceMembership.ts
+++ b/packages/decide/src/membership/advanceMembership.ts
@@ -4,7 +4,7 @@
 import handleMessage from './_lib/handleMessage.js';
 import { representDomain, trackDomains } from './_lib/probeDomains.js';
 import { checkProbes, checkSuspects, probeNext, reconnect } from './_lib/probeNeighbours.js';
-import { FORGET_MS, INDIRECT_PROBES, PAUSE_THRESHOLD_MS, PROBE_PERIOD_MS, SYNC_MS } from './constants.js';
+import { FORGET_MS, PAUSE_THRESHOLD_MS, PROBE_PERIOD_MS, SYNC_HOSTS, SYNC_MS } from './constants.js';
 import type { ListedPeer, MembershipEvent, MembershipState, MembershipStep } from './types.js';
 
 /** After a pause the host was silent, not its peers: open probes and suspicions start again. */
@@ -32,7 +32,8 @@
 
 const syncWhenDue = (draft: Draft): void => {
   if (draft.nowMs >= draft.state.nextSyncMs) {
-    draft.set({ nextSyncMs: draft.nowMs + SYNC_MS * (0.5 + draft.random()) });
+    const meanMs = SYNC_MS * Math.max(1, draft.members.size / SYNC_HOSTS);
+    draft.set({ nextSyncMs: draft.nowMs + meanMs * (0.5 + draft.random()) });
     draft.draw(draft.live(), 1).forEach(({ host }) => draft.act({ type: 'sync', peer: host }));
   }
 };
@@ -60,6 +61,13 @@
 const applyList = (draft: Draft, peers: readonly ListedPeer[]): void => {
   draft.set({ listedLeaving: peers.some(({ host, leaving }) => leaving && host.hostId === draft.self.hostId) });
   const listedIds = new Set(peers.map(({ host }) => host.hostId));
+  [...draft.members.values()]
+    .filter(({ host, listed }) => listed && !listedIds.has(host.hostId))
+    .forEach(({ host }) => {
+      const sequence = draft.send(host, { type: 'ping' });
+      const targetId = host.hostId;
+      draft.probes.set(sequence, { targetId, sentMs: draft.nowMs, indirect: false, delisted: true });
+    });
   [...draft.members.values()].forEach((member) =>
     draft.members.set(member.host.hostId, { ...member, listed: listedIds.has(member.host.hostId) }),
   );
@@ -83,7 +91,7 @@
   const { self, state } = draft;
   draft.set({ phase });
   draft.spread({ hostId: self.hostId, state: phase, incarnation: state.incarnation, host: self });
-  draft.draw(draft.neighbours(), INDIRECT_PROBES).forEach(({ host }) => draft.send(host, { type: 'ping' }));
+  draft.tellNeighbours();
 };
 
 /**
--- a/packages/decide/src/membership/constants.ts
+++ b/packages/decide/src/membership/constants.ts
@@ -10,6 +10,9 @@
 /** Wait for any ack before a suspicion; longer than a pause of 1 s, which is common and not a failure. */
 export const PROBE_TIMEOUT_MS = 1_500;
 
+/** Wait for any ack of a host that the host list has just dropped; list and silence together are the verdict. */
+export const DELISTED_TIMEOUT_MS = 800;
+
 /** Peers that are asked to probe indirectly. */
 export const INDIRECT_PROBES = 3;
 
@@ -37,9 +40,12 @@
 /** Time after which a dead or left host that the host list does not name is forgotten. */
 export const FORGET_MS = 60_000;
 
-/** Mean interval between two exchanges of the whole view with a random peer. */
+/** Mean interval between two exchanges of the whole view with a random peer, up to `SYNC_HOSTS` hosts. */
 export const SYNC_MS = 30_000;
 
+/** Size from which the interval grows with the view, so that the bytes a second stay as they are. */
+export const SYNC_HOSTS = 50;
+
 /** Updates in one message; keeps a message under its size limit. */
 export const MAX_UPDATES = 8;
 
--- a/packages/decide/src/membership/types.ts
+++ b/packages/decide/src/membership/types.ts
@@ -25,6 +25,8 @@
   readonly targetId: string;
   readonly sentMs: number;
   readonly indirect: boolean;
+  /** The host list has just dropped the target; a missing ack then is the verdict. */
+  readonly delisted?: boolean;
 }
 
 /** An indirect probe on behalf of another host. */
