--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -70,7 +70,10 @@
 });
 
 /** Cancels a request; the option `signal` of Node would attach its own observers to request and response as well. */
-const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal): void => {
+const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal | undefined): void => {
+  if (signal === undefined) {
+    return;
+  }
   const destroy = (): void => {
     outgoing.destroy(new Error('the request was cancelled'));
   };
@@ -87,9 +90,7 @@
   new Promise((resolve, reject) => {
     let sent = false;
     const outgoing = http.request(formatOptions(target, request, agent));
-    if (request.signal !== undefined) {
-      destroyOnAbort(outgoing, request.signal);
-    }
+    destroyOnAbort(outgoing, request.signal);
     outgoing.on('response', (response) => {
       // A response that is cancelled after its reader has finished reports an error that nobody awaits.
       response.on('error', () => undefined);
