--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -288,7 +288,7 @@
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
-  const planner = startPlanner(base, peerDirectory);
+  const planner = startPlanner(base, base.control);
   const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers, planner });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
