--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -25,6 +25,8 @@
 const ASK_MS = 1_000;
 const REPLY_MARGIN_MS = 100;
 const PAUSE_MS = 100;
+/** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
+const STATUS_RESERVE_MS = 450;
 const RELEASE_LIMIT_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
@@ -102,7 +104,13 @@
   }
 
   private async lookAtOpen(request: ClaimRequest, record: ClaimRecord, fresh: boolean): Promise<ClaimWait | Next> {
-    const answer = await this.askClaimant(hashKey(request), record, this.remaining(request));
+    const reserveMs = request.queryStatus === undefined ? 0 : STATUS_RESERVE_MS;
+    const limitMs = this.remaining(request) - reserveMs;
+    if (limitMs <= 0) {
+      // The claiming host may still record its answer; nothing is recorded for it here.
+      return (await request.queryStatus?.()) === true ? settleRan() : settleUnknown(RETRY_AFTER_MS);
+    }
+    const answer = await this.askClaimant(hashKey(request), record, limitMs);
     switch (answer.type) {
       case 'outcome':
         return isUnknown(answer.outcome)
@@ -116,11 +124,30 @@
       case 'absent':
         // The outcome may have become durable just before its host went away.
         return fresh ? this.settle(request, record) : 'refresh';
+      case 'unreachable':
+        return this.settleIfRan(request, record);
       default:
         return 'pause';
     }
   }
 
+  /**
+   * Membership needs seconds to declare a crashed host dead. Meanwhile only a positive answer of the servers settles
+   * the request: the claiming host may still be about to send the call.
+   */
+  private async settleIfRan(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
+    const executed = await request.queryStatus?.();
+    return executed === true ? this.settleRecorded(request, record) : 'pause';
+  }
+
+  /** Records that the call ran and its answer is lost. */
+  private settleRecorded(request: ClaimRequest, record: ClaimRecord): ClaimWait {
+    const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
+    const { open, clock } = this.options;
+    open.adopt(formatOutcome(hashKey(request), record.claimId, outcome, clock.wallMs()));
+    return settleRan();
+  }
+
   private async askClaimant(keyHash: string, record: ClaimRecord, limitMs: number): Promise<ClaimantAnswer> {
     const { open, directory, peers, processId } = this.options;
     const waitMs = Math.max(1, Math.min(ASK_MS, limitMs));
@@ -134,7 +161,7 @@
     const about = { type: 'claimant', claimId: record.claimId };
     try {
       const target = { address: host.address, port: host.peersPort };
-      const timeoutMs = Math.ceil(waitMs + REPLY_MARGIN_MS);
+      const timeoutMs = Math.ceil(Math.min(waitMs + REPLY_MARGIN_MS, limitMs));
       return claimsAnswerSchema.parse(
         await peers.call(target, CLAIMS_QUERY, { keyHash, about, waitMs }, { timeoutMs }),
       );
@@ -158,11 +185,8 @@
       return request.serversCheckKeys ? { type: 'server-decides' } : settleUnknown();
     }
     const executed = await request.queryStatus();
-    const keyHash = hashKey(request);
     if (executed === true) {
-      const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
-      this.options.open.adopt(formatOutcome(keyHash, record.claimId, outcome, this.options.clock.wallMs()));
-      return settleRan();
+      return this.settleRecorded(request, record);
     }
     if (request.serversCheckKeys) {
       return { type: 'server-decides' };
@@ -172,7 +196,7 @@
     if (executed === undefined || waitMs > 0) {
       return settleUnknown(executed === undefined ? RETRY_AFTER_MS : Math.min(Math.ceil(waitMs), request.longestMs));
     }
-    return this.release(keyHash, record);
+    return this.release(hashKey(request), record);
   }
 
   private remaining(request: ClaimRequest): number {
