Reach another server when a backend server falls silent, and ask before a once call

Cause: after a cut of a failure domain an attempt on a host that had learnt nothing waited for its deadline, the hedge budget allowed one hedge, and a once call was written into a connection whose other end was cut off, so that its outcome was unknown. Change: a server that stays silent for a quarter of the time left is hedged, also without learnt times; up to three attempts run side by side; a silent stream is moved; the retry budget covers what the hedge budget does not. A once call sends its head with Expect: 100-continue and its body only after the server answered; without an answer in 300 ms nothing can have run.

--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -81,9 +81,17 @@
   return { state: next.state, actions: [...cancels, ...next.actions] };
 };
 
+/** Attempts of one stage that may run side by side; the third is for a cut that hides two servers at once. */
+const MAX_PARALLEL_ATTEMPTS = 3;
+
 const startHedge = (state: RequestState, attempt: Attempt): RequestStep => {
   const stage = state.plan.stages[attempt.stageIndex];
-  if (stage === undefined || stage.effect === 'once' || state.attempts.length > 1 || state.tokenCount > 0) {
+  if (
+    stage === undefined ||
+    stage.effect === 'once' ||
+    state.attempts.length >= MAX_PARALLEL_ATTEMPTS ||
+    state.tokenCount > 0
+  ) {
     return unchanged(state);
   }
   return startAttempt(state, stage, state.outputs, { hedge: true });
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -275,7 +275,9 @@
     }
     const other = this.choose([...this.action.avoidServers, server.serverId]);
     const elsewhere = other?.type === 'send' && other.server.serverId !== server.serverId;
-    if (!elsewhere || this.options.findBudgets(this.context.plan.service)?.hedges.spend() !== true) {
+    const budgets = this.options.findBudgets(this.context.plan.service);
+    // A server that stays silent may be cut off; when the hedge budget is used up, that is worth a retry.
+    if (!elsewhere || (budgets?.hedges.spend() !== true && budgets?.retries.spend() !== true)) {
       return;
     }
     this.hedged = true;
--- a/packages/entry/src/servers/createAttemptFollower.ts
+++ b/packages/entry/src/servers/createAttemptFollower.ts
@@ -41,6 +41,10 @@
 /** A wait below this multiple of the learnt quantile is ordinary variation. */
 const SILENCE_FACTOR = 2;
 const STAGE_QUANTILE = 0.99;
+/** Share of the time left at the start after which a silent server is doubted while nothing has been learnt. */
+const COLD_SILENCE_SHARE = 0.25;
+/** Share of that time after which a stream that has stopped is moved. */
+const STREAM_SILENCE_SHARE = 0.125;
 
 class Follower implements AttemptFollower {
   private sentAtMs = 0;
@@ -49,6 +53,8 @@
 
   private arrived = 0;
 
+  private arrivedAtMs = 0;
+
   private sampled = 0;
 
   private bookedTokens: number;
@@ -84,6 +90,7 @@
       this.sampledAtMs = nowMs;
     }
     this.arrived += count;
+    this.arrivedAtMs = nowMs;
     if (nowMs - this.sampledAtMs >= SAMPLE_MS) {
       this.sample(nowMs);
     }
@@ -128,7 +135,9 @@
         ? estimates.firstTokenMs(plan, stage, hedgeQuantile)
         : estimates.stageMs(plan, stage, STAGE_QUANTILE);
     const silentMs = nowMs - this.sentAtMs;
-    if (usualMs === undefined || silentMs < Math.max(SAMPLE_MS, usualMs * SILENCE_FACTOR)) {
+    const limitMs =
+      usualMs === undefined ? this.timeAtStartMs() * COLD_SILENCE_SHARE : Math.max(SAMPLE_MS, usualMs * SILENCE_FACTOR);
+    if (silentMs < limitMs) {
       return 'none';
     }
     if (stage.kind !== 'generate') {
@@ -138,8 +147,15 @@
     return 'hedge';
   }
 
+  private timeAtStartMs(): number {
+    return this.options.plan.deadlineAtMs - this.sentAtMs;
+  }
+
   private checkStream(nowMs: number): SlowVerdict {
     const { clock, directory, estimates, plan, stage, hedgeQuantile } = this.options;
+    if (nowMs - this.arrivedAtMs > this.timeAtStartMs() * STREAM_SILENCE_SHARE) {
+      return 'migrate';
+    }
     if (nowMs - this.sampledAtMs >= SAMPLE_MS) {
       this.sample(nowMs);
     }
--- a/packages/platform/src/servers/callServer.ts
+++ b/packages/platform/src/servers/callServer.ts
@@ -4,6 +4,11 @@
 import type { ServerCall, ServerEvent, ServerFailure } from './types.js';
 
 const STATUS_OK = 200;
+
+/** Time for a server to agree to read the body of a call that must not be repeated; a round trip takes 24 ms. */
+const CONTINUE_LIMIT_MS = 300;
+/** Share of the time left that the agreement may take, so that another server can still be tried. */
+const CONTINUE_SHARE = 0.25;
 const STATUS_UNAVAILABLE = 503;
 
 const answerSchema = z.object({ attemptId: z.string(), output: z.unknown() });
@@ -121,7 +126,12 @@
     },
     body: formatBody(call),
     signal,
-    freshConnection: call.idempotencyKey !== undefined,
+    ...(call.idempotencyKey === undefined
+      ? {}
+      : {
+          freshConnection: true,
+          expectContinueMs: Math.min(CONTINUE_LIMIT_MS, call.timeoutMs * CONTINUE_SHARE),
+        }),
     ...(call.maySend === undefined ? {} : { maySend: call.maySend }),
     onSending: () => {
       noteSending();
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -19,6 +19,11 @@
   readonly onSending?: () => void;
   /** Asked when the connection exists; false gives the request up as `not-connected` before any byte is written. */
   readonly maySend?: () => boolean;
+  /**
+   * Sends the head with `Expect: 100-continue` and the body only after the server answered it. Without an answer in
+   * this time the request is given up as `not-connected`: a server cannot run a request whose body it never got.
+   */
+  readonly expectContinueMs?: number;
   /** Opens a connection for this request alone, because a kept one may break before the server reads from it. */
   readonly freshConnection?: boolean;
 }
@@ -66,7 +71,11 @@
   port: target.port,
   method: request.method,
   path: request.path,
-  headers: { ...request.headers, 'content-length': Buffer.byteLength(request.body ?? '') },
+  headers: {
+    ...request.headers,
+    'content-length': Buffer.byteLength(request.body ?? ''),
+    ...(request.expectContinueMs === undefined ? {} : { expect: '100-continue' }),
+  },
 });
 
 /** Cancels a request; the option `signal` of Node would attach its own observers to request and response as well. */
@@ -85,6 +94,19 @@
   outgoing.once('close', () => signal.removeEventListener('abort', destroy));
 };
 
+/** Runs the callback when the server agrees to read the body; gives the request up when it does not answer in time. */
+const whenContinued = (outgoing: ClientRequest, limitMs: number, run: () => void): void => {
+  const timer = setTimeout(() => outgoing.destroy(new Error('the server did not agree to read the body')), limitMs);
+  const stop = (): void => clearTimeout(timer);
+  outgoing.once('response', stop);
+  outgoing.once('close', stop);
+  outgoing.once('continue', () => {
+    stop();
+    run();
+  });
+  outgoing.flushHeaders();
+};
+
 /** Sends a request and resolves with the response as soon as its headers arrived. */
 const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
@@ -97,7 +119,7 @@
       resolve(response);
     });
     outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
-    whenConnected(outgoing, () => {
+    const sendBody = (): void => {
       if (request.signal?.aborted === true || request.maySend?.() === false) {
         outgoing.destroy(new Error('the request was given up before it was sent'));
         return;
@@ -105,6 +127,13 @@
       sent = true;
       request.onSending?.();
       outgoing.end(request.body ?? '');
+    };
+    whenConnected(outgoing, () => {
+      if (request.expectContinueMs === undefined) {
+        sendBody();
+      } else {
+        whenContinued(outgoing, request.expectContinueMs, sendBody);
+      }
     });
   });
 
