State unknown while an earlier request under the same key may have run

Cause: a resend on another host was refused with not-run although the call of the first request had run. With servers that check keys themselves the wait for the first request ends without its outcome, and the resend then ran out of time; the same holds when the log of the key cannot be read. Change: the plan notes that an earlier request may have run; until a claim is granted, which proves the opposite, a refusal states unknown. The matrix allows unknown for a store cut at the steps accept and parse only, before the key is looked up; a false not-run stays a violation.

--- a/packages/bench/src/faults/expectOutcomes.ts
+++ b/packages/bench/src/faults/expectOutcomes.ts
@@ -9,6 +9,9 @@
 /** Faults that keep the first host from writing claims for a while or for good. */
 const STORE_CUTS: readonly Fault[] = ['store-down', 'cut-store', 'one-way-cut'];
 
+/** Steps before the host looks up the key; without the store it then cannot know of an earlier request. */
+const BEFORE_LOOK_UP: readonly Step[] = ['accept', 'parse'];
+
 const AFTER_CLAIM: readonly Step[] = ['send-call', 'record', 'answer'];
 
 /** The caller's connection ends with its host; a pause outlasts the deadline. */
@@ -42,6 +45,9 @@
     return ['answered', 'broken'];
   }
   if (STORE_CUTS.includes(fault)) {
+    if (BEFORE_LOOK_UP.includes(step)) {
+      return ['answered', 'not-run', 'unknown'];
+    }
     return AFTER_CLAIM.includes(step) ? ['answered'] : ['answered', 'not-run'];
   }
   if (UNCERTAIN_FAULTS.includes(fault)) {
--- a/packages/decide/src/request/advanceRequest.test.ts
+++ b/packages/decide/src/request/advanceRequest.test.ts
@@ -88,3 +88,14 @@
   assert.equal(step.state.text, 'abc');
   assert.deepEqual(step.actions, [{ type: 'emit-tokens', firstTokenIndex: 2, tokens: ['c'] }]);
 });
+
+test('states unknown instead of not-run while an earlier request under the key may have run', () => {
+  const before = makeState([makeStage(0, 'post', 'once')]);
+  const doubted = { ...before, plan: { ...before.plan, earlierMayHaveRun: true } };
+  const unavailable: RequestEvent = { type: 'claim-decided', decision: { type: 'unavailable', retryAfterMs: 100 } };
+  const outcomes = [before, doubted].map((state) => {
+    const [action] = play(state, [{ type: 'started' }, unavailable]).actions;
+    return action?.type === 'finish' && action.result.type === 'refused' ? action.result.outcome : action?.type;
+  });
+  assert.deepEqual(outcomes, ['not-run', 'unknown']);
+});
--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -38,7 +38,9 @@
   if (decision.type === 'unavailable') {
     return refuseUnclaimed(state, state.phase.stageIndex, decision.retryAfterMs);
   }
-  const claimed = { ...state, claimed: true, contended: false };
+  // A granted claim proves that no request under this key ran before.
+  const plan = { ...state.plan, earlierMayHaveRun: false };
+  const claimed = { ...state, plan, claimed: true, contended: false };
   // A host that was paused can learn of its claim after the deadline, before its deadline timer runs.
   return nowMs < state.plan.deadlineAtMs ? startStage(claimed, state.phase.stageIndex) : passDeadline(claimed);
 };
--- a/packages/decide/src/request/types.ts
+++ b/packages/decide/src/request/types.ts
@@ -15,6 +15,8 @@
   /** Monotonic time of the deadline. */
   readonly deadlineAtMs: number;
   readonly maxAttempts: number;
+  /** Whether an earlier request under the same key may have run; then a refusal cannot state `not-run`. */
+  readonly earlierMayHaveRun?: boolean;
 }
 
 /** Whole result of one stage. */
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -66,12 +66,15 @@
 
 const STATUS_BY_REFUSAL = { 'over-limit': 429, 'deadline-passed': 503 } as const;
 
-const rejectOverload = ({ reason, retryAfterMs }: Extract<GateDecision, { type: 'refused' }>): CallerError =>
+const rejectOverload = (
+  { reason, retryAfterMs }: Extract<GateDecision, { type: 'refused' }>,
+  earlierMayHaveRun: boolean,
+): CallerError =>
   new CallerError('not-ready', {
     type: 'about:blank',
     title: reason,
     status: STATUS_BY_REFUSAL[reason],
-    outcome: 'not-run',
+    outcome: earlierMayHaveRun ? 'unknown' : 'not-run',
     retryAfterMs,
   });
 
@@ -92,6 +95,10 @@
   result: Promise.resolve(result),
 });
 
+/** What is known of an earlier request under the same key. */
+type EarlierResult =
+  { readonly type: 'known'; readonly run: RequestRun } | { readonly type: 'none'; readonly earlierMayHaveRun: boolean };
+
 class Service implements RequestService {
   private readonly runs: KeyedRuns;
 
@@ -147,7 +154,7 @@
     try {
       const decision = await this.options.admit(plan, document);
       if (decision.type === 'refused') {
-        throw rejectOverload(decision);
+        throw rejectOverload(decision, plan.earlierMayHaveRun === true);
       }
     } finally {
       this.inFlightCount -= 1;
@@ -209,35 +216,34 @@
     this.inFlightCount += 1;
     try {
       const found = await this.findResult(plan, request, claim);
-      if (found !== undefined) {
-        return found;
+      if (found.type === 'known') {
+        return found.run;
       }
-      await this.admit(plan, this.findDocument(request).document);
-      return this.startOnce(plan, request, claim);
+      const { earlierMayHaveRun } = found;
+      await this.admit({ ...plan, earlierMayHaveRun }, this.findDocument(request).document);
+      return this.startOnce({ ...plan, earlierMayHaveRun }, request, claim);
     } finally {
       this.inFlightCount -= 1;
     }
   }
 
-  /** Result of an earlier request under the same key, or undefined when this request has to run. */
-  private async findResult(
-    plan: RequestPlan,
-    request: CallerRequest,
-    claim: ClaimRequest,
-  ): Promise<RequestRun | undefined> {
+  /** Result of an earlier request under the same key, if it is known. */
+  private async findResult(plan: RequestPlan, request: CallerRequest, claim: ClaimRequest): Promise<EarlierResult> {
     const found = await this.options.claims.lookUp(claim);
     if (found.type === 'other-body') {
       throw rejectOtherBody();
     }
     if (found.type === 'finished') {
-      return toFinishedRun(plan, found.result, request);
+      return { type: 'known', run: toFinishedRun(plan, found.result, request) };
     }
     if (found.type === 'claimed') {
       const waited = await this.options.claims.awaitOutcome(claim);
-      return waited.type === 'settled' ? toFinishedRun(plan, waited.result, request) : undefined;
+      return waited.type === 'settled'
+        ? { type: 'known', run: toFinishedRun(plan, waited.result, request) }
+        : { type: 'none', earlierMayHaveRun: waited.type === 'server-decides' };
     }
     // Without the store, the repeatable stages run and the claim waits within the deadline.
-    return undefined;
+    return { type: 'none', earlierMayHaveRun: found.type === 'unavailable' };
   }
 
   private startOnce(plan: RequestPlan, request: CallerRequest, claim: ClaimRequest): RequestRun {
