Repeat poison reports until every live host has confirmed them

Cause: a request crashed four servers instead of two. Change: an outbox repeats a report every 300 ms to live hosts that have not confirmed it, blocks for as long as they last. The down check also counts a new connection that is reset, as a forwarder in front of a dead server does.

--- a/packages/entry/src/poison/createDownCheck.ts
+++ b/packages/entry/src/poison/createDownCheck.ts
@@ -1,9 +1,12 @@
-import { TransportError, type HttpClient } from '@bergamotcove/transport';
+import { TransportError, type HttpClient, type TransportErrorCode } from '@bergamotcove/transport';
 import type { ServerDirectory } from '../servers/createServerDirectory.js';
 
-/** Tells whether a backend server refuses connections. */
+/** Tells whether a backend server is down: it refuses or breaks a new connection. */
 export type DownCheck = (pool: string, serverId: string) => Promise<boolean>;
 
+/** A forwarder in front of a crashed server accepts the connection and then resets it. */
+const DOWN_CODES: readonly TransportErrorCode[] = ['not-connected', 'connection-lost'];
+
 /** A server that neither accepts nor refuses within this time may be cut off; that is no crash. */
 const CHECK_TIMEOUT_MS = 150;
 
@@ -26,7 +29,7 @@
       await http.send(server, { method: 'GET', path: '/load', freshConnection: true, signal });
       return false;
     } catch (cause) {
-      return cause instanceof TransportError && cause.code === 'not-connected';
+      return cause instanceof TransportError && DOWN_CODES.includes(cause.code);
     }
   };
 }
--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -10,12 +10,12 @@
   poisonReportSchema,
   releasePoisonSchema,
   type PoisonBlock,
-  type PoisonReport,
 } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
 import type { CallerRequest } from '../callers/types.js';
 import type { PeerDirectory } from '../peers/types.js';
 import type { AttemptEvent } from '../requests/startRun.js';
+import createReportOutbox, { type ReportOutbox } from './createReportOutbox.js';
 import RunningAttempts from './_lib/RunningAttempts.js';
 
 /** Options of {@link createPoisonGuard}. */
@@ -44,9 +44,11 @@
   /** Starts an attempt unless its request is blocked, and watches it for a crash of its server. */
   watch(request: WatchedRequest, dispatch: () => Observable<AttemptEvent>): Observable<AttemptEvent>;
   listBlocks(): readonly PoisonBlock[];
+  close(): void;
 }
 
-const REPORT_TIMEOUT_MS = 500;
+/** Time for which a crash or a release is repeated to hosts that did not confirm it. */
+const REPORT_LIFETIME_MS = 10_000;
 const FINGERPRINT_CHARS = 22;
 
 /** Fingerprint of a request: the same request gets the same one on every host. */
@@ -61,8 +63,11 @@
 
   private readonly running = new RunningAttempts();
 
+  private readonly outbox: ReportOutbox;
+
   constructor(private readonly options: PoisonGuardOptions) {
     const { peerServer } = options;
+    this.outbox = createReportOutbox(options);
     peerServer.register(POISON_REPORT, (params) => {
       this.handle(poisonReportSchema.parse(params));
       return {};
@@ -71,12 +76,16 @@
       const { fingerprint } = releasePoisonSchema.parse(params);
       const blocked = readBlock(this.state, fingerprint, options.clock.monotonicMs()) !== undefined;
       this.handle({ type: 'release', fingerprint });
-      this.report({ type: 'release', fingerprint });
+      this.outbox.send({ type: 'release', fingerprint }, REPORT_LIFETIME_MS);
       return { released: blocked };
     });
     peerServer.register(OPERATOR_LIST_POISON, () => this.listBlocks());
   }
 
+  close(): void {
+    this.outbox.close();
+  }
+
   listBlocks(): readonly PoisonBlock[] {
     const nowMs = this.options.clock.monotonicMs();
     return [...this.state.blocks]
@@ -128,34 +137,25 @@
       return;
     }
     const crash = { type: 'crash' as const, serverId, fingerprints };
-    this.report(crash);
+    this.outbox.send(crash, REPORT_LIFETIME_MS);
     this.handle(crash);
   }
 
   private handle(event: PoisonEvent): void {
     const step = advancePoison(this.state, event, this.options.clock.monotonicMs());
     this.state = step.state;
+    if (event.type === 'release') {
+      this.outbox.dropBlock(event.fingerprint);
+    }
     if (event.type === 'block') {
       return;
     }
     step.blocked.forEach((fingerprint) => {
       this.options.logger.event('requestPoisoned', { fingerprint });
       const remainingMs = readBlock(this.state, fingerprint, this.options.clock.monotonicMs()) ?? 0;
-      this.report({ type: 'block', fingerprint, remainingMs });
+      this.outbox.send({ type: 'block', fingerprint, remainingMs }, remainingMs);
     });
   }
-
-  private report(report: PoisonReport): void {
-    const { directory, peers, hostId } = this.options;
-    directory
-      .liveHosts()
-      .filter((host) => host.hostId !== hostId)
-      .forEach((host) => {
-        const target = { address: host.address, port: host.peersPort };
-        // A host that misses a report learns of the request when it crashes a server there.
-        peers.call(target, POISON_REPORT, report, { timeoutMs: REPORT_TIMEOUT_MS }).catch(() => undefined);
-      });
-  }
 }
 
 /**
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -233,6 +233,7 @@
 interface StopParts {
   readonly requests: RequestService;
   readonly claims: ClaimBook;
+  readonly poison: PoisonGuard;
   readonly closeRequests: () => void;
   readonly callers: HttpServer;
   readonly peers: HttpServer;
@@ -240,10 +241,11 @@
 }
 
 /** Closes every part, in order or at once. */
-const createStop = (base: Base, { requests, claims, closeRequests, callers, peers, planner }: StopParts) => {
+const createStop = (base: Base, { requests, claims, poison, closeRequests, callers, peers, planner }: StopParts) => {
   const close = async (): Promise<void> => {
     base.directory.close();
     closeRequests();
+    poison.close();
     base.control.close();
     await Promise.all([planner.close(), callers.close(), peers.close(), base.metrics.close()]);
     claims.close();
@@ -293,7 +295,7 @@
   await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const planner = startPlanner(base, base.control);
-  const { close, abort } = createStop(base, { requests, claims, closeRequests, callers, peers, planner });
+  const { close, abort } = createStop(base, { requests, claims, poison, closeRequests, callers, peers, planner });
   drain = wireDrain(base, { requests, claims, drainState, close, abort });
   base.logger.event('hostStarted', { callersPort: callers.port, peersPort: peers.port });
   return {
