Do not hold a refusal back for its record

Change: a refusal waits at most 100 ms for its record, which goes on in the background. The matrix allows unknown when the failure domain is cut while a call that must not be repeated is under way (steps send-call and resend): the trace shows the call sent before the cut and its reply behind it. A cut before the call is sent still has to end as answered.

--- a/packages/bench/src/faults/expectOutcomes.ts
+++ b/packages/bench/src/faults/expectOutcomes.ts
@@ -36,8 +36,15 @@
   return STORE_CUTS.includes(fault) ? ['answered', 'unknown'] : ['answered'];
 };
 
+/** A cut while the call is under way hides whether it ran; before the call is sent, another server can be asked. */
+const hidesSentCall = ({ step, fault }: Injection): boolean =>
+  fault === 'cut-domain' && (step === 'send-call' || step === 'resend');
+
 const expectOfPost = (injection: Injection): readonly CellOutcome[] => {
   const { step, fault } = injection;
+  if (hidesSentCall(injection)) {
+    return ['answered', 'unknown'];
+  }
   if (step === 'resend') {
     return expectOfResentCall(fault);
   }
--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -33,6 +33,8 @@
 const RETRY_AFTER_MS = 1_000;
 /** Longest time that an answer waits for its outcome to be durable. */
 const RECORD_LIMIT_MS = 500;
+/** A refusal mostly comes at the deadline and is not held back; its record goes on in the background. */
+const REFUSAL_RECORD_LIMIT_MS = 100;
 /** Longest time that a request waits for a look at the log before its repeatable stages start. */
 const LOOK_UP_LIMIT_MS = 250;
 /** Longest wait for a claim when the servers check keys themselves; the request then goes on without it. */
@@ -131,7 +133,8 @@
       outcome === undefined
         ? this.formatOwnRelease(request)
         : formatOutcome(keyHash, request.requestId, outcome, clock.wallMs());
-    await withLimit(clock, RECORD_LIMIT_MS, open.settle(request.requestId, outcome, op));
+    const limitMs = result.type === 'answered' ? RECORD_LIMIT_MS : REFUSAL_RECORD_LIMIT_MS;
+    await withLimit(clock, limitMs, open.settle(request.requestId, outcome, op));
   }
 
   async flush(limitMs: number): Promise<number> {
