Read event streams by listeners and keep the connection of a finished generation

A line end split between two packets was also not recognised. Change: readEventStream calls back for each event and reads to the end of the response; the poison guard passes events on directly; the answer is given at the final chunk.

--- a/packages/bench/src/faults/sendCallerRequest.ts
+++ b/packages/bench/src/faults/sendCallerRequest.ts
@@ -1,5 +1,5 @@
 import http, { type IncomingMessage } from 'node:http';
-import { parseEventStream, readBody } from '@bergamotcove/transport';
+import { readBody, readEventStream } from '@bergamotcove/transport';
 import type { Outcome } from '@bergamotcove/decide';
 import { ADDRESS, DEADLINE_MARGIN_MS, DEADLINE_MS, SERVICE } from './constants.js';
 import type { OperationName } from './types.js';
@@ -61,14 +61,20 @@
 
 const readStream = async (response: IncomingMessage, progress: Progress): Promise<CallerEnd> => {
   const state = progress;
-  for await (const event of parseEventStream(response)) {
+  let end: CallerEnd | undefined;
+  const reading = readEventStream(response, (event) => {
     if (event.event === 'token') {
       state.tokens = [...state.tokens, JSON.parse(event.data) as CallerToken];
     } else {
-      return event.event === 'final' ? readAnswer(event.data) : readProblem(event.data);
+      end ??= event.event === 'final' ? readAnswer(event.data) : readProblem(event.data);
     }
-  }
-  return { type: 'broken' };
+  });
+  await reading.catch((cause: unknown) => {
+    if (end === undefined) {
+      throw cause;
+    }
+  });
+  return end ?? { type: 'broken' };
 };
 
 const readReply = async (response: IncomingMessage, progress: Progress): Promise<CallerEnd> => {
--- a/packages/bench/src/overhead/runOverheadBench.ts
+++ b/packages/bench/src/overhead/runOverheadBench.ts
@@ -1,3 +1,4 @@
+import { GENERATORS, WARM_UP_MS } from './constants.js';
 import readCpuSeconds from './readCpuSeconds.js';
 import runGenerators, { type MergedReport } from './runGenerators.js';
 import startOverheadSetup, { OVERHEAD_SERVICE, type OverheadSetup } from './startOverheadSetup.js';
@@ -23,9 +24,7 @@
   readonly pid?: number;
 }
 
-const GENERATORS = 2;
 const CONCURRENCY = 16;
-const WARM_UP_MS = 1_500;
 const INPUT_BYTES = 400;
 const MS_PER_SECOND = 1_000;
 const US_PER_MS = 1_000;
--- a/packages/bench/src/overhead/startOverheadSetup.ts
+++ b/packages/bench/src/overhead/startOverheadSetup.ts
@@ -7,6 +7,7 @@
 import type { StandinHost } from '@bergamotcove/standins';
 import { builtScript } from '../deployment/paths.js';
 import startProcess, { type BenchProcess } from '../deployment/startProcess.js';
+import { STREAM_TOKENS } from './constants.js';
 
 /** Processes of the overhead measurement. */
 export interface OverheadSetup {
@@ -25,7 +26,8 @@
 /** Name of the service that the generators call. */
 export const OVERHEAD_SERVICE = 'overhead';
 
-const KINDS = ['encode', 'retrieve', 'rerank'] as const;
+const KINDS = ['encode', 'retrieve', 'rerank', 'generate'] as const;
+const SHORT_STAGES: readonly string[] = ['encode', 'retrieve', 'rerank'];
 
 const buildDocument = (): ServiceDocument =>
   parseServiceDocument(
@@ -33,10 +35,28 @@
       service: OVERHEAD_SERVICE,
       team: 'bench',
       deadlineMs: 10_000,
-      stages: KINDS.map((kind) => ({ name: kind, kind, pool: kind })),
+      stages: KINDS.map((kind) => ({
+        name: kind,
+        kind,
+        pool: kind,
+        ...(kind === 'generate' ? { model: 'base' } : {}),
+      })),
       operations: [
         { name: 'one-hop', idempotent: true, priority: 'interactive', stages: ['encode'], expectedOutputTokens: 0 },
-        { name: 'three-hops', idempotent: true, priority: 'interactive', expectedOutputTokens: 0 },
+        {
+          name: 'three-hops',
+          idempotent: true,
+          priority: 'interactive',
+          stages: SHORT_STAGES,
+          expectedOutputTokens: 0,
+        },
+        {
+          name: 'stream',
+          idempotent: true,
+          priority: 'interactive',
+          stages: ['generate'],
+          expectedOutputTokens: STREAM_TOKENS,
+        },
       ],
       // Limits far above the measured rates, so that admission decides but never refuses.
       organisations: { default: { requestsPerSecond: 1_000_000, tokensPerSecond: 1_000_000_000 } },
--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { concatMap, finalize, Observable, of } from 'rxjs';
+import { Observable, of, type Subscriber, type TeardownLogic } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
 import { advancePoison, readBlock, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
@@ -99,26 +99,48 @@
       const retryAfterMs = Math.ceil(remainingMs);
       return of({ type: 'failed', failure: { type: 'poisoned', retryAfterMs }, retryAllowed: false });
     }
+    return new Observable((subscriber) => this.follow(request, dispatch(), subscriber));
+  }
+
+  /** Passes events on without a stream for each, because every generated token passes here. */
+  private follow(
+    request: WatchedRequest,
+    events: Observable<AttemptEvent>,
+    subscriber: Subscriber<AttemptEvent>,
+  ): TeardownLogic {
     const attempt = {};
     let serverId: string | undefined;
-    const end = (): void => {
-      if (serverId !== undefined) {
-        this.running.remove(serverId, attempt);
-      }
-    };
-    return dispatch().pipe(
-      concatMap((event) => {
+    let checking = false;
+    const source = events.subscribe({
+      next: (event) => {
         if (event.type === 'sent') {
           serverId = event.serverId;
           this.running.add(serverId, attempt, request.fingerprint);
         }
-        // The failure is passed on after the crash is known, because it starts the next attempt.
-        return serverId !== undefined && this.mayBeCrash(request, event)
-          ? this.checkCrash(request, serverId).then(() => event)
-          : of(event);
-      }),
-      finalize(end),
-    );
+        if (serverId === undefined || !this.mayBeCrash(request, event)) {
+          subscriber.next(event);
+          return;
+        }
+        // The failure, the last event, is passed on after the crash is known, because it starts the next attempt.
+        checking = true;
+        this.checkCrash(request, serverId).then(() => {
+          subscriber.next(event);
+          subscriber.complete();
+        });
+      },
+      error: (cause: unknown) => subscriber.error(cause),
+      complete: () => {
+        if (!checking) {
+          subscriber.complete();
+        }
+      },
+    });
+    return () => {
+      source.unsubscribe();
+      if (serverId !== undefined) {
+        this.running.remove(serverId, attempt);
+      }
+    };
   }
 
   private mayBeCrash(request: WatchedRequest, event: AttemptEvent): boolean {
--- a/packages/platform/src/servers/callServer.ts
+++ b/packages/platform/src/servers/callServer.ts
@@ -1,6 +1,7 @@
+import type { Readable } from 'node:stream';
 import { Observable, type Subscriber } from 'rxjs';
 import { z } from 'zod';
-import { parseEventStream, readBody, TransportError, type HttpClient } from '@bergamotcove/transport';
+import { readBody, readEventStream, TransportError, type HttpClient } from '@bergamotcove/transport';
 import type { ServerCall, ServerEvent, ServerFailure } from './types.js';
 
 const STATUS_OK = 200;
@@ -81,15 +82,15 @@
 /** Receives the events of a call. */
 type EventSink = Pick<Subscriber<ServerEvent>, 'next'>;
 
-const readGeneration = async (
-  call: ServerCall,
-  body: AsyncIterable<{ readonly data: string }>,
-  subscriber: EventSink,
-): Promise<void> => {
-  let tokenCount: number | undefined;
-  for await (const { data } of body) {
-    if (data === '[DONE]') {
-      break;
+/**
+ * Reads a generation to the end of its stream, so that the connection is kept. The answer is passed on at the final
+ * chunk, because a server may take its time to end the response.
+ */
+const readGeneration = async (call: ServerCall, body: Readable, subscriber: EventSink): Promise<void> => {
+  let done = false;
+  await readEventStream(body, ({ data }) => {
+    if (done || data === '[DONE]') {
+      return;
     }
     const chunk = parseJson(chunkSchema, data);
     const choice = chunk.choices[0];
@@ -99,13 +100,13 @@
     if (choice.finish_reason === null) {
       subscriber.next({ type: 'tokens', firstTokenIndex: chunk.token_index, tokens: [choice.text] });
     } else {
-      tokenCount = chunk.token_index;
+      done = true;
+      subscriber.next({ type: 'answer', output: { tokenCount: chunk.token_index } });
     }
-  }
-  if (tokenCount === undefined) {
+  });
+  if (!done) {
     throw new TransportError('connection-lost', 'stream ended without its final chunk');
   }
-  subscriber.next({ type: 'answer', output: { tokenCount } });
 };
 
 const runCall = async (
@@ -144,7 +145,7 @@
     return;
   }
   if (call.kind === 'generate') {
-    await readGeneration(call, parseEventStream(response), subscriber);
+    await readGeneration(call, response, subscriber);
     return;
   }
   const answer = parseJson(answerSchema, await readBody(response));
@@ -187,8 +188,9 @@
         subscriber.complete();
       });
     return () => {
-      clearTimeout(timer);
+      // After the answer the timer still bounds the time in which the server has to end its response.
       if (!finished) {
+        clearTimeout(timer);
         abort.abort();
       }
     };
--- a/packages/transport/src/eventStream.test.ts
+++ b/packages/transport/src/eventStream.test.ts
@@ -3,13 +3,11 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import formatStreamEvent from './formatStreamEvent.js';
-import parseEventStream, { type StreamEvent } from './parseEventStream.js';
+import readEventStream, { type StreamEvent } from './readEventStream.js';
 
 const collect = async (chunks: readonly Buffer[]): Promise<readonly StreamEvent[]> => {
   const events: StreamEvent[] = [];
-  for await (const event of parseEventStream(Readable.from(chunks))) {
-    events.push(event);
-  }
+  await readEventStream(Readable.from(chunks), (event) => events.push(event));
   return events;
 };
 
@@ -38,3 +36,25 @@
   const events = await collect([Buffer.from(text), Buffer.from('id: 2\nevent: token\ndata: b')]);
   assert.equal(events.length, 1);
 });
+
+test('line ends of two characters survive a split between them, so that two events are not taken for one', async () => {
+  const text = 'data: a\r\n\r\ndata: b\r\n\r\n';
+  const whole = await collect([Buffer.from(text)]);
+  const split = await collect([...text].map((character) => Buffer.from(character)));
+  assert.deepEqual(
+    whole.map(({ data }) => data),
+    ['a', 'b'],
+  );
+  assert.deepEqual(split, whole);
+});
+
+test('a failing receiver ends the stream, so that no event is handled after an error', async () => {
+  const stream = Readable.from([Buffer.from('data: a\n\n'), Buffer.from('data: b\n\n')]);
+  const seen: string[] = [];
+  const reading = readEventStream(stream, ({ data }) => {
+    seen.push(data);
+    throw new Error('refused');
+  });
+  await assert.rejects(reading, /refused/);
+  assert.deepEqual(seen, ['a']);
+});
--- a/packages/transport/src/formatStreamEvent.ts
+++ b/packages/transport/src/formatStreamEvent.ts
@@ -1,4 +1,4 @@
-import type { StreamEvent } from './parseEventStream.js';
+import type { StreamEvent } from './readEventStream.js';
 
 /**
  * Formats one server-sent event.
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,8 +6,8 @@
 export { default as createHttpServer, sendJson } from './createHttpServer.js';
 export type { HttpExchange, HttpHandler, HttpServer, HttpServerOptions } from './createHttpServer.js';
 export { default as formatStreamEvent } from './formatStreamEvent.js';
-export { default as parseEventStream } from './parseEventStream.js';
-export type { StreamEvent } from './parseEventStream.js';
+export { default as readEventStream } from './readEventStream.js';
+export type { StreamEvent } from './readEventStream.js';
 export { default as readBody, MAX_BODY_BYTES } from './readBody.js';
 export { default as createPeerClient } from './peers/createPeerClient.js';
 export type { PeerCallOptions, PeerClient, PeerClientOptions } from './peers/createPeerClient.js';
