--- a/packages/ctl/src/commands/hosts.test.ts
+++ b/packages/ctl/src/commands/hosts.test.ts
@@ -51,6 +51,38 @@
   assert.match(text, /clerk +1 +2 +versions differ/);
 });
 
+test('status names what the hosts refuse to follow, so that a store that lost writes does not stay unnoticed', async () => {
+  const finding = { type: 'store-regressed', service: 'clerk', inForce: 7, offered: 5, source: 'store' };
+  const { text } = await run(
+    () => Promise.resolve({ ...status('a', 7), configFindings: [finding], lostDomains: ['d2'] }),
+    ...['status', '--host', A, '--host', B],
+  );
+  assert.match(text, /service clerk: the store offers an older version .*in force 7, offered 5.*reported by a, a/);
+  assert.match(text, /failure domain d2: lost/);
+});
+
+test('poison lists a block once for all hosts, and release is done when one host took the order', async () => {
+  const listed = await run(
+    (url) =>
+      Promise.resolve(
+        url === A ? [{ fingerprint: 'f1', remainingMs: 1_500 }] : [{ fingerprint: 'f1', remainingMs: 9 }],
+      ),
+    ...['poison', '--host', A, '--host', B],
+  );
+  assert.equal(listed.exitCode, 0);
+  assert.match(listed.text, /f1 +2 s +2\n/);
+  const release = (...failing: string[]) =>
+    run(
+      (url) =>
+        failing.includes(url)
+          ? Promise.reject(new TransportError('connection-lost', 'broken'))
+          : Promise.resolve({ released: true }),
+      ...['release', 'f1', '--host', A, '--host', B],
+    );
+  assert.equal((await release(B)).exitCode, 0);
+  assert.equal((await release(A, B)).exitCode, 4);
+});
+
 test('a drain order whose reply was lost ends with 4, one that never arrived with 1', async () => {
   const fail = (code: 'not-connected' | 'connection-lost') =>
     run(() => Promise.reject(new TransportError(code, 'broken')), 'drain', '--host', A);
--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -4,12 +4,26 @@
 import drain from './drain.js';
 import get from './get.js';
 import history from './history.js';
+import poison from './poison.js';
+import release from './release.js';
 import rollback from './rollback.js';
 import status from './status.js';
 import trace from './trace.js';
 import validate from './validate.js';
 
 /** Every command, in the order of the help text. */
-const COMMANDS: readonly CommandSpec[] = [validate, apply, get, diff, history, rollback, status, drain, trace];
+const COMMANDS: readonly CommandSpec[] = [
+  validate,
+  apply,
+  get,
+  diff,
+  history,
+  rollback,
+  status,
+  drain,
+  trace,
+  poison,
+  release,
+];
 
 export default COMMANDS;
--- a/packages/ctl/src/format/formatStatus.ts
+++ b/packages/ctl/src/format/formatStatus.ts
@@ -32,8 +32,28 @@
   return [service, ...versions.map((version) => (version === undefined ? '-' : String(version))), differs];
 };
 
+const FINDING_TEXT: Readonly<Record<string, string>> = {
+  'store-regressed': 'the store offers an older version than the one in force; it may have lost writes',
+  'hash-conflict': 'the same version is offered with other content',
+};
+
+/** Each finding once, with the hosts that report it. */
+const formatFindings = (hosts: readonly HostStatusAnswer[]): readonly string[] => {
+  const reporters = new Map<string, string[]>();
+  hosts.forEach(({ hostId, configFindings = [], lostDomains = [] }) => {
+    const findings = configFindings.map(({ type, service, inForce, offered, source }) => {
+      const text = FINDING_TEXT[type] ?? type;
+      return `service ${service}: ${text} (in force ${inForce}, offered ${offered} by ${source})`;
+    });
+    const lost = lostDomains.map((domain) => `failure domain ${domain}: lost`);
+    [...findings, ...lost].forEach((text) => reporters.set(text, [...(reporters.get(text) ?? []), hostId]));
+  });
+  return [...reporters].map(([text, hostIds]) => `${text}; reported by ${hostIds.join(', ')}`);
+};
+
 /**
- * Formats the status of several hosts: a table of hosts, and a table of services with the version in force on each.
+ * Formats the status of several hosts: a table of hosts, a table of services with the version in force on each, and
+ * the findings that an operator has to look at.
  *
  * @param answers - answers of the hosts
  * @returns the tables
@@ -42,10 +62,9 @@
   const hosts = answers.flatMap((answer) => (answer.type === 'answered' ? [answer.result] : []));
   const services = [...new Set(hosts.flatMap((host) => host.services.map((entry) => entry.service)))].sort();
   const hostTable = formatTable([HOST_HEADING, ...answers.map(toHostRow)]);
-  if (services.length === 0) {
-    return hostTable;
-  }
   const heading = ['SERVICE', ...hosts.map((host) => host.hostId)];
-  const serviceTable = formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
-  return `${hostTable}\n\n${serviceTable}`;
+  const serviceTable =
+    services.length === 0 ? '' : formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
+  const findings = formatFindings(hosts).join('\n');
+  return [hostTable, serviceTable, findings].filter((part) => part !== '').join('\n\n');
 }
--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -11,8 +11,24 @@
   inFlight: z.number(),
   entryHosts: z.array(z.string()),
   services: z.array(z.looseObject({ service: z.string(), version: z.number() })),
+  configFindings: z
+    .array(
+      z.looseObject({
+        type: z.string(),
+        service: z.string(),
+        inForce: z.number(),
+        offered: z.number(),
+        source: z.string(),
+      }),
+    )
+    .optional(),
+  lostDomains: z.array(z.string()).optional(),
 });
 
+export const poisonListSchema = z.array(z.looseObject({ fingerprint: z.string(), remainingMs: z.number() }));
+
+export const releaseAnswerSchema = z.looseObject({ released: z.boolean() });
+
 export const drainAnswerSchema = z.looseObject({ draining: z.boolean() });
 
 export const spanSchema = z.looseObject({
