Name the stage that limits a service in bergamotctl status

Cause: operators could not see which pool holds a service back nor what more of it would give. Change: the host status carries the load of its pools and the stages of each service; bergamotctl finds the fullest pool and the gain of one more server, up to the point at which the next stage is as full.

--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -26,7 +26,8 @@
   name: 'status',
   summary: 'show entry hosts and the versions that they have in force',
   description:
-    'Prints a table of the entry hosts and a table of the services with the version in force on each host. ' +
+    'Prints a table of the entry hosts, a table of the services with the version in force on each host, the stage that ' +
+    'limits a service with what one more server of its pool would give, and findings such as a store that lost writes. ' +
     'Exit code 1 when a host does not answer.',
   args: [],
   options: ['host', 'settings'],
--- a/packages/ctl/src/format/formatStatus.ts
+++ b/packages/ctl/src/format/formatStatus.ts
@@ -1,5 +1,6 @@
 import type { HostAnswer } from '../hosts/askHosts.js';
 import type { HostStatusAnswer } from '../hosts/schemas.js';
+import findLimitingStage from './findLimitingStage.js';
 import formatTable from './formatTable.js';
 
 const HOST_HEADING = ['HOST', 'FAILURE DOMAIN', 'REGION', 'STATE', 'IN FLIGHT', 'ENTRY HOSTS SEEN'];
@@ -37,6 +38,22 @@
   'hash-conflict': 'the same version is offered with other content',
 };
 
+const PERCENT = 100;
+
+const formatPercent = (share: number): string => `${Math.round(share * PERCENT)}%`;
+
+const formatLimit = (service: string, hosts: readonly HostStatusAnswer[]): readonly string[] => {
+  const limit = findLimitingStage(service, hosts);
+  if (limit === undefined) {
+    return [];
+  }
+  const { stage, pool, servers, use, waiting, gainOfOneServer, next } = limit;
+  const load = `${formatPercent(use)} of the slots of ${servers} servers used, ${waiting} attempts waiting`;
+  const after = next === undefined ? '' : `; next limit: ${next.stage} at ${formatPercent(next.use)}`;
+  const gain = `one more server: +${formatPercent(gainOfOneServer)} requests`;
+  return [`service ${service}: limited by stage ${stage} (pool ${pool}: ${load}); ${gain}${after}`];
+};
+
 /** Each finding once, with the hosts that report it. */
 const formatFindings = (hosts: readonly HostStatusAnswer[]): readonly string[] => {
   const reporters = new Map<string, string[]>();
@@ -52,8 +69,8 @@
 };
 
 /**
- * Formats the status of several hosts: a table of hosts, a table of services with the version in force on each, and
- * the findings that an operator has to look at.
+ * Formats the status of several hosts: a table of hosts, a table of services with the version in force on each,
+ * the stages that limit services, and the findings that an operator has to look at.
  *
  * @param answers - answers of the hosts
  * @returns the tables
@@ -65,6 +82,7 @@
   const heading = ['SERVICE', ...hosts.map((host) => host.hostId)];
   const serviceTable =
     services.length === 0 ? '' : formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
+  const limits = services.flatMap((service) => formatLimit(service, hosts)).join('\n');
   const findings = formatFindings(hosts).join('\n');
-  return [hostTable, serviceTable, findings].filter((part) => part !== '').join('\n\n');
+  return [hostTable, serviceTable, limits, findings].filter((part) => part !== '').join('\n\n');
 }
--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -10,7 +10,24 @@
   draining: z.boolean(),
   inFlight: z.number(),
   entryHosts: z.array(z.string()),
-  services: z.array(z.looseObject({ service: z.string(), version: z.number() })),
+  services: z.array(
+    z.looseObject({
+      service: z.string(),
+      version: z.number(),
+      stages: z.array(z.looseObject({ stage: z.string(), pool: z.string() })).optional(),
+    }),
+  ),
+  pools: z
+    .array(
+      z.looseObject({
+        pool: z.string(),
+        servers: z.number(),
+        running: z.number(),
+        slots: z.number(),
+        waiting: z.number(),
+      }),
+    )
+    .optional(),
   configFindings: z
     .array(
       z.looseObject({
--- a/packages/entry/src/servers/createPoolQueues.ts
+++ b/packages/entry/src/servers/createPoolQueues.ts
@@ -22,6 +22,8 @@
   drainAll(): void;
   /** Short attempts that wait. */
   waiting(): number;
+  /** Attempts of any length that wait for a server of the pool. */
+  waitingFor(pool: string): number;
   close(): void;
 }
 
@@ -62,6 +64,10 @@
     return [...this.short.values()].reduce((sum, queue) => sum + queue.length, 0);
   }
 
+  waitingFor(pool: string): number {
+    return (this.short.get(pool)?.length ?? 0) + (this.long.get(pool)?.length ?? 0);
+  }
+
   close(): void {
     this.closed = true;
     this.timer?.close();
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -28,6 +28,8 @@
   readonly gate: AdmissionGate;
   readonly dispatch: Dispatcher;
   readonly estimates: Estimates;
+  /** Attempts of this host that wait for a server of the pool. */
+  readonly waitingFor: (pool: string) => number;
   close(): void;
 }
 
@@ -65,6 +67,7 @@
     gate,
     dispatch,
     estimates,
+    waitingFor: (pool) => queues.waitingFor(pool),
     close: () => {
       poller.close();
       queues.close();
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -24,6 +24,7 @@
 import type { ClaimBook } from './claims/types.js';
 import createConfigHolder, { type ConfigHolder, type DocumentSink } from './config/createConfigHolder.js';
 import createDrain from './drain/createDrain.js';
+import readPools from './operators/readPools.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
 import type { PeerDirectory } from './peers/types.js';
@@ -112,6 +113,7 @@
 /** Requests and the parts behind them that have timers. */
 interface RequestParts {
   readonly requests: RequestService;
+  readonly waitingFor: (pool: string) => number;
   close(): void;
 }
 
@@ -146,7 +148,7 @@
       }
     },
   });
-  return { requests, close: () => routing.close() };
+  return { requests, waitingFor: routing.waitingFor, close: () => routing.close() };
 };
 
 /** State of a planned stop. */
@@ -200,9 +202,10 @@
   });
 };
 
-const readStatus = (base: Base, requests: RequestService, drainState: DrainState): HostStatus => {
+const readStatus = (base: Base, { requests, waitingFor }: RequestParts, drainState: DrainState): HostStatus => {
   const { id: hostId, failureDomain, region } = base.settings.host;
   const services = base.config.list();
+  const poolNames = services.flatMap(({ document }) => document.stages.map(({ pool }) => pool));
   return {
     hostId,
     failureDomain,
@@ -211,7 +214,12 @@
     draining: drainState.draining,
     inFlight: requests.inFlight(),
     entryHosts: base.control.liveHosts().map((peer) => peer.hostId),
-    services: services.map(({ document, version }) => ({ service: document.service, version })),
+    services: services.map(({ document, version }) => ({
+      service: document.service,
+      version,
+      stages: document.stages.map(({ name, pool }) => ({ stage: name, pool })),
+    })),
+    pools: readPools(poolNames, { viewPool: base.directory.viewPool, waiting: waitingFor, region }),
     configFindings: base.control.findings(),
     lostDomains: base.control.lostDomains(),
   };
@@ -280,11 +288,12 @@
   const claims = createClaimBook(peerParts);
   const isDown = createDownCheck(base.http, base.directory);
   const poison = createPoisonGuard({ ...peerParts, isDown });
-  const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: base.control });
+  const requestParts = createRequests(base, { claims, poison, peers: base.control });
+  const { requests, close: closeRequests } = requestParts;
   const drainState: DrainState = { draining: false };
   let drain: () => Promise<void> = () => Promise.resolve();
   registerOperatorMethods(peerServer, {
-    status: () => readStatus(base, requests, drainState),
+    status: () => readStatus(base, requestParts, drainState),
     trace: base.tracer.findTrace,
     drain: () => {
       drain().catch(() => undefined);
--- a/packages/protocol/src/operator.ts
+++ b/packages/protocol/src/operator.ts
@@ -11,6 +11,8 @@
   /** Ids of the entry hosts that this host believes to be live. */
   readonly entryHosts: readonly string[];
   readonly services: readonly ServiceStatus[];
+  /** Pools of the services in force. */
+  readonly pools?: readonly PoolStatus[];
   /** Document versions that are offered to this host and not followed. */
   readonly configFindings?: readonly ConfigFindingStatus[];
   /** Failure domains that this host believes to be lost. */
@@ -30,4 +32,24 @@
 export interface ServiceStatus {
   readonly service: string;
   readonly version: number;
+  /** Stages in their order. */
+  readonly stages?: readonly StageStatus[];
+}
+
+/** One stage of a service and the pool that runs it. */
+export interface StageStatus {
+  readonly stage: string;
+  readonly pool: string;
+}
+
+/** Load of one pool as a host sees it, servers of its own region only. */
+export interface PoolStatus {
+  readonly pool: string;
+  readonly servers: number;
+  /** Attempts of all hosts on the servers, from own counts and load reports. */
+  readonly running: number;
+  /** Attempts that the servers were seen to run at the same time. */
+  readonly slots: number;
+  /** Attempts of this host that wait for a server. */
+  readonly waiting: number;
 }
