Keep the timers of the manual clock sorted by insertion

Cause: each new timer copied and sorted all pending ones, so a virtual fleet took time with the square of its size; the detection measurement did not end within 100 s on a machine that other work loaded. Change: a timer is inserted at its place; the detection measurement reports each step of the detection of a crash.

--- a/packages/bench/src/control/_lib/createVirtualNetwork.ts
+++ b/packages/bench/src/control/_lib/createVirtualNetwork.ts
@@ -67,13 +67,15 @@
   return from.region === to.region ? SAME_REGION_MS : OTHER_REGION_MS;
 };
 
-const addTraffic = (traffic: Traffic, changes: Partial<Traffic>): void => {
-  Object.assign(
-    traffic,
-    Object.fromEntries(
-      Object.entries(changes).map(([name, value]) => [name, traffic[name as keyof Traffic] + (value ?? 0)]),
-    ),
-  );
+const addDatagram = (traffic: Traffic, sizeBytes: number): void => {
+  const counted = traffic;
+  counted.datagramBytes += sizeBytes;
+};
+
+const addCall = (traffic: Traffic, calls: number, sizeBytes: number): void => {
+  const counted = traffic;
+  counted.calls += calls;
+  counted.callBytes += sizeBytes;
 };
 
 class Network implements VirtualNetwork {
@@ -149,13 +151,15 @@
 
   private send(from: Endpoint, to: PeerAddress, bytes: Uint8Array): void {
     const sizeBytes = bytes.length + DATAGRAM_EXTRA_BYTES;
-    addTraffic(this.traffic(from.address.hostId), { datagrams: 1, datagramBytes: sizeBytes });
+    const sent = this.traffic(from.address.hostId);
+    sent.datagrams += 1;
+    addDatagram(sent, sizeBytes);
     const target = this.endpoints.get(to.hostId);
     const { lossRatio, isCut } = this.faults;
     if (target === undefined || !from.up || this.random() < lossRatio || isCut(from.address, to)) {
       return;
     }
-    addTraffic(this.traffic(to.hostId), { datagramBytes: sizeBytes });
+    addDatagram(this.traffic(to.hostId), sizeBytes);
     this.scheduleOn(target, latencyMs(from.address, to), () => target.receive(bytes));
   }
 
@@ -172,7 +176,7 @@
   ): Promise<unknown> {
     const target = this.endpoints.get(hostId);
     const body = JSON.stringify(params);
-    addTraffic(this.traffic(from.address.hostId), { calls: 1, callBytes: body.length + CALL_EXTRA_BYTES / 2 });
+    addCall(this.traffic(from.address.hostId), 1, body.length + CALL_EXTRA_BYTES / 2);
     if (target === undefined || !target.up) {
       throw new TransportError('not-connected', 'no such process');
     }
@@ -186,8 +190,8 @@
         return timeout;
       }
       const answer = JSON.stringify(await target.methods.get(method)?.(JSON.parse(body)));
-      addTraffic(this.traffic(hostId), { callBytes: body.length + answer.length + CALL_EXTRA_BYTES });
-      addTraffic(this.traffic(from.address.hostId), { callBytes: answer.length + CALL_EXTRA_BYTES / 2 });
+      addCall(this.traffic(hostId), 0, body.length + answer.length + CALL_EXTRA_BYTES);
+      addCall(this.traffic(from.address.hostId), 0, answer.length + CALL_EXTRA_BYTES / 2);
       if (this.random() < this.faults.lostReplyRatio) {
         return timeout;
       }
--- a/packages/bench/src/control/measureDetection.ts
+++ b/packages/bench/src/control/measureDetection.ts
@@ -1,4 +1,4 @@
-import createVirtualFleet, { type VirtualFleet } from './_lib/createVirtualFleet.js';
+import createVirtualFleet, { type VirtualFleet, type VirtualHost } from './_lib/createVirtualFleet.js';
 import { cutDomain, healAll, runUntil } from './_lib/faults.js';
 import summarise from './_lib/summarise.js';
 import type { Figure, Measure } from './types.js';
@@ -16,16 +16,38 @@
 
 const upHosts = (fleet: VirtualFleet) => fleet.hosts.filter((host) => host.up);
 
-const timeCrash = async (fleet: VirtualFleet): Promise<number> => {
+/** Time from a crash to each step of its detection. */
+interface CrashTimes {
+  readonly suspectedMs: number;
+  readonly judgedMs: number;
+  readonly domainMs: number;
+  readonly everywhereMs: number;
+}
+
+const firstReport = (fleet: VirtualFleet, peer: string, state: string, fromMs: number): number => {
+  const found = fleet.changes.find(
+    ({ atMs, name, fields }) =>
+      atMs >= fromMs && name === 'memberChanged' && fields.peer === peer && fields.state === state,
+  );
+  return (found?.atMs ?? Infinity) - fromMs;
+};
+
+const timeCrash = async (fleet: VirtualFleet): Promise<CrashTimes> => {
   const index = Math.floor(fleet.random() * fleet.hosts.length);
-  const total = fleet.hosts.length;
+  const { hostId, failureDomain } = (fleet.hosts[index] as VirtualHost).address;
   await fleet.run(1_000 * fleet.random());
+  const fromMs = fleet.clock.monotonicMs();
+  fleet.changes.splice(0);
   fleet.crash(index);
-  const known = () => upHosts(fleet).every((host) => host.membership.liveHosts().length === total - 1);
-  const tookMs = await runUntil(fleet, known, LIMIT);
+  const knows = (host: VirtualHost) => host.membership.liveHosts().every((peer) => peer.hostId !== hostId);
+  const inDomain = () => upHosts(fleet).filter((host) => host.address.failureDomain === failureDomain);
+  const domainMs = await runUntil(fleet, () => inDomain().every(knows), LIMIT);
+  const restMs = await runUntil(fleet, () => upHosts(fleet).every(knows), LIMIT);
+  const suspectedMs = firstReport(fleet, hostId, 'suspect', fromMs);
+  const judgedMs = firstReport(fleet, hostId, 'dead', fromMs);
   fleet.start(index);
   await fleet.run(RECOVER_MS);
-  return tookMs;
+  return { suspectedMs, judgedMs, domainMs, everywhereMs: domainMs + restMs };
 };
 
 const timeLeaving = async (fleet: VirtualFleet): Promise<number> => {
@@ -79,10 +101,17 @@
   ];
 };
 
+const CRASH_STEPS = [
+  ['suspectedMs', 'first suspected'],
+  ['judgedMs', 'first verdict'],
+  ['domainMs', 'known in its failure domain'],
+  ['everywhereMs', 'known everywhere'],
+] as const;
+
 const measureSize = async (hosts: number, seed: number, rounds: number): Promise<readonly Figure[]> => {
   const fleet = createVirtualFleet({ hosts, domains: DOMAINS, seed });
   await fleet.run(WARM_UP_MS);
-  const times: { crash: number[]; leaving: number[]; domain: number[] } = { crash: [], leaving: [], domain: [] };
+  const times: { crash: CrashTimes[]; leaving: number[]; domain: number[] } = { crash: [], leaving: [], domain: [] };
   for (let round = 0; round < rounds; round += 1) {
     times.crash.push(await timeCrash(fleet));
     times.leaving.push(await timeLeaving(fleet));
@@ -90,7 +119,13 @@
   }
   fleet.close();
   return [
-    ...summarise(`${hosts} hosts, crash known everywhere`, times.crash, 'ms'),
+    ...CRASH_STEPS.flatMap(([field, name]) =>
+      summarise(
+        `${hosts} hosts, crash ${name}`,
+        times.crash.map((step) => step[field]),
+        'ms',
+      ),
+    ),
     ...summarise(`${hosts} hosts, leaving known everywhere`, times.leaving, 'ms'),
     ...summarise(`${hosts} hosts, lost failure domain known outside`, times.domain, 'ms'),
   ];
--- a/packages/clock/src/createManualClock.ts
+++ b/packages/clock/src/createManualClock.ts
@@ -16,7 +16,21 @@
   nextDueMs(): number | undefined;
 }
 
-const compareEntries = (a: Entry, b: Entry): number => a.dueMs - b.dueMs || a.order - b.order;
+/** Index of the first entry that is due before the given one, or the end; entries stand in descending due order. */
+const findPlace = (entries: readonly Entry[], { dueMs, order }: Entry): number => {
+  let low = 0;
+  let high = entries.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    const other = entries[middle] as Entry;
+    if (other.dueMs > dueMs || (other.dueMs === dueMs && other.order > order)) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+};
 
 /**
  * Creates a clock for tests and for runs in virtual time.
@@ -32,12 +46,13 @@
   let nowMs = 0;
   let wallOffsetMs = startWallMs;
   let order = 0;
-  let entries: readonly Entry[] = [];
+  // The next entry stands last: most timers are short, and inserting near the end of an array moves little.
+  const entries: Entry[] = [];
 
   const advance = (deltaMs: number): void => {
     const endMs = nowMs + deltaMs;
-    for (let next = entries[0]; next !== undefined && next.dueMs <= endMs; [next] = entries) {
-      entries = entries.slice(1);
+    for (let next = entries.at(-1); next !== undefined && next.dueMs <= endMs; next = entries.at(-1)) {
+      entries.pop();
       nowMs = Math.max(nowMs, next.dueMs);
       next.run();
     }
@@ -50,10 +65,13 @@
     schedule: (delayMs, run) => {
       order += 1;
       const entry: Entry = { dueMs: nowMs + Math.max(0, delayMs), order, run };
-      entries = [...entries, entry].sort(compareEntries);
+      entries.splice(findPlace(entries, entry), 0, entry);
       return {
         close: () => {
-          entries = entries.filter((other) => other !== entry);
+          const place = findPlace(entries, entry);
+          if (entries[place] === entry) {
+            entries.splice(place, 1);
+          }
         },
       };
     },
@@ -61,6 +79,6 @@
     stepWall: (deltaMs) => {
       wallOffsetMs += deltaMs;
     },
-    nextDueMs: () => entries[0]?.dueMs,
+    nextDueMs: () => entries.at(-1)?.dueMs,
   };
 }
