Read the host list conditionally

Cause: every host read the whole list every second, 359 KB/s at the target size (calculated, 170 B an entry). Change: the adapter sends the entity tag of the list that it has; the stand-in answers 304 without a body while the list is unchanged, and counts those reads. An answer that is neither 200 nor 304 counts as a failed read. Conclusion: an unchanged list costs one small response; a change still costs a whole list for each host.

--- a/packages/entry/src/peers/createControlPlane.ts
+++ b/packages/entry/src/peers/createControlPlane.ts
@@ -8,8 +8,8 @@
   type ConfigDistribution,
   type Membership,
 } from '@bergamotcove/membership';
-import type { ListedHost, StoreClient } from '@bergamotcove/platform';
-import type { ConfigFindingStatus } from '@bergamotcove/protocol';
+import type { StoreClient } from '@bergamotcove/platform';
+import type { ConfigFindingStatus, ListedHost } from '@bergamotcove/protocol';
 import {
   createDatagramSocket,
   type DatagramSocket,
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -7,14 +7,16 @@
   type ServerEventInput,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { HostList, ListedHost } from '@bergamotcove/platform';
+import type { HostList } from '@bergamotcove/platform';
+import type { ListedHost } from '@bergamotcove/protocol';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly pollMs: number;
-  readonly fetchList: () => Promise<HostList>;
+  /** Reads the list; undefined when it still has the given tag. */
+  readonly fetchList: (etag: string | undefined) => Promise<HostList | undefined>;
 }
 
 /** Backend servers as this host sees them. */
@@ -64,13 +66,17 @@
   const book = createPoolBook();
   const leaving = new Set<string>();
   let hosts: readonly ListedHost[] = [];
+  let etag: string | undefined;
   let timer: Timer | undefined;
   let closed = false;
 
   const poll = async (): Promise<void> => {
     try {
-      hosts = (await options.fetchList()).hosts;
-      book.retain(new Set(hosts.map((host) => host.id)));
+      const list = await options.fetchList(etag);
+      if (list !== undefined) {
+        ({ hosts, etag } = list);
+        book.retain(new Set(hosts.map((host) => host.id)));
+      }
     } catch (cause) {
       options.logger.event('hostListUnavailable', { error: String(cause) });
     }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -88,7 +88,8 @@
   });
   const store = createGuardedStore(client, { clock, random: Math.random });
   const { url, pollMs } = settings.hostList;
-  const fetchList = () => fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs });
+  const fetchList = (etag?: string) =>
+    fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs, ...(etag === undefined ? {} : { etag }) });
   const directory = createServerDirectory({ clock, logger, pollMs, fetchList });
   const config = createConfigHolder({ logger });
   const peerClient = createPeerClient(http, { auth });
--- a/packages/platform/src/hosts/fetchHostList.ts
+++ b/packages/platform/src/hosts/fetchHostList.ts
@@ -1,53 +1,62 @@
 import { z } from 'zod';
+import { listedHostSchema, type ListedHost } from '@bergamotcove/protocol';
 import type { HttpClient } from '@bergamotcove/transport';
 import PlatformError from '../PlatformError.js';
 
-const hostSchema = z.object({
-  id: z.string(),
-  role: z.enum(['entry', 'server']),
-  address: z.string(),
-  port: z.number(),
-  /** Port for peer messages; entry hosts only. */
-  peerPort: z.number().optional(),
-  /** Pool of a backend server. */
-  pool: z.string().optional(),
-  failureDomain: z.string(),
-  region: z.string(),
-  state: z.enum(['live', 'leaving']),
-});
-
-const hostListSchema = z.object({ revision: z.number(), hosts: z.array(hostSchema) });
-
-/** One host of the platform's host list. */
-export type ListedHost = Readonly<z.output<typeof hostSchema>>;
+const hostListSchema = z.object({ revision: z.int(), hosts: z.array(listedHostSchema) });
 
 /** The host list; it lags behind the real state. */
 export interface HostList {
   readonly revision: number;
   readonly hosts: readonly ListedHost[];
+  /** Entity tag of this state of the list; undefined when the platform sends none. */
+  readonly etag?: string;
 }
 
+/** Options of {@link fetchHostList}. */
+export interface FetchHostListOptions {
+  readonly url: string;
+  readonly timeoutMs: number;
+  /** Tag of the list that the caller has; the read then costs a small response unless the list changed. */
+  readonly etag?: string;
+}
+
+const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
+
 /**
  * Fetches the host list.
  *
  * @param client - HTTP client
- * @param options - URL of the list and time limit
- * @returns the list
+ * @param options - URL of the list, time limit and the tag of the known list
+ * @returns the list, or undefined when it still has the given tag
  * @throws PlatformError when the list cannot be read
+ * @example
+ * const list = await fetchHostList(client, { url, timeoutMs: 1_000, etag: known.etag });
  */
 export default async function fetchHostList(
   client: HttpClient,
-  options: { readonly url: string; readonly timeoutMs: number },
-): Promise<HostList> {
-  const url = new URL(options.url);
-  const target = { address: url.hostname, port: Number(url.port) };
+  { url, timeoutMs, etag }: FetchHostListOptions,
+): Promise<HostList | undefined> {
+  const { hostname, port, pathname } = new URL(url);
   try {
-    const response = await client.send(target, {
-      method: 'GET',
-      path: url.pathname,
-      signal: AbortSignal.timeout(options.timeoutMs),
-    });
-    return hostListSchema.parse(JSON.parse(response.body));
+    const response = await client.send(
+      { address: hostname, port: Number(port) },
+      {
+        method: 'GET',
+        path: pathname,
+        signal: AbortSignal.timeout(timeoutMs),
+        ...(etag === undefined ? {} : { headers: { 'if-none-match': etag } }),
+      },
+    );
+    if (etag !== undefined && response.status === STATUS_NOT_MODIFIED) {
+      return undefined;
+    }
+    if (response.status !== STATUS_OK) {
+      throw new PlatformError('unavailable', `the host list answered status ${response.status}`);
+    }
+    const tag = response.headers.etag;
+    return { ...hostListSchema.parse(JSON.parse(response.body)), ...(typeof tag === 'string' ? { etag: tag } : {}) };
   } catch (cause) {
     throw new PlatformError('unavailable', 'the host list could not be read', { cause });
   }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,7 +9,7 @@
 export { default as createLeaseHolder } from './store/createLeaseHolder.js';
 export type { LeaseHolder, LeaseHolderOptions } from './store/createLeaseHolder.js';
 export { default as fetchHostList } from './hosts/fetchHostList.js';
-export type { HostList, ListedHost } from './hosts/fetchHostList.js';
+export type { FetchHostListOptions, HostList } from './hosts/fetchHostList.js';
 export { default as callServer } from './servers/callServer.js';
 export { default as queryStatus } from './servers/queryStatus.js';
 export type { ServerCall, ServerEvent, ServerFailure } from './servers/types.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,4 +10,5 @@
 export * from './config.js';
 export * from './claims.js';
 export * from './poison.js';
+export * from './hosts.js';
 export * from './membershipSyncSchema.js';
--- a/packages/standins/src/hosts/startHostList.ts
+++ b/packages/standins/src/hosts/startHostList.ts
@@ -1,5 +1,7 @@
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import type { Clock, Timer } from '@bergamotcove/clock';
+import { sendJson, type HttpExchange } from '@bergamotcove/transport';
 import serveJson, { StatusReply } from '../_lib/serveJson.js';
 import type { ListenOptions, Standin } from '../types.js';
 
@@ -34,11 +36,85 @@
   setFaults(faults: HostListFaults): void;
 }
 
+const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
 const STATUS_UNAVAILABLE = 503;
 
+/** Tag of the content, so that a restarted list with other hosts has another tag at the same revision. */
+const tagOf = (content: unknown): string => {
+  const digest = createHash('sha256').update(JSON.stringify(content)).digest('base64url');
+  return `"${digest}"`;
+};
+
+/** Content, faults and counters of the list. */
+class ListState {
+  private revision = 1;
+
+  private etag: string;
+
+  private faults = faultsSchema.parse({});
+
+  private reads = 0;
+
+  private unchanged = 0;
+
+  private readonly timers = new Set<Timer>();
+
+  constructor(
+    private hosts: readonly z.output<typeof hostSchema>[],
+    private readonly clock: Clock | undefined,
+  ) {
+    this.etag = tagOf({ revision: this.revision, hosts });
+  }
+
+  setHosts(replacement: unknown): object {
+    const parsed = z.array(hostSchema).parse(replacement);
+    const show = (): void => {
+      this.hosts = parsed;
+      this.revision += 1;
+      this.etag = tagOf({ revision: this.revision, hosts: parsed });
+    };
+    if (this.faults.lagMs === 0 || this.clock === undefined) {
+      show();
+    } else {
+      this.timers.add(this.clock.schedule(this.faults.lagMs, show));
+    }
+    return { revision: this.revision };
+  }
+
+  setFaults(orders: unknown): object {
+    this.faults = faultsSchema.parse(orders);
+    return {};
+  }
+
+  counters(): object {
+    return { reads: this.reads, unchanged: this.unchanged };
+  }
+
+  answerRead({ request, response }: HttpExchange): StatusReply | undefined {
+    const { etag, faults, hosts, revision } = this;
+    this.reads += 1;
+    if (faults.down) {
+      return new StatusReply(STATUS_UNAVAILABLE, {});
+    }
+    if (request.headers['if-none-match'] === etag) {
+      this.unchanged += 1;
+      response.writeHead(STATUS_NOT_MODIFIED, { etag }).end();
+    } else {
+      sendJson(response, STATUS_OK, { revision, hosts }, { etag });
+    }
+    return undefined;
+  }
+
+  close(): void {
+    this.timers.forEach((timer) => timer.close());
+  }
+}
+
 /**
- * Starts a stand-in of the platform's host list. `POST /control/hosts` replaces the list, `POST /control/faults` sets
- * its lag or takes it down, `GET /control/counters` gives the number of reads.
+ * Starts a stand-in of the platform's host list. `GET /v1/hosts` answers conditional reads. `POST /control/hosts`
+ * replaces the list, `POST /control/faults` sets its lag or takes it down, `GET /control/counters` gives the number of
+ * reads and how many of them found the list unchanged.
  *
  * @param listen - address and port
  * @param options - initial hosts; a clock is needed for a lag
@@ -48,46 +124,23 @@
   listen: ListenOptions,
   options: { readonly hosts: readonly StandinHost[]; readonly clock?: Clock },
 ): Promise<HostListStandin> {
-  let hosts = options.hosts.map((host) => hostSchema.parse(host));
-  let faults = faultsSchema.parse({});
-  let revision = 1;
-  let reads = 0;
-  const timers = new Set<Timer>();
-  const setHosts = (replacement: unknown): object => {
-    const parsed = z.array(hostSchema).parse(replacement);
-    const show = (): void => {
-      hosts = parsed;
-      revision += 1;
-    };
-    if (faults.lagMs === 0 || options.clock === undefined) {
-      show();
-    } else {
-      timers.add(options.clock.schedule(faults.lagMs, show));
-    }
-    return { revision };
-  };
-  const setFaults = (orders: unknown): object => {
-    faults = faultsSchema.parse(orders);
-    return {};
-  };
+  const hosts = options.hosts.map((host) => hostSchema.parse(host));
+  const state = new ListState(hosts, options.clock);
   const server = await serveJson(
     {
-      'GET /v1/hosts': () => {
-        reads += 1;
-        return faults.down ? new StatusReply(STATUS_UNAVAILABLE, {}) : { revision, hosts };
-      },
-      'GET /control/counters': () => ({ reads }),
-      'POST /control/hosts': (body) => setHosts(body),
-      'POST /control/faults': (body) => setFaults(body),
+      'GET /v1/hosts': (_body, exchange) => state.answerRead(exchange),
+      'GET /control/counters': () => state.counters(),
+      'POST /control/hosts': (body) => state.setHosts(body),
+      'POST /control/faults': (body) => state.setFaults(body),
     },
     listen,
   );
   return {
     port: server.port,
-    setHosts,
-    setFaults,
+    setHosts: (replacement) => state.setHosts(replacement),
+    setFaults: (orders) => state.setFaults(orders),
     close: async () => {
-      timers.forEach((timer) => timer.close());
+      state.close();
       await server.close();
     },
   };
