Read each load report once in a failure domain and share it in summaries

Cause: every entry host polled every server each 500 ms, which is 410 hosts times 1,700 servers at the target size. Change: the first host by rendezvous hashing in the failure domain of a server polls it and sends the report to the others by UDP; a representative in each other failure domain of the region forwards it there. Reports carry their age. A report that is older than the known one is ignored. A host polls the servers of pools that it uses when two summaries are missing, at most 20 a second. The host list is arranged by pools when it changes.

--- a/packages/bench/src/control/_lib/createVirtualFleet.ts
+++ b/packages/bench/src/control/_lib/createVirtualFleet.ts
@@ -1,4 +1,4 @@
-import { createManualClock, type ManualClock } from '@bergamotcove/clock';
+import { createManualClock, type Clock, type ManualClock } from '@bergamotcove/clock';
 import { HEADS_PREFIX } from '@bergamotcove/config';
 import {
   createConfigDistribution,
@@ -31,6 +31,8 @@
 /** One entry host's control plane. */
 export interface VirtualHost {
   readonly address: PeerAddress;
+  /** Clock of the process; its timers stand still while the process is paused and end with it. */
+  readonly clock: Clock;
   readonly membership: Membership;
   readonly distribution: ConfigDistribution;
   /** Version in force by service. */
@@ -122,6 +124,7 @@
     const versions = new Map<string, number>();
     const host: VirtualHost = {
       address,
+      clock: link.clock,
       membership,
       versions,
       reverted: 0,
--- /dev/null
+++ b/packages/decide/src/load/constants.ts
@@ -0,0 +1,23 @@
+/** Interval of polls and summaries for each live entry host of the failure domain: ten summaries a second leave a host. */
+export const LOAD_INTERVAL_PER_HOST_MS = 100;
+
+/** Shortest interval of load reports; engines refresh their reports hardly more often. */
+export const MIN_LOAD_INTERVAL_MS = 500;
+
+/** Longest interval of load reports that comes from the number of hosts. */
+export const MAX_LOAD_INTERVAL_MS = 5_000;
+
+/** Load polls of one host; bounds what a host does that is alone or whose peers are silent. */
+export const MAX_POLLS_PER_SECOND = 20;
+
+/**
+ * Intervals without a summary after which a host polls for itself. Two summaries are missing then, and the poll is
+ * answered before the third interval ends.
+ */
+export const SILENT_INTERVALS = 2.5;
+
+/** A difference of wall clocks above this is an error of the clocks, not the lag of a report. */
+export const MAX_CLOCK_LAG_MS = 5_000;
+
+/** Gap between two ticks from which datagrams may have waited in the socket of a paused host. */
+export const RECEIVE_GAP_MS = 1_000;
--- /dev/null
+++ b/packages/decide/src/load/createLoadSchedule.ts
@@ -0,0 +1,192 @@
+import rankByRendezvous from '../membership/rankByRendezvous.js';
+import type { Random } from '../routing/types.js';
+import { MAX_POLLS_PER_SECOND, MIN_LOAD_INTERVAL_MS, SILENT_INTERVALS } from './constants.js';
+import loadIntervalMs from './loadIntervalMs.js';
+import type { LoadAssignment, LoadHost, LoadServer, LoadStep, LoadView } from './types.js';
+
+/** Owner of the tasks and times of one host's load reports. */
+export interface LoadSchedule {
+  assignment(): LoadAssignment;
+  /** Takes the live hosts and the servers; cheap when neither changed. */
+  assign(view: LoadView, nowMs: number): void;
+  /** A peer's summary names the server. */
+  noteHeard(serverId: string, nowMs: number): void;
+  /** Polls that are due; `mayPoll` excludes servers that this host does not use. */
+  tick(nowMs: number, mayPoll: (serverId: string) => boolean): LoadStep;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Polls that a host may catch up with after a time without any. */
+const MAX_ALLOWANCE = 5;
+
+const NO_ASSIGNMENT: LoadAssignment = {
+  roundMs: MIN_LOAD_INTERVAL_MS,
+  intervalMs: MIN_LOAD_INTERVAL_MS,
+  collects: new Set(),
+  expects: new Set(),
+  representatives: [],
+};
+
+const idsOf = (hosts: readonly LoadHost[], failureDomain: string): readonly string[] =>
+  hosts.filter((host) => host.failureDomain === failureDomain).map((host) => host.hostId);
+
+const firstRanked = (hostIds: readonly string[], key: string): string => rankByRendezvous(hostIds, key)[0] ?? '';
+
+/** One host of each other failure domain of the region, so that forwarding is spread over the hosts. */
+const findRepresentatives = ({ self, hosts }: LoadView): readonly string[] => {
+  const region = hosts.filter((host) => host.region === self.region && host.failureDomain !== self.failureDomain);
+  const domains = [...new Set(region.map((host) => host.failureDomain))].sort();
+  return domains.map((domain) => firstRanked(idsOf(region, domain), `load-exchange ${self.hostId}`));
+};
+
+class Schedule implements LoadSchedule {
+  private current = NO_ASSIGNMENT;
+
+  private hostsKey = '';
+
+  private servers: readonly LoadServer[] = [];
+
+  /** Collector of each server of the own failure domain, for the hosts of `hostsKey`. */
+  private readonly collectors = new Map<string, string>();
+
+  private readonly heardMs = new Map<string, number>();
+
+  private readonly polledMs = new Map<string, number>();
+
+  private nextRoundMs = 0;
+
+  private lastRoundMs = -Infinity;
+
+  private lastTickMs: number | undefined;
+
+  private allowance = MAX_ALLOWANCE;
+
+  constructor(private readonly random: Random) {}
+
+  assignment(): LoadAssignment {
+    return this.current;
+  }
+
+  assign(view: LoadView, nowMs: number): void {
+    const hostsKey = view.hosts
+      .map((host) => `${host.hostId} ${host.failureDomain}`)
+      .sort()
+      .join('\n');
+    if (hostsKey === this.hostsKey && view.servers === this.servers) {
+      return;
+    }
+    if (hostsKey !== this.hostsKey) {
+      this.collectors.clear();
+    }
+    this.hostsKey = hostsKey;
+    this.servers = view.servers;
+    this.replace(this.divide(view), nowMs);
+  }
+
+  noteHeard(serverId: string, nowMs: number): void {
+    if (this.current.expects.has(serverId)) {
+      this.heardMs.set(serverId, Math.max(nowMs, this.heardMs.get(serverId) ?? -Infinity));
+    }
+  }
+
+  tick(nowMs: number, mayPoll: (serverId: string) => boolean): LoadStep {
+    const elapsedMs = nowMs - (this.lastTickMs ?? nowMs);
+    this.lastTickMs = nowMs;
+    const round = nowMs >= this.nextRoundMs ? this.takeRound(nowMs) : undefined;
+    return { round, alone: this.takeSilent(nowMs, elapsedMs, mayPoll) };
+  }
+
+  /** Divides the servers among the hosts of the own failure domain; a host alone takes every server. */
+  private divide(view: LoadView): LoadAssignment {
+    const { self, hosts, servers } = view;
+    const neighbours = idsOf(hosts, self.failureDomain);
+    const staffed = new Set(hosts.map((host) => host.failureDomain));
+    const inReach = hosts.length > 1 ? servers.filter((server) => server.region === self.region) : servers;
+    const own = inReach.filter(
+      ({ failureDomain }) => failureDomain === self.failureDomain || !staffed.has(failureDomain),
+    );
+    const collects = new Set(
+      own.filter(({ serverId }) => this.findCollector(serverId, neighbours) === self.hostId).map((one) => one.serverId),
+    );
+    return {
+      ...loadIntervalMs(neighbours.length, own.length),
+      collects,
+      expects: new Set(inReach.map((server) => server.serverId).filter((serverId) => !collects.has(serverId))),
+      representatives: findRepresentatives(view),
+    };
+  }
+
+  private findCollector(serverId: string, neighbours: readonly string[]): string {
+    const known = this.collectors.get(serverId);
+    const collector = known ?? firstRanked(neighbours, `load ${serverId}`);
+    this.collectors.set(serverId, collector);
+    return collector;
+  }
+
+  private replace(next: LoadAssignment, nowMs: number): void {
+    const gained = [...next.collects].some((serverId) => !this.current.collects.has(serverId));
+    const earliestMs = gained ? Math.max(nowMs, this.lastRoundMs + MIN_LOAD_INTERVAL_MS) : nowMs + next.roundMs;
+    this.nextRoundMs = Math.min(this.nextRoundMs, earliestMs);
+    this.current = next;
+    [this.heardMs, this.polledMs].forEach((times) =>
+      [...times.keys()]
+        .filter((serverId) => !next.expects.has(serverId) && !next.collects.has(serverId))
+        .forEach((serverId) => times.delete(serverId)),
+    );
+    next.expects.forEach((serverId) => {
+      if (!this.heardMs.has(serverId)) {
+        this.heardMs.set(serverId, nowMs);
+      }
+    });
+  }
+
+  /** The servers of the next summary, the longest unpolled first, within the limit on polls. */
+  private takeRound(nowMs: number): readonly string[] {
+    const { collects, roundMs } = this.current;
+    // Hosts that started together spread their rounds over the interval.
+    const phase = this.lastRoundMs === -Infinity ? this.random() : 1;
+    this.nextRoundMs = nowMs + roundMs * phase;
+    this.lastRoundMs = nowMs;
+    const limit = Math.floor((roundMs * MAX_POLLS_PER_SECOND) / MS_PER_SECOND);
+    return this.takeLongestUnpolled([...collects], limit, nowMs);
+  }
+
+  private takeSilent(nowMs: number, elapsedMs: number, mayPoll: (serverId: string) => boolean): readonly string[] {
+    const { collects, expects, intervalMs } = this.current;
+    const rest = Math.max(0, MAX_POLLS_PER_SECOND - (collects.size * MS_PER_SECOND) / intervalMs);
+    this.allowance = Math.min(MAX_ALLOWANCE, this.allowance + (elapsedMs * rest) / MS_PER_SECOND);
+    const due = [...expects].filter(
+      (serverId) =>
+        nowMs - (this.heardMs.get(serverId) ?? nowMs) >= intervalMs * SILENT_INTERVALS &&
+        nowMs - (this.polledMs.get(serverId) ?? -Infinity) >= intervalMs &&
+        mayPoll(serverId),
+    );
+    const taken = this.takeLongestUnpolled(due, Math.floor(this.allowance), nowMs);
+    this.allowance -= taken.length;
+    return taken;
+  }
+
+  private takeLongestUnpolled(serverIds: readonly string[], limit: number, nowMs: number): readonly string[] {
+    const polled = (serverId: string): number => this.polledMs.get(serverId) ?? 0;
+    const taken = [...serverIds].sort((a, b) => polled(a) - polled(b)).slice(0, limit);
+    taken.forEach((serverId) => this.polledMs.set(serverId, nowMs));
+    return taken;
+  }
+}
+
+/**
+ * Creates the owner of a host's tasks for load reports. Each server has one collector, the host that ranks first by
+ * rendezvous hashing among the live entry hosts of its failure domain. Servers of a failure domain without live entry
+ * hosts are collected by each other failure domain of the region for itself.
+ *
+ * @param random - random source, for the phase of the rounds
+ * @returns the schedule
+ * @example
+ * const schedule = createLoadSchedule(random);
+ * schedule.assign({ self, hosts, servers }, nowMs);
+ * const { round, alone } = schedule.tick(nowMs, isUsed);
+ */
+export default function createLoadSchedule(random: Random): LoadSchedule {
+  return new Schedule(random);
+}
--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -48,3 +48,9 @@
 
 /** Time after which half of the prefixes sent to a server are expected to be evicted. */
 export const PREFIX_HALF_LIFE_MS = 30_000;
+
+/**
+ * Oldest report that counts. Reports of other failure domains are up to one interval of load reports old on arrival;
+ * the own attempts are remembered for as long, so that they can be subtracted.
+ */
+export const MAX_REPORT_AGE_MS = 6_000;
--- a/packages/decide/src/routing/createPoolBook.ts
+++ b/packages/decide/src/routing/createPoolBook.ts
@@ -1,4 +1,4 @@
-import { SPEED_SAMPLE_LIFETIME_MS } from './constants.js';
+import { MAX_REPORT_AGE_MS, SPEED_SAMPLE_LIFETIME_MS } from './constants.js';
 import median from './_lib/median.js';
 import updateServerStats, { NEW_SERVER_STATS } from './updateServerStats.js';
 import type { LoadReport, PoolView, ServerDescription, ServerEventInput, ServerStats, ServerView } from './types.js';
@@ -7,8 +7,15 @@
 export interface PoolBook {
   note(serverId: string, event: ServerEventInput, nowMs: number): void;
   stats(serverId: string): ServerStats;
-  /** A load report arrived; it is corrected by what this host sent since it was made. */
-  noteReport(serverId: string, report: LoadReport, options: { readonly hosts: number; readonly nowMs: number }): void;
+  /**
+   * A load report arrived; it is corrected by what this host sent since it was made. A report that is older than the
+   * known one or too old to be corrected is ignored. Returns whether it counts.
+   */
+  noteReport(
+    serverId: string,
+    report: LoadReport,
+    options: { readonly hosts: number; readonly nowMs: number },
+  ): boolean;
   /** Records the size of an attempt, so that reports in attempts translate to work. */
   noteSize(pool: string, tokens: number): void;
   view(pool: string, servers: readonly ServerDescription[], nowMs: number): PoolView;
@@ -21,8 +28,6 @@
 const SIZE_WEIGHT = 0.02;
 const DEFAULT_MS_PER_TOKEN = 10;
 const SPEED_REFRESH_MS = 50;
-/** Longest lag of a load report that can be corrected. */
-const HISTORY_MS = 1_500;
 
 const isFresh = (stats: ServerStats, nowMs: number): boolean =>
   stats.msPerToken !== undefined && nowMs - stats.sampledAtMs < SPEED_SAMPLE_LIFETIME_MS;
@@ -97,11 +102,20 @@
     }
   }
 
-  noteReport(serverId: string, report: LoadReport, options: { readonly hosts: number; readonly nowMs: number }): void {
+  noteReport(
+    serverId: string,
+    report: LoadReport,
+    options: { readonly hosts: number; readonly nowMs: number },
+  ): boolean {
     const { hosts, nowMs } = options;
+    const knownAtMs = this.stats(serverId).reportedAtMs ?? -Infinity;
+    if (report.reportedAtMs < knownAtMs || nowMs - report.reportedAtMs > MAX_REPORT_AGE_MS) {
+      return false;
+    }
     const history = this.historyById.get(serverId) ?? [];
     const ownAtReport = history.findLast((one) => one.atMs <= report.reportedAtMs)?.outstanding ?? 0;
     this.note(serverId, { type: 'reported', report, ownAtReport, hosts }, nowMs);
+    return true;
   }
 
   noteSize(pool: string, tokens: number): void {
@@ -147,7 +161,7 @@
   /** Keeps the outstanding attempts of this host over the lag of a report. */
   private keepHistory(serverId: string, outstanding: number, nowMs: number): void {
     const history = this.historyById.get(serverId) ?? [];
-    const firstKept = history.findLastIndex((one) => one.atMs < nowMs - HISTORY_MS);
+    const firstKept = history.findLastIndex((one) => one.atMs < nowMs - MAX_REPORT_AGE_MS);
     this.historyById.set(serverId, [...history.slice(Math.max(0, firstKept)), { atMs: nowMs, outstanding }]);
   }
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,7 @@
 export type { ClaimBookOptions } from './claims/createClaimBook.js';
 export type { ClaimBook, ClaimRequest } from './claims/types.js';
 export type { EntryHostView, PeerDirectory } from './peers/types.js';
+export { default as createLoadReports } from './servers/createLoadReports.js';
+export type { LoadReports, LoadReportsOptions, SummaryLink } from './servers/createLoadReports.js';
+export { default as createServerDirectory } from './servers/createServerDirectory.js';
+export type { ServerDirectory, ServerDirectoryOptions } from './servers/createServerDirectory.js';
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
+import type { Logger } from '@bergamotcove/log';
+import { fetchLoad } from '@bergamotcove/platform';
 import type { Tracer } from '@bergamotcove/telemetry';
 import type { HttpClient } from '@bergamotcove/transport';
 import createAdmissionGate, { type AdmissionGate } from '../admission/createAdmissionGate.js';
@@ -7,7 +9,7 @@
 import type { PeerDirectory } from '../peers/types.js';
 import createDispatcher, { type Dispatcher } from '../requests/createDispatcher.js';
 import createEstimates, { type Estimates } from './createEstimates.js';
-import createLoadPoller from './createLoadPoller.js';
+import createLoadReports, { type SummaryLink } from './createLoadReports.js';
 import createPoolQueues from './createPoolQueues.js';
 import createPrefixHints from './createPrefixHints.js';
 import type { ServerDirectory } from './createServerDirectory.js';
@@ -17,12 +19,21 @@
 export interface RoutingBase {
   readonly settings: Settings;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly http: HttpClient;
   readonly tracer: Tracer;
   readonly directory: ServerDirectory;
   readonly config: ConfigHolder;
 }
 
+/** Live entry hosts, which share limits and servers, and the way to send them summaries. */
+export interface RoutingPeers extends PeerDirectory {
+  membership(): SummaryLink | undefined;
+}
+
+/** Time limit of a poll; well under the shortest interval of reports. */
+const LOAD_TIMEOUT_MS = 400;
+
 /** Admission, queues and dispatch of this host. */
 export interface Routing {
   readonly gate: AdmissionGate;
@@ -32,22 +43,30 @@
 }
 
 /**
- * Builds admission, queues, budgets and dispatch, and starts to poll load reports.
+ * Builds admission, queues, budgets and dispatch, and starts the load reports.
  *
  * @param base - parts of the host
- * @param peers - live entry hosts, which share limits and servers
+ * @param peers - live entry hosts
  * @returns the parts; close them to stop their timers
  */
-export default function createRouting(base: RoutingBase, peers: PeerDirectory): Routing {
+export default function createRouting(base: RoutingBase, peers: RoutingPeers): Routing {
   const { clock } = base;
-  const { failureDomain, region } = base.settings.host;
+  const { id: hostId, failureDomain, region } = base.settings.host;
   const liveHosts = (): number => peers.liveHosts().length;
   const regionHosts = (): number => peers.liveHosts().filter((host) => host.region === region).length;
   const findDocument = (service: string) => base.config.get(service)?.document;
   const estimates = createEstimates(clock);
   const queues = createPoolQueues(clock);
   const gate = createAdmissionGate({ clock, estimates, queues, liveHosts });
-  const poller = createLoadPoller({ ...base, liveHosts, onReports: () => queues.drainAll() });
+  const reports = createLoadReports({
+    ...base,
+    random: Math.random,
+    self: { hostId, failureDomain, region },
+    liveHosts: () => peers.liveHosts(),
+    link: () => peers.membership(),
+    fetchLoad: (server) => fetchLoad(base.http, server, { timeoutMs: LOAD_TIMEOUT_MS }),
+    onReports: () => queues.drainAll(),
+  });
   const dispatch = createDispatcher({
     ...base,
     random: Math.random,
@@ -60,13 +79,13 @@
     failureDomain,
     region,
   });
-  poller.start();
+  reports.start();
   return {
     gate,
     dispatch,
     estimates,
     close: () => {
-      poller.close();
+      reports.close();
       queues.close();
       gate.close();
     },
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -8,6 +8,7 @@
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { HostList, ListedHost } from '@bergamotcove/platform';
+import createServerIndex from './createServerIndex.js';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
@@ -31,8 +32,10 @@
   outstanding(serverId: string): number;
   /** Something happened on a server. */
   note(serverId: string, event: ServerEventInput): void;
-  /** A load report arrived; `hosts` entry hosts share the server. */
-  noteReport(serverId: string, report: LoadReport, hosts: number): void;
+  /** When this host last sent an attempt to the pool of the server, on the monotonic clock. */
+  lastSentMs(serverId: string): number | undefined;
+  /** A load report arrived; `hosts` entry hosts share the server. Returns false for a report that is too old to count. */
+  noteReport(serverId: string, report: LoadReport, hosts: number): boolean;
   /** Median time per token of a pool. */
   msPerToken(pool: string): number;
   /** Size of an attempt in tokens of work. */
@@ -44,15 +47,29 @@
   close(): void;
 }
 
-const toServer = (host: ListedHost, leaving: boolean): ServerDescription => ({
-  serverId: host.id,
-  address: host.address,
-  port: host.port,
-  pool: host.pool ?? '',
-  failureDomain: host.failureDomain,
-  region: host.region,
-  state: leaving ? 'leaving' : host.state,
-});
+/** Reads the host list again and again. */
+const createListPoll = (options: ServerDirectoryOptions, onList: (hosts: readonly ListedHost[]) => void) => {
+  const { clock, logger, pollMs, fetchList } = options;
+  let timer: Timer | undefined;
+  let closed = false;
+  const poll = async (): Promise<void> => {
+    try {
+      onList((await fetchList()).hosts);
+    } catch (cause) {
+      logger.event('hostListUnavailable', { error: String(cause) });
+    }
+    if (!closed) {
+      timer = clock.schedule(pollMs, () => {
+        poll().catch(() => undefined);
+      });
+    }
+  };
+  const close = (): void => {
+    closed = true;
+    timer?.close();
+  };
+  return { start: poll, close };
+};
 
 /**
  * Keeps the list of backend servers with what this host knows about each.
@@ -63,48 +80,43 @@
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const book = createPoolBook();
   const leaving = new Set<string>();
+  const poolSentMs = new Map<string, number>();
   let hosts: readonly ListedHost[] = [];
-  let timer: Timer | undefined;
-  let closed = false;
+  let index = createServerIndex(hosts, leaving);
 
-  const poll = async (): Promise<void> => {
-    try {
-      hosts = (await options.fetchList()).hosts;
-      book.retain(new Set(hosts.map((host) => host.id)));
-    } catch (cause) {
-      options.logger.event('hostListUnavailable', { error: String(cause) });
-    }
-    if (!closed) {
-      timer = options.clock.schedule(options.pollMs, () => {
-        poll().catch(() => undefined);
-      });
+  const listPoll = createListPoll(options, (listed) => {
+    hosts = listed;
+    index = createServerIndex(hosts, leaving);
+    book.retain(new Set(hosts.map((host) => host.id)));
+  });
+  const note = (serverId: string, event: ServerEventInput): void => {
+    const nowMs = options.clock.monotonicMs();
+    const pool = event.type === 'sent' ? index.findPool(serverId) : undefined;
+    if (pool !== undefined) {
+      poolSentMs.set(pool, nowMs);
     }
+    book.note(serverId, event, nowMs);
   };
 
-  const listServers = (): readonly ServerDescription[] =>
-    hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
-
-  const listPool = (pool: string): readonly ServerDescription[] =>
-    listServers().filter((server) => server.pool === pool);
-
   return {
-    listPool,
-    viewPool: (pool) => book.view(pool, listPool(pool), options.clock.monotonicMs()),
-    listServers,
-    listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
+    listPool: (pool) => index.listPool(pool),
+    viewPool: (pool) => book.view(pool, index.listPool(pool), options.clock.monotonicMs()),
+    listServers: () => index.servers,
+    listEntryHosts: () => index.entryHosts,
+    lastSentMs: (serverId) => poolSentMs.get(index.findPool(serverId) ?? ''),
     outstanding: (serverId) => book.stats(serverId).outstanding,
-    note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
+    note,
     noteReport: (serverId, report, sharing) =>
       book.noteReport(serverId, report, { hosts: sharing, nowMs: options.clock.monotonicMs() }),
-    msPerToken: (pool) => book.msPerToken(pool, listPool(pool), options.clock.monotonicMs()),
+    msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), options.clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
-      leaving.add(serverId);
-    },
-    start: poll,
-    close: () => {
-      closed = true;
-      timer?.close();
+      if (!leaving.has(serverId)) {
+        leaving.add(serverId);
+        index = createServerIndex(hosts, leaving);
+      }
     },
+    start: listPoll.start,
+    close: listPoll.close,
   };
 }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -26,13 +26,12 @@
 import createDrain from './drain/createDrain.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
-import type { PeerDirectory } from './peers/types.js';
 import type { Planner } from './planner/createPlanner.js';
 import startPlanner from './planner/startPlanner.js';
 import createDownCheck from './poison/createDownCheck.js';
 import createPoisonGuard, { type PoisonGuard } from './poison/createPoisonGuard.js';
 import createStatusQuery from './requests/createStatusQuery.js';
-import createRouting from './servers/createRouting.js';
+import createRouting, { type RoutingPeers } from './servers/createRouting.js';
 import createRequestService, { type RequestService } from './requests/createRequestService.js';
 import createServerDirectory, { type ServerDirectory } from './servers/createServerDirectory.js';
 
@@ -119,7 +118,7 @@
 interface RequestNeeds {
   readonly claims: ClaimBook;
   readonly poison: PoisonGuard;
-  readonly peers: PeerDirectory;
+  readonly peers: RoutingPeers;
 }
 
 const createRequests = (base: Base, { claims, poison, peers }: RequestNeeds): RequestParts => {
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -53,6 +53,8 @@
   setDigest(digest: string): void;
   /** Sends a summary to every live host of the own failure domain. */
   broadcastSummary(topic: string, payload: Uint8Array): void;
+  /** Sends a summary to the given hosts; those that are not live are left out. */
+  sendSummary(topic: string, payload: Uint8Array, hostIds: readonly string[]): void;
   /** Announces a planned stop. */
   announceLeaving(): void;
   /** Registers `membership.sync`. */
@@ -120,9 +122,20 @@
 
   broadcastSummary(topic: string, payload: Uint8Array): void {
     const { self } = this.options;
+    const neighbours = this.liveHosts().filter((host) => host.failureDomain === self.failureDomain);
+    this.sendSummary(
+      topic,
+      payload,
+      neighbours.map((host) => host.hostId),
+    );
+  }
+
+  sendSummary(topic: string, payload: Uint8Array, hostIds: readonly string[]): void {
+    const { self } = this.options;
+    const wanted = new Set(hostIds);
     const header = { from: self, incarnation: this.current.incarnation, sequence: 0, updates: [], domains: [] };
     this.liveHosts()
-      .filter((host) => host.failureDomain === self.failureDomain && host.hostId !== self.hostId)
+      .filter((host) => wanted.has(host.hostId) && host.hostId !== self.hostId)
       .forEach((host) => this.send(host, { type: 'summary', ...header, digest: '', topic, payload }));
   }
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,3 +11,4 @@
 export * from './claims.js';
 export * from './poison.js';
 export * from './membershipSyncSchema.js';
+export * from './loadSummary.js';
