--- a/packages/entry/src/servers/createLoadReports.ts
+++ b/packages/entry/src/servers/createLoadReports.ts
@@ -56,6 +56,9 @@
 /** Interval of the checks; a silent collector must be noticed within half of the shortest interval of reports. */
 const TICK_MS = 100;
 
+/** Wait for the answers to polls before the summary leaves; a server that hangs does not hold back the others. */
+const ANSWER_WAIT_MS = 100;
+
 /** A pool that got no attempt for this long is not in use; its servers are not polled in place of their collector. */
 const USE_MS = 30_000;
 
@@ -82,6 +85,9 @@
 
   private lastTickMs: number;
 
+  /** Pause that ended just before the last tick; datagrams of the pause may be read only now. */
+  private pausedMs = 0;
+
   private closed = false;
 
   constructor(private readonly options: LoadReportsOptions) {
@@ -106,6 +112,7 @@
   private tick(): void {
     const { clock, link } = this.options;
     const nowMs = clock.monotonicMs();
+    this.pausedMs = readReceiveDelay(nowMs - this.lastTickMs);
     this.lastTickMs = nowMs;
     this.subscription ??= link()?.news.subscribe((item) => this.receive(item));
     this.refresh(nowMs);
@@ -134,33 +141,43 @@
     return nowMs - sentMs < USE_MS && this.poll.mayPoll(serverId);
   }
 
-  /** Polls the servers of this host and sends their reports with those that it forwards. */
+  /** Polls the servers of this host and sends their reports; late answers follow in a summary of their own. */
   private async runRound(serverIds: readonly string[]): Promise<void> {
-    const own = await this.pollAll(serverIds);
+    const reports = new Map<string, LoadReport>();
+    const send = (): void => {
+      this.send(new Map(reports));
+      reports.clear();
+    };
+    const timer = this.options.clock.schedule(ANSWER_WAIT_MS, send);
+    await this.pollAll(serverIds, reports);
+    timer.close();
+    send();
+  }
+
+  /** Sends own reports to both circles of hosts, and those that wait to be forwarded to the failure domain. */
+  private send(own: ReportsById): void {
     const link = this.options.link();
     if (this.closed || link === undefined) {
       return;
     }
-    const forwarded = new Map(this.forwards);
+    const all = new Map([...own, ...this.forwards]);
     this.forwards.clear();
-    this.format(new Map([...own, ...forwarded])).forEach((payload) => link.broadcastSummary(LOAD_SUMMARY, payload));
+    this.format(all).forEach((payload) => link.broadcastSummary(LOAD_SUMMARY, payload));
     const { representatives } = this.schedule.assignment();
     this.format(own).forEach((payload) => link.sendSummary(LOAD_EXCHANGE, payload, representatives));
   }
 
-  private async pollAll(serverIds: readonly string[]): Promise<ReportsById> {
-    const reports = new Map<string, LoadReport>();
+  private async pollAll(serverIds: readonly string[], reports = new Map<string, LoadReport>()): Promise<void> {
     const servers = serverIds.flatMap((serverId) => this.byId.get(serverId) ?? []);
     await Promise.all(
       servers.map(async (server) => {
         const report = await this.poll.poll(server);
         if (report !== undefined && this.note(server.serverId, report)) {
           reports.set(server.serverId, report);
+          this.announce(1);
         }
       }),
     );
-    this.announce(reports.size);
-    return reports;
   }
 
   /** Payloads of summaries, each of which fits into one datagram. */
@@ -194,7 +211,7 @@
 
   private apply(item: SummaryHeard, entries: readonly LoadEntry[]): void {
     const nowMs = this.options.clock.monotonicMs();
-    const waitedMs = readReceiveDelay(nowMs - this.lastTickMs);
+    const waitedMs = Math.max(this.pausedMs, readReceiveDelay(nowMs - this.lastTickMs));
     const counted = entries.filter(({ serverHash, running, queued, tokensPerSecond, ageMs }) => {
       const serverId = this.byHash.get(serverHash);
       if (serverId === undefined) {
