--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { HostList } from '@bergamotcove/platform';
 import type { ListedHost } from '@bergamotcove/protocol';
+import createServerIndex from './createServerIndex.js';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
@@ -33,8 +34,10 @@
   outstanding(serverId: string): number;
   /** Something happened on a server. */
   note(serverId: string, event: ServerEventInput): void;
-  /** A load report arrived; `hosts` entry hosts share the server. */
-  noteReport(serverId: string, report: LoadReport, hosts: number): void;
+  /** When this host last sent an attempt to the pool of the server, on the monotonic clock. */
+  lastSentMs(serverId: string): number | undefined;
+  /** A load report arrived; `hosts` entry hosts share the server. Returns false for a report that is too old to count. */
+  noteReport(serverId: string, report: LoadReport, hosts: number): boolean;
   /** Median time per token of a pool. */
   msPerToken(pool: string): number;
   /** Size of an attempt in tokens of work. */
@@ -46,71 +49,81 @@
   close(): void;
 }
 
-const toServer = (host: ListedHost, leaving: boolean): ServerDescription => ({
-  serverId: host.id,
-  address: host.address,
-  port: host.port,
-  pool: host.pool ?? '',
-  failureDomain: host.failureDomain,
-  region: host.region,
-  state: leaving ? 'leaving' : host.state,
-});
-
-/**
- * Keeps the list of backend servers with what this host knows about each.
- *
- * @param options - clock, poll interval and source of the list
- * @returns the directory; close it to stop polling
- */
-export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
-  const book = createPoolBook();
-  const leaving = new Set<string>();
-  let hosts: readonly ListedHost[] = [];
+/** Reads the host list again and again. */
+const createListPoll = (options: ServerDirectoryOptions, onList: (hosts: readonly ListedHost[]) => void) => {
+  const { clock, logger, pollMs, fetchList } = options;
   let etag: string | undefined;
   let timer: Timer | undefined;
   let closed = false;
-
   const poll = async (): Promise<void> => {
     try {
-      const list = await options.fetchList(etag);
+      const list = await fetchList(etag);
       if (list !== undefined) {
-        ({ hosts, etag } = list);
-        book.retain(new Set(hosts.map((host) => host.id)));
+        etag = list.etag;
+        onList(list.hosts);
       }
     } catch (cause) {
-      options.logger.event('hostListUnavailable', { error: String(cause) });
+      logger.event('hostListUnavailable', { error: String(cause) });
     }
     if (!closed) {
-      timer = options.clock.schedule(options.pollMs, () => {
+      timer = clock.schedule(pollMs, () => {
         poll().catch(() => undefined);
       });
     }
   };
+  const close = (): void => {
+    closed = true;
+    timer?.close();
+  };
+  return { start: poll, close };
+};
 
-  const listServers = (): readonly ServerDescription[] =>
-    hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
+/**
+ * Keeps the list of backend servers with what this host knows about each.
+ *
+ * @param options - clock, poll interval and source of the list
+ * @returns the directory; close it to stop polling
+ */
+export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
+  const book = createPoolBook();
+  const leaving = new Set<string>();
+  const poolSentMs = new Map<string, number>();
+  let hosts: readonly ListedHost[] = [];
+  let index = createServerIndex(hosts, leaving);
 
-  const listPool = (pool: string): readonly ServerDescription[] =>
-    listServers().filter((server) => server.pool === pool);
+  const listPoll = createListPoll(options, (listed) => {
+    hosts = listed;
+    index = createServerIndex(hosts, leaving);
+    book.retain(new Set(hosts.map((host) => host.id)));
+  });
+  const note = (serverId: string, event: ServerEventInput): void => {
+    const nowMs = options.clock.monotonicMs();
+    const pool = event.type === 'sent' ? index.findPool(serverId) : undefined;
+    if (pool !== undefined) {
+      poolSentMs.set(pool, nowMs);
+    }
+    book.note(serverId, event, nowMs);
+  };
 
   return {
-    listPool,
-    viewPool: (pool) => book.view(pool, listPool(pool), options.clock.monotonicMs()),
-    listServers,
-    listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
+    listPool: (pool) => index.listPool(pool),
+    viewPool: (pool) => book.view(pool, index.listPool(pool), options.clock.monotonicMs()),
+    listServers: () => index.servers,
+    listEntryHosts: () => index.entryHosts,
+    lastSentMs: (serverId) => poolSentMs.get(index.findPool(serverId) ?? ''),
     outstanding: (serverId) => book.stats(serverId).outstanding,
-    note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
+    note,
     noteReport: (serverId, report, sharing) =>
       book.noteReport(serverId, report, { hosts: sharing, nowMs: options.clock.monotonicMs() }),
-    msPerToken: (pool) => book.msPerToken(pool, listPool(pool), options.clock.monotonicMs()),
+    msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), options.clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
-      leaving.add(serverId);
-    },
-    start: poll,
-    close: () => {
-      closed = true;
-      timer?.close();
+      if (!leaving.has(serverId)) {
+        leaving.add(serverId);
+        index = createServerIndex(hosts, leaving);
+      }
     },
+    start: listPoll.start,
+    close: listPoll.close,
   };
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -12,3 +12,4 @@
 export * from './poison.js';
 export * from './hosts.js';
 export * from './membershipSyncSchema.js';
+export * from './loadSummary.js';
