--- a/packages/bench/src/replay/findReplayer.ts
+++ b/packages/bench/src/replay/findReplayer.ts
@@ -28,7 +28,10 @@
   const revived =
     snapshot === undefined
       ? event
-      : { ...event, snapshot: { ...snapshot, records: new Map(Object.entries(snapshot.records)) } };
+      : {
+          ...event,
+          snapshot: { segments: [], nextSegment: 1, ...snapshot, records: new Map(Object.entries(snapshot.records)) },
+        };
   return revived as unknown as ShardEvent;
 };
 
@@ -39,7 +42,7 @@
 }
 
 const shardReplayer: Replayer<ShardReplay> = {
-  start: (initial) => ({ shard: createShardState(0), hostId: (initial as { readonly hostId: string }).hostId }),
+  start: (initial) => ({ shard: createShardState(), hostId: (initial as { readonly hostId: string }).hostId }),
   advance: ({ shard, hostId }, event, atMs) => {
     const step = advanceShard(shard, reviveShardEvent(event), atMs, { hostId, wallMs: atMs });
     return { state: { shard: step.state, hostId }, actions: step.actions };
--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -22,6 +22,13 @@
   drain: z
     .strictObject({ balancerLagMs: z.int().min(0), timeoutMs: z.int().min(0) })
     .default({ balancerLagMs: 5_000, timeoutMs: 60_000 }),
+  /** Claims of idempotency keys. */
+  claims: z
+    .strictObject({
+      /** Sealed segments that a shard may have; for 64 shards each one takes at most 20 MB of the store. */
+      maxSegmentsPerShard: z.int().min(0).default(8),
+    })
+    .optional(),
   trace: z.strictObject({ sampleRatio: z.number().min(0).max(1) }).default({ sampleRatio: 1 }),
   /** Engine orders; a host without this section gives none. */
   planner: z
--- a/packages/decide/src/claims/_lib/appendPending.ts
+++ b/packages/decide/src/claims/_lib/appendPending.ts
@@ -1,8 +1,9 @@
 import type { ClaimOpResult } from '@bergamotcove/protocol';
-import { COMMIT_BURST, COMMIT_INTERVAL_MS, MAX_BATCH_BYTES } from '../constants.js';
+import { MAX_BATCH_BYTES } from '../constants.js';
 import evaluateOp from '../evaluateOp.js';
 import findRecord from '../findRecord.js';
 import type { PendingOp, ShardAction, ShardOptions, ShardState, ShardStep } from '../types.js';
+import { isCompactionDue, startCompaction } from './compactShard.js';
 
 const evaluate = (state: ShardState, { op }: PendingOp): ClaimOpResult | undefined => {
   const result = evaluateOp(findRecord(state, op.keyHash), op);
@@ -34,12 +35,6 @@
   });
 };
 
-const refillTokens = (state: ShardState, nowMs: number): ShardState => ({
-  ...state,
-  commitTokens: Math.min(COMMIT_BURST, state.commitTokens + (nowMs - state.tokensAtMs) / COMMIT_INTERVAL_MS),
-  tokensAtMs: nowMs,
-});
-
 const startAppend = (state: ShardState, options: ShardOptions): ShardStep => {
   const batch = takeBatch(state.pending);
   const ops = batch.map((pending) => ({ ...pending, tried: true }));
@@ -49,27 +44,39 @@
       ...state,
       phase: { type: 'appending', entry, ops },
       pending: state.pending.filter((pending) => !batch.includes(pending)),
-      commitTokens: state.commitTokens - 1,
       nextEntry: state.nextEntry + 1,
     },
     actions: [{ type: 'append', seq: state.nextSeq, snapshotRevision: state.snapshotRevision, entry }],
   };
 };
 
-/** Continues a loaded shard without a call in flight: settles what is decided and commits the rest as one entry. */
-export default function appendPending(loaded: ShardState, nowMs: number, options: ShardOptions): ShardStep {
-  const settled = settleDecided({ ...loaded, phase: { type: 'ready' } });
+/** Asks for a turn to commit, once. */
+export function requestCommit(state: ShardState): ShardStep {
+  return state.commitWanted
+    ? { state, actions: [] }
+    : { state: { ...state, commitWanted: true }, actions: [{ type: 'commit-wanted' }] };
+}
+
+/** Commits what waits: compacts a long log, or appends the operations that came until now as one entry. */
+export function commitPending(state: ShardState, nowMs: number, options: ShardOptions): ShardStep {
+  const compaction = isCompactionDue(state, nowMs, options) ? startCompaction(state, nowMs, options) : undefined;
+  if (compaction?.state.phase.type === 'compacting') {
+    return compaction;
+  }
+  const settled = settleDecided(compaction?.state ?? state);
   if (settled.state.pending.length === 0) {
     return settled;
   }
-  const state = refillTokens(settled.state, nowMs);
-  if (state.commitTokens >= 1) {
-    const step = startAppend(state, options);
-    return { state: step.state, actions: [...settled.actions, ...step.actions] };
-  }
-  if (state.wakeArmed) {
-    return { state, actions: settled.actions };
+  const step = startAppend(settled.state, options);
+  return { state: step.state, actions: [...settled.actions, ...step.actions] };
+}
+
+/** Continues a loaded shard without a call in flight: settles what is decided and asks for a turn for the rest. */
+export default function appendPending(loaded: ShardState, nowMs: number, options: ShardOptions): ShardStep {
+  const settled = settleDecided({ ...loaded, phase: { type: 'ready' } });
+  if (settled.state.pending.length === 0 && !isCompactionDue(settled.state, nowMs, options)) {
+    return settled;
   }
-  const delayMs = (1 - state.commitTokens) * COMMIT_INTERVAL_MS;
-  return { state: { ...state, wakeArmed: true }, actions: [...settled.actions, { type: 'wake', delayMs }] };
+  const step = requestCommit(settled.state);
+  return { state: step.state, actions: [...settled.actions, ...step.actions] };
 }
--- a/packages/decide/src/claims/_lib/applyEntry.ts
+++ b/packages/decide/src/claims/_lib/applyEntry.ts
@@ -7,8 +7,10 @@
 export default function applyEntry(state: ShardState, entry: LogEntry): ShardState {
   const recent = new Map<string, ClaimRecord>(state.recent);
   entry.ops.forEach((op) => {
-    const record = applyOp(recent.get(op.keyHash) ?? findRecord(state, op.keyHash), op);
-    if (record !== undefined) {
+    const before = recent.get(op.keyHash) ?? findRecord(state, op.keyHash);
+    const record = applyOp(before, op);
+    // A record in short form stands under its short key and must not be kept a second time.
+    if (record !== undefined && record !== before) {
       recent.set(op.keyHash, record);
     }
   });
--- a/packages/decide/src/claims/_lib/simulateShard.test.ts
+++ b/packages/decide/src/claims/_lib/simulateShard.test.ts
@@ -2,7 +2,7 @@
 import advanceShard from '../advanceShard.js';
 import createShardState from '../createShardState.js';
 import findRecord from '../findRecord.js';
-import type { ClaimRecords, ShardAction, ShardEvent, ShardState } from '../types.js';
+import type { Segment, ShardAction, ShardContent, ShardEvent, ShardOptions, ShardState } from '../types.js';
 
 type StoreAction = Extract<ShardAction, { type: 'load' | 'append' | 'compact' }>;
 
@@ -14,6 +14,8 @@
   state: ShardState;
   call: StoreAction | undefined;
   wakes: number;
+  /** A turn to commit that was asked for. */
+  turn: boolean;
   readonly results: Map<string, ClaimOpResult>;
 }
 
@@ -27,6 +29,9 @@
     case 'wake':
       Object.assign(host, { wakes: host.wakes + 1 });
       break;
+    case 'commit-wanted':
+      Object.assign(host, { turn: true });
+      break;
     case 'refreshed':
       break;
     default:
@@ -43,31 +48,58 @@
   return record === undefined ? 'free' : `${record.claimId}:${record.status.type}`;
 };
 
+const EMPTY: ShardContent = { records: new Map(), segments: [], nextSegment: 1 };
+
 /** A store that holds one shard, and hosts that use it; every call and timer runs only when a test says so. */
 export class ShardSimulation {
   readonly hosts: readonly SimulatedHost[];
 
   private readonly log = new Map<number, LogEntry>();
 
-  private snapshot = { revision: 0, throughSeq: 0, records: new Map() as ClaimRecords };
+  private snapshot = { revision: 0, throughSeq: 0, ...EMPTY };
+
+  private readonly segments = new Map<number, Segment>();
 
   private readonly late: StoreAction[] = [];
 
   private nowMs = 0;
 
-  constructor(hostCount: number) {
+  /** Wall time of all hosts. */
+  wallMs = 0;
+
+  constructor(
+    hostCount: number,
+    private readonly limits: Pick<ShardOptions, 'segmentBytes' | 'maxSegments'> = {},
+  ) {
     this.hosts = Array.from({ length: hostCount }, (_, index) => ({
       hostId: `h${index}`,
-      state: createShardState(0),
+      state: createShardState(),
       call: undefined,
       wakes: 0,
+      turn: false,
       results: new Map(),
     }));
   }
 
+  /** Lets wall time pass for all hosts. */
+  pass(durationMs: number): void {
+    this.wallMs += durationMs;
+  }
+
+  /** Segments that the snapshot names. */
+  placedSegments(): readonly Segment[] {
+    return this.snapshot.segments;
+  }
+
+  /** Segments that the store holds. */
+  storedSegments(): readonly Segment[] {
+    return [...this.segments.values()];
+  }
+
   send(host: SimulatedHost, event: ShardEvent): void {
     this.nowMs += 1;
-    const step = advanceShard(host.state, event, this.nowMs, { hostId: host.hostId, wallMs: 0, compactEntries: 3 });
+    const options = { hostId: host.hostId, wallMs: this.wallMs, compactEntries: 3, ...this.limits };
+    const step = advanceShard(host.state, event, this.nowMs, options);
     Object.assign(host, { state: step.state });
     step.actions.forEach((action) => perform(host, action));
   }
@@ -106,6 +138,13 @@
     }
   }
 
+  giveTurn(host: SimulatedHost): void {
+    if (host.turn) {
+      Object.assign(host, { turn: false });
+      this.send(host, { type: 'commit-due' });
+    }
+  }
+
   /** Runs calls and timers until all hosts are idle, with a store that answers. */
   settle(): void {
     for (let round = 0; round < 200; round += 1) {
@@ -113,6 +152,7 @@
       this.hosts.forEach((host) => {
         this.runCall(host, 'answered');
         this.wake(host);
+        this.giveTurn(host);
       });
     }
   }
@@ -131,25 +171,40 @@
       default: {
         const succeeded = String(this.snapshot.revision) === call.snapshotRevision;
         if (succeeded) {
-          const { throughSeq, records } = call;
-          this.snapshot = { revision: this.snapshot.revision + 1, throughSeq, records };
-          [...this.log.keys()].filter((seq) => seq <= throughSeq).forEach((seq) => this.log.delete(seq));
+          this.applyCompaction(call);
         }
         return { type: 'compact-decided', succeeded, revision: String(this.snapshot.revision) };
       }
     }
   }
 
+  private applyCompaction(call: Extract<StoreAction, { type: 'compact' }>): void {
+    const { throughSeq, compacted, dropped } = call;
+    const { records, segments, nextSegment, sealed } = compacted;
+    this.snapshot = { revision: this.snapshot.revision + 1, throughSeq, records, segments, nextSegment };
+    [...this.log.keys()].filter((seq) => seq <= throughSeq).forEach((seq) => this.log.delete(seq));
+    if (sealed !== undefined) {
+      if (this.segments.has(sealed.number)) {
+        throw new Error(`segment ${sealed.number} was written twice`);
+      }
+      this.segments.set(sealed.number, sealed);
+    }
+    dropped.forEach((number) => this.segments.delete(number));
+  }
+
   private load(call: Extract<StoreAction, { type: 'load' }>): ShardEvent {
-    const { revision, throughSeq, records } = this.snapshot;
+    const { revision, throughSeq, records, segments, nextSegment } = this.snapshot;
     const same = call.knownRevision === String(revision);
     const fromSeq = same ? call.fromSeq : throughSeq + 1;
     const entries = [...this.log]
       .filter(([seq]) => seq >= fromSeq)
       .sort(([a], [b]) => a - b)
       .map(([seq, entry]) => ({ seq, entry }));
-    return same
-      ? { type: 'loaded', entries }
-      : { type: 'loaded', entries, snapshot: { revision: String(revision), throughSeq, records } };
+    if (same) {
+      return { type: 'loaded', entries };
+    }
+    const snapshot = { revision: String(revision), throughSeq, records, segments, nextSegment };
+    const unknown = this.storedSegments().filter(({ number }) => !call.knownSegments.includes(number));
+    return { type: 'loaded', entries, segments: unknown, snapshot };
   }
 }
--- a/packages/decide/src/claims/advanceShard.test.ts
+++ b/packages/decide/src/claims/advanceShard.test.ts
@@ -4,7 +4,9 @@
 import type { ClaimOp } from '@bergamotcove/protocol';
 import { readStatus, ShardSimulation, type CallFate, type SimulatedHost } from './_lib/simulateShard.test.js';
 import compactRecords, { fromSnapshot, toSnapshot } from './compactRecords.js';
-import { CLAIM_RETENTION_MS } from './constants.js';
+import { ANSWER_RETENTION_MS, CLAIM_RETENTION_MS } from './constants.js';
+import isSameBody from './isSameBody.js';
+import type { ShardOptions } from './types.js';
 
 const RUNS = 1_500;
 const HOSTS = 3;
@@ -16,23 +18,34 @@
 interface ModelClaim {
   readonly fields: Fields;
   readonly host: SimulatedHost;
+  sentAtMs?: number;
   state: 'waiting' | 'given-up' | 'sent' | 'released' | 'refused';
 }
 
 class Model {
-  readonly simulation = new ShardSimulation(HOSTS);
+  readonly simulation: ShardSimulation;
 
   readonly claims: ModelClaim[] = [];
 
   readonly sent = new Map<string, number>();
 
+  constructor(limits: Pick<ShardOptions, 'segmentBytes' | 'maxSegments'> = {}) {
+    this.simulation = new ShardSimulation(HOSTS, limits);
+  }
+
   host(index: number): SimulatedHost {
     return this.simulation.hosts[index] as SimulatedHost;
   }
 
   claim(hostIndex: number, keyHash: string): void {
     const host = this.host(hostIndex);
-    const fields = { keyHash, bodyHash: 'b', claimId: `c${this.claims.length}`, hostId: host.hostId, wallMs: 0 };
+    const fields = {
+      keyHash,
+      bodyHash: 'b',
+      claimId: `c${this.claims.length}`,
+      hostId: host.hostId,
+      wallMs: this.simulation.wallMs,
+    };
     this.claims.push({ fields, host, state: 'waiting' });
     this.simulation.submit(host, fields.claimId, { type: 'claim', ...fields });
   }
@@ -57,11 +70,16 @@
       if (result.type !== 'done') {
         Object.assign(claim, { state: 'refused' });
       } else if (send) {
-        Object.assign(claim, { state: 'sent' });
-        this.sent.set(claim.fields.keyHash, (this.sent.get(claim.fields.keyHash) ?? 0) + 1);
+        this.send(claim);
         const outcome = { type: 'answered' as const, answer: '1' };
         const { keyHash, claimId } = claim.fields;
-        this.simulation.submit(claim.host, `${claimId}/o`, { type: 'outcome', keyHash, claimId, outcome, wallMs: 0 });
+        this.simulation.submit(claim.host, `${claimId}/o`, {
+          type: 'outcome',
+          keyHash,
+          claimId,
+          outcome,
+          wallMs: this.simulation.wallMs,
+        });
       } else {
         this.release(claim);
         Object.assign(claim, { state: 'released' });
@@ -73,6 +91,18 @@
     this.sent.forEach((count, key) => assert.ok(count <= 1, `${count} requests were sent under ${key}`));
   }
 
+  /** Counts the sends of a key whose claims are not expired. */
+  private send(claim: ModelClaim): void {
+    const { keyHash } = claim.fields;
+    const nowMs = this.simulation.wallMs;
+    const unexpired = this.claims.filter(
+      ({ fields, sentAtMs }) =>
+        fields.keyHash === keyHash && sentAtMs !== undefined && fields.wallMs + CLAIM_RETENTION_MS >= nowMs,
+    );
+    Object.assign(claim, { state: 'sent', sentAtMs: nowMs });
+    this.sent.set(keyHash, unexpired.length + 1);
+  }
+
   private release(claim: ModelClaim): void {
     this.simulation.submit(claim.host, `${claim.fields.claimId}/r`, { type: 'release', ...claim.fields });
   }
@@ -100,6 +130,8 @@
     .tuple(hostIndex, fc.constantFrom(...fates))
     .map(([host, fate]) => act(`call h${host} ${fate}`, (m) => m.simulation.runCall(m.host(host), fate))),
   hostIndex.map((host) => act(`wake h${host}`, (model) => model.simulation.wake(model.host(host)))),
+  hostIndex.map((host) => act(`turn h${host}`, (model) => model.simulation.giveTurn(model.host(host)))),
+  hostIndex.map((host) => act(`turn h${host}`, (model) => model.simulation.giveTurn(model.host(host)))),
   fc.constant(act('late call arrives', (model) => model.simulation.runLate())),
   fc.nat({ max: 9 }).map((index) => act(`give up ${index}`, (model) => model.giveUp(index))),
   fc.boolean().map((send) => act(send ? 'send' : 'give back', (model) => model.act(send))),
@@ -108,6 +140,13 @@
   ),
 ];
 
+/** Time for answers to expire, or, with a second step, for claims. */
+const steps = fc.constantFrom(ANSWER_RETENTION_MS + 1_000, (CLAIM_RETENTION_MS * 2) / 3);
+const timedCommands = [
+  ...commands,
+  steps.map((durationMs) => act(`${durationMs} ms pass`, (model) => model.simulation.pass(durationMs))),
+];
+
 const finish = (model: Model): void => {
   model.simulation.settle();
   model.act(true);
@@ -134,6 +173,24 @@
   );
 });
 
+test('sealed segments keep at most one send per unexpired key, are never rewritten and leave nothing behind', () => {
+  let sealed = 0;
+  fc.assert(
+    fc.property(fc.commands(timedCommands, { maxCommands: 120, size: 'max' }), (run) => {
+      const model = new Model({ segmentBytes: 0, maxSegments: 2 });
+      fc.modelRun(() => ({ model: {}, real: model }), run);
+      finish(model);
+      const numbers = (segments: readonly { readonly number: number }[]) => segments.map(({ number }) => number).sort();
+      const { simulation } = model;
+      assert.deepEqual(numbers(simulation.storedSegments()), numbers(simulation.placedSegments()));
+      assert.ok(simulation.storedSegments().length <= 2, 'the limit on segments must hold');
+      sealed += simulation.storedSegments().length;
+    }),
+    { numRuns: RUNS, seed: 4_712 },
+  );
+  assert.ok(sealed > 0, 'the runs must seal segments');
+});
+
 test('a released key runs again once, so that a call that never left does not block its key', () => {
   const model = new Model();
   model.claim(0, 'k0');
@@ -152,13 +209,16 @@
     ['own', { ...record, hostId: 'h0' }],
     ['other', { ...record, hostId: 'h1' }],
   ]);
-  const kept = compactRecords(records, { hostId: 'h0', wallMs: CLAIM_RETENTION_MS * 2 });
-  assert.deepEqual([...(kept ?? [])].length, 2);
+  const shard = { records, segments: [], nextSegment: 1 };
+  const kept = compactRecords(shard, { hostId: 'h0', wallMs: CLAIM_RETENTION_MS * 2 });
+  assert.equal(kept?.records.size, 2);
 });
 
 test('a snapshot gives back body hash and outcome of finished claims in short form', () => {
   const status = { type: 'finished' as const, outcome: { type: 'dropped' as const }, wallMs: 5_000 };
   const records = new Map([['k', { bodyHash: 'b', claimId: 'c', hostId: 'h', wallMs: 5_000, status }]]);
-  const [restored] = fromSnapshot(toSnapshot(records, 3)).values();
-  assert.deepEqual([restored?.bodyHash, restored?.status], ['b', status]);
+  const shard = compactRecords({ records, segments: [], nextSegment: 1 }, { hostId: 'h', wallMs: 5_000 });
+  const [restored] = fromSnapshot(toSnapshot(shard ?? assert.fail(), 3)).values();
+  assert.ok(restored !== undefined && isSameBody(restored, 'b') && !isSameBody(restored, 'c'));
+  assert.deepEqual(restored.status, status);
 });
--- a/packages/decide/src/claims/advanceShard.ts
+++ b/packages/decide/src/claims/advanceShard.ts
@@ -1,9 +1,10 @@
 import { exhaustive } from '@bergamotcove/errors';
-import appendPending from './_lib/appendPending.js';
+import appendPending, { commitPending, requestCommit } from './_lib/appendPending.js';
 import applyEntry from './_lib/applyEntry.js';
-import compactRecords from './compactRecords.js';
-import { COMPACT_BYTES, COMPACT_ENTRIES, RETRY_MAX_MS, RETRY_MIN_MS } from './constants.js';
-import type { ShardEvent, ShardOptions, ShardState, ShardStep } from './types.js';
+import { RETRY_MAX_MS, RETRY_MIN_MS } from './constants.js';
+import type { Segment, SegmentPlace, ShardEvent, ShardOptions, ShardState, ShardStep } from './types.js';
+
+type Loaded = Extract<ShardEvent, { type: 'loaded' }>;
 
 const unchanged = (state: ShardState): ShardStep => ({ state, actions: [] });
 
@@ -15,6 +16,7 @@
       type: 'load',
       fromSeq: state.nextSeq,
       knownRevision: state.nextSeq === 1 && state.snapshotRevision === '0' ? undefined : state.snapshotRevision,
+      knownSegments: state.segments.map(({ number }) => number),
     },
   ],
 });
@@ -23,62 +25,57 @@
 
 const pause = (state: ShardState, phase: ShardState['phase']): ShardStep => {
   const delayMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** state.failures);
-  const paused: ShardState = { ...state, phase, failures: state.failures + 1, wakeArmed: true };
+  const paused: ShardState = { ...state, phase, failures: state.failures + 1 };
   return { state: paused, actions: [{ type: 'wake', delayMs }] };
 };
 
-const continueReady = (state: ShardState, nowMs: number, options: ShardOptions): ShardStep => {
-  if (state.refreshes.length > 0) {
-    return startLoad(state);
-  }
-  const limit = options.compactEntries ?? COMPACT_ENTRIES;
-  if (state.full || (state.logEntries < limit && state.logBytes < COMPACT_BYTES)) {
-    return appendPending(state, nowMs, options);
-  }
-  const records = compactRecords(new Map([...state.base, ...state.recent]), options);
-  if (records === undefined) {
-    return appendPending({ ...state, full: true }, nowMs, options);
+const continueReady = (state: ShardState, nowMs: number, options: ShardOptions): ShardStep =>
+  state.refreshes.length > 0 ? startLoad(state) : appendPending(state, nowMs, options);
+
+/** Segments of a snapshot, or undefined when one of them was deleted between the reads. */
+const pickSegments = (
+  places: readonly SegmentPlace[],
+  segments: readonly Segment[],
+): readonly Segment[] | undefined => {
+  const byNumber = new Map(segments.map((segment) => [segment.number, segment]));
+  const picked = places.flatMap(({ number }) => byNumber.get(number) ?? []);
+  return picked.length === places.length ? picked : undefined;
+};
+
+const takeSnapshot = (state: ShardState, { snapshot, segments = [] }: Loaded): ShardState | undefined => {
+  if (snapshot === undefined) {
+    return state;
   }
-  const throughSeq = state.nextSeq - 1;
-  return {
-    state: { ...state, phase: { type: 'compacting', records, throughSeq } },
-    actions: [{ type: 'compact', snapshotRevision: state.snapshotRevision, throughSeq, records }],
-  };
+  const picked = pickSegments(snapshot.segments, [...state.segments, ...segments]);
+  return picked === undefined
+    ? undefined
+    : {
+        ...state,
+        snapshotRevision: snapshot.revision,
+        nextSeq: snapshot.throughSeq + 1,
+        base: snapshot.records,
+        recent: new Map(),
+        segments: picked,
+        nextSegment: snapshot.nextSegment,
+        logEntries: 0,
+        logBytes: 0,
+        full: false,
+      };
 };
 
-const takeLoaded = (state: ShardState, event: Extract<ShardEvent, { type: 'loaded' }>): ShardState | undefined => {
-  const { snapshot } = event;
-  const start: ShardState =
-    snapshot === undefined
-      ? state
-      : {
-          ...state,
-          snapshotRevision: snapshot.revision,
-          nextSeq: snapshot.throughSeq + 1,
-          base: snapshot.records,
-          recent: new Map(),
-          logEntries: 0,
-          logBytes: 0,
-          full: false,
-        };
-  return event.entries.reduce<ShardState | undefined>(
+const takeLoaded = (state: ShardState, event: Loaded): ShardState | undefined =>
+  event.entries.reduce<ShardState | undefined>(
     (next, { seq, entry }) => (next?.nextSeq === seq ? applyEntry(next, entry) : undefined),
-    start,
+    takeSnapshot(state, event),
   );
-};
 
-const decideLoad = (
-  state: ShardState,
-  event: Extract<ShardEvent, { type: 'loaded' }>,
-  nowMs: number,
-  options: ShardOptions,
-): ShardStep => {
+const decideLoad = (state: ShardState, event: Loaded, nowMs: number, options: ShardOptions): ShardStep => {
   if (state.phase.type !== 'loading') {
     return unchanged(state);
   }
   const loaded = takeLoaded(state, event);
   if (loaded === undefined) {
-    // The log was compacted between the reads, so that entries are missing from the answer.
+    // The shard was compacted between the reads, so that entries or segments are missing from the answer.
     return pause({ ...state, nextSeq: 1, snapshotRevision: '0' }, { type: 'load-paused' });
   }
   return appendPending({ ...loaded, failures: 0 }, nowMs, options);
@@ -111,33 +108,47 @@
   if (!event.succeeded) {
     return startLoad(state);
   }
+  const { records, segments, nextSegment } = state.phase.compacted;
   const compacted: ShardState = {
     ...state,
     snapshotRevision: event.revision,
-    base: state.phase.records,
+    base: records,
     recent: new Map(),
+    segments,
+    nextSegment,
     logEntries: 0,
     logBytes: 0,
+    full: false,
   };
   return appendPending({ ...compacted, failures: 0 }, nowMs, options);
 };
 
-const wake = (state: ShardState, nowMs: number, options: ShardOptions): ShardStep => {
-  const awake = { ...state, wakeArmed: false };
+const wake = (state: ShardState): ShardStep => {
   switch (state.phase.type) {
     case 'load-paused':
-      return isWanted(state) ? startLoad(awake) : unchanged({ ...awake, phase: { type: 'cold' } });
+      return isWanted(state) ? startLoad(state) : unchanged({ ...state, phase: { type: 'cold' } });
+    case 'append-paused':
+      return requestCommit(state);
+    default:
+      return unchanged(state);
+  }
+};
+
+/** Takes the turn to commit; a shard that reads its log now asks again after the read. */
+const takeTurn = (state: ShardState, nowMs: number, options: ShardOptions): ShardStep => {
+  const turn = { ...state, commitWanted: false };
+  switch (state.phase.type) {
     case 'append-paused': {
       const { entry, ops } = state.phase;
       return {
-        state: { ...awake, phase: { type: 'appending', entry, ops } },
+        state: { ...turn, phase: { type: 'appending', entry, ops } },
         actions: [{ type: 'append', seq: state.nextSeq, snapshotRevision: state.snapshotRevision, entry }],
       };
     }
     case 'ready':
-      return continueReady(awake, nowMs, options);
+      return commitPending(turn, nowMs, options);
     default:
-      return unchanged(awake);
+      return unchanged(turn);
   }
 };
 
@@ -159,7 +170,7 @@
  *
  * @param state - state before the event
  * @param event - what happened
- * @param nowMs - monotonic time; only spaces commits
+ * @param nowMs - monotonic time; only spaces the attempts to compact a full shard
  * @param options - this process and the wall time
  * @returns the new state and the actions to perform, in order
  * @example
@@ -196,7 +207,9 @@
       // The reads that follow tell whether the compaction took effect.
       return state.phase.type === 'compacting' ? pause(state, { type: 'load-paused' }) : unchanged(state);
     case 'woken':
-      return wake(state, nowMs, options);
+      return wake(state);
+    case 'commit-due':
+      return takeTurn(state, nowMs, options);
     default:
       return exhaustive(event);
   }
--- a/packages/decide/src/claims/applyOp.ts
+++ b/packages/decide/src/claims/applyOp.ts
@@ -1,16 +1,24 @@
 import type { ClaimOp, ClaimRecord, RecordedOutcome } from '@bergamotcove/protocol';
 
-const isUnknown = (outcome: RecordedOutcome): boolean => outcome.type === 'refused' && outcome.outcome === 'unknown';
+/** How much an outcome tells: nothing, that the request ran, or its answer. */
+const rankOutcome = (outcome: RecordedOutcome): number => {
+  if (outcome.type === 'answered') {
+    return 2;
+  }
+  return outcome.type === 'refused' && outcome.outcome === 'unknown' ? 0 : 1;
+};
 
 /**
- * Whether the operation still tells something about the claim. An unknown outcome over an unknown outcome does not;
- * if it counted as a change, its writer would append it again after each append.
+ * Whether the operation still tells something about the claim. An outcome over one that tells as much does not; if it
+ * counted as a change, its writer would append it again after each append. A peer may record that the call ran while
+ * the claiming host is only unreachable; the answer of that host then still counts.
  */
 const settlesMore = (record: ClaimRecord, op: ClaimOp): boolean => {
-  if (record.status.type === 'finished' && isUnknown(record.status.outcome)) {
-    return op.type !== 'outcome' || !isUnknown(op.outcome);
+  if (record.status.type !== 'finished') {
+    return record.status.type === 'open';
   }
-  return record.status.type === 'open';
+  const known = rankOutcome(record.status.outcome);
+  return op.type === 'outcome' ? rankOutcome(op.outcome) > known : known === 0;
 };
 
 const applyClaim = (record: ClaimRecord | undefined, op: Extract<ClaimOp, { type: 'claim' }>): ClaimRecord => {
--- a/packages/decide/src/claims/constants.ts
+++ b/packages/decide/src/claims/constants.ts
@@ -1,17 +1,23 @@
 /** Number of shard logs; fixed, because the shard of a key must never change. */
 export const SHARD_COUNT = 64;
 
-/** Commits that a shard may make without a pause, so that a quiet shard adds no delay. */
+/** Commits that a host may make without a pause, so that a quiet host adds no delay. */
 export const COMMIT_BURST = 4;
 
-/** Long-run spacing of the commits of one shard: 64 shards / 160 ms = 400 writes/s, within the store's rate. */
-export const COMMIT_INTERVAL_MS = 160;
+/** Commits per second of all shard owners together; with the share of the other hosts it makes 400, the budget. */
+export const OWNER_COMMITS_PER_SECOND = 320;
+
+/** Commits per second of all hosts that own no shard, for shards whose owners they cannot reach. */
+export const OTHER_COMMITS_PER_SECOND = 80;
 
 /** Largest batch of operations in one entry; with 16 KB answers an entry stays under 300 KB. */
 export const MAX_BATCH_BYTES = 262_144;
 
-/** Log length at which the shard is compacted. */
-export const COMPACT_ENTRIES = 64;
+/**
+ * Log length at which the shard is compacted. Each compaction rewrites the snapshot; at 5 commits/s of a shard this
+ * is one rewrite in 51 s.
+ */
+export const COMPACT_ENTRIES = 256;
 
 /** Log size at which the shard is compacted; the whole log must be readable in one answer of 1 MB. */
 export const COMPACT_BYTES = 393_216;
@@ -19,6 +25,18 @@
 /** Largest snapshot. The store holds 1 MB; base64 in its JSON form takes a third more. */
 export const MAX_SNAPSHOT_BYTES = 700_000;
 
+/** Size of the finished claims in a snapshot above which they are sealed into a segment. */
+export const SEGMENT_BYTES = 400_000;
+
+/** Largest part of a snapshot for claims in full form; above it, the oldest answers are dropped early. */
+export const ANSWERS_BYTES = 250_000;
+
+/** Segments that a shard may have unless the operator sets another number: 64 shards then hold 161 MB. */
+export const MAX_SEGMENTS = 8;
+
+/** Pause before a full shard is compacted again, because expiry may have made room. */
+export const FULL_RETRY_MS = 10_000;
+
 /** Largest answer that is kept in the log. */
 export const MAX_ANSWER_BYTES = 16_384;
 
--- a/packages/decide/src/claims/createShardState.ts
+++ b/packages/decide/src/claims/createShardState.ts
@@ -1,28 +1,27 @@
-import { COMMIT_BURST } from './constants.js';
 import type { ShardState } from './types.js';
 
 /**
  * Creates the state of a shard that has not been read.
  *
- * @param nowMs - monotonic time
  * @returns the initial state
  */
-export default function createShardState(nowMs: number): ShardState {
+export default function createShardState(): ShardState {
   return {
     phase: { type: 'cold' },
     snapshotRevision: '0',
     nextSeq: 1,
     base: new Map(),
     recent: new Map(),
+    segments: [],
+    nextSegment: 1,
     logEntries: 0,
     logBytes: 0,
     pending: [],
     refreshes: [],
-    commitTokens: COMMIT_BURST,
-    tokensAtMs: nowMs,
-    wakeArmed: false,
+    commitWanted: false,
     failures: 0,
     nextEntry: 1,
     full: false,
+    fullUntilMs: 0,
   };
 }
--- a/packages/decide/src/claims/evaluateOp.test.ts
+++ b/packages/decide/src/claims/evaluateOp.test.ts
@@ -27,3 +27,15 @@
   const ran: ClaimOp = { ...unknown, outcome: { type: 'refused', outcome: 'ran', reason: 'answer-dropped' } };
   assert.equal(evaluateOp(record, ran), undefined);
 });
+
+test('the answer of a host that was only unreachable replaces a recorded ran, and nothing replaces an answer', () => {
+  const ran: ClaimOp = { ...unknown, outcome: { type: 'refused', outcome: 'ran', reason: 'answer-dropped' } };
+  const answered: ClaimOp = { ...unknown, outcome: { type: 'answered', answer: '1' } };
+  const record = applyOp(applyOp(applyOp(undefined, claim), ran), answered);
+  assert.deepEqual(record?.status, { type: 'finished', outcome: answered.outcome, wallMs: 1 });
+  const later: ClaimOp[] = [ran, unknown, { ...claim, type: 'release' }, { ...answered, claimId: 'other' }];
+  later.forEach((op) => assert.equal(applyOp(record, op), record, op.type));
+  // The call ran, so that a release must never free the key.
+  const settled = applyOp(applyOp(undefined, claim), ran);
+  assert.equal(applyOp(settled, { ...claim, type: 'release' }), settled);
+});
--- a/packages/decide/src/claims/index.ts
+++ b/packages/decide/src/claims/index.ts
@@ -7,5 +7,7 @@
 export { default as createShardState } from './createShardState.js';
 export { default as evaluateOp } from './evaluateOp.js';
 export { default as findRecord } from './findRecord.js';
+export { default as isSameBody } from './isSameBody.js';
+export { default as planCommitInterval } from './planCommitInterval.js';
 export { default as rankShardOwners } from './rankShardOwners.js';
 export { default as shardOfKey } from './shardOfKey.js';
--- a/packages/decide/src/claims/types.ts
+++ b/packages/decide/src/claims/types.ts
@@ -11,11 +11,40 @@
   readonly tried: boolean;
 }
 
+/** Place of a sealed segment and the newest claim in it. */
+export interface SegmentPlace {
+  /** Never used twice in a shard. */
+  readonly number: number;
+  readonly newestWallMs: number;
+}
+
+/** Finished claims that never change any more. */
+export interface Segment extends SegmentPlace {
+  /** Key and body hashes of fixed width, sorted. */
+  readonly claims: string;
+}
+
+/** Everything that a shard holds. */
+export interface ShardContent {
+  readonly records: ClaimRecords;
+  /** Oldest first. */
+  readonly segments: readonly Segment[];
+  readonly nextSegment: number;
+}
+
+/** A shard after retention. */
+export interface CompactedShard extends ShardContent {
+  /** Segment that the compaction adds. */
+  readonly sealed: Segment | undefined;
+}
+
 /** Snapshot as it stands in the store; revision '0' when there is none. */
 export interface SnapshotView {
   readonly revision: string;
   readonly throughSeq: number;
   readonly records: ClaimRecords;
+  readonly segments: readonly SegmentPlace[];
+  readonly nextSegment: number;
 }
 
 /** An entry with its place in the log. */
@@ -30,7 +59,7 @@
   | { readonly type: 'loading' }
   | { readonly type: 'ready' }
   | { readonly type: 'appending'; readonly entry: LogEntry; readonly ops: readonly PendingOp[] }
-  | { readonly type: 'compacting'; readonly records: ClaimRecords; readonly throughSeq: number }
+  | { readonly type: 'compacting'; readonly compacted: CompactedShard; readonly throughSeq: number }
   /** Waits before it repeats a failed read. */
   | { readonly type: 'load-paused' }
   /** Waits before it repeats an append whose reply was lost. */
@@ -45,17 +74,21 @@
   readonly base: ClaimRecords;
   /** Records changed by the log after the snapshot; kept apart so that a commit copies only these. */
   readonly recent: ClaimRecords;
+  readonly segments: readonly Segment[];
+  readonly nextSegment: number;
   readonly logEntries: number;
   readonly logBytes: number;
   readonly pending: readonly PendingOp[];
   /** Reads that wait for a fresh view of the log. */
   readonly refreshes: readonly string[];
-  readonly commitTokens: number;
-  readonly tokensAtMs: number;
-  readonly wakeArmed: boolean;
+  /** Whether a turn to commit was asked for and has not come yet. */
+  readonly commitWanted: boolean;
   readonly failures: number;
   readonly nextEntry: number;
+  /** Whether new claims are refused, because the shard has no room. */
   readonly full: boolean;
+  /** Monotonic time from which a full shard is compacted again. */
+  readonly fullUntilMs: number;
 }
 
 /** Identity of the process that keeps the state. */
@@ -66,6 +99,10 @@
   readonly wallMs: number;
   /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
   readonly compactEntries?: number;
+  /** Size of the finished claims above which they are sealed; {@link SEGMENT_BYTES} by default. */
+  readonly segmentBytes?: number;
+  /** Segments that the shard may have; {@link MAX_SEGMENTS} by default. */
+  readonly maxSegments?: number;
 }
 
 /** Something that happened to a shard. */
@@ -78,6 +115,8 @@
       readonly type: 'loaded';
       /** Absent when the snapshot is still the known one; the entries then follow the known log. */
       readonly snapshot?: SnapshotView;
+      /** Segments of the snapshot that were not known before. */
+      readonly segments?: readonly Segment[];
       readonly entries: readonly PlacedEntry[];
     }
   | { readonly type: 'load-failed' }
@@ -86,18 +125,29 @@
   | { readonly type: 'append-lost' }
   | { readonly type: 'compact-decided'; readonly succeeded: boolean; readonly revision: string }
   | { readonly type: 'compact-lost' }
-  | { readonly type: 'woken' };
+  | { readonly type: 'woken' }
+  /** The turn that was asked for. */
+  | { readonly type: 'commit-due' };
 
 /** What the interpreter must do next. */
 export type ShardAction =
-  | { readonly type: 'load'; readonly fromSeq: number; readonly knownRevision: string | undefined }
+  | {
+      readonly type: 'load';
+      readonly fromSeq: number;
+      readonly knownRevision: string | undefined;
+      readonly knownSegments: readonly number[];
+    }
   | { readonly type: 'append'; readonly seq: number; readonly snapshotRevision: string; readonly entry: LogEntry }
   | {
       readonly type: 'compact';
       readonly snapshotRevision: string;
       readonly throughSeq: number;
-      readonly records: ClaimRecords;
+      readonly compacted: CompactedShard;
+      /** Numbers of the expired segments. */
+      readonly dropped: readonly number[];
     }
+  /** Wants the turn of this shard in the commits of the host; the answer is `commit-due`. */
+  | { readonly type: 'commit-wanted' }
   | { readonly type: 'settle'; readonly opId: string; readonly result: ClaimOpResult }
   | { readonly type: 'refreshed'; readonly readId: string }
   | { readonly type: 'wake'; readonly delayMs: number };
--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@bergamotcove/clock';
-import type { ClaimDecision, RequestResult } from '@bergamotcove/decide';
+import { isSameBody, type ClaimDecision, type RequestResult } from '@bergamotcove/decide';
 import type { StoreClient } from '@bergamotcove/platform';
 import type { ClaimOpResult, ClaimRecord, RecordedOutcome } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
@@ -23,6 +23,8 @@
   readonly peerServer: PeerServer;
   readonly directory: PeerDirectory;
   readonly hostId: string;
+  /** Segments that a shard may have in the store. */
+  readonly maxSegments?: number | undefined;
 }
 
 interface KnownAnswer {
@@ -47,7 +49,7 @@
   RECORD_OVERHEAD_BYTES + (outcome.type === 'answered' ? outcome.answer.length : 0);
 
 const readRecord = (request: ClaimRequest, record: ClaimRecord): ClaimLookup => {
-  if (record.bodyHash !== hashBody(request)) {
+  if (!isSameBody(record, hashBody(request))) {
     return { type: 'other-body' };
   }
   if (record.status.type === 'released') {
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { rankShardOwners, shardOfKey } from '@bergamotcove/decide';
+import { shardOfKey } from '@bergamotcove/decide';
 import type { StoreClient } from '@bergamotcove/platform';
 import {
   CLAIMS_APPEND,
@@ -14,6 +14,8 @@
 import { TransportError, type PeerClient } from '@bergamotcove/transport';
 import type { EntryHostView, PeerDirectory } from '../peers/types.js';
 import withLimit from './_lib/withLimit.js';
+import createCommitQueue, { type CommitQueue } from './createCommitQueue.js';
+import createOwnerTable, { type OwnerTable } from './createOwnerTable.js';
 import createShardLog, { type ShardLog } from './createShardLog.js';
 import createShardStore from './createShardStore.js';
 
@@ -26,6 +28,8 @@
   readonly hostId: string;
   /** Unique per process. */
   readonly processId: string;
+  /** Segments that a shard may have. */
+  readonly maxSegments?: number | undefined;
 }
 
 /** What the logs say about a key. */
@@ -49,6 +53,12 @@
   close(): void;
 }
 
+/** Answer of the owner, or none within the time limit. */
+type OwnerResult = ClaimOpResult | { readonly type: 'unreachable'; readonly mayApply: boolean };
+
+/** Hosts of the ranking that are asked before a host appends by itself. */
+const OWNER_CANDIDATES = 2;
+
 /** Longest wait for the shard owner before this host appends by itself. */
 const OWNER_LIMIT_MS = 400;
 /** Time for a busy owner to reply after its own limit; taking a busy owner for a dead one makes many writers conflict. */
@@ -63,26 +73,36 @@
 
   private readonly backoffUntilMs = new Map<string, number>();
 
-  constructor(private readonly options: ClaimLogsOptions) {}
+  private readonly owners: OwnerTable;
+
+  private readonly commits: CommitQueue;
+
+  constructor(private readonly options: ClaimLogsOptions) {
+    const { clock, store, directory, hostId } = options;
+    this.owners = createOwnerTable(directory, hostId);
+    this.commits = createCommitQueue({ clock, store, intervalMs: () => this.owners.commitIntervalMs() });
+  }
 
   async submit(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
     const endsAtMs = this.options.clock.monotonicMs() + limitMs;
     const remote = await this.waitForOwner(op, endsAtMs);
-    if (remote !== undefined && remote.type !== 'unavailable') {
+    // An operation whose time is over is not submitted here, because the read of the log alone costs store calls.
+    if (remote !== undefined && (remote.type !== 'unavailable' || this.remaining(endsAtMs) === 0)) {
       return remote;
     }
     const result = await this.submitHere(op, this.remaining(endsAtMs));
     if (result.type !== 'unavailable') {
       return result;
     }
-    return { type: 'unavailable', mayApply: result.mayApply || remote?.mayApply === true, busy: false };
+    return { type: 'unavailable', mayApply: result.mayApply || remote?.mayApply === true, busy: false, queueMs: 0 };
   }
 
   async submitHere(op: ClaimOp, limitMs: number): Promise<ClaimOpResult> {
     const log = this.logOf(op.keyHash);
     const submission = log.submit(op);
     const result = await withLimit(this.options.clock, limitMs, submission.result);
-    return result ?? { type: 'unavailable', mayApply: submission.abandon(), busy: !log.isFailing() };
+    const queueMs = this.commits.delayMs();
+    return result ?? { type: 'unavailable', mayApply: submission.abandon(), busy: !log.isFailing(), queueMs };
   }
 
   async persist(op: ClaimOp): Promise<void> {
@@ -130,6 +150,7 @@
 
   close(): void {
     this.logs.forEach((log) => log.close());
+    this.commits.close();
   }
 
   private logOf(keyHash: string): ShardLog {
@@ -138,26 +159,26 @@
     if (known !== undefined) {
       return known;
     }
-    const { clock, store, processId } = this.options;
-    const log = createShardLog({ clock, processId, store: createShardStore(store, shard) });
+    const { commits } = this;
+    const { store } = this.options;
+    const log = createShardLog({ ...this.options, commits, store: createShardStore(store, commits, shard) });
     this.logs.set(shard, log);
     return log;
   }
 
   private rankHosts(keyHash: string): readonly EntryHostView[] {
-    const hosts = this.options.directory.liveHosts();
-    const ranked = rankShardOwners(
-      hosts.map((host) => host.hostId),
-      shardOfKey(keyHash),
-    );
-    return ranked.flatMap((hostId) => hosts.filter((host) => host.hostId === hostId));
+    return this.owners.rank(shardOfKey(keyHash));
   }
 
-  /** Owner of the shard when it is another host that can be asked now. */
+  /**
+   * Host that commits for the shard when it is another host. While the owner does not answer, it is the next host in
+   * the ranking for all hosts, so that they still write through one host.
+   */
   private findOwner(keyHash: string): EntryHostView | undefined {
-    const owner = this.rankHosts(keyHash)[0];
-    const backoffMs = this.backoffUntilMs.get(owner?.hostId ?? '') ?? 0;
-    return owner?.hostId === this.options.hostId || backoffMs > this.options.clock.monotonicMs() ? undefined : owner;
+    const nowMs = this.options.clock.monotonicMs();
+    const candidates = this.rankHosts(keyHash).slice(0, OWNER_CANDIDATES);
+    const owner = candidates.find((host) => (this.backoffUntilMs.get(host.hostId) ?? 0) <= nowMs);
+    return owner?.hostId === this.options.hostId ? undefined : owner;
   }
 
   /**
@@ -166,18 +187,22 @@
    */
   private async waitForOwner(op: ClaimOp, endsAtMs: number): Promise<ClaimOpResult | undefined> {
     let mayApply = false;
+    let limitMs = OWNER_LIMIT_MS;
     for (;;) {
-      const waitMs = Math.min(OWNER_LIMIT_MS, this.remaining(endsAtMs));
+      const waitMs = Math.min(limitMs, this.remaining(endsAtMs));
       // Each wait follows the answer to the one before.
       // eslint-disable-next-line no-await-in-loop
       const result = await this.submitToOwner(op, waitMs);
-      if (result?.type !== 'unavailable') {
-        return result ?? (mayApply ? { type: 'unavailable', mayApply, busy: false } : undefined);
+      if (result !== undefined && result.type !== 'unavailable' && result.type !== 'unreachable') {
+        return result;
       }
-      mayApply = mayApply || result.mayApply;
-      if (!result.busy || this.remaining(endsAtMs) === 0) {
-        return { ...result, mayApply };
+      mayApply = mayApply || result?.mayApply === true;
+      const again = result?.type === 'unreachable' || (result?.type === 'unavailable' && result.busy);
+      if (!again || this.remaining(endsAtMs) === 0) {
+        const failed = { type: 'unavailable' as const, mayApply, busy: false, queueMs: 0 };
+        return result === undefined && !mayApply ? undefined : failed;
       }
+      limitMs = Math.max(OWNER_LIMIT_MS, result.type === 'unavailable' ? result.queueMs : 0);
     }
   }
 
@@ -185,7 +210,7 @@
     return Math.max(0, endsAtMs - this.options.clock.monotonicMs());
   }
 
-  private async submitToOwner(op: ClaimOp, waitMs: number): Promise<ClaimOpResult | undefined> {
+  private async submitToOwner(op: ClaimOp, waitMs: number): Promise<OwnerResult | undefined> {
     const owner = this.findOwner(op.keyHash);
     return owner === undefined ? undefined : this.callAppend(owner, op, { waitMs, handOver: false });
   }
@@ -194,7 +219,7 @@
     host: EntryHostView,
     op: ClaimOp,
     options: { readonly waitMs: number; readonly handOver: boolean },
-  ): Promise<ClaimOpResult> {
+  ): Promise<OwnerResult> {
     const limitMs = options.waitMs + REPLY_MARGIN_MS;
     try {
       return claimOpResultSchema.parse(await this.call(host, CLAIMS_APPEND, { op, ...options }, limitMs));
@@ -202,7 +227,7 @@
       this.backoffUntilMs.set(host.hostId, this.options.clock.monotonicMs() + OWNER_BACKOFF_MS);
       // A call that may have arrived can be appended a second time by this host; it takes effect only once.
       const arrived = !(cause instanceof TransportError) || cause.code !== 'not-connected';
-      return { type: 'unavailable', mayApply: arrived, busy: false };
+      return { type: 'unreachable', mayApply: arrived };
     }
   }
 
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@bergamotcove/clock';
+import { isSameBody } from '@bergamotcove/decide';
 import { CLAIMS_QUERY, claimsAnswerSchema, type ClaimRecord, type ClaimsAnswer } from '@bergamotcove/protocol';
 import type { PeerClient } from '@bergamotcove/transport';
 import type { PeerDirectory } from '../peers/types.js';
@@ -90,7 +91,7 @@
     if (!this.seenAtMs.has(record.claimId)) {
       this.seenAtMs.set(record.claimId, this.options.clock.monotonicMs());
     }
-    if (record.bodyHash !== hashBody(request)) {
+    if (!isSameBody(record, hashBody(request))) {
       return { type: 'settled', result: { type: 'refused', outcome: 'not-run', reason: 'key-reused' } };
     }
     if (record.status.type === 'released') {
--- a/packages/entry/src/claims/createShardLog.ts
+++ b/packages/entry/src/claims/createShardLog.ts
@@ -9,6 +9,7 @@
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import type { ClaimOp, ClaimOpResult, ClaimRecord } from '@bergamotcove/protocol';
+import type { CommitQueue } from './createCommitQueue.js';
 import type { ShardStore } from './createShardStore.js';
 
 /** An operation on its way into the log. */
@@ -35,8 +36,11 @@
 export interface ShardLogOptions {
   readonly clock: Clock;
   readonly store: ShardStore;
+  readonly commits: CommitQueue;
   /** Unique per process. */
   readonly processId: string;
+  /** Segments that the shard may have. */
+  readonly maxSegments?: number | undefined;
 }
 
 /** Interpreter of the shard reducer. */
@@ -54,7 +58,7 @@
   private closed = false;
 
   constructor(private readonly options: ShardLogOptions) {
-    this.state = createShardState(options.clock.monotonicMs());
+    this.state = createShardState();
   }
 
   submit(op: ClaimOp): Submission {
@@ -107,8 +111,9 @@
     if (this.closed) {
       return;
     }
-    const { clock, processId } = this.options;
-    const options = { hostId: processId, wallMs: clock.wallMs() };
+    const { clock, processId, maxSegments } = this.options;
+    const limits = maxSegments === undefined ? {} : { maxSegments };
+    const options = { hostId: processId, wallMs: clock.wallMs(), ...limits };
     const step = advanceShard(this.state, event, clock.monotonicMs(), options);
     this.state = step.state;
     this.known = this.known || event.type === 'loaded';
@@ -116,7 +121,7 @@
   }
 
   private perform(action: ShardAction): void {
-    const { clock, store } = this.options;
+    const { clock, commits, store } = this.options;
     switch (action.type) {
       case 'load':
         this.follow(
@@ -136,6 +141,9 @@
           'compact-lost',
         );
         break;
+      case 'commit-wanted':
+        commits.request(() => this.handle({ type: 'commit-due' }));
+        break;
       case 'settle':
         this.settle(action.opId, action.result);
         break;
--- a/packages/entry/src/claims/createShardStore.ts
+++ b/packages/entry/src/claims/createShardStore.ts
@@ -1,7 +1,16 @@
 import { z } from 'zod';
-import { fromSnapshot, toSnapshot, type PlacedEntry, type ShardAction, type SnapshotView } from '@bergamotcove/decide';
+import {
+  fromSnapshot,
+  toSnapshot,
+  type PlacedEntry,
+  type Segment,
+  type SegmentPlace,
+  type ShardAction,
+  type SnapshotView,
+} from '@bergamotcove/decide';
 import { PlatformError, type Compare, type StoreClient, type StoreEntry } from '@bergamotcove/platform';
 import { claimSnapshotSchema, logEntrySchema } from '@bergamotcove/protocol';
+import type { CommitQueue } from './createCommitQueue.js';
 
 const CLAIMS_PREFIX = '/bergamot/claims';
 const SHARD_DIGITS = 2;
@@ -16,6 +25,8 @@
 export interface ShardContent {
   /** Absent when the snapshot is still the known one. */
   readonly snapshot?: SnapshotView;
+  /** Segments of the snapshot that were not known. */
+  readonly segments?: readonly Segment[];
   readonly entries: readonly PlacedEntry[];
 }
 
@@ -36,10 +47,11 @@
 
 const toSnapshotView = (entry: StoreEntry | undefined): SnapshotView => {
   if (entry === undefined) {
-    return { revision: '0', throughSeq: 0, records: new Map() };
+    return { revision: '0', throughSeq: 0, records: new Map(), segments: [], nextSegment: 1 };
   }
   const snapshot = parseValue(claimSnapshotSchema, entry);
-  return { revision: entry.modRevision, throughSeq: snapshot.throughSeq, records: fromSnapshot(snapshot) };
+  const { throughSeq, segments, nextSegment } = snapshot;
+  return { revision: entry.modRevision, throughSeq, records: fromSnapshot(snapshot), segments, nextSegment };
 };
 
 /** Shard log in the configuration store. */
@@ -48,13 +60,17 @@
 
   private readonly logPrefix: string;
 
+  private readonly segmentPrefix: string;
+
   constructor(
     private readonly store: StoreClient,
+    private readonly commits: CommitQueue,
     shard: number,
   ) {
     const root = `${CLAIMS_PREFIX}/${String(shard).padStart(SHARD_DIGITS, '0')}`;
     this.snapshotKey = `${root}/snapshot`;
     this.logPrefix = `${root}/log/`;
+    this.segmentPrefix = `${root}/segment/`;
   }
 
   async load(action: Load): Promise<ShardContent> {
@@ -68,34 +84,60 @@
       }
     }
     const snapshot = toSnapshotView(await this.store.get(this.snapshotKey));
-    return { snapshot, entries: await this.readLog(snapshot.throughSeq + 1) };
+    const unknown = snapshot.segments.filter(({ number }) => !action.knownSegments.includes(number));
+    const segments = await this.readSegments(unknown);
+    return { snapshot, segments, entries: await this.readLog(snapshot.throughSeq + 1) };
   }
 
-  async append(action: Append): Promise<boolean> {
-    const key = this.formatLogKey(action.seq);
-    const result = await this.store.txn(
-      [{ type: 'create-revision', key, revision: '0' }, this.compareSnapshot(action.snapshotRevision)],
-      [{ type: 'put', key, value: JSON.stringify(action.entry) }],
-    );
-    return result.succeeded;
+  append(action: Append): Promise<boolean> {
+    return this.commits.append({
+      key: this.formatLogKey(action.seq),
+      value: JSON.stringify(action.entry),
+      snapshot: this.compareSnapshot(action.snapshotRevision),
+    });
   }
 
   async compact(action: Compact): Promise<{ readonly succeeded: boolean; readonly revision: string }> {
-    const value = JSON.stringify(toSnapshot(action.records, action.throughSeq));
+    const { compacted, dropped, throughSeq } = action;
+    const { sealed } = compacted;
+    const key = this.snapshotKey;
+    this.commits.note();
     const { succeeded, revision } = await this.store.txn(
       [this.compareSnapshot(action.snapshotRevision)],
       [
-        { type: 'put', key: this.snapshotKey, value },
-        { type: 'delete', key: this.formatLogKey(0), rangeEnd: this.formatLogKey(action.throughSeq + 1) },
+        { type: 'put', key, value: JSON.stringify(toSnapshot(compacted, throughSeq)) },
+        { type: 'delete', key: this.formatLogKey(0), rangeEnd: this.formatLogKey(throughSeq + 1) },
+        ...(sealed === undefined
+          ? []
+          : [{ type: 'put' as const, key: this.formatSegmentKey(sealed.number), value: sealed.claims }]),
+        ...dropped.map((number) => ({ type: 'delete' as const, key: this.formatSegmentKey(number) })),
       ],
     );
     return { succeeded, revision };
   }
 
+  /** Reads segments one by one, because each may take a whole answer; one that was deleted is left out. */
+  private async readSegments(places: readonly SegmentPlace[]): Promise<readonly Segment[]> {
+    const found: Segment[] = [];
+    for (const place of places) {
+      // One large answer at a time bounds the memory of the read.
+      // eslint-disable-next-line no-await-in-loop
+      const entry = await this.store.get(this.formatSegmentKey(place.number));
+      if (entry !== undefined) {
+        found.push({ ...place, claims: entry.value });
+      }
+    }
+    return found;
+  }
+
   private compareSnapshot(revision: string): Compare {
     return { type: 'mod-revision', key: this.snapshotKey, revision };
   }
 
+  private formatSegmentKey(number: number): string {
+    return `${this.segmentPrefix}${String(number).padStart(SEQ_DIGITS, '0')}`;
+  }
+
   private formatLogKey(seq: number): string {
     return `${this.logPrefix}${String(seq).padStart(SEQ_DIGITS, '0')}`;
   }
@@ -133,9 +175,10 @@
  * Creates the store side of one shard log.
  *
  * @param store - configuration store
+ * @param commits - commits of this host
  * @param shard - shard number
  * @returns reads and writes of the shard
  */
-export default function createShardStore(store: StoreClient, shard: number): ShardStore {
-  return new StoreShard(store, shard);
+export default function createShardStore(store: StoreClient, commits: CommitQueue, shard: number): ShardStore {
+  return new StoreShard(store, commits, shard);
 }
--- a/packages/protocol/src/claims.ts
+++ b/packages/protocol/src/claims.ts
@@ -74,8 +74,14 @@
 export const claimSnapshotSchema = z.strictObject({
   throughSeq: z.int().min(0),
   records: z.array(z.tuple([hashSchema, claimRecordSchema])),
-  /** Finished claims without an answer, in short form: key hash, body hash, wall time in seconds. */
-  finished: z.array(z.tuple([hashSchema, hashSchema, z.number()])),
+  /** Finished claims in the form before `ended`: key hash, body hash, wall time in seconds; only read. */
+  finished: z.array(z.tuple([hashSchema, hashSchema, z.number()])).default([]),
+  /** Finished claims without an answer, in fixed-width text. */
+  ended: z.string().default(''),
+  /** Sealed segments of the shard, oldest first. */
+  segments: z.array(z.strictObject({ number: z.int().min(1), newestWallMs: wallMsSchema })).default([]),
+  /** Number of the next segment; a number is never used twice. */
+  nextSegment: z.int().min(1).default(1),
 });
 
 /** Result of one operation. */
@@ -88,9 +94,14 @@
   z.strictObject({ type: z.literal('full') }),
   /**
    * Not settled within the time limit; `mayApply` says whether the operation may still take effect, `busy` that the
-   * store answers this host and the operation only waits for its turn.
+   * store answers this host and the operation only waits for its turn, which comes after about `queueMs`.
    */
-  z.strictObject({ type: z.literal('unavailable'), mayApply: z.boolean(), busy: z.boolean().default(false) }),
+  z.strictObject({
+    type: z.literal('unavailable'),
+    mayApply: z.boolean(),
+    busy: z.boolean().default(false),
+    queueMs: z.number().min(0).default(0),
+  }),
 ]);
 
 /** Parameters of {@link CLAIMS_APPEND}. */
