Avoid a failure domain that fell silent and hedge a resumed stream

A stream that was slow on the reachable engine moved to an engine behind the cut, stayed silent there, and its hedge was dropped because the request already had tokens. Hedges and stalled attempts used up the attempt limit. A claim waited 1 s for a shard owner behind the cut, which left no time for the call. Change: a host keeps, for each other failure domain, when it last heard a server of it; a silent one gets no work while another server is left. A resumed attempt that delivered nothing is hedged. Hedges and stalled attempts, which budgets bound, do not count against the limit. A shard owner gets at most half of the time left.

--- a/packages/decide/src/request/_lib/arbitraryEvents.test.ts
+++ b/packages/decide/src/request/_lib/arbitraryEvents.test.ts
@@ -52,6 +52,7 @@
 const failure = fc.constantFrom<AttemptFailure>(
   { type: 'not-sent' },
   { type: 'refused', leaving: false },
+  { type: 'stalled' },
   { type: 'connection-lost' },
   { type: 'invalid-answer' },
   { type: 'queue-timeout' },
--- a/packages/decide/src/request/_lib/failAttempt.ts
+++ b/packages/decide/src/request/_lib/failAttempt.ts
@@ -33,6 +33,7 @@
 ): RequestState => ({
   ...state,
   attempts: state.attempts.filter((other) => other !== attempt),
+  stageAttempts: state.stageAttempts - (failure.type === 'stalled' ? 1 : 0),
   mayHaveRun: state.mayHaveRun || mayHaveRun(stage, attempt, failure),
   suspectServers:
     attempt.serverId !== undefined && failure.type !== 'failed'
@@ -84,7 +85,7 @@
     !isFinal(failure) &&
     safe &&
     options.retryAllowed &&
-    state.stageAttempts < state.plan.maxAttempts &&
+    rest.stageAttempts < state.plan.maxAttempts &&
     options.nowMs < state.plan.deadlineAtMs;
   return retry ? startAttempt(rest, stage, rest.outputs) : refuse(rest, stage, failure);
 }
--- a/packages/decide/src/request/_lib/startAttempt.ts
+++ b/packages/decide/src/request/_lib/startAttempt.ts
@@ -21,7 +21,7 @@
       ...state,
       phase: { type: 'running', stageIndex: stage.index },
       attempts: [...state.attempts, attempt],
-      stageAttempts: state.stageAttempts + 1,
+      stageAttempts: state.stageAttempts + (options.hedge ? 0 : 1),
       nextAttempt: state.nextAttempt + 1,
     },
     actions: [
--- a/packages/decide/src/request/advanceRequest.test.ts
+++ b/packages/decide/src/request/advanceRequest.test.ts
@@ -42,6 +42,13 @@
   retryAllowed: true,
 });
 
+const stalled = (attemptId: string): RequestEvent => ({
+  type: 'attempt-failed',
+  attemptId,
+  failure: { type: 'stalled' },
+  retryAllowed: true,
+});
+
 test('ignores an answer for an attempt that is not open, so that a late answer cannot reach another stage', () => {
   const step = play(makeState([makeStage(0, 'a'), makeStage(1, 'b')]), [
     { type: 'started' },
@@ -89,6 +96,29 @@
   assert.deepEqual(step.actions, [{ type: 'emit-tokens', firstTokenIndex: 2, tokens: ['c'] }]);
 });
 
+test('hedges a resumed stream that stays silent, which would otherwise wait for the deadline behind a cut', () => {
+  const stage = { ...makeStage(0, 'g'), kind: 'generate' as const };
+  const step = play(makeState([stage]), [
+    { type: 'started' },
+    sent('r1.0'),
+    { type: 'tokens-arrived', attemptId: 'r1.0', firstTokenIndex: 0, tokens: ['a', 'b'] },
+    stalled('r1.0'),
+    sent('r1.1', 's2'),
+    { type: 'hedge-due', attemptId: 'r1.1' },
+  ]);
+  const action = step.actions[0];
+  assert.equal(action?.type === 'dispatch' && action.hedge && action.resumeTokenIndex, 2);
+});
+
+test('does not count stalled attempts against the limit, so that a cut does not exhaust it', () => {
+  const ids = ['r1.0', 'r1.1', 'r1.2', 'r1.3'];
+  const step = play(makeState([makeStage(0, 'a')]), [
+    { type: 'started' },
+    ...ids.flatMap((id) => [sent(id), stalled(id)]),
+  ]);
+  assert.equal(step.actions[0]?.type, 'dispatch');
+});
+
 test('states unknown instead of not-run while an earlier request under the key may have run', () => {
   const before = makeState([makeStage(0, 'post', 'once')]);
   const doubted = { ...before, plan: { ...before.plan, earlierMayHaveRun: true } };
--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -86,13 +86,14 @@
 /** Attempts of one stage that may run side by side; the third is for a cut that hides two servers at once. */
 const MAX_PARALLEL_ATTEMPTS = 3;
 
+/** An attempt that delivered a token is moved instead; a resumed one that is silent is hedged like a first one. */
 const startHedge = (state: RequestState, attempt: Attempt): RequestStep => {
   const stage = state.plan.stages[attempt.stageIndex];
   if (
     stage === undefined ||
     stage.effect === 'once' ||
     state.attempts.length >= MAX_PARALLEL_ATTEMPTS ||
-    state.tokenCount > 0
+    state.tokenCount > attempt.resumeTokenIndex
   ) {
     return unchanged(state);
   }
--- a/packages/decide/src/request/types.ts
+++ b/packages/decide/src/request/types.ts
@@ -46,6 +46,8 @@
   | { readonly type: 'refused'; readonly leaving: boolean }
   /** The connection broke or the server crashed, or it answered with an error status (`answered`); it may have run. */
   | { readonly type: 'connection-lost'; readonly answered?: boolean }
+  /** The attempt was given up because its server made too little progress; it may be started elsewhere. */
+  | { readonly type: 'stalled' }
   /** No server became available before the deadline. */
   | { readonly type: 'queue-timeout' }
   /** The server answered with something that is not an answer to this attempt. */
@@ -107,7 +109,10 @@
   readonly phase: RequestPhase;
   /** Open attempts only; an answer for any other attempt is ignored. */
   readonly attempts: readonly Attempt[];
-  /** Attempts started so far in the current stage. */
+  /**
+   * Attempts that count against the limit of the current stage. Hedges and stalled attempts do not count: the hedge
+   * budget bounds them, and behind a cut they would use up the limit before the reachable servers are tried.
+   */
   readonly stageAttempts: number;
   readonly nextAttempt: number;
   readonly outputs: readonly StageOutput[];
--- a/packages/decide/src/routing/chooseServer.test.ts
+++ b/packages/decide/src/routing/chooseServer.test.ts
@@ -77,3 +77,15 @@
   const loaded = makeServer('home', { outstanding: 8, outstandingTokens: 30 });
   assert.notEqual(choose(makePool(loaded, ...others), { savedTokens }, 0.99), 'home');
 });
+
+test('returns to a slow server rather than to a failure domain that looks cut off, which would stay silent', () => {
+  const pool = makePool(makeServer('near'), makeServer('cut', { failureDomain: 'b' }));
+  const change = { avoidServers: ['near'], suspectedDomains: new Set(['b']) };
+  assert.deepEqual([choose(pool, change, 0), choose(pool, change, 0.9)], ['near', 'near']);
+  assert.equal(choose(makePool(makeServer('cut', { failureDomain: 'b' })), change), 'cut');
+});
+
+test('uses a suspected failure domain when only a region without byte budget is left, so that no request starves', () => {
+  const pool = makePool(makeServer('cut', { failureDomain: 'b' }), makeServer('far', { region: 'r2' }));
+  assert.equal(choose(pool, { suspectedDomains: new Set(['b']), crossRegionAllowed: false }), 'cut');
+});
--- a/packages/decide/src/routing/chooseServer.ts
+++ b/packages/decide/src/routing/chooseServer.ts
@@ -78,6 +78,19 @@
   return pickAmong(taking.length > 0 ? taking : usable, pool, request, random);
 };
 
+/**
+ * Servers that may get the attempt. A suspected failure domain is avoided before a server that this request avoids: a
+ * server that was slow may answer this time, but one behind a cut does not.
+ */
+const selectAllowed = (live: readonly ServerView[], request: DispatchRequest): readonly ServerView[] => {
+  const reachable = live.filter((server) => server.unreachableUntilMs <= request.nowMs);
+  const unsuspected = reachable.filter((server) => !request.suspectedDomains?.has(server.failureDomain));
+  const isUsable = unsuspected.some((server) => server.region === request.region || request.crossRegionAllowed);
+  const base = isUsable ? unsuspected : reachable;
+  const preferred = base.filter((server) => !request.avoidServers.includes(server.serverId));
+  return preferred.length > 0 ? preferred : base;
+};
+
 const toChoice = (candidate: Candidate, request: DispatchRequest): Choice => ({
   type: 'send',
   server: candidate.server,
@@ -98,9 +111,7 @@
  */
 export default function chooseServer(pool: PoolView, request: DispatchRequest, random: Random): Choice | undefined {
   const live = pool.servers.filter((server) => server.state === 'live');
-  const reachable = live.filter((server) => server.unreachableUntilMs <= request.nowMs);
-  const preferred = reachable.filter((server) => !request.avoidServers.includes(server.serverId));
-  const allowed = preferred.length > 0 ? preferred : reachable;
+  const allowed = selectAllowed(live, request);
   // The bound on demotions is for the whole pool; a region of two servers must be able to demote one.
   const options = { demoted: limitDemotions(live), random };
   const local = allowed.filter((server) => server.region === request.region);
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -69,6 +69,8 @@
   /** Time that is left for this stage. */
   readonly remainingMs: number;
   readonly avoidServers: readonly string[];
+  /** Failure domains that look cut off; they get work only if no other server is left. */
+  readonly suspectedDomains?: ReadonlySet<string>;
   readonly failureDomain: string;
   readonly region: string;
   /** Expected saving by the prefix cache in tokens of work, by server id. */
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -55,6 +55,8 @@
 const REPLY_MARGIN_MS = 600;
 /** Time for the answer to a query to come back; a query that is repeated here only costs a read. */
 const QUERY_MARGIN_MS = 100;
+/** Share of the time left that the owner may take; the rest is for an append by this host and the call itself. */
+const OWNER_SHARE = 0.5;
 /** A host that did not answer is left out for this time, so that not every request waits for it. */
 const OWNER_BACKOFF_MS = 1_000;
 
@@ -98,7 +100,7 @@
       if (await before) {
         return true;
       }
-      const result = await this.callAppend(host, op, { waitMs: 0, handOver: true });
+      const result = await this.callAppend(host, op, { waitMs: 0, handOver: true, limitMs: REPLY_MARGIN_MS });
       return result?.type === 'done';
     }, Promise.resolve(false));
   }
@@ -170,7 +172,7 @@
       const waitMs = Math.min(OWNER_LIMIT_MS, this.remaining(endsAtMs));
       // Each wait follows the answer to the one before.
       // eslint-disable-next-line no-await-in-loop
-      const result = await this.submitToOwner(op, waitMs);
+      const result = await this.submitToOwner(op, { waitMs, remainingMs: this.remaining(endsAtMs) });
       if (result?.type !== 'unavailable') {
         return result ?? (mayApply ? { type: 'unavailable', mayApply, busy: false } : undefined);
       }
@@ -185,19 +187,27 @@
     return Math.max(0, endsAtMs - this.options.clock.monotonicMs());
   }
 
-  private async submitToOwner(op: ClaimOp, waitMs: number): Promise<ClaimOpResult | undefined> {
+  private async submitToOwner(
+    op: ClaimOp,
+    options: { readonly waitMs: number; readonly remainingMs: number },
+  ): Promise<ClaimOpResult | undefined> {
     const owner = this.findOwner(op.keyHash);
-    return owner === undefined ? undefined : this.callAppend(owner, op, { waitMs, handOver: false });
+    if (owner === undefined) {
+      return undefined;
+    }
+    const limitMs = Math.min(options.waitMs + REPLY_MARGIN_MS, options.remainingMs * OWNER_SHARE);
+    const waitMs = Math.min(options.waitMs, limitMs / 2);
+    return this.callAppend(owner, op, { waitMs, handOver: false, limitMs });
   }
 
   private async callAppend(
     host: EntryHostView,
     op: ClaimOp,
-    options: { readonly waitMs: number; readonly handOver: boolean },
+    options: { readonly waitMs: number; readonly handOver: boolean; readonly limitMs: number },
   ): Promise<ClaimOpResult> {
-    const limitMs = options.waitMs + REPLY_MARGIN_MS;
+    const { limitMs, ...params } = options;
     try {
-      return claimOpResultSchema.parse(await this.call(host, CLAIMS_APPEND, { op, ...options }, limitMs));
+      return claimOpResultSchema.parse(await this.call(host, CLAIMS_APPEND, { op, ...params }, limitMs));
     } catch (cause) {
       this.backoffUntilMs.set(host.hostId, this.options.clock.monotonicMs() + OWNER_BACKOFF_MS);
       // A call that may have arrived can be appended a second time by this host; it takes effect only once.
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -7,6 +7,7 @@
   shareDeadline,
   type AttemptFailure,
   type Choice,
+  type DomainBook,
   type Random,
   type RequestPlan,
   type ServerView,
@@ -33,6 +34,7 @@
   readonly estimates: Estimates;
   readonly queues: PoolQueues;
   readonly prefixes: PrefixHints;
+  readonly domains: DomainBook;
   readonly findBudgets: (service: string) => ServiceBudgets | undefined;
   readonly findDocument: (service: string) => ServiceDocument | undefined;
   /** Whether requests that wait for admission would miss their deadline with local servers alone. */
@@ -102,6 +104,9 @@
 
   private hedged = false;
 
+  /** Time of the last sign of life of the server in this attempt, or of its start. */
+  private heardAtMs = 0;
+
   private readonly tokens: number;
 
   private readonly long: boolean;
@@ -194,6 +199,7 @@
         long: this.long,
         remainingMs: shareDeadline(this.remainingMs(), stagesMs),
         avoidServers,
+        suspectedDomains: this.options.domains.suspected(clock.monotonicMs()),
         failureDomain,
         region,
         crossRegionAllowed: hasRemote && this.hasByteRoom(),
@@ -237,6 +243,7 @@
     }
     this.follower = this.createFollower(server);
     this.follower.sent();
+    this.heardAtMs = clock.monotonicMs();
     const { traceparent } = this.span;
     // A host that was paused while it connected must not send after the deadline.
     const maySend = (): boolean => clock.monotonicMs() < this.context.plan.deadlineAtMs;
@@ -273,6 +280,8 @@
     if (verdict === 'none' || this.hedged) {
       return;
     }
+    const { clock, domains } = this.options;
+    domains.noteSilent(server.failureDomain, { sinceMs: this.heardAtMs, nowMs: clock.monotonicMs() });
     const other = this.choose([...this.action.avoidServers, server.serverId]);
     const elsewhere = other?.type === 'send' && other.server.serverId !== server.serverId;
     const budgets = this.options.findBudgets(this.context.plan.service);
@@ -285,9 +294,9 @@
       this.subscriber.next({ type: 'hedge-due' });
       return;
     }
-    // The stream is repeatable and resumes at its next token, so to the request it is a refusal that may be retried.
+    // The stream is repeatable and resumes at its next token.
     this.call?.unsubscribe();
-    this.finish({ type: 'refused', leaving: false }, true);
+    this.finish({ type: 'stalled' }, true);
   }
 
   private handle(server: ServerView, event: ServerEvent): void {
@@ -296,10 +305,12 @@
         this.subscriber.next({ type: 'sent', serverId: server.serverId });
         break;
       case 'tokens':
+        this.noteHeard(server);
         this.follower?.tokensArrived(event.tokens.length);
         this.subscriber.next(event);
         break;
       case 'answer':
+        this.noteHeard(server);
         this.follower?.answered();
         this.endSpan();
         this.release();
@@ -314,6 +325,11 @@
     }
   }
 
+  private noteHeard(server: ServerView): void {
+    this.heardAtMs = this.options.clock.monotonicMs();
+    this.options.domains.noteHeard(server.failureDomain, this.heardAtMs);
+  }
+
   private fail(server: ServerView, event: Extract<ServerEvent, { type: 'failure' }>): void {
     const { directory, findBudgets } = this.options;
     const { failure } = event;
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
 import type { Tracer } from '@bergamotcove/telemetry';
+import { createDomainBook } from '@bergamotcove/decide';
 import type { HttpClient } from '@bergamotcove/transport';
 import createAdmissionGate, { type AdmissionGate } from '../admission/createAdmissionGate.js';
 import type { ConfigHolder } from '../config/createConfigHolder.js';
@@ -54,6 +55,7 @@
     estimates,
     queues,
     prefixes: createPrefixHints({ ...base, estimates, region }),
+    domains: createDomainBook(failureDomain),
     findBudgets: createServiceBudgets({ findDocument, regionHosts }),
     findDocument,
     isOverloaded: () => gate.isOverloaded(),
