Run the cells of the fault matrix in worker processes, one at a time each

Cause: five cells shared one event loop; under load average 18 a timer of 2,300 ms fired after 3,005 ms, so that the verdict depended on the speed of the machine. The first cells of a process also measured the loading of the modules.

--- a/packages/bench/src/faults.main.ts
+++ b/packages/bench/src/faults.main.ts
@@ -4,11 +4,11 @@
 import turnOff from './faults/mutations/turnOff.js';
 import listCells, { listPairs } from './faults/listCells.js';
 import { PROTECTIONS } from './faults/constants.js';
-import runMatrix from './faults/runMatrix.js';
+import runMatrix, { DEFAULT_PROCESSES } from './faults/runMatrix.js';
 import type { Cell, CellResult } from './faults/types.js';
 
 const USAGE = `usage: npm run faults -- [--list] [--only NAME] [--seed N] [--seeds N] [--pairs]
-                         [--pair-count N] [--without PROTECTION]
+                         [--pair-count N] [--processes N] [--without PROTECTION]
 
   --list       print the cells and their allowed outcomes
   --only NAME  run the cells whose name contains NAME
@@ -16,6 +16,7 @@
   --seeds N    number of seeds (1)
   --pairs      run seeded pairs of faults as well
   --pair-count N  number of pairs for each seed (as many as there are single faults)
+  --processes N  worker processes, each with one cell at a time (${DEFAULT_PROCESSES})
   --without PROTECTION  turn one protection off; expected red cells show that the matrix notices
                         ${PROTECTIONS.join(', ')}`;
 const EXIT_FAILED = 1;
@@ -30,21 +31,26 @@
       seeds: { type: 'string', default: '1' },
       pairs: { type: 'boolean', default: false },
       'pair-count': { type: 'string' },
+      processes: { type: 'string', default: String(DEFAULT_PROCESSES) },
       without: { type: 'string' },
       help: { type: 'boolean', default: false },
     },
   });
   const seed = Number(values.seed);
   const seeds = Number(values.seeds);
+  const processes = Number(values.processes);
   if (!Number.isInteger(seed) || !Number.isInteger(seeds) || seeds < 1) {
     throw new Error('--seed and --seeds: expected whole numbers');
   }
+  if (!Number.isInteger(processes) || processes < 1) {
+    throw new Error('--processes: expected a whole number');
+  }
   const without = PROTECTIONS.find((name) => name === values.without);
   if (values.without !== undefined && without === undefined) {
     throw new Error(`--without: expected one of ${PROTECTIONS.join(', ')}`);
   }
   const pairCount = values['pair-count'] === undefined ? undefined : Number(values['pair-count']);
-  return { ...values, seed, seeds, pairCount, without };
+  return { ...values, seed, seeds, processes, pairCount, without };
 };
 
 type Options = ReturnType<typeof readOptions>;
@@ -71,6 +77,7 @@
   );
   console.log(`${runs.length} runs, seeds ${seeds[0]} to ${seeds.at(-1)}`);
   const results = await runMatrix(runs, {
+    processes: options.processes,
     onResult: (result) => {
       if (result.violations.length > 0) {
         printRed(result);
--- a/packages/bench/src/faults/runMatrix.ts
+++ b/packages/bench/src/faults/runMatrix.ts
@@ -1,60 +1,64 @@
 import { toError } from '@bergamotcove/errors';
-import runCell, { type RunOptions } from './runCell.js';
-import type { Cell, CellResult } from './types.js';
+import startCellWorker, { type CellWorker } from './startCellWorker.js';
+import type { CellResult } from './types.js';
+import type { MatrixRun } from './workerMessages.js';
 
 /**
- * Cells at a time; each has three entry hosts and ten servers in this process. With more, the one event loop delays
- * timers by more than the margin of the deadline.
+ * Worker processes by default. Each runs one cell at a time: cells that share an event loop delay each other's timers
+ * by more than the margin of the deadline when the machine is busy. One worker needs about a quarter of a core.
  */
-const CONCURRENT_CELLS = 5;
+export const DEFAULT_PROCESSES = 4;
 
-/** A cell that takes longer has lost a request or a process. */
-const CELL_TIMEOUT_MS = 30_000;
+/** Hosts that crashed leave timers behind, which only the end of their process removes. */
+const RUNS_PER_WORKER = 40;
 
-const failCell = (cell: Cell, seed: number, text: string): CellResult => ({
-  cell,
-  seed,
-  outcomes: [],
-  violations: [text],
-  durationMs: 0,
-});
+/** Keeps one worker process and replaces it when it is used up or has failed. */
+class WorkerSlot {
+  private worker: CellWorker | undefined;
 
-const runGuarded = async (cell: Cell, options: RunOptions): Promise<CellResult> => {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<CellResult>((resolve) => {
-    timer = setTimeout(() => {
-      resolve(failCell(cell, options.seed, `the cell did not finish in ${CELL_TIMEOUT_MS} ms`));
-    }, CELL_TIMEOUT_MS);
-  });
-  try {
-    return await Promise.race([runCell(cell, options), timeout]);
-  } catch (cause) {
-    return failCell(cell, options.seed, `the cell failed: ${toError(cause).stack}`);
-  } finally {
-    clearTimeout(timer);
+  async run(run: MatrixRun): Promise<CellResult> {
+    try {
+      this.worker ??= await startCellWorker();
+      const result = await this.worker.run(run);
+      if (this.worker.runs() >= RUNS_PER_WORKER) {
+        this.close();
+      }
+      return result;
+    } catch (cause) {
+      this.close();
+      const violations = [`the cell did not finish: ${toError(cause).message}`];
+      return { cell: run.cell, seed: run.options.seed, outcomes: [], violations, durationMs: 0 };
+    }
+  }
+
+  close(): void {
+    this.worker?.close();
+    this.worker = undefined;
   }
-};
+}
 
 /**
- * Runs cells, several at a time.
+ * Runs cells in worker processes.
  *
  * @param runs - cells and their seeds
- * @param options - called with each result in the order in which runs end
+ * @param options - number of worker processes; `onResult` is called with each result in the order in which runs end
  * @returns all results
  */
 export default async function runMatrix(
-  runs: readonly { readonly cell: Cell; readonly options: RunOptions }[],
-  options: { readonly onResult: (result: CellResult) => void },
+  runs: readonly MatrixRun[],
+  options: { readonly processes?: number; readonly onResult: (result: CellResult) => void },
 ): Promise<readonly CellResult[]> {
   const queue = [...runs];
   const results: CellResult[] = [];
   const work = async (): Promise<void> => {
+    const slot = new WorkerSlot();
     for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-      const result = await runGuarded(next.cell, next.options);
+      const result = await slot.run(next);
       results.push(result);
       options.onResult(result);
     }
+    slot.close();
   };
-  await Promise.all(Array.from({ length: CONCURRENT_CELLS }, work));
+  await Promise.all(Array.from({ length: options.processes ?? DEFAULT_PROCESSES }, work));
   return results;
 }
--- /dev/null
+++ b/packages/bench/src/faults/startCellWorker.ts
@@ -0,0 +1,65 @@
+import { once } from 'node:events';
+import { fork, type ChildProcess } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import type { CellResult } from './types.js';
+import type { MatrixRun, WorkerMessage } from './workerMessages.js';
+
+/** A worker process that runs one cell at a time. */
+export interface CellWorker {
+  /** Cells that were given to this worker. */
+  runs(): number;
+  run(run: MatrixRun): Promise<CellResult>;
+  close(): void;
+}
+
+/** A cell that takes longer has lost a request or a process. */
+const CELL_TIMEOUT_MS = 30_000;
+const READY_TIMEOUT_MS = 60_000;
+
+/** Waits for the next message; rejects when the process ends or the limit passes. */
+const waitForMessage = async (child: ChildProcess, limitMs: number): Promise<WorkerMessage> => {
+  const abort = new AbortController();
+  const onExit = (): void => abort.abort(new Error('the worker process ended'));
+  const timer = setTimeout(() => abort.abort(new Error(`no message in ${limitMs} ms`)), limitMs);
+  child.once('exit', onExit);
+  try {
+    const [message] = (await once(child, 'message', { signal: abort.signal })) as [WorkerMessage];
+    return message;
+  } catch (cause) {
+    throw abort.signal.aborted ? abort.signal.reason : cause;
+  } finally {
+    clearTimeout(timer);
+    child.off('exit', onExit);
+  }
+};
+
+/**
+ * Starts a worker process. It inherits the arguments of this process for Node, among them the hooks of the mutation
+ * check.
+ *
+ * @returns the worker once it is warm
+ * @throws Error when the process does not start
+ */
+export default async function startCellWorker(): Promise<CellWorker> {
+  const child = fork(fileURLToPath(new URL('./cellWorker.js', import.meta.url)));
+  await waitForMessage(child, READY_TIMEOUT_MS);
+  let runs = 0;
+  return {
+    runs: () => runs,
+    run: async (run) => {
+      runs += 1;
+      if (!child.connected) {
+        throw new Error('the worker process has ended');
+      }
+      child.send(run);
+      const message = await waitForMessage(child, CELL_TIMEOUT_MS);
+      if (message.type !== 'result') {
+        throw new Error(`the worker answered with ${message.type}`);
+      }
+      return message.result;
+    },
+    close: () => {
+      child.kill('SIGKILL');
+    },
+  };
+}
