Run the load bench on the daemon's own estimates, follower, hints and queues

Cause: the host model had its own copies of these parts. The dispatcher has since got hedges of silent servers, up to three parallel attempts, moved streams and budgets counted in attempts, and ends a request at its deadline. Change: the model calls createEstimates, createAttemptFollower, createPrefixHints and createPoolQueues of the entry package on virtual time, and follows the request reducer in hedges, moves, retries and deadlines. Engines report their first token when it is due.

--- a/packages/bench/src/load/host/createAttemptSender.ts
+++ b/packages/bench/src/load/host/createAttemptSender.ts
@@ -1,25 +1,21 @@
 import type { PoolBook } from '@bergamotcove/decide';
+import { createAttemptFollower, type AttemptFollower, type SlowVerdict } from '@bergamotcove/entry';
 import { BYTES_PER_MESSAGE, BYTES_PER_TOKEN, ONE_WAY_MS, PREFILL_TOKENS_PER_TOKEN } from '../constants.js';
 import type { ServerJob, ServerModel } from '../model/createServerModel.js';
-import type { LoadStage } from '../types.js';
-import type { Estimates } from './createEstimates.js';
-import type { AttemptState, LoadWorld, RunState } from './types.js';
+import type { HostEstimates } from './createHostEstimates.js';
+import type { AttemptState, LoadWorld, QueueEntry } from './types.js';
 
 /** What an attempt needs. */
 export interface AttemptOrder {
-  readonly run: RunState;
-  readonly stage: LoadStage;
+  readonly entry: QueueEntry;
   readonly server: ServerModel;
-  readonly hedge: boolean;
-  readonly long: boolean;
-  readonly tokens: number;
   readonly crossRegion: boolean;
 }
 
 /** Sends attempts and cancels them. */
 export interface AttemptSender {
   send(order: AttemptOrder): AttemptState;
-  /** Cancels an attempt that lost; its work counts as extra unless another attempt goes on where it stopped. */
+  /** Cancels an attempt; its work counts as extra unless another attempt goes on where it stopped. */
   cancel(attempt: AttemptState, options?: { readonly resumed: boolean }): void;
 }
 
@@ -28,11 +24,16 @@
   readonly world: LoadWorld;
   readonly place: { readonly failureDomain: string; readonly region: string };
   readonly book: PoolBook;
-  readonly estimates: Estimates;
+  readonly hostEstimates: HostEstimates;
+  readonly onTokens: (attempt: AttemptState) => void;
+  readonly onSlow: (attempt: AttemptState, verdict: Exclude<SlowVerdict, 'none'>) => void;
   readonly onAnswered: (attempt: AttemptState) => void;
   readonly onLost: (attempt: AttemptState) => void;
 }
 
+/** Interval at which the daemon's dispatcher checks an attempt in flight. */
+const FOLLOW_MS = 50;
+const HEDGE_QUANTILE = 0.95;
 /** Engine priority of long work; short work overtakes it in the engine's queue. */
 const LONG_PRIORITY = 1;
 
@@ -40,58 +41,81 @@
   constructor(private readonly options: AttemptSenderOptions) {}
 
   send(order: AttemptOrder): AttemptState {
-    const { world, book } = this.options;
-    const nowMs = world.events.nowMs();
-    const { run, stage, server, long, tokens } = order;
+    const { world } = this.options;
+    const { entry, server, crossRegion } = order;
+    const { run, stage } = entry;
     const attempt: AttemptState = {
       run,
-      stage,
+      stage: stage.kind,
       server,
-      hedge: order.hedge,
-      long,
-      crossRegion: order.crossRegion,
+      crossRegion,
       job: this.createJob(order, () => attempt),
-      sentAtMs: nowMs,
-      prefillTokens: stage === 'generate' ? this.options.estimates.prefillTokens(run.arrival, run.arrivedTokens) : 0,
-      resumeTokens: stage === 'generate' ? run.arrivedTokens : 0,
+      follower: this.createFollower(order),
+      resumeTokens: stage.kind === 'generate' ? run.arrivedTokens : 0,
       closed: false,
       submitted: false,
-      bookedTokens: tokens,
+      hedged: false,
       seenTokens: 0,
-      seenAtMs: nowMs,
-      paceMs: 0,
     };
-    book.note(server.description.serverId, { type: 'sent', tokens, long }, nowMs);
-    book.noteSize(stage, tokens);
+    attempt.follower.sent();
+    if (attempt.resumeTokens > 0) {
+      // A moved stream repeats the prefill of its input and of the tokens that have arrived.
+      world.noteExtraWork(stage.kind, attempt.job.prefillTokens);
+    }
     const bytes = run.arrival.operation.inputBytes + BYTES_PER_MESSAGE;
-    const linkMs = order.crossRegion ? world.link.send(this.options.place.region, bytes) : 0;
-    world.events.at(nowMs + this.oneWayMs(server) + linkMs, () => this.arrive(attempt));
+    const linkMs = crossRegion ? world.link.send(this.options.place.region, bytes) : 0;
+    world.events.at(world.events.nowMs() + this.oneWayMs(server) + linkMs, () => this.arrive(attempt));
+    this.scheduleCheck(attempt);
     return attempt;
   }
 
   cancel(cancelled: AttemptState, options = { resumed: false }): void {
     const attempt = cancelled;
-    if (!attempt.closed) {
-      if (!options.resumed) {
-        this.options.world.noteExtraWork(attempt.stage, attempt.server.workDone(attempt.job));
-      }
-      this.close(attempt);
-      attempt.server.cancel(attempt.job);
+    if (attempt.closed) {
+      return;
+    }
+    if (!options.resumed) {
+      this.options.world.noteExtraWork(attempt.stage, attempt.server.workDone(attempt.job));
     }
+    Sender.close(attempt);
+    attempt.server.cancel(attempt.job);
   }
 
-  private createJob(order: AttemptOrder, attempt: () => AttemptState): ServerJob {
-    const { run, stage } = order;
+  private createFollower({ entry, server }: AttemptOrder): AttemptFollower {
+    const { world, book, hostEstimates } = this.options;
+    const nowMs = (): number => world.events.nowMs();
+    return createAttemptFollower({
+      clock: { monotonicMs: nowMs },
+      directory: {
+        note: (serverId, event) => book.note(serverId, event, nowMs()),
+        noteSize: (pool, tokens) => book.noteSize(pool, tokens),
+        msPerToken: () => book.msPerToken(entry.stage.kind, world.listServers(entry.stage.kind), nowMs()),
+      },
+      estimates: hostEstimates.estimates,
+      plan: entry.run.plan,
+      stage: entry.stage,
+      serverId: server.description.serverId,
+      tokens: entry.tokens,
+      resumeTokenIndex: entry.run.arrivedTokens,
+      long: entry.long,
+      hedgeQuantile: HEDGE_QUANTILE,
+    });
+  }
+
+  private createJob({ entry }: AttemptOrder, attempt: () => AttemptState): ServerJob {
+    const { run, stage } = entry;
     const { operation, organisation } = run.arrival;
-    const generate = stage === 'generate';
+    const generate = stage.kind === 'generate';
+    const longLast = this.options.world.policy.longLimit && entry.long;
     return {
-      prefillTokens: generate ? this.options.estimates.prefillTokens(run.arrival, run.arrivedTokens) : 0,
+      prefillTokens: generate ? this.options.hostEstimates.prefillTokens(run.arrival, run.arrivedTokens) : 0,
       prefixTokens: generate ? operation.prefixTokens / PREFILL_TOKENS_PER_TOKEN : 0,
       ...(generate && operation.prefixTokens > 0 ? { prefixKey: `${organisation}/${operation.name}` } : {}),
       outputTokens: generate
         ? run.arrival.outputTokens - run.arrivedTokens
         : (run.arrival.stageFactors[run.stageIndex] as number),
-      priority: this.options.world.policy.longLimit && order.long ? LONG_PRIORITY : 0,
+      priority: longLast ? LONG_PRIORITY : 0,
+      ...(generate ? { onFirstToken: () => this.deliverFirst(attempt()) } : {}),
       onDone: () => this.reply(attempt()),
       onLost: () => this.lose(attempt()),
     };
@@ -119,6 +143,38 @@
     attempt.server.submit(attempt.job);
   }
 
+  private scheduleCheck(attempt: AttemptState): void {
+    const { events } = this.options.world;
+    events.at(events.nowMs() + FOLLOW_MS, () => {
+      if (attempt.closed) {
+        return;
+      }
+      this.deliver(attempt, attempt.server.progress(attempt.job));
+      const verdict = attempt.follower.check();
+      if (verdict !== 'none') {
+        this.options.onSlow(attempt, verdict);
+      }
+      this.scheduleCheck(attempt);
+    });
+  }
+
+  private deliverFirst(attempt: AttemptState): void {
+    const { events } = this.options.world;
+    events.at(events.nowMs() + this.oneWayMs(attempt.server), () => this.deliver(attempt, 1));
+  }
+
+  /** Tokens of the stream reached the host, the given number in total. */
+  private deliver(delivered: AttemptState, tokens: number): void {
+    const attempt = delivered;
+    const fresh = tokens - attempt.seenTokens;
+    if (attempt.closed || attempt.stage !== 'generate' || fresh <= 0) {
+      return;
+    }
+    attempt.seenTokens = tokens;
+    attempt.follower.tokensArrived(fresh);
+    this.options.onTokens(attempt);
+  }
+
   private reply(attempt: AttemptState): void {
     const { world } = this.options;
     const { server, run } = attempt;
@@ -127,43 +183,28 @@
     const linkMs = attempt.crossRegion ? world.link.send(server.description.region, bytes) : 0;
     world.events.at(world.events.nowMs() + this.oneWayMs(server) + linkMs, () => {
       if (!attempt.closed) {
-        this.answer(attempt);
+        this.deliver(attempt, tokens);
+        attempt.follower.answered();
+        Sender.close(attempt);
+        this.options.onAnswered(attempt);
       }
     });
   }
 
-  private answer(attempt: AttemptState): void {
-    const { world, book } = this.options;
-    const nowMs = world.events.nowMs();
-    const { serverId } = attempt.server.description;
-    this.close(attempt);
-    book.note(serverId, { type: 'answered' }, nowMs);
-    if (attempt.stage !== 'generate') {
-      book.note(serverId, { type: 'progress', tokens: 0, elapsedMs: nowMs - attempt.sentAtMs }, nowMs);
-    }
-    if (attempt.hedge) {
-      // The hedge repeated the prefill; the rest of its work replaces work of the first attempt.
-      world.noteExtraWork(attempt.stage, attempt.prefillTokens);
-    }
-    this.options.onAnswered(attempt);
-  }
-
   private lose(attempt: AttemptState): void {
     const { world, book } = this.options;
     if (attempt.closed) {
       return;
     }
-    this.close(attempt);
     book.note(attempt.server.description.serverId, { type: 'failed' }, world.events.nowMs());
+    Sender.close(attempt);
     this.options.onLost(attempt);
   }
 
-  private close(closed: AttemptState): void {
+  private static close(closed: AttemptState): void {
     const attempt = closed;
     attempt.closed = true;
-    const { book, world } = this.options;
-    const event = { type: 'done', tokensLeft: attempt.bookedTokens, long: attempt.long } as const;
-    book.note(attempt.server.description.serverId, event, world.events.nowMs());
+    attempt.follower.closed();
   }
 }
 
--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -3,17 +3,24 @@
   createByteBudget,
   createExtraBudget,
   createPoolBook,
-  createStageQueue,
   rankUrgency,
-  type StageQueue,
+  type PlannedStage,
 } from '@bergamotcove/decide';
+import {
+  createPoolQueues,
+  createPrefixHints,
+  type PoolQueues,
+  type PrefixHints,
+  type SlowVerdict,
+} from '@bergamotcove/entry';
+import createEventClock from '../_lib/createEventClock.js';
 import createRandomSource from '../_lib/createRandomSource.js';
 import { BYTES_PER_MESSAGE, BYTES_PER_TOKEN, LINK_SHARE, REPORT_POLL_MS, TICK_MS } from '../constants.js';
 import type { Arrival, LoadStage, RequestRecord } from '../types.js';
 import createAttemptSender, { type AttemptSender } from './createAttemptSender.js';
-import createEstimates from './createEstimates.js';
-import createServerPicker from './createServerPicker.js';
-import followAttempts from './followAttempts.js';
+import createHostEstimates, { type HostEstimates } from './createHostEstimates.js';
+import createRunState from './createRunState.js';
+import createServerPicker, { type Pick, type PickFacts, type ServerPicker } from './createServerPicker.js';
 import type { AttemptState, LoadWorld, QueueEntry, RunState } from './types.js';
 
 /** One entry host in virtual time. */
@@ -23,30 +30,47 @@
 
 /** Stages of this host that may wait for a server before admission holds requests back. */
 const RELEASE_WINDOW = 1;
-const MAX_ATTEMPTS = 3;
+/** Attempts of one stage that may run side by side. */
+const MAX_PARALLEL_ATTEMPTS = 3;
+/** Budgets of a service document without values of its own, with the daemon's bursts. */
 const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
+const HEDGE_BUDGET = { ratio: 0.02, burst: 5 };
+/** A request is given up in a queue only without this part of the usual time. */
+const SURE_TIME_SHARE = 0.25;
 /** A longer wait for admission means that local servers cannot serve everything in time. */
 const OVERLOAD_WAIT_MS = 300;
-const LONG_OUTPUT_TOKENS = 512;
+/** Interval at which the daemon looks at waiting requests. */
+const PUMP_MS = 10;
 const NO_LIMIT_PER_SECOND = 1e9;
 
+const dropWaiting = (dropped: QueueEntry): void => {
+  const { run } = dropped;
+  run.waiting = run.waiting.filter((entry) => entry !== dropped);
+};
+
 class Host implements HostModel {
   private readonly book = createPoolBook();
 
   private readonly admission = createAdmission<RunState>();
 
-  private readonly queues = new Map<string, StageQueue<QueueEntry>>();
+  private readonly queues: PoolQueues;
 
   private readonly retries = createExtraBudget(RETRY_BUDGET);
 
-  private readonly open = new Set<AttemptState>();
+  private readonly hedges = createExtraBudget(HEDGE_BUDGET);
+
+  private readonly hostEstimates: HostEstimates;
 
-  private readonly estimates;
+  private readonly prefixes: PrefixHints;
 
-  private readonly picker;
+  private readonly picker: ServerPicker;
 
   private readonly sender: AttemptSender;
 
+  private readonly factors = new Map<string, number>();
+
+  private pumping = false;
+
   constructor(
     private readonly world: LoadWorld,
     hostIndex: number,
@@ -58,27 +82,35 @@
     ).length;
     const bytes = createByteBudget((deployment.linkBytesPerSecond * LINK_SHARE) / regionHosts);
     const random = createRandomSource(world.seed, 1_000 + hostIndex);
-    this.estimates = createEstimates(world, this.book);
-    this.picker = createServerPicker({ world, place, book: this.book, bytes, random });
+    this.queues = createPoolQueues(createEventClock(events));
+    this.hostEstimates = createHostEstimates(world, (plan) => this.factors.get(plan.requestId) ?? 1);
+    this.prefixes = this.createPrefixes(place.region);
+    this.picker = createServerPicker({ world, place, book: this.book, bytes, prefixes: this.prefixes, random });
     this.sender = createAttemptSender({
       world,
       place,
       book: this.book,
-      estimates: this.estimates,
+      hostEstimates: this.hostEstimates,
+      onTokens: (attempt) => this.handleTokens(attempt),
+      onSlow: (attempt, verdict) => this.handleSlow(attempt, verdict),
       onAnswered: (attempt) => this.handleAnswer(attempt),
       onLost: (attempt) => this.handleLoss(attempt),
     });
     events.at(random() * REPORT_POLL_MS, () => this.poll());
-    events.at(random() * TICK_MS, () => this.tick());
+    events.at(random() * TICK_MS, () => this.expire());
   }
 
   accept(arrival: Arrival): void {
-    const run = this.createRun(arrival);
+    if (arrival.estimateFactor !== 1) {
+      this.factors.set(String(arrival.id), arrival.estimateFactor);
+    }
+    const run = createRunState(arrival, this.hostEstimates, this.nowMs());
     if (!this.world.policy.admission) {
       run.admitted = true;
       this.startStage(run);
       return;
     }
+    this.world.events.at(run.deadlineAtMs, () => this.passDeadline(run));
     const tokensPerSecond = (this.world.scenario.tokensPerSecondLimit ?? NO_LIMIT_PER_SECOND) / this.hostCount();
     const share = { requestsPerSecond: NO_LIMIT_PER_SECOND, tokensPerSecond };
     const decision = this.admission.offer(run, share, this.nowMs());
@@ -89,6 +121,17 @@
     }
   }
 
+  private createPrefixes(region: string): PrefixHints {
+    const { world, book } = this;
+    const listPool = (pool: string) => world.listServers(pool as LoadStage);
+    return createPrefixHints({
+      clock: createEventClock(world.events),
+      directory: { listPool, msPerToken: (pool) => book.msPerToken(pool, listPool(pool), this.nowMs()) },
+      estimates: this.hostEstimates.estimates,
+      region,
+    });
+  }
+
   private hostCount(): number {
     return this.world.deployment.entryHosts;
   }
@@ -97,37 +140,12 @@
     return this.world.events.nowMs();
   }
 
-  private createRun(arrival: Arrival): RunState {
-    const estimateTokens = this.estimates.outputTokens(arrival);
-    return {
-      requestId: String(arrival.id),
-      organisation: arrival.organisation,
-      weight: arrival.weight,
-      priority: arrival.operation.priority,
-      costTokens: estimateTokens + this.estimates.prefillTokens(arrival, 0),
-      deadlineAtMs: arrival.atMs + arrival.operation.deadlineMs,
-      runMs: this.estimates.runMs(arrival, estimateTokens),
-      typicalMs: this.estimates.typicalMs(arrival, estimateTokens),
-      arrival,
-      stageIndex: 0,
-      stageStartedAtMs: 0,
-      stageAttempts: 0,
-      attempts: [],
-      avoidServers: [],
-      arrivedTokens: 0,
-      estimateTokens,
-      releasedAtMs: this.nowMs(),
-      admitted: false,
-      finished: false,
-    };
-  }
-
   /** Releases admitted requests while few stages of this host wait for a server. */
   private pump(): void {
-    while (this.waitingStages() < RELEASE_WINDOW) {
+    while (this.queues.waiting() < RELEASE_WINDOW) {
       const released = this.admission.release(this.nowMs());
       if (released === undefined) {
-        return;
+        break;
       }
       const run = released.item;
       if (released.late) {
@@ -138,208 +156,239 @@
         this.startStage(run);
       }
     }
-  }
-
-  private waitingStages(): number {
-    return [...this.queues].reduce((sum, [key, queue]) => (key.endsWith(':long') ? sum : sum + queue.length), 0);
-  }
-
-  private queueOf(stage: LoadStage, long: boolean): StageQueue<QueueEntry> {
-    const key = long ? `${stage}:long` : stage;
-    const queue = this.queues.get(key) ?? createStageQueue<QueueEntry>();
-    this.queues.set(key, queue);
-    return queue;
+    if (this.admission.length > 0 && !this.pumping) {
+      this.pumping = true;
+      this.world.events.at(this.nowMs() + PUMP_MS, () => {
+        this.pumping = false;
+        this.pump();
+      });
+    }
   }
 
   private startStage(started: RunState): void {
     const run = started;
-    const stage = run.arrival.operation.stages[run.stageIndex];
+    const stage = run.plan.stages[run.stageIndex];
     if (stage === undefined) {
       this.finish(run, 'answered');
       return;
     }
-    run.stageStartedAtMs = this.nowMs();
     run.stageAttempts = 0;
-    run.avoidServers = [];
-    this.enqueue(run, stage);
+    this.startAttempt(run, stage);
   }
 
-  private enqueue(run: RunState, stage: LoadStage): void {
-    const long = this.isLong(run, stage);
+  private startAttempt(started: RunState, stage: PlannedStage): void {
+    const run = started;
+    const { estimates, typicalLeftMs } = this.hostEstimates;
+    const tokens = estimates.stageTokens(run.plan, stage, run.arrivedTokens);
     const nowMs = this.nowMs();
-    const latestStartAtMs = run.deadlineAtMs - this.estimates.typicalLeftMs(run);
-    const rank = this.world.policy.stageQueues
-      ? rankUrgency({ latestStartAtMs, enqueuedAtMs: nowMs, priority: run.priority })
-      : nowMs;
-    this.queueOf(stage, long).push({ run, hedge: false }, rank);
-    this.drain(stage, long);
-  }
-
-  private isLong(run: RunState, stage: LoadStage): boolean {
-    return this.world.policy.longLimit && stage === 'generate' && run.estimateTokens >= LONG_OUTPUT_TOKENS;
+    const latestStartAtMs = run.deadlineAtMs - typicalLeftMs(run);
+    const entry: QueueEntry = {
+      run,
+      stage,
+      pool: stage.kind,
+      tokens,
+      tryStart: () => this.tryStart(entry),
+      long: this.isLong(run, stage, tokens),
+      rank: this.world.policy.stageQueues
+        ? rankUrgency({ latestStartAtMs, enqueuedAtMs: nowMs, priority: run.priority })
+        : nowMs,
+      avoidServers: [...run.avoidServers, ...run.attempts.map((attempt) => attempt.server.description.serverId)],
+    };
+    if (run.stageAttempts === 0) {
+      this.retries.earn();
+      this.hedges.earn();
+    }
+    run.stageAttempts += 1;
+    run.waiting.push(entry);
+    this.queues.enqueue(entry);
   }
 
-  private drain(stage: LoadStage, long: boolean): void {
-    const queue = this.queueOf(stage, long);
-    for (let entry = queue.peek(); entry !== undefined; entry = queue.peek()) {
-      const { run } = entry;
-      const hopeless = this.world.policy.stageQueues && this.isHopeless(run);
-      if (run.finished || hopeless) {
-        queue.pop();
-        if (!run.finished) {
-          this.finish(run, 'refused', TICK_MS);
-        }
-      } else if (this.trySend(entry, stage, long)) {
-        queue.pop();
-      } else {
-        return;
-      }
-    }
+  private isLong(run: RunState, stage: PlannedStage, tokens: number): boolean {
+    return this.world.policy.longLimit && stage.kind === 'generate' && tokens >= run.plan.operation.longOutputTokens;
   }
 
   /** No work is done for a request that misses its deadline anyway. */
   private isHopeless(run: RunState): boolean {
-    return run.attempts.length === 0 && this.nowMs() + this.estimates.leastMs(run) > run.deadlineAtMs;
+    const remainingMs = run.deadlineAtMs - this.nowMs();
+    return this.world.policy.stageQueues && remainingMs < this.hostEstimates.typicalLeftMs(run) * SURE_TIME_SHARE;
+  }
+
+  private tryStart(entry: QueueEntry): boolean {
+    const { run } = entry;
+    if (this.isHopeless(run)) {
+      dropWaiting(entry);
+      if (run.attempts.length + run.waiting.length === 0) {
+        this.finish(run, 'refused', TICK_MS);
+      }
+      return true;
+    }
+    const pick = this.picker.pick(this.pickFacts(entry, entry.avoidServers));
+    if (pick.type === 'wait') {
+      return false;
+    }
+    dropWaiting(entry);
+    const { serverId } = pick.server;
+    if (entry.stage.kind === 'generate') {
+      this.prefixes.noteSent(run.plan, serverId);
+    }
+    const server = this.world.findServer(serverId);
+    run.attempts.push(this.sender.send({ entry, server, crossRegion: pick.crossRegion }));
+    return true;
   }
 
-  private trySend(entry: QueueEntry, stage: LoadStage, long: boolean): boolean {
-    const { run, hedge } = entry;
-    const busy = run.attempts.map((attempt) => attempt.server.description.serverId);
-    const tokens = this.stageTokens(run, stage);
-    const pick = this.picker.pick({
+  private pickFacts(
+    entry: Omit<QueueEntry, 'pool' | 'rank' | 'avoidServers' | 'tryStart'>,
+    avoidServers: readonly string[],
+  ): PickFacts {
+    const { run, stage, tokens, long } = entry;
+    return {
       run,
       stage,
       tokens,
       long,
-      remainingMs: this.estimates.stageShareMs(run),
-      avoidServers: [...run.avoidServers, ...busy],
+      remainingMs: this.hostEstimates.stageShareMs(run),
+      avoidServers,
       localOverloaded: this.admission.waitMs(this.nowMs()) > OVERLOAD_WAIT_MS,
       bytes: {
         requestBytes: run.arrival.operation.inputBytes + BYTES_PER_MESSAGE,
-        replyBytes: BYTES_PER_MESSAGE + (stage === 'generate' ? run.estimateTokens * BYTES_PER_TOKEN : 0),
+        replyBytes: BYTES_PER_MESSAGE + (stage.kind === 'generate' ? tokens * BYTES_PER_TOKEN : 0),
       },
-    });
-    if (pick.type === 'wait' || (hedge && busy.includes(pick.server.serverId))) {
-      return hedge && pick.type === 'send';
-    }
-    if (!hedge) {
-      this.retries.earn();
-    }
-    run.stageAttempts += 1;
-    this.picker.noteSent(run, pick.server.serverId);
-    const server = this.world.findServer(pick.server.serverId);
-    const attempt = this.sender.send({ run, stage, server, hedge, long, tokens, crossRegion: pick.crossRegion });
-    run.attempts.push(attempt);
-    this.open.add(attempt);
-    return true;
+    };
   }
 
-  /** A stream that has begun goes on elsewhere at its next token; before that a second attempt runs beside the first. */
-  private sendSecond(attempt: AttemptState): boolean {
+  /** The first attempt that delivers a token produces the whole answer; the others are cancelled. */
+  private handleTokens(attempt: AttemptState): void {
     const { run } = attempt;
-    const before = run.attempts.length;
-    this.trySend({ run, hedge: true }, attempt.stage, attempt.long);
-    const sent = run.attempts.length > before;
-    if (sent && run.arrivedTokens > 0) {
-      this.sender.cancel(attempt, { resumed: true });
-      this.open.delete(attempt);
-      run.attempts = run.attempts.filter((other) => other !== attempt);
+    const nowMs = this.nowMs();
+    const tokens = attempt.resumeTokens + attempt.seenTokens;
+    if (tokens > run.arrivedTokens) {
+      run.arrivedTokens = tokens;
+      run.firstTokenAtMs ??= nowMs;
+      run.lastTokenAtMs = nowMs;
+      this.cancelOthers(run, attempt);
     }
-    return sent;
   }
 
-  private stageTokens(run: RunState, stage: LoadStage): number {
-    if (stage !== 'generate') {
-      return 1;
+  private cancelOthers(cancelled: RunState, kept?: AttemptState): void {
+    const run = cancelled;
+    const { waiting, attempts } = run;
+    run.waiting = [];
+    run.attempts = attempts.filter((attempt) => attempt === kept);
+    waiting.forEach((entry) => this.queues.remove(entry));
+    attempts
+      .filter((attempt) => attempt !== kept)
+      .forEach((attempt) => {
+        this.sender.cancel(attempt);
+        this.queues.drain(attempt.stage);
+      });
+  }
+
+  private handleSlow(slow: AttemptState, verdict: Exclude<SlowVerdict, 'none'>): void {
+    const attempt = slow;
+    if (attempt.hedged || !this.world.policy.hedges || !this.isElsewhereFree(attempt)) {
+      return;
+    }
+    if (!this.hedges.spend() && !this.retries.spend()) {
+      return;
+    }
+    attempt.hedged = true;
+    const { run } = attempt;
+    const stage = run.plan.stages[run.stageIndex] as PlannedStage;
+    if (verdict === 'hedge') {
+      const open = run.attempts.length + run.waiting.length;
+      if (stage.effect === 'repeatable' && open < MAX_PARALLEL_ATTEMPTS && run.arrivedTokens === 0) {
+        this.startAttempt(run, stage);
+      }
+      return;
     }
-    const left = Math.max(1, run.estimateTokens - run.arrivedTokens);
-    return this.estimates.prefillTokens(run.arrival, run.arrivedTokens) + left;
+    this.sender.cancel(attempt, { resumed: true });
+    this.queues.drain(attempt.stage);
+    this.failAttempt(attempt, true);
+  }
+
+  private isElsewhereFree(attempt: AttemptState): boolean {
+    const { run } = attempt;
+    const stage = run.plan.stages[run.stageIndex] as PlannedStage;
+    const { serverId } = attempt.server.description;
+    const tokens = this.hostEstimates.estimates.stageTokens(run.plan, stage, attempt.resumeTokens);
+    const long = this.isLong(run, stage, tokens);
+    const avoidServers = [...run.avoidServers, serverId];
+    const other: Pick = this.picker.find(this.pickFacts({ run, stage, tokens, long }, avoidServers));
+    return other.type === 'send' && other.server.serverId !== serverId;
   }
 
   private handleAnswer(attempt: AttemptState): void {
     const { run } = attempt;
-    this.open.delete(attempt);
-    const losers = run.attempts.filter((other) => other !== attempt);
-    losers.forEach((loser) => {
-      this.sender.cancel(loser);
-      this.open.delete(loser);
-    });
+    this.cancelOthers(run, attempt);
     run.attempts = [];
-    this.estimates.learnStage(run, attempt.stage, this.nowMs() - run.stageStartedAtMs);
+    this.queues.drain(attempt.stage);
     run.stageIndex += 1;
-    if (!run.finished) {
-      this.startStage(run);
-    }
-    this.drainStage(attempt.stage);
+    this.startStage(run);
     this.pump();
   }
 
   private handleLoss(attempt: AttemptState): void {
+    this.queues.drain(attempt.stage);
+    this.failAttempt(attempt, this.retries.spend());
+  }
+
+  private failAttempt(attempt: AttemptState, retryAllowed: boolean): void {
     const { run } = attempt;
-    this.open.delete(attempt);
     run.attempts = run.attempts.filter((other) => other !== attempt);
     run.avoidServers.push(attempt.server.description.serverId);
-    if (run.finished || run.attempts.length > 0) {
+    if (run.finished || run.attempts.length + run.waiting.length > 0) {
       return;
     }
-    const repeatable = attempt.stage !== 'call' || !attempt.submitted;
-    if (repeatable && run.stageAttempts < MAX_ATTEMPTS && this.retries.spend()) {
-      this.enqueue(run, attempt.stage);
+    const stage = run.plan.stages[run.stageIndex] as PlannedStage;
+    const safe = stage.effect === 'repeatable' || !attempt.submitted;
+    if (safe && retryAllowed && run.stageAttempts < run.plan.maxAttempts) {
+      this.startAttempt(run, stage);
     } else {
       this.finish(run, 'failed');
     }
   }
 
+  private passDeadline(run: RunState): void {
+    if (!run.finished) {
+      this.admission.remove(run);
+      this.cancelOthers(run);
+      this.finish(run, 'failed');
+    }
+  }
+
   private finish(finished: RunState, result: RequestRecord['result'], retryAfterMs?: number): void {
     const run = finished;
     run.finished = true;
+    this.factors.delete(run.requestId);
     if (result === 'answered') {
-      this.estimates.learnRun(run);
+      this.hostEstimates.estimates.learnRun(run.plan, this.nowMs() - run.releasedAtMs);
     }
-    const { arrival, admitted } = run;
+    const { arrival, admitted, firstTokenAtMs, lastTokenAtMs } = run;
     const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
-    this.world.record({ arrival, result, admitted, finishedAtMs: this.nowMs(), ...retry });
-  }
-
-  private drainStage(stage: LoadStage): void {
-    this.drain(stage, false);
-    if (this.world.policy.longLimit) {
-      this.drain(stage, true);
-    }
+    const stream = firstTokenAtMs === undefined || lastTokenAtMs === undefined ? {} : { firstTokenAtMs, lastTokenAtMs };
+    this.world.record({ arrival, result, admitted, finishedAtMs: this.nowMs(), ...retry, ...stream });
   }
 
-  private tick(): void {
-    const { events, policy } = this.world;
-    events.at(this.nowMs() + TICK_MS, () => this.tick());
-    followAttempts([...this.open], {
-      world: this.world,
-      book: this.book,
-      estimates: this.estimates,
-      hedge: (attempt) => policy.hedges && this.sendSecond(attempt),
-      isLong: (run) => this.isLong(run, 'generate'),
-    });
-    this.world.deployment.pools.forEach((pool) => this.drainStage(pool.stage));
-    this.pump();
+  private expire(): void {
+    this.world.events.at(this.nowMs() + TICK_MS, () => this.expire());
     this.admission.expire(this.nowMs()).forEach((run) => this.finish(run, 'refused', TICK_MS));
   }
 
   private poll(): void {
     const { events, deployment } = this.world;
-    const nowMs = this.nowMs();
-    events.at(nowMs + REPORT_POLL_MS, () => this.poll());
+    events.at(this.nowMs() + REPORT_POLL_MS, () => this.poll());
     deployment.pools.forEach((pool) => {
       this.world.listServers(pool.stage).forEach(({ serverId }) => this.pollServer(serverId));
-      this.drainStage(pool.stage);
+      this.queues.drain(pool.stage);
     });
     this.pump();
   }
 
   private pollServer(serverId: string): void {
     const server = this.world.findServer(serverId);
-    if (server.crashed) {
-      return;
+    if (!server.crashed) {
+      this.book.noteReport(serverId, server.report(), { hosts: this.hostCount(), nowMs: this.nowMs() });
     }
-    this.book.noteReport(serverId, server.report(), { hosts: this.hostCount(), nowMs: this.nowMs() });
   }
 }
 
--- a/packages/bench/src/load/host/createServerPicker.ts
+++ b/packages/bench/src/load/host/createServerPicker.ts
@@ -1,23 +1,23 @@
 import {
   chooseServer,
-  estimateSaving,
   findHomes,
   type ByteBudget,
   type ByteEstimate,
   type DispatchRequest,
+  type PlannedStage,
   type PoolBook,
   type PoolView,
   type Random,
   type ServerDescription,
 } from '@bergamotcove/decide';
-import { PREFILL_TOKENS_PER_TOKEN } from '../constants.js';
+import type { PrefixHints } from '@bergamotcove/entry';
 import type { LoadStage } from '../types.js';
 import type { LoadWorld, RunState } from './types.js';
 
 /** Facts of the attempt that a server is picked for. */
 export interface PickFacts {
   readonly run: RunState;
-  readonly stage: LoadStage;
+  readonly stage: PlannedStage;
   readonly tokens: number;
   readonly long: boolean;
   readonly remainingMs: number;
@@ -33,9 +33,9 @@
 
 /** Picks servers under the policy of the run. */
 export interface ServerPicker {
+  /** Server that an attempt would go to now; nothing is taken from the byte budget. */
+  find(facts: PickFacts): Pick;
   pick(facts: PickFacts): Pick;
-  /** Notes that a prefix was sent to a server. */
-  noteSent(run: RunState, serverId: string): void;
 }
 
 /** Options of {@link createServerPicker}. */
@@ -44,11 +44,11 @@
   readonly place: { readonly failureDomain: string; readonly region: string };
   readonly book: PoolBook;
   readonly bytes: ByteBudget;
+  readonly prefixes: PrefixHints;
   readonly random: Random;
 }
 
 const NO_LONG_LIMIT = false;
-const HOMES = 2;
 const HOME_LOAD_FACTOR = 1.25;
 
 const prefixKeyOf = (run: RunState): string => `${run.arrival.organisation}/${run.arrival.operation.name}`;
@@ -88,7 +88,7 @@
   const outstanding = (server: ServerDescription): number => book.stats(server.serverId).outstanding;
   const load = (server: ServerDescription): number => world.findServer(server.serverId).load();
   return (facts: PickFacts): ServerDescription | undefined => {
-    const live = world.listServers(facts.stage).filter((server) => server.state === 'live');
+    const live = world.listServers(facts.stage.kind).filter((server) => server.state === 'live');
     const preferred = live.filter((server) => !facts.avoidServers.includes(server.serverId));
     const usable = preferred.length > 0 ? preferred : live;
     const near = nearestOf(usable, place, world.policy.choice === 'previous');
@@ -99,8 +99,8 @@
       return draw(near);
     }
     if (world.policy.choice === 'round-robin') {
-      const turn = turns.get(facts.stage) ?? 0;
-      turns.set(facts.stage, turn + 1);
+      const turn = turns.get(facts.stage.kind) ?? 0;
+      turns.set(facts.stage.kind, turn + 1);
       return near[turn % near.length];
     }
     if (world.policy.choice === 'least-outstanding') {
@@ -119,74 +119,53 @@
 };
 
 /** Choice by predicted completion, with the parts that the policy turns on. */
-const createPredicted = (options: PickerOptions, hints: ReadonlyMap<string, number>) => {
+const createPredicted = (options: PickerOptions) => {
   const { world, place, book, random } = options;
 
-  const savedTokens = (facts: PickFacts, servers: readonly ServerDescription[]): ReadonlyMap<string, number> => {
-    const { prefixTokens } = facts.run.arrival.operation;
-    if (!world.policy.affinity || facts.stage !== 'generate' || prefixTokens === 0) {
-      return new Map();
-    }
-    const key = prefixKeyOf(facts.run);
-    const local = servers.filter((server) => server.region === place.region).map((server) => server.serverId);
-    const homes = findHomes(key, local, HOMES);
-    return new Map(
-      servers.map(({ serverId }) => {
-        const sentAtMs = hints.get(`${serverId} ${key}`);
-        const hint = { homeIndex: homes.indexOf(serverId), ...(sentAtMs === undefined ? {} : { sentAtMs }) };
-        return [serverId, estimateSaving(hint, prefixTokens / PREFILL_TOKENS_PER_TOKEN, world.events.nowMs())];
-      }),
-    );
-  };
-
   const adjust = (view: PoolView): PoolView =>
     world.policy.demotion ? view : { ...view, servers: view.servers.map((server) => ({ ...server, slowness: 1 })) };
 
   return (facts: PickFacts) => {
     const nowMs = world.events.nowMs();
-    const servers = world.listServers(facts.stage);
+    const servers = world.listServers(facts.stage.kind);
     const request: DispatchRequest = {
       tokens: facts.tokens,
       long: world.policy.longLimit ? facts.long : NO_LONG_LIMIT,
       remainingMs: facts.remainingMs,
       avoidServers: facts.avoidServers,
       ...place,
-      savedTokens: savedTokens(facts, servers),
+      savedTokens: world.policy.affinity ? options.prefixes.savedTokens(facts.run.plan, facts.stage) : new Map(),
       crossRegionAllowed: world.policy.spill && options.bytes.hasRoom(facts.bytes, nowMs),
       localOverloaded: facts.localOverloaded,
       nowMs,
     };
-    return chooseServer(adjust(book.view(facts.stage, servers, nowMs)), request, random);
+    return chooseServer(adjust(book.view(facts.stage.kind, servers, nowMs)), request, random);
   };
 };
 
 /** Creates the picker of one host. */
 export default function createServerPicker(options: PickerOptions): ServerPicker {
   const { world } = options;
-  const hints = new Map<string, number>();
   const pickBaseline = createBaseline(options);
-  const pickPredicted = createPredicted(options, hints);
+  const pickPredicted = createPredicted(options);
+  const find = (facts: PickFacts): Pick => {
+    if (world.policy.choice !== 'predicted') {
+      const server = pickBaseline(facts);
+      return server === undefined
+        ? { type: 'wait' }
+        : { type: 'send', server, crossRegion: server.region !== options.place.region };
+    }
+    const choice = pickPredicted(facts);
+    return choice?.type === 'send'
+      ? { type: 'send', server: choice.server, crossRegion: choice.crossRegion }
+      : { type: 'wait' };
+  };
   return {
+    find,
     pick: (facts) => {
-      if (world.policy.choice !== 'predicted') {
-        const server = pickBaseline(facts);
-        return server === undefined
-          ? { type: 'wait' }
-          : { type: 'send', server, crossRegion: server.region !== options.place.region };
-      }
-      const choice = pickPredicted(facts);
-      if (choice?.type !== 'send') {
-        return { type: 'wait' };
-      }
-      if (choice.crossRegion && !options.bytes.take(facts.bytes, world.events.nowMs())) {
-        return { type: 'wait' };
-      }
-      return { type: 'send', server: choice.server, crossRegion: choice.crossRegion };
-    },
-    noteSent: (run, serverId) => {
-      if (run.arrival.operation.prefixTokens > 0) {
-        hints.set(`${serverId} ${prefixKeyOf(run)}`, world.events.nowMs());
-      }
+      const found = find(facts);
+      const limited = world.policy.choice === 'predicted' && found.type === 'send' && found.crossRegion;
+      return limited && !options.bytes.take(facts.bytes, world.events.nowMs()) ? { type: 'wait' } : found;
     },
   };
 }
--- a/packages/bench/src/load/host/types.ts
+++ b/packages/bench/src/load/host/types.ts
@@ -1,4 +1,5 @@
-import type { AdmissionRequest, ServerDescription } from '@bergamotcove/decide';
+import type { AdmissionRequest, PlannedStage, RequestPlan, ServerDescription } from '@bergamotcove/decide';
+import type { AttemptFollower, WaitingAttempt } from '@bergamotcove/entry';
 import type { EventQueue } from '../_lib/createEventQueue.js';
 import type { Link } from '../model/createLink.js';
 import type { ServerJob, ServerModel } from '../model/createServerModel.js';
@@ -26,39 +27,40 @@
   readonly stage: LoadStage;
   readonly server: ServerModel;
   readonly job: ServerJob;
-  readonly hedge: boolean;
+  readonly follower: AttemptFollower;
   readonly crossRegion: boolean;
-  readonly sentAtMs: number;
-  readonly prefillTokens: number;
   readonly resumeTokens: number;
   closed: boolean;
   submitted: boolean;
-  long: boolean;
-  /** Estimated tokens that the book counts as outstanding for this attempt. */
-  bookedTokens: number;
+  /** A second attempt was asked for; each attempt asks once. */
+  hedged: boolean;
   seenTokens: number;
-  seenAtMs: number;
-  paceMs: number;
 }
 
 /** One request on its way through the stages. */
 export interface RunState extends AdmissionRequest {
   readonly arrival: Arrival;
+  readonly plan: RequestPlan;
   stageIndex: number;
-  stageStartedAtMs: number;
+  /** Attempts started in the present stage. */
   stageAttempts: number;
   attempts: AttemptState[];
+  /** Attempts that wait for a server. */
+  waiting: QueueEntry[];
   avoidServers: string[];
   /** Tokens of the generation that have reached the host. */
   arrivedTokens: number;
-  estimateTokens: number;
+  firstTokenAtMs?: number;
+  lastTokenAtMs?: number;
   releasedAtMs: number;
   admitted: boolean;
   finished: boolean;
 }
 
-/** A stage of a request that waits for a server. */
-export interface QueueEntry {
+/** An attempt that waits for a server. */
+export interface QueueEntry extends WaitingAttempt {
   readonly run: RunState;
-  readonly hedge: boolean;
+  readonly stage: PlannedStage;
+  readonly tokens: number;
+  readonly avoidServers: readonly string[];
 }
--- a/packages/bench/src/load/model/createServerModel.ts
+++ b/packages/bench/src/load/model/createServerModel.ts
@@ -14,6 +14,8 @@
   readonly outputTokens: number;
   /** Lower runs first in the server's queue. */
   readonly priority: number;
+  /** The first output token was produced. */
+  readonly onFirstToken?: () => void;
   readonly onDone: () => void;
   readonly onLost: () => void;
 }
@@ -45,6 +47,7 @@
   readonly startWork: number;
   readonly prefillTokens: number;
   readonly finishWork: number;
+  readonly streaming: boolean;
 }
 
 interface Waiting {
@@ -56,6 +59,9 @@
 const SNAPSHOT_MS = 100;
 const EPSILON = 1e-6;
 
+const firstTokenWork = (entry: Running): number =>
+  Math.min(entry.finishWork, entry.startWork + entry.prefillTokens + 1);
+
 /** A server whose running jobs share its speed; the rest waits in order of priority and arrival. */
 class SharedServer implements ServerModel {
   crashed = false;
@@ -110,7 +116,9 @@
   progress(job: ServerJob): number {
     this.advance();
     const entry = this.running.find((other) => other.job === job);
-    return entry === undefined ? 0 : Math.max(0, Math.floor(this.work - entry.startWork - entry.prefillTokens));
+    return entry === undefined
+      ? 0
+      : Math.max(0, Math.floor(this.work - entry.startWork - entry.prefillTokens + EPSILON));
   }
 
   workDone(job: ServerJob): number {
@@ -175,7 +183,7 @@
       const { job } = this.waiting.shift() as Waiting;
       const prefillTokens = job.prefillTokens - this.usePrefix(job);
       const finishWork = this.work + prefillTokens + job.outputTokens;
-      this.running.push({ job, startWork: this.work, prefillTokens, finishWork });
+      this.running.push({ job, startWork: this.work, prefillTokens, finishWork, streaming: false });
     }
     this.schedule();
   }
@@ -195,7 +203,7 @@
       return;
     }
     const { generation } = this;
-    const next = Math.min(...this.running.map((entry) => entry.finishWork));
+    const next = Math.min(...this.running.map((entry) => (entry.streaming ? entry.finishWork : firstTokenWork(entry))));
     const delayMs = Math.max(0, next - this.work) / this.tokensPerMs();
     this.events.at(this.events.nowMs() + delayMs, () => {
       if (generation === this.generation) {
@@ -207,8 +215,12 @@
   private finishDue(): void {
     this.advance();
     const due = this.running.filter((entry) => entry.finishWork <= this.work + EPSILON);
-    this.running = this.running.filter((entry) => !due.includes(entry));
+    const begun = this.running.filter((entry) => !entry.streaming && firstTokenWork(entry) <= this.work + EPSILON);
+    this.running = this.running
+      .filter((entry) => !due.includes(entry))
+      .map((entry) => (begun.includes(entry) ? { ...entry, streaming: true } : entry));
     this.fill();
+    begun.forEach((entry) => entry.job.onFirstToken?.());
     due.forEach((entry) => entry.job.onDone());
   }
 
--- a/packages/bench/src/load/types.ts
+++ b/packages/bench/src/load/types.ts
@@ -112,6 +112,9 @@
   readonly result: 'answered' | 'refused' | 'failed';
   readonly admitted: boolean;
   readonly finishedAtMs: number;
+  /** Times of the first and the last token of a generation. */
+  readonly firstTokenAtMs?: number;
+  readonly lastTokenAtMs?: number;
   readonly retryAfterMs?: number;
 }
 
--- a/packages/entry/src/servers/createAttemptFollower.ts
+++ b/packages/entry/src/servers/createAttemptFollower.ts
@@ -23,8 +23,8 @@
 
 /** Options of {@link createAttemptFollower}. */
 export interface AttemptFollowerOptions {
-  readonly clock: Clock;
-  readonly directory: ServerDirectory;
+  readonly clock: Pick<Clock, 'monotonicMs'>;
+  readonly directory: Pick<ServerDirectory, 'note' | 'noteSize' | 'msPerToken'>;
   readonly estimates: Estimates;
   readonly plan: RequestPlan;
   readonly stage: PlannedStage;
--- a/packages/entry/src/servers/createEstimates.ts
+++ b/packages/entry/src/servers/createEstimates.ts
@@ -39,7 +39,7 @@
  * @param clock - time of the samples
  * @returns the estimates
  */
-export default function createEstimates(clock: Clock): Estimates {
+export default function createEstimates(clock: Pick<Clock, 'monotonicMs'>): Estimates {
   const lengths = createLengthBook();
   const quantiles = createQuantileBook();
   const facts = ({ service, operation, organisation }: RequestPlan) => ({
--- a/packages/entry/src/servers/createPoolQueues.ts
+++ b/packages/entry/src/servers/createPoolQueues.ts
@@ -37,7 +37,7 @@
 
   private closed = false;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Pick<Clock, 'schedule'>) {}
 
   enqueue(attempt: WaitingAttempt): void {
     this.queueOf(attempt).push(attempt, attempt.rank);
@@ -102,6 +102,6 @@
  * @param clock - clock of the rechecks
  * @returns the queues; close them to stop the rechecks
  */
-export default function createPoolQueues(clock: Clock): PoolQueues {
+export default function createPoolQueues(clock: Pick<Clock, 'schedule'>): PoolQueues {
   return new Queues(clock);
 }
--- a/packages/entry/src/servers/createPrefixHints.ts
+++ b/packages/entry/src/servers/createPrefixHints.ts
@@ -13,8 +13,8 @@
 
 /** Options of {@link createPrefixHints}. */
 export interface PrefixHintsOptions {
-  readonly clock: Clock;
-  readonly directory: ServerDirectory;
+  readonly clock: Pick<Clock, 'monotonicMs'>;
+  readonly directory: Pick<ServerDirectory, 'listPool' | 'msPerToken'>;
   readonly estimates: Estimates;
   readonly region: string;
 }
