Count the prefill of an attempt in the prediction that the prefix saving is taken from

Cause: the daemon's estimate of an attempt leaves the prefill out, so the saving of a cached prefix was cut off at the length of the answer and a server without the prefix looked nearly as good. Change: the choice gets the expected prefill beside the attempt. Learning cold and warm first tokens apart was tried and reverted: without affinity all caches thrash alike, so it never starts (cost 109.5 and 128.6 ms).

--- a/packages/bench/src/load/host/createServerPicker.ts
+++ b/packages/bench/src/load/host/createServerPicker.ts
@@ -130,6 +130,7 @@
     const servers = world.listServers(facts.stage.kind);
     const request: DispatchRequest = {
       tokens: facts.tokens,
+      prefillTokens: options.prefixes.prefillTokens(facts.run.plan, facts.stage),
       long: world.policy.longLimit ? facts.long : NO_LONG_LIMIT,
       remainingMs: facts.remainingMs,
       avoidServers: facts.avoidServers,
--- a/packages/decide/src/routing/predictCompletion.ts
+++ b/packages/decide/src/routing/predictCompletion.ts
@@ -21,7 +21,7 @@
  */
 export default function predictCompletion(server: ServerView, pool: PoolView, request: DispatchRequest): number {
   const savedTokens = request.savedTokens?.get(server.serverId) ?? 0;
-  const ownTokens = Math.max(1, request.tokens - savedTokens);
+  const ownTokens = Math.max(1, request.tokens + (request.prefillTokens ?? 0) - savedTokens);
   const aheadTokens = server.outstandingTokens + server.othersOutstanding * pool.meanTokens;
   const work = ownTokens + aheadTokens / Math.max(1, server.slots);
   return roundTripMs(server, request) + work * pool.msPerToken * server.slowness;
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -63,8 +63,10 @@
 
 /** Facts of one attempt that the choice of a server depends on. */
 export interface DispatchRequest {
-  /** Estimated work of the attempt. */
+  /** Estimated work of the attempt, less its prefill. */
   readonly tokens: number;
+  /** Estimated work before the first token on a server without the prefix; the prefix cache saves a part of it. */
+  readonly prefillTokens?: number;
   readonly long: boolean;
   /** Time that is left for this stage. */
   readonly remainingMs: number;
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -191,6 +191,7 @@
       pool,
       {
         tokens: this.tokens,
+        prefillTokens: this.options.prefixes.prefillTokens(this.context.plan, stage),
         long: this.long,
         remainingMs: shareDeadline(this.remainingMs(), stagesMs),
         avoidServers,
--- a/packages/entry/src/servers/createPrefixHints.ts
+++ b/packages/entry/src/servers/createPrefixHints.ts
@@ -8,6 +8,8 @@
 export interface PrefixHints {
   /** Expected saving in tokens of work by server id; empty while the prefill time is not known. */
   savedTokens(plan: RequestPlan, stage: PlannedStage): ReadonlyMap<string, number>;
+  /** Expected work before the first token on a server without the prefix; 0 while it is not known. */
+  prefillTokens(plan: RequestPlan, stage: PlannedStage): number;
   noteSent(plan: RequestPlan, serverId: string): void;
 }
 
@@ -37,14 +39,18 @@
 export default function createPrefixHints(options: PrefixHintsOptions): PrefixHints {
   const { clock, directory, estimates, region } = options;
   const sentAtMs = new LRUCache<string, number>({ max: MAX_HINTS });
+  const prefillTokens = (plan: RequestPlan, stage: PlannedStage): number => {
+    const coldMs = stage.kind === 'generate' ? estimates.firstTokenMs(plan, stage, COLD_QUANTILE) : undefined;
+    return coldMs === undefined ? 0 : coldMs / directory.msPerToken(stage.pool);
+  };
   return {
+    prefillTokens,
     savedTokens: (plan, stage) => {
-      const coldMs = stage.kind === 'generate' ? estimates.firstTokenMs(plan, stage, COLD_QUANTILE) : undefined;
-      if (coldMs === undefined) {
+      const coldTokens = prefillTokens(plan, stage);
+      if (coldTokens === 0) {
         return new Map();
       }
       const key = formatPrefixKey(plan);
-      const prefillTokens = coldMs / directory.msPerToken(stage.pool);
       const local = directory.listPool(stage.pool).filter((server) => server.region === region);
       const ids = local.map((server) => server.serverId);
       const homes = findHomes(key, ids, HOMES);
@@ -52,7 +58,7 @@
         ids.map((serverId) => {
           const sent = sentAtMs.get(`${serverId} ${key}`);
           const hint = { homeIndex: homes.indexOf(serverId), ...(sent === undefined ? {} : { sentAtMs: sent }) };
-          return [serverId, estimateSaving(hint, prefillTokens, clock.monotonicMs())];
+          return [serverId, estimateSaving(hint, coldTokens, clock.monotonicMs())];
         }),
       );
     },
