Lose no outcome and no claim to an old view of a shard log

An outcome was taken for done by a host that had not read its claim, and was lost. A read that asked for a fresh view was answered by a read of the log that had begun before. Change: an outcome or release that does not find its claim is appended once, so that an old view fails. A read of the log serves only the readers that waited when it began.

--- a/packages/decide/src/claims/_lib/appendPending.ts
+++ b/packages/decide/src/claims/_lib/appendPending.ts
@@ -5,20 +5,19 @@
 import type { PendingOp, ShardAction, ShardOptions, ShardState, ShardStep } from '../types.js';
 import { isCompactionDue, startCompaction } from './compactShard.js';
 
-const evaluate = (state: ShardState, { op }: PendingOp): ClaimOpResult | undefined => {
-  const result = evaluateOp(findRecord(state, op.keyHash), op);
+const evaluate = (state: ShardState, { op, tried }: PendingOp): ClaimOpResult | undefined => {
+  const result = evaluateOp(findRecord(state, op.keyHash), op, tried);
   return result === undefined && state.full && op.type === 'claim' ? { type: 'full' } : result;
 };
 
-/** Answers the operations that what is durable already decides, and the reads that waited for a fresh view. */
+/** Answers the operations that what is durable already decides. */
 const settleDecided = (state: ShardState): ShardStep => {
   const results = state.pending.map((pending) => ({ pending, result: evaluate(state, pending) }));
   const settled = results.flatMap(({ pending, result }): ShardAction[] =>
     result === undefined ? [] : [{ type: 'settle', opId: pending.opId, result }],
   );
-  const reads = state.refreshes.map((readId): ShardAction => ({ type: 'refreshed', readId }));
   const pending = results.filter(({ result }) => result === undefined).map((decided) => decided.pending);
-  return { state: { ...state, pending, refreshes: [] }, actions: [...settled, ...reads] };
+  return { state: { ...state, pending }, actions: settled };
 };
 
 /** Takes operations for one entry: at most one per key, because the second depends on whether the first wins. */
--- a/packages/decide/src/claims/_lib/simulateShard.test.ts
+++ b/packages/decide/src/claims/_lib/simulateShard.test.ts
@@ -2,7 +2,7 @@
 import advanceShard from '../advanceShard.js';
 import createShardState from '../createShardState.js';
 import findRecord from '../findRecord.js';
-import type { Segment, ShardAction, ShardContent, ShardEvent, ShardOptions, ShardState } from '../types.js';
+import type { Segment, ShardAction, ShardContent, ShardEvent, ShardLimits, ShardState } from '../types.js';
 
 type StoreAction = Extract<ShardAction, { type: 'load' | 'append' | 'compact' }>;
 
@@ -69,7 +69,7 @@
 
   constructor(
     hostCount: number,
-    private readonly limits: Pick<ShardOptions, 'segmentBytes' | 'maxSegments'> = {},
+    private readonly limits: ShardLimits = {},
   ) {
     this.hosts = Array.from({ length: hostCount }, (_, index) => ({
       hostId: `h${index}`,
--- a/packages/decide/src/claims/advanceShard.test.ts
+++ b/packages/decide/src/claims/advanceShard.test.ts
@@ -3,10 +3,12 @@
 import fc from 'fast-check';
 import type { ClaimOp } from '@bergamotcove/protocol';
 import { readStatus, ShardSimulation, type CallFate, type SimulatedHost } from './_lib/simulateShard.test.js';
+import advanceShard from './advanceShard.js';
 import compactRecords, { fromSnapshot, toSnapshot } from './compactRecords.js';
 import { ANSWER_RETENTION_MS, CLAIM_RETENTION_MS } from './constants.js';
+import createShardState from './createShardState.js';
 import isSameBody from './isSameBody.js';
-import type { ShardOptions } from './types.js';
+import type { ShardAction, ShardEvent, ShardLimits, ShardState } from './types.js';
 
 const RUNS = 1_500;
 const HOSTS = 3;
@@ -29,7 +31,7 @@
 
   readonly sent = new Map<string, number>();
 
-  constructor(limits: Pick<ShardOptions, 'segmentBytes' | 'maxSegments'> = {}) {
+  constructor(limits: ShardLimits = {}) {
     this.simulation = new ShardSimulation(HOSTS, limits);
   }
 
@@ -203,6 +205,28 @@
   assert.deepEqual([...model.sent], [['k0', 1]]);
 });
 
+test('a read that asks for a fresh view during a read of the log is not served by that older read', () => {
+  const options = { hostId: 'h', wallMs: 0 };
+  const loaded = { type: 'loaded', entries: [] } as const;
+  const events: ShardEvent[] = [
+    { type: 'refresh-requested', readId: 'first' },
+    { type: 'refresh-requested', readId: 'second' },
+    loaded,
+    loaded,
+  ];
+  const played = events.reduce<{ readonly state: ShardState; readonly actions: readonly ShardAction[] }>(
+    ({ state, actions }, event) => {
+      const step = advanceShard(state, event, 0, options);
+      return { state: step.state, actions: [...actions, ...step.actions] };
+    },
+    { state: createShardState(), actions: [] },
+  );
+  assert.deepEqual(
+    played.actions.map((action) => (action.type === 'refreshed' ? action.readId : action.type)),
+    ['load', 'first', 'load', 'second'],
+  );
+});
+
 test('a wall clock that was stepped forward drops no claim of its own host', () => {
   const record = { bodyHash: 'b', claimId: 'c', wallMs: 0, status: { type: 'open' as const } };
   const records = new Map([
--- a/packages/decide/src/claims/advanceShard.ts
+++ b/packages/decide/src/claims/advanceShard.ts
@@ -2,7 +2,7 @@
 import appendPending, { commitPending, requestCommit } from './_lib/appendPending.js';
 import applyEntry from './_lib/applyEntry.js';
 import { RETRY_MAX_MS, RETRY_MIN_MS } from './constants.js';
-import type { Segment, SegmentPlace, ShardEvent, ShardOptions, ShardState, ShardStep } from './types.js';
+import type { Segment, SegmentPlace, ShardAction, ShardEvent, ShardOptions, ShardState, ShardStep } from './types.js';
 
 type Loaded = Extract<ShardEvent, { type: 'loaded' }>;
 
@@ -10,7 +10,7 @@
 
 /** Reads the log; a shard that was read before reads only the entries after the known ones. */
 const startLoad = (state: ShardState): ShardStep => ({
-  state: { ...state, phase: { type: 'loading' } },
+  state: { ...state, phase: { type: 'loading', reads: state.refreshes }, refreshes: [] },
   actions: [
     {
       type: 'load',
@@ -29,6 +29,12 @@
   return { state: paused, actions: [{ type: 'wake', delayMs }] };
 };
 
+/** A read of the log that failed leaves its readers waiting for the next one. */
+const pauseLoad = (state: ShardState): ShardStep => {
+  const reads = state.phase.type === 'loading' ? state.phase.reads : [];
+  return pause({ ...state, refreshes: [...reads, ...state.refreshes] }, { type: 'load-paused' });
+};
+
 const continueReady = (state: ShardState, nowMs: number, options: ShardOptions): ShardStep =>
   state.refreshes.length > 0 ? startLoad(state) : appendPending(state, nowMs, options);
 
@@ -76,9 +82,11 @@
   const loaded = takeLoaded(state, event);
   if (loaded === undefined) {
     // The shard was compacted between the reads, so that entries or segments are missing from the answer.
-    return pause({ ...state, nextSeq: 1, snapshotRevision: '0' }, { type: 'load-paused' });
+    return pauseLoad({ ...state, nextSeq: 1, snapshotRevision: '0' });
   }
-  return appendPending({ ...loaded, failures: 0 }, nowMs, options);
+  const served = state.phase.reads.map((readId): ShardAction => ({ type: 'refreshed', readId }));
+  const step = continueReady({ ...loaded, failures: 0 }, nowMs, options);
+  return { state: step.state, actions: [...served, ...step.actions] };
 };
 
 const decideAppend = (state: ShardState, succeeded: boolean, nowMs: number, options: ShardOptions): ShardStep => {
@@ -120,7 +128,7 @@
     logBytes: 0,
     full: false,
   };
-  return appendPending({ ...compacted, failures: 0 }, nowMs, options);
+  return continueReady({ ...compacted, failures: 0 }, nowMs, options);
 };
 
 const wake = (state: ShardState): ShardStep => {
@@ -196,7 +204,7 @@
     case 'loaded':
       return decideLoad(state, event, nowMs, options);
     case 'load-failed':
-      return state.phase.type === 'loading' ? pause(state, { type: 'load-paused' }) : unchanged(state);
+      return state.phase.type === 'loading' ? pauseLoad(state) : unchanged(state);
     case 'append-decided':
       return decideAppend(state, event.succeeded, nowMs, options);
     case 'append-lost':
--- a/packages/decide/src/claims/evaluateOp.test.ts
+++ b/packages/decide/src/claims/evaluateOp.test.ts
@@ -18,14 +18,14 @@
   const release: ClaimOp = { ...claim, type: 'release' };
   [claim, unknown, answered, release].forEach((op) => {
     const record = applyOp(op.type === 'claim' ? undefined : applyOp(undefined, claim), op);
-    assert.deepEqual(evaluateOp(record, op), { type: 'done' }, op.type);
+    assert.deepEqual(evaluateOp(record, op, false), { type: 'done' }, op.type);
   });
 });
 
 test('an unknown outcome can still be settled by a known one', () => {
   const record = applyOp(applyOp(undefined, claim), unknown);
   const ran: ClaimOp = { ...unknown, outcome: { type: 'refused', outcome: 'ran', reason: 'answer-dropped' } };
-  assert.equal(evaluateOp(record, ran), undefined);
+  assert.equal(evaluateOp(record, ran, false), undefined);
 });
 
 test('the answer of a host that was only unreachable replaces a recorded ran, and nothing replaces an answer', () => {
@@ -39,3 +39,14 @@
   const settled = applyOp(applyOp(undefined, claim), ran);
   assert.equal(applyOp(settled, { ...claim, type: 'release' }), settled);
 });
+
+test('an outcome is not taken for done because the host has not read its claim; it would be lost', () => {
+  const answered: ClaimOp = { ...unknown, outcome: { type: 'answered', answer: '1' } };
+  const other = applyOp(undefined, { ...claim, claimId: 'other' });
+  const released = applyOp(other, { ...claim, claimId: 'other', type: 'release' });
+  [undefined, other, released].forEach((record) => {
+    assert.equal(evaluateOp(record, answered, false), undefined);
+    // An append that succeeded, or the read after one that failed, shows that there is no such claim.
+    assert.deepEqual(evaluateOp(record, answered, true), { type: 'done' });
+  });
+});
--- a/packages/decide/src/claims/types.ts
+++ b/packages/decide/src/claims/types.ts
@@ -56,7 +56,8 @@
 /** What the shard is doing; at most one store call is in flight. */
 export type ShardPhase =
   | { readonly type: 'cold' }
-  | { readonly type: 'loading' }
+  /** Reads the log; `reads` are those that asked for a fresh view before the read began. */
+  | { readonly type: 'loading'; readonly reads: readonly string[] }
   | { readonly type: 'ready' }
   | { readonly type: 'appending'; readonly entry: LogEntry; readonly ops: readonly PendingOp[] }
   | { readonly type: 'compacting'; readonly compacted: CompactedShard; readonly throughSeq: number }
@@ -79,7 +80,7 @@
   readonly logEntries: number;
   readonly logBytes: number;
   readonly pending: readonly PendingOp[];
-  /** Reads that wait for a fresh view of the log. */
+  /** Reads that wait for a fresh view of the log and are not served by the read in flight. */
   readonly refreshes: readonly string[];
   /** Whether a turn to commit was asked for and has not come yet. */
   readonly commitWanted: boolean;
@@ -91,18 +92,22 @@
   readonly fullUntilMs: number;
 }
 
+/** Limits of a shard. */
+export interface ShardLimits {
+  /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
+  readonly compactEntries?: number | undefined;
+  /** Size of the finished claims above which they are sealed; {@link SEGMENT_BYTES} by default. */
+  readonly segmentBytes?: number | undefined;
+  /** Segments that the shard may have; {@link MAX_SEGMENTS} by default. */
+  readonly maxSegments?: number | undefined;
+}
+
 /** Identity of the process that keeps the state. */
-export interface ShardOptions {
+export interface ShardOptions extends ShardLimits {
   /** Unique per process; part of the entry ids. */
   readonly hostId: string;
   /** Wall time for retention. */
   readonly wallMs: number;
-  /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
-  readonly compactEntries?: number;
-  /** Size of the finished claims above which they are sealed; {@link SEGMENT_BYTES} by default. */
-  readonly segmentBytes?: number;
-  /** Segments that the shard may have; {@link MAX_SEGMENTS} by default. */
-  readonly maxSegments?: number;
 }
 
 /** Something that happened to a shard. */
--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@bergamotcove/clock';
-import { isSameBody, type ClaimDecision, type RequestResult } from '@bergamotcove/decide';
+import { isSameBody, type ClaimDecision, type RequestResult, type ShardLimits } from '@bergamotcove/decide';
 import type { StoreClient } from '@bergamotcove/platform';
 import type { ClaimOpResult, ClaimRecord, RecordedOutcome } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
@@ -23,8 +23,7 @@
   readonly peerServer: PeerServer;
   readonly directory: PeerDirectory;
   readonly hostId: string;
-  /** Segments that a shard may have in the store. */
-  readonly maxSegments?: number | undefined;
+  readonly limits?: ShardLimits;
 }
 
 interface KnownAnswer {
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { shardOfKey } from '@bergamotcove/decide';
+import { shardOfKey, type ShardLimits } from '@bergamotcove/decide';
 import type { StoreClient } from '@bergamotcove/platform';
 import {
   CLAIMS_APPEND,
@@ -28,8 +28,7 @@
   readonly hostId: string;
   /** Unique per process. */
   readonly processId: string;
-  /** Segments that a shard may have. */
-  readonly maxSegments?: number | undefined;
+  readonly limits?: ShardLimits;
 }
 
 /** What the logs say about a key. */
--- a/packages/entry/src/claims/createShardLog.ts
+++ b/packages/entry/src/claims/createShardLog.ts
@@ -5,6 +5,7 @@
   findRecord,
   type ShardAction,
   type ShardEvent,
+  type ShardLimits,
   type ShardState,
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
@@ -39,8 +40,7 @@
   readonly commits: CommitQueue;
   /** Unique per process. */
   readonly processId: string;
-  /** Segments that the shard may have. */
-  readonly maxSegments?: number | undefined;
+  readonly limits?: ShardLimits;
 }
 
 /** Interpreter of the shard reducer. */
@@ -111,9 +111,8 @@
     if (this.closed) {
       return;
     }
-    const { clock, processId, maxSegments } = this.options;
-    const limits = maxSegments === undefined ? {} : { maxSegments };
-    const options = { hostId: processId, wallMs: clock.wallMs(), ...limits };
+    const { clock, processId, limits } = this.options;
+    const options = { ...limits, hostId: processId, wallMs: clock.wallMs() };
     const step = advanceShard(this.state, event, clock.monotonicMs(), options);
     this.state = step.state;
     this.known = this.known || event.type === 'loaded';
--- a/packages/entry/src/claims/createShardStore.ts
+++ b/packages/entry/src/claims/createShardStore.ts
@@ -73,20 +73,23 @@
     this.segmentPrefix = `${root}/segment/`;
   }
 
+  /**
+   * Reads the log before the snapshot: entries that were compacted away after the log was read are in the snapshot.
+   * In the other order a log that was compacted in between looks like a log without entries.
+   */
   async load(action: Load): Promise<ShardContent> {
-    if (action.knownRevision !== undefined) {
-      // The tail is read first: if the snapshot is unchanged after that, no entry of the tail was compacted away.
-      const entries = await this.readLog(action.fromSeq);
-      const compares = [this.compareSnapshot(action.knownRevision)];
-      const read = await this.store.txn(compares, [], [{ type: 'get', key: this.snapshotKey }]);
-      if (read.succeeded) {
-        return { entries };
-      }
+    if (action.knownRevision === undefined) {
+      return this.loadAll(action);
     }
-    const snapshot = toSnapshotView(await this.store.get(this.snapshotKey));
-    const unknown = snapshot.segments.filter(({ number }) => !action.knownSegments.includes(number));
-    const segments = await this.readSegments(unknown);
-    return { snapshot, segments, entries: await this.readLog(snapshot.throughSeq + 1) };
+    const entries = await this.readLog(action.fromSeq);
+    const compares = [this.compareSnapshot(action.knownRevision)];
+    const read = await this.store.txn(compares, [], [{ type: 'get', key: this.snapshotKey }]);
+    if (read.succeeded) {
+      return { entries };
+    }
+    const snapshot = toSnapshotView(read.gets[0]);
+    // The other host may have compacted less than this host knows.
+    return snapshot.throughSeq + 1 < action.fromSeq ? this.loadAll(action) : this.complete(action, snapshot, entries);
   }
 
   append(action: Append): Promise<boolean> {
@@ -116,6 +119,17 @@
     return { succeeded, revision };
   }
 
+  private async loadAll(action: Load): Promise<ShardContent> {
+    const entries = await this.readLog(0);
+    return this.complete(action, toSnapshotView(await this.store.get(this.snapshotKey)), entries);
+  }
+
+  private async complete(action: Load, snapshot: SnapshotView, entries: readonly PlacedEntry[]): Promise<ShardContent> {
+    const unknown = snapshot.segments.filter(({ number }) => !action.knownSegments.includes(number));
+    const segments = await this.readSegments(unknown);
+    return { snapshot, segments, entries: entries.filter(({ seq }) => seq > snapshot.throughSeq) };
+  }
+
   /** Reads segments one by one, because each may take a whole answer; one that was deleted is left out. */
   private async readSegments(places: readonly SegmentPlace[]): Promise<readonly Segment[]> {
     const found: Segment[] = [];
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -277,7 +277,8 @@
   const base = createBase(settings, options);
   const peerServer = startPeerServer(base);
   const peerParts = { ...base, peers: base.peerClient, peerServer, directory: base.control, hostId: settings.host.id };
-  const claims = createClaimBook({ ...peerParts, maxSegments: settings.claims?.maxSegmentsPerShard });
+  const limits = { maxSegments: settings.claims?.maxSegmentsPerShard };
+  const claims = createClaimBook({ ...peerParts, limits });
   const isDown = createDownCheck(base.http, base.directory);
   const poison = createPoisonGuard({ ...peerParts, isDown });
   const { requests, close: closeRequests } = createRequests(base, { claims, poison, peers: base.control });
