Keep planner leases with the lease holder of the platform

Cause: createPoolLease repeated createLeaseHolder with its own margin, and kept the fencing number of a lease that had lapsed while its holder was paused. Change: the holder takes an optional key with a fencing number and can be renewed by its caller; a pool lease is such a holder. A keyed lease that may have lapsed is given back, so that its own old key does not keep the holder out. The margin is 20% of the time to live, 2 s as before. Conclusion: one implementation serves both.

--- a/packages/decide/src/lease/advanceLease.ts
+++ b/packages/decide/src/lease/advanceLease.ts
@@ -16,8 +16,9 @@
     : { state: { type: 'none', retryMs: nowMs }, actions: [{ type: 'lost', leaseId }] };
 };
 
-const tick = (state: LeaseState, nowMs: number): LeaseStep => {
-  if (state.type === 'none' && nowMs >= state.retryMs) {
+/** Gets or renews the lease, at the times that the state names or, when `now` is set, at once. */
+const tick = (state: LeaseState, nowMs: number, now: boolean): LeaseStep => {
+  if (state.type === 'none' && (now || nowMs >= state.retryMs)) {
     return { state: { type: 'granting', startedMs: nowMs }, actions: [{ type: 'grant' }] };
   }
   if (state.type !== 'held') {
@@ -26,7 +27,7 @@
   if (!isLeaseHeld(state, nowMs)) {
     return { state: { type: 'none', retryMs: nowMs }, actions: [{ type: 'lost', leaseId: state.leaseId }] };
   }
-  return nowMs >= state.renewMs && !state.renewing
+  return (now || nowMs >= state.renewMs) && !state.renewing
     ? { state: { ...state, renewing: true }, actions: [{ type: 'renew', leaseId: state.leaseId }] }
     : keep(state);
 };
@@ -59,7 +60,9 @@
 export default function advanceLease(state: LeaseState, event: LeaseEvent, nowMs: number, random: Random): LeaseStep {
   switch (event.type) {
     case 'tick':
-      return tick(state, nowMs);
+      return tick(state, nowMs, false);
+    case 'requested':
+      return tick(state, nowMs, true);
     case 'granted':
       return state.type === 'granting' ? hold(event, nowMs) : keep(state);
     case 'renewed':
--- a/packages/decide/src/lease/constants.ts
+++ b/packages/decide/src/lease/constants.ts
@@ -1,4 +1,8 @@
-/** Share of the time to live that the holder gives up; covers the drift of two clocks and one scheduling delay. */
+/**
+ * Share of the time to live that the holder gives up. Of the 10 s of a planner's lease it covers a rate difference of
+ * the clocks of host and store of up to 10%, one scheduling delay, and the time from the check to the arrival of an
+ * order at an engine across regions (12 ms one way).
+ */
 export const LEASE_MARGIN_RATIO = 0.2;
 
 /** Share of the time to live after which the holder renews. */
--- a/packages/decide/src/lease/index.ts
+++ b/packages/decide/src/lease/index.ts
@@ -1,4 +1,5 @@
 /** Leases of the store as their holder sees them. */
 export * from './types.js';
+export { LEASE_MARGIN_RATIO } from './constants.js';
 export { default as advanceLease } from './advanceLease.js';
 export { default as isLeaseHeld } from './isLeaseHeld.js';
--- a/packages/decide/src/lease/types.ts
+++ b/packages/decide/src/lease/types.ts
@@ -15,6 +15,8 @@
 /** What happens to a lease. Times are those at which the call to the store began. */
 export type LeaseEvent =
   | { readonly type: 'tick' }
+  /** The holder asks to get or renew the lease now; it spaces its attempts itself. */
+  | { readonly type: 'requested' }
   | { readonly type: 'granted'; readonly leaseId: string; readonly startedMs: number; readonly ttlMs: number }
   | { readonly type: 'renewed'; readonly leaseId: string; readonly startedMs: number; readonly ttlMs: number }
   /** No answer, or an error answer. */
--- a/packages/entry/src/planner/constants.ts
+++ b/packages/entry/src/planner/constants.ts
@@ -4,12 +4,6 @@
 /** Life of the lease without renewal. */
 export const LEASE_TTL_MS = 10_000;
 
-/**
- * Part of the lease's life in which no order is sent: it covers the time from the check to the arrival at the engine
- * across regions (12 ms one way) and a rate difference of the clocks of host and store of up to 10%.
- */
-export const LEASE_MARGIN_MS = 2_000;
-
 /** Time between planning rounds. */
 export const ROUND_MS = 2_000;
 
--- a/packages/entry/src/planner/createPlanner.test.ts
+++ b/packages/entry/src/planner/createPlanner.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
-import type { EngineOrder } from '@bergamotcove/decide';
+import { LEASE_MARGIN_RATIO, type EngineOrder } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { EngineReport, StoreClient } from '@bergamotcove/platform';
-import { LEASE_MARGIN_MS, LEASE_TTL_MS } from './constants.js';
+import { LEASE_TTL_MS } from './constants.js';
 import createPoolLease from './createPoolLease.js';
 import runPlanningRound from './runPlanningRound.js';
 import type { EnginePort, FencedOrder, PlannedPool } from './types.js';
@@ -88,7 +88,7 @@
   const lease = createPoolLease({ clock, store, hostId: 'a' }, 'model-serving');
   await lease.renew();
   assert.equal(lease.isHeld(), true);
-  clock.advance(LEASE_TTL_MS - LEASE_MARGIN_MS);
+  clock.advance(LEASE_TTL_MS * (1 - LEASE_MARGIN_RATIO));
   assert.equal(lease.isHeld(), false);
   await runPlanningRound(pool, { engines: engine.port, lease, limits, logger });
   assert.deepEqual(engine.report().models, {});
@@ -133,6 +133,19 @@
   assert.equal(lease.isHeld(), true);
 });
 
+test('a holder that woke after its lease had lapsed takes it again with a higher fencing number', async () => {
+  const clock = createManualClock();
+  const { store } = createLeaseStore();
+  const lease = createPoolLease({ clock, store, hostId: 'a' }, 'model-serving');
+  await lease.renew();
+  const first = lease.fencingNumber();
+  clock.advance(LEASE_TTL_MS);
+  await lease.renew();
+  assert.deepEqual([lease.isHeld(), lease.fencingNumber()], [false, 0]);
+  await lease.renew();
+  assert.ok(lease.isHeld() && lease.fencingNumber() > first);
+});
+
 test('fencing numbers grow with each holder, and a fenced holder gives its lease up', async () => {
   const clock = createManualClock();
   const { store, lapse } = createLeaseStore();
--- a/packages/platform/src/store/createLeaseHolder.ts
+++ b/packages/platform/src/store/createLeaseHolder.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
-import { advanceLease, isLeaseHeld, type LeaseEvent, type LeaseState } from '@bergamotcove/decide';
+import { advanceLease, isLeaseHeld, type LeaseAction, type LeaseEvent, type LeaseState } from '@bergamotcove/decide';
 import type { StoreClient } from './types.js';
 
 /** Options of {@link createLeaseHolder}. */
@@ -7,6 +7,8 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly ttlMs: number;
+  /** Key that exists only as long as its lease; a lease whose key another holder has is not held. */
+  readonly key?: { readonly key: string; readonly value: string };
   /** Called when the lease may have lapsed; everything that depends on it stops. */
   readonly onLost?: (leaseId: string) => void;
 }
@@ -15,7 +17,16 @@
 export interface LeaseHolder {
   /** Id of the lease while it certainly stands; ask before each action under the lease. */
   heldId(): string | undefined;
+  /** Whether the lease certainly stands, by the holder's monotonic clock. */
+  isHeld(): boolean;
+  /** Revision at which the key of the lease was created, zero without one; it grows with each holder. */
+  fencingNumber(): number;
+  /** Gets and renews the lease on a timer of its own. */
   start(): void;
+  /** Gets or renews the lease once, now. Rejects when the store does not answer; a held lease then runs on. */
+  renew(): Promise<void>;
+  /** Gives the lease back, so that another holder can take its key at once. */
+  release(): Promise<void>;
   /** Revokes the lease and stops. */
   close(): Promise<void>;
 }
@@ -26,6 +37,8 @@
 class StoreLeaseHolder implements LeaseHolder {
   private state: LeaseState = { type: 'none', retryMs: -Infinity };
 
+  private fencing = 0;
+
   private timer: Timer | undefined;
 
   private closed = false;
@@ -40,8 +53,16 @@
     return isLeaseHeld(state, this.options.clock.monotonicMs()) && state.type === 'held' ? state.leaseId : undefined;
   }
 
+  isHeld(): boolean {
+    return this.heldId() !== undefined;
+  }
+
+  fencingNumber(): number {
+    return this.fencing;
+  }
+
   start(): void {
-    this.handle({ type: 'tick' });
+    this.handle({ type: 'tick' }).catch(() => undefined);
     this.timer = this.options.clock.schedule(CHECK_MS, () => {
       if (!this.closed) {
         this.start();
@@ -49,53 +70,110 @@
     });
   }
 
+  renew(): Promise<void> {
+    return this.handle({ type: 'requested' });
+  }
+
+  async release(): Promise<void> {
+    const { state } = this;
+    this.state = { type: 'none', retryMs: this.closed ? Infinity : this.options.clock.monotonicMs() };
+    this.fencing = 0;
+    if (state.type === 'held') {
+      await this.store.revokeLease(state.leaseId);
+    }
+  }
+
   async close(): Promise<void> {
     this.closed = true;
     this.timer?.close();
-    const leaseId = this.heldId();
-    this.state = { type: 'none', retryMs: Infinity };
-    if (leaseId !== undefined) {
-      await this.store.revokeLease(leaseId).catch(() => undefined);
-    }
+    await this.release().catch(() => undefined);
   }
 
-  private handle(event: LeaseEvent): void {
+  /** Advances the state and makes the call that follows; rejects when the call fails. */
+  private async handle(event: LeaseEvent): Promise<void> {
     if (this.closed) {
       return;
     }
-    const { clock, random, onLost } = this.options;
+    const { clock, random } = this.options;
     const { state, actions } = advanceLease(this.state, event, clock.monotonicMs(), random);
     this.state = state;
-    actions.forEach((action) => {
-      if (action.type === 'lost') {
-        onLost?.(action.leaseId);
-      } else {
-        this.call(action.type === 'renew' ? action.leaseId : undefined).catch(() => this.handle({ type: 'failed' }));
+    await Promise.all(actions.map((action) => this.perform(action)));
+  }
+
+  private async perform(action: LeaseAction): Promise<void> {
+    if (action.type === 'lost') {
+      this.fencing = 0;
+      this.options.onLost?.(action.leaseId);
+      if (this.options.key !== undefined) {
+        // The key may outlive the margin, and would keep this holder from taking it again.
+        this.store.revokeLease(action.leaseId).catch(() => undefined);
       }
-    });
+      return;
+    }
+    try {
+      await (action.type === 'renew' ? this.prolong(action.leaseId) : this.grant());
+    } catch (cause) {
+      await this.handle({ type: 'failed' });
+      throw cause;
+    }
   }
 
-  /** Grants a lease, or renews the given one. */
-  private async call(leaseId: string | undefined): Promise<void> {
-    const { clock, ttlMs } = this.options;
+  private async prolong(leaseId: string): Promise<void> {
+    const startedMs = this.options.clock.monotonicMs();
+    const remainingMs = await this.store.keepAlive(leaseId);
+    await this.handle({ type: 'renewed', leaseId, startedMs, ttlMs: remainingMs });
+  }
+
+  private async grant(): Promise<void> {
+    const { clock, key, ttlMs } = this.options;
+    if (key !== undefined && (await this.store.get(key.key)) !== undefined) {
+      await this.handle({ type: 'failed' });
+      return;
+    }
     const startedMs = clock.monotonicMs();
-    if (leaseId === undefined) {
-      const granted = await this.store.grantLease(ttlMs);
-      this.handle({ type: 'granted', leaseId: granted, startedMs, ttlMs });
-    } else {
-      const remainingMs = await this.store.keepAlive(leaseId);
-      this.handle({ type: 'renewed', leaseId, startedMs, ttlMs: remainingMs });
+    const leaseId = await this.store.grantLease(ttlMs);
+    const fencing = await this.takeKey(leaseId);
+    if (fencing === undefined) {
+      await this.store.revokeLease(leaseId);
+      await this.handle({ type: 'failed' });
+      return;
+    }
+    this.fencing = fencing;
+    await this.handle({ type: 'granted', leaseId, startedMs, ttlMs });
+    if (this.heldId() !== leaseId) {
+      // The holder gave the lease up, or the grant took too long.
+      this.fencing = 0;
+      await this.store.revokeLease(leaseId);
+    }
+  }
+
+  /** Creates the key of the lease. Returns its revision, or undefined when another holder has the key. */
+  private async takeKey(leaseId: string): Promise<number | undefined> {
+    const { key } = this.options;
+    if (key === undefined) {
+      return 0;
+    }
+    try {
+      const result = await this.store.txn(
+        [{ type: 'create-revision', key: key.key, revision: '0' }],
+        [{ type: 'put', ...key, leaseId }],
+      );
+      return result.succeeded ? Number(result.revision) : undefined;
+    } catch (cause) {
+      // The key may exist; giving the lease back removes it, and otherwise it lapses by itself.
+      this.store.revokeLease(leaseId).catch(() => undefined);
+      throw cause;
     }
   }
 }
 
 /**
  * Keeps a lease of the store. The holder fences itself on its own monotonic clock, with a margin before the store lets
- * the lease lapse.
+ * the lease lapse. With a key, at most one holder has the lease of that key, and the key carries a fencing number.
  *
  * @param store - store client
  * @param options - clock, time to live and what to do on loss
- * @returns the holder; nothing happens before `start`
+ * @returns the holder; nothing happens before `start` or `renew`
  * @example
  * const holder = createLeaseHolder(store, { clock, random: Math.random, ttlMs: 10_000 });
  */
