Let two readers a failure domain follow the host list, and send urgent changes at once

Cause: every host read the whole list. A crash was known everywhere after up to 13.3 s at 60 hosts: up to 3.7 s to the first probe, 4 s of suspicion, 1.5 s inside and 3 to 5.5 s to the other failure domains, with the probes. Change: a reducer chooses two readers, which push changed entries by hosts.changed and send the revision alone as a datagram; a gap or 10 s of silence leads to a read. An older revision is followed after 10 s of nothing else. Each host probes its successor on a ring every second. Suspicions, ends and refutations are sent on at once, between failure domains by the representatives. The suspicion starts at 2 s. An update is repeated for at least 3 s, and joins from the list are not repeated. Groups of members are kept with the map that they were made from.

The fleet test marks the leaving host by its entry in the list, because the set of leaving hosts is gone; its limit is unchanged.

--- a/packages/bench/src/control/_lib/createVirtualFleet.ts
+++ b/packages/bench/src/control/_lib/createVirtualFleet.ts
@@ -2,14 +2,18 @@
 import { HEADS_PREFIX } from '@bergamotcove/config';
 import {
   createConfigDistribution,
+  createHostListFollower,
   createMembership,
+  HOST_LIST_TOPIC,
   type ConfigDistribution,
+  type HostListFollower,
   type Membership,
 } from '@bergamotcove/membership';
 import { acceptDocument, type AcceptResult, type StoreClient } from '@bergamotcove/platform';
-import type { PeerAddress } from '@bergamotcove/protocol';
+import type { ListedHost, PeerAddress } from '@bergamotcove/protocol';
 import { createDocument, readVirtualHead } from './createDocument.js';
 import createRandom from './createRandom.js';
+import createVirtualHostList, { type VirtualHostList } from './createVirtualHostList.js';
 import createVirtualNetwork, { type VirtualLink, type VirtualNetwork } from './createVirtualNetwork.js';
 import { createVirtualStore, type VirtualStore } from './createVirtualStore.js';
 
@@ -18,6 +22,8 @@
   readonly hosts: number;
   readonly domains: number;
   readonly seed: number;
+  /** Backend servers in the host list. */
+  readonly servers?: number;
 }
 
 /** A change of one host's view. */
@@ -33,6 +39,7 @@
   readonly address: PeerAddress;
   readonly membership: Membership;
   readonly distribution: ConfigDistribution;
+  readonly hostList: HostListFollower;
   /** Version in force by service. */
   readonly versions: Map<string, number>;
   /** Number of documents that replaced a higher version; must stay zero. */
@@ -48,8 +55,9 @@
   readonly store: VirtualStore;
   readonly hosts: VirtualHost[];
   readonly changes: FleetChange[];
-  /** Hosts that the host list calls leaving. */
-  readonly leaving: Set<string>;
+  readonly list: VirtualHostList;
+  /** Changes the state of an entry of the host list, or drops it. */
+  setListed(hostId: string, state: 'live' | 'leaving' | 'gone'): void;
   start(index: number): void;
   crash(index: number): void;
   pause(index: number, durationMs: number): void;
@@ -59,7 +67,9 @@
   close(): void;
 }
 
-const LIST_MS = 1_000;
+const LIST_READ_MS = 1_000;
+const PEERS_PORT = 7_000;
+const POOLS = 4;
 const HOSTS_CHECK_MS = 250;
 const REGIONS = 2;
 
@@ -69,13 +79,47 @@
   return {
     hostId,
     address: hostId,
-    peersPort: 7_000,
+    peersPort: PEERS_PORT,
     failureDomain: `domain-${domain}`,
     // As in today's deployments, the last third of the failure domains is in the second region.
     region: `region-${Math.floor((domain * REGIONS) / domains)}`,
   };
 };
 
+const listEntry = ({ hostId, address, failureDomain, region }: PeerAddress): ListedHost => ({
+  id: hostId,
+  role: 'entry',
+  address,
+  port: 8_000,
+  peerPort: PEERS_PORT,
+  failureDomain,
+  region,
+  state: 'live',
+});
+
+const toPeers = (hosts: readonly ListedHost[]) =>
+  hosts
+    .filter(({ role }) => role === 'entry')
+    .map(({ id, address, peerPort = PEERS_PORT, failureDomain, region, state }) => ({
+      host: { hostId: id, address, peersPort: peerPort, failureDomain, region },
+      leaving: state === 'leaving',
+    }));
+
+const listServer = (index: number, domains: number): ListedHost => {
+  const { failureDomain, region } = describeHost(index, domains);
+  const id = `server-${index}`;
+  return {
+    id,
+    role: 'server',
+    address: id,
+    port: 9_000,
+    pool: `pool-${index % POOLS}`,
+    failureDomain,
+    region,
+    state: 'live',
+  };
+};
+
 class Fleet implements VirtualFleet {
   readonly clock = createManualClock();
 
@@ -89,7 +133,9 @@
 
   readonly changes: FleetChange[] = [];
 
-  readonly leaving = new Set<string>();
+  readonly list = createVirtualHostList();
+
+  private listed: readonly ListedHost[];
 
   private readonly operator: StoreClient;
 
@@ -104,9 +150,22 @@
     this.addresses = Array.from({ length: options.hosts }, (_, index) => describeHost(index, options.domains));
     const desk = { hostId: 'operator', address: '', peersPort: 0, failureDomain: 'operator', region: 'region-0' };
     this.operator = this.store.client(desk, this.clock, this.network.traffic('operator'));
+    const servers = Array.from({ length: options.servers ?? 0 }, (_, index) => listServer(index, options.domains));
+    this.listed = [...this.addresses.map(listEntry), ...servers];
+    this.list.setHosts(this.listed);
     this.addresses.forEach((_, index) => this.start(index));
   }
 
+  setListed(hostId: string, state: 'live' | 'leaving' | 'gone'): void {
+    this.listed = this.listed.flatMap((entry) => {
+      if (entry.id !== hostId) {
+        return [entry];
+      }
+      return state === 'gone' ? [] : [{ ...entry, state }];
+    });
+    this.list.setHosts(this.listed);
+  }
+
   start(index: number): void {
     const address = this.addresses[index] as PeerAddress;
     let receive: (bytes: Uint8Array) => void = () => undefined;
@@ -119,6 +178,7 @@
     const common = { clock: link.clock, logger, random: this.random, self: address, peerClient: link.peerClient };
     const membership = createMembership({ ...common, send: link.send });
     receive = membership.receive.bind(membership);
+    const traffic = this.network.traffic(address.hostId);
     const versions = new Map<string, number>();
     const host: VirtualHost = {
       address,
@@ -126,9 +186,14 @@
       versions,
       reverted: 0,
       up: true,
+      hostList: createHostListFollower({
+        ...common,
+        readMs: LIST_READ_MS,
+        readList: this.list.client(address, link.clock, traffic),
+      }),
       distribution: createConfigDistribution({
         ...common,
-        store: this.store.client(address, link.clock, this.network.traffic(address.hostId)),
+        store: this.store.client(address, link.clock, traffic),
         headsPrefix: HEADS_PREFIX,
         readHead: readVirtualHead,
         onApply: ({ service, version }) => {
@@ -138,7 +203,7 @@
         onDigest: (digest) => membership.setDigest(digest),
       }),
     };
-    this.wire(host, link);
+    Fleet.wire(host, link);
     this.hosts[index] = host;
     this.links[index] = link;
   }
@@ -175,32 +240,41 @@
     this.links.forEach((link) => link.detach());
   }
 
-  private wire(host: VirtualHost, link: VirtualLink): void {
-    const { membership, distribution } = host;
+  private static wire(host: VirtualHost, link: VirtualLink): void {
+    const { membership, distribution, hostList } = host;
     membership.register(link.server);
     distribution.register(link.server);
+    hostList.register(link.server);
+    hostList.changes.subscribe((hosts) => membership.setListed(toPeers(hosts)));
+    hostList.announcements.subscribe((payload) => membership.broadcastSummary(HOST_LIST_TOPIC, payload));
     membership.news.subscribe((item) => {
       if (item.type === 'digest-heard') {
         distribution.noteDigest(item.from, item.digest);
       } else if (item.type === 'woke') {
         distribution.noteWoke();
+      } else {
+        hostList.hear(item.topic, item.payload);
       }
     });
     let liveKey = '';
+    let seen: readonly PeerAddress[] | undefined;
     const repeat = (periodMs: number, run: () => void): void => {
       run();
       link.clock.schedule(periodMs, () => repeat(periodMs, run));
     };
     membership.start();
-    repeat(LIST_MS, () =>
-      membership.setListed(this.addresses.map((item) => ({ host: item, leaving: this.leaving.has(item.hostId) }))),
-    );
+    hostList.start().catch(() => undefined);
     repeat(HOSTS_CHECK_MS, () => {
       const live = membership.liveHosts();
+      if (live === seen) {
+        return;
+      }
+      seen = live;
       const key = live.map(({ hostId }) => hostId).join(' ');
       if (key !== liveKey) {
         liveKey = key;
         distribution.setHosts(live);
+        hostList.setHosts(live);
       }
     });
     distribution.start().catch(() => undefined);
--- a/packages/bench/src/control/_lib/createVirtualNetwork.ts
+++ b/packages/bench/src/control/_lib/createVirtualNetwork.ts
@@ -20,6 +20,8 @@
   callBytes: number;
   storeCalls: number;
   storeBytes: number;
+  listReads: number;
+  listBytes: number;
 }
 
 /** One process in the virtual network. */
@@ -99,6 +101,8 @@
       callBytes: 0,
       storeCalls: 0,
       storeBytes: 0,
+      listReads: 0,
+      listBytes: 0,
     };
     this.traffics.set(hostId, traffic);
     return traffic;
--- a/packages/bench/src/control/fleet.test.ts
+++ b/packages/bench/src/control/fleet.test.ts
@@ -78,7 +78,7 @@
   first?.membership.setListed([]);
   await fleet.run(500);
   assert.equal(first?.membership.liveHosts().length, 5);
-  fleet.leaving.add(second?.address.hostId ?? '');
+  fleet.setListed(second?.address.hostId ?? '', 'leaving');
   await fleet.run(1_500);
   const states = fleet.hosts[3]?.membership.state().members;
   assert.equal(states?.get(second?.address.hostId ?? '')?.state, 'leaving');
--- a/packages/decide/src/convergence/advanceConvergence.ts
+++ b/packages/decide/src/convergence/advanceConvergence.ts
@@ -50,11 +50,13 @@
   }
   readWhenDue(draft);
   pullOffers(draft);
-  const others = state.hosts.filter(({ hostId }) => hostId !== state.self.hostId);
-  const peer = draft.pick(draft.neighbours()) ?? draft.pick(others);
   const unready = state.learntFrom === undefined && draft.state.pullSinceMs === undefined;
-  if (unready && nowMs >= state.nextPullMs && peer !== undefined) {
-    startPull(draft, peer);
+  if (unready && nowMs >= state.nextPullMs) {
+    const others = state.hosts.filter(({ hostId }) => hostId !== state.self.hostId);
+    const peer = draft.pick(draft.neighbours()) ?? draft.pick(others);
+    if (peer !== undefined) {
+      startPull(draft, peer);
+    }
   }
 };
 
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -9,6 +9,7 @@
 export { default as chooseServer } from './routing/chooseServer.js';
 export * from './membership/index.js';
 export * from './convergence/index.js';
+export * from './hosts/index.js';
 export * from './lease/index.js';
 export { default as createPoolBook } from './routing/createPoolBook.js';
 export type { PoolBook } from './routing/createPoolBook.js';
--- a/packages/decide/src/membership/_lib/Draft.ts
+++ b/packages/decide/src/membership/_lib/Draft.ts
@@ -7,8 +7,7 @@
   PeerAddress,
 } from '@bergamotcove/protocol';
 import type { Random } from '../../routing/types.js';
-import { INDIRECT_PROBES, MAX_UPDATES, REMOTE_REPEAT_MS } from '../constants.js';
-import listLiveMembers from '../listLiveMembers.js';
+import { FORWARD_HOSTS, FORWARD_MS, MAX_UPDATES, REMOTE_REPEAT_MS, REPRESENTATIVES, RUMOUR_MS } from '../constants.js';
 import type {
   DomainView,
   Member,
@@ -19,6 +18,7 @@
   Relay,
   Rumour,
 } from '../types.js';
+import indexMembers, { buildIndex, type MemberIndex } from './indexMembers.js';
 
 /** Order of the states within one incarnation; a later one replaces an earlier one. */
 const RANK: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3, left: 4 };
@@ -30,6 +30,9 @@
   ...(withHost ? { host } : {}),
 });
 
+/** Suspicions, ends and refutations go before joins: while many hosts join, a crash was known 24 s late. */
+const rankRumour = ({ update }: Rumour): number => (update.state === 'alive' && update.incarnation === 0 ? 1 : 0);
+
 type WithoutHeader<Message> = Message extends ControlMessage ? Omit<Message, keyof ControlHeader> : never;
 
 /** Message fields beyond the header. */
@@ -39,7 +42,14 @@
 export default class Draft {
   readonly self: PeerAddress;
 
-  readonly members: Map<string, Member>;
+  private memberMap: ReadonlyMap<string, Member>;
+
+  /** The member map when this event changed it. */
+  private changedMap: Map<string, Member> | undefined;
+
+  private changedIndex: MemberIndex | undefined;
+
+  private urgent = false;
 
   readonly domains: Map<string, DomainView>;
 
@@ -60,7 +70,7 @@
   ) {
     this.fields = state;
     this.self = state.self;
-    this.members = new Map(state.members);
+    this.memberMap = state.members;
     this.domains = new Map(state.domains);
     this.probes = new Map(state.probes);
     this.relays = new Map(state.relays);
@@ -71,6 +81,27 @@
     return this.fields;
   }
 
+  get members(): ReadonlyMap<string, Member> {
+    return this.memberMap;
+  }
+
+  /** Groups of the members as they are now. */
+  get index(): MemberIndex {
+    if (this.changedMap === undefined) {
+      return indexMembers(this.memberMap);
+    }
+    this.changedIndex ??= buildIndex(this.changedMap);
+    return this.changedIndex;
+  }
+
+  putMember(member: Member): void {
+    this.ownMembers().set(member.host.hostId, member);
+  }
+
+  dropMember(hostId: string): void {
+    this.ownMembers().delete(hostId);
+  }
+
   /** Replaces scalar fields of the state. */
   set(changes: Partial<MembershipState>): void {
     this.fields = { ...this.fields, ...changes };
@@ -81,17 +112,31 @@
   }
 
   finish(): MembershipStep {
+    if (this.urgent) {
+      this.forwardSoon();
+    }
     const { members, domains, probes, relays, rumours } = this;
     return { state: { ...this.fields, members, domains, probes, relays, rumours }, actions: this.actions };
   }
 
   live(): readonly Member[] {
-    return listLiveMembers(this);
+    const lost = [...this.domains].flatMap(([name, { state }]) => (state === 'lost' ? [name] : []));
+    return this.index.liveOutside(lost);
   }
 
   /** Live hosts of the own failure domain, without this one. */
   neighbours(): readonly Member[] {
-    return this.live().filter(({ host }) => host.failureDomain === this.self.failureDomain);
+    return this.index.reachableIn(this.self.failureDomain);
+  }
+
+  /** Ids of the own failure domain, this host included, in the order of the probe ring. */
+  ring(): readonly string[] {
+    return this.index.ringOf(this.self.failureDomain, this.self.hostId);
+  }
+
+  /** Whether this host is one of the representatives of its failure domain. */
+  isRepresentative(): boolean {
+    return this.ring().slice(0, REPRESENTATIVES).includes(this.self.hostId);
   }
 
   /** Draws items without repetition. */
@@ -105,13 +150,13 @@
   }
 
   /** Sends a message with the updates that the receiver most likely lacks; returns its sequence number. */
-  send(to: PeerAddress, content: Content, sequence = this.takeSequence()): number {
+  send(to: PeerAddress, content: Content, sequence = this.takeSequence(), changes?: readonly MemberUpdate[]): number {
     const { self, fields } = this;
     const local = to.failureDomain === self.failureDomain;
     const about = this.members.get(to.hostId);
     // The receiver must learn a wrong verdict about itself to refute it.
     const verdict = about === undefined || about.state === 'alive' ? [] : [describeMember(about, false)];
-    const spread = local ? this.takeRumours(to.hostId) : this.recentChanges();
+    const spread = changes ?? (local ? this.takeRumours(to.hostId) : this.recentChanges());
     const domains = local
       ? [...this.domains].flatMap(([failureDomain, { state, version }]) =>
           version === 0 ? [] : [{ failureDomain, state, version }],
@@ -131,11 +176,11 @@
 
   /** Repeats an update in the next messages. */
   spread(update: MemberUpdate): void {
-    this.rumours.set(update.hostId, { update, sends: 0 });
+    this.rumours.set(update.hostId, { update, sends: 0, sinceMs: this.nowMs });
   }
 
-  /** Applies what another host or an own probe says about a host. */
-  apply(update: MemberUpdate): void {
+  /** Applies what another host, an own probe or the host list says about a host. */
+  apply(update: MemberUpdate, source: 'peers' | 'list' = 'peers'): void {
     if (update.hostId === this.self.hostId) {
       this.refute(update);
       return;
@@ -152,12 +197,19 @@
     if (!newer) {
       return;
     }
-    const { state, incarnation } = update;
+    const { incarnation } = update;
+    const lagging = update.state === 'alive' && known?.listedLeaving === true;
+    const state = lagging ? 'leaving' : update.state;
     const sinceMs = known?.state === state ? known.sinceMs : this.nowMs;
-    this.members.set(host.hostId, { host, state, incarnation, sinceMs, listed: known?.listed ?? false });
-    this.spread({ ...update, ...(state === 'alive' || known === undefined ? { host } : {}) });
+    const { listed = false, listedLeaving = false } = known ?? {};
+    this.putMember({ host, state, incarnation, sinceMs, listed, listedLeaving });
+    // Every host has the list; repeating its entries would crowd out what peers must hear from this host.
+    if (source === 'peers' || state !== 'alive') {
+      this.spread({ ...update, ...(state === 'alive' || known === undefined ? { host } : {}) });
+    }
     if (known?.state !== state) {
       this.act({ type: 'member-changed', host, state });
+      this.hurry(host, state, known?.state);
     }
   }
 
@@ -170,13 +222,77 @@
       this.domains.set(failureDomain, { ...view, state, version: next, sinceMs });
       if (view.state !== state) {
         this.act({ type: 'domain-changed', failureDomain, state });
+        this.urgent = true;
       }
     }
   }
 
-  /** Sends what this host has just found out at once; waiting for the next probes costs seconds of the verdict time. */
+  /** Marks what this event changed as urgent; waiting for the next probes costs seconds of the verdict time. */
   tellNeighbours(): void {
-    this.draw(this.neighbours(), INDIRECT_PROBES).forEach(({ host }) => this.send(host, { type: 'ping' }));
+    this.urgent = true;
+  }
+
+  /** Sends urgent changes to some neighbours, and as a representative to the other failure domains. */
+  forward(): void {
+    this.set({ forwardDue: false, forwardedMs: this.nowMs });
+    this.draw(this.neighbours(), FORWARD_HOSTS).forEach(({ host }) => this.send(host, { type: 'ping' }));
+    const { outbox } = this.fields;
+    this.set({ outbox: [] });
+    if (outbox.length > 0 && this.isRepresentative()) {
+      this.forwardRemote(
+        outbox.flatMap((hostId) => {
+          const member = this.members.get(hostId);
+          return member === undefined ? [] : [describeMember(member, member.state === 'alive')];
+        }),
+      );
+    }
+  }
+
+  /** Sends changes to the representatives of the other failure domains. */
+  forwardRemote(changes: readonly MemberUpdate[]): void {
+    const size = MAX_UPDATES - 1;
+    [...this.domains]
+      .filter(([, { state }]) => state !== 'lost')
+      .flatMap(([name]) =>
+        this.index
+          .ringOf(name, '')
+          .filter((id) => id !== '')
+          .slice(0, REPRESENTATIVES),
+      )
+      .flatMap((hostId) => this.members.get(hostId)?.host ?? [])
+      .forEach((host) => {
+        for (let from = 0; from < changes.length; from += size) {
+          this.send(host, { type: 'ping' }, this.takeSequence(), changes.slice(from, from + size));
+        }
+      });
+  }
+
+  private forwardSoon(): void {
+    if (this.nowMs - this.fields.forwardedMs >= FORWARD_MS) {
+      this.forward();
+    } else {
+      this.set({ forwardDue: true });
+    }
+  }
+
+  /** Notes a change that must be known within seconds. */
+  private hurry(host: PeerAddress, state: MemberState, before: MemberState | undefined): void {
+    const ends = RANK[state] >= RANK.leaving;
+    const returns = before !== undefined && RANK[before] >= RANK.leaving;
+    const own = host.failureDomain === this.self.failureDomain;
+    if (ends || returns || (own && before !== undefined)) {
+      this.urgent = true;
+    }
+    if (own && (ends || returns)) {
+      this.set({ outbox: [...new Set([...this.fields.outbox, host.hostId])] });
+    }
+  }
+
+  private ownMembers(): Map<string, Member> {
+    this.changedMap ??= new Map(this.memberMap);
+    this.memberMap = this.changedMap;
+    this.changedIndex = undefined;
+    return this.changedMap;
   }
 
   private takeSequence(): number {
@@ -204,13 +320,13 @@
     const limit = Math.ceil(4 * Math.log10(this.neighbours().length + 2)) + 1;
     const chosen = [...this.rumours]
       .filter(([hostId]) => hostId !== receiverId)
-      .sort(([, a], [, b]) => a.sends - b.sends)
+      .sort(([, a], [, b]) => rankRumour(a) - rankRumour(b) || a.sends - b.sends)
       .slice(0, MAX_UPDATES);
-    chosen.forEach(([hostId, { update, sends }]) => {
-      if (sends + 1 >= limit) {
+    chosen.forEach(([hostId, { update, sends, sinceMs }]) => {
+      if (sends + 1 >= limit && this.nowMs - sinceMs >= RUMOUR_MS) {
         this.rumours.delete(hostId);
       } else {
-        this.rumours.set(hostId, { update, sends: sends + 1 });
+        this.rumours.set(hostId, { update, sends: sends + 1, sinceMs });
       }
     });
     return chosen.map(([, { update }]) => update);
@@ -218,13 +334,10 @@
 
   /** Changes of the own failure domain for hosts of another one. */
   private recentChanges(): readonly MemberUpdate[] {
-    return [...this.members.values()]
-      .filter(
-        ({ host, sinceMs }) =>
-          host.failureDomain === this.self.failureDomain && this.nowMs - sinceMs < REMOTE_REPEAT_MS,
-      )
-      .sort((a, b) => b.sinceMs - a.sinceMs)
-      .slice(0, MAX_UPDATES - 1)
-      .map((member) => describeMember(member, member.state === 'alive'));
+    const recent = (this.index.byDomain.get(this.self.failureDomain) ?? []).filter(
+      ({ sinceMs }) => this.nowMs - sinceMs < REMOTE_REPEAT_MS,
+    );
+    // A random part, because the newest ones alone would hide the rest of a lost rack.
+    return this.draw(recent, MAX_UPDATES - 1).map((member) => describeMember(member, member.state === 'alive'));
   }
 }
--- a/packages/decide/src/membership/_lib/probeDomains.ts
+++ b/packages/decide/src/membership/_lib/probeDomains.ts
@@ -1,23 +1,19 @@
 import {
+  DOMAIN_SILENCE_MS,
   DOMAIN_SUSPICION_MS,
   PROBE_PERIOD_MS,
   REMOTE_PROBES_PER_PERIOD,
   REPRESENTATIVES,
-  SILENT_ROUNDS,
 } from '../constants.js';
-import rankByRendezvous from '../rankByRendezvous.js';
 import type { Member } from '../types.js';
 import type Draft from './Draft.js';
 
-/** Key under which representatives are chosen. */
-const REPRESENTATIVE_KEY = 'representative';
-
 /** Chance of a probe to any host of a failure domain instead of a representative; finds a host that still answers. */
 const ANY_HOST_CHANCE = 0.25;
 
 /** Keeps the view of the failure domains in step with the members. */
 export function trackDomains(draft: Draft): void {
-  const names = new Set([...draft.members.values()].map(({ host }) => host.failureDomain));
+  const names = new Set(draft.index.byDomain.keys());
   names.delete(draft.self.failureDomain);
   names.forEach((name) => {
     if (!draft.domains.has(name)) {
@@ -27,22 +23,12 @@
   [...draft.domains.keys()].filter((name) => !names.has(name)).forEach((name) => draft.domains.delete(name));
 }
 
-/** Whether this host is one of the representatives of its failure domain. */
-export function isRepresentative(draft: Draft): boolean {
-  const ids = [draft.self.hostId, ...draft.neighbours().map(({ host }) => host.hostId)];
-  return rankByRendezvous(ids, REPRESENTATIVE_KEY).slice(0, REPRESENTATIVES).includes(draft.self.hostId);
-}
-
 const pickTarget = (draft: Draft, failureDomain: string): Member | undefined => {
-  const hosts = [...draft.members.values()].filter(
-    ({ host, state }) => host.failureDomain === failureDomain && state !== 'left',
-  );
-  const standing = hosts.filter(({ state }) => state !== 'dead');
-  const candidates = standing.length > 0 ? standing : hosts;
-  const ranked = rankByRendezvous(
-    candidates.map(({ host }) => host.hostId),
-    REPRESENTATIVE_KEY,
-  );
+  const standing = draft.index.ringOf(failureDomain, '').filter((hostId) => hostId !== '');
+  const fallen = (draft.index.byDomain.get(failureDomain) ?? [])
+    .filter(({ state }) => state === 'dead')
+    .map(({ host }) => host.hostId);
+  const ranked = standing.length > 0 ? standing : fallen;
   const pool = draft.random() < ANY_HOST_CHANCE ? ranked : ranked.slice(0, REPRESENTATIVES);
   const [chosen = ''] = draft.draw(pool, 1);
   return draft.members.get(chosen);
@@ -67,7 +53,7 @@
   const roundMs = Math.ceil(draft.domains.size / REMOTE_PROBES_PER_PERIOD) * PROBE_PERIOD_MS;
   [...draft.domains].forEach(([name, view]) => {
     const silentMs = draft.nowMs - Math.max(view.heardMs, sinceMs);
-    if (view.state === 'live' && silentMs > SILENT_ROUNDS * roundMs) {
+    if (view.state === 'live' && silentMs > DOMAIN_SILENCE_MS + roundMs) {
       draft.judgeDomain(name, 'suspect');
     } else if (view.state === 'suspect' && draft.nowMs - view.sinceMs >= DOMAIN_SUSPICION_MS) {
       draft.judgeDomain(name, 'lost');
@@ -77,7 +63,7 @@
 
 /** Work of a representative in one period. */
 export function representDomain(draft: Draft): void {
-  if (!isRepresentative(draft)) {
+  if (!draft.isRepresentative()) {
     draft.set({ representativeSinceMs: undefined });
     return;
   }
--- a/packages/decide/src/membership/_lib/probeNeighbours.ts
+++ b/packages/decide/src/membership/_lib/probeNeighbours.ts
@@ -3,7 +3,9 @@
   DIRECT_TIMEOUT_MS,
   INDIRECT_PROBES,
   PROBE_TIMEOUT_MS,
+  RANDOM_PROBE_PERIODS,
   RECONNECT_MS,
+  SUSPECT_PINGS,
 } from '../constants.js';
 import suspicionTimeoutMs from '../suspicionTimeoutMs.js';
 import type { Probe } from '../types.js';
@@ -59,17 +61,51 @@
     .forEach(({ host, incarnation }) => draft.apply({ hostId: host.hostId, state: 'dead', incarnation }));
 }
 
-/** Probes the next host of the round; a round visits every host once in random order. */
-export function probeNext(draft: Draft): void {
-  const ids = draft.neighbours().map(({ host }) => host.hostId);
-  const left = draft.state.round.filter((id) => ids.includes(id));
-  const [targetId, ...rest] = left.length > 0 ? left : draft.draw(ids, ids.length);
-  draft.set({ round: rest });
+const probe = (draft: Draft, targetId: string | undefined): void => {
   const target = targetId === undefined ? undefined : draft.members.get(targetId);
   if (target !== undefined) {
     const sequence = draft.send(target.host, { type: 'ping' });
     draft.probes.set(sequence, { targetId: target.host.hostId, sentMs: draft.nowMs, indirect: false });
   }
+};
+
+/** The next host along the ring that is not suspected. */
+const findSuccessor = (draft: Draft): string | undefined => {
+  const ring = draft.ring();
+  const place = ring.indexOf(draft.self.hostId);
+  return [...ring.slice(place + 1), ...ring.slice(0, place)].find(
+    (hostId) => draft.members.get(hostId)?.state !== 'suspect',
+  );
+};
+
+/**
+ * Probes the next host along the ring, so that each host is probed in every period, and now and then the next one of a
+ * round in random order, which finds a host whose predecessor is down as well.
+ */
+export function probeNext(draft: Draft): void {
+  const successor = findSuccessor(draft);
+  probe(draft, successor);
+  const { probePeriods } = draft.state;
+  draft.set({ probePeriods: probePeriods + 1 });
+  if (probePeriods % RANDOM_PROBE_PERIODS !== 0) {
+    return;
+  }
+  const isNeighbour = (hostId: string) => draft.members.get(hostId)?.host.failureDomain === draft.self.failureDomain;
+  const ids = draft.neighbours().map(({ host }) => host.hostId);
+  const left = draft.state.round.filter(isNeighbour);
+  const [targetId, ...rest] = left.length > 0 ? left : draft.draw(ids, ids.length);
+  draft.set({ round: rest });
+  if (targetId !== successor) {
+    probe(draft, targetId);
+  }
+}
+
+/** Tells suspects of their suspicion; the whole failure domain sends about `SUSPECT_PINGS` to each in a period. */
+export function pingSuspects(draft: Draft): void {
+  const neighbours = draft.neighbours();
+  neighbours
+    .filter(({ state }) => state === 'suspect' && draft.random() * neighbours.length < SUSPECT_PINGS)
+    .forEach(({ host }) => draft.send(host, { type: 'ping' }));
 }
 
 /** Pings one dead host now and then: after a healed cut it learns of the verdict and refutes it. */
@@ -78,7 +114,7 @@
     return;
   }
   draft.set({ nextReconnectMs: draft.nowMs + RECONNECT_MS });
-  const dead = [...draft.members.values()].filter(
+  const dead = draft.index.gone.filter(
     ({ host, state }) => state === 'dead' && host.failureDomain === draft.self.failureDomain,
   );
   draft.draw(dead, 1).forEach(({ host }) => draft.send(host, { type: 'ping' }));
--- a/packages/decide/src/membership/advanceMembership.ts
+++ b/packages/decide/src/membership/advanceMembership.ts
@@ -3,7 +3,7 @@
 import Draft from './_lib/Draft.js';
 import handleMessage from './_lib/handleMessage.js';
 import { representDomain, trackDomains } from './_lib/probeDomains.js';
-import { checkProbes, checkSuspects, probeNext, reconnect } from './_lib/probeNeighbours.js';
+import { checkProbes, checkSuspects, pingSuspects, probeNext, reconnect } from './_lib/probeNeighbours.js';
 import { FORGET_MS, PAUSE_THRESHOLD_MS, PROBE_PERIOD_MS, SYNC_HOSTS, SYNC_MS } from './constants.js';
 import type { ListedPeer, MembershipEvent, MembershipState, MembershipStep } from './types.js';
 
@@ -12,9 +12,9 @@
   draft.act({ type: 'woke', pausedMs });
   draft.probes.clear();
   draft.relays.clear();
-  [...draft.members.values()]
+  draft.index.reachable
     .filter(({ state }) => state === 'suspect')
-    .forEach((member) => draft.members.set(member.host.hostId, { ...member, sinceMs: draft.nowMs }));
+    .forEach((member) => draft.putMember({ ...member, sinceMs: draft.nowMs }));
   [...draft.domains].forEach(([name, view]) =>
     draft.domains.set(name, { ...view, heardMs: draft.nowMs, sinceMs: draft.nowMs }),
   );
@@ -22,18 +22,17 @@
 };
 
 const forget = (draft: Draft): void => {
-  [...draft.members.values()]
-    .filter(
-      ({ state, listed, sinceMs }) =>
-        (state === 'dead' || state === 'left') && !listed && draft.nowMs - sinceMs > FORGET_MS,
-    )
-    .forEach(({ host }) => draft.members.delete(host.hostId));
+  draft.index.gone
+    .filter(({ listed, sinceMs }) => !listed && draft.nowMs - sinceMs > FORGET_MS)
+    .forEach(({ host }) => draft.dropMember(host.hostId));
 };
 
 const syncWhenDue = (draft: Draft): void => {
   if (draft.nowMs >= draft.state.nextSyncMs) {
     const meanMs = SYNC_MS * Math.max(1, draft.members.size / SYNC_HOSTS);
-    draft.set({ nextSyncMs: draft.nowMs + meanMs * (0.5 + draft.random()) });
+    // The first interval has any length, so that hosts that started together do not exchange views together.
+    const share = draft.state.synced ? 0.5 + draft.random() : draft.random();
+    draft.set({ nextSyncMs: draft.nowMs + meanMs * share, synced: true });
     draft.draw(draft.live(), 1).forEach(({ host }) => draft.act({ type: 'sync', peer: host }));
   }
 };
@@ -46,10 +45,14 @@
   }
   checkProbes(draft);
   checkSuspects(draft);
+  if (draft.state.forwardDue) {
+    draft.forward();
+  }
   if (draft.nowMs >= draft.state.nextPeriodMs) {
     draft.set({ nextPeriodMs: draft.nowMs + PROBE_PERIOD_MS });
     trackDomains(draft);
     probeNext(draft);
+    pingSuspects(draft);
     representDomain(draft);
     reconnect(draft);
     forget(draft);
@@ -57,6 +60,23 @@
   }
 };
 
+const applyListed = (draft: Draft, { host, leaving }: ListedPeer): void => {
+  const known = draft.members.get(host.hostId);
+  const incarnation = known?.incarnation ?? 0;
+  draft.apply({ hostId: host.hostId, state: leaving ? 'leaving' : 'alive', incarnation, host }, 'list');
+  const member = draft.members.get(host.hostId);
+  // The list knows where a restarted host is before that host is heard.
+  const moved = member?.state === 'dead' || member?.state === 'left';
+  const place = moved ? host : member?.host;
+  if (
+    member !== undefined &&
+    place !== undefined &&
+    (!member.listed || member.listedLeaving !== leaving || place !== member.host)
+  ) {
+    draft.putMember({ ...member, listed: true, listedLeaving: leaving, host: place });
+  }
+};
+
 /** Takes the host list as seeds: it adds hosts and marks leaving ones; it never gives a verdict. */
 const applyList = (draft: Draft, peers: readonly ListedPeer[]): void => {
   draft.set({ listedLeaving: peers.some(({ host, leaving }) => leaving && host.hostId === draft.self.hostId) });
@@ -68,30 +88,22 @@
       const targetId = host.hostId;
       draft.probes.set(sequence, { targetId, sentMs: draft.nowMs, indirect: false, delisted: true });
     });
-  [...draft.members.values()].forEach((member) =>
-    draft.members.set(member.host.hostId, { ...member, listed: listedIds.has(member.host.hostId) }),
-  );
-  peers
-    .filter(({ host }) => host.hostId !== draft.self.hostId)
-    .forEach(({ host, leaving }) => {
-      const known = draft.members.get(host.hostId);
-      const incarnation = known?.incarnation ?? 0;
-      draft.apply({ hostId: host.hostId, state: leaving ? 'leaving' : 'alive', incarnation, host });
-      const member = draft.members.get(host.hostId);
-      if (member !== undefined) {
-        // The list knows where a restarted host is before that host is heard.
-        const moved = member.state === 'dead' || member.state === 'left';
-        draft.members.set(host.hostId, { ...member, listed: true, host: moved ? host : member.host });
-      }
-    });
+  [...draft.members.values()]
+    .filter(({ host, listed, listedLeaving }) => (listed || listedLeaving) && !listedIds.has(host.hostId))
+    .forEach((member) => draft.putMember({ ...member, listed: false, listedLeaving: false }));
+  peers.filter(({ host }) => host.hostId !== draft.self.hostId).forEach((peer) => applyListed(draft, peer));
   trackDomains(draft);
 };
 
 const announceEnd = (draft: Draft, phase: 'leaving' | 'left'): void => {
   const { self, state } = draft;
   draft.set({ phase });
-  draft.spread({ hostId: self.hostId, state: phase, incarnation: state.incarnation, host: self });
-  draft.tellNeighbours();
+  const update = { hostId: self.hostId, state: phase, incarnation: state.incarnation, host: self };
+  draft.spread(update);
+  draft.forward();
+  if (draft.isRepresentative()) {
+    draft.forwardRemote([update]);
+  }
 };
 
 /**
--- a/packages/decide/src/membership/constants.ts
+++ b/packages/decide/src/membership/constants.ts
@@ -17,7 +17,7 @@
 export const INDIRECT_PROBES = 3;
 
 /** Verdict timeout of a suspicion for up to ten hosts; it grows with the decimal logarithm of the group. */
-export const SUSPICION_BASE_MS = 3_000;
+export const SUSPICION_BASE_MS = 2_000;
 
 /** Hosts of a failure domain that probe the other failure domains. */
 export const REPRESENTATIVES = 2;
@@ -25,8 +25,11 @@
 /** Other failure domains that one representative probes in a period; bounds its traffic in large fleets. */
 export const REMOTE_PROBES_PER_PERIOD = 3;
 
-/** Silence of a failure domain before a suspicion, in rounds of remote probes. */
-export const SILENT_ROUNDS = 3;
+/**
+ * Silence of a failure domain before a suspicion, beyond one round of remote probes. Three whole rounds would take 12 s
+ * with eleven failure domains, and the loss must be known within 10 s.
+ */
+export const DOMAIN_SILENCE_MS = 2_000;
 
 /** Wait from the suspicion of a failure domain to its verdict. */
 export const DOMAIN_SUSPICION_MS = 3_000;
@@ -46,6 +49,25 @@
 /** Size from which the interval grows with the view, so that the bytes a second stay as they are. */
 export const SYNC_HOSTS = 50;
 
+/** Neighbours that a host sends an urgent change to when it learns it; three reach 19 of 20 hosts without repeats. */
+export const FORWARD_HOSTS = 3;
+
+/**
+ * Shortest time for which an update is repeated. The probes along the ring of the next two periods then reach every host
+ * of the failure domain; without it the answers to urgent messages used the repeats up within milliseconds, and single
+ * hosts learnt of a crash 24 s late.
+ */
+export const RUMOUR_MS = 3_000;
+
+/** Shortest time between two rounds of urgent changes; those that follow faster go together on the next tick. */
+export const FORWARD_MS = 100;
+
+/** Hosts that ping a suspect in each period, on average; one of them tells a live suspect even with lost messages. */
+export const SUSPECT_PINGS = 3;
+
+/** Periods between two probes in random order; the probes along the ring find a single crash within one period. */
+export const RANDOM_PROBE_PERIODS = 2;
+
 /** Updates in one message; keeps a message under its size limit. */
 export const MAX_UPDATES = 8;
 
--- a/packages/decide/src/membership/createMembershipState.ts
+++ b/packages/decide/src/membership/createMembershipState.ts
@@ -20,8 +20,9 @@
     domains: new Map(),
     probes: new Map(),
     relays: new Map(),
-    rumours: new Map([[self.hostId, { update: announcement, sends: 0 }]]),
+    rumours: new Map([[self.hostId, { update: announcement, sends: 0, sinceMs: nowMs }]]),
     round: [],
+    probePeriods: 0,
     remoteRound: [],
     representativeSinceMs: undefined,
     nextSequence: 1,
@@ -29,6 +30,10 @@
     nextPeriodMs: nowMs + PROBE_PERIOD_MS,
     nextReconnectMs: nowMs,
     nextSyncMs: nowMs + SYNC_MS,
+    synced: false,
+    forwardDue: false,
+    forwardedMs: -Infinity,
+    outbox: [],
     digest: '',
   };
 }
--- a/packages/decide/src/membership/types.ts
+++ b/packages/decide/src/membership/types.ts
@@ -9,6 +9,8 @@
   readonly sinceMs: number;
   /** Whether the last host list names the host. */
   readonly listed: boolean;
+  /** Whether the last host list calls the host leaving; then a refutation of a host that lags behind is not believed. */
+  readonly listedLeaving: boolean;
 }
 
 /** Another failure domain in the view of this host. */
@@ -40,6 +42,7 @@
 export interface Rumour {
   readonly update: MemberUpdate;
   readonly sends: number;
+  readonly sinceMs: number;
 }
 
 /** Membership as one host sees it. */
@@ -58,6 +61,7 @@
   readonly rumours: ReadonlyMap<string, Rumour>;
   /** Hosts that are still to be probed in this round. */
   readonly round: readonly string[];
+  readonly probePeriods: number;
   /** Other failure domains that are still to be probed in this round. */
   readonly remoteRound: readonly string[];
   /** Since when this host is a representative. */
@@ -67,6 +71,13 @@
   readonly nextPeriodMs: number;
   readonly nextReconnectMs: number;
   readonly nextSyncMs: number;
+  /** Whether the first exchange of whole views is done. */
+  readonly synced: boolean;
+  /** Changes that must be sent on at once are waiting for the next tick. */
+  readonly forwardDue: boolean;
+  readonly forwardedMs: number;
+  /** Members of the own failure domain whose changes the other failure domains have not been sent. */
+  readonly outbox: readonly string[];
   /** Hash of the versions of all documents in force; sent with each message. */
   readonly digest: string;
 }
--- a/packages/entry/src/peers/createControlPlane.ts
+++ b/packages/entry/src/peers/createControlPlane.ts
@@ -1,11 +1,14 @@
 import type { Subscription } from 'rxjs';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { HEADS_PREFIX, type Settings } from '@bergamotcove/config';
+import type { ListedPeer } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import {
   createConfigDistribution,
   createMembership,
+  HOST_LIST_TOPIC,
   type ConfigDistribution,
+  type HostListFollower,
   type Membership,
 } from '@bergamotcove/membership';
 import type { StoreClient } from '@bergamotcove/platform';
@@ -30,8 +33,7 @@
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
   readonly config: DocumentSink;
-  /** Entry hosts of the last host list. */
-  readonly listEntryHosts: () => readonly ListedHost[];
+  readonly hostList: HostListFollower;
   readonly random?: () => number;
 }
 
@@ -53,7 +55,6 @@
   abort(): void;
 }
 
-const LIST_CHECK_MS = 1_000;
 const HOSTS_CHECK_MS = 250;
 
 /** Datagrams are sent in a later turn of the event loop; a socket that closes at once drops the last ones. */
@@ -64,7 +65,7 @@
   readonly membership: Membership;
   readonly distribution: ConfigDistribution;
   readonly socket: DatagramSocket;
-  readonly news: Subscription;
+  readonly subscriptions: readonly Subscription[];
 }
 
 const toListed = (host: ListedHost) => ({
@@ -78,8 +79,11 @@
   leaving: host.state === 'leaving',
 });
 
+const toPeers = (hosts: readonly ListedHost[]): readonly ListedPeer[] =>
+  hosts.filter(({ role }) => role === 'entry').map(toListed);
+
 const createParts = async (options: ControlPlaneOptions, self: EntryHostView): Promise<Parts> => {
-  const { auth, clock, logger, config, store, peerClient } = options;
+  const { auth, clock, hostList, logger, config, store, peerClient } = options;
   const common = { clock, logger, peerClient, self, random: options.random ?? Math.random };
   let receive: (bytes: Uint8Array) => void = () => undefined;
   const socket = await createDatagramSocket({
@@ -107,9 +111,15 @@
       distribution.noteDigest(item.from, item.digest);
     } else if (item.type === 'woke') {
       distribution.noteWoke();
+    } else {
+      hostList.hear(item.topic, item.payload);
     }
   });
-  return { membership, distribution, socket, news };
+  const announced = hostList.announcements.subscribe((payload) =>
+    membership.broadcastSummary(HOST_LIST_TOPIC, payload),
+  );
+  const list = hostList.changes.subscribe((hosts) => membership.setListed(toPeers(hosts)));
+  return { membership, distribution, socket, subscriptions: [news, list, announced] };
 };
 
 /** Control plane of one host. */
@@ -120,6 +130,8 @@
 
   private liveKey = '';
 
+  private seenHosts: readonly EntryHostView[] | undefined;
+
   private self: EntryHostView;
 
   constructor(private readonly options: ControlPlaneOptions) {
@@ -153,11 +165,12 @@
     this.self = { ...this.self, peersPort };
     this.parts = await createParts(this.options, this.self);
     const { membership, distribution } = this.parts;
+    const { hostList } = this.options;
     membership.register(server);
     distribution.register(server);
     membership.start();
-    const listCheckMs = Math.min(LIST_CHECK_MS, this.options.settings.hostList.pollMs);
-    this.repeat('list', listCheckMs, () => membership.setListed(this.options.listEntryHosts().map(toListed)));
+    hostList.register(server);
+    membership.setListed(toPeers(hostList.hosts()));
     this.repeat('hosts', HOSTS_CHECK_MS, () => this.passHosts());
     await distribution.start();
   }
@@ -168,7 +181,7 @@
 
   close(): void {
     this.timers.forEach((timer) => timer.close());
-    this.parts?.news.unsubscribe();
+    this.parts?.subscriptions.forEach((subscription) => subscription.unsubscribe());
     this.parts?.distribution.close();
     this.parts?.membership.close();
     this.options.clock.schedule(LINGER_MS, () => this.parts?.socket.close());
@@ -182,6 +195,10 @@
   /** Tells the distribution when the live hosts changed. */
   private passHosts(): void {
     const hosts = this.liveHosts();
+    if (hosts === this.seenHosts) {
+      return;
+    }
+    this.seenHosts = hosts;
     const key = hosts
       .map(({ hostId, address, peersPort }) => `${hostId}=${address}:${peersPort}`)
       .sort()
@@ -189,6 +206,7 @@
     if (key !== this.liveKey) {
       this.liveKey = key;
       this.parts?.distribution.setHosts(hosts);
+      this.options.hostList.setHosts(hosts);
     }
   }
 
@@ -207,7 +225,7 @@
  * @param options - parts that it uses
  * @returns the control plane; it knows only this host before `start`
  * @example
- * const control = createControlPlane({ ...base, config: holder, listEntryHosts });
+ * const control = createControlPlane({ ...base, config: holder, hostList });
  */
 export default function createControlPlane(options: ControlPlaneOptions): ControlPlane {
   return new HostControlPlane(options);
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '@bergamotcove/clock';
+import type { Clock } from '@bergamotcove/clock';
 import {
   createPoolBook,
   type LoadReport,
@@ -6,17 +6,13 @@
   type ServerDescription,
   type ServerEventInput,
 } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
-import type { HostList } from '@bergamotcove/platform';
+import type { HostListFollower } from '@bergamotcove/membership';
 import type { ListedHost } from '@bergamotcove/protocol';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly pollMs: number;
-  /** Reads the list; undefined when it still has the given tag. */
-  readonly fetchList: (etag: string | undefined) => Promise<HostList | undefined>;
+  readonly hostList: Pick<HostListFollower, 'hosts' | 'changes'>;
 }
 
 /** Backend servers as this host sees them. */
@@ -41,8 +37,6 @@
   noteSize(pool: string, tokens: number): void;
   /** The server itself said that it is leaving. */
   noteLeaving(serverId: string): void;
-  /** Resolves after the first list arrived. */
-  start(): Promise<void>;
   close(): void;
 }
 
@@ -59,36 +53,20 @@
 /**
  * Keeps the list of backend servers with what this host knows about each.
  *
- * @param options - clock, poll interval and source of the list
- * @returns the directory; close it to stop polling
+ * @param options - clock and the host list
+ * @returns the directory; close it to stop following the list
  */
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const book = createPoolBook();
   const leaving = new Set<string>();
-  let hosts: readonly ListedHost[] = [];
-  let etag: string | undefined;
-  let timer: Timer | undefined;
-  let closed = false;
-
-  const poll = async (): Promise<void> => {
-    try {
-      const list = await options.fetchList(etag);
-      if (list !== undefined) {
-        ({ hosts, etag } = list);
-        book.retain(new Set(hosts.map((host) => host.id)));
-      }
-    } catch (cause) {
-      options.logger.event('hostListUnavailable', { error: String(cause) });
-    }
-    if (!closed) {
-      timer = options.clock.schedule(options.pollMs, () => {
-        poll().catch(() => undefined);
-      });
-    }
-  };
+  const { hostList } = options;
+  const subscription = hostList.changes.subscribe((hosts) => book.retain(new Set(hosts.map((host) => host.id))));
 
   const listServers = (): readonly ServerDescription[] =>
-    hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
+    hostList
+      .hosts()
+      .filter((host) => host.role === 'server')
+      .map((host) => toServer(host, leaving.has(host.id)));
 
   const listPool = (pool: string): readonly ServerDescription[] =>
     listServers().filter((server) => server.pool === pool);
@@ -97,7 +75,7 @@
     listPool,
     viewPool: (pool) => book.view(pool, listPool(pool), options.clock.monotonicMs()),
     listServers,
-    listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
+    listEntryHosts: () => hostList.hosts().filter((host) => host.role === 'entry'),
     outstanding: (serverId) => book.stats(serverId).outstanding,
     note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
     noteReport: (serverId, report, sharing) =>
@@ -107,10 +85,6 @@
     noteLeaving: (serverId) => {
       leaving.add(serverId);
     },
-    start: poll,
-    close: () => {
-      closed = true;
-      timer?.close();
-    },
+    close: () => subscription.unsubscribe(),
   };
 }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -2,7 +2,8 @@
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
-import type { HostStatus } from '@bergamotcove/protocol';
+import { createHostListFollower, type HostListFollower } from '@bergamotcove/membership';
+import type { HostStatus, PeerAddress } from '@bergamotcove/protocol';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
 import {
   createHttpClient,
@@ -66,6 +67,7 @@
   readonly auth: PeerAuth;
   readonly peerClient: PeerClient;
   readonly store: StoreClient;
+  readonly hostList: HostListFollower;
   readonly directory: ServerDirectory;
   readonly config: ConfigHolder & DocumentSink;
   readonly control: ControlPlane;
@@ -75,9 +77,27 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
 
+const createHostList = (
+  { settings, clock, logger, http, peerClient }: Pick<Base, 'settings' | 'clock' | 'logger' | 'http' | 'peerClient'>,
+  self: PeerAddress,
+): HostListFollower => {
+  const { url, pollMs } = settings.hostList;
+  const { timeoutMs } = settings.store;
+  return createHostListFollower({
+    clock,
+    logger,
+    self,
+    peerClient,
+    random: Math.random,
+    readMs: pollMs,
+    readList: (etag) => fetchHostList(http, { url, timeoutMs, ...(etag === undefined ? {} : { etag }) }),
+  });
+};
+
 const createBase = (settings: Settings, options: EntryHostOptions): Base => {
   const clock = options.clock ?? createSystemClock();
-  const { id: hostId, failureDomain } = settings.host;
+  const { id: hostId, ...place } = settings.host;
+  const { failureDomain } = place;
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
   const http = createHttpClient();
@@ -87,26 +107,18 @@
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
   });
   const store = createGuardedStore(client, { clock, random: Math.random });
-  const { url, pollMs } = settings.hostList;
-  const fetchList = (etag?: string) =>
-    fetchHostList(http, { url, timeoutMs: settings.store.timeoutMs, ...(etag === undefined ? {} : { etag }) });
-  const directory = createServerDirectory({ clock, logger, pollMs, fetchList });
   const config = createConfigHolder({ logger });
   const peerClient = createPeerClient(http, { auth });
-  const { listEntryHosts } = directory;
+  const common = { settings, clock, logger, http, auth, peerClient, store, config };
+  const self = { hostId, ...place, peersPort: settings.peers.port };
+  const hostList = createHostList(common, self);
   return {
-    settings,
-    clock,
-    logger,
+    ...common,
     metrics,
-    http,
-    auth,
-    peerClient,
-    store,
     tracer: createTracer({ hostId, sampleRatio: settings.trace.sampleRatio }),
-    directory,
-    config,
-    control: createControlPlane({ settings, clock, logger, auth, peerClient, store, config, listEntryHosts }),
+    hostList,
+    directory: createServerDirectory({ clock, hostList }),
+    control: createControlPlane({ ...common, hostList }),
   };
 };
 
@@ -244,6 +256,7 @@
 /** Closes every part, in order or at once. */
 const createStop = (base: Base, { requests, claims, poison, closeRequests, callers, peers, planner }: StopParts) => {
   const close = async (): Promise<void> => {
+    base.hostList.close();
     base.directory.close();
     closeRequests();
     poison.close();
@@ -291,7 +304,7 @@
       drain().catch(() => undefined);
     },
   });
-  await base.directory.start();
+  await base.hostList.start();
   const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
   await base.control.start(peers.port, peerServer);
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -31,6 +31,11 @@
     text: 'An older version, or other content of the same version, is offered and not followed.',
   },
   hostListUnavailable: { id: 5001, level: 'warn', text: 'The host list does not answer; the last list stays in use.' },
+  hostListWentBack: {
+    id: 5002,
+    level: 'warn',
+    text: 'The host list shows only an older revision for a while and is followed.',
+  },
   peerCallRefused: { id: 6001, level: 'warn', text: 'A peer call had no valid signature; compare the peer keys.' },
   peerKeysChanged: { id: 6002, level: 'info', text: 'The peer keys were read again and are in use.' },
   settingsUnreadable: { id: 6003, level: 'error', text: 'The settings could not be read again; the old ones stay.' },
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -6,6 +6,7 @@
   listLiveMembers,
   TICK_MS,
   type ListedPeer,
+  type Member,
   type MembershipAction,
   type MembershipEvent,
   type MembershipState,
@@ -42,7 +43,7 @@
 /** Live entry hosts as this host sees them. */
 export interface Membership {
   state(): MembershipState;
-  /** Live hosts, this one included. */
+  /** Live hosts, this one included; the same array until a member changes. */
   liveHosts(): readonly PeerAddress[];
   /** What peers say beside membership, and the end of a pause of this host. */
   readonly news: Observable<PeerNews>;
@@ -79,6 +80,10 @@
 
   private current: MembershipState;
 
+  private liveMembers: readonly Member[] | undefined;
+
+  private live: readonly PeerAddress[] = [];
+
   private timer: Timer | undefined;
 
   private closed = false;
@@ -94,7 +99,12 @@
   }
 
   liveHosts(): readonly PeerAddress[] {
-    return [this.options.self, ...listLiveMembers(this.current).map(({ host }) => host)];
+    const members = listLiveMembers(this.current);
+    if (members !== this.liveMembers) {
+      this.liveMembers = members;
+      this.live = [this.options.self, ...members.map(({ host }) => host)];
+    }
+    return this.live;
   }
 
   receive(bytes: Uint8Array): void {
