--- /dev/null
+++ b/packages/entry/src/servers/createServerDirectory.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Subject } from 'rxjs';
+import { createManualClock } from '@bergamotcove/clock';
+import type { ListedHost } from '@bergamotcove/protocol';
+import createServerDirectory, { LEAVING_MEMORY_MS } from './createServerDirectory.js';
+
+const SERVER: ListedHost = {
+  id: 'e1',
+  role: 'server',
+  address: '10.0.0.7',
+  port: 8000,
+  pool: 'engines',
+  failureDomain: 'd1',
+  region: 'r1',
+  state: 'live',
+};
+
+const startDirectory = (listed: readonly ListedHost[]) => {
+  const clock = createManualClock();
+  const changes = new Subject<readonly ListedHost[]>();
+  let hosts = listed;
+  const directory = createServerDirectory({ clock, hostList: { hosts: () => hosts, changes } });
+  const change = (next: readonly ListedHost[]): void => {
+    hosts = next;
+    changes.next(next);
+  };
+  const states = (): readonly string[] => directory.listPool('engines').map(({ state }) => state);
+  return { clock, directory, change, states };
+};
+
+test('a server that says it is leaving gets no work although the lagging list shows it as live', () => {
+  const { directory, change, states } = startDirectory([SERVER]);
+  assert.deepEqual(states(), ['live']);
+  directory.noteLeaving('e1');
+  change([{ ...SERVER }]);
+  assert.deepEqual(states(), ['leaving']);
+  directory.close();
+});
+
+test('a server that was restarted under its old name gets work again, so that a restart does not lose it for good', () => {
+  const { clock, directory, states } = startDirectory([SERVER]);
+  directory.noteLeaving('e1');
+  clock.advance(LEAVING_MEMORY_MS);
+  assert.deepEqual(states(), ['live']);
+  directory.close();
+});
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -6,18 +6,14 @@
   type ServerDescription,
   type ServerEventInput,
 } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
-import type { HostList } from '@bergamotcove/platform';
+import type { HostListFollower } from '@bergamotcove/membership';
 import type { ListedHost } from '@bergamotcove/protocol';
 import createServerIndex from './createServerIndex.js';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly pollMs: number;
-  /** Reads the list; undefined when it still has the given tag. */
-  readonly fetchList: (etag: string | undefined) => Promise<HostList | undefined>;
+  readonly hostList: Pick<HostListFollower, 'hosts' | 'changes'>;
 }
 
 /** Backend servers as this host sees them. */
@@ -44,60 +40,39 @@
   noteSize(pool: string, tokens: number): void;
   /** The server itself said that it is leaving. */
   noteLeaving(serverId: string): void;
-  /** Resolves after the first list arrived. */
-  start(): Promise<void>;
   close(): void;
 }
 
-/** Reads the host list again and again. */
-const createListPoll = (options: ServerDirectoryOptions, onList: (hosts: readonly ListedHost[]) => void) => {
-  const { clock, logger, pollMs, fetchList } = options;
-  let etag: string | undefined;
-  let timer: Timer | undefined;
-  let closed = false;
-  const poll = async (): Promise<void> => {
-    try {
-      const list = await fetchList(etag);
-      if (list !== undefined) {
-        etag = list.etag;
-        onList(list.hosts);
-      }
-    } catch (cause) {
-      logger.event('hostListUnavailable', { error: String(cause) });
-    }
-    if (!closed) {
-      timer = clock.schedule(pollMs, () => {
-        poll().catch(() => undefined);
-      });
-    }
-  };
-  const close = (): void => {
-    closed = true;
-    timer?.close();
-  };
-  return { start: poll, close };
-};
+/**
+ * Time for which a server's own word that it is leaving counts against a host list that shows it as live. The list lags,
+ * but a server that was restarted under its old name must get work again; one that is still leaving says so again.
+ */
+export const LEAVING_MEMORY_MS = 60_000;
 
 /**
  * Keeps the list of backend servers with what this host knows about each.
  *
- * @param options - clock, poll interval and source of the list
- * @returns the directory; close it to stop polling
+ * @param options - clock and the host list
+ * @returns the directory; close it to stop following the list
  */
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
+  const { clock, hostList } = options;
   const book = createPoolBook();
-  const leaving = new Set<string>();
+  const leaving = new Map<string, Timer>();
   const poolSentMs = new Map<string, number>();
-  let hosts: readonly ListedHost[] = [];
-  let index = createServerIndex(hosts, leaving);
+  const arrange = () => createServerIndex(hostList.hosts(), new Set(leaving.keys()));
+  let index = arrange();
 
-  const listPoll = createListPoll(options, (listed) => {
-    hosts = listed;
-    index = createServerIndex(hosts, leaving);
+  const subscription = hostList.changes.subscribe((hosts) => {
+    index = arrange();
     book.retain(new Set(hosts.map((host) => host.id)));
   });
+  const forgetLeaving = (serverId: string): void => {
+    leaving.delete(serverId);
+    index = arrange();
+  };
   const note = (serverId: string, event: ServerEventInput): void => {
-    const nowMs = options.clock.monotonicMs();
+    const nowMs = clock.monotonicMs();
     const pool = event.type === 'sent' ? index.findPool(serverId) : undefined;
     if (pool !== undefined) {
       poolSentMs.set(pool, nowMs);
@@ -107,23 +82,26 @@
 
   return {
     listPool: (pool) => index.listPool(pool),
-    viewPool: (pool) => book.view(pool, index.listPool(pool), options.clock.monotonicMs()),
+    viewPool: (pool) => book.view(pool, index.listPool(pool), clock.monotonicMs()),
     listServers: () => index.servers,
     listEntryHosts: () => index.entryHosts,
     lastSentMs: (serverId) => poolSentMs.get(index.findPool(serverId) ?? ''),
     outstanding: (serverId) => book.stats(serverId).outstanding,
     note,
     noteReport: (serverId, report, sharing) =>
-      book.noteReport(serverId, report, { hosts: sharing, nowMs: options.clock.monotonicMs() }),
-    msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), options.clock.monotonicMs()),
+      book.noteReport(serverId, report, { hosts: sharing, nowMs: clock.monotonicMs() }),
+    msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
       if (!leaving.has(serverId)) {
-        leaving.add(serverId);
-        index = createServerIndex(hosts, leaving);
+        const timer = clock.schedule(LEAVING_MEMORY_MS, () => forgetLeaving(serverId));
+        leaving.set(serverId, timer);
+        index = arrange();
       }
     },
-    start: listPoll.start,
-    close: listPoll.close,
+    close: () => {
+      subscription.unsubscribe();
+      leaving.forEach((timer) => timer.close());
+    },
   };
 }
