Bound the servers of a collector and measure the load reports over loopback

Cause: plain rendezvous hashing gave the busiest of 37 collectors 5.9 KB/s beside a mean of 4.2 KB/s; with 3 hosts the polls alone took 4.2 KB/s. Change: a collector has at most 1.25 times the mean, representatives share the forwarding evenly, and small failure domains poll at most 5 times a second and host as long as the interval stays under 1 s.

--- a/packages/bench/src/control/runControlBench.ts
+++ b/packages/bench/src/control/runControlBench.ts
@@ -2,6 +2,7 @@
 import measureDetection from './measureDetection.js';
 import measureDigests from './measureDigests.js';
 import measureInForce from './measureInForce.js';
+import measureLoadReports from './measureLoadReports.js';
 import measureProcess from './measureProcess.js';
 import measureRestart from './measureRestart.js';
 import measureSchedules from './measureSchedules.js';
@@ -12,6 +13,7 @@
   'in-force': measureInForce,
   cost: measureCost,
   'target-cost': measureTargetCost,
+  'load-reports': measureLoadReports,
   process: measureProcess,
   detection: measureDetection,
   restart: measureRestart,
--- a/packages/decide/src/load/constants.ts
+++ b/packages/decide/src/load/constants.ts
@@ -7,6 +7,15 @@
 /** Longest interval of load reports that comes from the number of hosts. */
 export const MAX_LOAD_INTERVAL_MS = 5_000;
 
+/** Polls of one host for its failure domain, as long as the interval stays under the next constant; 2.6 KB/s. */
+export const POLLS_PER_SECOND = 5;
+
+/** Longest interval that the limit above leads to. */
+export const MAX_POLL_INTERVAL_MS = 1_000;
+
+/** Servers of one collector at most, as a multiple of the mean. */
+export const COLLECTOR_LOAD_FACTOR = 1.25;
+
 /** Load polls of one host; bounds what a host does that is alone or whose peers are silent. */
 export const MAX_POLLS_PER_SECOND = 20;
 
--- a/packages/decide/src/load/createLoadSchedule.ts
+++ b/packages/decide/src/load/createLoadSchedule.ts
@@ -1,7 +1,7 @@
-import rankByRendezvous from '../membership/rankByRendezvous.js';
 import type { Random } from '../routing/types.js';
-import { MAX_POLLS_PER_SECOND, MIN_LOAD_INTERVAL_MS, SILENT_INTERVALS } from './constants.js';
+import { COLLECTOR_LOAD_FACTOR, MAX_POLLS_PER_SECOND, MIN_LOAD_INTERVAL_MS, SILENT_INTERVALS } from './constants.js';
 import loadIntervalMs from './loadIntervalMs.js';
+import spreadByRendezvous from './spreadByRendezvous.js';
 import type { LoadAssignment, LoadHost, LoadServer, LoadStep, LoadView } from './types.js';
 
 /** Owner of the tasks and times of one host's load reports. */
@@ -31,13 +31,16 @@
 const idsOf = (hosts: readonly LoadHost[], failureDomain: string): readonly string[] =>
   hosts.filter((host) => host.failureDomain === failureDomain).map((host) => host.hostId);
 
-const firstRanked = (hostIds: readonly string[], key: string): string => rankByRendezvous(hostIds, key)[0] ?? '';
-
-/** One host of each other failure domain of the region, so that forwarding is spread over the hosts. */
+/** One host of each other failure domain of the region; the hosts of a failure domain share the forwarding evenly. */
 const findRepresentatives = ({ self, hosts }: LoadView): readonly string[] => {
+  const neighbours = idsOf(hosts, self.failureDomain);
   const region = hosts.filter((host) => host.region === self.region && host.failureDomain !== self.failureDomain);
   const domains = [...new Set(region.map((host) => host.failureDomain))].sort();
-  return domains.map((domain) => firstRanked(idsOf(region, domain), `load-exchange ${self.hostId}`));
+  return domains.flatMap((domain) => {
+    const others = idsOf(region, domain);
+    const limit = Math.ceil(neighbours.length / others.length);
+    return spreadByRendezvous(neighbours, others, { task: 'load-exchange', limit }).get(self.hostId) ?? [];
+  });
 };
 
 class Schedule implements LoadSchedule {
@@ -47,8 +50,12 @@
 
   private servers: readonly LoadServer[] = [];
 
-  /** Collector of each server of the own failure domain, for the hosts of `hostsKey`. */
-  private readonly collectors = new Map<string, string>();
+  /** Collector of each server of the own failure domain, and the hosts and servers that it follows from. */
+  private collectors: ReadonlyMap<string, string> = new Map();
+
+  private collectorsKey = '';
+
+  private representatives: readonly string[] = [];
 
   private readonly heardMs = new Map<string, number>();
 
@@ -77,7 +84,7 @@
       return;
     }
     if (hostsKey !== this.hostsKey) {
-      this.collectors.clear();
+      this.representatives = findRepresentatives(view);
     }
     this.hostsKey = hostsKey;
     this.servers = view.servers;
@@ -106,22 +113,32 @@
     const own = inReach.filter(
       ({ failureDomain }) => failureDomain === self.failureDomain || !staffed.has(failureDomain),
     );
+    this.chooseCollectors(
+      own.map((server) => server.serverId),
+      neighbours,
+    );
     const collects = new Set(
-      own.filter(({ serverId }) => this.findCollector(serverId, neighbours) === self.hostId).map((one) => one.serverId),
+      [...this.collectors].filter(([, hostId]) => hostId === self.hostId).map(([serverId]) => serverId),
     );
+    // Servers of a lost failure domain do not slow down the reports of this one.
+    const paced = hosts.length > 1 ? own.filter((server) => server.failureDomain === self.failureDomain) : own;
     return {
-      ...loadIntervalMs(neighbours.length, own.length),
+      ...loadIntervalMs(neighbours.length, paced.length),
       collects,
       expects: new Set(inReach.map((server) => server.serverId).filter((serverId) => !collects.has(serverId))),
-      representatives: findRepresentatives(view),
+      representatives: this.representatives,
     };
   }
 
-  private findCollector(serverId: string, neighbours: readonly string[]): string {
-    const known = this.collectors.get(serverId);
-    const collector = known ?? firstRanked(neighbours, `load ${serverId}`);
-    this.collectors.set(serverId, collector);
-    return collector;
+  /** Ranks anew only when hosts or servers changed; the host list is read every second and rarely does. */
+  private chooseCollectors(serverIds: readonly string[], neighbours: readonly string[]): void {
+    const key = `${neighbours.join(' ')}\n${serverIds.join(' ')}`;
+    if (key !== this.collectorsKey) {
+      const mean = serverIds.length / Math.max(1, neighbours.length);
+      const limit = Math.ceil(mean * COLLECTOR_LOAD_FACTOR);
+      this.collectors = spreadByRendezvous(serverIds, neighbours, { task: 'load', limit });
+      this.collectorsKey = key;
+    }
   }
 
   private replace(next: LoadAssignment, nowMs: number): void {
@@ -176,8 +193,8 @@
 }
 
 /**
- * Creates the owner of a host's tasks for load reports. Each server has one collector, the host that ranks first by
- * rendezvous hashing among the live entry hosts of its failure domain. Servers of a failure domain without live entry
+ * Creates the owner of a host's tasks for load reports. Each server has one collector, chosen by rendezvous hashing with
+ * a bound among the live entry hosts of its failure domain. Servers of a failure domain without live entry
  * hosts are collected by each other failure domain of the region for itself.
  *
  * @param random - random source, for the phase of the rounds
--- a/packages/decide/src/load/loadIntervalMs.ts
+++ b/packages/decide/src/load/loadIntervalMs.ts
@@ -1,8 +1,10 @@
 import {
   LOAD_INTERVAL_PER_HOST_MS,
   MAX_LOAD_INTERVAL_MS,
+  MAX_POLL_INTERVAL_MS,
   MAX_POLLS_PER_SECOND,
   MIN_LOAD_INTERVAL_MS,
+  POLLS_PER_SECOND,
 } from './constants.js';
 
 const MS_PER_SECOND = 1_000;
@@ -26,8 +28,9 @@
  * loadIntervalMs(37, 155); // { roundMs: 3700, intervalMs: 3700 }
  */
 export default function loadIntervalMs(hosts: number, servers: number): LoadIntervals {
-  const bySummaries = Math.max(MIN_LOAD_INTERVAL_MS, hosts * LOAD_INTERVAL_PER_HOST_MS);
-  const byPolls = (servers * MS_PER_SECOND) / Math.max(1, hosts) / MAX_POLLS_PER_SECOND;
-  const roundMs = Math.min(MAX_LOAD_INTERVAL_MS, bySummaries);
-  return { roundMs, intervalMs: Math.max(roundMs, byPolls) };
+  const serversOfHost = servers / Math.max(1, hosts);
+  const bySummaries = Math.min(MAX_LOAD_INTERVAL_MS, Math.max(MIN_LOAD_INTERVAL_MS, hosts * LOAD_INTERVAL_PER_HOST_MS));
+  const byPolls = Math.min(MAX_POLL_INTERVAL_MS, (serversOfHost * MS_PER_SECOND) / POLLS_PER_SECOND);
+  const roundMs = Math.max(bySummaries, byPolls);
+  return { roundMs, intervalMs: Math.max(roundMs, (serversOfHost * MS_PER_SECOND) / MAX_POLLS_PER_SECOND) };
 }
