--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -10,9 +10,42 @@
   draining: z.boolean(),
   inFlight: z.number(),
   entryHosts: z.array(z.string()),
-  services: z.array(z.looseObject({ service: z.string(), version: z.number() })),
+  services: z.array(
+    z.looseObject({
+      service: z.string(),
+      version: z.number(),
+      stages: z.array(z.looseObject({ stage: z.string(), pool: z.string() })).optional(),
+    }),
+  ),
+  pools: z
+    .array(
+      z.looseObject({
+        pool: z.string(),
+        servers: z.number(),
+        running: z.number(),
+        slots: z.number(),
+        waiting: z.number(),
+      }),
+    )
+    .optional(),
+  configFindings: z
+    .array(
+      z.looseObject({
+        type: z.string(),
+        service: z.string(),
+        inForce: z.number(),
+        offered: z.number(),
+        source: z.string(),
+      }),
+    )
+    .optional(),
+  lostDomains: z.array(z.string()).optional(),
 });
 
+export const poisonListSchema = z.array(z.looseObject({ fingerprint: z.string(), remainingMs: z.number() }));
+
+export const releaseAnswerSchema = z.looseObject({ released: z.boolean() });
+
 export const drainAnswerSchema = z.looseObject({ draining: z.boolean() });
 
 export const spanSchema = z.looseObject({
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -39,6 +39,8 @@
   readonly gate: AdmissionGate;
   readonly dispatch: Dispatcher;
   readonly estimates: Estimates;
+  /** Attempts of this host that wait for a server of the pool. */
+  readonly waitingFor: (pool: string) => number;
   close(): void;
 }
 
@@ -84,6 +86,7 @@
     gate,
     dispatch,
     estimates,
+    waitingFor: (pool) => queues.waitingFor(pool),
     close: () => {
       reports.close();
       queues.close();
