Take a peer port that is free for TCP and UDP, and count a silent call as evidence

A once call to a server behind a cut ended as not-sent after 300 ms and left no trace for the next choice. Change: the matrix picks a port that is free for both; a connection that was silent for 100 ms counts as silence of the failure domain.

--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -14,6 +14,7 @@
 import type { Variant } from '../types.js';
 import createLink, { type Link } from './createLink.js';
 import createMatrixDocument from './createMatrixDocument.js';
+import findPeerPort from './findPeerPort.js';
 import startHost, { type HostProcess } from './startHost.js';
 import startServers, { type WorldServer } from './startServers.js';
 
@@ -145,7 +146,7 @@
   const settings = {
     host: { id: place.hostId, address: ADDRESS, failureDomain: place.failureDomain, region: REGION },
     callers: { port: 0 },
-    peers: { port: 0, keys: PEER_KEYS },
+    peers: { port: await findPeerPort(), keys: PEER_KEYS },
     store: { urls: [`http://${ADDRESS}:${store.port}`], timeoutMs: STORE_TIMEOUT_MS },
     hostList: { url: `http://${ADDRESS}:${hostList.port}/v1/hosts`, pollMs: HOST_LIST_POLL_MS },
     drain: options.drain,
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -62,6 +62,8 @@
 /** A request is given up in a queue only without this part of the usual time; estimates may be too high. */
 const SURE_TIME_SHARE = 0.25;
 const DEFAULT_HEDGE_QUANTILE = 0.95;
+/** A connection that was not refused within this time is silent; within a region a refusal takes a few ms. */
+const SILENT_CONNECTION_MS = 100;
 /** Headers of a message, and one streamed token with its event frame. */
 const BYTES_PER_MESSAGE = 500;
 const BYTES_PER_TOKEN = 100;
@@ -280,8 +282,7 @@
     if (verdict === 'none' || this.hedged) {
       return;
     }
-    const { clock, domains } = this.options;
-    domains.noteSilent(server.failureDomain, { sinceMs: this.heardAtMs, nowMs: clock.monotonicMs() });
+    this.noteSilent(server);
     const other = this.choose([...this.action.avoidServers, server.serverId]);
     const elsewhere = other?.type === 'send' && other.server.serverId !== server.serverId;
     const budgets = this.options.findBudgets(this.context.plan.service);
@@ -330,10 +331,21 @@
     this.options.domains.noteHeard(server.failureDomain, this.heardAtMs);
   }
 
+  private noteSilent(server: ServerView): void {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - this.heardAtMs >= SILENT_CONNECTION_MS) {
+      this.options.domains.noteSilent(server.failureDomain, { sinceMs: this.heardAtMs, nowMs });
+    }
+  }
+
   private fail(server: ServerView, event: Extract<ServerEvent, { type: 'failure' }>): void {
     const { directory, findBudgets } = this.options;
     const { failure } = event;
     const leaving = failure.type === 'refused' && failure.leaving;
+    // A call that must not be repeated is not sent to a server that does not agree to it in time.
+    if (failure.type === 'not-sent') {
+      this.noteSilent(server);
+    }
     if (leaving) {
       directory.noteLeaving(server.serverId);
     } else if (failure.type !== 'failed' && this.remainingMs() > 0) {
