--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -91,6 +91,7 @@
       place,
       book: this.book,
       hostEstimates: this.hostEstimates,
+      prefixes: this.prefixes,
       onTokens: (attempt) => this.handleTokens(attempt),
       onSlow: (attempt, verdict) => this.handleSlow(attempt, verdict),
       onAnswered: (attempt) => this.handleAnswer(attempt),
