--- a/packages/bench/src/scenarios/decision-time.scenario.ts
+++ b/packages/bench/src/scenarios/decision-time.scenario.ts
@@ -1,5 +1,6 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import { NEVER } from 'rxjs';
 import { createSystemClock } from '@bergamotcove/clock';
 import {
   chooseServer,
@@ -10,7 +11,7 @@
   type ServerDescription,
 } from '@bergamotcove/decide';
 import { createServerDirectory, type ServerDirectory } from '@bergamotcove/entry';
-import type { ListedHost } from '@bergamotcove/platform';
+import type { ListedHost } from '@bergamotcove/protocol';
 import createRandomSource from '../load/_lib/createRandomSource.js';
 import type { BenchRun } from '../load/benchTypes.js';
 import { formatRows } from '../load/formatLoadTable.js';
@@ -18,7 +19,6 @@
 const POOL_SIZES = [8, 32, 160];
 /** Host list of the target size. */
 const FLEET = { entryHosts: 410, servers: 1_700, pools: 34 };
-const LIST_POLL_MS = 1_000;
 const WARM_UP_CHOICES = 5_000;
 const CHOICES = 20_000;
 const MEMORY_ITEMS = 10_000;
@@ -103,21 +103,14 @@
   return [...entryHosts, ...servers];
 };
 
-const startDirectory = async (): Promise<ServerDirectory> => {
+const startDirectory = (): ServerDirectory => {
   const hosts = createHostList();
-  const directory = createServerDirectory({
-    clock: createSystemClock(),
-    logger: { event: () => undefined },
-    pollMs: LIST_POLL_MS,
-    fetchList: () => Promise.resolve({ revision: 1, hosts }),
-  });
-  await directory.start();
-  return directory;
+  return createServerDirectory({ clock: createSystemClock(), hostList: { hosts: () => hosts, changes: NEVER } });
 };
 
 /** Time of one choice that begins with the whole host list, for pools in turn. */
-const measureFleetChoice = async (seed: number) => {
-  const directory = await startDirectory();
+const measureFleetChoice = (seed: number) => {
+  const directory = startDirectory();
   const random = createRandomSource(seed, 1);
   const request = { ...REQUEST, failureDomain: 'domain-0', region: 'region-0' };
   const times = timeChoices((index) => {
@@ -148,7 +141,7 @@
 
 /** Time of a choice at 8, 32 and 160 candidate servers and with a fleet's host list, and memory for each server and organisation. */
 const runDecisionTime: BenchRun = async ({ seeds }) => {
-  const fleet = await measureFleetChoice(seeds[0] ?? 1);
+  const fleet = measureFleetChoice(seeds[0] ?? 1);
   const choices = POOL_SIZES.map((poolSize) => measureChoice(poolSize, seeds[0] ?? 1));
   const servers = createServers(MEMORY_ITEMS);
   const serverBytes = measureMemory(() => fillBook(servers));
