Let the answer of an unreachable host win over a recorded ran

Cause: settleIfRan recorded ran for a host that was only unreachable; its answer came later, changed nothing in the log and was withheld from resends. Conclusion: a resend gets ran until the answer is durable, then the answer. A claim in short form keeps ran, because it has no claim id.

--- /dev/null
+++ b/packages/entry/src/claims/createOutcomeWait.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { TransportError, type PeerClient } from '@bergamotcove/transport';
+import createMemoryStore from './_lib/createMemoryStore.test.js';
+import { formatClaim, formatOutcome, hashKey } from './_lib/formatOps.js';
+import startLogHosts from './_lib/startLogHosts.test.js';
+import createOpenClaims from './createOpenClaims.js';
+import createOutcomeWait from './createOutcomeWait.js';
+import type { ClaimRequest } from './types.js';
+
+const makeRequest = (requestId: string, executed: boolean): ClaimRequest => ({
+  organisation: 'acme',
+  service: 'ledger',
+  idempotencyKey: 'k',
+  bodyHash: 'body',
+  requestId,
+  deadlineAtMs: 2_000,
+  longestMs: 2_000,
+  serversCheckKeys: false,
+  queryStatus: () => Promise.resolve(executed),
+});
+
+/** Two hosts; the second cannot reach the first, which runs a claimed call. */
+const start = async () => {
+  const { clock, logs } = startLogHosts(createMemoryStore().client, {
+    hosts: 2,
+    limits: {},
+    gate: () => Promise.resolve('answered'),
+  });
+  const [claimant, other] = logs;
+  assert.ok(claimant !== undefined && other !== undefined);
+  const unreachable: PeerClient = { call: () => Promise.reject(new TransportError('not-connected', 'cut off')) };
+  const host = { hostId: 'h0', address: '10.0.0.1', peersPort: 0, failureDomain: 'a', region: 'r' };
+  const wait = createOutcomeWait({
+    clock,
+    logs: other,
+    open: createOpenClaims(clock, other),
+    peers: unreachable,
+    directory: { liveHosts: () => [host] },
+    processId: 'h1/p',
+  });
+  const finish = async <Result>(promise: Promise<Result>): Promise<Result> => {
+    let done = false;
+    const watched = promise.finally(() => {
+      done = true;
+    });
+    for (let step = 0; step < 1_000 && !done; step += 1) {
+      clock.advance(10);
+      await new Promise(setImmediate);
+    }
+    return watched;
+  };
+  const first = makeRequest('c1', true);
+  const granted = claimant.submit(formatClaim(first, { processId: 'h0/p', wallMs: clock.wallMs() }), 1_000);
+  assert.deepEqual(await finish(granted), { type: 'done' });
+  return { clock, claimant, wait, finish };
+};
+
+test('the answer of a host that was only unreachable reaches resends after ran was recorded for it', async () => {
+  const { clock, claimant, wait, finish } = await start();
+  const resend = makeRequest('c2', true);
+  const early = await finish(wait(resend));
+  assert.deepEqual(early.type === 'settled' && early.result.type === 'refused' && early.result.outcome, 'ran');
+  const answer = { type: 'answered' as const, answer: '{"receipt":1}' };
+  await finish(claimant.persist(formatOutcome(hashKey(resend), 'c1', answer, clock.wallMs())));
+  const late = await finish(wait({ ...resend, requestId: 'c3', deadlineAtMs: clock.monotonicMs() + 2_000 }));
+  assert.deepEqual(late, { type: 'settled', result: { type: 'answered', output: { receipt: 1 }, stages: [] } });
+});
+
+test('a call that has not run yet is not settled while its host is only unreachable, because it may still be sent', async () => {
+  const { wait, finish } = await start();
+  const waited = await finish(wait(makeRequest('c2', false)));
+  assert.deepEqual(waited.type === 'settled' && waited.result.type === 'refused' && waited.result.outcome, 'unknown');
+});
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -99,7 +99,7 @@
     }
     if (record.status.type === 'finished') {
       const { outcome } = record.status;
-      return isUnknown(outcome) ? this.settle(request, record) : { type: 'settled', result: toResult(outcome) };
+      return isUnknown(outcome) ? this.settle(request, record, 'gone') : { type: 'settled', result: toResult(outcome) };
     }
     return this.lookAtOpen(request, record, fresh);
   }
@@ -115,7 +115,7 @@
     switch (answer.type) {
       case 'outcome':
         return isUnknown(answer.outcome)
-          ? this.settle(request, record)
+          ? this.settle(request, record, 'gone')
           : { type: 'settled', result: toResult(answer.outcome) };
       case 'never-sent':
         return this.release(hashKey(request), record);
@@ -124,24 +124,15 @@
       case 'gone':
       case 'absent':
         // The outcome may have become durable just before its host went away.
-        return fresh ? this.settle(request, record) : 'refresh';
+        return fresh ? this.settle(request, record, 'gone') : 'refresh';
       case 'unreachable':
-        return this.settleIfRan(request, record);
+        return this.settle(request, record, 'unreachable');
       default:
         return 'pause';
     }
   }
 
-  /**
-   * Membership needs seconds to declare a crashed host dead. Meanwhile only a positive answer of the servers settles
-   * the request: the claiming host may still be about to send the call.
-   */
-  private async settleIfRan(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
-    const executed = await request.queryStatus?.();
-    return executed === true ? this.settleRecorded(request, record) : 'pause';
-  }
-
-  /** Records that the call ran and its answer is lost. */
+  /** Records that the call ran; an answer of the claiming host that comes later replaces this record. */
   private settleRecorded(request: ClaimRequest, record: ClaimRecord): ClaimWait {
     const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
     const { open, clock } = this.options;
@@ -178,17 +169,25 @@
   }
 
   /**
-   * Ends the wait for a claim that nobody will settle. Only a status query can tell more: that the call ran at any
-   * time, that it did not run only after the claiming host can no longer send it.
+   * Settles a claim whose outcome nobody knows. Only a status query can tell more: that the call ran at any time, that
+   * it did not run only after the claiming host can no longer send it. Membership needs seconds to declare a crashed
+   * host dead; while the host is only unreachable, it may still be about to send the call, and the wait goes on.
    */
-  private async settle(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
-    if (request.queryStatus === undefined) {
-      return request.serversCheckKeys ? { type: 'server-decides' } : settleUnknown();
-    }
-    const executed = await request.queryStatus();
+  private async settle(
+    request: ClaimRequest,
+    record: ClaimRecord,
+    claimant: 'gone' | 'unreachable',
+  ): Promise<ClaimWait | 'pause'> {
+    const executed = await request.queryStatus?.();
     if (executed === true) {
       return this.settleRecorded(request, record);
     }
+    if (claimant === 'unreachable') {
+      return 'pause';
+    }
+    if (request.queryStatus === undefined && !request.serversCheckKeys) {
+      return settleUnknown();
+    }
     if (request.serversCheckKeys) {
       return { type: 'server-decides' };
     }
