--- a/packages/bench/src/claims/measureClaimMemory.ts
+++ b/packages/bench/src/claims/measureClaimMemory.ts
@@ -40,7 +40,7 @@
 
 /** Runs 24 hours of one shard. */
 const fillShard = (perStep: number) => {
-  let shard: ShardContent = { records: new Map(), segments: [], nextSegment: 1 };
+  let shard: ShardContent = { records: new Map(), runs: [], segments: [], nextSegment: 1 };
   let claims = 0;
   let longestMs = 0;
   for (let wallMs = 0; wallMs < CLAIM_RETENTION_MS; wallMs += STEP_MS) {
--- a/packages/bench/src/replay/findReplayer.ts
+++ b/packages/bench/src/replay/findReplayer.ts
@@ -30,7 +30,13 @@
       ? event
       : {
           ...event,
-          snapshot: { segments: [], nextSegment: 1, ...snapshot, records: new Map(Object.entries(snapshot.records)) },
+          snapshot: {
+            runs: [],
+            segments: [],
+            nextSegment: 1,
+            ...snapshot,
+            records: new Map(Object.entries(snapshot.records)),
+          },
         };
   return revived as unknown as ShardEvent;
 };
--- a/packages/decide/src/claims/_lib/compactShard.ts
+++ b/packages/decide/src/claims/_lib/compactShard.ts
@@ -12,8 +12,8 @@
 /** Starts a compaction; a shard that does not fit into its snapshot and segments becomes full instead. */
 export function startCompaction(state: ShardState, nowMs: number, options: ShardOptions): ShardStep {
   const records = new Map([...state.base, ...state.recent]);
-  const { segments, nextSegment } = state;
-  const compacted = compactRecords({ records, segments, nextSegment }, options);
+  const { runs, segments, nextSegment } = state;
+  const compacted = compactRecords({ records, runs, segments, nextSegment }, options);
   if (compacted === undefined) {
     return { state: { ...state, full: true, fullUntilMs: nowMs + FULL_RETRY_MS }, actions: [] };
   }
--- a/packages/decide/src/claims/_lib/finishedClaims.ts
+++ b/packages/decide/src/claims/_lib/finishedClaims.ts
@@ -1,5 +1,5 @@
 import type { ClaimRecord } from '@bergamotcove/protocol';
-import type { ClaimRecords, Segment } from '../types.js';
+import type { ClaimRun } from '../types.js';
 
 /**
  * 16 characters of base64url are 96 bits: among the 620,000 claims that one shard holds at the target rate, a foreign
@@ -10,25 +10,14 @@
 /** 36 bits; a wrong match only turns the refusal for another body into the refusal for a resend. */
 const BODY_CHARS = 6;
 
-/** Seconds in base 36; seven digits reach beyond the year 4000. */
-const TIME_CHARS = 7;
-
-const RADIX = 36;
-const MS_PER_SECOND = 1_000;
 const PADDING = '.';
 const SHORT_FORM = '-';
 const SEALED_CHARS = KEY_CHARS + BODY_CHARS;
 
-/** Characters of one finished claim in a snapshot. */
-export const FINISHED_CHARS = SEALED_CHARS + TIME_CHARS;
-
 const fit = (hash: string, chars: number): string => hash.slice(0, chars).padEnd(chars, PADDING);
 
 const readHash = (text: string): string => text.replace(/\.+$/, '');
 
-/** Key under which a finished claim in short form is kept. */
-export const shortKey = (keyHash: string): string => keyHash.slice(0, KEY_CHARS);
-
 /** Body hash of a claim in short form. */
 export const shortBody = (bodyHash: string): string => bodyHash.slice(0, BODY_CHARS);
 
@@ -41,80 +30,64 @@
   return { bodyHash: shortBody(bodyHash), claimId: SHORT_FORM, hostId: SHORT_FORM, wallMs, status };
 };
 
-const cut = (text: string, width: number): readonly string[] =>
-  Array.from({ length: Math.floor(text.length / width) }, (_, index) => text.slice(index * width, (index + 1) * width));
-
 /**
- * Encodes finished claims for a snapshot, {@link FINISHED_CHARS} characters each.
+ * Encodes finished claims as sorted text of key and body hashes.
  *
- * @param records - finished claims by key
- * @returns the text
+ * @param entries - finished claims with their keys; at least one
+ * @returns the run
  */
-export function encodeFinished(records: ClaimRecords): string {
-  return [...records]
-    .map(([key, { bodyHash, wallMs }]) => {
-      const seconds = Math.floor(wallMs / MS_PER_SECOND).toString(RADIX);
-      return fit(key, KEY_CHARS) + fit(bodyHash, BODY_CHARS) + seconds.padStart(TIME_CHARS, '0');
-    })
-    .join('');
+export function encodeRun(entries: readonly (readonly [string, ClaimRecord])[]): ClaimRun {
+  const times = entries.map(([, { wallMs }]) => wallMs);
+  return {
+    oldestWallMs: times.reduce((oldest, wallMs) => Math.min(oldest, wallMs), Infinity),
+    newestWallMs: times.reduce((newest, wallMs) => Math.max(newest, wallMs), 0),
+    claims: entries
+      .map(([key, { bodyHash }]) => fit(key, KEY_CHARS) + fit(bodyHash, BODY_CHARS))
+      .sort()
+      .join(''),
+  };
 }
 
-/**
- * Decodes the finished claims of a snapshot.
- *
- * @param text - text of {@link encodeFinished}
- * @returns short forms by short key
- */
-export function decodeFinished(text: string): ClaimRecords {
-  return new Map(
-    cut(text, FINISHED_CHARS).map((item): [string, ClaimRecord] => {
-      const wallMs = parseInt(item.slice(SEALED_CHARS), RADIX) * MS_PER_SECOND;
-      return [readHash(item.slice(0, KEY_CHARS)), toShortForm(readHash(item.slice(KEY_CHARS, SEALED_CHARS)), wallMs)];
-    }),
+const cut = (text: string): readonly string[] =>
+  Array.from({ length: text.length / SEALED_CHARS }, (_, index) =>
+    text.slice(index * SEALED_CHARS, (index + 1) * SEALED_CHARS),
   );
-}
-
-/**
- * Encodes finished claims as the text of a sealed segment: key and body hashes, sorted, without times.
- *
- * @param records - finished claims by key
- * @returns the text
- */
-export function sealFinished(records: ClaimRecords): string {
-  return [...records]
-    .map(([key, { bodyHash }]) => fit(key, KEY_CHARS) + fit(bodyHash, BODY_CHARS))
-    .sort()
-    .join('');
-}
 
 /**
- * Counts the claims of a segment.
+ * Merges runs into one.
  *
- * @param segment - the segment
- * @returns number of claims
+ * @param runs - the runs; at least one
+ * @returns the run with all their claims
  */
-export function countSealed(segment: Segment): number {
-  return segment.claims.length / SEALED_CHARS;
+export function mergeRuns(runs: readonly ClaimRun[]): ClaimRun {
+  return {
+    oldestWallMs: Math.min(...runs.map(({ oldestWallMs }) => oldestWallMs)),
+    newestWallMs: Math.max(...runs.map(({ newestWallMs }) => newestWallMs)),
+    claims: runs
+      .flatMap(({ claims }) => cut(claims))
+      .sort()
+      .join(''),
+  };
 }
 
 /**
- * Finds a key in a sealed segment by binary search, so that an owner keeps the text and no object per claim.
+ * Finds a key in a run by binary search, so that an owner keeps the text and no object per claim.
  *
- * @param segment - the segment
+ * @param run - the run
  * @param keyHash - hash of the key
  * @returns the short form of the claim, or undefined
  */
-export function findSealed(segment: Segment, keyHash: string): ClaimRecord | undefined {
+export function findFinished(run: ClaimRun, keyHash: string): ClaimRecord | undefined {
   const key = fit(keyHash, KEY_CHARS);
   let low = 0;
-  let high = countSealed(segment);
+  let high = run.claims.length / SEALED_CHARS;
   while (low < high) {
     const middle = Math.floor((low + high) / 2);
     const at = middle * SEALED_CHARS;
-    const found = segment.claims.slice(at, at + KEY_CHARS);
+    const found = run.claims.slice(at, at + KEY_CHARS);
     if (found === key) {
-      const body = segment.claims.slice(at + KEY_CHARS, at + SEALED_CHARS);
-      return toShortForm(readHash(body), segment.newestWallMs);
+      const body = run.claims.slice(at + KEY_CHARS, at + SEALED_CHARS);
+      return toShortForm(readHash(body), run.newestWallMs);
     }
     if (found < key) {
       low = middle + 1;
--- a/packages/decide/src/claims/_lib/simulateShard.test.ts
+++ b/packages/decide/src/claims/_lib/simulateShard.test.ts
@@ -48,7 +48,7 @@
   return record === undefined ? 'free' : `${record.claimId}:${record.status.type}`;
 };
 
-const EMPTY: ShardContent = { records: new Map(), segments: [], nextSegment: 1 };
+const EMPTY: ShardContent = { records: new Map(), runs: [], segments: [], nextSegment: 1 };
 
 /** A store that holds one shard, and hosts that use it; every call and timer runs only when a test says so. */
 export class ShardSimulation {
@@ -180,8 +180,8 @@
 
   private applyCompaction(call: Extract<StoreAction, { type: 'compact' }>): void {
     const { throughSeq, compacted, dropped } = call;
-    const { records, segments, nextSegment, sealed } = compacted;
-    this.snapshot = { revision: this.snapshot.revision + 1, throughSeq, records, segments, nextSegment };
+    const { sealed, ...content } = compacted;
+    this.snapshot = { revision: this.snapshot.revision + 1, throughSeq, ...content };
     [...this.log.keys()].filter((seq) => seq <= throughSeq).forEach((seq) => this.log.delete(seq));
     if (sealed !== undefined) {
       if (this.segments.has(sealed.number)) {
@@ -193,7 +193,7 @@
   }
 
   private load(call: Extract<StoreAction, { type: 'load' }>): ShardEvent {
-    const { revision, throughSeq, records, segments, nextSegment } = this.snapshot;
+    const { revision, throughSeq } = this.snapshot;
     const same = call.knownRevision === String(revision);
     const fromSeq = same ? call.fromSeq : throughSeq + 1;
     const entries = [...this.log]
@@ -203,7 +203,7 @@
     if (same) {
       return { type: 'loaded', entries };
     }
-    const snapshot = { revision: String(revision), throughSeq, records, segments, nextSegment };
+    const snapshot = { ...this.snapshot, revision: String(revision) };
     const unknown = this.storedSegments().filter(({ number }) => !call.knownSegments.includes(number));
     return { type: 'loaded', entries, segments: unknown, snapshot };
   }
--- a/packages/decide/src/claims/advanceShard.test.ts
+++ b/packages/decide/src/claims/advanceShard.test.ts
@@ -7,6 +7,7 @@
 import compactRecords, { fromSnapshot, toSnapshot } from './compactRecords.js';
 import { ANSWER_RETENTION_MS, CLAIM_RETENTION_MS } from './constants.js';
 import createShardState from './createShardState.js';
+import findRecord from './findRecord.js';
 import isSameBody from './isSameBody.js';
 import type { ShardAction, ShardEvent, ShardLimits, ShardState } from './types.js';
 
@@ -233,7 +234,7 @@
     ['own', { ...record, hostId: 'h0' }],
     ['other', { ...record, hostId: 'h1' }],
   ]);
-  const shard = { records, segments: [], nextSegment: 1 };
+  const shard = { records, runs: [], segments: [], nextSegment: 1 };
   const kept = compactRecords(shard, { hostId: 'h0', wallMs: CLAIM_RETENTION_MS * 2 });
   assert.equal(kept?.records.size, 2);
 });
@@ -241,8 +242,10 @@
 test('a snapshot gives back body hash and outcome of finished claims in short form', () => {
   const status = { type: 'finished' as const, outcome: { type: 'dropped' as const }, wallMs: 5_000 };
   const records = new Map([['k', { bodyHash: 'b', claimId: 'c', hostId: 'h', wallMs: 5_000, status }]]);
-  const shard = compactRecords({ records, segments: [], nextSegment: 1 }, { hostId: 'h', wallMs: 5_000 });
-  const [restored] = fromSnapshot(toSnapshot(shard ?? assert.fail(), 3)).values();
+  const shard = { records, runs: [], segments: [], nextSegment: 1 };
+  const compacted = compactRecords(shard, { hostId: 'h', wallMs: 5_000 }) ?? assert.fail();
+  const { runs } = fromSnapshot(toSnapshot(compacted, 3));
+  const restored = findRecord({ ...createShardState(), runs }, 'k');
   assert.ok(restored !== undefined && isSameBody(restored, 'b') && !isSameBody(restored, 'c'));
   assert.deepEqual(restored.status, status);
 });
--- a/packages/decide/src/claims/advanceShard.ts
+++ b/packages/decide/src/claims/advanceShard.ts
@@ -61,6 +61,7 @@
         nextSeq: snapshot.throughSeq + 1,
         base: snapshot.records,
         recent: new Map(),
+        runs: snapshot.runs,
         segments: picked,
         nextSegment: snapshot.nextSegment,
         logEntries: 0,
@@ -116,12 +117,13 @@
   if (!event.succeeded) {
     return startLoad(state);
   }
-  const { records, segments, nextSegment } = state.phase.compacted;
+  const { records, runs, segments, nextSegment } = state.phase.compacted;
   const compacted: ShardState = {
     ...state,
     snapshotRevision: event.revision,
     base: records,
     recent: new Map(),
+    runs,
     segments,
     nextSegment,
     logEntries: 0,
--- a/packages/decide/src/claims/compactRecords.test.ts
+++ b/packages/decide/src/claims/compactRecords.test.ts
@@ -14,7 +14,7 @@
 const TARGET_PER_SECOND = 460 / 64;
 const STEP_MS = 600_000;
 const CLAIMS_PER_STEP = Math.round((TARGET_PER_SECOND * STEP_MS) / 1_000);
-const EMPTY: ShardContent = { records: new Map(), segments: [], nextSegment: 1 };
+const EMPTY: ShardContent = { records: new Map(), runs: [], segments: [], nextSegment: 1 };
 
 /** Digits first, so that the short form keeps them apart; as long as a real hash. */
 const makeHash = (index: number): string => index.toString(36).padStart(10, '0').padEnd(22, 'x');
@@ -37,6 +37,7 @@
   ...createShardState(),
   phase: { type: 'ready' },
   base: shard.records,
+  runs: shard.runs,
   segments: shard.segments,
   nextSegment: shard.nextSegment,
 });
@@ -65,7 +66,7 @@
 });
 
 test('a shard at its limit of segments refuses new claims, still takes outcomes, and takes claims after expiry', () => {
-  const records = new Map(Array.from({ length: 30_000 }, (_, index) => makeAnswered(index, 0)));
+  const records = new Map(Array.from({ length: 40_000 }, (_, index) => makeAnswered(index, 0)));
   const full = { ...stateOf({ ...EMPTY, records }), logEntries: 1_000 };
   const options = { hostId: 'h', wallMs: STEP_MS, maxSegments: 0 };
   const fields = { keyHash: 'new', bodyHash: 'b', claimId: 'c', hostId: 'h2', wallMs: CLAIM_RETENTION_MS * 2 };
@@ -106,7 +107,7 @@
       const [key, now] = makeAnswered(2_000_000, ageMs);
       const compacted = compactRecords({ ...EMPTY, records: new Map([...records, [key, now]]) }, options);
       const shard = compacted ?? assert.fail('full');
-      const restored = { ...shard, records: fromSnapshot(toSnapshot(shard, 1)) };
+      const restored = { ...shard, ...fromSnapshot(toSnapshot(shard, 1)) };
       claims.forEach((index) => {
         const record = findRecord(stateOf(restored), makeHash(index)) ?? assert.fail(`claim ${index} was lost`);
         assert.equal(record.status.type, 'finished');
--- a/packages/decide/src/claims/compactRecords.ts
+++ b/packages/decide/src/claims/compactRecords.ts
@@ -1,22 +1,15 @@
 import type { ClaimRecord, ClaimSnapshot } from '@bergamotcove/protocol';
+import { encodeRun, mergeRuns } from './_lib/finishedClaims.js';
 import {
   ANSWER_RETENTION_MS,
-  ANSWERS_BYTES,
   CLAIM_RETENTION_MS,
   MAX_SEGMENTS,
   MAX_SNAPSHOT_BYTES,
+  RUN_SPAN_MS,
   SEGMENT_BYTES,
+  SNAPSHOT_MARGIN_BYTES,
 } from './constants.js';
-import {
-  decodeFinished,
-  encodeFinished,
-  FINISHED_CHARS,
-  isShortForm,
-  sealFinished,
-  shortKey,
-  toShortForm,
-} from './_lib/finishedClaims.js';
-import type { ClaimRecords, CompactedShard, Segment, ShardContent, ShardOptions } from './types.js';
+import type { ClaimRecords, ClaimRun, CompactedShard, ShardContent, ShardOptions } from './types.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -27,7 +20,7 @@
  * the time never exceeds the newest claim of another host.
  */
 const readRetentionTime = (records: ClaimRecords, options: ShardOptions): number => {
-  const others = [...records.values()].filter((record) => record.hostId !== options.hostId && !isShortForm(record));
+  const others = [...records.values()].filter((record) => record.hostId !== options.hostId);
   const newestMs = others.reduce((latest, record) => Math.max(latest, record.wallMs), 0);
   return Math.min(options.wallMs, newestMs);
 };
@@ -36,43 +29,44 @@
 const isSettled = ({ status }: ClaimRecord): boolean =>
   status.type === 'finished' && !(status.outcome.type === 'refused' && status.outcome.outcome === 'unknown');
 
-const shorten = ([keyHash, record]: Entry): Entry =>
-  isShortForm(record) ? [keyHash, record] : [shortKey(keyHash), toShortForm(record.bodyHash, record.wallMs)];
-
 const isAnswerExpired = ({ status }: ClaimRecord, nowMs: number): boolean =>
   status.type === 'finished' && (status.outcome.type === 'dropped' || status.wallMs + ANSWER_RETENTION_MS < nowMs);
 
-const retain = ([keyHash, record]: Entry, nowMs: number): readonly Entry[] => {
-  if (record.wallMs + CLAIM_RETENTION_MS < nowMs) {
-    return [];
-  }
-  return [isSettled(record) && isAnswerExpired(record, nowMs) ? shorten([keyHash, record]) : [keyHash, record]];
-};
-
 const endOf = ([, { status }]: Entry): number => (status.type === 'finished' ? status.wallMs : 0);
 
-/** Upper bound of the stored size of a claim in full form without its answer; ids have at most 128 characters. */
-const RECORD_BYTES = 400;
+/** Usual stored size of a claim in full form without its answer; the size of the whole snapshot is checked after. */
+const RECORD_BYTES = 330;
 
 const measure = ({ status }: ClaimRecord): number =>
   status.type === 'finished' && status.outcome.type === 'answered'
     ? RECORD_BYTES + JSON.stringify(status.outcome.answer).length
     : RECORD_BYTES;
 
-/** Shortens the oldest settled claims until the claims in full form take at most the given size. */
-const shortenOldest = (entries: readonly Entry[], maxBytes: number): readonly Entry[] => {
-  const full = entries.filter(([, record]) => !isShortForm(record));
-  const sizes = new Map(full.map((entry) => [entry, measure(entry[1])]));
-  let sizeBytes = [...sizes.values()].reduce((sum, size) => sum + size, 0);
-  const oldest = [...sizes.keys()].filter(([, record]) => isSettled(record)).sort((a, b) => endOf(a) - endOf(b));
-  const shortened = new Set<Entry>();
+/** Oldest settled claims, so many that the others take at most the given size. */
+const takeOldest = (entries: readonly Entry[], maxBytes: number): ReadonlySet<Entry> => {
+  let sizeBytes = entries.reduce((sum, [, record]) => sum + measure(record), 0);
+  const oldest = entries.filter(([, record]) => isSettled(record)).sort((a, b) => endOf(a) - endOf(b));
+  const taken = new Set<Entry>();
   oldest.forEach((entry) => {
     if (sizeBytes > maxBytes) {
-      sizeBytes -= sizes.get(entry) ?? 0;
-      shortened.add(entry);
+      sizeBytes -= measure(entry[1]);
+      taken.add(entry);
     }
   });
-  return entries.map((entry) => (shortened.has(entry) ? shorten(entry) : entry));
+  return taken;
+};
+
+/** Adds a run; the last runs are merged while they are of similar size, so that their number stays small. */
+const addRun = (runs: readonly ClaimRun[], added: ClaimRun): readonly ClaimRun[] => {
+  const last = runs.at(-1);
+  if (
+    last === undefined ||
+    last.claims.length > 2 * added.claims.length ||
+    added.newestWallMs - last.oldestWallMs > RUN_SPAN_MS
+  ) {
+    return [...runs, added];
+  }
+  return addRun(runs.slice(0, -1), mergeRuns([last, added]));
 };
 
 /**
@@ -83,54 +77,50 @@
  * @returns the snapshot
  */
 export function toSnapshot(shard: ShardContent, throughSeq: number): ClaimSnapshot {
-  const entries = [...shard.records];
   return {
     throughSeq,
-    records: entries.filter(([, record]) => !isShortForm(record)),
+    records: [...shard.records],
     finished: [],
-    ended: encodeFinished(new Map(entries.filter(([, record]) => isShortForm(record)))),
-    segments: shard.segments.map(({ number, newestWallMs }) => ({ number, newestWallMs })),
+    runs: [...shard.runs],
+    segments: shard.segments.map(({ claims, ...place }) => place),
     nextSegment: shard.nextSegment,
   };
 }
 
+const readOldForm = (snapshot: ClaimSnapshot): readonly ClaimRun[] => {
+  const entries = snapshot.finished.map(([keyHash, bodyHash, seconds]): Entry => {
+    const wallMs = seconds * MS_PER_SECOND;
+    const status = { type: 'finished' as const, outcome: { type: 'dropped' as const }, wallMs };
+    return [keyHash, { bodyHash, claimId: '', hostId: '', wallMs, status }];
+  });
+  return entries.length === 0 ? [] : [encodeRun(entries)];
+};
+
 /**
- * Reads the records of a stored snapshot, also of the form before segments.
+ * Reads the claims of a stored snapshot, also of the form before runs.
  *
  * @param snapshot - the snapshot
- * @returns records by key hash
+ * @returns records by key hash, and the finished claims
  */
-export function fromSnapshot(snapshot: ClaimSnapshot): ClaimRecords {
-  const finished = snapshot.finished.map(([keyHash, bodyHash, seconds]): Entry => [
-    shortKey(keyHash),
-    toShortForm(bodyHash, seconds * MS_PER_SECOND),
-  ]);
-  return new Map([...snapshot.records, ...finished, ...decodeFinished(snapshot.ended)]);
+export function fromSnapshot(snapshot: ClaimSnapshot): Pick<ShardContent, 'records' | 'runs'> {
+  return { records: new Map(snapshot.records), runs: [...readOldForm(snapshot), ...snapshot.runs] };
 }
 
 const fits = (shard: ShardContent): boolean =>
   JSON.stringify(toSnapshot(shard, Number.MAX_SAFE_INTEGER)).length <= MAX_SNAPSHOT_BYTES;
 
-const seal = (short: readonly Entry[], number: number): Segment => ({
-  number,
-  newestWallMs: short.reduce((newest, [, { wallMs }]) => Math.max(newest, wallMs), 0),
-  claims: sealFinished(new Map(short)),
-});
+const sumBytes = (runs: readonly ClaimRun[]): number => runs.reduce((sum, { claims }) => sum + claims.length, 0);
 
 /** Moves the finished claims into a new segment when they are many and the shard may have one more. */
 const sealIfMany = (shard: ShardContent, options: ShardOptions): CompactedShard => {
-  const short = [...shard.records].filter(([, record]) => isShortForm(record));
-  const limitBytes = options.segmentBytes ?? SEGMENT_BYTES;
-  if (short.length * FINISHED_CHARS <= limitBytes || shard.segments.length >= (options.maxSegments ?? MAX_SEGMENTS)) {
+  const sizeBytes = sumBytes(shard.runs);
+  const { segmentBytes = SEGMENT_BYTES, maxSegments = MAX_SEGMENTS } = options;
+  if (sizeBytes <= segmentBytes || shard.segments.length >= maxSegments) {
     return { ...shard, sealed: undefined };
   }
-  const sealed = seal(short, shard.nextSegment);
-  return {
-    records: new Map([...shard.records].filter(([, record]) => !isShortForm(record))),
-    segments: [...shard.segments, sealed],
-    nextSegment: shard.nextSegment + 1,
-    sealed,
-  };
+  const sealed = { ...mergeRuns(shard.runs), number: shard.nextSegment };
+  const segments = [...shard.segments, sealed];
+  return { ...shard, runs: [], segments, nextSegment: shard.nextSegment + 1, sealed };
 };
 
 /**
@@ -144,9 +134,19 @@
  */
 export default function compactRecords(shard: ShardContent, options: ShardOptions): CompactedShard | undefined {
   const nowMs = readRetentionTime(shard.records, options);
-  const kept = [...shard.records].flatMap((entry) => retain(entry, nowMs));
-  const segments = shard.segments.filter(({ newestWallMs }) => newestWallMs + CLAIM_RETENTION_MS >= nowMs);
-  const compact = (maxBytes: number): CompactedShard =>
-    sealIfMany({ ...shard, records: new Map(shortenOldest(kept, maxBytes)), segments }, options);
-  return [ANSWERS_BYTES, 0].map(compact).find(fits);
+  const isKept = ({ newestWallMs }: ClaimRun): boolean => newestWallMs + CLAIM_RETENTION_MS >= nowMs;
+  const unexpired = [...shard.records].filter(([, { wallMs }]) => wallMs + CLAIM_RETENTION_MS >= nowMs);
+  const isEnded = ([, record]: Entry): boolean => isSettled(record) && isAnswerExpired(record, nowMs);
+  const ended = unexpired.filter(isEnded);
+  const others = unexpired.filter((entry) => !isEnded(entry));
+  const rest = { runs: shard.runs.filter(isKept), segments: shard.segments.filter(isKept) };
+  const compactTo = (maxBytes: number): CompactedShard | undefined => {
+    const oldest = takeOldest(others, maxBytes);
+    const records = new Map(others.filter((entry) => !oldest.has(entry)));
+    const finished = [...ended, ...oldest];
+    const runs = finished.length === 0 ? rest.runs : addRun(rest.runs, encodeRun(finished));
+    const compacted = sealIfMany({ ...shard, ...rest, records, runs }, options);
+    return fits(compacted) ? compacted : undefined;
+  };
+  return compactTo(MAX_SNAPSHOT_BYTES - SNAPSHOT_MARGIN_BYTES - sumBytes(rest.runs)) ?? compactTo(0);
 }
--- a/packages/decide/src/claims/constants.ts
+++ b/packages/decide/src/claims/constants.ts
@@ -28,8 +28,11 @@
 /** Size of the finished claims in a snapshot above which they are sealed into a segment. */
 export const SEGMENT_BYTES = 400_000;
 
-/** Largest part of a snapshot for claims in full form; above it, the oldest answers are dropped early. */
-export const ANSWERS_BYTES = 250_000;
+/** Longest time between two claims of one run, so that most claims expire soon after their 24 hours. */
+export const RUN_SPAN_MS = 3_600_000;
+
+/** Room of a snapshot that is not filled with answers: its other fields, and claims that are shortened now. */
+export const SNAPSHOT_MARGIN_BYTES = 40_000;
 
 /** Segments that a shard may have unless the operator sets another number: 64 shards then hold 161 MB. */
 export const MAX_SEGMENTS = 8;
--- a/packages/decide/src/claims/createShardState.ts
+++ b/packages/decide/src/claims/createShardState.ts
@@ -12,6 +12,7 @@
     nextSeq: 1,
     base: new Map(),
     recent: new Map(),
+    runs: [],
     segments: [],
     nextSegment: 1,
     logEntries: 0,
--- a/packages/decide/src/claims/findRecord.ts
+++ b/packages/decide/src/claims/findRecord.ts
@@ -1,11 +1,12 @@
 import type { ClaimRecord } from '@bergamotcove/protocol';
-import { findSealed, shortKey } from './_lib/finishedClaims.js';
-import type { ShardState } from './types.js';
+import { findFinished } from './_lib/finishedClaims.js';
+import type { ClaimRun, ShardState } from './types.js';
 
-const findInSegments = (state: ShardState, keyHash: string): ClaimRecord | undefined => {
-  for (let index = state.segments.length - 1; index >= 0; index -= 1) {
-    const segment = state.segments[index];
-    const found = segment === undefined ? undefined : findSealed(segment, keyHash);
+/** The newest run counts: a key can be claimed again when it stands only in an older run that should have expired. */
+const findInRuns = (runs: readonly ClaimRun[], keyHash: string): ClaimRecord | undefined => {
+  for (let index = runs.length - 1; index >= 0; index -= 1) {
+    const run = runs[index];
+    const found = run === undefined ? undefined : findFinished(run, keyHash);
     if (found !== undefined) {
       return found;
     }
@@ -24,7 +25,7 @@
   return (
     state.recent.get(keyHash) ??
     state.base.get(keyHash) ??
-    state.base.get(shortKey(keyHash)) ??
-    findInSegments(state, keyHash)
+    findInRuns(state.runs, keyHash) ??
+    findInRuns(state.segments, keyHash)
   );
 }
--- a/packages/decide/src/claims/types.ts
+++ b/packages/decide/src/claims/types.ts
@@ -11,22 +11,29 @@
   readonly tried: boolean;
 }
 
-/** Place of a sealed segment and the newest claim in it. */
-export interface SegmentPlace {
-  /** Never used twice in a shard. */
-  readonly number: number;
+/** Finished claims without their answers. */
+export interface ClaimRun {
+  readonly oldestWallMs: number;
   readonly newestWallMs: number;
-}
-
-/** Finished claims that never change any more. */
-export interface Segment extends SegmentPlace {
   /** Key and body hashes of fixed width, sorted. */
   readonly claims: string;
 }
 
+/** A run in a key of its own, which never changes. */
+export interface Segment extends ClaimRun {
+  /** Never used twice in a shard. */
+  readonly number: number;
+}
+
+/** What the snapshot says about a segment. */
+export type SegmentPlace = Omit<Segment, 'claims'>;
+
 /** Everything that a shard holds. */
 export interface ShardContent {
+  /** Claims that are open or released, or whose answers are kept. */
   readonly records: ClaimRecords;
+  /** Finished claims in the snapshot, oldest first. */
+  readonly runs: readonly ClaimRun[];
   /** Oldest first. */
   readonly segments: readonly Segment[];
   readonly nextSegment: number;
@@ -43,6 +50,7 @@
   readonly revision: string;
   readonly throughSeq: number;
   readonly records: ClaimRecords;
+  readonly runs: readonly ClaimRun[];
   readonly segments: readonly SegmentPlace[];
   readonly nextSegment: number;
 }
@@ -75,6 +83,7 @@
   readonly base: ClaimRecords;
   /** Records changed by the log after the snapshot; kept apart so that a commit copies only these. */
   readonly recent: ClaimRecords;
+  readonly runs: readonly ClaimRun[];
   readonly segments: readonly Segment[];
   readonly nextSegment: number;
   readonly logEntries: number;
--- a/packages/entry/src/claims/createShardStore.test.ts
+++ b/packages/entry/src/claims/createShardStore.test.ts
@@ -27,7 +27,7 @@
     const record = { bodyHash: 'b', hostId: 'h', wallMs: 0, status: { type: 'open' as const } };
     const keys = Array.from({ length: throughSeq }, (_, index) => index + 1);
     const records = new Map(keys.map((seq) => [`k${seq}`, { ...record, claimId: `c${seq}` }]));
-    const compacted = { records, segments: [], nextSegment: 1, sealed: undefined };
+    const compacted = { records, runs: [], segments: [], nextSegment: 1, sealed: undefined };
     return shard.compact({ type: 'compact', snapshotRevision: '0', throughSeq, compacted, dropped: [] });
   };
   return {
--- a/packages/entry/src/claims/createShardStore.ts
+++ b/packages/entry/src/claims/createShardStore.ts
@@ -47,11 +47,11 @@
 
 const toSnapshotView = (entry: StoreEntry | undefined): SnapshotView => {
   if (entry === undefined) {
-    return { revision: '0', throughSeq: 0, records: new Map(), segments: [], nextSegment: 1 };
+    return { revision: '0', throughSeq: 0, records: new Map(), runs: [], segments: [], nextSegment: 1 };
   }
   const snapshot = parseValue(claimSnapshotSchema, entry);
   const { throughSeq, segments, nextSegment } = snapshot;
-  return { revision: entry.modRevision, throughSeq, records: fromSnapshot(snapshot), segments, nextSegment };
+  return { revision: entry.modRevision, throughSeq, ...fromSnapshot(snapshot), segments, nextSegment };
 };
 
 /** Shard log in the configuration store. */
--- a/packages/protocol/src/claims.ts
+++ b/packages/protocol/src/claims.ts
@@ -70,16 +70,18 @@
   status: claimStatusSchema,
 });
 
+const runTimes = { oldestWallMs: wallMsSchema, newestWallMs: wallMsSchema };
+
 /** Compacted prefix of a shard log. */
 export const claimSnapshotSchema = z.strictObject({
   throughSeq: z.int().min(0),
   records: z.array(z.tuple([hashSchema, claimRecordSchema])),
-  /** Finished claims in the form before `ended`: key hash, body hash, wall time in seconds; only read. */
+  /** Finished claims in the form before runs: key hash, body hash, wall time in seconds; only read. */
   finished: z.array(z.tuple([hashSchema, hashSchema, z.number()])).default([]),
-  /** Finished claims without an answer, in fixed-width text. */
-  ended: z.string().default(''),
+  /** Finished claims without an answer, oldest first, as sorted text of fixed-width hashes. */
+  runs: z.array(z.strictObject({ ...runTimes, claims: z.string() })).default([]),
   /** Sealed segments of the shard, oldest first. */
-  segments: z.array(z.strictObject({ number: z.int().min(1), newestWallMs: wallMsSchema })).default([]),
+  segments: z.array(z.strictObject({ ...runTimes, number: z.int().min(1) })).default([]),
   /** Number of the next segment; a number is never used twice. */
   nextSegment: z.int().min(1).default(1),
 });
