Desynchronise the rounds of load reports and hand servers over without a gap

Cause: hosts that gained servers at the same verdict stayed in step, so that a measurement window of whole intervals missed rounds and showed about a tenth too few bytes. The loss of another failure domain moved servers of this one between collectors, and a host dropped a server before the next one knew of it. Change: a round comes up to a tenth early and after a shared moment at a random time; the check runs when the round is due. Servers of a lost failure domain are spread apart and have a summary of their own. A host goes on polling a server that it lost until a summary names it. 110 ms of interval a host.

--- a/packages/decide/src/load/constants.ts
+++ b/packages/decide/src/load/constants.ts
@@ -1,5 +1,8 @@
-/** Interval of polls and summaries for each live entry host of the failure domain: ten summaries a second leave a host. */
-export const LOAD_INTERVAL_PER_HOST_MS = 100;
+/** Interval of polls and summaries for each live entry host of the failure domain: a host sends 9 summaries a second. */
+export const LOAD_INTERVAL_PER_HOST_MS = 110;
+
+/** Share by which a round may come early, so that hosts which began together do not stay in step. */
+export const ROUND_JITTER_SHARE = 0.1;
 
 /** Shortest interval of load reports; engines refresh their reports hardly more often. */
 export const MIN_LOAD_INTERVAL_MS = 500;
--- a/packages/decide/src/load/createLoadSchedule.ts
+++ b/packages/decide/src/load/createLoadSchedule.ts
@@ -1,5 +1,11 @@
 import type { Random } from '../routing/types.js';
-import { COLLECTOR_LOAD_FACTOR, MAX_POLLS_PER_SECOND, MIN_LOAD_INTERVAL_MS, SILENT_INTERVALS } from './constants.js';
+import {
+  COLLECTOR_LOAD_FACTOR,
+  MAX_POLLS_PER_SECOND,
+  MIN_LOAD_INTERVAL_MS,
+  ROUND_JITTER_SHARE,
+  SILENT_INTERVALS,
+} from './constants.js';
 import loadIntervalMs from './loadIntervalMs.js';
 import spreadByRendezvous from './spreadByRendezvous.js';
 import type { LoadAssignment, LoadHost, LoadServer, LoadStep, LoadView } from './types.js';
@@ -11,6 +17,8 @@
   assign(view: LoadView, nowMs: number): void;
   /** A peer's summary names the server. */
   noteHeard(serverId: string, nowMs: number): void;
+  /** Time until the next round. */
+  untilRoundMs(nowMs: number): number;
   /** Polls that are due; `mayPoll` excludes servers that this host does not use. */
   tick(nowMs: number, mayPoll: (serverId: string) => boolean): LoadStep;
 }
@@ -43,6 +51,9 @@
   });
 };
 
+const dropUnless = (times: Map<string, number>, isKept: (serverId: string) => boolean): void =>
+  [...times.keys()].filter((serverId) => !isKept(serverId)).forEach((serverId) => times.delete(serverId));
+
 class Schedule implements LoadSchedule {
   private current = NO_ASSIGNMENT;
 
@@ -61,10 +72,16 @@
 
   private readonly polledMs = new Map<string, number>();
 
+  /** Servers that another host takes over, with the time of the change; polled here until a summary names them. */
+  private readonly handedOverMs = new Map<string, number>();
+
   private nextRoundMs = 0;
 
   private lastRoundMs = -Infinity;
 
+  /** Whether the next round begins at a moment that other hosts share, as a start or a verdict. */
+  private inStep = true;
+
   private lastTickMs: number | undefined;
 
   private allowance = MAX_ALLOWANCE;
@@ -93,10 +110,15 @@
 
   noteHeard(serverId: string, nowMs: number): void {
     if (this.current.expects.has(serverId)) {
+      this.handedOverMs.delete(serverId);
       this.heardMs.set(serverId, Math.max(nowMs, this.heardMs.get(serverId) ?? -Infinity));
     }
   }
 
+  untilRoundMs(nowMs: number): number {
+    return Math.max(0, this.nextRoundMs - nowMs);
+  }
+
   tick(nowMs: number, mayPoll: (serverId: string) => boolean): LoadStep {
     const elapsedMs = nowMs - (this.lastTickMs ?? nowMs);
     this.lastTickMs = nowMs;
@@ -113,10 +135,7 @@
     const own = inReach.filter(
       ({ failureDomain }) => failureDomain === self.failureDomain || !staffed.has(failureDomain),
     );
-    this.chooseCollectors(
-      own.map((server) => server.serverId),
-      neighbours,
-    );
+    this.chooseCollectors(own, self, neighbours);
     const collects = new Set(
       [...this.collectors].filter(([, hostId]) => hostId === self.hostId).map(([serverId]) => serverId),
     );
@@ -131,26 +150,39 @@
   }
 
   /** Ranks anew only when hosts or servers changed; the host list is read every second and rarely does. */
-  private chooseCollectors(serverIds: readonly string[], neighbours: readonly string[]): void {
-    const key = `${neighbours.join(' ')}\n${serverIds.join(' ')}`;
-    if (key !== this.collectorsKey) {
-      const mean = serverIds.length / Math.max(1, neighbours.length);
-      const limit = Math.ceil(mean * COLLECTOR_LOAD_FACTOR);
-      this.collectors = spreadByRendezvous(serverIds, neighbours, { task: 'load', limit });
-      this.collectorsKey = key;
+  private chooseCollectors(own: readonly LoadServer[], self: LoadHost, neighbours: readonly string[]): void {
+    const key = [neighbours, own.map((server) => server.serverId)].map((ids) => ids.join(' ')).join('\n');
+    if (key === this.collectorsKey) {
+      return;
     }
+    this.collectorsKey = key;
+    // Apart from each other, so that the loss of another failure domain moves no server of this one.
+    const isLost = (server: LoadServer): boolean => server.failureDomain !== self.failureDomain;
+    this.collectors = new Map(
+      [own.filter((server) => !isLost(server)), own.filter(isLost)].flatMap((servers) => {
+        const limit = Math.ceil((servers.length / Math.max(1, neighbours.length)) * COLLECTOR_LOAD_FACTOR);
+        const ids = servers.map((server) => server.serverId);
+        return [...spreadByRendezvous(ids, neighbours, { task: 'load', limit })];
+      }),
+    );
   }
 
   private replace(next: LoadAssignment, nowMs: number): void {
     const gained = [...next.collects].some((serverId) => !this.current.collects.has(serverId));
     const earliestMs = gained ? Math.max(nowMs, this.lastRoundMs + MIN_LOAD_INTERVAL_MS) : nowMs + next.roundMs;
+    this.inStep ||= gained;
+    this.current.collects.forEach((serverId) => {
+      if (next.expects.has(serverId)) {
+        this.handedOverMs.set(serverId, nowMs);
+      }
+    });
+    dropUnless(this.handedOverMs, (serverId) => next.expects.has(serverId));
     this.nextRoundMs = Math.min(this.nextRoundMs, earliestMs);
     this.current = next;
-    [this.heardMs, this.polledMs].forEach((times) =>
-      [...times.keys()]
-        .filter((serverId) => !next.expects.has(serverId) && !next.collects.has(serverId))
-        .forEach((serverId) => times.delete(serverId)),
-    );
+    const isKnown = (serverId: string): boolean => next.expects.has(serverId) || next.collects.has(serverId);
+    dropUnless(this.polledMs, isKnown);
+    // A server that this host has collected so far counts as just heard when another host takes it over.
+    dropUnless(this.heardMs, (serverId) => next.expects.has(serverId));
     next.expects.forEach((serverId) => {
       if (!this.heardMs.has(serverId)) {
         this.heardMs.set(serverId, nowMs);
@@ -160,13 +192,15 @@
 
   /** The servers of the next summary, the longest unpolled first, within the limit on polls. */
   private takeRound(nowMs: number): readonly string[] {
-    const { collects, roundMs } = this.current;
-    // Hosts that started together spread their rounds over the interval.
-    const phase = this.lastRoundMs === -Infinity ? this.random() : 1;
+    const { collects, roundMs, intervalMs } = this.current;
+    const keptMs = intervalMs * SILENT_INTERVALS;
+    dropUnless(this.handedOverMs, (serverId) => nowMs - (this.handedOverMs.get(serverId) ?? 0) < keptMs);
+    const phase = this.inStep ? this.random() : 1 - this.random() * ROUND_JITTER_SHARE;
     this.nextRoundMs = nowMs + roundMs * phase;
     this.lastRoundMs = nowMs;
+    this.inStep = false;
     const limit = Math.floor((roundMs * MAX_POLLS_PER_SECOND) / MS_PER_SECOND);
-    return this.takeLongestUnpolled([...collects], limit, nowMs);
+    return this.takeLongestUnpolled([...collects, ...this.handedOverMs.keys()], limit, nowMs);
   }
 
   private takeSilent(nowMs: number, elapsedMs: number, mayPoll: (serverId: string) => boolean): readonly string[] {
--- a/packages/decide/src/load/loadIntervalMs.ts
+++ b/packages/decide/src/load/loadIntervalMs.ts
@@ -25,7 +25,7 @@
  * @param servers - servers that they poll together
  * @returns the intervals in milliseconds
  * @example
- * loadIntervalMs(37, 155); // { roundMs: 3700, intervalMs: 3700 }
+ * loadIntervalMs(37, 155); // { roundMs: 4070, intervalMs: 4070 }
  */
 export default function loadIntervalMs(hosts: number, servers: number): LoadIntervals {
   const serversOfHost = servers / Math.max(1, hosts);
--- a/packages/entry/src/servers/createLoadReports.ts
+++ b/packages/entry/src/servers/createLoadReports.ts
@@ -53,7 +53,7 @@
   close(): void;
 }
 
-/** Interval of the checks; a silent collector must be noticed within half of the shortest interval of reports. */
+/** Longest interval of the checks; a silent collector must be noticed within half of the shortest interval of reports. */
 const TICK_MS = 100;
 
 /** Wait for the answers to polls before the summary leaves; a server that hangs does not hold back the others. */
@@ -99,7 +99,9 @@
   start(): void {
     this.tick();
     if (!this.closed) {
-      this.timer = this.options.clock.schedule(TICK_MS, () => this.start());
+      const { clock } = this.options;
+      const delayMs = Math.min(TICK_MS, this.schedule.untilRoundMs(clock.monotonicMs()));
+      this.timer = clock.schedule(delayMs, () => this.start());
     }
   }
 
@@ -118,7 +120,14 @@
     this.refresh(nowMs);
     const { round, alone } = this.schedule.tick(nowMs, (serverId) => this.isWanted(serverId, nowMs));
     if (round !== undefined) {
-      this.runRound(round).catch(() => undefined);
+      const isOwn = (serverId: string): boolean =>
+        this.byId.get(serverId)?.failureDomain === this.options.self.failureDomain;
+      // Servers of a lost failure domain mostly hang; they have a summary of their own.
+      const lost = round.filter((serverId) => !isOwn(serverId));
+      this.runRound(round.filter(isOwn)).catch(() => undefined);
+      if (lost.length > 0) {
+        this.runRound(lost).catch(() => undefined);
+      }
     }
     if (alone.length > 0) {
       this.pollAll(alone).catch(() => undefined);
