Wait for the record of an unreachable host before calling its answer lost

Change: the host reads the log again first, and gives the claiming host the 500 ms that its own caller waits for the durable outcome.

--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -28,6 +28,8 @@
 /** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
 const STATUS_RESERVE_MS = 450;
 const RELEASE_LIMIT_MS = 500;
+/** Time for an unreachable claiming host to make its answer durable, equal to the time that its own caller waits. */
+const RECORD_GRACE_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
 /** Time for a call that was sent just before its deadline to arrive at its server. */
@@ -125,12 +127,18 @@
         // The outcome may have become durable just before its host went away.
         return fresh ? this.settle(request, record) : 'refresh';
       case 'unreachable':
-        return this.settleIfRan(request, record);
+        return fresh && !this.mayBeRecording(record) ? this.settleIfRan(request, record) : 'pause';
       default:
         return 'pause';
     }
   }
 
+  /** A call that has run is no lost answer yet: its host may be appending the outcome at this moment. */
+  private mayBeRecording(record: ClaimRecord): boolean {
+    const seenAtMs = this.seenAtMs.get(record.claimId) ?? -Infinity;
+    return this.options.clock.monotonicMs() - seenAtMs < RECORD_GRACE_MS;
+  }
+
   /**
    * Membership needs seconds to declare a crashed host dead. Meanwhile only a positive answer of the servers settles
    * the request: the claiming host may still be about to send the call.
