--- a/packages/bench/src/faults/constants.ts
+++ b/packages/bench/src/faults/constants.ts
@@ -72,6 +72,9 @@
 /** Wait before execution counts are read, for calls that are sent late. */
 export const SETTLE_MS = 150;
 
+/** Time from the entry of a leaving server in the host list until every host knows it. */
+export const LEAVING_KNOWN_MS = 3_000;
+
 /** Servers that one poisonous request may crash. */
 export const MAX_POISON_CRASHES = 2;
 
--- a/packages/bench/src/faults/createTrigger.ts
+++ b/packages/bench/src/faults/createTrigger.ts
@@ -18,6 +18,8 @@
   /** Holds the request at its last stage until the resend was sent. */
   holdForResend(breakCaller: () => void): void;
   releaseResend(): void;
+  /** Requests of any caller that a server has received. */
+  received(serverId: string): number;
 }
 
 /** Pool whose server a fault strikes at a step of the entry host: the one that the request needs next. */
@@ -54,6 +56,8 @@
 
   private callReceived = false;
 
+  private readonly receivedBy = new Map<string, number>();
+
   constructor(
     private readonly cell: Cell,
     private readonly marker: string,
@@ -65,6 +69,9 @@
   }
 
   async onServerPoint(point: ServerPoint): Promise<void> {
+    if (point.type === 'received') {
+      this.receivedBy.set(point.serverId, this.received(point.serverId) + 1);
+    }
     if (point.echo !== this.marker) {
       return;
     }
@@ -97,6 +104,10 @@
     this.gate.hold(breakCaller);
   }
 
+  received(serverId: string): number {
+    return this.receivedBy.get(serverId) ?? 0;
+  }
+
   releaseResend(): void {
     this.gate.open();
   }
--- a/packages/bench/src/faults/injectFault.ts
+++ b/packages/bench/src/faults/injectFault.ts
@@ -67,6 +67,11 @@
 const addServerFault = (world: World, options: InjectOptions, fault: ServerFaultInput): void =>
   findServer(world, options).server.addFault(fault);
 
+const startLeaving = (world: World, server: WorldServer): void => {
+  world.leavingServers.add(server.serverId);
+  server.server.addFault({ type: 'leaving' });
+};
+
 const addPoison = (world: World, options: InjectOptions): void => {
   const pool = world.servers.find((server) => server.serverId === options.serverId)?.pool;
   world.servers
@@ -140,7 +145,7 @@
     case 'swapped':
       return swapAnswers(world, options);
     case 'leaving':
-      return addServerFault(world, options, { type: 'leaving' });
+      return startLeaving(world, findServer(world, options));
     case 'poison':
       return addPoison(world, options);
     default:
--- a/packages/bench/src/faults/runCell.ts
+++ b/packages/bench/src/faults/runCell.ts
@@ -1,4 +1,5 @@
 import { isDeepStrictEqual } from 'node:util';
+import checkLeaving from './checkLeaving.js';
 import checkReply, { checkTokens, toOutcome } from './checkReply.js';
 import { MAX_POISON_CRASHES, PAUSE_MS, SERVER_DOWN_MS, SETTLE_MS } from './constants.js';
 import createRandom from './createRandom.js';
@@ -78,6 +79,7 @@
     });
     await this.resend(this.host(1));
     this.checkCrashes();
+    this.violations.push(...(await checkLeaving(this.world, this.trigger, this.cell)));
     healWorld(this.world);
     // Crashed servers come back by themselves.
     await delay(this.world.servers.some(({ server }) => server.crashes() > 0) ? SERVER_DOWN_MS : 0);
--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -43,6 +43,10 @@
   readonly servers: readonly WorldServer[];
   /** Executions of the `once` stage by idempotency key. */
   readonly executions: ReadonlyMap<string, number>;
+  /** Servers that refuse work because they leave. */
+  readonly leavingServers: Set<string>;
+  /** Lets the host list, which lags, name them as leaving. */
+  listLeaving(): void;
   close(): Promise<void>;
 }
 
@@ -159,14 +163,21 @@
 };
 
 /** Tells every host where the others are, through its own links. */
-const publishHosts = (hosts: readonly WorldHost[], servers: readonly WorldServer[]): void => {
+const publishHosts = (
+  hosts: readonly WorldHost[],
+  servers: readonly WorldServer[],
+  leaving: ReadonlySet<string> = new Set(),
+): void => {
   hosts.forEach((host) => {
     const entries = hosts.map((other) => {
       const link = host.peers.get(other.hostId);
       link?.setTarget(other.process.peersPort);
       return describeHost(other, other.process.callersPort, link?.port ?? other.process.peersPort);
     });
-    const described = servers.map((server) => describeServer(server, host.servers.get(server.serverId)));
+    const described = servers.map((server) => ({
+      ...describeServer(server, host.servers.get(server.serverId)),
+      state: leaving.has(server.serverId) ? ('leaving' as const) : ('live' as const),
+    }));
     host.hostList.setHosts([...described, ...entries]);
   });
 };
@@ -224,7 +235,10 @@
   const hosts = await Promise.all(PLACES.map((place) => startWorldHost(place, { clock, store, servers }, options)));
   publishHosts(hosts, servers);
   await waitUntilReady(clock, hosts);
+  const leavingServers = new Set<string>();
   return {
+    leavingServers,
+    listLeaving: () => publishHosts(hosts, servers, leavingServers),
     clock,
     store,
     hosts,
