--- a/packages/bench/src/replay/findReplayer.ts
+++ b/packages/bench/src/replay/findReplayer.ts
@@ -1,9 +1,13 @@
 import {
+  advanceMembership,
   advancePoison,
   advanceRequest,
   advanceShard,
+  createMembershipState,
   createRequestState,
   createShardState,
+  type MembershipEvent,
+  type MembershipState,
   type PoisonEvent,
   type PoisonState,
   type RequestEvent,
@@ -54,11 +58,20 @@
   },
 };
 
+/** Draws of peers take the first one, so that the actions of a trace are certain. */
+const drawFirst = (): number => 0;
+
+const membershipReplayer: Replayer<MembershipState> = {
+  start: (initial) => createMembershipState((initial as Pick<MembershipState, 'self'>).self, 0),
+  advance: (state, event, atMs) => advanceMembership(state, event as unknown as MembershipEvent, atMs, drawFirst),
+};
+
 /** Replayers by the name of their reducer. */
 const REPLAYERS: Readonly<Record<ReducerName, Replayer<unknown>>> = {
   request: requestReplayer,
   shard: shardReplayer,
   poison: poisonReplayer,
+  membership: membershipReplayer,
 };
 
 /**
--- a/packages/bench/src/replay/parseTrace.ts
+++ b/packages/bench/src/replay/parseTrace.ts
@@ -6,7 +6,7 @@
     type: z.literal('trace'),
     name: z.string(),
     about: z.string(),
-    reducer: z.enum(['request', 'shard', 'poison']),
+    reducer: z.enum(['request', 'shard', 'poison', 'membership']),
     initial: z.unknown(),
   }),
   z.strictObject({
--- a/packages/bench/src/replay/types.ts
+++ b/packages/bench/src/replay/types.ts
@@ -19,7 +19,7 @@
   | { readonly type: 'outcome'; readonly state: unknown };
 
 /** Reducers that traces can be replayed through. */
-export type ReducerName = 'request' | 'shard' | 'poison';
+export type ReducerName = 'request' | 'shard' | 'poison' | 'membership';
 
 /** Result of one event as plain JSON. */
 export interface ReplayStep<State> {
