--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -32,6 +32,9 @@
  */
 export const FREE_SLOT_OVERCOMMIT = 4;
 
+/** All hosts together take at most this multiple of the free slots, and one attempt each, on one report. */
+export const MAX_OVERFILL = 2;
+
 /** Share of a server's slots that long work may use. */
 export const LONG_LIMIT_SHARE = 0.5;
 
