--- a/packages/bench/src/control/runControlBench.ts
+++ b/packages/bench/src/control/runControlBench.ts
@@ -1,8 +1,10 @@
 import measureCost, { measureTargetCost } from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureDigests from './measureDigests.js';
+import measureEvents from './measureEvents.js';
 import measureInForce from './measureInForce.js';
 import measureLoadReports from './measureLoadReports.js';
+import measureMemory from './measureMemory.js';
 import measureProcess from './measureProcess.js';
 import measureRestart from './measureRestart.js';
 import measureSchedules from './measureSchedules.js';
@@ -15,7 +17,9 @@
   'target-cost': measureTargetCost,
   'load-reports': measureLoadReports,
   process: measureProcess,
+  memory: measureMemory,
   detection: measureDetection,
+  events: measureEvents,
   restart: measureRestart,
   digests: measureDigests,
   schedules: measureSchedules,
