Void a run only for one long wait for the processor, and end what a worker started

Cause: a late run was repeated when the waits for a processor over the whole cell, about 8 s, added up to 300 ms, which ordinary load reaches; and killed workers left paused entry hosts behind (6 processes after runs). Change: the wait counts in any time of 2 s, the deadline of a request; a worker ends itself, and processes started by the bench end with it.

--- a/packages/bench/src/deployment/startProcess.ts
+++ b/packages/bench/src/deployment/startProcess.ts
@@ -1,4 +1,4 @@
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
 
 /** A process that the bench started. */
@@ -15,6 +15,11 @@
 
 const READY_TIMEOUT_MS = 15_000;
 
+const running = new Set<ChildProcess>();
+
+// A bench that ends in the middle of a run must not leave processes behind, least of all paused ones.
+process.on('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 /**
  * Starts a Node process and waits for its ready line.
  *
@@ -25,8 +30,12 @@
  */
 export default function startProcess(name: string, args: readonly string[]): Promise<BenchProcess> {
   const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  running.add(child);
   const exited = new Promise<number | null>((resolve) => {
-    child.on('exit', (code) => resolve(code));
+    child.on('exit', (code) => {
+      running.delete(child);
+      resolve(code);
+    });
   });
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
--- a/packages/bench/src/faults/cellWorker.ts
+++ b/packages/bench/src/faults/cellWorker.ts
@@ -1,10 +1,15 @@
 /** Worker process of the fault matrix: runs the cells that it is given, one at a time. */
 import { toError } from '@bergamotcove/errors';
+import { DEADLINE_MS } from './constants.js';
+import findLargestGrowth, { type CounterSample } from './findLargestGrowth.js';
 import readRunDelay from './readRunDelay.js';
 import runCell from './runCell.js';
 import type { Cell, CellResult } from './types.js';
 import type { MatrixRun, WorkerMessage } from './workerMessages.js';
 
+/** Interval between two readings of the time without a processor. */
+const SAMPLE_MS = 100;
+
 /** A run without faults. Without it the first cell also measures the loading and compiling of the modules. */
 const WARM_UP: Cell = { name: 'warm-up', operation: 'post-entry', injections: [], allowed: ['answered'] };
 
@@ -21,9 +26,22 @@
   }
 };
 
+/** Runs one cell and finds the longest wait for a processor in any time that is as long as a request's deadline. */
+const runWatched = async (run: MatrixRun): Promise<void> => {
+  const samples: CounterSample[] = [];
+  const sample = (): void => {
+    samples.push({ atMs: performance.now(), value: readRunDelay() });
+  };
+  sample();
+  const timer = setInterval(sample, SAMPLE_MS);
+  const result = await runGuarded(run);
+  clearInterval(timer);
+  sample();
+  report({ type: 'result', result, runDelayMs: findLargestGrowth(samples, DEADLINE_MS) });
+};
+
 process.on('message', (run: MatrixRun) => {
-  const before = readRunDelay();
-  runGuarded(run).then((result) => report({ type: 'result', result, runDelayMs: readRunDelay() - before }));
+  runWatched(run).catch(() => process.exit(1));
 });
 // The worker must not outlive the matrix.
 process.on('disconnect', () => process.exit());
--- a/packages/bench/src/faults/startCellWorker.ts
+++ b/packages/bench/src/faults/startCellWorker.ts
@@ -35,6 +35,9 @@
   }
 };
 
+/** Time for a worker to end by itself. */
+const CLOSE_LIMIT_MS = 2_000;
+
 /**
  * Starts a worker process. It inherits the arguments of this process for Node, among them the hooks of the mutation
  * check.
@@ -61,7 +64,12 @@
       return message;
     },
     close: () => {
-      child.kill('SIGKILL');
+      // The worker ends itself and the hosts that it started; one that hangs is killed.
+      if (child.connected) {
+        child.disconnect();
+      }
+      const timer = setTimeout(() => child.kill('SIGKILL'), CLOSE_LIMIT_MS);
+      child.once('exit', () => clearTimeout(timer));
     },
   };
 }
