--- a/packages/entry/src/claims/createOutcomeWait.test.ts
+++ b/packages/entry/src/claims/createOutcomeWait.test.ts
@@ -14,8 +14,8 @@
   idempotencyKey: 'k',
   bodyHash: 'body',
   requestId,
-  deadlineAtMs: 2_000,
-  longestMs: 2_000,
+  deadlineAtMs: 5_000,
+  longestMs: 5_000,
   serversCheckKeys: false,
   queryStatus: () => Promise.resolve(executed),
 });
@@ -67,6 +67,18 @@
   assert.deepEqual(late, { type: 'settled', result: { type: 'answered', output: { receipt: 1 }, stages: [] } });
 });
 
+test('a resend waits for the outcome that an unreachable host appends by itself, in place of settling as ran', async () => {
+  const { clock, claimant, wait, finish } = await start();
+  const resend = makeRequest('c2', true);
+  const waiting = wait(resend);
+  const answer = { type: 'answered' as const, answer: '1' };
+  clock.schedule(1_500, () => {
+    claimant.persist(formatOutcome(hashKey(resend), 'c1', answer, clock.wallMs())).catch(() => assert.fail());
+  });
+  const settled = await finish(waiting);
+  assert.equal(settled.type === 'settled' && settled.result.type, 'answered');
+});
+
 test('a call that has not run yet is not settled while its host is only unreachable, because it may still be sent', async () => {
   const { wait, finish } = await start();
   const waited = await finish(wait(makeRequest('c2', false)));
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -31,6 +31,11 @@
 const RELEASE_LIMIT_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
+/**
+ * Time that the outcome of an unreachable host may take to reach the log: it waits for two shard owners, a second
+ * each, before it appends by itself.
+ */
+const UNREACHABLE_MS = 2_000;
 /** Time for a call that was sent just before its deadline to arrive at its server. */
 const ARRIVAL_MARGIN_MS = 2_000;
 
@@ -171,13 +176,18 @@
   /**
    * Settles a claim whose outcome nobody knows. Only a status query can tell more: that the call ran at any time, that
    * it did not run only after the claiming host can no longer send it. Membership needs seconds to declare a crashed
-   * host dead; while the host is only unreachable, it may still be about to send the call, and the wait goes on.
+   * host dead; while the host is only unreachable, its outcome may come, or it may still be about to send the call, and
+   * the wait goes on.
    */
   private async settle(
     request: ClaimRequest,
     record: ClaimRecord,
     claimant: 'gone' | 'unreachable',
   ): Promise<ClaimWait | 'pause'> {
+    const seenForMs = this.options.clock.monotonicMs() - (this.seenAtMs.get(record.claimId) ?? Infinity);
+    if (claimant === 'unreachable' && seenForMs < UNREACHABLE_MS) {
+      return 'pause';
+    }
     const executed = await request.queryStatus?.();
     if (executed === true) {
       return this.settleRecorded(request, record);
@@ -191,7 +201,6 @@
     if (request.serversCheckKeys) {
       return { type: 'server-decides' };
     }
-    const seenForMs = this.options.clock.monotonicMs() - (this.seenAtMs.get(record.claimId) ?? Infinity);
     const waitMs = request.longestMs + ARRIVAL_MARGIN_MS - seenForMs;
     if (executed === undefined || waitMs > 0) {
       return settleUnknown(executed === undefined ? RETRY_AFTER_MS : Math.min(Math.ceil(waitMs), request.longestMs));
