--- a/packages/ctl/src/format/formatStatus.ts
+++ b/packages/ctl/src/format/formatStatus.ts
@@ -1,5 +1,6 @@
 import type { HostAnswer } from '../hosts/askHosts.js';
 import type { HostStatusAnswer } from '../hosts/schemas.js';
+import findLimitingStage from './findLimitingStage.js';
 import formatTable from './formatTable.js';
 
 const HOST_HEADING = ['HOST', 'FAILURE DOMAIN', 'REGION', 'STATE', 'IN FLIGHT', 'ENTRY HOSTS SEEN'];
@@ -32,8 +33,44 @@
   return [service, ...versions.map((version) => (version === undefined ? '-' : String(version))), differs];
 };
 
+const FINDING_TEXT: Readonly<Record<string, string>> = {
+  'store-regressed': 'the store offers an older version than the one in force; it may have lost writes',
+  'hash-conflict': 'the same version is offered with other content',
+};
+
+const PERCENT = 100;
+
+const formatPercent = (share: number): string => `${Math.round(share * PERCENT)}%`;
+
+const formatLimit = (service: string, hosts: readonly HostStatusAnswer[]): readonly string[] => {
+  const limit = findLimitingStage(service, hosts);
+  if (limit === undefined) {
+    return [];
+  }
+  const { stage, pool, servers, use, waiting, gainOfOneServer, next } = limit;
+  const load = `${formatPercent(use)} of the slots of ${servers} servers used, ${waiting} attempts waiting`;
+  const after = next === undefined ? '' : `; next limit: ${next.stage} at ${formatPercent(next.use)}`;
+  const gain = `one more server: +${formatPercent(gainOfOneServer)} requests`;
+  return [`service ${service}: limited by stage ${stage} (pool ${pool}: ${load}); ${gain}${after}`];
+};
+
+/** Each finding once, with the hosts that report it. */
+const formatFindings = (hosts: readonly HostStatusAnswer[]): readonly string[] => {
+  const reporters = new Map<string, string[]>();
+  hosts.forEach(({ hostId, configFindings = [], lostDomains = [] }) => {
+    const findings = configFindings.map(({ type, service, inForce, offered, source }) => {
+      const text = FINDING_TEXT[type] ?? type;
+      return `service ${service}: ${text} (in force ${inForce}, offered ${offered} by ${source})`;
+    });
+    const lost = lostDomains.map((domain) => `failure domain ${domain}: lost`);
+    [...findings, ...lost].forEach((text) => reporters.set(text, [...(reporters.get(text) ?? []), hostId]));
+  });
+  return [...reporters].map(([text, hostIds]) => `${text}; reported by ${hostIds.join(', ')}`);
+};
+
 /**
- * Formats the status of several hosts: a table of hosts, and a table of services with the version in force on each.
+ * Formats the status of several hosts: a table of hosts, a table of services with the version in force on each,
+ * the stages that limit services, and the findings that an operator has to look at.
  *
  * @param answers - answers of the hosts
  * @returns the tables
@@ -42,10 +79,10 @@
   const hosts = answers.flatMap((answer) => (answer.type === 'answered' ? [answer.result] : []));
   const services = [...new Set(hosts.flatMap((host) => host.services.map((entry) => entry.service)))].sort();
   const hostTable = formatTable([HOST_HEADING, ...answers.map(toHostRow)]);
-  if (services.length === 0) {
-    return hostTable;
-  }
   const heading = ['SERVICE', ...hosts.map((host) => host.hostId)];
-  const serviceTable = formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
-  return `${hostTable}\n\n${serviceTable}`;
+  const serviceTable =
+    services.length === 0 ? '' : formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
+  const limits = services.flatMap((service) => formatLimit(service, hosts)).join('\n');
+  const findings = formatFindings(hosts).join('\n');
+  return [hostTable, serviceTable, limits, findings].filter((part) => part !== '').join('\n\n');
 }
