Let the verdict timeout grow by half of its base for ten times the hosts

Cause: at 60 hosts in 3 failure domains a crash was known in its failure domain after up to 5.7 s; the limit is 5 s. Change: 2 s up to 10 hosts, 1 s more for ten times as many.

--- a/packages/decide/src/membership/constants.ts
+++ b/packages/decide/src/membership/constants.ts
@@ -16,7 +16,10 @@
 /** Peers that are asked to probe indirectly. */
 export const INDIRECT_PROBES = 3;
 
-/** Verdict timeout of a suspicion for up to ten hosts; it grows with the decimal logarithm of the group. */
+/** Hosts of a failure domain up to which the verdict timeout is the shortest. */
+export const SUSPICION_BASE_HOSTS = 10;
+
+/** Shortest verdict timeout of a suspicion; a host that pauses for 1 s and is told afterwards refutes in half of it. */
 export const SUSPICION_BASE_MS = 2_000;
 
 /** Hosts of a failure domain that probe the other failure domains. */
