Release from a priority queue of organisations and place queued requests in one pass

Cause: each release looked at every organisation, and the place of every queued request was a sum over all organisations, each 100 ms. Conclusion: release and places grow with the log for each request. The place of a new request is still a sum over the organisations with a backlog.

--- a/packages/decide/src/admission/createAdmission.ts
+++ b/packages/decide/src/admission/createAdmission.ts
@@ -112,7 +112,7 @@
       .list()
       .filter((queued) => nowMs + queued.tokensBefore / tokensPerMs + neededMs(queued) > queued.item.deadlineAtMs)
       .map(({ item }) => item);
-    expired.forEach((item) => this.queue.remove(item));
+    this.queue.removeAll(expired);
     return expired;
   }
 
--- a/packages/decide/src/admission/createFairQueue.ts
+++ b/packages/decide/src/admission/createFairQueue.ts
@@ -2,6 +2,7 @@
 import TinyQueue from 'tinyqueue';
 import { CLASS_WEIGHT } from '../queue/constants.js';
 import type { PriorityClass } from '../queue/types.js';
+import sumBefore from './_lib/sumBefore.js';
 import type { AdmissionRequest } from './types.js';
 
 /** Fair queue of two levels: organisations share by weight and cost, classes share within their organisation. */
@@ -14,6 +15,8 @@
   /** Work that would be released before a new item. */
   tokensBefore(item: AdmissionRequest): number;
   remove(item: Item): void;
+  /** Removes items at the cost of one pass over the queues of their organisations. */
+  removeAll(items: readonly Item[]): void;
   /** All items with the work that is released before each. */
   list(): readonly QueuedItem<Item>[];
 }
@@ -34,7 +37,10 @@
 
 /** Items of one organisation. */
 interface Flow<Item> {
+  readonly organisation: string;
   readonly weight: number;
+  /** Position among organisations with the same start tag. */
+  readonly order: number;
   /** Virtual time at which the organisation's next item starts. */
   startTag: number;
   tokens: number;
@@ -60,6 +66,8 @@
   return start + item.costTokens / CLASS_WEIGHT[item.priority];
 };
 
+const compareFlows = <Item>(a: Flow<Item>, b: Flow<Item>): number => a.startTag - b.startTag || a.order - b.order;
+
 class TwoLevelQueue<Item extends AdmissionRequest> implements FairQueue<Item> {
   length = 0;
 
@@ -67,6 +75,9 @@
 
   private readonly flows = new Map<string, Flow<Item>>();
 
+  /** Flows by start tag; a flow that became empty by removals stays until it is first. */
+  private readonly ready = new TinyQueue<Flow<Item>>([], compareFlows);
+
   private readonly idleTags = new LRUCache<string, number>({ max: MAX_IDLE });
 
   private virtualTime = 0;
@@ -83,10 +94,7 @@
   }
 
   pop(): Item | undefined {
-    let next: Flow<Item> | undefined;
-    this.flows.forEach((flow) => {
-      next = next === undefined || flow.startTag < next.startTag ? flow : next;
-    });
+    const next = this.takeFirst();
     const entry = next?.entries.pop();
     if (next === undefined || entry === undefined) {
       return undefined;
@@ -95,7 +103,10 @@
     next.startTag += entry.item.costTokens / next.weight;
     next.classTime = entry.tag;
     this.count(next, entry.item, -1);
-    this.endIfEmpty(entry.item.organisation, next);
+    this.endIfEmpty(next);
+    if (next.entries.length > 0) {
+      this.ready.push(next);
+    }
     return entry.item;
   }
 
@@ -110,26 +121,52 @@
   }
 
   remove(item: Item): void {
-    const flow = this.flows.get(item.organisation);
-    const kept = flow?.entries.data.filter((entry) => entry.item !== item) ?? [];
-    if (flow === undefined || kept.length === flow.entries.length) {
-      return;
-    }
-    flow.entries = new TinyQueue(kept, compareEntries);
-    this.count(flow, item, -1);
-    this.endIfEmpty(item.organisation, flow);
+    this.removeAll([item]);
+  }
+
+  removeAll(items: readonly Item[]): void {
+    const removed = new Set(items);
+    new Set(items.map((item) => item.organisation)).forEach((organisation) => {
+      const flow = this.flows.get(organisation);
+      if (flow === undefined) {
+        return;
+      }
+      const gone = flow.entries.data.filter((entry) => removed.has(entry.item));
+      const kept = flow.entries.data.filter((entry) => !removed.has(entry.item));
+      flow.entries = new TinyQueue(kept, compareEntries);
+      gone.forEach((entry) => this.count(flow, entry.item, -1));
+      this.endIfEmpty(flow);
+    });
   }
 
   list(): readonly QueuedItem<Item>[] {
-    return [...this.flows].flatMap(([organisation, flow]) => {
+    const places = [...this.flows.values()].flatMap((flow) => {
       let own = 0;
       return [...flow.entries.data].sort(compareEntries).map(({ item }) => {
-        const startTag = flow.startTag + own / flow.weight;
-        const tokensBefore = own + this.othersBefore(organisation, startTag);
+        const place = { item, flow, own, startTag: flow.startTag + own / flow.weight };
         own += item.costTokens;
-        return { item, tokensBefore, withinShare: startTag <= this.virtualTime };
+        return place;
       });
     });
+    const sums = sumBefore(
+      [...this.flows.values()].map((flow) => ({ ...flow, nextTokens: flow.entries.peek()?.item.costTokens ?? 0 })),
+      places.map((place) => place.startTag),
+    );
+    return places.map(({ item, flow, own, startTag }, index) => {
+      // The sum counts the item's own organisation as one of the others.
+      const ownCounted = Math.min(flow.tokens, own + (flow.entries.peek()?.item.costTokens ?? 0));
+      const others = Math.max(0, (sums[index] as number) - ownCounted);
+      return { item, tokensBefore: own + others, withinShare: startTag <= this.virtualTime };
+    });
+  }
+
+  private takeFirst(): Flow<Item> | undefined {
+    for (let next = this.ready.pop(); next !== undefined; next = this.ready.pop()) {
+      if (this.flows.get(next.organisation) === next) {
+        return next;
+      }
+    }
+    return undefined;
   }
 
   private startTagOf({ organisation, weight }: AdmissionRequest): number {
@@ -137,7 +174,10 @@
   }
 
   private startFlow(item: Item): Flow<Item> {
+    this.order += 1;
     const flow: Flow<Item> = {
+      organisation: item.organisation,
+      order: this.order,
       weight: item.weight,
       startTag: this.startTagOf(item),
       tokens: 0,
@@ -146,6 +186,7 @@
       entries: new TinyQueue<Entry<Item>>([], compareEntries),
     };
     this.flows.set(item.organisation, flow);
+    this.ready.push(flow);
     return flow;
   }
 
@@ -168,10 +209,10 @@
     this.length += sign;
   }
 
-  private endIfEmpty(organisation: string, flow: Flow<Item>): void {
+  private endIfEmpty(flow: Flow<Item>): void {
     if (flow.entries.length === 0) {
-      this.flows.delete(organisation);
-      this.idleTags.set(organisation, flow.startTag);
+      this.flows.delete(flow.organisation);
+      this.idleTags.set(flow.organisation, flow.startTag);
     }
   }
 }
