--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -29,8 +29,6 @@
 /** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
 const STATUS_RESERVE_MS = 450;
 const RELEASE_LIMIT_MS = 500;
-/** Time for an unreachable claiming host to make its answer durable, equal to the time that its own caller waits. */
-const RECORD_GRACE_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
 /**
@@ -133,18 +131,12 @@
         // The outcome may have become durable just before its host went away.
         return fresh ? this.settle(request, record, 'gone') : 'refresh';
       case 'unreachable':
-        return fresh && !this.mayBeRecording(record) ? this.settle(request, record, 'unreachable') : 'pause';
+        return fresh ? this.settle(request, record, 'unreachable') : 'pause';
       default:
         return 'pause';
     }
   }
 
-  /** A call that has run is no lost answer yet: its host may be appending the outcome at this moment. */
-  private mayBeRecording(record: ClaimRecord): boolean {
-    const seenAtMs = this.seenAtMs.get(record.claimId) ?? -Infinity;
-    return this.options.clock.monotonicMs() - seenAtMs < RECORD_GRACE_MS;
-  }
-
   /** Records that the call ran; an answer of the claiming host that comes later replaces this record. */
   private settleRecorded(request: ClaimRequest, record: ClaimRecord): ClaimWait {
     const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
