Give a restarted server work again when the host list shows it as live

Change: a note ends when the list showed the server as leaving and shows it as live. The matrix lists such servers as live when it heals, and each of its hosts has revisions of its own, because readers pass changes on and the links differ.

--- a/packages/bench/src/faults/injectFault.ts
+++ b/packages/bench/src/faults/injectFault.ts
@@ -207,6 +207,11 @@
 export function healWorld(world: World): void {
   world.store.setFaults([]);
   world.servers.forEach(({ server }) => server.setFaults([]));
+  if (world.leavingServers.size > 0) {
+    // The servers were restarted under their old names.
+    world.leavingServers.clear();
+    world.listLeaving();
+  }
   world.hosts
     .filter((host) => !world.crashedHosts.has(host.hostId))
     .forEach((host) => {
--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -45,7 +45,7 @@
   readonly executions: ReadonlyMap<string, number>;
   /** Servers that refuse work because they leave. */
   readonly leavingServers: Set<string>;
-  /** Lets the host list, which lags, name them as leaving. */
+  /** Lets the host list, which lags, name them as leaving; without any, all servers are shown as live. */
   listLeaving(): void;
   close(): Promise<void>;
 }
@@ -128,6 +128,8 @@
   readonly servers: readonly WorldServer[];
 }
 
+const REVISIONS_PER_HOST = 1_000_000;
+
 const startWorldHost = async (place: Place, around: Surroundings, options: WorldOptions): Promise<WorldHost> => {
   const others = PLACES.filter((other) => options.isPeerCut(place.hostId, other.hostId));
   const [store, callers, servers, peers] = await Promise.all([
@@ -146,7 +148,9 @@
   ]);
   const described = around.servers.map((server) => describeServer(server, servers.get(server.serverId)));
   const listen = { address: ADDRESS, port: 0 };
-  const hostList = await startHostList(listen, { hosts: described, clock: around.clock });
+  // Each host has a list of its own, with its own links; revisions of its own keep the hosts from sharing changes.
+  const revision = 1 + PLACES.indexOf(place) * REVISIONS_PER_HOST;
+  const hostList = await startHostList(listen, { hosts: described, clock: around.clock, revision });
   const settings = {
     host: { id: place.hostId, address: ADDRESS, failureDomain: place.failureDomain, region: REGION },
     callers: { port: 0 },
--- a/packages/entry/src/servers/createServerDirectory.test.ts
+++ b/packages/entry/src/servers/createServerDirectory.test.ts
@@ -3,7 +3,8 @@
 import { Subject } from 'rxjs';
 import { createManualClock } from '@bergamotcove/clock';
 import type { ListedHost } from '@bergamotcove/protocol';
-import createServerDirectory, { LEAVING_MEMORY_MS } from './createServerDirectory.js';
+import { LEAVING_MEMORY_MS } from './createLeavingNotes.js';
+import createServerDirectory from './createServerDirectory.js';
 
 const SERVER: ListedHost = {
   id: 'e1',
@@ -38,6 +39,16 @@
   directory.close();
 });
 
+test('a server that the list shows as leaving and then as live gets work again at once', () => {
+  const { directory, change, states } = startDirectory([SERVER]);
+  directory.noteLeaving('e1');
+  change([{ ...SERVER, state: 'leaving' }]);
+  assert.deepEqual(states(), ['leaving']);
+  change([SERVER]);
+  assert.deepEqual(states(), ['live']);
+  directory.close();
+});
+
 test('a server that was restarted under its old name gets work again, so that a restart does not lose it for good', () => {
   const { clock, directory, states } = startDirectory([SERVER]);
   directory.noteLeaving('e1');
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '@bergamotcove/clock';
+import type { Clock } from '@bergamotcove/clock';
 import {
   createPoolBook,
   type LoadReport,
@@ -8,6 +8,7 @@
 } from '@bergamotcove/decide';
 import type { HostListFollower } from '@bergamotcove/membership';
 import type { ListedHost } from '@bergamotcove/protocol';
+import createLeavingNotes, { type LeavingNotes } from './createLeavingNotes.js';
 import createServerIndex from './createServerIndex.js';
 
 /** Options of {@link createServerDirectory}. */
@@ -43,12 +44,6 @@
   close(): void;
 }
 
-/**
- * Time for which a server's own word that it is leaving counts against a host list that shows it as live. The list lags,
- * but a server that was restarted under its old name must get work again; one that is still leaving says so again.
- */
-export const LEAVING_MEMORY_MS = 60_000;
-
 /**
  * Keeps the list of backend servers with what this host knows about each.
  *
@@ -58,19 +53,17 @@
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const { clock, hostList } = options;
   const book = createPoolBook();
-  const leaving = new Map<string, Timer>();
   const poolSentMs = new Map<string, number>();
-  const arrange = () => createServerIndex(hostList.hosts(), new Set(leaving.keys()));
-  let index = arrange();
-
+  let index = createServerIndex(hostList.hosts(), new Set());
+  const arrange = (leaving: LeavingNotes): void => {
+    index = createServerIndex(hostList.hosts(), leaving.ids());
+  };
+  const leavingNotes: LeavingNotes = createLeavingNotes(clock, () => arrange(leavingNotes));
   const subscription = hostList.changes.subscribe((hosts) => {
-    index = arrange();
+    leavingNotes.follow(hosts);
+    arrange(leavingNotes);
     book.retain(new Set(hosts.map((host) => host.id)));
   });
-  const forgetLeaving = (serverId: string): void => {
-    leaving.delete(serverId);
-    index = arrange();
-  };
   const note = (serverId: string, event: ServerEventInput): void => {
     const nowMs = clock.monotonicMs();
     const pool = event.type === 'sent' ? index.findPool(serverId) : undefined;
@@ -93,15 +86,12 @@
     msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
-      if (!leaving.has(serverId)) {
-        const timer = clock.schedule(LEAVING_MEMORY_MS, () => forgetLeaving(serverId));
-        leaving.set(serverId, timer);
-        index = arrange();
-      }
+      leavingNotes.note(serverId);
+      arrange(leavingNotes);
     },
     close: () => {
       subscription.unsubscribe();
-      leaving.forEach((timer) => timer.close());
+      leavingNotes.close();
     },
   };
 }
--- a/packages/standins/src/hosts/startHostList.ts
+++ b/packages/standins/src/hosts/startHostList.ts
@@ -48,8 +48,6 @@
 
 /** Content, faults and counters of the list. */
 class ListState {
-  private revision = 1;
-
   private etag: string;
 
   private faults = faultsSchema.parse({});
@@ -63,6 +61,7 @@
   constructor(
     private hosts: readonly z.output<typeof hostSchema>[],
     private readonly clock: Clock | undefined,
+    private revision: number,
   ) {
     this.etag = tagOf({ revision: this.revision, hosts });
   }
@@ -117,15 +116,15 @@
  * reads and how many of them found the list unchanged.
  *
  * @param listen - address and port
- * @param options - initial hosts; a clock is needed for a lag
+ * @param options - initial hosts; a clock is needed for a lag; the first revision is 1 by default
  * @returns the running stand-in
  */
 export default async function startHostList(
   listen: ListenOptions,
-  options: { readonly hosts: readonly StandinHost[]; readonly clock?: Clock },
+  options: { readonly hosts: readonly StandinHost[]; readonly clock?: Clock; readonly revision?: number },
 ): Promise<HostListStandin> {
   const hosts = options.hosts.map((host) => hostSchema.parse(host));
-  const state = new ListState(hosts, options.clock);
+  const state = new ListState(hosts, options.clock, options.revision ?? 1);
   const server = await serveJson(
     {
       'GET /v1/hosts': (_body, exchange) => state.answerRead(exchange),
