--- a/packages/bench/src/faults/injectFault.ts
+++ b/packages/bench/src/faults/injectFault.ts
@@ -207,6 +207,9 @@
 export function healWorld(world: World): void {
   world.store.setFaults([]);
   world.servers.forEach(({ server }) => server.setFaults([]));
+  // A server that left is replaced under its name; a world may have only one of its pool.
+  world.leavingServers.clear();
+  world.listLeaving();
   world.hosts
     .filter((host) => !world.crashedHosts.has(host.hostId))
     .forEach((host) => {
