--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -45,7 +45,6 @@
   const settings = readSettings(file);
   enableLogging(settings.log?.namespaces);
   const host = await startEntryHost(settings);
-  console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
   let stopping = false;
   const stop = (): void => {
     if (stopping) {
@@ -57,6 +56,8 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   process.on('SIGHUP', () => reloadKeys(file, host));
+  // Last, because whoever reads this line may send a signal at once.
+  console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
 };
 
 main().catch((cause: unknown) => {
