Ask a silent shard owner once for each operation

Cause: the backoff of the owner ended while the next host was asked, so that two silent hosts were asked in turns until the deadline, and an outcome was never appended. Change: a host that did not answer is left out for the rest of the operation.

--- a/packages/entry/src/claims/createClaimLogs.test.ts
+++ b/packages/entry/src/claims/createClaimLogs.test.ts
@@ -151,3 +151,26 @@
   );
   assert.ok(segments > 0, 'the runs must seal segments');
 });
+
+test('a host whose peers all stay silent appends by itself within the deadline, in place of asking them in turns', async () => {
+  const { clock, logs } = startLogHosts(createMemoryStore().client, {
+    hosts: 3,
+    limits: {},
+    gate: () => Promise.resolve('reply-lost'),
+  });
+  const results: string[] = [];
+  logs.forEach((log, host) => {
+    const keyHash = KEYS[host] ?? assert.fail();
+    const fields = { keyHash, bodyHash: 'b', claimId: `c${host}`, hostId: `h${host}/p`, wallMs: 0 };
+    const claim: ClaimOp = { type: 'claim', ...fields };
+    const submitted = [log.submit(claim, LIMIT_MS), log.persist(claim)];
+    Promise.all(submitted)
+      .then(([result]) => results.push(result?.type ?? 'none'))
+      .catch(() => assert.fail('a call to the logs rejected'));
+  });
+  for (let passedMs = 0; passedMs < LIMIT_MS && results.length < 3; passedMs += 10) {
+    clock.advance(10);
+    await new Promise(setImmediate);
+  }
+  assert.deepEqual(results, ['done', 'done', 'done']);
+});
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -173,10 +173,12 @@
    * Host that commits for the shard when it is another host. While the owner does not answer, it is the next host in
    * the ranking for all hosts, so that they still write through one host.
    */
-  private findOwner(keyHash: string): EntryHostView | undefined {
+  private findOwner(keyHash: string, silent: ReadonlySet<string> = new Set()): EntryHostView | undefined {
     const nowMs = this.options.clock.monotonicMs();
     const candidates = this.rankHosts(keyHash).slice(0, OWNER_CANDIDATES);
-    const owner = candidates.find((host) => (this.backoffUntilMs.get(host.hostId) ?? 0) <= nowMs);
+    const owner = candidates.find(
+      ({ hostId }) => !silent.has(hostId) && (this.backoffUntilMs.get(hostId) ?? 0) <= nowMs,
+    );
     return owner?.hostId === this.options.hostId ? undefined : owner;
   }
 
@@ -185,13 +187,15 @@
    * here: appends of many hosts to one log conflict, and each conflict costs further store calls.
    */
   private async waitForOwner(op: ClaimOp, endsAtMs: number): Promise<ClaimOpResult | undefined> {
+    // A host that did not answer is not asked again for this operation: its backoff ends while the next one is asked.
+    const silent = new Set<string>();
     let mayApply = false;
     let limitMs = OWNER_LIMIT_MS;
     for (;;) {
       const waitMs = Math.min(limitMs, this.remaining(endsAtMs));
       // Each wait follows the answer to the one before.
       // eslint-disable-next-line no-await-in-loop
-      const result = await this.submitToOwner(op, waitMs);
+      const result = await this.submitToOwner(op, waitMs, silent);
       if (result !== undefined && result.type !== 'unavailable' && result.type !== 'unreachable') {
         return result;
       }
@@ -209,9 +213,16 @@
     return Math.max(0, endsAtMs - this.options.clock.monotonicMs());
   }
 
-  private async submitToOwner(op: ClaimOp, waitMs: number): Promise<OwnerResult | undefined> {
-    const owner = this.findOwner(op.keyHash);
-    return owner === undefined ? undefined : this.callAppend(owner, op, { waitMs, handOver: false });
+  private async submitToOwner(op: ClaimOp, waitMs: number, silent: Set<string>): Promise<OwnerResult | undefined> {
+    const owner = this.findOwner(op.keyHash, silent);
+    if (owner === undefined) {
+      return undefined;
+    }
+    const result = await this.callAppend(owner, op, { waitMs, handOver: false });
+    if (result.type === 'unreachable') {
+      silent.add(owner.hostId);
+    }
+    return result;
   }
 
   private async callAppend(
