--- a/packages/decide/src/load/createLoadSchedule.test.ts
+++ b/packages/decide/src/load/createLoadSchedule.test.ts
@@ -51,6 +51,30 @@
   assert.ok(Math.max(...[...before.values()].map(({ size }) => size)) <= Math.ceil((155 / 37) * 1.25));
 });
 
+test('a server that another host takes over is polled until a summary names it, so that no report is missed', () => {
+  const hosts = createHosts(6, 1);
+  const servers = createServers(24, 1);
+  const self = hosts[0] as LoadHost;
+  const rest = hosts.slice(0, 3);
+  const schedule = scheduleOf(self, rest, servers);
+  const before = schedule.assignment().collects;
+  schedule.tick(0, () => false);
+  schedule.assign({ self, hosts, servers }, 100);
+  const moved = [...before].filter((serverId) => schedule.assignment().expects.has(serverId));
+  assert.ok(moved.length > 1);
+  const [named = '', unnamed = ''] = moved;
+  schedule.noteHeard(named, 200);
+  const round = schedule.tick(2_500, () => false).round ?? [];
+  assert.ok(!round.includes(named));
+  assert.ok(!round.includes(unnamed), 'polled for longer than 2.5 intervals');
+  schedule.assign({ self, hosts: rest, servers }, 2_600);
+  schedule.tick(3_500, () => false);
+  schedule.assign({ self, hosts, servers }, 3_600);
+  schedule.noteHeard(named, 3_700);
+  const next = schedule.tick(4_500, () => false).round ?? [];
+  assert.ok(!next.includes(named) && next.includes(unnamed));
+});
+
 test('servers of a failure domain without live entry hosts are still collected', () => {
   const hosts = createHosts(4, 2).filter((host) => host.failureDomain === 'd0');
   const servers = createServers(10, 2);
