--- a/packages/entry/src/servers/createServerDirectory.test.ts
+++ b/packages/entry/src/servers/createServerDirectory.test.ts
@@ -56,3 +56,19 @@
   assert.deepEqual(states(), ['live']);
   directory.close();
 });
+
+test("the servers of a pool follow the host list and a server's own word, so that no choice uses an old pool", () => {
+  const other = { ...SERVER, id: 'e2' };
+  const { clock, directory, change } = startDirectory([SERVER, other, { ...SERVER, id: 'e3', pool: 'encoders' }]);
+  const states = (pool: string) => directory.listPool(pool).map(({ serverId, state }) => `${serverId} ${state}`);
+  assert.deepEqual(states('engines'), ['e1 live', 'e2 live']);
+  directory.noteLeaving('e1');
+  assert.deepEqual(states('engines'), ['e1 leaving', 'e2 live']);
+  clock.advance(1_000);
+  change([SERVER, { ...other, pool: 'encoders' }]);
+  assert.deepEqual([states('engines'), states('encoders')], [['e1 leaving'], ['e2 live']]);
+  directory.note('e2', { type: 'sent', tokens: 1, long: false });
+  assert.equal(directory.lastSentMs('e2'), 1_000);
+  assert.equal(directory.lastSentMs('e1'), undefined);
+  directory.close();
+});
