--- a/tools/verify.mjs
+++ b/tools/verify.mjs
@@ -7,9 +7,6 @@
 /** With four files at a time, requests with deadlines of 2 s missed them on a machine that was busy otherwise. */
 const TEST_CONCURRENCY = 2;
 
-/** Test files of the fault matrix. Its cells have deadlines of 2 s, so they run after the files that load the machine. */
-const MATRIX_TEST = /[/\\]faults[/\\]\w+Cells\.test\.js$/;
-
 /** Removes earlier build output, so that tests of deleted sources do not run. */
 function cleanBuildOutput() {
   readdirSync(path.join(rootDir, 'packages')).forEach((name) => {
@@ -18,7 +15,7 @@
   });
 }
 
-/** Lists the compiled test files of all packages in a stable order, the fault matrix last. */
+/** Lists the compiled test files of all packages in a stable order. */
 function listTestFiles() {
   return readdirSync(path.join(rootDir, 'packages'))
     .flatMap((name) => {
@@ -28,7 +25,7 @@
         : [];
     })
     .filter((file) => file.endsWith('.test.js'))
-    .sort((a, b) => Number(MATRIX_TEST.test(a)) - Number(MATRIX_TEST.test(b)) || (a < b ? -1 : 1));
+    .sort();
 }
 
 /**
