Split the dispatcher and restore the test of the shard owner's limit

Change: the call and the byte estimate of an attempt have files of their own, the constants of the load model stand with the others, both test files are as written.

--- a/packages/bench/src/load/constants.ts
+++ b/packages/bench/src/load/constants.ts
@@ -28,3 +28,25 @@
 /** Spread of output lengths and of service times (sigma of the log-normal distribution). */
 export const LENGTH_SIGMA = 0.5;
 export const SERVICE_SIGMA = 0.3;
+
+/** Stages of this host that may wait for a server before admission holds requests back. */
+export const RELEASE_WINDOW = 1;
+
+/** Attempts of one stage that may run side by side. */
+export const MAX_PARALLEL_ATTEMPTS = 3;
+
+/** Budgets of a service document without values of its own, with the daemon's bursts. */
+export const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
+export const HEDGE_BUDGET = { ratio: 0.02, burst: 5 };
+
+/** A request is given up in a queue only without this part of the usual time. */
+export const SURE_TIME_SHARE = 0.25;
+
+/** A longer wait for admission means that local servers cannot serve everything in time. */
+export const OVERLOAD_WAIT_MS = 300;
+
+/** Interval at which the daemon looks at waiting requests. */
+export const PUMP_MS = 10;
+
+/** Rate of an organisation in scenarios without limits. */
+export const NO_LIMIT_PER_SECOND = 1e9;
--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -15,7 +15,21 @@
 } from '@bergamotcove/entry';
 import createEventClock from '../_lib/createEventClock.js';
 import createRandomSource from '../_lib/createRandomSource.js';
-import { BYTES_PER_MESSAGE, BYTES_PER_TOKEN, LINK_SHARE, REPORT_POLL_MS, TICK_MS } from '../constants.js';
+import {
+  BYTES_PER_MESSAGE,
+  BYTES_PER_TOKEN,
+  HEDGE_BUDGET,
+  LINK_SHARE,
+  MAX_PARALLEL_ATTEMPTS,
+  NO_LIMIT_PER_SECOND,
+  OVERLOAD_WAIT_MS,
+  PUMP_MS,
+  RELEASE_WINDOW,
+  REPORT_POLL_MS,
+  RETRY_BUDGET,
+  SURE_TIME_SHARE,
+  TICK_MS,
+} from '../constants.js';
 import type { Arrival, LoadStage, RequestRecord } from '../types.js';
 import createAttemptSender, { type AttemptSender } from './createAttemptSender.js';
 import createHostEstimates, { type HostEstimates } from './createHostEstimates.js';
@@ -28,21 +42,6 @@
   accept(arrival: Arrival): void;
 }
 
-/** Stages of this host that may wait for a server before admission holds requests back. */
-const RELEASE_WINDOW = 1;
-/** Attempts of one stage that may run side by side. */
-const MAX_PARALLEL_ATTEMPTS = 3;
-/** Budgets of a service document without values of its own, with the daemon's bursts. */
-const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
-const HEDGE_BUDGET = { ratio: 0.02, burst: 5 };
-/** A request is given up in a queue only without this part of the usual time. */
-const SURE_TIME_SHARE = 0.25;
-/** A longer wait for admission means that local servers cannot serve everything in time. */
-const OVERLOAD_WAIT_MS = 300;
-/** Interval at which the daemon looks at waiting requests. */
-const PUMP_MS = 10;
-const NO_LIMIT_PER_SECOND = 1e9;
-
 const dropWaiting = (dropped: QueueEntry): void => {
   const { run } = dropped;
   run.waiting = run.waiting.filter((entry) => entry !== dropped);
--- a/packages/entry/src/claims/createClaimLogs.limit.test.ts
+++ b/packages/entry/src/claims/createClaimLogs.limit.test.ts
@@ -1,153 +1,37 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import fc from 'fast-check';
-import { shardOfKey } from '@bergamotcove/decide';
-import type { ClaimOp } from '@bergamotcove/protocol';
-import createMemoryStore, { type CallFate, type MemoryStore } from './_lib/createMemoryStore.test.js';
-import type { LogView } from './createClaimLogs.js';
-import startLogHosts, { type LogHosts, type PeerFate } from './_lib/startLogHosts.test.js';
-
-const HOSTS = 3;
-const STEPS = 3_000;
-const LIMIT_MS = 3_000;
-const ANSWERS_EXPIRE_MS = 700_000;
-/** Keys of one shard, so that its log grows to several compactions. */
-const KEYS = Array.from({ length: 1_000 }, (_, index) => `k${index}`)
-  .filter((key) => shardOfKey(key) === 0)
-  .slice(0, 6);
-const LIMITS = { compactEntries: 2, segmentBytes: 0, maxSegments: 3 };
-
-interface Plan {
-  readonly host: number;
-  readonly key: string;
-  /** Step of the run at which the request arrives. */
-  readonly atStep: number;
-}
-
-/** Requests against the logs of three hosts. */
-class Run {
-  readonly sent = new Map<string, string[]>();
-
-  readonly store: MemoryStore;
-
-  readonly hosts: LogHosts;
-
-  private open = 0;
-
-  private step = 0;
-
-  constructor(
-    private readonly scheduler: fc.Scheduler,
-    storeFates: Iterator<CallFate>,
-    peerFates: Iterator<PeerFate>,
-    private readonly faultSteps: number,
-  ) {
-    const draw = <Fate>(fates: Iterator<Fate>, healthy: Fate): Fate =>
-      this.step < faultSteps ? (fates.next().value as Fate) : healthy;
-    this.store = createMemoryStore((call) => scheduler.schedule(Promise.resolve(draw(storeFates, 'answered')), call));
-    const gate = () => scheduler.schedule(Promise.resolve(draw(peerFates, 'answered')), 'peer');
-    this.hosts = startLogHosts(this.store.client, { hosts: HOSTS, limits: LIMITS, gate });
-  }
-
-  /** Runs calls in the order of the scheduler, and time in between, until every request has ended. */
-  async drive(plans: readonly Plan[]): Promise<void> {
-    for (; this.step < STEPS && (this.step <= this.faultSteps || this.open > 0); this.step += 1) {
-      plans
-        .map((plan, index) => ({ plan, index }))
-        .filter(({ plan }) => plan.atStep === this.step)
-        .forEach(({ plan, index }) => this.start(plan, `c${index}`));
-      if (this.step === Math.floor(this.faultSteps / 2)) {
-        this.hosts.clock.stepWall(ANSWERS_EXPIRE_MS);
-      }
-      await this.pump();
-    }
-    assert.equal(this.open, 0, 'a request never ended although the store answers');
-  }
-
-  /** What every host says about every key after a fresh read. */
-  async readAll(): Promise<readonly (readonly LogView[])[]> {
-    const options = { refresh: true, limitMs: LIMIT_MS };
-    const reads = this.hosts.logs.map((logs) => Promise.all(KEYS.map((key) => logs.readHere(key, options))));
-    let views: readonly (readonly LogView[])[] | undefined;
-    Promise.all(reads)
-      .then((read) => {
-        views = read;
-      })
-      .catch(() => assert.fail('a read rejected'));
-    for (let step = 0; step < STEPS && views === undefined; step += 1) {
-      await this.pump();
-    }
-    return views ?? assert.fail('a read never ended although the store answers');
-  }
-
-  /** Runs the next call, and time. */
-  private async pump(): Promise<void> {
-    if (this.scheduler.count() > 0) {
-      await this.scheduler.waitOne();
-    }
-    this.hosts.clock.advance(this.scheduler.count() > 0 ? 1 : 20);
-    await new Promise(setImmediate);
-  }
-
-  private start(plan: Plan, claimId: string): void {
-    this.open += 1;
-    this.request(plan, claimId)
-      .then(() => {
-        this.open -= 1;
-      })
-      .catch(() => assert.fail('a call to the logs rejected'));
-  }
-
-  private async request({ host, key }: Plan, claimId: string): Promise<void> {
-    const logs = this.hosts.logs[host] ?? assert.fail();
-    const wallMs = this.hosts.clock.wallMs();
-    const fields = { keyHash: key, bodyHash: 'b', claimId, hostId: `h${host}/p`, wallMs };
-    const result = await logs.submit({ type: 'claim', ...fields }, LIMIT_MS);
-    if (result.type === 'done') {
-      this.sent.set(key, [...(this.sent.get(key) ?? []), claimId]);
-      const outcome = { type: 'answered' as const, answer: JSON.stringify(claimId) };
-      await logs.persist({ type: 'outcome', keyHash: key, claimId, outcome, wallMs });
-    } else if (result.type === 'unavailable') {
-      const release: ClaimOp = { type: 'release', ...fields };
-      await logs.persist(release);
-    }
-  }
-}
-
-const readStatus = (view: LogView): string => (view.type === 'record' ? view.record.status.type : view.type);
-
-const plan = fc.record({
-  host: fc.nat({ max: HOSTS - 1 }),
-  key: fc.constantFrom(...KEYS),
-  atStep: fc.nat({ max: 120 }),
-});
-const storeFate = fc.constantFrom<CallFate>(
-  ...(['answered', 'answered', 'answered', 'answered', 'not-arrived', 'reply-lost', 'late-effect'] as const),
-);
-const peerFate = fc.constantFrom<PeerFate>('answered', 'answered', 'answered', 'not-connected', 'reply-lost');
-
-test('whatever the order of replies between hosts and store, one claim per key is granted and all hosts agree', async () => {
-  let segments = 0;
-  await fc.assert(
-    fc.asyncProperty(
-      fc.scheduler(),
-      fc.infiniteStream(storeFate),
-      fc.infiniteStream(peerFate),
-      fc.array(plan, { minLength: 6, maxLength: 20, size: 'max' }),
-      async (scheduler, storeFates, peerFates, plans) => {
-        const run = new Run(scheduler, storeFates, peerFates, 150);
-        await run.drive(plans);
-        run.sent.forEach((claims, key) => assert.equal(claims.length, 1, `${key} was granted to ${claims.join()}`));
-        // A compaction between two reads shortens an answer that has expired, but keeps that the claim is finished.
-        const views = (await run.readAll()).map((view) => view.map(readStatus));
-        views.forEach((view) => assert.deepEqual(view, views[0]));
-        KEYS.filter((key) => run.sent.has(key)).forEach((key) =>
-          assert.equal(views[0]?.[KEYS.indexOf(key)], 'finished', `${key} was sent and is forgotten`),
-        );
-        segments += run.store.keys().filter((key) => key.includes('/segment/')).length;
+import { createManualClock } from '@bergamotcove/clock';
+import { rankShardOwners, shardOfKey } from '@bergamotcove/decide';
+import type { StoreClient } from '@bergamotcove/platform';
+import { TransportError } from '@bergamotcove/transport';
+import createClaimLogs from './createClaimLogs.js';
+
+const KEY_HASH = 'a'.repeat(64);
+const HOST_IDS = ['h1', 'h2'];
+const LEFT_MS = 1_000;
+
+test('leaves half of the time to this host when the shard owner is cut off, so that the call still meets its deadline', async () => {
+  const [owner = '', other = ''] = rankShardOwners(HOST_IDS, shardOfKey(KEY_HASH));
+  const timeouts: number[] = [];
+  const place = { address: '127.0.0.1', peersPort: 1, failureDomain: 'a', region: 'r' };
+  const clock = createManualClock();
+  const reject = (): Promise<never> => Promise.reject(new Error('not part of the test'));
+  const logs = createClaimLogs({
+    clock,
+    store: { get: reject, range: reject, txn: reject } as unknown as StoreClient,
+    peers: {
+      call: (_target, _method, _params, { timeoutMs }) => {
+        timeouts.push(timeoutMs);
+        return Promise.reject(new TransportError('connection-lost', 'timeout'));
       },
-    ),
-    { numRuns: 150, seed: 4_715 },
-  );
-  assert.ok(segments > 0, 'the runs must seal segments');
+    },
+    directory: { liveHosts: () => [owner, other].map((hostId) => ({ ...place, hostId })) },
+    hostId: other,
+    processId: 'p',
+  });
+  const claim = { type: 'claim' as const, keyHash: KEY_HASH, bodyHash: KEY_HASH, claimId: 'c', hostId: 'p', wallMs: 1 };
+  logs.submit(claim, LEFT_MS).catch(() => undefined);
+  await Promise.resolve();
+  logs.close();
+  assert.deepEqual(timeouts, [LEFT_MS / 2]);
 });
--- /dev/null
+++ b/packages/entry/src/requests/_lib/toServerCall.ts
@@ -0,0 +1,37 @@
+import type { ServerView } from '@bergamotcove/decide';
+import type { ServerCall } from '@bergamotcove/platform';
+import type { DispatchAction } from '../startRun.js';
+import type { DispatchContext } from '../types.js';
+
+/** What an attempt adds to the facts of its request. */
+export interface CallOptions {
+  readonly timeoutMs: number;
+  readonly traceparent: string;
+  /** Asked just before the first byte is sent. */
+  readonly maySend: () => boolean;
+}
+
+/** Builds the call of one attempt; only a `once` stage carries the idempotency key. */
+export default function toServerCall(
+  action: DispatchAction,
+  context: DispatchContext,
+  server: ServerView,
+  options: CallOptions,
+): ServerCall {
+  const { stage, attemptId, resumeTokenIndex } = action;
+  const { plan, callerInput, idempotencyKey } = context;
+  return {
+    target: { address: server.address, port: server.port },
+    kind: stage.kind,
+    attemptId,
+    requestId: plan.requestId,
+    organisation: plan.organisation,
+    operation: plan.operation.name,
+    input: { request: callerInput, outputs: action.input },
+    ...(stage.model === undefined ? {} : { model: stage.model }),
+    ...(stage.effect === 'once' && idempotencyKey !== undefined ? { idempotencyKey } : {}),
+    resumeTokenIndex,
+    priority: plan.operation.priority,
+    ...options,
+  };
+}
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -9,11 +9,10 @@
   type Choice,
   type DomainBook,
   type Random,
-  type RequestPlan,
   type ServerView,
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
-import { callServer, type ServerCall, type ServerEvent } from '@bergamotcove/platform';
+import { callServer, type ServerEvent } from '@bergamotcove/platform';
 import type { Span, Tracer } from '@bergamotcove/telemetry';
 import type { HttpClient } from '@bergamotcove/transport';
 import createAttemptFollower, { type AttemptFollower } from '../servers/createAttemptFollower.js';
@@ -22,7 +21,10 @@
 import type { PrefixHints } from '../servers/createPrefixHints.js';
 import type { ServerDirectory } from '../servers/createServerDirectory.js';
 import type { ServiceBudgets } from '../servers/createServiceBudgets.js';
+import estimateBytes, { type MessageBytes } from './_lib/estimateBytes.js';
+import toServerCall from './_lib/toServerCall.js';
 import type { AttemptEvent, DispatchAction } from './startRun.js';
+import type { DispatchContext } from './types.js';
 
 /** Options of {@link createDispatcher}. */
 export interface DispatcherOptions {
@@ -43,15 +45,6 @@
   readonly region: string;
 }
 
-/** Facts of the request that its attempts carry. */
-export interface DispatchContext {
-  readonly plan: RequestPlan;
-  readonly requestTraceparent: string;
-  /** The caller's input; every stage gets it together with the outputs of the stages before. */
-  readonly callerInput: unknown;
-  readonly idempotencyKey?: string;
-}
-
 /** Sends attempts to backend servers. */
 export type Dispatcher = (action: DispatchAction, context: DispatchContext) => Observable<AttemptEvent>;
 
@@ -64,34 +57,6 @@
 const DEFAULT_HEDGE_QUANTILE = 0.95;
 /** A connection that was not refused within this time is silent; within a region a refusal takes a few ms. */
 const SILENT_CONNECTION_MS = 100;
-/** Headers of a message, and one streamed token with its event frame. */
-const BYTES_PER_MESSAGE = 500;
-const BYTES_PER_TOKEN = 100;
-
-const toCall = (
-  action: DispatchAction,
-  context: DispatchContext,
-  server: ServerView,
-  options: { readonly timeoutMs: number; readonly traceparent: string; readonly maySend: () => boolean },
-): ServerCall => ({
-  target: { address: server.address, port: server.port },
-  kind: action.stage.kind,
-  attemptId: action.attemptId,
-  requestId: context.plan.requestId,
-  organisation: context.plan.organisation,
-  operation: context.plan.operation.name,
-  input: { request: context.callerInput, outputs: action.input },
-  ...(action.stage.model === undefined ? {} : { model: action.stage.model }),
-  ...(action.stage.effect === 'once' && context.idempotencyKey !== undefined
-    ? { idempotencyKey: context.idempotencyKey }
-    : {}),
-  timeoutMs: options.timeoutMs,
-  traceparent: options.traceparent,
-  resumeTokenIndex: action.resumeTokenIndex,
-  priority: context.plan.operation.priority,
-  maySend: options.maySend,
-});
-
 /** One attempt: waits for a server, sends the call and reports what happens. */
 class AttemptRun {
   private timer: Timer | undefined;
@@ -214,13 +179,8 @@
     );
   }
 
-  private estimateBytes() {
-    const input = JSON.stringify([this.context.callerInput ?? null, this.action.input ?? null]);
-    const replyTokens = this.action.stage.kind === 'generate' ? this.tokens : 0;
-    return {
-      requestBytes: Buffer.byteLength(input) + BYTES_PER_MESSAGE,
-      replyBytes: BYTES_PER_MESSAGE + replyTokens * BYTES_PER_TOKEN,
-    };
+  private estimateBytes(): MessageBytes {
+    return estimateBytes(this.action, this.context, this.tokens);
   }
 
   private hasByteRoom(): boolean {
@@ -250,7 +210,7 @@
     const { traceparent } = this.span;
     // A host that was paused while it connected must not send after the deadline.
     const maySend = (): boolean => clock.monotonicMs() < this.context.plan.deadlineAtMs;
-    const call = toCall(this.action, this.context, server, { timeoutMs, traceparent, maySend });
+    const call = toServerCall(this.action, this.context, server, { timeoutMs, traceparent, maySend });
     this.scheduleCheck(server);
     this.call = callServer(http, call).subscribe((event) => this.handle(server, event));
   }
--- a/packages/entry/src/requests/types.ts
+++ b/packages/entry/src/requests/types.ts
@@ -13,3 +13,12 @@
   readonly events: Observable<RunEvent>;
   readonly result: Promise<RequestResult>;
 }
+
+/** Facts of the request that its attempts carry. */
+export interface DispatchContext {
+  readonly plan: RequestPlan;
+  readonly requestTraceparent: string;
+  /** The caller's input; every stage gets it together with the outputs of the stages before. */
+  readonly callerInput: unknown;
+  readonly idempotencyKey?: string;
+}
