--- a/packages/bench/src/control/runControlBench.ts
+++ b/packages/bench/src/control/runControlBench.ts
@@ -1,7 +1,10 @@
 import measureCost, { measureTargetCost } from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureDigests from './measureDigests.js';
+import measureEvents from './measureEvents.js';
 import measureInForce from './measureInForce.js';
+import measureLoadReports from './measureLoadReports.js';
+import measureMemory from './measureMemory.js';
 import measureProcess from './measureProcess.js';
 import measureRestart from './measureRestart.js';
 import measureSchedules from './measureSchedules.js';
@@ -12,8 +15,11 @@
   'in-force': measureInForce,
   cost: measureCost,
   'target-cost': measureTargetCost,
+  'load-reports': measureLoadReports,
   process: measureProcess,
+  memory: measureMemory,
   detection: measureDetection,
+  events: measureEvents,
   restart: measureRestart,
   digests: measureDigests,
   schedules: measureSchedules,
--- a/packages/decide/src/claims/findRecord.ts
+++ b/packages/decide/src/claims/findRecord.ts
@@ -1,5 +1,18 @@
 import type { ClaimRecord } from '@bergamotcove/protocol';
-import type { ShardState } from './types.js';
+import { findFinished } from './_lib/finishedClaims.js';
+import type { ClaimRun, ShardState } from './types.js';
+
+/** The newest run counts: a key can be claimed again when it stands only in an older run that should have expired. */
+const findInRuns = (runs: readonly ClaimRun[], keyHash: string): ClaimRecord | undefined => {
+  for (let index = runs.length - 1; index >= 0; index -= 1) {
+    const run = runs[index];
+    const found = run === undefined ? undefined : findFinished(run, keyHash);
+    if (found !== undefined) {
+      return found;
+    }
+  }
+  return undefined;
+};
 
 /**
  * Finds what the known part of a shard log says about a key.
@@ -9,5 +22,10 @@
  * @returns the record, or undefined when the key was never claimed
  */
 export default function findRecord(state: ShardState, keyHash: string): ClaimRecord | undefined {
-  return state.recent.get(keyHash) ?? state.base.get(keyHash);
+  return (
+    state.recent.get(keyHash) ??
+    state.base.get(keyHash) ??
+    findInRuns(state.runs, keyHash) ??
+    findInRuns(state.segments, keyHash)
+  );
 }
--- a/packages/decide/src/claims/types.ts
+++ b/packages/decide/src/claims/types.ts
@@ -11,11 +11,48 @@
   readonly tried: boolean;
 }
 
+/** Finished claims without their answers. */
+export interface ClaimRun {
+  readonly oldestWallMs: number;
+  readonly newestWallMs: number;
+  /** Key and body hashes of fixed width, sorted. */
+  readonly claims: string;
+}
+
+/** A run in a key of its own, which never changes. */
+export interface Segment extends ClaimRun {
+  /** Never used twice in a shard. */
+  readonly number: number;
+}
+
+/** What the snapshot says about a segment. */
+export type SegmentPlace = Omit<Segment, 'claims'>;
+
+/** Everything that a shard holds. */
+export interface ShardContent {
+  /** Claims that are open or released, or whose answers are kept. */
+  readonly records: ClaimRecords;
+  /** Finished claims in the snapshot, oldest first. */
+  readonly runs: readonly ClaimRun[];
+  /** Oldest first. */
+  readonly segments: readonly Segment[];
+  readonly nextSegment: number;
+}
+
+/** A shard after retention. */
+export interface CompactedShard extends ShardContent {
+  /** Segment that the compaction adds. */
+  readonly sealed: Segment | undefined;
+}
+
 /** Snapshot as it stands in the store; revision '0' when there is none. */
 export interface SnapshotView {
   readonly revision: string;
   readonly throughSeq: number;
   readonly records: ClaimRecords;
+  readonly runs: readonly ClaimRun[];
+  readonly segments: readonly SegmentPlace[];
+  readonly nextSegment: number;
 }
 
 /** An entry with its place in the log. */
@@ -27,10 +64,11 @@
 /** What the shard is doing; at most one store call is in flight. */
 export type ShardPhase =
   | { readonly type: 'cold' }
-  | { readonly type: 'loading' }
+  /** Reads the log; `reads` are those that asked for a fresh view before the read began. */
+  | { readonly type: 'loading'; readonly reads: readonly string[] }
   | { readonly type: 'ready' }
   | { readonly type: 'appending'; readonly entry: LogEntry; readonly ops: readonly PendingOp[] }
-  | { readonly type: 'compacting'; readonly records: ClaimRecords; readonly throughSeq: number }
+  | { readonly type: 'compacting'; readonly compacted: CompactedShard; readonly throughSeq: number }
   /** Waits before it repeats a failed read. */
   | { readonly type: 'load-paused' }
   /** Waits before it repeats an append whose reply was lost. */
@@ -45,27 +83,40 @@
   readonly base: ClaimRecords;
   /** Records changed by the log after the snapshot; kept apart so that a commit copies only these. */
   readonly recent: ClaimRecords;
+  readonly runs: readonly ClaimRun[];
+  readonly segments: readonly Segment[];
+  readonly nextSegment: number;
   readonly logEntries: number;
   readonly logBytes: number;
   readonly pending: readonly PendingOp[];
-  /** Reads that wait for a fresh view of the log. */
+  /** Reads that wait for a fresh view of the log and are not served by the read in flight. */
   readonly refreshes: readonly string[];
-  readonly commitTokens: number;
-  readonly tokensAtMs: number;
-  readonly wakeArmed: boolean;
+  /** Whether a turn to commit was asked for and has not come yet. */
+  readonly commitWanted: boolean;
   readonly failures: number;
   readonly nextEntry: number;
+  /** Whether new claims are refused, because the shard has no room. */
   readonly full: boolean;
+  /** Monotonic time from which a full shard is compacted again. */
+  readonly fullUntilMs: number;
+}
+
+/** Limits of a shard. */
+export interface ShardLimits {
+  /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
+  readonly compactEntries?: number | undefined;
+  /** Size of the finished claims above which they are sealed; {@link SEGMENT_BYTES} by default. */
+  readonly segmentBytes?: number | undefined;
+  /** Segments that the shard may have; {@link MAX_SEGMENTS} by default. */
+  readonly maxSegments?: number | undefined;
 }
 
 /** Identity of the process that keeps the state. */
-export interface ShardOptions {
+export interface ShardOptions extends ShardLimits {
   /** Unique per process; part of the entry ids. */
   readonly hostId: string;
   /** Wall time for retention. */
   readonly wallMs: number;
-  /** Log length at which the shard is compacted; {@link COMPACT_ENTRIES} by default. */
-  readonly compactEntries?: number;
 }
 
 /** Something that happened to a shard. */
@@ -78,6 +129,8 @@
       readonly type: 'loaded';
       /** Absent when the snapshot is still the known one; the entries then follow the known log. */
       readonly snapshot?: SnapshotView;
+      /** Segments of the snapshot that were not known before. */
+      readonly segments?: readonly Segment[];
       readonly entries: readonly PlacedEntry[];
     }
   | { readonly type: 'load-failed' }
@@ -86,18 +139,29 @@
   | { readonly type: 'append-lost' }
   | { readonly type: 'compact-decided'; readonly succeeded: boolean; readonly revision: string }
   | { readonly type: 'compact-lost' }
-  | { readonly type: 'woken' };
+  | { readonly type: 'woken' }
+  /** The turn that was asked for. */
+  | { readonly type: 'commit-due' };
 
 /** What the interpreter must do next. */
 export type ShardAction =
-  | { readonly type: 'load'; readonly fromSeq: number; readonly knownRevision: string | undefined }
+  | {
+      readonly type: 'load';
+      readonly fromSeq: number;
+      readonly knownRevision: string | undefined;
+      readonly knownSegments: readonly number[];
+    }
   | { readonly type: 'append'; readonly seq: number; readonly snapshotRevision: string; readonly entry: LogEntry }
   | {
       readonly type: 'compact';
       readonly snapshotRevision: string;
       readonly throughSeq: number;
-      readonly records: ClaimRecords;
+      readonly compacted: CompactedShard;
+      /** Numbers of the expired segments. */
+      readonly dropped: readonly number[];
     }
+  /** Wants the turn of this shard in the commits of the host; the answer is `commit-due`. */
+  | { readonly type: 'commit-wanted' }
   | { readonly type: 'settle'; readonly opId: string; readonly result: ClaimOpResult }
   | { readonly type: 'refreshed'; readonly readId: string }
   | { readonly type: 'wake'; readonly delayMs: number };
--- a/packages/decide/src/routing/constants.ts
+++ b/packages/decide/src/routing/constants.ts
@@ -27,9 +27,13 @@
 
 /**
  * Multiple of its share of the free slots that a host may use until the next report. Hosts are not busy at the same
- * moment; twice the share absorbs the variation and bounds the queue that a sudden rise can cause.
+ * moment. With twice the share, attempts waited 6 ms at their host in the steady state while servers had free slots;
+ * with 4 times they hardly wait, and goodput at a crest of 3 times the load stays the same.
  */
-export const FREE_SLOT_OVERCOMMIT = 2;
+export const FREE_SLOT_OVERCOMMIT = 4;
+
+/** All hosts together take at most this multiple of the free slots, and one attempt each, on one report. */
+export const MAX_OVERFILL = 2;
 
 /** Share of a server's slots that long work may use. */
 export const LONG_LIMIT_SHARE = 0.5;
@@ -48,3 +52,9 @@
 
 /** Time after which half of the prefixes sent to a server are expected to be evicted. */
 export const PREFIX_HALF_LIFE_MS = 30_000;
+
+/**
+ * Oldest report that counts. Reports of other failure domains are up to one interval of load reports old on arrival;
+ * the own attempts are remembered for as long, so that they can be subtracted.
+ */
+export const MAX_REPORT_AGE_MS = 6_000;
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@bergamotcove/clock';
+import { isSameBody } from '@bergamotcove/decide';
 import { CLAIMS_QUERY, claimsAnswerSchema, type ClaimRecord, type ClaimsAnswer } from '@bergamotcove/protocol';
 import type { PeerClient } from '@bergamotcove/transport';
 import type { PeerDirectory } from '../peers/types.js';
@@ -28,10 +29,13 @@
 /** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
 const STATUS_RESERVE_MS = 450;
 const RELEASE_LIMIT_MS = 500;
-/** Time for an unreachable claiming host to make its answer durable, equal to the time that its own caller waits. */
-const RECORD_GRACE_MS = 500;
 const RETRY_AFTER_MS = 1_000;
 const MAX_SEEN_CLAIMS = 50_000;
+/**
+ * Time that the outcome of an unreachable host may take to reach the log: it waits for two shard owners, a second
+ * each, before it appends by itself.
+ */
+const UNREACHABLE_MS = 2_000;
 /** Time for a call that was sent just before its deadline to arrive at its server. */
 const ARRIVAL_MARGIN_MS = 2_000;
 
@@ -92,7 +96,7 @@
     if (!this.seenAtMs.has(record.claimId)) {
       this.seenAtMs.set(record.claimId, this.options.clock.monotonicMs());
     }
-    if (record.bodyHash !== hashBody(request)) {
+    if (!isSameBody(record, hashBody(request))) {
       return { type: 'settled', result: { type: 'refused', outcome: 'not-run', reason: 'key-reused' } };
     }
     if (record.status.type === 'released') {
@@ -100,7 +104,7 @@
     }
     if (record.status.type === 'finished') {
       const { outcome } = record.status;
-      return isUnknown(outcome) ? this.settle(request, record) : { type: 'settled', result: toResult(outcome) };
+      return isUnknown(outcome) ? this.settle(request, record, 'gone') : { type: 'settled', result: toResult(outcome) };
     }
     return this.lookAtOpen(request, record, fresh);
   }
@@ -116,7 +120,7 @@
     switch (answer.type) {
       case 'outcome':
         return isUnknown(answer.outcome)
-          ? this.settle(request, record)
+          ? this.settle(request, record, 'gone')
           : { type: 'settled', result: toResult(answer.outcome) };
       case 'never-sent':
         return this.release(hashKey(request), record);
@@ -125,30 +129,15 @@
       case 'gone':
       case 'absent':
         // The outcome may have become durable just before its host went away.
-        return fresh ? this.settle(request, record) : 'refresh';
+        return fresh ? this.settle(request, record, 'gone') : 'refresh';
       case 'unreachable':
-        return fresh && !this.mayBeRecording(record) ? this.settleIfRan(request, record) : 'pause';
+        return fresh ? this.settle(request, record, 'unreachable') : 'pause';
       default:
         return 'pause';
     }
   }
 
-  /** A call that has run is no lost answer yet: its host may be appending the outcome at this moment. */
-  private mayBeRecording(record: ClaimRecord): boolean {
-    const seenAtMs = this.seenAtMs.get(record.claimId) ?? -Infinity;
-    return this.options.clock.monotonicMs() - seenAtMs < RECORD_GRACE_MS;
-  }
-
-  /**
-   * Membership needs seconds to declare a crashed host dead. Meanwhile only a positive answer of the servers settles
-   * the request: the claiming host may still be about to send the call.
-   */
-  private async settleIfRan(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
-    const executed = await request.queryStatus?.();
-    return executed === true ? this.settleRecorded(request, record) : 'pause';
-  }
-
-  /** Records that the call ran and its answer is lost. */
+  /** Records that the call ran; an answer of the claiming host that comes later replaces this record. */
   private settleRecorded(request: ClaimRequest, record: ClaimRecord): ClaimWait {
     const outcome = { type: 'refused' as const, outcome: 'ran' as const, reason: 'answer-dropped' };
     const { open, clock } = this.options;
@@ -185,21 +174,33 @@
   }
 
   /**
-   * Ends the wait for a claim that nobody will settle. Only a status query can tell more: that the call ran at any
-   * time, that it did not run only after the claiming host can no longer send it.
+   * Settles a claim whose outcome nobody knows. Only a status query can tell more: that the call ran at any time, that
+   * it did not run only after the claiming host can no longer send it. Membership needs seconds to declare a crashed
+   * host dead; while the host is only unreachable, its outcome may come, or it may still be about to send the call, and
+   * the wait goes on.
    */
-  private async settle(request: ClaimRequest, record: ClaimRecord): Promise<ClaimWait | 'pause'> {
-    if (request.queryStatus === undefined) {
-      return request.serversCheckKeys ? { type: 'server-decides' } : settleUnknown();
+  private async settle(
+    request: ClaimRequest,
+    record: ClaimRecord,
+    claimant: 'gone' | 'unreachable',
+  ): Promise<ClaimWait | 'pause'> {
+    const seenForMs = this.options.clock.monotonicMs() - (this.seenAtMs.get(record.claimId) ?? Infinity);
+    if (claimant === 'unreachable' && seenForMs < UNREACHABLE_MS) {
+      return 'pause';
     }
-    const executed = await request.queryStatus();
+    const executed = await request.queryStatus?.();
     if (executed === true) {
       return this.settleRecorded(request, record);
     }
+    if (claimant === 'unreachable') {
+      return 'pause';
+    }
+    if (request.queryStatus === undefined && !request.serversCheckKeys) {
+      return settleUnknown();
+    }
     if (request.serversCheckKeys) {
       return { type: 'server-decides' };
     }
-    const seenForMs = this.options.clock.monotonicMs() - (this.seenAtMs.get(record.claimId) ?? Infinity);
     const waitMs = request.longestMs + ARRIVAL_MARGIN_MS - seenForMs;
     if (executed === undefined || waitMs > 0) {
       return settleUnknown(executed === undefined ? RETRY_AFTER_MS : Math.min(Math.ceil(waitMs), request.longestMs));
--- a/packages/entry/src/claims/createShardLog.ts
+++ b/packages/entry/src/claims/createShardLog.ts
@@ -5,10 +5,12 @@
   findRecord,
   type ShardAction,
   type ShardEvent,
+  type ShardLimits,
   type ShardState,
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import type { ClaimOp, ClaimOpResult, ClaimRecord } from '@bergamotcove/protocol';
+import type { CommitQueue } from './createCommitQueue.js';
 import type { ShardStore } from './createShardStore.js';
 
 /** An operation on its way into the log. */
@@ -35,8 +37,10 @@
 export interface ShardLogOptions {
   readonly clock: Clock;
   readonly store: ShardStore;
+  readonly commits: CommitQueue;
   /** Unique per process. */
   readonly processId: string;
+  readonly limits?: ShardLimits;
 }
 
 /** Interpreter of the shard reducer. */
@@ -54,7 +58,7 @@
   private closed = false;
 
   constructor(private readonly options: ShardLogOptions) {
-    this.state = createShardState(options.clock.monotonicMs());
+    this.state = createShardState();
   }
 
   submit(op: ClaimOp): Submission {
@@ -107,8 +111,8 @@
     if (this.closed) {
       return;
     }
-    const { clock, processId } = this.options;
-    const options = { hostId: processId, wallMs: clock.wallMs() };
+    const { clock, processId, limits } = this.options;
+    const options = { ...limits, hostId: processId, wallMs: clock.wallMs() };
     const step = advanceShard(this.state, event, clock.monotonicMs(), options);
     this.state = step.state;
     this.known = this.known || event.type === 'loaded';
@@ -116,7 +120,7 @@
   }
 
   private perform(action: ShardAction): void {
-    const { clock, store } = this.options;
+    const { clock, commits, store } = this.options;
     switch (action.type) {
       case 'load':
         this.follow(
@@ -136,6 +140,9 @@
           'compact-lost',
         );
         break;
+      case 'commit-wanted':
+        commits.request(() => this.handle({ type: 'commit-due' }));
+        break;
       case 'settle':
         this.settle(action.opId, action.result);
         break;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -56,7 +56,7 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   process.on('SIGHUP', () => reloadKeys(file, host));
-  // Last, because whoever reads this line may send a signal at once.
+  // Whoever reads this line may send a signal at once, so the handlers come first.
   console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
 };
 
--- a/packages/entry/src/servers/createServerDirectory.ts
+++ b/packages/entry/src/servers/createServerDirectory.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '@bergamotcove/clock';
+import type { Clock } from '@bergamotcove/clock';
 import {
   createPoolBook,
   type LoadReport,
@@ -6,15 +6,15 @@
   type ServerDescription,
   type ServerEventInput,
 } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
-import type { HostList, ListedHost } from '@bergamotcove/platform';
+import type { HostListFollower } from '@bergamotcove/membership';
+import type { ListedHost } from '@bergamotcove/protocol';
+import createLeavingNotes, { type LeavingNotes } from './createLeavingNotes.js';
+import createServerIndex from './createServerIndex.js';
 
 /** Options of {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly pollMs: number;
-  readonly fetchList: () => Promise<HostList>;
+  readonly hostList: Pick<HostListFollower, 'hosts' | 'changes'>;
 }
 
 /** Backend servers as this host sees them. */
@@ -31,80 +31,67 @@
   outstanding(serverId: string): number;
   /** Something happened on a server. */
   note(serverId: string, event: ServerEventInput): void;
-  /** A load report arrived; `hosts` entry hosts share the server. */
-  noteReport(serverId: string, report: LoadReport, hosts: number): void;
+  /** When this host last sent an attempt to the pool of the server, on the monotonic clock. */
+  lastSentMs(serverId: string): number | undefined;
+  /** A load report arrived; `hosts` entry hosts share the server. Returns false for a report that is too old to count. */
+  noteReport(serverId: string, report: LoadReport, hosts: number): boolean;
   /** Median time per token of a pool. */
   msPerToken(pool: string): number;
   /** Size of an attempt in tokens of work. */
   noteSize(pool: string, tokens: number): void;
   /** The server itself said that it is leaving. */
   noteLeaving(serverId: string): void;
-  /** Resolves after the first list arrived. */
-  start(): Promise<void>;
   close(): void;
 }
 
-const toServer = (host: ListedHost, leaving: boolean): ServerDescription => ({
-  serverId: host.id,
-  address: host.address,
-  port: host.port,
-  pool: host.pool ?? '',
-  failureDomain: host.failureDomain,
-  region: host.region,
-  state: leaving ? 'leaving' : host.state,
-});
-
 /**
  * Keeps the list of backend servers with what this host knows about each.
  *
- * @param options - clock, poll interval and source of the list
- * @returns the directory; close it to stop polling
+ * @param options - clock and the host list
+ * @returns the directory; close it to stop following the list
  */
 export default function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
+  const { clock, hostList } = options;
   const book = createPoolBook();
-  const leaving = new Set<string>();
-  let hosts: readonly ListedHost[] = [];
-  let timer: Timer | undefined;
-  let closed = false;
-
-  const poll = async (): Promise<void> => {
-    try {
-      hosts = (await options.fetchList()).hosts;
-      book.retain(new Set(hosts.map((host) => host.id)));
-    } catch (cause) {
-      options.logger.event('hostListUnavailable', { error: String(cause) });
-    }
-    if (!closed) {
-      timer = options.clock.schedule(options.pollMs, () => {
-        poll().catch(() => undefined);
-      });
+  const poolSentMs = new Map<string, number>();
+  let index = createServerIndex(hostList.hosts(), new Set());
+  const arrange = (leaving: LeavingNotes): void => {
+    index = createServerIndex(hostList.hosts(), leaving.ids());
+  };
+  const leavingNotes: LeavingNotes = createLeavingNotes(clock, () => arrange(leavingNotes));
+  const subscription = hostList.changes.subscribe((hosts) => {
+    leavingNotes.follow(hosts);
+    arrange(leavingNotes);
+    book.retain(new Set(hosts.map((host) => host.id)));
+  });
+  const note = (serverId: string, event: ServerEventInput): void => {
+    const nowMs = clock.monotonicMs();
+    const pool = event.type === 'sent' ? index.findPool(serverId) : undefined;
+    if (pool !== undefined) {
+      poolSentMs.set(pool, nowMs);
     }
+    book.note(serverId, event, nowMs);
   };
 
-  const listServers = (): readonly ServerDescription[] =>
-    hosts.filter((host) => host.role === 'server').map((host) => toServer(host, leaving.has(host.id)));
-
-  const listPool = (pool: string): readonly ServerDescription[] =>
-    listServers().filter((server) => server.pool === pool);
-
   return {
-    listPool,
-    viewPool: (pool) => book.view(pool, listPool(pool), options.clock.monotonicMs()),
-    listServers,
-    listEntryHosts: () => hosts.filter((host) => host.role === 'entry'),
+    listPool: (pool) => index.listPool(pool),
+    viewPool: (pool) => book.view(pool, index.listPool(pool), clock.monotonicMs()),
+    listServers: () => index.servers,
+    listEntryHosts: () => index.entryHosts,
+    lastSentMs: (serverId) => poolSentMs.get(index.findPool(serverId) ?? ''),
     outstanding: (serverId) => book.stats(serverId).outstanding,
-    note: (serverId, event) => book.note(serverId, event, options.clock.monotonicMs()),
+    note,
     noteReport: (serverId, report, sharing) =>
-      book.noteReport(serverId, report, { hosts: sharing, nowMs: options.clock.monotonicMs() }),
-    msPerToken: (pool) => book.msPerToken(pool, listPool(pool), options.clock.monotonicMs()),
+      book.noteReport(serverId, report, { hosts: sharing, nowMs: clock.monotonicMs() }),
+    msPerToken: (pool) => book.msPerToken(pool, index.listPool(pool), clock.monotonicMs()),
     noteSize: (pool, tokens) => book.noteSize(pool, tokens),
     noteLeaving: (serverId) => {
-      leaving.add(serverId);
+      leavingNotes.note(serverId);
+      arrange(leavingNotes);
     },
-    start: poll,
     close: () => {
-      closed = true;
-      timer?.close();
+      subscription.unsubscribe();
+      leavingNotes.close();
     },
   };
 }
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -3,9 +3,11 @@
 import {
   advanceMembership,
   createMembershipState,
+  hashView,
   listLiveMembers,
   TICK_MS,
   type ListedPeer,
+  type Member,
   type MembershipAction,
   type MembershipEvent,
   type MembershipState,
@@ -16,6 +18,8 @@
   chooseVersion,
   decodeMessage,
   encodeMessage,
+  membershipComparedSchema,
+  membershipCompareSchema,
   membershipSyncSchema,
   ProtocolError,
   type ControlMessage,
@@ -42,7 +46,7 @@
 /** Live entry hosts as this host sees them. */
 export interface Membership {
   state(): MembershipState;
-  /** Live hosts, this one included. */
+  /** Live hosts, this one included; the same array until a member changes. */
   liveHosts(): readonly PeerAddress[];
   /** What peers say beside membership, and the end of a pause of this host. */
   readonly news: Observable<PeerNews>;
@@ -53,9 +57,11 @@
   setDigest(digest: string): void;
   /** Sends a summary to every live host of the own failure domain. */
   broadcastSummary(topic: string, payload: Uint8Array): void;
+  /** Sends a summary to the given hosts; those that are not live are left out. */
+  sendSummary(topic: string, payload: Uint8Array, hostIds: readonly string[]): void;
   /** Announces a planned stop. */
   announceLeaving(): void;
-  /** Registers `membership.sync`. */
+  /** Registers `membership.compare` and `membership.sync`. */
   register(server: PeerServer): void;
   start(): void;
   close(): void;
@@ -79,6 +85,10 @@
 
   private current: MembershipState;
 
+  private liveMembers: readonly Member[] | undefined;
+
+  private live: readonly PeerAddress[] = [];
+
   private timer: Timer | undefined;
 
   private closed = false;
@@ -94,7 +104,12 @@
   }
 
   liveHosts(): readonly PeerAddress[] {
-    return [this.options.self, ...listLiveMembers(this.current).map(({ host }) => host)];
+    const members = listLiveMembers(this.current);
+    if (members !== this.liveMembers) {
+      this.liveMembers = members;
+      this.live = [this.options.self, ...members.map(({ host }) => host)];
+    }
+    return this.live;
   }
 
   receive(bytes: Uint8Array): void {
@@ -120,9 +135,20 @@
 
   broadcastSummary(topic: string, payload: Uint8Array): void {
     const { self } = this.options;
+    const neighbours = this.liveHosts().filter((host) => host.failureDomain === self.failureDomain);
+    this.sendSummary(
+      topic,
+      payload,
+      neighbours.map((host) => host.hostId),
+    );
+  }
+
+  sendSummary(topic: string, payload: Uint8Array, hostIds: readonly string[]): void {
+    const { self } = this.options;
+    const wanted = new Set(hostIds);
     const header = { from: self, incarnation: this.current.incarnation, sequence: 0, updates: [], domains: [] };
     this.liveHosts()
-      .filter((host) => host.failureDomain === self.failureDomain && host.hostId !== self.hostId)
+      .filter((host) => wanted.has(host.hostId) && host.hostId !== self.hostId)
       .forEach((host) => this.send(host, { type: 'summary', ...header, digest: '', topic, payload }));
   }
 
@@ -131,6 +157,10 @@
   }
 
   register(server: PeerServer): void {
+    server.register('membership.compare', (params) => {
+      const { hash } = membershipCompareSchema.parse(params);
+      return { same: hash === hashView(this.current) };
+    });
     server.register('membership.sync', (params) => {
       this.applyView(params);
       return { from: this.options.self.hostId, updates: describeAll(this.current) };
@@ -210,8 +240,25 @@
     this.handle({ type: 'synced', updates });
   }
 
+  /** Whether a peer has the same view; a peer that does not answer the question gets the whole view. */
+  private async isSame(peer: PeerAddress): Promise<boolean> {
+    const { peerClient, self } = this.options;
+    const target = { address: peer.address, port: peer.peersPort };
+    const params = { from: self.hostId, hash: hashView(this.current) };
+    try {
+      const answer = await peerClient.call(target, 'membership.compare', params, { timeoutMs: PEER_TIMEOUT_MS });
+      return membershipComparedSchema.parse(answer).same;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Exchanges whole views if they differ; with 410 hosts the exchange takes 160 KB. */
   private async sync(peer: PeerAddress): Promise<void> {
     const { peerClient, self } = this.options;
+    if (await this.isSame(peer)) {
+      return;
+    }
     const params = { from: self.hostId, updates: describeAll(this.current) };
     const target = { address: peer.address, port: peer.peersPort };
     this.applyView(await peerClient.call(target, 'membership.sync', params, { timeoutMs: PEER_TIMEOUT_MS }));
