--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -28,6 +28,7 @@
 import readPools from './operators/readPools.js';
 import registerOperatorMethods from './operators/registerOperatorMethods.js';
 import createControlPlane, { type ControlPlane } from './peers/createControlPlane.js';
+import startOnFreePort from './peers/startOnFreePort.js';
 import type { Planner } from './planner/createPlanner.js';
 import startPlanner from './planner/startPlanner.js';
 import createDownCheck from './poison/createDownCheck.js';
@@ -314,8 +315,11 @@
     },
   });
   await base.hostList.start();
-  const peers = await listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange));
-  await base.control.start(peers.port, peerServer);
+  const peers = await startOnFreePort({
+    port: settings.peers.port,
+    listen: () => listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange)),
+    bind: (port) => base.control.start(port, peerServer),
+  });
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const planner = startPlanner(base, base.control);
   const { close, abort } = createStop(base, { requests, claims, poison, closeRequests, callers, peers, planner });
