Share the limit of parallel attempts and one way to call a peer

Cause: the load model kept a copy of the limit of parallel attempts beside the one of the request reducer, so that a change of one would have left the bench behind; the membership built target, sender and time limit of a peer call twice. Change: the model imports the reducer's constant; compare and sync go through one method. Behaviour is unchanged.

--- a/packages/bench/src/load/constants.ts
+++ b/packages/bench/src/load/constants.ts
@@ -32,9 +32,6 @@
 /** Stages of this host that may wait for a server before admission holds requests back. */
 export const RELEASE_WINDOW = 1;
 
-/** Attempts of one stage that may run side by side. */
-export const MAX_PARALLEL_ATTEMPTS = 3;
-
 /** Budgets of a service document without values of its own, with the daemon's bursts. */
 export const RETRY_BUDGET = { ratio: 0.1, burst: 10 };
 export const HEDGE_BUDGET = { ratio: 0.02, burst: 5 };
--- a/packages/bench/src/load/host/createHostModel.ts
+++ b/packages/bench/src/load/host/createHostModel.ts
@@ -3,6 +3,7 @@
   createByteBudget,
   createExtraBudget,
   createPoolBook,
+  MAX_PARALLEL_ATTEMPTS,
   rankUrgency,
   type PlannedStage,
 } from '@bergamotcove/decide';
@@ -20,7 +21,6 @@
   BYTES_PER_TOKEN,
   HEDGE_BUDGET,
   LINK_SHARE,
-  MAX_PARALLEL_ATTEMPTS,
   NO_LIMIT_PER_SECOND,
   OVERLOAD_WAIT_MS,
   PUMP_MS,
--- a/packages/decide/src/request/advanceRequest.ts
+++ b/packages/decide/src/request/advanceRequest.ts
@@ -5,6 +5,7 @@
 import passDeadline from './_lib/passDeadline.js';
 import startAttempt from './_lib/startAttempt.js';
 import startStage from './_lib/startStage.js';
+import { MAX_PARALLEL_ATTEMPTS } from './constants.js';
 import type {
   Attempt,
   ClaimDecision,
@@ -83,9 +84,6 @@
   return { state: next.state, actions: [...cancels, ...next.actions] };
 };
 
-/** Attempts of one stage that may run side by side; the third is for a cut that hides two servers at once. */
-const MAX_PARALLEL_ATTEMPTS = 3;
-
 /** An attempt that delivered a token is moved instead; a resumed one that is silent is hedged like a first one. */
 const startHedge = (state: RequestState, attempt: Attempt): RequestStep => {
   const stage = state.plan.stages[attempt.stageIndex];
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -57,6 +57,7 @@
 const DEFAULT_HEDGE_QUANTILE = 0.95;
 /** A connection that was not refused within this time is silent; within a region a refusal takes a few ms. */
 const SILENT_CONNECTION_MS = 100;
+
 /** One attempt: waits for a server, sends the call and reports what happens. */
 class AttemptRun {
   private timer: Timer | undefined;
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -242,11 +242,8 @@
 
   /** Whether a peer has the same view; a peer that does not answer the question gets the whole view. */
   private async isSame(peer: PeerAddress): Promise<boolean> {
-    const { peerClient, self } = this.options;
-    const target = { address: peer.address, port: peer.peersPort };
-    const params = { from: self.hostId, hash: hashView(this.current) };
     try {
-      const answer = await peerClient.call(target, 'membership.compare', params, { timeoutMs: PEER_TIMEOUT_MS });
+      const answer = await this.call(peer, 'membership.compare', { hash: hashView(this.current) });
       return membershipComparedSchema.parse(answer).same;
     } catch {
       return false;
@@ -255,13 +252,15 @@
 
   /** Exchanges whole views if they differ; with 410 hosts the exchange takes 160 KB. */
   private async sync(peer: PeerAddress): Promise<void> {
-    const { peerClient, self } = this.options;
-    if (await this.isSame(peer)) {
-      return;
+    if (!(await this.isSame(peer))) {
+      this.applyView(await this.call(peer, 'membership.sync', { updates: describeAll(this.current) }));
     }
-    const params = { from: self.hostId, updates: describeAll(this.current) };
+  }
+
+  private call(peer: PeerAddress, method: string, params: object): Promise<unknown> {
+    const { peerClient, self } = this.options;
     const target = { address: peer.address, port: peer.peersPort };
-    this.applyView(await peerClient.call(target, 'membership.sync', params, { timeoutMs: PEER_TIMEOUT_MS }));
+    return peerClient.call(target, method, { from: self.hostId, ...params }, { timeoutMs: PEER_TIMEOUT_MS });
   }
 }
 
