Rename the package of clients from platform to backends

Cause: the name platform is needed for the adapter of the users' platform, and the package holds the clients of the store, the host list and the backend servers. Change: package and error class renamed; no behaviour changed.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,10 +10,10 @@
   protocol: ['errors'],
   decide: ['errors', 'config', 'protocol'],
   transport: ['clock', 'errors', 'log', 'protocol'],
-  platform: ['clock', 'errors', 'log', 'config', 'protocol', 'decide', 'transport'],
-  membership: ['clock', 'errors', 'log', 'protocol', 'decide', 'transport', 'platform'],
-  entry: ['clock', 'errors', 'log', 'telemetry', 'config', 'protocol', 'decide', 'transport', 'platform', 'membership'],
-  ctl: ['clock', 'errors', 'log', 'config', 'protocol', 'transport', 'platform'],
+  backends: ['clock', 'errors', 'log', 'config', 'protocol', 'decide', 'transport'],
+  membership: ['clock', 'errors', 'log', 'protocol', 'decide', 'transport', 'backends'],
+  entry: ['clock', 'errors', 'log', 'telemetry', 'config', 'protocol', 'decide', 'transport', 'backends', 'membership'],
+  ctl: ['clock', 'errors', 'log', 'config', 'protocol', 'transport', 'backends'],
   standins: ['clock', 'errors', 'log', 'config', 'transport'],
 };
 
--- a/packages/platform/src/PlatformError.ts
+++ b/packages/backends/src/BackendError.ts
@@ -1,7 +1,7 @@
 import { LayerError } from '@bergamotcove/errors';
 
-/** Reason of a platform failure. */
-export type PlatformErrorCode =
+/** Reason of a failed call. */
+export type BackendErrorCode =
   /** The call did not reach the service; it had no effect. */
   | 'unavailable'
   /** The call may have taken effect; no answer arrived. */
@@ -11,5 +11,5 @@
   /** The service's answer does not match its protocol. */
   | 'invalid-answer';
 
-/** Failure of a call to the platform. */
-export default class PlatformError extends LayerError<PlatformErrorCode> {}
+/** Failure of a call to the store, the host list or a backend server. */
+export default class BackendError extends LayerError<BackendErrorCode> {}
--- a/packages/platform/src/documents/acceptDocument.ts
+++ b/packages/backends/src/documents/acceptDocument.ts
@@ -9,7 +9,7 @@
   type AcceptedDocument,
   type ServiceDocument,
 } from '@bergamotcove/config';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 import type { StoreClient, TxnResult } from '../store/types.js';
 import { parseEntry, readHead, readHistory } from './readDocuments.js';
 
@@ -96,7 +96,7 @@
   try {
     result = await sendWrite(write);
   } catch (cause) {
-    const hadNoEffect = cause instanceof PlatformError && cause.code === 'unavailable';
+    const hadNoEffect = cause instanceof BackendError && cause.code === 'unavailable';
     const next = { ...tries, count: tries.count + 1, mayHaveRun: tries.mayHaveRun || !hadNoEffect };
     if (mayTryAgain(tries, retry)) {
       await pause(retry);
@@ -118,7 +118,7 @@
  * @param document - checked document
  * @param options - who accepts, and the version that it replaces
  * @returns whether the version is accepted, lost a race, or cannot be known
- * @throws PlatformError when nothing was written because the store could not be reached
+ * @throws BackendError when nothing was written because the store could not be reached
  * @example
  * await acceptDocument(store, document, { changeId: randomUUID(), acceptedBy: 'ann', acceptedAtMs: Date.now() });
  */
--- a/packages/platform/src/documents/readDocuments.ts
+++ b/packages/backends/src/documents/readDocuments.ts
@@ -25,7 +25,7 @@
  * @param store - configuration store
  * @param service - service name
  * @returns the head
- * @throws PlatformError when the store does not answer, ConfigError when the stored document is wrong
+ * @throws BackendError when the store does not answer, ConfigError when the stored document is wrong
  */
 export async function readHead(store: StoreClient, service: string): Promise<Head> {
   const entry = await store.get(HEADS_PREFIX + service);
@@ -39,7 +39,7 @@
  * @param service - service name
  * @param version - version number
  * @returns the version, or undefined when it does not exist
- * @throws PlatformError when the store does not answer, ConfigError when the stored document is wrong
+ * @throws BackendError when the store does not answer, ConfigError when the stored document is wrong
  */
 export async function readVersion(
   store: StoreClient,
@@ -67,7 +67,7 @@
  * @param service - service name
  * @param bounds - which versions
  * @returns the versions
- * @throws PlatformError when the store does not answer, ConfigError when a stored document is wrong
+ * @throws BackendError when the store does not answer, ConfigError when a stored document is wrong
  * @example
  * const newer = await readHistory(store, 'clerk', { afterVersion: 12 });
  */
--- a/packages/platform/src/engines/callEngine.ts
+++ b/packages/backends/src/engines/callEngine.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import type { EngineOrder } from '@bergamotcove/decide';
 import type { HttpClient, HttpRequest, Target } from '@bergamotcove/transport';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 
 const STATUS_OK = 200;
 const STATUS_CONFLICT = 409;
@@ -39,12 +39,12 @@
 ): Promise<z.output<Schema>> => {
   const response = await http.send(target, request);
   if (response.status !== STATUS_OK) {
-    throw new PlatformError('rejected', `the engine answered ${request.path} with status ${response.status}`);
+    throw new BackendError('rejected', `the engine answered ${request.path} with status ${response.status}`);
   }
   try {
     return schema.parse(JSON.parse(response.body));
   } catch (cause) {
-    throw new PlatformError('invalid-answer', `the engine's answer to ${request.path} is not as agreed`, { cause });
+    throw new BackendError('invalid-answer', `the engine's answer to ${request.path} is not as agreed`, { cause });
   }
 };
 
@@ -55,7 +55,7 @@
  * @param target - address of the engine
  * @param options - time limit
  * @returns its state and load
- * @throws TransportError or PlatformError when the engine does not answer as agreed
+ * @throws TransportError or BackendError when the engine does not answer as agreed
  */
 export async function readEngine(
   http: HttpClient,
@@ -78,7 +78,7 @@
  * @param order - the order with the fencing number of the planner's lease
  * @param options - time limit; `maySend` is asked just before the first byte is sent
  * @returns whether the engine took the order
- * @throws TransportError or PlatformError when that is not known
+ * @throws TransportError or BackendError when that is not known
  */
 export async function giveOrder(
   http: HttpClient,
@@ -98,7 +98,7 @@
     return 'fenced';
   }
   if (response.status !== STATUS_OK) {
-    throw new PlatformError('rejected', `the engine answered an order with status ${response.status}`);
+    throw new BackendError('rejected', `the engine answered an order with status ${response.status}`);
   }
   return 'accepted';
 }
--- a/packages/platform/src/hosts/fetchHostList.ts
+++ b/packages/backends/src/hosts/fetchHostList.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { listedHostSchema, type ListedHost } from '@bergamotcove/protocol';
 import type { HttpClient } from '@bergamotcove/transport';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 
 const hostListSchema = z.object({ revision: z.int(), hosts: z.array(listedHostSchema) });
 
@@ -30,7 +30,7 @@
  * @param client - HTTP client
  * @param options - URL of the list, time limit and the tag of the known list
  * @returns the list, or undefined when it still has the given tag
- * @throws PlatformError when the list cannot be read
+ * @throws BackendError when the list cannot be read
  * @example
  * const list = await fetchHostList(client, { url, timeoutMs: 1_000, etag: known.etag });
  */
@@ -53,11 +53,11 @@
       return undefined;
     }
     if (response.status !== STATUS_OK) {
-      throw new PlatformError('unavailable', `the host list answered status ${response.status}`);
+      throw new BackendError('unavailable', `the host list answered status ${response.status}`);
     }
     const tag = response.headers.etag;
     return { ...hostListSchema.parse(JSON.parse(response.body)), ...(typeof tag === 'string' ? { etag: tag } : {}) };
   } catch (cause) {
-    throw new PlatformError('unavailable', 'the host list could not be read', { cause });
+    throw new BackendError('unavailable', 'the host list could not be read', { cause });
   }
 }
--- a/packages/platform/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -1,6 +1,6 @@
-/** Adapters to the platform and the backend servers. */
-export { default as PlatformError } from './PlatformError.js';
-export type { PlatformErrorCode } from './PlatformError.js';
+/** Clients of the configuration store, the host list and the backend servers. */
+export { default as BackendError } from './BackendError.js';
+export type { BackendErrorCode } from './BackendError.js';
 export * from './store/types.js';
 export { default as createStoreClient } from './store/createStoreClient.js';
 export type { StoreClientOptions } from './store/createStoreClient.js';
--- a/packages/platform/src/servers/fetchLoad.ts
+++ b/packages/backends/src/servers/fetchLoad.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { HttpClient, Target } from '@bergamotcove/transport';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 
 const loadSchema = z.object({
   running: z.number().min(0),
@@ -22,7 +22,7 @@
  * @param target - address of the server
  * @param options - time limit
  * @returns the report, or undefined when the server has no such endpoint
- * @throws PlatformError when the server does not answer or sends something else
+ * @throws BackendError when the server does not answer or sends something else
  * @example
  * const load = await fetchLoad(client, { address: '10.0.0.7', port: 8000 }, { timeoutMs: 400 });
  */
@@ -41,12 +41,12 @@
       return undefined;
     }
     if (response.status !== STATUS_OK) {
-      throw new PlatformError('unavailable', `load report with status ${response.status}`);
+      throw new BackendError('unavailable', `load report with status ${response.status}`);
     }
     return loadSchema.parse(JSON.parse(response.body));
   } catch (cause) {
-    throw cause instanceof PlatformError
+    throw cause instanceof BackendError
       ? cause
-      : new PlatformError('unavailable', 'the load report could not be read', { cause });
+      : new BackendError('unavailable', 'the load report could not be read', { cause });
   }
 }
--- a/packages/platform/src/store/_lib/wire.ts
+++ b/packages/backends/src/store/_lib/wire.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import PlatformError from '../../PlatformError.js';
+import BackendError from '../../BackendError.js';
 import type { Compare, StoreEntry, StoreOp } from '../types.js';
 
 /** Wire format of the store: JSON with base64 keys and values and 64-bit integers as strings. */
@@ -82,6 +82,6 @@
   try {
     return schema.parse(JSON.parse(text));
   } catch (cause) {
-    throw new PlatformError('invalid-answer', 'the store sent an answer that does not match its protocol', { cause });
+    throw new BackendError('invalid-answer', 'the store sent an answer that does not match its protocol', { cause });
   }
 };
--- a/packages/platform/src/store/createGuardedStore.ts
+++ b/packages/backends/src/store/createGuardedStore.ts
@@ -1,6 +1,6 @@
 import { Observable } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 import createBreaker from './createBreaker.js';
 import type { StoreClient, WatchEvent } from './types.js';
 
@@ -25,12 +25,12 @@
 type Repeat = 'always' | 'if-not-sent';
 
 const mayRepeat = (cause: unknown, repeat: Repeat): boolean =>
-  cause instanceof PlatformError &&
+  cause instanceof BackendError &&
   (cause.code === 'unavailable' || (repeat === 'always' && cause.code === 'outcome-unknown'));
 
 /** An error answer that names the call as wrong shows that the store works. */
 const showsOutage = (cause: unknown): boolean =>
-  !(cause instanceof PlatformError) || cause.code === 'unavailable' || cause.code === 'outcome-unknown';
+  !(cause instanceof BackendError) || cause.code === 'unavailable' || cause.code === 'outcome-unknown';
 
 /** Runs calls within the budget of retries and the breaker. */
 class CallGuard {
@@ -48,7 +48,7 @@
 
   async run<Result>(call: () => Promise<Result>, repeat: Repeat, attempt = 1): Promise<Result> {
     if (!this.breaker.allow()) {
-      throw new PlatformError('unavailable', 'the store does not answer; calls wait for a trial call to succeed');
+      throw new BackendError('unavailable', 'the store does not answer; calls wait for a trial call to succeed');
     }
     try {
       const result = await call();
@@ -77,7 +77,7 @@
 const watchGuarded = (store: StoreClient, guard: CallGuard, prefix: string, from: string): Observable<WatchEvent> =>
   new Observable((subscriber) => {
     if (guard.isOpen()) {
-      subscriber.error(new PlatformError('unavailable', 'the store does not answer; no watch is started'));
+      subscriber.error(new BackendError('unavailable', 'the store does not answer; no watch is started'));
       return undefined;
     }
     return store.watch(prefix, from).subscribe(subscriber);
--- a/packages/platform/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -1,6 +1,6 @@
 import type { Observable } from 'rxjs';
 import { createHttpClient, TransportError, type Target } from '@bergamotcove/transport';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 import {
   encodeText,
   formatCompare,
@@ -41,12 +41,12 @@
   return { address: parsed.hostname, port: Number(parsed.port) };
 };
 
-const toPlatformError = (cause: unknown): PlatformError => {
-  if (cause instanceof PlatformError) {
+const toBackendError = (cause: unknown): BackendError => {
+  if (cause instanceof BackendError) {
     return cause;
   }
   const lost = !(cause instanceof TransportError) || cause.code !== 'not-connected';
-  return new PlatformError(lost ? 'outcome-unknown' : 'unavailable', 'the store did not answer', { cause });
+  return new BackendError(lost ? 'outcome-unknown' : 'unavailable', 'the store did not answer', { cause });
 };
 
 /** Store client over HTTP and JSON. */
@@ -128,14 +128,14 @@
         signal: AbortSignal.timeout(this.options.timeoutMs),
       });
       if (response.status !== STATUS_OK) {
-        throw new PlatformError('rejected', `the store answered ${path} with status ${response.status}`);
+        throw new BackendError('rejected', `the store answered ${path} with status ${response.status}`);
       }
       this.options.onCall?.(path, 'ok');
       return response.body;
     } catch (cause) {
       this.current += 1;
       this.options.onCall?.(path, 'failed');
-      throw toPlatformError(cause);
+      throw toBackendError(cause);
     }
   }
 }
--- a/packages/platform/src/store/guardedStore.test.ts
+++ b/packages/backends/src/store/guardedStore.test.ts
@@ -2,17 +2,17 @@
 import { test } from 'node:test';
 import { NEVER } from 'rxjs';
 import { createManualClock } from '@bergamotcove/clock';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 import createGuardedStore from './createGuardedStore.js';
 import createLeaseHolder from './createLeaseHolder.js';
 import type { StoreClient } from './types.js';
 
-const LOST = new PlatformError('outcome-unknown', 'lost');
+const LOST = new BackendError('outcome-unknown', 'lost');
 const TTL_MS = 10_000;
 
 const createStore = () => {
   const calls: string[] = [];
-  const control = { failure: undefined as PlatformError | undefined, remainingMs: TTL_MS };
+  const control = { failure: undefined as BackendError | undefined, remainingMs: TTL_MS };
   const answer = <Result>(name: string, result: Result): Promise<Result> => {
     calls.push(name);
     return control.failure === undefined ? Promise.resolve(result) : Promise.reject(control.failure);
--- a/packages/platform/src/store/types.ts
+++ b/packages/backends/src/store/types.ts
@@ -47,7 +47,7 @@
   readonly limit?: number;
 }
 
-/** Client of the configuration store. Calls reject with PlatformError. */
+/** Client of the configuration store. Calls reject with BackendError. */
 export interface StoreClient {
   /** Reads one key. */
   get(key: string): Promise<StoreEntry | undefined>;
--- a/packages/platform/src/store/watchStore.ts
+++ b/packages/backends/src/store/watchStore.ts
@@ -1,6 +1,6 @@
 import { Observable } from 'rxjs';
 import { TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
-import PlatformError from '../PlatformError.js';
+import BackendError from '../BackendError.js';
 import { encodeText, decodeText, parseAnswer, prefixEnd, toEntry, watchAnswerSchema } from './_lib/wire.js';
 import type { WatchEvent } from './types.js';
 
@@ -23,7 +23,7 @@
  * @param client - HTTP client
  * @param target - address of the store
  * @param options - prefix and first revision to report
- * @returns the changes; the observable ends with PlatformError when the stream breaks
+ * @returns the changes; the observable ends with BackendError when the stream breaks
  */
 export default function watchStore(
   client: HttpClient,
@@ -43,7 +43,7 @@
       const response = await client.open(target, { method: 'POST', path: '/v3/watch', body, signal: abort.signal });
       if (response.statusCode !== 200) {
         response.resume();
-        throw new PlatformError('rejected', `the store answered a watch with status ${response.statusCode}`);
+        throw new BackendError('rejected', `the store answered a watch with status ${response.statusCode}`);
       }
       const decoder = new TextDecoder();
       let pending = '';
@@ -59,7 +59,7 @@
     };
     read().catch((cause: unknown) => {
       subscriber.error(
-        cause instanceof PlatformError ? cause : new PlatformError('unavailable', 'the watch broke', { cause }),
+        cause instanceof BackendError ? cause : new BackendError('unavailable', 'the watch broke', { cause }),
       );
     });
     return () => abort.abort();
--- a/packages/bench/src/claims/benchHost.main.ts
+++ b/packages/bench/src/claims/benchHost.main.ts
@@ -2,7 +2,7 @@
 import { parentPort, workerData } from 'node:worker_threads';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createClaimBook, type ClaimBook, type ClaimRequest, type EntryHostView } from '@bergamotcove/entry';
-import { createStoreClient } from '@bergamotcove/platform';
+import { createStoreClient } from '@bergamotcove/backends';
 import { createHttpClient, createHttpServer, createPeerClient, createPeerServer } from '@bergamotcove/transport';
 import createRandomSource from '../load/_lib/createRandomSource.js';
 
--- a/packages/bench/src/control/_lib/createDocument.ts
+++ b/packages/bench/src/control/_lib/createDocument.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { parseServiceDocument, type ServiceDocument } from '@bergamotcove/config';
 import type { VersionedDocument } from '@bergamotcove/protocol';
-import type { StoreEntry } from '@bergamotcove/platform';
+import type { StoreEntry } from '@bergamotcove/backends';
 import { exampleFile } from '../../deployment/paths.js';
 
 /** Size of a typical document; documents have 2 to 8 KB. */
--- a/packages/bench/src/control/_lib/createLoadHost.ts
+++ b/packages/bench/src/control/_lib/createLoadHost.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import { createPoolBook, type ServerDescription } from '@bergamotcove/decide';
 import { createLoadReports, type LoadReports, type SummaryLink } from '@bergamotcove/entry';
-import type { ServerLoad } from '@bergamotcove/platform';
+import type { ServerLoad } from '@bergamotcove/backends';
 import type { PeerAddress } from '@bergamotcove/protocol';
 
 /** Options of {@link createLoadHost}. */
--- a/packages/bench/src/control/_lib/createLoopbackLoad.ts
+++ b/packages/bench/src/control/_lib/createLoopbackLoad.ts
@@ -3,7 +3,7 @@
 import { createSystemClock, type Clock, type Timer } from '@bergamotcove/clock';
 import type { ServerDescription } from '@bergamotcove/decide';
 import { createMembership, type Membership } from '@bergamotcove/membership';
-import { fetchLoad } from '@bergamotcove/platform';
+import { fetchLoad } from '@bergamotcove/backends';
 import { decodeMessage, type PeerAddress } from '@bergamotcove/protocol';
 import { startStageServer, type StageServerStandin } from '@bergamotcove/standins';
 import {
--- a/packages/bench/src/control/_lib/createVirtualFleet.ts
+++ b/packages/bench/src/control/_lib/createVirtualFleet.ts
@@ -9,7 +9,7 @@
   type HostListFollower,
   type Membership,
 } from '@bergamotcove/membership';
-import { acceptDocument, type AcceptResult, type StoreClient } from '@bergamotcove/platform';
+import { acceptDocument, type AcceptResult, type StoreClient } from '@bergamotcove/backends';
 import type { ListedHost, PeerAddress } from '@bergamotcove/protocol';
 import { createDocument, readVirtualHead } from './createDocument.js';
 import createRandom from './createRandom.js';
--- a/packages/bench/src/control/_lib/createVirtualHostList.ts
+++ b/packages/bench/src/control/_lib/createVirtualHostList.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { PlatformError, type HostList } from '@bergamotcove/platform';
+import { BackendError, type HostList } from '@bergamotcove/backends';
 import type { ListedHost, PeerAddress } from '@bergamotcove/protocol';
 import type { Traffic } from './createVirtualNetwork.js';
 
@@ -70,7 +70,7 @@
       await wait(clock, DELAY_MS);
       const version = this.versions.get(this.faults.showRevision ?? this.current);
       if (this.faults.down || this.faults.isCut(from) || version === undefined) {
-        throw new PlatformError('unavailable', 'the host list does not answer');
+        throw new BackendError('unavailable', 'the host list does not answer');
       }
       if (version.list.etag === etag) {
         return undefined;
--- a/packages/bench/src/control/_lib/createVirtualLoad.ts
+++ b/packages/bench/src/control/_lib/createVirtualLoad.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { ServerDescription } from '@bergamotcove/decide';
-import type { ServerLoad } from '@bergamotcove/platform';
+import type { ServerLoad } from '@bergamotcove/backends';
 import createLoadHost, { type LoadHostBench } from './createLoadHost.js';
 import type { VirtualFleet, VirtualHost } from './createVirtualFleet.js';
 
--- a/packages/bench/src/control/_lib/createVirtualStore.ts
+++ b/packages/bench/src/control/_lib/createVirtualStore.ts
@@ -2,14 +2,14 @@
 import type { Clock } from '@bergamotcove/clock';
 import { HEADS_PREFIX } from '@bergamotcove/config';
 import {
-  PlatformError,
+  BackendError,
   type Compare,
   type StoreClient,
   type StoreEntry,
   type StoreOp,
   type TxnResult,
   type WatchEvent,
-} from '@bergamotcove/platform';
+} from '@bergamotcove/backends';
 import type { PeerAddress } from '@bergamotcove/protocol';
 import type { Traffic } from './createVirtualNetwork.js';
 
@@ -78,7 +78,7 @@
 
   client(from: PeerAddress, clock: Clock, traffic: Traffic): StoreClient {
     const call = <Result>(run: () => Result): Promise<Result> => this.call({ from, clock, traffic }, run);
-    const none = (): Promise<never> => Promise.reject(new PlatformError('rejected', 'not in the virtual store'));
+    const none = (): Promise<never> => Promise.reject(new BackendError('rejected', 'not in the virtual store'));
     return {
       get: (key) => call(() => this.current.get(key)),
       range: (prefix) => call(() => this.range(prefix)),
@@ -105,13 +105,13 @@
     await wait(clock, this.faults.delayMs / 2);
     if (this.unreachable(from) || this.faults.delayMs > TIMEOUT_MS) {
       await wait(clock, TIMEOUT_MS);
-      throw new PlatformError('outcome-unknown', 'the store did not answer');
+      throw new BackendError('outcome-unknown', 'the store did not answer');
     }
     const result = run();
     const lost = this.random() < this.faults.lostReplyRatio;
     await wait(clock, lost ? TIMEOUT_MS : this.faults.delayMs / 2);
     if (lost) {
-      throw new PlatformError('outcome-unknown', 'the reply was lost');
+      throw new BackendError('outcome-unknown', 'the reply was lost');
     }
     counted.storeBytes += CALL_BYTES + (JSON.stringify(result)?.length ?? 0) * 1.4;
     return result;
@@ -170,7 +170,7 @@
         clock.schedule(this.faults.delayMs / 2, () => subscriber.next(event));
       };
       const fail = (): void => {
-        clock.schedule(TIMEOUT_MS, () => subscriber.error(new PlatformError('unavailable', 'the watch broke')));
+        clock.schedule(TIMEOUT_MS, () => subscriber.error(new BackendError('unavailable', 'the watch broke')));
       };
       const watcher: Watcher = { from, prefix, next: deliver, fail };
       if (this.unreachable(from)) {
--- a/packages/bench/src/control/fetchHostList.test.ts
+++ b/packages/bench/src/control/fetchHostList.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { fetchHostList } from '@bergamotcove/platform';
+import { fetchHostList } from '@bergamotcove/backends';
 import { startHostList, type StandinHost } from '@bergamotcove/standins';
 import { createHttpClient } from '@bergamotcove/transport';
 
--- a/packages/bench/src/control/measureMemory.ts
+++ b/packages/bench/src/control/measureMemory.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { createSystemClock } from '@bergamotcove/clock';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import { startHostList, startStore, type StandinHost } from '@bergamotcove/standins';
 import { builtScript } from '../deployment/paths.js';
 import startProcess from '../deployment/startProcess.js';
--- a/packages/bench/src/control/measureProcess.ts
+++ b/packages/bench/src/control/measureProcess.ts
@@ -1,7 +1,7 @@
 import type { Settings } from '@bergamotcove/config';
 import { createSystemClock } from '@bergamotcove/clock';
 import { startEntryHost, type EntryHost } from '@bergamotcove/entry';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import { startHostList, startStore, type StandinHost } from '@bergamotcove/standins';
 import { createHttpClient } from '@bergamotcove/transport';
 import { createDocument } from './_lib/createDocument.js';
--- a/packages/bench/src/faults/mutations/storeWithoutFencing.ts
+++ b/packages/bench/src/faults/mutations/storeWithoutFencing.ts
@@ -1,4 +1,4 @@
-import type { StoreClient, StoreClientOptions } from '@bergamotcove/platform';
+import type { StoreClient, StoreClientOptions } from '@bergamotcove/backends';
 import { CLAIMS_PREFIX } from '../constants.js';
 import { ORIGINAL, type OriginalModule } from './importOriginal.js';
 
--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -1,5 +1,5 @@
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import {
   startHostList,
   startStore,
--- a/packages/bench/src/load/sockets/startSocketHosts.ts
+++ b/packages/bench/src/load/sockets/startSocketHosts.ts
@@ -2,7 +2,7 @@
 import { createSystemClock } from '@bergamotcove/clock';
 import { parseServiceDocument, settingsSchema } from '@bergamotcove/config';
 import { startEntryHost, type EntryHost } from '@bergamotcove/entry';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import { startEngine, startHostList, startStageServer, startStore, type StandinHost } from '@bergamotcove/standins';
 
 /** Size of the socket run. */
--- a/packages/bench/src/overhead/startOverheadSetup.ts
+++ b/packages/bench/src/overhead/startOverheadSetup.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { parseServiceDocument, type ServiceDocument } from '@bergamotcove/config';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import { createHttpClient } from '@bergamotcove/transport';
 import type { StandinHost } from '@bergamotcove/standins';
 import { builtScript } from '../deployment/paths.js';
--- a/packages/bench/src/quickstart/planner.test.ts
+++ b/packages/bench/src/quickstart/planner.test.ts
@@ -3,7 +3,7 @@
 import { createSystemClock } from '@bergamotcove/clock';
 import { parseServiceDocument, parseWith, settingsSchema } from '@bergamotcove/config';
 import { startEntryHost, type EntryHost } from '@bergamotcove/entry';
-import { acceptDocument, createStoreClient } from '@bergamotcove/platform';
+import { acceptDocument, createStoreClient } from '@bergamotcove/backends';
 import { startEngine, startHostList, startStore, type Standin } from '@bergamotcove/standins';
 import { createHttpClient } from '@bergamotcove/transport';
 
--- a/packages/ctl/src/cli/runCli.ts
+++ b/packages/ctl/src/cli/runCli.ts
@@ -1,6 +1,6 @@
 import { ConfigError } from '@bergamotcove/config';
 import { LayerError, toError } from '@bergamotcove/errors';
-import { PlatformError } from '@bergamotcove/platform';
+import { BackendError } from '@bergamotcove/backends';
 import CtlError from '../CtlError.js';
 import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE } from '../exitCodes.js';
 import type { CommandSpec, CtlPorts } from '../types.js';
@@ -8,7 +8,7 @@
 import parseCommandLine from './parseCommandLine.js';
 
 const adviceFor = (error: Error): string => {
-  if (error instanceof PlatformError) {
+  if (error instanceof BackendError) {
     return '; nothing was changed, check --store and the state of the store';
   }
   return '';
--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -1,5 +1,5 @@
 import { parseServiceDocument } from '@bergamotcove/config';
-import { readHead } from '@bergamotcove/platform';
+import { readHead } from '@bergamotcove/backends';
 import submitDocument from '../documents/submitDocument.js';
 import withStore from '../documents/withStore.js';
 import type { CommandContext, CommandResult, CommandSpec } from '../types.js';
--- a/packages/ctl/src/commands/diff.ts
+++ b/packages/ctl/src/commands/diff.ts
@@ -1,5 +1,5 @@
 import { diffDocuments, parseServiceDocument, type ServiceDocument } from '@bergamotcove/config';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import readVersionArgument from '../_lib/readVersionArgument.js';
 import CtlError from '../CtlError.js';
 import requireVersion from '../documents/requireVersion.js';
--- a/packages/ctl/src/commands/history.ts
+++ b/packages/ctl/src/commands/history.ts
@@ -1,5 +1,5 @@
 import { diffDocuments, type AcceptedDocument } from '@bergamotcove/config';
-import { readHistory, type StoreClient } from '@bergamotcove/platform';
+import { readHistory, type StoreClient } from '@bergamotcove/backends';
 import findChange from '../documents/findChange.js';
 import requireVersion from '../documents/requireVersion.js';
 import withStore from '../documents/withStore.js';
--- a/packages/ctl/src/commands/rollback.ts
+++ b/packages/ctl/src/commands/rollback.ts
@@ -1,4 +1,4 @@
-import { readHead } from '@bergamotcove/platform';
+import { readHead } from '@bergamotcove/backends';
 import readVersionArgument from '../_lib/readVersionArgument.js';
 import requireVersion from '../documents/requireVersion.js';
 import submitDocument from '../documents/submitDocument.js';
--- a/packages/ctl/src/documents/describeConflict.ts
+++ b/packages/ctl/src/documents/describeConflict.ts
@@ -1,5 +1,5 @@
 import { diffDocuments, type AcceptedDocument, type Difference } from '@bergamotcove/config';
-import { readHistory, readVersion, type StoreClient } from '@bergamotcove/platform';
+import { readHistory, readVersion, type StoreClient } from '@bergamotcove/backends';
 import { EXIT_CONFLICT } from '../exitCodes.js';
 import describeAccepted, { type AcceptedSummary } from '../format/describeAccepted.js';
 import formatDifferences from '../format/formatDifferences.js';
--- a/packages/ctl/src/documents/findChange.ts
+++ b/packages/ctl/src/documents/findChange.ts
@@ -1,5 +1,5 @@
 import type { AcceptedDocument } from '@bergamotcove/config';
-import { readHead, readHistory, type StoreClient } from '@bergamotcove/platform';
+import { readHead, readHistory, type StoreClient } from '@bergamotcove/backends';
 
 /** Where a change stands. */
 export type ChangeState =
--- a/packages/ctl/src/documents/requireVersion.ts
+++ b/packages/ctl/src/documents/requireVersion.ts
@@ -1,5 +1,5 @@
 import type { AcceptedDocument } from '@bergamotcove/config';
-import { readHead, readVersion, type StoreClient } from '@bergamotcove/platform';
+import { readHead, readVersion, type StoreClient } from '@bergamotcove/backends';
 import CtlError from '../CtlError.js';
 
 /**
--- a/packages/ctl/src/documents/submitDocument.ts
+++ b/packages/ctl/src/documents/submitDocument.ts
@@ -1,6 +1,6 @@
 import type { ServiceDocument } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
-import { acceptDocument, type AcceptResult, type StoreClient } from '@bergamotcove/platform';
+import { acceptDocument, type AcceptResult, type StoreClient } from '@bergamotcove/backends';
 import { EXIT_DONE, EXIT_UNKNOWN } from '../exitCodes.js';
 import type { CommandContext, CommandResult } from '../types.js';
 import describeConflict from './describeConflict.js';
@@ -52,7 +52,7 @@
  * @param context - command line and ports
  * @param submission - document, expected version and change id
  * @returns accepted (0), conflict (3) or unknown (4)
- * @throws PlatformError when nothing was written
+ * @throws BackendError when nothing was written
  */
 export default async function submitDocument(
   store: StoreClient,
--- a/packages/ctl/src/documents/withStore.ts
+++ b/packages/ctl/src/documents/withStore.ts
@@ -1,4 +1,4 @@
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import type { CommandContext } from '../types.js';
 import withProgress from '../cli/withProgress.js';
 
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -3,7 +3,7 @@
 import { userInfo } from 'node:os';
 import { createSystemClock } from '@bergamotcove/clock';
 import { readJsonFile } from '@bergamotcove/config';
-import { createStoreClient } from '@bergamotcove/platform';
+import { createStoreClient } from '@bergamotcove/backends';
 import runCli from './cli/runCli.js';
 import COMMANDS from './commands/index.js';
 import callHost from './hosts/callHost.js';
--- a/packages/ctl/src/testing/createMemoryStore.ts
+++ b/packages/ctl/src/testing/createMemoryStore.ts
@@ -1,4 +1,4 @@
-import { PlatformError, type StoreClient, type StoreEntry, type StoreOp, type TxnResult } from '@bergamotcove/platform';
+import { BackendError, type StoreClient, type StoreEntry, type StoreOp, type TxnResult } from '@bergamotcove/backends';
 
 /** What happens to one transaction. */
 export type TxnFault = 'none' | 'reply-lost' | 'request-lost' | 'not-reached';
@@ -12,7 +12,7 @@
   readonly entries: Map<string, StoreEntry>;
 }
 
-const toLostReply = (): PlatformError => new PlatformError('outcome-unknown', 'the store did not answer');
+const toLostReply = (): BackendError => new BackendError('outcome-unknown', 'the store did not answer');
 
 /** Runs transactions on the entries; each takes a new revision. */
 const createRunner = (entries: Map<string, StoreEntry>): StoreClient['txn'] => {
@@ -57,7 +57,7 @@
       store.beforeTxn();
       const fault = store.faults.shift() ?? 'none';
       if (fault === 'not-reached') {
-        throw new PlatformError('unavailable', 'the store refused the connection');
+        throw new BackendError('unavailable', 'the store refused the connection');
       }
       if (fault === 'request-lost') {
         throw toLostReply();
--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 
 /** Options that the commands take; each command lists its own. */
 export interface CommandOptions {
--- a/packages/entry/src/claims/_lib/createMemoryStore.test.ts
+++ b/packages/entry/src/claims/_lib/createMemoryStore.test.ts
@@ -1,5 +1,5 @@
 import { NEVER } from 'rxjs';
-import { PlatformError, type Compare, type StoreClient, type StoreEntry, type StoreOp } from '@bergamotcove/platform';
+import { BackendError, type Compare, type StoreClient, type StoreEntry, type StoreOp } from '@bergamotcove/backends';
 
 /** How a call goes: normally, without effect, with a lost reply, or with an effect that comes after the loss. */
 export type CallFate = 'answered' | 'not-arrived' | 'reply-lost' | 'late-effect';
@@ -86,7 +86,7 @@
     } else if (fate === 'late-effect') {
       gate(`${call} late`).then(effect, () => undefined);
     }
-    throw new PlatformError('outcome-unknown', 'the reply was lost');
+    throw new BackendError('outcome-unknown', 'the reply was lost');
   };
   const read = <Result>(call: string, effect: () => Result): Promise<Result> => {
     calls.reads += 1;
--- a/packages/entry/src/claims/_lib/startLogHosts.test.ts
+++ b/packages/entry/src/claims/_lib/startLogHosts.test.ts
@@ -1,6 +1,6 @@
 import { createManualClock, type ManualClock } from '@bergamotcove/clock';
 import type { ShardLimits } from '@bergamotcove/decide';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import { TransportError, type PeerClient, type PeerServer } from '@bergamotcove/transport';
 import createClaimLogs, { type ClaimLogs } from '../createClaimLogs.js';
 import createOpenClaims from '../createOpenClaims.js';
--- a/packages/entry/src/claims/createClaimBook.ts
+++ b/packages/entry/src/claims/createClaimBook.ts
@@ -2,7 +2,7 @@
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@bergamotcove/clock';
 import { isSameBody, type ClaimDecision, type RequestResult, type ShardLimits } from '@bergamotcove/decide';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import type { ClaimOpResult, ClaimRecord, RecordedOutcome } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
 import type { PeerDirectory } from '../peers/types.js';
--- a/packages/entry/src/claims/createClaimLogs.limit.test.ts
+++ b/packages/entry/src/claims/createClaimLogs.limit.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
 import { rankShardOwners, shardOfKey } from '@bergamotcove/decide';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import { TransportError } from '@bergamotcove/transport';
 import createClaimLogs from './createClaimLogs.js';
 
--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import { shardOfKey, type ShardLimits } from '@bergamotcove/decide';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import {
   CLAIMS_APPEND,
   CLAIMS_QUERY,
--- a/packages/entry/src/claims/createCommitQueue.ts
+++ b/packages/entry/src/claims/createCommitQueue.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { COMMIT_BURST } from '@bergamotcove/decide';
-import type { Compare, StoreClient } from '@bergamotcove/platform';
+import type { Compare, StoreClient } from '@bergamotcove/backends';
 
 /** One new log entry. */
 export interface LogAppend {
--- a/packages/entry/src/claims/createShardStore.ts
+++ b/packages/entry/src/claims/createShardStore.ts
@@ -8,7 +8,7 @@
   type ShardAction,
   type SnapshotView,
 } from '@bergamotcove/decide';
-import { PlatformError, type Compare, type StoreClient, type StoreEntry } from '@bergamotcove/platform';
+import { BackendError, type Compare, type StoreClient, type StoreEntry } from '@bergamotcove/backends';
 import { claimSnapshotSchema, logEntrySchema } from '@bergamotcove/protocol';
 import type { CommitQueue } from './createCommitQueue.js';
 
@@ -30,7 +30,7 @@
   readonly entries: readonly PlacedEntry[];
 }
 
-/** Reads and writes of one shard log. Calls reject with PlatformError. */
+/** Reads and writes of one shard log. Calls reject with BackendError. */
 export interface ShardStore {
   load(action: Load): Promise<ShardContent>;
   append(action: Append): Promise<boolean>;
@@ -41,7 +41,7 @@
   try {
     return schema.parse(JSON.parse(entry.value));
   } catch (cause) {
-    throw new PlatformError('invalid-answer', `the value of ${entry.key} does not match its schema`, { cause });
+    throw new BackendError('invalid-answer', `the value of ${entry.key} does not match its schema`, { cause });
   }
 };
 
--- a/packages/entry/src/config/readHead.ts
+++ b/packages/entry/src/config/readHead.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { parseAcceptedDocument } from '@bergamotcove/config';
 import type { Logger } from '@bergamotcove/log';
-import type { StoreEntry } from '@bergamotcove/platform';
+import type { StoreEntry } from '@bergamotcove/backends';
 import type { VersionedDocument } from '@bergamotcove/protocol';
 
 const HASH_CHARS = 16;
--- a/packages/entry/src/peers/createControlPlane.ts
+++ b/packages/entry/src/peers/createControlPlane.ts
@@ -11,7 +11,7 @@
   type HostListFollower,
   type Membership,
 } from '@bergamotcove/membership';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import type { ConfigFindingStatus, ListedHost } from '@bergamotcove/protocol';
 import {
   createDatagramSocket,
--- a/packages/entry/src/planner/createPlanner.test.ts
+++ b/packages/entry/src/planner/createPlanner.test.ts
@@ -3,7 +3,7 @@
 import { createManualClock } from '@bergamotcove/clock';
 import { LEASE_MARGIN_RATIO, type EngineOrder } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { EngineReport, StoreClient } from '@bergamotcove/platform';
+import type { EngineReport, StoreClient } from '@bergamotcove/backends';
 import { LEASE_TTL_MS } from './constants.js';
 import createPoolLease from './createPoolLease.js';
 import runPlanningRound from './runPlanningRound.js';
--- a/packages/entry/src/planner/createPlanner.ts
+++ b/packages/entry/src/planner/createPlanner.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import type { Logger } from '@bergamotcove/log';
-import type { StoreClient } from '@bergamotcove/platform';
+import type { StoreClient } from '@bergamotcove/backends';
 import { ROUND_MS } from './constants.js';
 import createPoolLease, { type PoolLease } from './createPoolLease.js';
 import runPlanningRound from './runPlanningRound.js';
--- a/packages/entry/src/planner/createPoolLease.ts
+++ b/packages/entry/src/planner/createPoolLease.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { createLeaseHolder, type LeaseHolder, type StoreClient } from '@bergamotcove/platform';
+import { createLeaseHolder, type LeaseHolder, type StoreClient } from '@bergamotcove/backends';
 import { LEASE_TTL_MS, PLANNER_PREFIX } from './constants.js';
 
 /** The lease of one pool's planner; the planning rounds space its renewals. */
--- a/packages/entry/src/planner/runPlanningRound.ts
+++ b/packages/entry/src/planner/runPlanningRound.ts
@@ -1,6 +1,6 @@
 import { planEngines, type AddressedOrder, type EngineView, type PlannerLimits } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { EngineReport } from '@bergamotcove/platform';
+import type { EngineReport } from '@bergamotcove/backends';
 import type { PoolLease } from './createPoolLease.js';
 import type { EnginePort, PlannedEngine, PlannedPool } from './types.js';
 
--- a/packages/entry/src/planner/startPlanner.ts
+++ b/packages/entry/src/planner/startPlanner.ts
@@ -2,7 +2,7 @@
 import type { Settings } from '@bergamotcove/config';
 import { isPlannerCandidate } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import { giveOrder, readEngine, type StoreClient } from '@bergamotcove/platform';
+import { giveOrder, readEngine, type StoreClient } from '@bergamotcove/backends';
 import type { HttpClient } from '@bergamotcove/transport';
 import type { ConfigHolder } from '../config/createConfigHolder.js';
 import type { PeerDirectory } from '../peers/types.js';
--- a/packages/entry/src/planner/types.ts
+++ b/packages/entry/src/planner/types.ts
@@ -1,5 +1,5 @@
 import type { EngineOrder, ModelDemand, PlannerLimits } from '@bergamotcove/decide';
-import type { EngineReport, OrderResult } from '@bergamotcove/platform';
+import type { EngineReport, OrderResult } from '@bergamotcove/backends';
 import type { Target } from '@bergamotcove/transport';
 
 /** An engine with its address. */
--- a/packages/entry/src/requests/_lib/toServerCall.ts
+++ b/packages/entry/src/requests/_lib/toServerCall.ts
@@ -1,5 +1,5 @@
 import type { ServerView } from '@bergamotcove/decide';
-import type { ServerCall } from '@bergamotcove/platform';
+import type { ServerCall } from '@bergamotcove/backends';
 import type { DispatchAction } from '../startRun.js';
 import type { DispatchContext } from '../types.js';
 
--- a/packages/entry/src/requests/createDispatcher.ts
+++ b/packages/entry/src/requests/createDispatcher.ts
@@ -12,7 +12,7 @@
   type ServerView,
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
-import { callServer, type ServerEvent } from '@bergamotcove/platform';
+import { callServer, type ServerEvent } from '@bergamotcove/backends';
 import type { Span, Tracer } from '@bergamotcove/telemetry';
 import type { HttpClient } from '@bergamotcove/transport';
 import createAttemptFollower, { type AttemptFollower } from '../servers/createAttemptFollower.js';
--- a/packages/entry/src/requests/createStatusQuery.ts
+++ b/packages/entry/src/requests/createStatusQuery.ts
@@ -1,5 +1,5 @@
 import type { RequestPlan } from '@bergamotcove/decide';
-import { queryStatus } from '@bergamotcove/platform';
+import { queryStatus } from '@bergamotcove/backends';
 import type { HttpClient } from '@bergamotcove/transport';
 import type { ServerDirectory } from '../servers/createServerDirectory.js';
 
--- a/packages/entry/src/servers/createLoadPoll.ts
+++ b/packages/entry/src/servers/createLoadPoll.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import { readReportAge, type LoadReport, type ServerDescription } from '@bergamotcove/decide';
-import type { ServerLoad } from '@bergamotcove/platform';
+import type { ServerLoad } from '@bergamotcove/backends';
 
 /** Options of {@link createLoadPoll}. */
 export interface LoadPollOptions {
--- a/packages/entry/src/servers/createLoadReports.ts
+++ b/packages/entry/src/servers/createLoadReports.ts
@@ -12,7 +12,7 @@
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { Membership, PeerNews } from '@bergamotcove/membership';
-import type { ServerLoad } from '@bergamotcove/platform';
+import type { ServerLoad } from '@bergamotcove/backends';
 import {
   decodeLoadSummary,
   encodeLoadSummary,
--- a/packages/entry/src/servers/createRouting.ts
+++ b/packages/entry/src/servers/createRouting.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
 import type { Logger } from '@bergamotcove/log';
-import { fetchLoad } from '@bergamotcove/platform';
+import { fetchLoad } from '@bergamotcove/backends';
 import type { Tracer } from '@bergamotcove/telemetry';
 import { createDomainBook } from '@bergamotcove/decide';
 import type { HttpClient } from '@bergamotcove/transport';
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -1,7 +1,7 @@
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
 import { createLogger, type Logger } from '@bergamotcove/log';
-import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/platform';
+import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/backends';
 import { createHostListFollower, type HostListFollower } from '@bergamotcove/membership';
 import type { HostStatus, PeerAddress } from '@bergamotcove/protocol';
 import { createMetrics, createTracer, type Metrics, type Tracer } from '@bergamotcove/telemetry';
--- a/packages/membership/src/createConfigDistribution.ts
+++ b/packages/membership/src/createConfigDistribution.ts
@@ -12,7 +12,7 @@
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
-import type { StoreClient, StoreEntry } from '@bergamotcove/platform';
+import type { StoreClient, StoreEntry } from '@bergamotcove/backends';
 import {
   configOfferSchema,
   configPullAnswerSchema,
--- a/packages/membership/src/createHostListFollower.ts
+++ b/packages/membership/src/createHostListFollower.ts
@@ -10,7 +10,7 @@
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
-import type { HostList } from '@bergamotcove/platform';
+import type { HostList } from '@bergamotcove/backends';
 import { hostsChangedSchema, type HostsChanged, type ListedHost, type PeerAddress } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
 import runBounded from './_lib/runBounded.js';
