--- a/packages/backends/src/BackendError.ts
+++ b/packages/backends/src/BackendError.ts
@@ -8,6 +8,8 @@
   | 'outcome-unknown'
   /** The service answered with an error. */
   | 'rejected'
+  /** The store does not have the history any more from which a watch was asked for. */
+  | 'compacted'
   /** The service's answer does not match its protocol. */
   | 'invalid-answer';
 
--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -2,6 +2,7 @@
 export { default as BackendError } from './BackendError.js';
 export type { BackendErrorCode } from './BackendError.js';
 export * from './store/types.js';
+export type { RangePage, StoreCall, StoreDialect, WatchOptions } from './store/dialect.js';
 export { default as createStoreClient } from './store/createStoreClient.js';
 export type { StoreClientOptions } from './store/createStoreClient.js';
 export { default as createGuardedStore } from './store/createGuardedStore.js';
@@ -21,3 +22,7 @@
 export type { Head, HistoryBounds } from './documents/readDocuments.js';
 export { giveOrder, readEngine } from './engines/callEngine.js';
 export type { EngineReport, OrderResult } from './engines/callEngine.js';
+export { default as followStore } from './store/followStore.js';
+export type { StoreFollower, StoreFollowerOptions } from './store/followStore.js';
+export { default as pollStore } from './store/pollStore.js';
+export type { PollOptions, WatchPoll } from './store/pollStore.js';
--- a/packages/backends/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -1,18 +1,8 @@
 import type { Observable } from 'rxjs';
 import { createHttpClient, TransportError, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
-import {
-  encodeText,
-  formatCompare,
-  formatOp,
-  keepAliveAnswerSchema,
-  leaseAnswerSchema,
-  parseAnswer,
-  prefixEnd,
-  rangeAnswerSchema,
-  toEntry,
-  txnAnswerSchema,
-} from './_lib/wire.js';
+import type { RangePage, StoreCall, StoreDialect } from './dialect.js';
+import jsonDialect from './jsonDialect.js';
 import type {
   Compare,
   RangeOptions,
@@ -23,18 +13,18 @@
   TxnResult,
   WatchEvent,
 } from './types.js';
-import watchStore from './watchStore.js';
 
 /** Options of {@link createStoreClient}. */
 export interface StoreClientOptions {
   readonly urls: readonly string[];
   readonly timeoutMs: number;
+  /** Wire format of the store; by default that of the product's own store. */
+  readonly dialect?: StoreDialect;
   /** Called after each call, for metrics. */
   readonly onCall?: (call: string, result: 'ok' | 'failed') => void;
 }
 
-const MS_PER_SECOND = 1_000;
-const STATUS_OK = 200;
+const JSON_HEADERS = { 'content-type': 'application/json' };
 
 const toTarget = (url: string): Target => {
   const parsed = new URL(url);
@@ -55,60 +45,53 @@
 
   private readonly targets: readonly Target[];
 
+  private readonly dialect: StoreDialect;
+
   private current = 0;
 
   constructor(private readonly options: StoreClientOptions) {
     this.targets = options.urls.map(toTarget);
+    this.dialect = options.dialect ?? jsonDialect;
   }
 
-  async get(key: string): Promise<StoreEntry | undefined> {
-    const answer = parseAnswer(rangeAnswerSchema, await this.post('/v3/kv/range', { key: encodeText(key) }));
-    return answer.kvs.map(toEntry)[0];
+  get(key: string): Promise<StoreEntry | undefined> {
+    return this.send(this.dialect.get(key));
   }
 
   async range(prefix: string, bounds: RangeOptions = {}): Promise<RangeResult> {
-    const body = {
-      key: encodeText(prefix),
-      range_end: encodeText(bounds.rangeEnd ?? prefixEnd(prefix)),
-      ...(bounds.limit === undefined ? {} : { limit: String(bounds.limit) }),
-    };
-    const answer = parseAnswer(rangeAnswerSchema, await this.post('/v3/kv/range', body));
-    return { entries: answer.kvs.map(toEntry), revision: answer.header.revision };
+    const entries: StoreEntry[] = [];
+    let revision: string | undefined;
+    let call: StoreCall<RangePage> | undefined = this.dialect.range(prefix, bounds);
+    while (call !== undefined) {
+      // Each page says where the next one begins.
+      // eslint-disable-next-line no-await-in-loop
+      const page: RangePage = await this.send(call);
+      entries.push(...page.entries);
+      // Pages are read at different revisions; a watch from the first one repeats what later pages already show.
+      revision ??= page.revision;
+      call = page.next;
+    }
+    return { entries, revision: revision ?? '0' };
   }
 
-  async txn(
-    compares: readonly Compare[],
-    success: readonly StoreOp[],
-    failure: readonly StoreOp[] = [],
-  ): Promise<TxnResult> {
-    const body = {
-      compare: compares.map(formatCompare),
-      success: success.map(formatOp),
-      failure: failure.map(formatOp),
-    };
-    const answer = parseAnswer(txnAnswerSchema, await this.post('/v3/kv/txn', body));
-    const gets = answer.responses.flatMap(({ response_range: read }) =>
-      read === undefined ? [] : [read.kvs.map(toEntry)[0]],
-    );
-    return { succeeded: answer.succeeded, revision: answer.header.revision, gets };
+  txn(compares: readonly Compare[], success: readonly StoreOp[], failure: readonly StoreOp[] = []): Promise<TxnResult> {
+    return this.send(this.dialect.txn(compares, success, failure));
   }
 
   watch(prefix: string, fromRevision: string): Observable<WatchEvent> {
-    return watchStore(this.http, this.target(), { prefix, fromRevision });
+    return this.dialect.watch(this.http, this.target(), { prefix, fromRevision });
   }
 
-  async grantLease(ttlMs: number): Promise<string> {
-    const body = { TTL: String(Math.ceil(ttlMs / MS_PER_SECOND)) };
-    return parseAnswer(leaseAnswerSchema, await this.post('/v3/lease/grant', body)).ID;
+  grantLease(ttlMs: number): Promise<string> {
+    return this.send(this.dialect.grantLease(ttlMs));
   }
 
-  async keepAlive(leaseId: string): Promise<number> {
-    const answer = parseAnswer(keepAliveAnswerSchema, await this.post('/v3/lease/keepalive', { ID: leaseId }));
-    return Number(answer.result.TTL) * MS_PER_SECOND;
+  keepAlive(leaseId: string): Promise<number> {
+    return this.send(this.dialect.keepAlive(leaseId));
   }
 
-  async revokeLease(leaseId: string): Promise<void> {
-    await this.post('/v3/kv/lease/revoke', { ID: leaseId });
+  revokeLease(leaseId: string): Promise<void> {
+    return this.send(this.dialect.revokeLease(leaseId));
   }
 
   close(): void {
@@ -119,19 +102,17 @@
     return this.targets[this.current % this.targets.length] as Target;
   }
 
-  private async post(path: string, body: object): Promise<string> {
+  private async send<Result>({ method, path, body, read }: StoreCall<Result>): Promise<Result> {
     try {
       const response = await this.http.send(this.target(), {
-        method: 'POST',
+        method,
         path,
-        body: JSON.stringify(body),
+        ...(body === undefined ? {} : { body, headers: JSON_HEADERS }),
         signal: AbortSignal.timeout(this.options.timeoutMs),
       });
-      if (response.status !== STATUS_OK) {
-        throw new BackendError('rejected', `the store answered ${path} with status ${response.status}`);
-      }
+      const result = read(response.status, response.body);
       this.options.onCall?.(path, 'ok');
-      return response.body;
+      return result;
     } catch (cause) {
       this.current += 1;
       this.options.onCall?.(path, 'failed');
--- /dev/null
+++ b/packages/backends/src/store/pollStore.ts
@@ -0,0 +1,77 @@
+import { Observable } from 'rxjs';
+import { readBody, type HttpClient, type Target } from '@bergamotcove/transport';
+import BackendError from '../BackendError.js';
+import type { StoreCall, WatchOptions } from './dialect.js';
+import type { WatchEvent } from './types.js';
+
+/** Answer of one poll of a watch. */
+export interface WatchPoll {
+  readonly events: readonly WatchEvent[];
+  /** Everything up to this revision is in this answer or in earlier ones. */
+  readonly revision: string;
+}
+
+/** Options of {@link pollStore}. */
+export interface PollOptions extends WatchOptions {
+  /** Time for which the store may hold a call without events. */
+  readonly waitMs: number;
+  /** Formats a call that waits for events after the revision. */
+  readonly format: (afterRevision: string) => StoreCall<WatchPoll>;
+}
+
+/** Time for an answer to arrive after the store had to send it; then the connection counts as silent. */
+const ANSWER_LIMIT_MS = 700;
+
+/** Answers hold a few values of up to a megabyte. */
+const MAX_ANSWER_BYTES = 8 * 1_048_576;
+
+const poll = async (
+  http: HttpClient,
+  target: Target,
+  call: StoreCall<WatchPoll>,
+  signal: AbortSignal,
+): Promise<WatchPoll> => {
+  const response = await http.open(target, { method: call.method, path: call.path, signal });
+  return call.read(response.statusCode ?? 0, await readBody(response, { maxBytes: MAX_ANSWER_BYTES }));
+};
+
+/**
+ * Watches a store by calls that it holds until there are events.
+ *
+ * @param http - HTTP client
+ * @param target - address of the store
+ * @param options - prefix, first revision and format of a call
+ * @returns the changes, and the revision that each answer reaches; ends with BackendError when a call fails
+ */
+export default function pollStore(http: HttpClient, target: Target, options: PollOptions): Observable<WatchEvent> {
+  return new Observable((subscriber) => {
+    let abort = new AbortController();
+    let closed = false;
+    const run = async (): Promise<void> => {
+      let revision = String(Number(options.fromRevision) - 1);
+      while (!closed) {
+        abort = new AbortController();
+        const limit = setTimeout(() => abort.abort(), options.waitMs + ANSWER_LIMIT_MS);
+        try {
+          // Each call begins where the one before ended.
+          // eslint-disable-next-line no-await-in-loop
+          const answer = await poll(http, target, options.format(revision), abort.signal);
+          revision = answer.revision;
+          answer.events.forEach((event) => subscriber.next(event));
+          subscriber.next({ type: 'started', revision });
+        } finally {
+          clearTimeout(limit);
+        }
+      }
+    };
+    run().catch((cause: unknown) =>
+      subscriber.error(
+        cause instanceof BackendError ? cause : new BackendError('unavailable', 'the watch broke', { cause }),
+      ),
+    );
+    return () => {
+      closed = true;
+      abort.abort();
+    };
+  });
+}
--- a/packages/backends/src/store/types.ts
+++ b/packages/backends/src/store/types.ts
@@ -36,8 +36,9 @@
 /** A change seen by a watch. */
 export type WatchEvent =
   | { readonly type: 'put'; readonly entry: StoreEntry }
-  | { readonly type: 'delete'; readonly key: string }
-  /** The watch is in place; `revision` is the store's. */
+  /** The key was deleted; `revision` is that of the delete, where the store tells it. */
+  | { readonly type: 'delete'; readonly key: string; readonly revision?: string }
+  /** The watch is in place, or everything up to this revision of the store was reported. */
   | { readonly type: 'started'; readonly revision: string };
 
 /** Bounds of a range read. */
--- a/packages/bench/src/deployment/startProcess.ts
+++ b/packages/bench/src/deployment/startProcess.ts
@@ -42,9 +42,13 @@
       child.kill('SIGKILL');
       reject(new Error(`${name} was not ready after ${READY_TIMEOUT_MS} ms`));
     }, READY_TIMEOUT_MS);
-    createInterface({ input: child.stdout }).once('line', (line) => {
-      clearTimeout(timer);
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      // Log lines come on the same stream.
       const ready = JSON.parse(line) as Record<string, unknown>;
+      if (ready.ready !== true) {
+        return;
+      }
+      clearTimeout(timer);
       resolve({ name, pid: child.pid ?? 0, ready, exited, signal: (signal) => child.kill(signal) });
     });
     exited.then((code) => {
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -18,3 +18,4 @@
 export type { AcceptanceEvidence } from './acceptance/settleAcceptance.js';
 export { default as formatJsonSchemas } from './formatJsonSchemas.js';
 export type { SchemaFile } from './formatJsonSchemas.js';
+export type * from './routes/types.js';
--- /dev/null
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -0,0 +1,59 @@
+import type { BatchSpec } from '@bergamotcove/config';
+import type { BatchServer } from '../types.js';
+
+/** A result that takes up room at its server. */
+interface HeldResult {
+  readonly bytes: number;
+  expiresAtMs: number;
+}
+
+/** What is known of one stage server. */
+export interface ServerState {
+  readonly server: BatchServer;
+  /** Expected ends of the calls in progress, by call. */
+  readonly calls: Map<number, number>;
+  /** Time of calls relative to what is usual. */
+  slowness: number;
+  slownessAtMs: number;
+  /** No call before this time. */
+  restsUntilMs: number;
+  failures: number;
+  held: HeldResult[];
+}
+
+/** Weight of the last call in the learnt slowness. */
+const SLOWNESS_WEIGHT = 0.6;
+/** A learnt slowness fades with this time constant, so that a server that was slow is tried again. */
+const SLOWNESS_FADE_MS = 4_000;
+const MIN_SLOWNESS = 0.7;
+const MAX_SLOWNESS = 12;
+
+/** Slowness of a server by now. */
+export const readSlowness = (state: ServerState, nowMs: number): number =>
+  1 + (state.slowness - 1) * Math.exp(-(nowMs - state.slownessAtMs) / SLOWNESS_FADE_MS);
+
+/** Learns from a call that took `ratio` times as long as usual. */
+export const learnSlowness = (state: ServerState, ratio: number, nowMs: number): void => {
+  const learnt = state;
+  const blended = readSlowness(state, nowMs) * (1 - SLOWNESS_WEIGHT) + ratio * SLOWNESS_WEIGHT;
+  learnt.slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, blended));
+  learnt.slownessAtMs = nowMs;
+};
+
+/** Room for results at a server by now. */
+export const readRoomBytes = (state: ServerState, spec: BatchSpec, nowMs: number): number => {
+  const kept = state;
+  kept.held = state.held.filter((result) => result.expiresAtMs > nowMs);
+  return spec.roomBytes - kept.held.reduce((sum, { bytes }) => sum + bytes, 0);
+};
+
+/** Creates what is known of a server that was never called. */
+export const createServerState = (server: BatchServer, nowMs: number): ServerState => ({
+  server,
+  calls: new Map(),
+  slowness: 1,
+  slownessAtMs: nowMs,
+  restsUntilMs: 0,
+  failures: 0,
+  held: [],
+});
--- /dev/null
+++ b/packages/decide/src/batches/_lib/queuedJob.ts
@@ -0,0 +1,29 @@
+import type { BatchJob } from '../types.js';
+
+/** Progress of one piece. */
+type PieceState = 'waiting' | 'running' | 'done';
+
+/** A job with the progress of its pieces. */
+export interface QueuedJob {
+  readonly job: BatchJob;
+  readonly pieces: PieceState[];
+  /** Calls that each piece was part of. */
+  readonly sends: number[];
+}
+
+/** A piece that waits for a call. */
+export interface WaitingPiece {
+  readonly job: BatchJob;
+  readonly piece: number;
+}
+
+/** Creates a job of which no piece was sent. */
+export const createQueuedJob = (job: BatchJob): QueuedJob => ({
+  job,
+  pieces: new Array<PieceState>(job.pieceCount).fill('waiting'),
+  sends: new Array<number>(job.pieceCount).fill(0),
+});
+
+/** Pieces that wait for a call, in the order of their jobs. */
+export const listPieces = (entries: readonly QueuedJob[]): WaitingPiece[] =>
+  entries.flatMap(({ job, pieces }) => pieces.flatMap((state, piece) => (state === 'waiting' ? [{ job, piece }] : [])));
--- /dev/null
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -0,0 +1,337 @@
+import type { BatchSpec } from '@bergamotcove/config';
+import { exhaustive } from '@bergamotcove/errors';
+import createPieceTimes from './_lib/createPieceTimes.js';
+import {
+  createServerState,
+  learnSlowness,
+  readRoomBytes,
+  readSlowness,
+  type ServerState,
+} from './_lib/createServerBook.js';
+import compareJobs from './_lib/compareJobs.js';
+import { createQueuedJob, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
+import type {
+  BatchJob,
+  BatchQueueView,
+  BatchServer,
+  CallOutcome,
+  JobFailure,
+  JobResult,
+  PieceOutcome,
+  PlannedCall,
+  SubmitDecision,
+} from './types.js';
+
+/** Owner of the pieces that wait for the stage servers of one pool and region. */
+export interface BatchQueue {
+  /** Takes a job, or refuses it when it would not be done in time. */
+  submit(job: BatchJob, nowMs: number): SubmitDecision;
+  /** The request has ended; pieces in progress are not waited for. */
+  cancel(jobId: string): void;
+  /** Replaces the servers that may be called; calls in progress at others go on. */
+  setServers(servers: readonly BatchServer[], nowMs: number): void;
+  /** Calls to send now. */
+  plan(nowMs: number): readonly PlannedCall[];
+  /** A call ended. Returns the jobs that ended with it. */
+  finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[];
+  /** Jobs that cannot be done in time any more; they leave the queue. */
+  expire(nowMs: number): readonly JobResult[];
+  /** A result at a server is not needed any more. */
+  release(serverId: string, resultBytes: number): void;
+  /** When `plan` and `expire` should be asked again without an event, or undefined. */
+  nextCheckMs(nowMs: number): number | undefined;
+  view(nowMs: number): BatchQueueView;
+}
+
+interface RunningCall {
+  readonly state: ServerState;
+  readonly pieces: readonly WaitingPiece[];
+  readonly sentAtMs: number;
+  readonly expectedMs: number;
+  /** Whether its pieces were queued again because it takes too long. */
+  overdue: boolean;
+}
+
+/** A call that takes this many times as long as expected, and the margin besides, is overdue. */
+const OVERDUE_FACTOR = 2;
+const OVERDUE_MARGIN_MS = 100;
+/** Times that a piece is sent. */
+const MAX_SENDS = 4;
+/** Rest of a server after failed calls; doubles with each one in a row. */
+const FIRST_REST_MS = 150;
+const MAX_REST_MS = 1_200;
+/** Rest of a server that did not take a call. */
+const FULL_REST_MS = 60;
+const MIN_RETRY_AFTER_MS = 100;
+/** Piece times are learnt only from calls that took less than this many times the usual time. */
+const USUAL_FACTOR = 1.5;
+const BYTES_PER_MB = 1_000_000;
+/** Time that a result in another failure domain counts for, because the next server has to fetch it from there. */
+const FAR_RESULT_MS_PER_MB = 20;
+
+class Queue implements BatchQueue {
+  private readonly jobs = new Map<string, QueuedJob>();
+
+  private readonly servers = new Map<string, ServerState>();
+
+  private readonly calls = new Map<number, RunningCall>();
+
+  private readonly times;
+
+  private nextCallId = 1;
+
+  constructor(private readonly spec: BatchSpec) {
+    this.times = createPieceTimes(spec);
+  }
+
+  submit(job: BatchJob, nowMs: number): SubmitDecision {
+    const entry = createQueuedJob(job);
+    const ahead = [...this.jobs.values()].filter((other) => compareJobs(other.job, job) <= 0);
+    const lateMs = nowMs + this.predictMs(listPieces([...ahead, entry]), nowMs) - job.expiresAtMs;
+    if (lateMs > 0 && this.servers.size > 0) {
+      return { type: 'refused', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, lateMs) };
+    }
+    this.jobs.set(job.jobId, entry);
+    return { type: 'queued' };
+  }
+
+  cancel(jobId: string): void {
+    this.jobs.delete(jobId);
+  }
+
+  setServers(servers: readonly BatchServer[], nowMs: number): void {
+    const listed = new Set(servers.map(({ serverId }) => serverId));
+    [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
+    servers.forEach((server) => {
+      if (!this.servers.has(server.serverId)) {
+        this.servers.set(server.serverId, createServerState(server, nowMs));
+      }
+    });
+  }
+
+  /**
+   * Gives batches of the most urgent pieces to the servers that would finish them first. A batch for a server that is
+   * still busy is not sent yet: it keeps its pieces from a free server that would finish later.
+   */
+  plan(nowMs: number): readonly PlannedCall[] {
+    this.requeueOverdue(nowMs);
+    const candidates = new Set([...this.servers.values()].filter((state) => state.restsUntilMs <= nowMs));
+    const waiting = listPieces([...this.jobs.values()].sort((a, b) => compareJobs(a.job, b.job)));
+    const planned: PlannedCall[] = [];
+    while (candidates.size > 0 && waiting.length > 0) {
+      const state = this.pickServer([...candidates], waiting, nowMs);
+      candidates.delete(state);
+      const pieces = this.takePieces(waiting, readRoomBytes(state, this.spec, nowMs));
+      if (pieces.length > 0 && state.calls.size < this.spec.parallelCalls) {
+        planned.push(this.start(state, pieces, nowMs));
+      }
+    }
+    return planned;
+  }
+
+  finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[] {
+    const call = this.calls.get(callId);
+    if (call === undefined) {
+      return [];
+    }
+    this.calls.delete(callId);
+    call.state.calls.delete(callId);
+    if (outcome.type !== 'answered') {
+      Queue.rest(call.state, outcome.type, nowMs);
+      return this.settle(call, () => 'failed');
+    }
+    const { state } = call;
+    state.failures = 0;
+    this.learn(call, outcome, nowMs);
+    this.holdResults(call, outcome.pieces, nowMs);
+    return this.settle(call, (index) => outcome.pieces[index] ?? 'failed');
+  }
+
+  expire(nowMs: number): readonly JobResult[] {
+    const late = [...this.jobs.values()].filter(({ job }) => job.expiresAtMs <= nowMs);
+    return late.map(({ job }) => this.end(job.jobId, 'late'));
+  }
+
+  release(serverId: string, resultBytes: number): void {
+    const held = this.servers.get(serverId)?.held;
+    const index = held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1;
+    if (index >= 0) {
+      held?.splice(index, 1);
+    }
+  }
+
+  nextCheckMs(nowMs: number): number | undefined {
+    const times = [
+      ...[...this.jobs.values()].map(({ job }) => job.expiresAtMs),
+      ...[...this.calls.values()].filter(({ overdue }) => !overdue).map(Queue.overdueAtMs),
+      ...(this.jobs.size === 0 ? [] : [...this.servers.values()].map((state) => state.restsUntilMs)),
+    ].filter((atMs) => atMs > nowMs);
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  view(nowMs: number): BatchQueueView {
+    const waiting = listPieces([...this.jobs.values()]);
+    return {
+      waitingPieces: waiting.length,
+      runningCalls: this.calls.size,
+      servers: this.servers.size,
+      waitMs: this.predictMs(waiting, nowMs),
+    };
+  }
+
+  /** The server that would finish the next batch first; far results count as time. */
+  private pickServer(candidates: readonly ServerState[], waiting: readonly WaitingPiece[], nowMs: number): ServerState {
+    const batch = waiting.slice(0, this.spec.maxPieces);
+    const workMs = this.spec.callMs + this.workMs(batch);
+    const endMs = (state: ServerState): number => {
+      const far = batch.filter(({ job }) => job.failureDomain !== state.server.failureDomain);
+      const farBytes = far.reduce((sum, { job }) => sum + job.resultBytes, 0);
+      const startMs = Math.max(nowMs, ...state.calls.values());
+      return startMs + workMs * readSlowness(state, nowMs) + (farBytes / BYTES_PER_MB) * FAR_RESULT_MS_PER_MB;
+    };
+    return candidates.reduce((best, state) => (endMs(state) < endMs(best) ? state : best));
+  }
+
+  /** Removes the first pieces that fit into one call. */
+  private takePieces(waiting: WaitingPiece[], roomBytes: number): readonly WaitingPiece[] {
+    let leftBytes = roomBytes;
+    const taken = new Set<WaitingPiece>();
+    for (const entry of waiting) {
+      if (taken.size >= this.spec.maxPieces) {
+        break;
+      }
+      if (entry.job.resultBytes <= leftBytes) {
+        leftBytes -= entry.job.resultBytes;
+        taken.add(entry);
+      }
+    }
+    const rest = waiting.filter((entry) => !taken.has(entry));
+    waiting.splice(0, waiting.length, ...rest);
+    return [...taken];
+  }
+
+  private start(state: ServerState, pieces: readonly WaitingPiece[], nowMs: number): PlannedCall {
+    const callId = this.nextCallId;
+    this.nextCallId += 1;
+    const expectedMs = (this.spec.callMs + this.workMs(pieces)) * readSlowness(state, nowMs);
+    pieces.forEach(({ job, piece }) => {
+      const entry = this.jobs.get(job.jobId) as QueuedJob;
+      entry.pieces[piece] = 'running';
+      entry.sends[piece] = (entry.sends[piece] ?? 0) + 1;
+    });
+    state.calls.set(callId, nowMs + expectedMs);
+    const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece }));
+    this.calls.set(callId, { state, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
+    return { callId, serverId: state.server.serverId, pieces: refs, expectedMs };
+  }
+
+  /** Pieces of a call that takes too long may be made by another server; the first result counts. */
+  private requeueOverdue(nowMs: number): void {
+    [...this.calls.values()]
+      .filter((call) => !call.overdue && Queue.overdueAtMs(call) <= nowMs)
+      .forEach((call) => {
+        const late = call;
+        late.overdue = true;
+        learnSlowness(call.state, (nowMs - call.sentAtMs) / (call.expectedMs / readSlowness(call.state, nowMs)), nowMs);
+        call.pieces.forEach((piece) => this.requeue(piece));
+      });
+  }
+
+  private requeue({ job, piece }: WaitingPiece): void {
+    const entry = this.jobs.get(job.jobId);
+    if (entry !== undefined && entry.pieces[piece] === 'running') {
+      entry.pieces[piece] = 'waiting';
+    }
+  }
+
+  /** Applies the outcome of each piece; returns the jobs that ended. */
+  private settle(call: RunningCall, outcomeOf: (index: number) => PieceOutcome): readonly JobResult[] {
+    return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcomeOf(index)));
+  }
+
+  private settlePiece(ref: WaitingPiece, outcome: PieceOutcome): readonly JobResult[] {
+    const { jobId } = ref.job;
+    const entry = this.jobs.get(jobId);
+    if (entry === undefined || entry.pieces[ref.piece] === 'done') {
+      return [];
+    }
+    switch (outcome) {
+      case 'done':
+        entry.pieces[ref.piece] = 'done';
+        return entry.pieces.every((state) => state === 'done') ? [this.end(jobId)] : [];
+      case 'late':
+      case 'input-gone':
+        return [this.end(jobId, outcome)];
+      case 'no-room':
+      case 'failed':
+        this.requeue(ref);
+        return (entry.sends[ref.piece] ?? 0) >= MAX_SENDS ? [this.end(jobId, 'failed')] : [];
+      default:
+        return exhaustive(outcome);
+    }
+  }
+
+  private end(jobId: string, reason?: JobFailure): JobResult {
+    this.jobs.delete(jobId);
+    return reason === undefined ? { jobId, type: 'done' } : { jobId, type: 'failed', reason };
+  }
+
+  private learn(call: RunningCall, outcome: Extract<CallOutcome, { type: 'answered' }>, nowMs: number): void {
+    const usualMs = this.spec.callMs + this.workMs(call.pieces);
+    learnSlowness(call.state, outcome.totalMs / usualMs, nowMs);
+    if (outcome.pieces.every((piece) => piece === 'done') && outcome.totalMs < usualMs * USUAL_FACTOR) {
+      const kinds = call.pieces.map(({ job }) => job.kind);
+      this.times.learn(kinds, Math.max(0, outcome.totalMs - this.spec.callMs));
+    }
+  }
+
+  private holdResults(call: RunningCall, outcomes: readonly PieceOutcome[], nowMs: number): void {
+    const expiresAtMs = nowMs + this.spec.keepResultMs;
+    call.pieces.forEach(({ job }, index) => {
+      if (outcomes[index] === 'done') {
+        call.state.held.push({ bytes: job.resultBytes, expiresAtMs });
+      }
+    });
+  }
+
+  private workMs(pieces: readonly WaitingPiece[]): number {
+    return pieces.reduce((sum, { job }) => sum + this.times.read(job.kind), 0);
+  }
+
+  /** Time until these pieces are done, if nothing goes before them. */
+  private predictMs(pieces: readonly WaitingPiece[], nowMs: number): number {
+    const states = [...this.servers.values()];
+    const waits = states.map((state) => Math.max(0, ...[...state.calls.values()].map((endMs) => endMs - nowMs)));
+    const calls = Math.ceil(pieces.length / this.spec.maxPieces);
+    const totalMs = calls * this.spec.callMs + this.workMs(pieces);
+    const shared = states.length * this.spec.parallelCalls;
+    return Math.min(Infinity, ...waits) + Math.max(this.spec.callMs, totalMs / Math.max(1, shared));
+  }
+
+  private static overdueAtMs({ sentAtMs, expectedMs }: RunningCall): number {
+    return sentAtMs + expectedMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+  }
+
+  private static rest(state: ServerState, type: 'refused' | 'broken', nowMs: number): void {
+    const resting = state;
+    if (type === 'refused') {
+      resting.restsUntilMs = nowMs + FULL_REST_MS;
+      return;
+    }
+    resting.restsUntilMs = nowMs + Math.min(MAX_REST_MS, FIRST_REST_MS * 2 ** state.failures);
+    resting.failures += 1;
+  }
+}
+
+/**
+ * Creates the queue of one pool and region.
+ *
+ * @param spec - how the pool works
+ * @returns the queue
+ * @example
+ * queue.submit(job, nowMs);
+ * queue.plan(nowMs).forEach((call) => send(call));
+ */
+export default function createBatchQueue(spec: BatchSpec): BatchQueue {
+  return new Queue(spec);
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -17,3 +17,5 @@
 export type { PrefixHints } from './servers/createPrefixHints.js';
 export { default as createPoolQueues } from './servers/createPoolQueues.js';
 export type { PoolQueues, WaitingAttempt } from './servers/createPoolQueues.js';
+export { default as createDrain } from './drain/createDrain.js';
+export type { DrainOptions } from './drain/createDrain.js';
--- /dev/null
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -0,0 +1,131 @@
+import http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { CallerLimits } from '@bergamotcove/config';
+import type { Clock } from '@bergamotcove/clock';
+import type { Target } from '@bergamotcove/transport';
+import CallerExchange from './CallerExchange.js';
+
+/** Options of {@link createCallerServer}. */
+export interface CallerServerOptions extends Target {
+  readonly clock: Clock;
+  readonly onRequest: (exchange: CallerExchange) => void;
+  /** A message that could not be read was answered or its connection dropped. */
+  readonly onInvalid: (reason: string) => void;
+}
+
+/** Accepts requests of callers. */
+export interface CallerServer {
+  readonly port: number;
+  setLimits(limits: CallerLimits): void;
+  /** Every answer from now on ends its connection; idle connections end at once. */
+  drain(): void;
+  /** Stops listening and drops every connection. */
+  close(): void;
+  openRequests(): number;
+}
+
+/** Largest head that the parser reads; the limit of the route table is checked on what it read. */
+const MAX_HEAD_BYTES = 65_536;
+/** Interval at which slow heads are looked for. */
+const TIMEOUT_CHECK_MS = 500;
+
+class Server implements CallerServer {
+  port = 0;
+
+  private draining = false;
+
+  private open = 0;
+
+  private maxHeadBytes = MAX_HEAD_BYTES;
+
+  private readonly server: http.Server;
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        requestTimeout: 0,
+        noDelay: true,
+        keepAliveTimeout: 15_000,
+        headersTimeout: 3_000,
+      },
+      (request, response) => this.accept(request, response),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuse(error, socket as Socket));
+  }
+
+  listen(): Promise<this> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ port: this.options.port, host: this.options.address, backlog: 511 }, () => {
+        this.port = (this.server.address() as AddressInfo).port;
+        resolve(this);
+      });
+    });
+  }
+
+  setLimits(limits: CallerLimits): void {
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.maxHeadBytes = limits.maxHeaderBytes;
+  }
+
+  drain(): void {
+    this.draining = true;
+    this.server.closeIdleConnections();
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  openRequests(): number {
+    return this.open;
+  }
+
+  private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.open += 1;
+    response.once('close', () => {
+      this.open -= 1;
+    });
+    const exchange = new CallerExchange(
+      request,
+      response,
+      this.options.clock.monotonicMs(),
+      () => this.draining,
+    );
+    const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? '').length);
+    if (headBytes > this.maxHeadBytes) {
+      exchange.refuse({ status: 431, reason: 'headers-too-large' });
+      return;
+    }
+    this.options.onRequest(exchange);
+  }
+
+  private refuse(error: NodeJS.ErrnoException, socket: Socket): void {
+    this.options.onInvalid(error.code ?? error.message);
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = STATUS_OF_ERROR[error.code ?? ''] ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+}
+
+const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/**
+ * Starts the server of callers.
+ *
+ * @param options - address and receiver of requests
+ * @returns the server once it listens
+ */
+export default function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
+  return new Server(options).listen();
+}
--- /dev/null
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -0,0 +1,252 @@
+import type { Clock, Timer } from '@bergamotcove/clock';
+import {
+  createPoolBook,
+  type LoadReport,
+  type PoolView,
+  type ServerDescription,
+  type ServerEventInput,
+} from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { CatalogueFormat, ServerEntry } from '../ports.js';
+
+/** A backend server with its place. */
+export interface KnownServer extends ServerEntry {
+  readonly region: string;
+}
+
+/** An entry of the store as another host passes it on. */
+export interface StoredServer {
+  readonly serverId: string;
+  readonly text: string;
+  readonly revision: number;
+}
+
+/** All entries as of a revision of the store. */
+export interface ServerSnapshot {
+  readonly servers: readonly StoredServer[];
+  readonly revision: number;
+}
+
+/** Backend servers as this host sees them. */
+export interface BackendDirectory {
+  /** Servers of a pool that may get new work. */
+  list(pool: string): readonly KnownServer[];
+  find(serverId: string): KnownServer | undefined;
+  /** Servers of a pool with what this host has learnt about them. */
+  view(pool: string): PoolView;
+  note(serverId: string, event: ServerEventInput): void;
+  noteReport(serverId: string, report: LoadReport, hosts: number): void;
+  /** The process at the server's address is another one. */
+  noteGone(serverId: string): void;
+  put(server: StoredServer): void;
+  remove(serverId: string, revision: number): void;
+  /** Everything that is not in the snapshot and older than it is gone. */
+  replace(snapshot: ServerSnapshot): void;
+  snapshot(): ServerSnapshot;
+  /** The store stopped answering, or answers again. */
+  noteStore(state: 'lost' | 'found'): void;
+  onChange(run: () => void): void;
+  close(): void;
+}
+
+/** Options of {@link createBackendDirectory}. */
+export interface BackendDirectoryOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly format: CatalogueFormat;
+  readonly regions: Readonly<Record<string, string>>;
+}
+
+interface Entry {
+  readonly stored: StoredServer;
+  readonly server: KnownServer | undefined;
+  /** Set while the entry is missing after an outage and may come back. */
+  lapsedAtRevision?: number;
+}
+
+/** After an outage of the store, live servers have registered again within this time. */
+const RETURN_MS = 2_000;
+/** Removed entries that are remembered; more than leave while an old state is on its way. */
+const MAX_REMOVED = 2_000;
+
+class Directory implements BackendDirectory {
+  private readonly entries = new Map<string, Entry>();
+
+  private readonly gone = new Set<string>();
+
+  /** Revisions at which entries were removed; an older state of them may still arrive from another host. */
+  private readonly removed = new Map<string, number>();
+
+  private readonly book = createPoolBook();
+
+  private readonly listeners: (() => void)[] = [];
+
+  private pools = new Map<string, KnownServer[]>();
+
+  private revision = 0;
+
+  private storeLost = false;
+
+  private returnTimer: Timer | undefined;
+
+  constructor(private readonly options: BackendDirectoryOptions) {}
+
+  list(pool: string): readonly KnownServer[] {
+    return this.pools.get(pool) ?? [];
+  }
+
+  find(serverId: string): KnownServer | undefined {
+    return this.entries.get(serverId)?.server;
+  }
+
+  view(pool: string): PoolView {
+    return this.book.view(pool, this.list(pool).map(Directory.describe), this.options.clock.monotonicMs());
+  }
+
+  note(serverId: string, event: ServerEventInput): void {
+    this.book.note(serverId, event, this.options.clock.monotonicMs());
+  }
+
+  noteReport(serverId: string, report: LoadReport, hosts: number): void {
+    this.book.noteReport(serverId, report, { hosts, nowMs: this.options.clock.monotonicMs() });
+  }
+
+  noteGone(serverId: string): void {
+    const server = this.find(serverId);
+    if (server !== undefined) {
+      this.gone.add(Directory.incarnation(server));
+      this.options.logger.event('serverGone', { serverId, pool: server.pool, reason: 'other process at its address' });
+      this.arrange();
+    }
+  }
+
+  put(stored: StoredServer): void {
+    this.apply(stored);
+    this.arrange();
+  }
+
+  remove(serverId: string, revision: number): void {
+    this.drop(serverId, revision);
+    this.arrange();
+  }
+
+  replace(snapshot: ServerSnapshot): void {
+    const listed = new Set(snapshot.servers.map(({ serverId }) => serverId));
+    snapshot.servers.forEach((stored) => this.apply(stored));
+    [...this.entries.keys()]
+      .filter((serverId) => !listed.has(serverId))
+      .forEach((serverId) => this.drop(serverId, snapshot.revision));
+    this.revision = Math.max(this.revision, snapshot.revision);
+    this.arrange();
+  }
+
+  snapshot(): ServerSnapshot {
+    const servers = [...this.entries.values()].filter(({ lapsedAtRevision }) => lapsedAtRevision === undefined);
+    return { servers: servers.map(({ stored }) => stored), revision: this.revision };
+  }
+
+  noteStore(state: 'lost' | 'found'): void {
+    this.returnTimer?.close();
+    if (state === 'lost') {
+      this.storeLost = true;
+      return;
+    }
+    this.returnTimer = this.options.clock.schedule(RETURN_MS, () => {
+      this.storeLost = false;
+      [...this.entries.values()]
+        .filter(({ lapsedAtRevision }) => lapsedAtRevision !== undefined)
+        .forEach(({ stored, lapsedAtRevision }) => this.forget(stored.serverId, lapsedAtRevision ?? this.revision));
+      this.arrange();
+    });
+  }
+
+  onChange(run: () => void): void {
+    this.listeners.push(run);
+  }
+
+  close(): void {
+    this.returnTimer?.close();
+  }
+
+  private apply(stored: StoredServer): void {
+    const known = this.entries.get(stored.serverId);
+    this.revision = Math.max(this.revision, stored.revision);
+    const removedAt = this.removed.get(stored.serverId) ?? 0;
+    const knownRevision = Math.max(known?.stored.revision ?? 0, known?.lapsedAtRevision ?? 0, removedAt);
+    if (stored.revision <= knownRevision) {
+      return;
+    }
+    const entry = this.options.format.readServer(stored.serverId, stored.text);
+    const region = entry === undefined ? undefined : this.options.regions[entry.failureDomain];
+    const server = entry === undefined || region === undefined ? undefined : { ...entry, region };
+    if (server !== undefined && known?.server !== undefined && known.server.startedAtMs !== server.startedAtMs) {
+      this.book.retain(new Set([...this.entries.keys()].filter((serverId) => serverId !== stored.serverId)));
+    }
+    this.entries.set(stored.serverId, { stored, server });
+    this.log(stored, server);
+  }
+
+  private log(stored: StoredServer, server: KnownServer | undefined): void {
+    const { serverId, revision } = stored;
+    if (server === undefined) {
+      this.options.logger.event('serverEntryIgnored', { serverId, revision });
+      return;
+    }
+    const { pool, failureDomain, state, address, port } = server;
+    this.options.logger.event('serverListed', { serverId, pool, failureDomain, state, address, port, revision });
+  }
+
+  private drop(serverId: string, revision: number): void {
+    const known = this.entries.get(serverId);
+    this.revision = Math.max(this.revision, revision);
+    if (known === undefined || revision < known.stored.revision) {
+      return;
+    }
+    // Entries lapse while the store is away, also those of servers that live.
+    if (this.storeLost && known.server?.state === 'live') {
+      known.lapsedAtRevision ??= revision;
+      return;
+    }
+    this.forget(serverId, revision);
+  }
+
+  private forget(serverId: string, revision: number): void {
+    this.removed.set(serverId, revision);
+    if (this.removed.size > MAX_REMOVED) {
+      this.removed.delete(this.removed.keys().next().value as string);
+    }
+    const pool = this.find(serverId)?.pool;
+    this.entries.delete(serverId);
+    this.options.logger.event('serverGone', { serverId, pool, reason: 'entry removed', revision });
+  }
+
+  private arrange(): void {
+    const pools = new Map<string, KnownServer[]>();
+    this.entries.forEach(({ server }) => {
+      if (server?.state === 'live' && !this.gone.has(Directory.incarnation(server))) {
+        pools.set(server.pool, [...(pools.get(server.pool) ?? []), server]);
+      }
+    });
+    this.pools = pools;
+    this.book.retain(new Set(this.entries.keys()));
+    this.listeners.forEach((run) => run());
+  }
+
+  private static incarnation(server: KnownServer): string {
+    return `${server.serverId} ${server.startedAtMs}`;
+  }
+
+  private static describe(server: KnownServer): ServerDescription {
+    return server;
+  }
+}
+
+/**
+ * Keeps the backend servers of the store's catalogue.
+ *
+ * @param options - format of entries and the regions of failure domains
+ * @returns the directory; close it to stop its timer
+ */
+export default function createBackendDirectory(options: BackendDirectoryOptions): BackendDirectory {
+  return new Directory(options);
+}
--- /dev/null
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.ts
@@ -0,0 +1,77 @@
+import type { Clock } from '@bergamotcove/clock';
+import { indexRoutes, type RouteIndex } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { CatalogueFormat } from '../ports.js';
+
+/** A route table as it stands in the store. */
+export interface StoredTable {
+  readonly text: string;
+  /** Revision of the store at which it was written. */
+  readonly revision: number;
+}
+
+/** Route table in force on this host. */
+export interface RouteTableHolder {
+  /** Undefined until the first one is known. */
+  current(): RouteIndex | undefined;
+  /** The table in force as it stands in the store, for other hosts. */
+  stored(): StoredTable | undefined;
+  /** Takes a table that was read from the store or from another host; an older one changes nothing. */
+  offer(table: StoredTable, source: string): void;
+  onChange(run: (index: RouteIndex) => void): void;
+}
+
+/** Options of {@link createRouteTableHolder}. */
+export interface RouteTableHolderOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly format: CatalogueFormat;
+}
+
+/**
+ * Holds the route table in force. Its version never goes back while the process runs.
+ *
+ * @param options - format of tables
+ * @returns the holder
+ */
+export default function createRouteTableHolder({ logger, format }: RouteTableHolderOptions): RouteTableHolder {
+  const listeners: ((index: RouteIndex) => void)[] = [];
+  let index: RouteIndex | undefined;
+  let stored: StoredTable | undefined;
+
+  const offer = (offered: StoredTable, source: string): void => {
+    if (stored !== undefined && offered.revision <= stored.revision) {
+      return;
+    }
+    const table = format.readRouteTable(offered.text);
+    const known = index?.table.version;
+    if (table === undefined) {
+      logger.event('routeTableUnreadable', { revision: offered.revision, source, version: known });
+      return;
+    }
+    if (known !== undefined && table.version <= known) {
+      logger.event('routeTableRegressed', { revision: offered.revision, source, version: known, offered: table.version });
+      return;
+    }
+    stored = offered;
+    index = indexRoutes(table);
+    logger.event('routeTableApplied', {
+      version: table.version,
+      before: known,
+      revision: offered.revision,
+      source,
+      routes: table.routes.length,
+    });
+    const applied = index;
+    listeners.forEach((run) => run(applied));
+  };
+
+  return {
+    current: () => index,
+    stored: () => stored,
+    offer,
+    onChange: (run) => {
+      listeners.push(run);
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,6 @@
+/** The gateway: forwards requests whose bodies it does not read along routes. */
+export type * from './ports.js';
+export { default as startGateway } from './wireGateway.js';
+export type { Gateway, GatewayOptions } from './wireGateway.js';
+export { default as parseGatewaySettings } from './settings.js';
+export type { GatewaySettings } from './settings.js';
--- /dev/null
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -0,0 +1,392 @@
+import type { Clock } from '@bergamotcove/clock';
+import { decideRetry, type AttemptEnd, type RetryDecision, type RouteIndex, type ServerView } from '@bergamotcove/decide';
+import type { PoolQueues } from '@bergamotcove/entry';
+import type { Logger } from '@bergamotcove/log';
+import type CallerExchange from '../callers/CallerExchange.js';
+import type { Refusal } from '../callers/CallerExchange.js';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { RequestFormat } from '../ports.js';
+import type { ServerPools } from '../servers/createServerPools.js';
+import openAttempt, { type OpenedAttempt } from '../servers/openAttempt.js';
+import readAnswerBody from '../servers/readAnswerBody.js';
+import type { StageClient } from '../stages/createStageClient.js';
+import runStages, { type StageResults, type StagesOutcome } from '../stages/runStages.js';
+import estimateWork from './estimateWork.js';
+import formatAttemptHeaders from './formatAttemptHeaders.js';
+import relayStream from './relayStream.js';
+import RunRecord, { type ForwardEnd } from './RunRecord.js';
+import type { AnswerHead, ForwardRequest } from './types.js';
+
+/** Parts that requests need. */
+export interface ForwardPorts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: BackendDirectory;
+  readonly pools: ServerPools;
+  readonly queues: PoolQueues;
+  readonly stages: StageClient;
+  readonly format: RequestFormat;
+  readonly failureDomain: string;
+  readonly random: () => number;
+  /** Takes room for one repeated send to a pool. */
+  readonly spendRetry: (pool: string) => boolean;
+}
+
+/** What an attempt came to. */
+type AttemptResult =
+  | { readonly type: 'delivered' }
+  | { readonly type: 'ended'; readonly end: AttemptEnd; readonly answer?: WholeAnswer; readonly resultsGone: boolean };
+
+interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+const FIRST_REDIRECT = 300;
+/** Time after which a request that found no server is expected to find one. */
+const NO_SERVER_RETRY_MS = 300;
+const TIMED_OUT_RETRY_MS = 100;
+
+/** One request on its way through stages and attempts to its answer. */
+export default class ForwardRun {
+  private readonly abort = new AbortController();
+
+  private readonly record: RunRecord;
+
+  private readonly avoidServers: string[] = [];
+
+  private readonly work;
+
+  private results: StageResults | undefined;
+
+  private rounds = 0;
+
+  /** Whether the attempt in flight has left this host and may run. */
+  private inFlight = false;
+
+  private lastEventId: string | undefined;
+
+  private ended = false;
+
+  constructor(
+    private readonly request: ForwardRequest,
+    private readonly index: RouteIndex,
+    private readonly exchange: CallerExchange,
+    private readonly ports: ForwardPorts,
+  ) {
+    this.record = new RunRecord(ports.clock, request);
+    this.work = estimateWork(request);
+  }
+
+  /** Answers the request; never rejects. */
+  async execute(): Promise<ForwardEnd> {
+    const { clock } = this.ports;
+    const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
+    this.exchange.onGone(() => this.end('caller-gone', 0, 'caller-gone'));
+    try {
+      await this.serve(this.pickPool());
+    } finally {
+      timer.close();
+      this.releaseResults();
+    }
+    return this.record.finish();
+  }
+
+  private get repeatable(): boolean {
+    const { kind, resumable } = this.request.route;
+    return kind === 'idempotent' || (kind === 'stream' && resumable);
+  }
+
+  private pickPool(): string {
+    const { pools } = this.request.route;
+    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+    let rest = this.ports.random() * total;
+    const picked = pools.find(({ weight }) => {
+      rest -= weight;
+      return rest < 0;
+    });
+    return (picked ?? pools.at(-1))?.pool ?? '';
+  }
+
+  private async serve(pool: string): Promise<void> {
+    while (!this.ended) {
+      // Each step depends on the one before.
+      /* eslint-disable no-await-in-loop */
+      if (!(await this.prepare())) {
+        return;
+      }
+      const server = await this.place(pool);
+      if (server === undefined) {
+        return;
+      }
+      const result = await this.attempt(server);
+      /* eslint-enable no-await-in-loop */
+      if (result.type === 'delivered' || this.ended) {
+        return;
+      }
+      if (!this.goesOn(pool, server, result)) {
+        return;
+      }
+    }
+  }
+
+  /** Runs the stages unless their results exist; false when the request ended with them. */
+  private async prepare(): Promise<boolean> {
+    if (this.request.route.stages.length === 0 || this.results !== undefined) {
+      return true;
+    }
+    this.rounds += 1;
+    const { clock, stages: client, failureDomain } = this.ports;
+    const options = { signal: this.abort.signal, round: this.rounds };
+    const outcome = await runStages(this.request, { clock, client, index: this.index, failureDomain }, options);
+    this.record.noteStages();
+    if (this.ended) {
+      this.releaseOutcome(outcome);
+      return false;
+    }
+    if (outcome.type === 'failed') {
+      this.refuseStages(outcome);
+      return false;
+    }
+    this.results = outcome.results;
+    return true;
+  }
+
+  private refuseStages(outcome: Extract<StagesOutcome, { type: 'failed' }>): void {
+    const late = outcome.reason === 'late';
+    this.refuse(this.record.runs > 0 ? 502 : 503, late ? 'deadline-passed' : 'overloaded', outcome.retryAfterMs);
+  }
+
+  /** Waits for a server with room; undefined when the request ended before. */
+  private place(pool: string): Promise<ServerView | undefined> {
+    const { clock, queues } = this.ports;
+    return new Promise((resolve) => {
+      const tryStart = (): boolean => {
+        if (this.ended) {
+          resolve(undefined);
+          return true;
+        }
+        const choice = this.ports.pools.choose({
+          request: this.request,
+          pool,
+          avoidServers: this.avoidServers,
+          ...this.work,
+        });
+        if (choice === undefined) {
+          this.refuse(this.record.runs > 0 ? 502 : 503, 'no-server', NO_SERVER_RETRY_MS);
+          resolve(undefined);
+          return true;
+        }
+        if (choice.type === 'send') {
+          this.record.notePlaced();
+          resolve(choice.server);
+          return true;
+        }
+        return false;
+      };
+      const rank = this.request.priority * 1e9 + clock.monotonicMs();
+      queues.enqueue({ pool, long: false, rank, tryStart });
+    });
+  }
+
+  private async attempt(server: ServerView): Promise<AttemptResult> {
+    const { directory, pools, format, clock } = this.ports;
+    const { tokens } = this.work;
+    const startedAtMs = clock.monotonicMs();
+    this.record.noteSend(server.serverId);
+    directory.note(server.serverId, { type: 'sent', tokens, long: false });
+    const opened = await openAttempt(pools.clientOf(server.pool), format, {
+      target: server,
+      requestId: this.request.requestId,
+      method: this.request.method,
+      path: this.request.path,
+      headers: this.formatHeaders(server),
+      body: this.request.body,
+      signal: this.abort.signal,
+      onSending: () => {
+        this.inFlight = true;
+      },
+      maySend: () => !this.ended && clock.monotonicMs() < this.request.deadlineAtMs,
+    });
+    const result = await this.readAttempt(server, opened);
+    const elapsedMs = clock.monotonicMs() - startedAtMs;
+    this.inFlight = false;
+    if (result.type === 'delivered' || result.end.type === 'answered') {
+      directory.note(server.serverId, { type: 'progress', tokens, elapsedMs });
+      directory.note(server.serverId, { type: 'answered' });
+    } else if (!this.ended && opened.type === 'failed') {
+      directory.note(server.serverId, { type: 'failed' });
+    }
+    directory.note(server.serverId, { type: 'done', tokensLeft: tokens, long: false });
+    this.ports.queues.drain(server.pool);
+    return result;
+  }
+
+  private formatHeaders(server: ServerView): readonly string[] {
+    const { request } = this;
+    return formatAttemptHeaders(
+      request.headers,
+      {
+        serverId: server.serverId,
+        remainingMs: request.deadlineAtMs - this.ports.clock.monotonicMs(),
+        organisation: request.organisation?.name,
+        results: this.results?.last,
+        lastEventId: this.lastEventId,
+        priority: request.priority,
+      },
+      this.ports.format,
+    );
+  }
+
+  private async readAttempt(server: ServerView, opened: OpenedAttempt): Promise<AttemptResult> {
+    if (opened.type === 'failed') {
+      const notRun = opened.failure.type === 'not-sent';
+      this.record.noteRun(!notRun);
+      return { type: 'ended', end: { type: notRun ? 'not-run' : 'unknown' }, resultsGone: false };
+    }
+    const { head, facts, response } = opened;
+    if (facts.load !== undefined) {
+      this.ports.pools.noteLoad(server.serverId, facts.load);
+    }
+    if (facts.notRun) {
+      response.resume();
+      if (facts.otherServer) {
+        this.ports.directory.noteGone(server.serverId);
+      }
+      return { type: 'ended', end: { type: 'not-run' }, resultsGone: facts.resultsGone };
+    }
+    this.record.noteRun(true);
+    this.record.noteFirstByte();
+    if (this.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
+      return this.relay(opened);
+    }
+    const body = await readAnswerBody(response);
+    return body === undefined
+      ? { type: 'ended', end: { type: 'unknown' }, resultsGone: false }
+      : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
+  }
+
+  private async relay({ head, response }: Extract<OpenedAttempt, { type: 'head' }>): Promise<AttemptResult> {
+    // The server fetched the results before it began to generate.
+    this.releaseResults();
+    if (this.ended) {
+      response.destroy();
+      return { type: 'delivered' };
+    }
+    if (!this.exchange.begun) {
+      this.exchange.begin(head);
+    }
+    const end = await relayStream(response, this.exchange, {
+      afterEventId: this.lastEventId,
+      onEvents: (lastEventId) => {
+        this.lastEventId = lastEventId ?? this.lastEventId;
+      },
+    });
+    if (end.type === 'complete' && !this.ended) {
+      this.exchange.finish();
+      this.end('answered', head.status, 'streamed');
+      return { type: 'delivered' };
+    }
+    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
+  }
+
+  /** Applies what follows an attempt; true when the request is sent again. */
+  private goesOn(pool: string, server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
+    const { clock, logger, pools, spendRetry } = this.ports;
+    const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
+    const { runs, sends } = this.record;
+    const wanted = decideRetry({
+      end: result.end,
+      repeatable: this.repeatable,
+      runs,
+      sends,
+      maxAttempts: this.request.route.maxAttempts,
+      remainingMs,
+      usualMs: pools.usualMs(pool),
+    });
+    const allowed = wanted !== 'send-again' || spendRetry(pool);
+    const withoutBudget: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
+    const decision = allowed ? wanted : withoutBudget;
+    if (decision !== 'pass-on') {
+      logger.event('attemptEnded', {
+        requestId: this.request.requestId,
+        serverId: server.serverId,
+        end: result.end.type,
+        decision,
+        budget: allowed,
+        runs,
+        sends,
+        remainingMs: Math.round(remainingMs),
+      });
+    }
+    return this.follow(decision, server, result);
+  }
+
+  private follow(decision: RetryDecision, server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
+    switch (decision) {
+      case 'send-again':
+        if (result.resultsGone) {
+          this.results = undefined;
+        } else {
+          this.avoidServers.push(server.serverId);
+        }
+        return true;
+      case 'pass-on':
+        this.deliver(result.answer as WholeAnswer);
+        return false;
+      default:
+        this.refuse(this.record.runs > 0 ? 502 : 503, 'attempts-exhausted', NO_SERVER_RETRY_MS);
+        return false;
+    }
+  }
+
+  private deliver({ head, body }: WholeAnswer): void {
+    if (this.exchange.begun) {
+      this.exchange.abort();
+      this.end('failed', head.status, 'stream-broken');
+      return;
+    }
+    this.exchange.begin(head);
+    this.exchange.finish(body);
+    this.end('answered', head.status, 'answered');
+  }
+
+  private refuse(status: number, reason: Refusal['reason'], retryAfterMs: number): void {
+    if (this.ended) {
+      return;
+    }
+    const begun = this.exchange.begun;
+    this.exchange.refuse({ status, reason, ...(status === 503 ? { retryAfterMs } : {}) });
+    this.end(begun || status !== 503 ? 'failed' : 'refused', status, reason);
+  }
+
+  private expire(): void {
+    const mayRun = this.inFlight || this.record.runs > 0;
+    this.refuse(mayRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_MS);
+  }
+
+  private end(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
+    if (!this.ended) {
+      this.ended = true;
+      this.record.noteEnd(outcome, status, reason);
+      this.abort.abort();
+      this.releaseResults();
+    }
+  }
+
+  private releaseResults(): void {
+    const { results } = this;
+    this.results = undefined;
+    this.releaseAll(results);
+  }
+
+  private releaseOutcome(outcome: StagesOutcome): void {
+    this.releaseAll(outcome.type === 'done' ? outcome.results : undefined);
+  }
+
+  private releaseAll(results: StageResults | undefined): void {
+    this.request.route.stages.forEach(({ pool }, stage) => {
+      this.ports.stages.release(pool, results?.byStage[stage] ?? []);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -0,0 +1,83 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { ForwardRequest } from './types.js';
+
+/** How a request ended, for logs and metrics. */
+export interface ForwardEnd {
+  readonly outcome: 'answered' | 'refused' | 'failed' | 'caller-gone';
+  readonly status: number;
+  readonly reason: string;
+  readonly sends: number;
+  readonly runs: number;
+  /** Servers that the request was sent to, in order. */
+  readonly serverIds: readonly string[];
+  /** Times since arrival; undefined for steps that were not reached. */
+  readonly stagesMs: number | undefined;
+  readonly placedMs: number | undefined;
+  readonly firstByteMs: number | undefined;
+  readonly totalMs: number;
+}
+
+/** What happened to one request so far. */
+export default class RunRecord {
+  runs = 0;
+
+  private readonly serverIds: string[] = [];
+
+  private stagesMs: number | undefined;
+
+  private placedMs: number | undefined;
+
+  private firstByteMs: number | undefined;
+
+  private ending: Pick<ForwardEnd, 'outcome' | 'status' | 'reason'> = { outcome: 'failed', status: 0, reason: 'unknown' };
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly request: ForwardRequest,
+  ) {}
+
+  get sends(): number {
+    return this.serverIds.length;
+  }
+
+  noteStages(): void {
+    this.stagesMs = this.elapsedMs();
+  }
+
+  notePlaced(): void {
+    this.placedMs = this.elapsedMs();
+  }
+
+  noteSend(serverId: string): void {
+    this.serverIds.push(serverId);
+  }
+
+  noteRun(mayHaveRun: boolean): void {
+    this.runs += mayHaveRun ? 1 : 0;
+  }
+
+  noteFirstByte(): void {
+    this.firstByteMs ??= this.elapsedMs();
+  }
+
+  noteEnd(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
+    this.ending = { outcome, status, reason };
+  }
+
+  finish(): ForwardEnd {
+    return {
+      ...this.ending,
+      sends: this.sends,
+      runs: this.runs,
+      serverIds: this.serverIds,
+      stagesMs: this.stagesMs,
+      placedMs: this.placedMs,
+      firstByteMs: this.firstByteMs,
+      totalMs: this.elapsedMs(),
+    };
+  }
+
+  private elapsedMs(): number {
+    return this.clock.monotonicMs() - this.request.arrivedAtMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -0,0 +1,117 @@
+import type { Route, RouteOrganisation } from '@bergamotcove/config';
+import { matchRoute, type RouteIndex } from '@bergamotcove/decide';
+import type CallerExchange from '../callers/CallerExchange.js';
+import type { Refusal } from '../callers/CallerExchange.js';
+import readCallerBody from '../callers/readCallerBody.js';
+import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import type { RequestFacts, RequestFormat } from '../ports.js';
+import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
+import type { ForwardEnd } from './RunRecord.js';
+import passHeaders from './passHeaders.js';
+import type { ForwardRequest } from './types.js';
+
+/** Options of {@link createRequestHandler}. */
+export interface RequestHandlerOptions extends ForwardPorts {
+  readonly tables: RouteTableHolder;
+  /** A request was matched to a route and read. */
+  readonly onAccepted: (request: ForwardRequest) => void;
+  readonly onEnded: (request: ForwardRequest, end: ForwardEnd) => void;
+}
+
+const NO_TABLE_RETRY_MS = 500;
+
+/** The body length is stated anew, and these headers are never the caller's to set. */
+const withReframed = (format: RequestFormat): ReadonlySet<string> => new Set([...format.withheld, 'content-length']);
+
+/** The route and organisation of a request, or why it has none. */
+type Match =
+  | { readonly type: 'matched'; readonly route: Route; readonly organisation: RouteOrganisation | undefined }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+const match = (index: RouteIndex, exchange: CallerExchange, facts: RequestFacts): Match => {
+  const { headers, url = '/' } = exchange.request;
+  const route = matchRoute(index, headers.host ?? '', url);
+  if (route === undefined) {
+    return { type: 'refused', refusal: { status: 404, reason: 'no-route' } };
+  }
+  const organisation = facts.key === undefined ? undefined : index.organisationsByKey.get(facts.key);
+  if (!route.keyless && index.table.organisations !== undefined && organisation === undefined) {
+    return { type: 'refused', refusal: { status: 401, reason: 'unknown-key' } };
+  }
+  return { type: 'matched', route, organisation };
+};
+
+/**
+ * Creates the handler of callers' requests: matches the route and the key, reads the body and runs the request.
+ *
+ * @param options - route tables and parts
+ * @returns handles one request; never rejects
+ */
+export default function createRequestHandler(options: RequestHandlerOptions): (exchange: CallerExchange) => void {
+  const { logger, tables, format } = options;
+  const withheld = withReframed(format);
+
+  const reject = (exchange: CallerExchange, facts: RequestFacts, refusal: Refusal): void => {
+    logger.event('requestRejected', {
+      requestId: facts.requestId,
+      status: refusal.status,
+      reason: refusal.reason,
+      version: tables.current()?.table.version,
+      host: exchange.request.headers.host,
+    });
+    exchange.refuse(refusal);
+  };
+
+  const handle = async (exchange: CallerExchange): Promise<void> => {
+    const { request, arrivedAtMs } = exchange;
+    const facts = format.readRequest(request.headers);
+    const index = tables.current();
+    if (index === undefined) {
+      reject(exchange, facts, { status: 503, reason: 'no-route-table', retryAfterMs: NO_TABLE_RETRY_MS });
+      return;
+    }
+    const matched = match(index, exchange, facts);
+    if (matched.type === 'refused') {
+      reject(exchange, facts, matched.refusal);
+      return;
+    }
+    const read = await readCallerBody(request, index.table.limits.maxBodyBytes);
+    if (read.type === 'too-large') {
+      reject(exchange, facts, { status: 413, reason: 'body-too-large' });
+      return;
+    }
+    if (read.type === 'broken' || exchange.closed) {
+      return;
+    }
+    const { route, organisation } = matched;
+    if (facts.requestId === undefined) {
+      reject(exchange, facts, { status: 400, reason: 'bad-request' });
+      return;
+    }
+    const forward: ForwardRequest = {
+      requestId: facts.requestId,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: passHeaders(request.rawHeaders, withheld),
+      body: read.body.length > 0 || request.headers['content-length'] !== undefined ? read.body : undefined,
+      facts,
+      route,
+      organisation: route.keyless ? undefined : organisation,
+      priority: organisation?.priority ?? route.priority,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
+      version: index.table.version,
+    };
+    options.onAccepted(forward);
+    const end = await new ForwardRun(forward, index, exchange, options).execute();
+    options.onEnded(forward, end);
+  };
+
+  return (exchange) => {
+    handle(exchange).catch((cause: Error) => {
+      logger.event('processFailed', { error: cause.message, stack: cause.stack });
+      exchange.abort();
+    });
+  };
+}
+
--- /dev/null
+++ b/packages/gateway/src/requests/formatAttemptHeaders.ts
@@ -0,0 +1,26 @@
+import type { AttemptFacts, RequestFormat } from '../ports.js';
+
+/**
+ * Formats the headers of an attempt: those of the caller and those of the system, which replace the caller's.
+ *
+ * @param callerHeaders - names and values in turn
+ * @param facts - what the system tells the server
+ * @param format - names of headers
+ * @returns names and values in turn
+ */
+export default function formatAttemptHeaders(
+  callerHeaders: readonly string[],
+  facts: AttemptFacts,
+  format: RequestFormat,
+): readonly string[] {
+  const own = format.formatAttempt(facts);
+  const names = new Set(own.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase()));
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < callerHeaders.length; index += 2) {
+    const name = callerHeaders[index] as string;
+    if (!names.has(name.toLowerCase())) {
+      kept.push(name, callerHeaders[index + 1] as string);
+    }
+  }
+  return [...kept, ...own];
+}
--- /dev/null
+++ b/packages/gateway/src/requests/passHeaders.ts
@@ -0,0 +1,46 @@
+/** Headers that concern one connection only. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+const listNamed = (rawHeaders: readonly string[]): ReadonlySet<string> => {
+  const named = new Set<string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === 'connection') {
+      (rawHeaders[index + 1] ?? '').split(',').forEach((name) => named.add(name.trim().toLowerCase()));
+    }
+  }
+  return named;
+};
+
+/**
+ * Selects the headers that are passed on: all but those of the connection, those that the connection header names, and
+ * those that are withheld. Order and spelling stay.
+ *
+ * @param rawHeaders - names and values in turn
+ * @param withheld - further names, in lower case
+ * @returns names and values in turn
+ * @example
+ * passHeaders(['Connection', 'x-a', 'X-A', '1', 'X-B', '2'], new Set()); // ['X-B', '2']
+ */
+export default function passHeaders(rawHeaders: readonly string[], withheld: ReadonlySet<string>): readonly string[] {
+  const named = listNamed(rawHeaders);
+  const passed: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] as string;
+    const lower = name.toLowerCase();
+    if (!CONNECTION_HEADERS.has(lower) && !named.has(lower) && !withheld.has(lower)) {
+      passed.push(name, rawHeaders[index + 1] as string);
+    }
+  }
+  return passed;
+}
--- /dev/null
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -0,0 +1,105 @@
+import type { Clock } from '@bergamotcove/clock';
+import { chooseServer, type Choice, type ServerView } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import type { ServerLoadFacts } from '../ports.js';
+import type { ForwardRequest } from '../requests/types.js';
+
+/** What an attempt is chosen a server for. */
+export interface PlacementRequest {
+  readonly request: ForwardRequest;
+  readonly pool: string;
+  /** Servers that failed this request. */
+  readonly avoidServers: readonly string[];
+  /** Work of the attempt: tokens of a generation, or 1. */
+  readonly tokens: number;
+  readonly prefillTokens: number;
+}
+
+/** Chooses servers and follows what is sent to them. */
+export interface ServerPools {
+  choose(placement: PlacementRequest): Choice | undefined;
+  /** Client with the connections of a pool. */
+  clientOf(pool: string): HttpClient;
+  noteLoad(serverId: string, load: ServerLoadFacts): void;
+  /** Usual time of one unit of work in a pool. */
+  usualMs(pool: string): number;
+  close(): void;
+}
+
+/** Options of {@link createServerPools}. */
+export interface ServerPoolsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: BackendDirectory;
+  readonly tables: RouteTableHolder;
+  readonly hosts: HostRegistry;
+  readonly failureDomain: string;
+  readonly region: string;
+}
+
+/** Share of a server's connections that the hosts use together, so that restarted hosts find some. */
+const CONNECTION_SHARE = 0.8;
+/** Idle connections are closed after this time unless the server closes them earlier. */
+const IDLE_LIMIT_MS = 30_000;
+
+/**
+ * Creates the choice of servers for requests.
+ *
+ * @param options - servers, hosts and this host's place
+ * @returns the pools
+ */
+export default function createServerPools(options: ServerPoolsOptions): ServerPools {
+  const { clock, directory, tables, hosts, failureDomain, region } = options;
+  const clients = new Map<string, HttpClient>();
+
+  const maxAttempts = (pool: string): number => {
+    const limit = tables.current()?.pools.get(pool)?.maxConnections ?? Infinity;
+    return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / hosts.list().length));
+  };
+
+  const choose = ({ request, pool, avoidServers, tokens, prefillTokens }: PlacementRequest): Choice | undefined => {
+    const view = directory.view(pool);
+    const limit = maxAttempts(pool);
+    const servers = view.servers.filter((server: ServerView) => server.outstanding < limit);
+    if (servers.length === 0 && view.servers.length > 0) {
+      return { type: 'wait' };
+    }
+    const nowMs = clock.monotonicMs();
+    return chooseServer(
+      { ...view, servers },
+      {
+        tokens,
+        prefillTokens,
+        long: false,
+        remainingMs: request.deadlineAtMs - nowMs,
+        avoidServers,
+        failureDomain,
+        region,
+        crossRegionAllowed: true,
+        nowMs,
+      },
+      Math.random,
+    );
+  };
+
+  return {
+    choose,
+    clientOf: (pool) => {
+      const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS });
+      clients.set(pool, client);
+      return client;
+    },
+    noteLoad: (serverId, load) => {
+      const nowMs = clock.monotonicMs();
+      const report = { running: load.running, queued: load.waiting, tokensPerSecond: 0, reportedAtMs: nowMs };
+      directory.noteReport(serverId, report, hosts.list().length);
+    },
+    usualMs: (pool) => directory.view(pool).msPerToken,
+    close: () => clients.forEach((client) => client.close()),
+  };
+}
+
--- /dev/null
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -0,0 +1,93 @@
+import type { IncomingMessage } from 'node:http';
+import type { AttemptFailure } from '@bergamotcove/decide';
+import { TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
+import passHeaders from '../requests/passHeaders.js';
+import type { AnswerHead } from '../requests/types.js';
+import type { AnswerFacts, RequestFormat } from '../ports.js';
+
+/** One attempt on a backend server. */
+export interface AttemptCall {
+  readonly target: Target;
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly signal: AbortSignal;
+  /** Called when the request leaves this host. */
+  readonly onSending: () => void;
+  /** Asked just before; false gives the attempt up. */
+  readonly maySend: () => boolean;
+}
+
+/** Begin of an answer, or the reason why there is none. */
+export type OpenedAttempt =
+  | { readonly type: 'head'; readonly head: AnswerHead; readonly facts: AnswerFacts; readonly response: IncomingMessage }
+  | { readonly type: 'failed'; readonly failure: AttemptFailure };
+
+/** A connection within a region is made in a few ms; a lost packet delays it by a second. */
+const CONNECT_LIMIT_MS = 300;
+const FIRST_OK = 200;
+const FIRST_REDIRECT = 300;
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+const toFailure = (cause: unknown): AttemptFailure =>
+  cause instanceof TransportError && cause.code === 'not-connected'
+    ? { type: 'not-sent' }
+    : { type: 'connection-lost' };
+
+/**
+ * Whether the message is this server's answer to this attempt. On a kept connection a late or doubled answer can come
+ * in the place of the next one.
+ */
+const isOwnAnswer = (call: AttemptCall, response: IncomingMessage, facts: AnswerFacts): boolean => {
+  const status = response.statusCode ?? 0;
+  const success = status >= FIRST_OK && status < FIRST_REDIRECT;
+  return (
+    facts.requestId === call.requestId &&
+    (facts.signed || !success) &&
+    response.headers['content-encoding'] === undefined
+  );
+};
+
+/**
+ * Sends an attempt and waits for the head of its answer.
+ *
+ * @param http - client of the pool
+ * @param format - names of headers
+ * @param call - the attempt
+ * @returns the head with the body still to be read, or the failure
+ */
+export default async function openAttempt(
+  http: HttpClient,
+  format: RequestFormat,
+  call: AttemptCall,
+): Promise<OpenedAttempt> {
+  let sent = false;
+  try {
+    const response = await http.open(call.target, {
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      ...(call.body === undefined ? {} : { body: call.body }),
+      signal: call.signal,
+      connectLimitMs: CONNECT_LIMIT_MS,
+      maySend: call.maySend,
+      onSending: () => {
+        sent = true;
+        call.onSending();
+      },
+    });
+    const facts = format.readAnswer(response.statusCode ?? 0, response.headers);
+    if (!isOwnAnswer(call, response, facts)) {
+      response.destroy();
+      return { type: 'failed', failure: { type: 'invalid-answer' } };
+    }
+    const head = { status: response.statusCode ?? 0, headers: passHeaders(response.rawHeaders, NO_HEADERS) };
+    return { type: 'head', head, facts, response };
+  } catch (cause) {
+    return { type: 'failed', failure: sent ? toFailure(cause) : { type: 'not-sent' } };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -0,0 +1,292 @@
+import type { BatchSpec } from '@bergamotcove/config';
+import type { Clock, Timer } from '@bergamotcove/clock';
+import {
+  createBatchQueue,
+  type BatchQueue,
+  type CallOutcome,
+  type JobResult,
+  type PlannedCall,
+} from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import { readBody, type HttpClient } from '@bergamotcove/transport';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { PieceAnswer, StageFormat } from '../ports.js';
+import type { StageJob, StageJobResult } from './messages.js';
+
+/** Fills the calls to the stage servers of one pool with the pieces of all hosts of the region. */
+export interface BatchOwner {
+  run(job: StageJob): Promise<StageJobResult>;
+  cancel(jobId: string): void;
+  release(results: readonly string[]): void;
+  /** The servers of the pool may have changed. */
+  refresh(): void;
+  close(): void;
+}
+
+/** Options of {@link createBatchOwner}. */
+export interface BatchOwnerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly http: HttpClient;
+  readonly format: StageFormat;
+  readonly directory: BackendDirectory;
+  readonly pool: string;
+  readonly spec: BatchSpec;
+  readonly region: string;
+}
+
+interface OpenJob {
+  readonly job: StageJob;
+  readonly expiresAtMs: number;
+  readonly results: (string | undefined)[];
+  readonly resolve: (result: StageJobResult) => void;
+}
+
+/** Where a result lies and how much room it takes. */
+interface HeldResult {
+  readonly serverId: string;
+  readonly resultBytes: number;
+  readonly expiresAtMs: number;
+}
+
+const STATUS_OK = 200;
+const CONNECT_LIMIT_MS = 300;
+/** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
+const GIVE_UP_FACTOR = 8;
+const RELEASE_LIMIT_MS = 1_000;
+const RETRY_AFTER_FAILURE_MS = 500;
+
+class Owner implements BatchOwner {
+  private readonly queue: BatchQueue;
+
+  private readonly jobs = new Map<string, OpenJob>();
+
+  private readonly held = new Map<string, HeldResult>();
+
+  private timer: Timer | undefined;
+
+  private closed = false;
+
+  constructor(private readonly options: BatchOwnerOptions) {
+    this.queue = createBatchQueue(options.spec);
+    this.refresh();
+  }
+
+  run(job: StageJob): Promise<StageJobResult> {
+    const nowMs = this.options.clock.monotonicMs();
+    const { jobId, kind, priority, resultBytes, failureDomain, pieces } = job;
+    const expiresAtMs = nowMs + job.expiresInMs;
+    const decision = this.queue.submit(
+      {
+        jobId,
+        kind,
+        priority,
+        resultBytes,
+        failureDomain,
+        pieceCount: pieces.length,
+        dueAtMs: nowMs + job.dueInMs,
+        expiresAtMs,
+      },
+      nowMs,
+    );
+    if (decision.type === 'refused') {
+      return Promise.resolve({ type: 'failed', reason: 'refused', retryAfterMs: decision.retryAfterMs });
+    }
+    return new Promise((resolve) => {
+      this.jobs.set(jobId, { job, expiresAtMs, results: pieces.map(() => undefined), resolve });
+      this.pump();
+    });
+  }
+
+  cancel(jobId: string): void {
+    this.queue.cancel(jobId);
+    const open = this.jobs.get(jobId);
+    this.jobs.delete(jobId);
+    open?.resolve({ type: 'failed', reason: 'failed', retryAfterMs: 0 });
+    this.releaseMade(open);
+  }
+
+  release(results: readonly string[]): void {
+    const byServer = new Map<string, string[]>();
+    results.forEach((result) => {
+      const held = this.held.get(result);
+      if (held !== undefined) {
+        this.held.delete(result);
+        this.queue.release(held.serverId, held.resultBytes);
+        byServer.set(held.serverId, [...(byServer.get(held.serverId) ?? []), result]);
+      }
+    });
+    byServer.forEach((released, serverId) => this.sendRelease(serverId, released));
+    if (byServer.size > 0) {
+      this.pump();
+    }
+  }
+
+  refresh(): void {
+    const { directory, pool, region, clock } = this.options;
+    const all = directory.list(pool);
+    const near = all.filter((server) => server.region === region);
+    this.queue.setServers(near.length > 0 ? near : all, clock.monotonicMs());
+    this.pump();
+  }
+
+  close(): void {
+    this.closed = true;
+    this.timer?.close();
+  }
+
+  /** Sends the calls that are due, ends the jobs that are late, and comes back when the queue asks for it. */
+  private pump(): void {
+    if (this.closed) {
+      return;
+    }
+    const nowMs = this.options.clock.monotonicMs();
+    this.settle(this.queue.expire(nowMs));
+    this.queue.plan(nowMs).forEach((call) => {
+      this.send(call).then(
+        (outcome) => this.finish(call, outcome),
+        () => this.finish(call, { type: 'broken' }),
+      );
+    });
+    this.timer?.close();
+    const checkAtMs = this.queue.nextCheckMs(nowMs);
+    this.timer =
+      checkAtMs === undefined ? undefined : this.options.clock.schedule(checkAtMs - nowMs + 1, () => this.pump());
+  }
+
+  private async send(call: PlannedCall): Promise<CallOutcome> {
+    const { clock, http, format, directory, logger, pool } = this.options;
+    const server = directory.find(call.serverId);
+    if (server === undefined) {
+      return { type: 'broken' };
+    }
+    const sentAtMs = clock.monotonicMs();
+    const items = call.pieces.map(({ jobId, piece }) => {
+      const { job, expiresAtMs } = this.jobs.get(jobId) as OpenJob;
+      const { requestId, stage } = job;
+      return { requestId, stage, remainingMs: expiresAtMs - sentAtMs, ...(job.pieces[piece] as StageJob['pieces'][0]) };
+    });
+    const response = await http.open(server, {
+      method: 'POST',
+      path: format.runPath,
+      headers: format.formatHeaders(server.serverId),
+      body: format.formatRun(items),
+      connectLimitMs: CONNECT_LIMIT_MS,
+      signal: AbortSignal.timeout(call.expectedMs * GIVE_UP_FACTOR),
+    });
+    const body = await readBody(response);
+    const totalMs = clock.monotonicMs() - sentAtMs;
+    const answers = response.statusCode === STATUS_OK ? format.readRun(body) : undefined;
+    logger.event('batchEnded', {
+      pool,
+      serverId: server.serverId,
+      pieces: items.length,
+      expectedMs: Math.round(call.expectedMs),
+      totalMs: Math.round(totalMs),
+      status: response.statusCode ?? 0,
+    });
+    if (answers?.length !== items.length) {
+      if (response.statusCode === STATUS_MISDIRECTED) {
+        directory.noteGone(server.serverId);
+      }
+      return { type: 'refused' };
+    }
+    this.keepResults(call, answers, server.serverId);
+    return { type: 'answered', pieces: answers.map(({ type }) => type), totalMs };
+  }
+
+  private keepResults(call: PlannedCall, answers: readonly PieceAnswer[], serverId: string): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const unused: string[] = [];
+    call.pieces.forEach(({ jobId, piece }, index) => {
+      const answer = answers[index];
+      if (answer?.type !== 'done') {
+        return;
+      }
+      const open = this.jobs.get(jobId);
+      const resultBytes = open?.job.resultBytes ?? 0;
+      this.held.set(answer.result, { serverId, resultBytes, expiresAtMs: nowMs + this.options.spec.keepResultMs });
+      if (open === undefined || open.results[piece] !== undefined) {
+        unused.push(answer.result);
+      } else {
+        open.results[piece] = answer.result;
+      }
+    });
+    this.forgetExpired(nowMs);
+    if (unused.length > 0) {
+      this.options.clock.schedule(0, () => this.release(unused));
+    }
+  }
+
+  private forgetExpired(nowMs: number): void {
+    this.held.forEach(({ expiresAtMs }, result) => {
+      if (expiresAtMs <= nowMs) {
+        this.held.delete(result);
+      }
+    });
+  }
+
+  private finish(call: PlannedCall, outcome: CallOutcome): void {
+    if (outcome.type !== 'answered') {
+      this.options.logger.event('batchFailed', {
+        pool: this.options.pool,
+        serverId: call.serverId,
+        pieces: call.pieces.length,
+        outcome: outcome.type,
+      });
+    }
+    this.settle(this.queue.finish(call.callId, outcome, this.options.clock.monotonicMs()));
+    this.pump();
+  }
+
+  private settle(ended: readonly JobResult[]): void {
+    ended.forEach((result) => {
+      const open = this.jobs.get(result.jobId);
+      this.jobs.delete(result.jobId);
+      if (open === undefined) {
+        return;
+      }
+      if (result.type === 'done') {
+        open.resolve({ type: 'done', results: open.results as string[] });
+      } else {
+        open.resolve({ type: 'failed', reason: result.reason, retryAfterMs: RETRY_AFTER_FAILURE_MS });
+        this.releaseMade(open);
+      }
+    });
+  }
+
+  private releaseMade(open: OpenJob | undefined): void {
+    this.release((open?.results ?? []).filter((result) => result !== undefined));
+  }
+
+  private sendRelease(serverId: string, results: readonly string[]): void {
+    const { http, format, directory } = this.options;
+    const server = directory.find(serverId);
+    if (server === undefined) {
+      return;
+    }
+    http
+      .send(server, {
+        method: 'POST',
+        path: format.releasePath,
+        headers: format.formatHeaders(serverId),
+        body: format.formatRelease(results),
+        connectLimitMs: CONNECT_LIMIT_MS,
+        signal: AbortSignal.timeout(RELEASE_LIMIT_MS),
+      })
+      // Without it the room is free again when the results expire.
+      .catch(() => undefined);
+  }
+}
+
+const STATUS_MISDIRECTED = 421;
+
+/**
+ * Creates the owner of the batches of one pool.
+ *
+ * @param options - servers, format and how the pool works
+ * @returns the owner; close it to stop its timer
+ */
+export default function createBatchOwner(options: BatchOwnerOptions): BatchOwner {
+  return new Owner(options);
+}
--- /dev/null
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -0,0 +1,89 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { Logger } from '@bergamotcove/log';
+import type { LinkClient } from '@bergamotcove/transport';
+import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import type { BatchOwners } from './createBatchOwners.js';
+import { CANCEL_STAGE, RELEASE_RESULTS, RUN_STAGE, type StageJob, type StageJobResult } from './messages.js';
+
+/** Hands pieces to the batch owners, wherever they are. */
+export interface StageClient {
+  /** Runs a job; when its owner is lost, the next one gets it while there is time. */
+  run(job: StageJob, signal: AbortSignal): Promise<StageJobResult>;
+  release(pool: string, results: readonly string[]): void;
+}
+
+/** Options of {@link createStageClient}. */
+export interface StageClientOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly hosts: HostRegistry;
+  readonly links: LinkClient;
+  readonly local: BatchOwners;
+}
+
+const LOST: StageJobResult = { type: 'failed', reason: 'failed', retryAfterMs: 500 };
+
+/** Hosts that are tried for one job. */
+const MAX_OWNERS = 3;
+
+/**
+ * Creates the client of the batch owners.
+ *
+ * @param options - hosts and links to them
+ * @returns the client
+ */
+export default function createStageClient(options: StageClientOptions): StageClient {
+  const { clock, logger, hosts, links, local } = options;
+
+  const callOwner = async (owner: HostEntry, job: StageJob, signal: AbortSignal): Promise<StageJobResult> => {
+    const isLocal = owner.hostId === hosts.self.hostId;
+    const cancel = (): void => {
+      if (isLocal) {
+        local.cancel(job.pool, job.jobId);
+      } else {
+        links.notify(owner.target, CANCEL_STAGE, { pool: job.pool, jobId: job.jobId });
+      }
+    };
+    signal.addEventListener('abort', cancel, { once: true });
+    try {
+      return isLocal ? await local.run(job) : ((await links.call(owner.target, RUN_STAGE, job)) as StageJobResult);
+    } finally {
+      signal.removeEventListener('abort', cancel);
+    }
+  };
+
+  const run = async (job: StageJob, signal: AbortSignal): Promise<StageJobResult> => {
+    const startedAtMs = clock.monotonicMs();
+    for (let sends = 0; sends < MAX_OWNERS && !signal.aborted; sends += 1) {
+      const [owner = hosts.self] = hosts.rankOwners(job.pool);
+      const elapsedMs = clock.monotonicMs() - startedAtMs;
+      if (elapsedMs >= job.expiresInMs) {
+        return { type: 'failed', reason: 'late', retryAfterMs: 0 };
+      }
+      const left = { ...job, dueInMs: job.dueInMs - elapsedMs, expiresInMs: job.expiresInMs - elapsedMs };
+      try {
+        // The next owner is asked only after this one is lost.
+        // eslint-disable-next-line no-await-in-loop
+        return await callOwner(owner, left, signal);
+      } catch {
+        hosts.noteSilent(owner.hostId);
+        logger.event('stageOwnerLost', { requestId: job.requestId, stage: job.stage, pool: job.pool, peer: owner.hostId });
+      }
+    }
+    return LOST;
+  };
+
+  const release = (pool: string, results: readonly string[]): void => {
+    if (results.length === 0) {
+      return;
+    }
+    const [owner = hosts.self] = hosts.rankOwners(pool);
+    if (owner.hostId === hosts.self.hostId) {
+      local.release({ pool, results });
+    } else {
+      links.notify(owner.target, RELEASE_RESULTS, { pool, results });
+    }
+  };
+
+  return { run, release };
+}
--- /dev/null
+++ b/packages/gateway/src/stages/messages.ts
@@ -0,0 +1,41 @@
+import type { PieceItem } from '../ports.js';
+
+/** Method that hands the pieces of one stage of one request to the owner of its pool. */
+export const RUN_STAGE = 'stage.run';
+/** Method that takes a job back. */
+export const CANCEL_STAGE = 'stage.cancel';
+/** Method that gives results up. */
+export const RELEASE_RESULTS = 'stage.release';
+
+/** Pieces of one stage of one request, as one host hands them to another. Times are relative to the message. */
+export interface StageJob {
+  readonly jobId: string;
+  readonly pool: string;
+  readonly requestId: string;
+  readonly stage: number;
+  /** Pieces of the same kind take about the same time. */
+  readonly kind: string;
+  readonly priority: number;
+  readonly dueInMs: number;
+  readonly expiresInMs: number;
+  readonly resultBytes: number;
+  readonly failureDomain: string;
+  readonly pieces: readonly Pick<PieceItem, 'piece' | 'input'>[];
+}
+
+/** What became of a job. */
+export type StageJobResult =
+  /** One handle for each piece, in order. */
+  | { readonly type: 'done'; readonly results: readonly string[] }
+  | {
+      readonly type: 'failed';
+      readonly reason: 'refused' | 'late' | 'input-gone' | 'failed';
+      /** When a repeated request is expected to be served. */
+      readonly retryAfterMs: number;
+    };
+
+/** Results that are not needed any more. */
+export interface ReleasedResults {
+  readonly pool: string;
+  readonly results: readonly string[];
+}
--- /dev/null
+++ b/packages/gateway/src/stages/runStages.ts
@@ -0,0 +1,162 @@
+import type { RouteIndex } from '@bergamotcove/decide';
+import type { Clock } from '@bergamotcove/clock';
+import type { RouteStage } from '@bergamotcove/config';
+import type { ForwardRequest } from '../requests/types.js';
+import type { StageClient } from './createStageClient.js';
+import type { StageJob, StageJobResult } from './messages.js';
+import planStageTimes, { type StageTimes } from './planStageTimes.js';
+
+/** Results of the stages of a request. */
+export interface StageResults {
+  /** Handles by stage; empty for a stage without pieces. */
+  readonly byStage: readonly (readonly string[])[];
+  /** Handles of the stages that no other one follows, in order. */
+  readonly last: readonly string[];
+}
+
+/** What became of the stages of a request. */
+export type StagesOutcome =
+  | { readonly type: 'done'; readonly results: StageResults }
+  | Extract<StageJobResult, { type: 'failed' }>;
+
+/** Parts that the stages of a request need. */
+export interface StagePorts {
+  readonly clock: Clock;
+  readonly client: StageClient;
+  readonly index: RouteIndex;
+  readonly failureDomain: string;
+}
+
+class StageRun {
+  private readonly results: (readonly string[] | undefined)[];
+
+  private readonly abort = new AbortController();
+
+  /** Stages whose results were given up. */
+  private readonly released = new Set<number>();
+
+  private readonly times: readonly StageTimes[];
+
+  constructor(
+    private readonly request: ForwardRequest,
+    private readonly ports: StagePorts,
+    private readonly round: number,
+  ) {
+    this.results = request.route.stages.map((_, stage) => (this.countOf(stage) === 0 ? [] : undefined));
+    this.times = planStageTimes(request, ports.index);
+  }
+
+  async run(signal: AbortSignal): Promise<StagesOutcome> {
+    const stop = (): void => this.abort.abort();
+    signal.addEventListener('abort', stop, { once: true });
+    try {
+      const failed = await this.runReady();
+      return failed ?? { type: 'done', results: this.collect() };
+    } finally {
+      signal.removeEventListener('abort', stop);
+    }
+  }
+
+  private countOf(stage: number): number {
+    return this.request.facts.pieceCounts[stage] ?? 0;
+  }
+
+  /** Runs stages as soon as their inputs exist; resolves with the first failure. */
+  private runReady(): Promise<StagesOutcome | undefined> {
+    return new Promise((resolve) => {
+      const started = new Set<number>();
+      const advance = (): void => {
+        if (this.results.every((results) => results !== undefined)) {
+          resolve(undefined);
+          return;
+        }
+        this.request.route.stages.forEach((spec, stage) => {
+          const ready = spec.after.every((before) => this.results[before] !== undefined);
+          if (this.results[stage] !== undefined || started.has(stage) || !ready) {
+            return;
+          }
+          started.add(stage);
+          this.ports.client.run(this.createJob(spec, stage), this.abort.signal).then((result) => {
+            if (result.type === 'failed') {
+              this.abort.abort();
+              this.releaseAll();
+              resolve(result);
+              return;
+            }
+            this.results[stage] = result.results;
+            this.releaseUsed();
+            advance();
+          });
+        });
+      };
+      advance();
+    });
+  }
+
+  private createJob(spec: RouteStage, stage: number): StageJob {
+    const { requestId, route, facts, priority } = this.request;
+    const nowMs = this.ports.clock.monotonicMs();
+    const { dueAtMs, expiresAtMs } = this.times[stage] as StageTimes;
+    const inputs = spec.after.flatMap((before) => this.results[before] ?? []);
+    return {
+      jobId: `${requestId}/${stage}/${this.round}`,
+      pool: spec.pool,
+      requestId,
+      stage,
+      kind: `${route.name}/${stage}`,
+      priority,
+      dueInMs: dueAtMs - nowMs,
+      expiresInMs: expiresAtMs - nowMs,
+      resultBytes: spec.resultBytes,
+      failureDomain: this.ports.failureDomain,
+      pieces: Array.from({ length: this.countOf(stage) }, (_, piece) => ({
+        piece,
+        input:
+          spec.after.length === 0
+            ? { type: 'key' as const, key: facts.pieceKey }
+            : { type: 'results' as const, results: inputs },
+      })),
+    };
+  }
+
+  /** Gives up results that every following stage has used. */
+  private releaseUsed(): void {
+    const { stages } = this.request.route;
+    stages.forEach(({ pool }, stage) => {
+      const followers = stages.flatMap(({ after }, index) => (after.includes(stage) ? [index] : []));
+      const results = this.results[stage];
+      const used = followers.length > 0 && followers.every((index) => this.results[index] !== undefined);
+      if (used && results !== undefined && !this.released.has(stage)) {
+        this.released.add(stage);
+        this.ports.client.release(pool, results);
+      }
+    });
+  }
+
+  private releaseAll(): void {
+    this.request.route.stages.forEach(({ pool }, stage) => this.ports.client.release(pool, this.results[stage] ?? []));
+  }
+
+  private collect(): StageResults {
+    const { stages } = this.request.route;
+    const followed = new Set(stages.flatMap(({ after }) => after));
+    const byStage = this.results.map((results) => results ?? []);
+    return { byStage, last: byStage.flatMap((results, stage) => (followed.has(stage) ? [] : results)) };
+  }
+}
+
+/**
+ * Runs the stages of a request.
+ *
+ * @param request - request with the piece counts of its stages
+ * @param ports - client of the batch owners
+ * @param options - signal that cancels the stages, and the number of times they ran before
+ * @returns handles of the results, or the first failure
+ */
+export default function runStages(
+  request: ForwardRequest,
+  ports: StagePorts,
+  options: { readonly signal: AbortSignal; readonly round: number },
+): Promise<StagesOutcome> {
+  return new StageRun(request, ports, options.round).run(options.signal);
+}
--- a/packages/log/src/createLogger.test.ts
+++ b/packages/log/src/createLogger.test.ts
@@ -1,21 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import debug from 'debug';
-import createLogger from './createLogger.js';
+import createLineWriter from './createLineWriter.js';
+import createLogger, { type LoggerOptions } from './createLogger.js';
 import { LOG_EVENTS } from './events.js';
 
-const capture = (write: () => void): string => {
+const capture = (run: (options: LoggerOptions) => void): string => {
   const lines: string[] = [];
-  const before = debug.log;
-  debug.log = (...args: unknown[]) => lines.push(args.join(' '));
   debug.enable('bergamot:*');
   try {
-    write();
+    run({ writer: createLineWriter({ destination: { write: (line) => lines.push(line) } }) });
   } finally {
-    debug.log = before;
     debug.disable();
   }
-  return lines.join('\n');
+  return lines.join('');
 };
 
 test('event ids are unique and their thousands name the area, so that a search for an id finds one event', () => {
@@ -25,9 +23,9 @@
 });
 
 test('objects and fields named like payloads do not compile', () => {
-  const logger = createLogger('test');
   const payload = { name: 'Ada' };
-  const text = capture(() => {
+  const text = capture((options) => {
+    const logger = createLogger('test', {}, options);
     // @ts-expect-error An object may be a payload.
     logger.event('attemptFailed', { detail: payload });
     // @ts-expect-error The field name stands for a payload.
@@ -37,6 +35,33 @@
 });
 
 test('a long text is cut, because parsers quote what they could not parse', () => {
-  const text = capture(() => createLogger('test').event('attemptFailed', { error: 'x'.repeat(1_000) }));
+  const text = capture((options) =>
+    createLogger('test', {}, options).event('attemptFailed', { error: 'x'.repeat(1_000) }),
+  );
   assert.ok(text.length < 600);
 });
+
+test('a line is one JSON object with the time, the number of its event, the host and the facts', () => {
+  const text = capture((options) => createLogger('test', { hostId: 'h1' }, options).event('hostReady', { port: 80 }));
+  const { time, ...facts } = JSON.parse(text) as Record<string, unknown>;
+  assert.equal(typeof time, 'number');
+  assert.deepEqual(facts, { event: 1002, name: 'hostReady', level: 'info', hostId: 'h1', port: 80 });
+});
+
+test('lines beyond the limit of a second are dropped and counted in the next one', () => {
+  const lines: string[] = [];
+  let nowMs = 5_000;
+  const writer = createLineWriter({
+    destination: { write: (line) => lines.push(line) },
+    maxLinesPerSecond: 3,
+    now: () => nowMs,
+  });
+  [1, 2, 3, 4, 5].forEach((number) => writer.write({ number }));
+  nowMs = 6_000;
+  writer.write({ number: 6 });
+  const written = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  assert.deepEqual(
+    written.map(({ number, lines: dropped }) => number ?? `${dropped} dropped`),
+    [1, 2, 3, '2 dropped', 6],
+  );
+});
--- a/packages/log/src/createLogger.ts
+++ b/packages/log/src/createLogger.ts
@@ -1,4 +1,5 @@
 import debug from 'debug';
+import createLineWriter, { type LineWriter } from './createLineWriter.js';
 import { LOG_EVENTS, type LogEventName } from './events.js';
 
 /** Value of a log field: an id, a size, a reason, or a list of such. Objects are left out, since payloads are objects. */
@@ -25,8 +26,13 @@
 // Longer texts are quotations of what a caller or server sent, for instance in a parser's message.
 const MAX_TEXT_LENGTH = 300;
 
-const shorten = (_: string, value: unknown): unknown =>
-  typeof value === 'string' && value.length > MAX_TEXT_LENGTH ? `${value.slice(0, MAX_TEXT_LENGTH)}…` : value;
+const shortenTexts = (fields: LogFields): Readonly<Record<string, unknown>> =>
+  Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [
+      name,
+      typeof value === 'string' && value.length > MAX_TEXT_LENGTH ? `${value.slice(0, MAX_TEXT_LENGTH)}…` : value,
+    ]),
+  );
 
 /** Writes catalogued events. */
 export interface Logger {
@@ -35,25 +41,40 @@
 
 const LEVELS = ['error', 'warn', 'info', 'debug'] as const;
 
+let sharedWriter: LineWriter | undefined;
+
+/** The writer of standard output, which all loggers of a process share. */
+const findWriter = (): LineWriter => {
+  sharedWriter ??= createLineWriter();
+  return sharedWriter;
+};
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  /** Receives the lines; standard output by default. */
+  readonly writer?: LineWriter;
+}
+
 /**
- * Creates a logger that writes one JSON object per event to standard error. The namespaces are
+ * Creates a logger that writes one JSON object per event to standard output. The namespaces are
  * `bergamot:<scope>:<level>`; the `DEBUG` variable selects among them.
  *
  * @param scope - part of the system, for instance `entry`
  * @param base - fields of every event, for instance the host id
+ * @param options - receiver of the lines
  * @returns the logger
  * @example
  * const logger = createLogger('entry', { hostId: 'a1' });
  * logger.event('hostStarted', { port: 8080 });
  */
-export default function createLogger(scope: string, base: LogFields = {}): Logger {
-  const writers = new Map(LEVELS.map((level) => [level, debug(`bergamot:${scope}:${level}`)]));
+export default function createLogger(scope: string, base: LogFields = {}, options: LoggerOptions = {}): Logger {
+  const selectors = new Map(LEVELS.map((level) => [level, debug(`bergamot:${scope}:${level}`)]));
   return {
     event: (name, fields = {}) => {
       const spec = LOG_EVENTS[name];
-      const write = writers.get(spec.level);
-      if (write?.enabled === true) {
-        write('%s', JSON.stringify({ event: spec.id, name, level: spec.level, ...base, ...fields }, shorten));
+      if (selectors.get(spec.level)?.enabled === true) {
+        const writer = options.writer ?? findWriter();
+        writer.write({ event: spec.id, name, level: spec.level, ...base, ...shortenTexts(fields) });
       }
     },
   };
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -5,7 +5,9 @@
 export type { LogEventName, LogEventSpec, LogLevel } from './events.js';
 export { default as formatEventCatalogue } from './formatEventCatalogue.js';
 export { default as createLogger } from './createLogger.js';
-export type { Logger, LogFields, LogValue } from './createLogger.js';
+export { default as createLineWriter } from './createLineWriter.js';
+export type { LineWriter, LineWriterOptions } from './createLineWriter.js';
+export type { Logger, LoggerOptions, LogFields, LogValue } from './createLogger.js';
 
 /** Namespaces that are on when the `DEBUG` variable is not set. */
 export const DEFAULT_NAMESPACES = 'bergamot:*:error,bergamot:*:warn,bergamot:*:info';
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,4 +1,5 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import createKeptAgent, { type KeptAgentOptions } from './_lib/createKeptAgent.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
 
@@ -10,10 +11,11 @@
 
 /** One HTTP request. */
 export interface HttpRequest {
-  readonly method: 'GET' | 'POST';
+  readonly method: string;
   readonly path: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
+  /** By name, or names and values in turn, which are sent in this order and spelling. */
+  readonly headers?: Readonly<Record<string, string>> | readonly string[];
+  readonly body?: string | Uint8Array;
   readonly signal?: AbortSignal;
   /** Called when the connection exists, just before the first byte of the request is written. */
   readonly onSending?: () => void;
@@ -24,6 +26,8 @@
    * this time the request is given up as `not-connected`: a server cannot run a request whose body it never got.
    */
   readonly expectContinueMs?: number;
+  /** Time for a new connection to be made; then the request is given up as `not-connected`. */
+  readonly connectLimitMs?: number;
   /** Opens a connection for this request alone, because a kept one may break before the server reads from it. */
   readonly freshConnection?: boolean;
 }
@@ -65,19 +69,43 @@
   });
 };
 
+const formatHeaders = (request: HttpRequest): http.OutgoingHttpHeaders | readonly string[] => {
+  const { headers = {}, body = '', expectContinueMs } = request;
+  if (Array.isArray(headers)) {
+    return request.body === undefined ? headers : [...headers, 'Content-Length', String(Buffer.byteLength(body))];
+  }
+  return {
+    ...headers,
+    'content-length': Buffer.byteLength(body),
+    ...(expectContinueMs === undefined ? {} : { expect: '100-continue' }),
+  };
+};
+
 const formatOptions = (target: Target, request: HttpRequest, agent: http.Agent): http.RequestOptions => ({
   agent,
   host: target.address,
   port: target.port,
   method: request.method,
   path: request.path,
-  headers: {
-    ...request.headers,
-    'content-length': Buffer.byteLength(request.body ?? ''),
-    ...(request.expectContinueMs === undefined ? {} : { expect: '100-continue' }),
-  },
+  headers: formatHeaders(request),
 });
 
+/** Gives a request up when its new connection is not made in time. */
+const limitConnecting = (outgoing: ClientRequest, limitMs: number | undefined): void => {
+  if (limitMs === undefined) {
+    return;
+  }
+  outgoing.on('socket', (socket) => {
+    if (!socket.connecting) {
+      return;
+    }
+    const timer = setTimeout(() => outgoing.destroy(new Error('the connection was not made in time')), limitMs);
+    const stop = (): void => clearTimeout(timer);
+    socket.once('connect', stop);
+    socket.once('close', stop);
+  });
+};
+
 /** Cancels a request; the option `signal` of Node would attach its own observers to request and response as well. */
 const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal | undefined): void => {
   if (signal === undefined) {
@@ -113,6 +141,7 @@
     let sent = false;
     const outgoing = http.request(formatOptions(target, request, agent));
     destroyOnAbort(outgoing, request.signal);
+    limitConnecting(outgoing, request.connectLimitMs);
     outgoing.on('response', (response) => {
       // A response that is cancelled after its reader has finished reports an error that nobody awaits.
       response.on('error', () => undefined);
@@ -140,14 +169,14 @@
 /**
  * Creates an HTTP client.
  *
- * @param options - `maxSockets` limits the connections to one target
+ * @param options - limits of the kept connections
  * @returns the client; close it to drop idle connections
  * @throws TransportError from `send` and `open`; `not-connected` guarantees that no byte of the request was sent
  * @example
  * const response = await client.send({ address: '10.0.0.1', port: 80 }, { method: 'GET', path: '/load' });
  */
-export default function createHttpClient(options: { readonly maxSockets?: number } = {}): HttpClient {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: options.maxSockets ?? Infinity });
+export default function createHttpClient(options: Partial<KeptAgentOptions> = {}): HttpClient {
+  const agent = createKeptAgent({ ...options, maxSockets: options.maxSockets ?? Infinity });
   const freshAgent = new http.Agent({ keepAlive: false });
   let closed = false;
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -18,3 +18,7 @@
 export type { PeerKey } from './peers/createKeyring.js';
 export { default as createDatagramSocket } from './datagrams/createDatagramSocket.js';
 export type { DatagramHandler, DatagramSocket, DatagramSocketOptions } from './datagrams/createDatagramSocket.js';
+export { default as createLinkClient } from './links/createLinkClient.js';
+export type { LinkClient, LinkClientOptions } from './links/createLinkClient.js';
+export { default as createLinkServer } from './links/createLinkServer.js';
+export type { LinkMethod, LinkPeer, LinkServer, LinkServerOptions } from './links/createLinkServer.js';
--- /dev/null
+++ b/packages/transport/src/links/createLinkClient.ts
@@ -0,0 +1,191 @@
+import net, { type Socket } from 'node:net';
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { Clock, Timer } from '@bergamotcove/clock';
+import { toError } from '@bergamotcove/errors';
+import type { Target } from '../createHttpClient.js';
+import TransportError from '../TransportError.js';
+import createLineReader from './createLineReader.js';
+import { PING_METHOD } from './createLinkServer.js';
+
+/** Options of {@link createLinkClient}. */
+export interface LinkClientOptions {
+  readonly clock: Clock;
+  /** Time for a connection to be made. */
+  readonly connectLimitMs: number;
+  /** Interval of pings while calls are open. */
+  readonly pingMs: number;
+  /** A link with open calls on which nothing arrives for so long is dropped. */
+  readonly silenceLimitMs: number;
+}
+
+/** Calls methods of other hosts over connections that are kept open. */
+export interface LinkClient {
+  /**
+   * Calls a method. Without a time limit of its own, a call ends with its link.
+   *
+   * @throws TransportError `not-connected` when the peer did not get the call, `connection-lost` when it may have,
+   *   `invalid-message` when the peer answered with an error
+   */
+  call(target: Target, method: string, params: object): Promise<unknown>;
+  /** Sends a message without an answer, over an open link only. */
+  notify(target: Target, method: string, params: object): void;
+  /** Drops every link. */
+  close(): void;
+}
+
+/** A check that runs this late means that the process did not run, so that nothing can be said about the peer. */
+const PAUSE_MS = 200;
+
+/** One connection to a peer. */
+class Link {
+  readonly socket: Socket;
+
+  readonly ready: Promise<void>;
+
+  private readonly rpc: JSONRPCClient;
+
+  private pending = 0;
+
+  private heardAtMs: number;
+
+  private timer: Timer | undefined;
+
+  constructor(
+    target: Target,
+    private readonly options: LinkClientOptions,
+  ) {
+    this.heardAtMs = options.clock.monotonicMs();
+    this.socket = net.connect({ host: target.address, port: target.port, noDelay: true });
+    this.rpc = new JSONRPCClient((message) => {
+      this.socket.write(`${JSON.stringify(message)}\n`);
+    });
+    const read = createLineReader((line) => this.rpc.receive(JSON.parse(line)));
+    this.socket.on('data', (chunk) => {
+      this.heardAtMs = options.clock.monotonicMs();
+      try {
+        read(chunk);
+      } catch (cause) {
+        this.socket.destroy(toError(cause));
+      }
+    });
+    this.socket.on('error', () => this.socket.destroy());
+    this.socket.on('close', () => this.end());
+    this.ready = this.connect();
+  }
+
+  async call(method: string, params: object): Promise<unknown> {
+    await this.ready;
+    if (this.pending === 0) {
+      this.heardAtMs = this.options.clock.monotonicMs();
+    }
+    this.pending += 1;
+    this.watch();
+    try {
+      return await this.rpc.request(method, params);
+    } catch (cause) {
+      throw this.socket.destroyed
+        ? new TransportError('connection-lost', 'the link broke during a call', { cause })
+        : new TransportError('invalid-message', `the peer refused ${method}`, { cause });
+    } finally {
+      this.pending -= 1;
+    }
+  }
+
+  notify(method: string, params: object): void {
+    if (!this.socket.connecting && !this.socket.destroyed) {
+      this.rpc.notify(method, params);
+    }
+  }
+
+  private connect(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const fail = (): void => {
+        this.socket.destroy();
+        reject(new TransportError('not-connected', 'no link could be made'));
+      };
+      const timer = this.options.clock.schedule(this.options.connectLimitMs, fail);
+      this.socket.once('connect', () => {
+        timer.close();
+        this.heardAtMs = this.options.clock.monotonicMs();
+        resolve();
+      });
+      this.socket.once('close', () => {
+        timer.close();
+        fail();
+      });
+    });
+  }
+
+  /** Pings while calls are open, and drops a link that stays silent. */
+  private watch(): void {
+    if (this.timer !== undefined || this.socket.destroyed) {
+      return;
+    }
+    const { clock, pingMs, silenceLimitMs } = this.options;
+    const dueAtMs = clock.monotonicMs() + pingMs;
+    this.timer = clock.schedule(pingMs, () => {
+      this.timer = undefined;
+      const nowMs = clock.monotonicMs();
+      if (nowMs - dueAtMs > PAUSE_MS) {
+        this.heardAtMs = nowMs;
+      }
+      if (this.pending === 0 || this.socket.destroyed) {
+        return;
+      }
+      if (nowMs - this.heardAtMs > silenceLimitMs) {
+        this.socket.destroy();
+        return;
+      }
+      this.rpc.request(PING_METHOD, {}).then(undefined, () => undefined);
+      this.watch();
+    });
+  }
+
+  private end(): void {
+    this.timer?.close();
+    this.rpc.rejectAllPendingRequests('the link broke');
+  }
+}
+
+const toKey = (target: Target): string => `${target.address}:${target.port}`;
+
+/**
+ * Creates a client of links: JSON-RPC 2.0 messages, one a line, over one connection for each peer.
+ *
+ * @param options - clock and limits
+ * @returns the client
+ * @example
+ * await links.call({ address: '10.0.0.2', port: 7000 }, 'echo', { text: 'hi' });
+ */
+export default function createLinkClient(options: LinkClientOptions): LinkClient {
+  const links = new Map<string, Link>();
+  let closed = false;
+
+  const open = (target: Target): Link => {
+    const key = toKey(target);
+    const known = links.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const link = new Link(target, options);
+    links.set(key, link);
+    link.socket.once('close', () => {
+      if (links.get(key) === link) {
+        links.delete(key);
+      }
+    });
+    return link;
+  };
+
+  return {
+    call: (target, method, params) =>
+      closed
+        ? Promise.reject(new TransportError('not-connected', 'the links are closed'))
+        : open(target).call(method, params),
+    notify: (target, method, params) => links.get(toKey(target))?.notify(method, params),
+    close: () => {
+      closed = true;
+      links.forEach((link) => link.socket.destroy());
+    },
+  };
+}
--- /dev/null
+++ b/packages/transport/src/links/createLinkServer.ts
@@ -0,0 +1,101 @@
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
+import createLineReader from './createLineReader.js';
+
+/** Method of a link server; a rejection is answered as an error. `peer` is the same for all calls of one link. */
+export type LinkMethod = (params: unknown, peer: LinkPeer) => unknown;
+
+/** The host at the other end of a link. */
+export interface LinkPeer {
+  readonly remoteAddress: string;
+  /** Runs when the link is gone; its open calls have no receiver any more. The result takes the request back. */
+  onClose(run: () => void): () => void;
+}
+
+/** Options of {@link createLinkServer}. */
+export interface LinkServerOptions {
+  readonly address: string;
+  /** Zero takes a free port. */
+  readonly port: number;
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+  readonly onError: (error: Error) => void;
+}
+
+/** Accepts links of other hosts. */
+export interface LinkServer {
+  readonly port: number;
+  /** Stops accepting and drops every link. */
+  close(): void;
+}
+
+/** Method that a client calls to see that the link works. */
+export const PING_METHOD = 'ping';
+
+const serveLink = (socket: Socket, options: LinkServerOptions): void => {
+  const closers = new Set<() => void>();
+  const peer: LinkPeer = {
+    remoteAddress: socket.remoteAddress ?? '',
+    onClose: (run) => {
+      closers.add(run);
+      return () => closers.delete(run);
+    },
+  };
+  const rpc = new JSONRPCServer<LinkPeer>({ errorListener: () => undefined });
+  rpc.addMethod(PING_METHOD, () => true);
+  Object.entries(options.methods).forEach(([name, method]) => {
+    rpc.addMethod(name, (params: unknown, from) => method(params, from));
+  });
+  const answer = async (line: string): Promise<void> => {
+    const response = await rpc.receive(JSON.parse(line) as JSONRPCRequest, peer);
+    if (response !== null && !socket.destroyed) {
+      socket.write(`${JSON.stringify(response)}\n`);
+    }
+  };
+  const read = createLineReader((line) => {
+    answer(line).catch((cause: Error) => {
+      options.onError(cause);
+      socket.destroy();
+    });
+  });
+  socket.on('data', (chunk) => {
+    try {
+      read(chunk);
+    } catch (cause) {
+      options.onError(cause as Error);
+      socket.destroy();
+    }
+  });
+  socket.on('error', () => socket.destroy());
+  socket.on('close', () => closers.forEach((run) => run()));
+};
+
+/**
+ * Starts a server of links: JSON-RPC 2.0 messages, one a line, over connections that other hosts keep open.
+ *
+ * @param options - address and methods
+ * @returns the server once it listens
+ * @example
+ * const server = await createLinkServer({ address: '127.0.0.1', port: 0, methods: { echo: (params) => params }, onError });
+ */
+export default function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
+  const sockets = new Set<Socket>();
+  const server = net.createServer({ noDelay: true }, (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    serveLink(socket, options);
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.address, () => {
+      server.off('error', reject);
+      server.on('error', options.onError);
+      resolve({
+        port: (server.address() as AddressInfo).port,
+        close: () => {
+          server.close();
+          sockets.forEach((socket) => socket.destroy());
+        },
+      });
+    });
+  });
+}
--- /dev/null
+++ b/packages/transport/src/links/links.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import { createSystemClock } from '@bergamotcove/clock';
+import createLinkClient from './createLinkClient.js';
+import createLinkServer, { type LinkMethod } from './createLinkServer.js';
+
+const LIMITS = { clock: createSystemClock(), connectLimitMs: 300, pingMs: 30, silenceLimitMs: 120 };
+
+const startServer = (methods: Record<string, LinkMethod>) =>
+  createLinkServer({ address: '127.0.0.1', port: 0, methods, onError: () => undefined });
+
+test('calls over one link are answered in any order', async () => {
+  const server = await startServer({
+    wait: async (params) => {
+      const { ms } = params as { ms: number };
+      await new Promise((resolve) => {
+        setTimeout(resolve, ms);
+      });
+      return ms;
+    },
+  });
+  const client = createLinkClient(LIMITS);
+  const target = { address: '127.0.0.1', port: server.port };
+  const order: unknown[] = [];
+  await Promise.all(
+    [60, 1].map(async (ms) => {
+      order.push(await client.call(target, 'wait', { ms }));
+    }),
+  );
+  assert.deepEqual(order, [1, 60]);
+  client.close();
+  server.close();
+});
+
+test('a call that takes longer than the silence limit goes on while the peer answers pings', async () => {
+  const server = await startServer({
+    slow: () =>
+      new Promise((resolve) => {
+        setTimeout(() => resolve('done'), 400);
+      }),
+  });
+  const client = createLinkClient(LIMITS);
+  assert.equal(await client.call({ address: '127.0.0.1', port: server.port }, 'slow', {}), 'done');
+  client.close();
+  server.close();
+});
+
+test('a call on a link that falls silent ends as lost', async () => {
+  const sockets: net.Socket[] = [];
+  const silent = net.createServer((socket) => sockets.push(socket));
+  await new Promise<void>((resolve) => {
+    silent.listen(0, '127.0.0.1', resolve);
+  });
+  const client = createLinkClient(LIMITS);
+  const { port } = silent.address() as net.AddressInfo;
+  await assert.rejects(client.call({ address: '127.0.0.1', port }, 'any', {}), { code: 'connection-lost' });
+  client.close();
+  sockets.forEach((socket) => socket.destroy());
+  silent.close();
+});
+
+test('a call to a port without a listener ends as not connected', async () => {
+  const server = await startServer({});
+  const { port } = server;
+  server.close();
+  const client = createLinkClient(LIMITS);
+  await assert.rejects(client.call({ address: '127.0.0.1', port }, 'any', {}), { code: 'not-connected' });
+  client.close();
+});
+
+test('the server learns that a link is gone, so that work without a receiver can be dropped', async () => {
+  let noteClosed: () => void = () => undefined;
+  const closed = new Promise<void>((resolve) => {
+    noteClosed = resolve;
+  });
+  const server = await startServer({
+    hold: (_, peer) => {
+      peer.onClose(noteClosed);
+      return closed.then(() => new Promise(() => undefined));
+    },
+  });
+  const client = createLinkClient(LIMITS);
+  const call = client.call({ address: '127.0.0.1', port: server.port }, 'hold', {});
+  const lost = assert.rejects(call, { code: 'connection-lost' });
+  setTimeout(() => client.close(), 50);
+  await closed;
+  await lost;
+  server.close();
+});
--- /dev/null
+++ b/tools/bundle.mjs
@@ -0,0 +1,22 @@
+/** Builds the program that runs on the platform: compiles the packages and bundles what its entry point reaches. */
+import path from 'node:path';
+import { build as bundle } from 'esbuild';
+import { build, rootDir } from './install.mjs';
+
+/** Dependencies in CommonJS form call `require`, which a module does not have. */
+const REQUIRE_BANNER =
+  "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);";
+
+build();
+await bundle({
+  entryPoints: [path.join(rootDir, 'platform/dist/main.js')],
+  outfile: path.join(rootDir, 'target/bergamotcove.mjs'),
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  banner: { js: REQUIRE_BANNER },
+  logLevel: 'warning',
+});
