--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -90,12 +90,7 @@
     response.once('close', () => {
       this.open -= 1;
     });
-    const exchange = new CallerExchange(
-      request,
-      response,
-      this.options.clock.monotonicMs(),
-      () => this.draining,
-    );
+    const exchange = new CallerExchange(request, response, this.options.clock.monotonicMs(), () => this.draining);
     const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? '').length);
     if (headBytes > this.maxHeadBytes) {
       exchange.refuse({ status: 431, reason: 'headers-too-large' });
--- a/packages/gateway/src/catalogue/createRouteTableHolder.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.ts
@@ -50,7 +50,12 @@
       return;
     }
     if (known !== undefined && table.version <= known) {
-      logger.event('routeTableRegressed', { revision: offered.revision, source, version: known, offered: table.version });
+      logger.event('routeTableRegressed', {
+        revision: offered.revision,
+        source,
+        version: known,
+        offered: table.version,
+      });
       return;
     }
     stored = offered;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -91,8 +91,7 @@
 
 /** What became of a piece. */
 export type PieceAnswer =
-  | { readonly type: 'done'; readonly result: string }
-  | { readonly type: 'late' | 'input-gone' | 'no-room' | 'failed' };
+  { readonly type: 'done'; readonly result: string } | { readonly type: 'late' | 'input-gone' | 'no-room' | 'failed' };
 
 /** Format of calls to stage servers. */
 export interface StageFormat {
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,5 +1,11 @@
 import type { Clock } from '@bergamotcove/clock';
-import { decideRetry, type AttemptEnd, type RetryDecision, type RouteIndex, type ServerView } from '@bergamotcove/decide';
+import {
+  decideRetry,
+  type AttemptEnd,
+  type RetryDecision,
+  type RouteIndex,
+  type ServerView,
+} from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { Logger } from '@bergamotcove/log';
 import type CallerExchange from '../callers/CallerExchange.js';
@@ -322,7 +328,11 @@
     return this.follow(decision, server, result);
   }
 
-  private follow(decision: RetryDecision, server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
+  private follow(
+    decision: RetryDecision,
+    server: ServerView,
+    result: Extract<AttemptResult, { type: 'ended' }>,
+  ): boolean {
     switch (decision) {
       case 'send-again':
         if (result.resultsGone) {
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -29,7 +29,11 @@
 
   private firstByteMs: number | undefined;
 
-  private ending: Pick<ForwardEnd, 'outcome' | 'status' | 'reason'> = { outcome: 'failed', status: 0, reason: 'unknown' };
+  private ending: Pick<ForwardEnd, 'outcome' | 'status' | 'reason'> = {
+    outcome: 'failed',
+    status: 0,
+    reason: 'unknown',
+  };
 
   constructor(
     private readonly clock: Clock,
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -114,4 +114,3 @@
     });
   };
 }
-
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -102,4 +102,3 @@
     close: () => clients.forEach((client) => client.close()),
   };
 }
-
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -23,7 +23,12 @@
 
 /** Begin of an answer, or the reason why there is none. */
 export type OpenedAttempt =
-  | { readonly type: 'head'; readonly head: AnswerHead; readonly facts: AnswerFacts; readonly response: IncomingMessage }
+  | {
+      readonly type: 'head';
+      readonly head: AnswerHead;
+      readonly facts: AnswerFacts;
+      readonly response: IncomingMessage;
+    }
   | { readonly type: 'failed'; readonly failure: AttemptFailure };
 
 /** A connection within a region is made in a few ms; a lost packet delays it by a second. */
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -172,7 +172,7 @@
       headers: format.formatHeaders(server.serverId),
       body: format.formatRun(items),
       connectLimitMs: CONNECT_LIMIT_MS,
-      signal: AbortSignal.timeout(call.expectedMs * GIVE_UP_FACTOR),
+      signal: AbortSignal.timeout(Math.ceil(call.expectedMs * GIVE_UP_FACTOR)),
     });
     const body = await readBody(response);
     const totalMs = clock.monotonicMs() - sentAtMs;
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -67,7 +67,12 @@
         return await callOwner(owner, left, signal);
       } catch {
         hosts.noteSilent(owner.hostId);
-        logger.event('stageOwnerLost', { requestId: job.requestId, stage: job.stage, pool: job.pool, peer: owner.hostId });
+        logger.event('stageOwnerLost', {
+          requestId: job.requestId,
+          stage: job.stage,
+          pool: job.pool,
+          peer: owner.hostId,
+        });
       }
     }
     return LOST;
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -16,8 +16,7 @@
 
 /** What became of the stages of a request. */
 export type StagesOutcome =
-  | { readonly type: 'done'; readonly results: StageResults }
-  | Extract<StageJobResult, { type: 'failed' }>;
+  { readonly type: 'done'; readonly results: StageResults } | Extract<StageJobResult, { type: 'failed' }>;
 
 /** Parts that the stages of a request need. */
 export interface StagePorts {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -6,7 +6,10 @@
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createLinkClient, createLinkServer, type LinkServer, type Target } from '@bergamotcove/transport';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
-import createBackendDirectory, { type BackendDirectory, type StoredServer } from './catalogue/createBackendDirectory.js';
+import createBackendDirectory, {
+  type BackendDirectory,
+  type StoredServer,
+} from './catalogue/createBackendDirectory.js';
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostSync from './hosts/createHostSync.js';
--- a/packages/log/src/createLineWriter.ts
+++ b/packages/log/src/createLineWriter.ts
@@ -1,8 +1,9 @@
 import { destination as createDestination, pino, type DestinationStream } from 'pino';
+import type { LogLevel } from './events.js';
 
 /** Writes lines without ever waiting for their reader. */
 export interface LineWriter {
-  write(line: Readonly<Record<string, unknown>>): void;
+  write(level: LogLevel, line: Readonly<Record<string, unknown>>): void;
 }
 
 /** Options of {@link createLineWriter}. */
@@ -43,23 +44,23 @@
  * @param options - destination and limit
  * @returns the writer
  * @example
- * createLineWriter().write({ event: 1001, name: 'hostStarted' });
+ * createLineWriter().write('info', { event: 1001, name: 'hostStarted' });
  */
 export default function createLineWriter(options: LineWriterOptions = {}): LineWriter {
   const { maxLinesPerSecond = MAX_LINES_PER_SECOND, now = Date.now } = options;
   const logger = pino(
-    { base: null, formatters: { level: () => ({}) } },
+    { base: null, level: 'debug', formatters: { level: (level) => ({ level }) } },
     options.destination ?? openStandardOutput(),
   );
   let second = 0;
   let written = 0;
   let dropped = 0;
   return {
-    write: (line) => {
+    write: (level, line) => {
       const current = Math.floor(now() / SECOND_MS);
       if (current !== second) {
         if (dropped > 0) {
-          logger.info({ event: DROPPED_EVENT_ID, name: 'logLinesDropped', level: 'warn', lines: dropped });
+          logger.warn({ event: DROPPED_EVENT_ID, name: 'logLinesDropped', lines: dropped });
         }
         second = current;
         written = 0;
@@ -70,7 +71,7 @@
         return;
       }
       written += 1;
-      logger.info(line);
+      logger[level](line);
     },
   };
 }
--- a/packages/log/src/createLogger.test.ts
+++ b/packages/log/src/createLogger.test.ts
@@ -56,9 +56,9 @@
     maxLinesPerSecond: 3,
     now: () => nowMs,
   });
-  [1, 2, 3, 4, 5].forEach((number) => writer.write({ number }));
+  [1, 2, 3, 4, 5].forEach((number) => writer.write('info', { number }));
   nowMs = 6_000;
-  writer.write({ number: 6 });
+  writer.write('info', { number: 6 });
   const written = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
   assert.deepEqual(
     written.map(({ number, lines: dropped }) => number ?? `${dropped} dropped`),
--- a/packages/log/src/createLogger.ts
+++ b/packages/log/src/createLogger.ts
@@ -74,7 +74,7 @@
       const spec = LOG_EVENTS[name];
       if (selectors.get(spec.level)?.enabled === true) {
         const writer = options.writer ?? findWriter();
-        writer.write({ event: spec.id, name, level: spec.level, ...base, ...shortenTexts(fields) });
+        writer.write(spec.level, { event: spec.id, name, ...base, ...shortenTexts(fields) });
       }
     },
   };
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -69,10 +69,20 @@
   });
 };
 
-const formatHeaders = (request: HttpRequest): http.OutgoingHttpHeaders | readonly string[] => {
+const hasHost = (headers: readonly string[]): boolean =>
+  headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
+
+/** Node adds neither host nor length to a list of headers. */
+const formatList = (headers: readonly string[], target: Target, request: HttpRequest): readonly string[] => [
+  ...(hasHost(headers) ? [] : ['Host', `${target.address}:${target.port}`]),
+  ...headers,
+  ...(request.body === undefined ? [] : ['Content-Length', String(Buffer.byteLength(request.body))]),
+];
+
+const formatHeaders = (target: Target, request: HttpRequest): http.OutgoingHttpHeaders | readonly string[] => {
   const { headers = {}, body = '', expectContinueMs } = request;
   if (Array.isArray(headers)) {
-    return request.body === undefined ? headers : [...headers, 'Content-Length', String(Buffer.byteLength(body))];
+    return formatList(headers as readonly string[], target, request);
   }
   return {
     ...headers,
@@ -87,7 +97,7 @@
   port: target.port,
   method: request.method,
   path: request.path,
-  headers: formatHeaders(request),
+  headers: formatHeaders(target, request),
 });
 
 /** Gives a request up when its new connection is not made in time. */
