--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -64,7 +64,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', '**/*.gen.ts'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**', '**/*.gen.ts'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -128,7 +128,13 @@
   },
   {
     name: 'project/start-up',
-    files: ['packages/config/src/readSettings.ts', 'packages/bench/src/**/*.ts', 'packages/ctl/src/**/*.ts'],
+    files: [
+      'packages/config/src/readSettings.ts',
+      'packages/log/src/createLineWriter.ts',
+      'packages/bench/src/**/*.ts',
+      'packages/ctl/src/**/*.ts',
+      'platform/src/main.ts',
+    ],
     rules: { 'n/no-sync': 'off' },
   },
   {
@@ -138,7 +144,7 @@
   },
   {
     name: 'project/entry-points',
-    files: ['packages/*/src/main.ts', 'packages/ctl/src/**/*.ts', 'packages/bench/src/**/*.ts'],
+    files: ['packages/*/src/main.ts', 'platform/src/main.ts', 'packages/ctl/src/**/*.ts', 'packages/bench/src/**/*.ts'],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off' },
   },
   ...layerRules,
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -50,8 +50,9 @@
     const run = async (): Promise<void> => {
       let revision = String(Number(options.fromRevision) - 1);
       while (!closed) {
-        abort = new AbortController();
-        const limit = setTimeout(() => abort.abort(), options.waitMs + ANSWER_LIMIT_MS);
+        const current = new AbortController();
+        abort = current;
+        const limit = setTimeout(() => current.abort(), options.waitMs + ANSWER_LIMIT_MS);
         try {
           // Each call begins where the one before ended.
           // eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -29,6 +29,11 @@
 /** Interval at which slow heads are looked for. */
 const TIMEOUT_CHECK_MS = 500;
 
+const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
 class Server implements CallerServer {
   port = 0;
 
@@ -110,11 +115,6 @@
   }
 }
 
-const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 /**
  * Starts the server of callers.
  *
--- /dev/null
+++ b/packages/gateway/src/callers/startHealthServer.ts
@@ -0,0 +1,35 @@
+import http from 'node:http';
+import type { Target } from '@bergamotcove/transport';
+
+/** Tells the balancer whether this host takes requests. */
+export interface HealthServer {
+  close(): void;
+}
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/**
+ * Starts the server that answers every request with status 200 or 503.
+ *
+ * @param target - address
+ * @param isReady - whether the host takes requests
+ * @returns the server once it listens
+ */
+export default function startHealthServer(target: Target, isReady: () => boolean): Promise<HealthServer> {
+  const server = http.createServer((_, response) => {
+    response.writeHead(isReady() ? STATUS_OK : STATUS_UNAVAILABLE, { 'Content-Length': 0 });
+    response.end();
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(target.port, target.address, () => {
+      resolve({
+        close: () => {
+          server.close();
+          server.closeAllConnections();
+        },
+      });
+    });
+  });
+}
--- a/packages/gateway/src/hosts/createHostSync.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -6,17 +6,16 @@
 import type { HostRegistry } from './createHostRegistry.js';
 
 /** Passes what is newer from host to host, so that a host without the store does not stay behind. */
-export interface HostSync {
+export interface HostExchange {
   readonly methods: Readonly<Record<string, LinkMethod>>;
-  start(): void;
+  start(hosts: HostRegistry): void;
   close(): void;
 }
 
-/** Options of {@link createHostSync}. */
-export interface HostSyncOptions {
+/** Options of {@link createHostExchange}. */
+export interface HostExchangeOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly hosts: HostRegistry;
   readonly links: LinkClient;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
@@ -46,8 +45,8 @@
  * @param options - what is exchanged, and links
  * @returns the exchange; close it to stop
  */
-export default function createHostSync(options: HostSyncOptions): HostSync {
-  const { clock, logger, hosts, links, tables, directory, random } = options;
+export default function createHostExchange(options: HostExchangeOptions): HostExchange {
+  const { clock, logger, links, tables, directory, random } = options;
   let timer: Timer | undefined;
   let turn = Math.floor(random() * 1_000);
 
@@ -65,7 +64,7 @@
     };
   };
 
-  const ask = async (): Promise<void> => {
+  const ask = async (hosts: HostRegistry): Promise<void> => {
     const others = hosts.list().filter(({ hostId }) => hostId !== hosts.self.hostId);
     turn += 1;
     const other = others[turn % Math.max(1, others.length)];
@@ -82,11 +81,11 @@
     }
   };
 
-  const schedule = (): void => {
+  const schedule = (hosts: HostRegistry): void => {
     timer = clock.schedule(INTERVAL_MS * (0.75 + random() / 2), () => {
       // A host that does not answer is asked again in a later turn.
-      ask().catch(() => undefined);
-      schedule();
+      ask(hosts).catch(() => undefined);
+      schedule(hosts);
     });
   };
 
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -1,4 +1,4 @@
-import { createLeaseHolder, type StoreClient } from '@bergamotcove/backends';
+import { createLeaseHolder, type LeaseHolder, type StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
 import { rankByRendezvous } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
@@ -55,6 +55,98 @@
   }
 };
 
+class Registry implements HostRegistry {
+  readonly self: HostEntry;
+
+  private readonly entries = new Map<string, HostEntry>();
+
+  private readonly silentUntilMs = new Map<string, number>();
+
+  private readonly listeners: (() => void)[] = [];
+
+  private readonly lease: LeaseHolder;
+
+  constructor(private readonly options: HostRegistryOptions) {
+    const { clock, logger, store, self, prefix } = options;
+    this.self = self;
+    this.lease = createLeaseHolder(store, {
+      clock,
+      random: Math.random,
+      ttlMs: LEASE_TTL_MS,
+      key: { key: `${prefix}${self.hostId}/${self.startId}`, value: JSON.stringify(self) },
+      onLost: () => logger.event('hostLeaseLost', {}),
+    });
+  }
+
+  start(): void {
+    this.lease.start();
+  }
+
+  list(): readonly HostEntry[] {
+    const byId = new Map([...this.entries.values()].map((entry) => [entry.hostId, entry]));
+    byId.set(this.self.hostId, this.self);
+    return [...byId.values()];
+  }
+
+  rankOwners(duty: string): readonly HostEntry[] {
+    const nowMs = this.options.clock.monotonicMs();
+    const isUsable = (host: HostEntry): boolean =>
+      host.region === this.self.region && (this.silentUntilMs.get(host.hostId) ?? 0) <= nowMs;
+    const byId = new Map(
+      this.list()
+        .filter(isUsable)
+        .map((host) => [host.hostId, host]),
+    );
+    return rankByRendezvous([...byId.keys()], duty).map((hostId) => byId.get(hostId) as HostEntry);
+  }
+
+  noteSilent(hostId: string): void {
+    this.silentUntilMs.set(hostId, this.options.clock.monotonicMs() + SILENT_MS);
+    this.options.logger.event('peerSilent', { peer: hostId });
+  }
+
+  put(key: string, text: string): void {
+    const entry = parseEntry(text);
+    if (entry !== undefined) {
+      this.entries.set(key, entry);
+      this.silentUntilMs.delete(entry.hostId);
+      this.options.logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
+      this.changed();
+    }
+  }
+
+  remove(key: string): void {
+    const entry = this.entries.get(key);
+    if (this.entries.delete(key)) {
+      this.options.logger.event('hostDropped', { peer: entry?.hostId });
+      this.changed();
+    }
+  }
+
+  replace(all: readonly { readonly key: string; readonly text: string }[]): void {
+    this.entries.clear();
+    all.forEach(({ key, text }) => {
+      const entry = parseEntry(text);
+      if (entry !== undefined) {
+        this.entries.set(key, entry);
+      }
+    });
+    this.changed();
+  }
+
+  leave(): Promise<void> {
+    return this.lease.close();
+  }
+
+  onChange(run: () => void): void {
+    this.listeners.push(run);
+  }
+
+  private changed(): void {
+    this.listeners.forEach((run) => run());
+  }
+}
+
 /**
  * Keeps the list of the system's hosts: one key each in the store, under a lease.
  *
@@ -62,71 +154,5 @@
  * @returns the registry
  */
 export default function createHostRegistry(options: HostRegistryOptions): HostRegistry {
-  const { clock, logger, store, self } = options;
-  const entries = new Map<string, HostEntry>();
-  const silentUntilMs = new Map<string, number>();
-  const listeners: (() => void)[] = [];
-  const key = `${options.prefix}${self.hostId}/${self.startId}`;
-  const lease = createLeaseHolder(store, {
-    clock,
-    random: Math.random,
-    ttlMs: LEASE_TTL_MS,
-    key: { key, value: JSON.stringify(self) },
-    onLost: () => logger.event('hostLeaseLost', {}),
-  });
-  const changed = (): void => listeners.forEach((run) => run());
-
-  const list = (): readonly HostEntry[] => {
-    const byId = new Map([...entries.values()].map((entry) => [entry.hostId, entry]));
-    byId.set(self.hostId, self);
-    return [...byId.values()];
-  };
-
-  return {
-    self,
-    start: () => lease.start(),
-    list,
-    rankOwners: (duty) => {
-      const nowMs = clock.monotonicMs();
-      const usable = list().filter(
-        (host) => host.region === self.region && (silentUntilMs.get(host.hostId) ?? 0) <= nowMs,
-      );
-      const byId = new Map(usable.map((host) => [host.hostId, host]));
-      return rankByRendezvous([...byId.keys()], duty).map((hostId) => byId.get(hostId) as HostEntry);
-    },
-    noteSilent: (hostId) => {
-      silentUntilMs.set(hostId, clock.monotonicMs() + SILENT_MS);
-      logger.event('peerSilent', { peer: hostId });
-    },
-    put: (entryKey, text) => {
-      const entry = parseEntry(text);
-      if (entry !== undefined) {
-        entries.set(entryKey, entry);
-        silentUntilMs.delete(entry.hostId);
-        logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
-        changed();
-      }
-    },
-    remove: (entryKey) => {
-      const entry = entries.get(entryKey);
-      if (entries.delete(entryKey)) {
-        logger.event('hostDropped', { peer: entry?.hostId });
-        changed();
-      }
-    },
-    replace: (all) => {
-      entries.clear();
-      all.forEach(({ key: entryKey, text }) => {
-        const entry = parseEntry(text);
-        if (entry !== undefined) {
-          entries.set(entryKey, entry);
-        }
-      });
-      changed();
-    },
-    leave: () => lease.close(),
-    onChange: (run) => {
-      listeners.push(run);
-    },
-  };
+  return new Registry(options);
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -13,12 +13,14 @@
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RequestFormat } from '../ports.js';
 import type { ServerPools } from '../servers/createServerPools.js';
+import placeAttempt from '../servers/placeAttempt.js';
 import openAttempt, { type OpenedAttempt } from '../servers/openAttempt.js';
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type { StageClient } from '../stages/createStageClient.js';
-import runStages, { type StageResults, type StagesOutcome } from '../stages/runStages.js';
+import runStages, { type StagesOutcome } from '../stages/runStages.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
+import HeldResults from './HeldResults.js';
 import relayStream from './relayStream.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AnswerHead, ForwardRequest } from './types.js';
@@ -63,7 +65,7 @@
 
   private readonly work;
 
-  private results: StageResults | undefined;
+  private readonly results: HeldResults;
 
   private rounds = 0;
 
@@ -82,6 +84,7 @@
   ) {
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
+    this.results = new HeldResults(request, ports.stages);
   }
 
   /** Answers the request; never rejects. */
@@ -93,7 +96,7 @@
       await this.serve(this.pickPool());
     } finally {
       timer.close();
-      this.releaseResults();
+      this.results.release();
     }
     return this.record.finish();
   }
@@ -138,7 +141,7 @@
 
   /** Runs the stages unless their results exist; false when the request ended with them. */
   private async prepare(): Promise<boolean> {
-    if (this.request.route.stages.length === 0 || this.results !== undefined) {
+    if (this.results.complete) {
       return true;
     }
     this.rounds += 1;
@@ -146,16 +149,15 @@
     const options = { signal: this.abort.signal, round: this.rounds };
     const outcome = await runStages(this.request, { clock, client, index: this.index, failureDomain }, options);
     this.record.noteStages();
-    if (this.ended) {
-      this.releaseOutcome(outcome);
-      return false;
-    }
     if (outcome.type === 'failed') {
       this.refuseStages(outcome);
       return false;
     }
-    this.results = outcome.results;
-    return true;
+    this.results.keep(outcome.results);
+    if (this.ended) {
+      this.results.release();
+    }
+    return !this.ended;
   }
 
   private refuseStages(outcome: Extract<StagesOutcome, { type: 'failed' }>): void {
@@ -164,35 +166,17 @@
   }
 
   /** Waits for a server with room; undefined when the request ended before. */
-  private place(pool: string): Promise<ServerView | undefined> {
-    const { clock, queues } = this.ports;
-    return new Promise((resolve) => {
-      const tryStart = (): boolean => {
-        if (this.ended) {
-          resolve(undefined);
-          return true;
-        }
-        const choice = this.ports.pools.choose({
-          request: this.request,
-          pool,
-          avoidServers: this.avoidServers,
-          ...this.work,
-        });
-        if (choice === undefined) {
-          this.refuse(this.record.runs > 0 ? 502 : 503, 'no-server', NO_SERVER_RETRY_MS);
-          resolve(undefined);
-          return true;
-        }
-        if (choice.type === 'send') {
-          this.record.notePlaced();
-          resolve(choice.server);
-          return true;
-        }
-        return false;
-      };
-      const rank = this.request.priority * 1e9 + clock.monotonicMs();
-      queues.enqueue({ pool, long: false, rank, tryStart });
-    });
+  private async place(pool: string): Promise<ServerView | undefined> {
+    const placement = { request: this.request, pool, avoidServers: this.avoidServers, ...this.work };
+    const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => this.ended });
+    if (placed.type === 'placed') {
+      this.record.notePlaced();
+      return placed.server;
+    }
+    if (placed.type === 'no-server') {
+      this.refuse(this.record.runs > 0 ? 502 : 503, 'no-server', NO_SERVER_RETRY_MS);
+    }
+    return undefined;
   }
 
   private async attempt(server: ServerView): Promise<AttemptResult> {
@@ -236,7 +220,7 @@
         serverId: server.serverId,
         remainingMs: request.deadlineAtMs - this.ports.clock.monotonicMs(),
         organisation: request.organisation?.name,
-        results: this.results?.last,
+        results: this.results.last,
         lastEventId: this.lastEventId,
         priority: request.priority,
       },
@@ -274,7 +258,7 @@
 
   private async relay({ head, response }: Extract<OpenedAttempt, { type: 'head' }>): Promise<AttemptResult> {
     // The server fetched the results before it began to generate.
-    this.releaseResults();
+    this.results.release();
     if (this.ended) {
       response.destroy();
       return { type: 'delivered' };
@@ -336,7 +320,7 @@
     switch (decision) {
       case 'send-again':
         if (result.resultsGone) {
-          this.results = undefined;
+          this.results.forget();
         } else {
           this.avoidServers.push(server.serverId);
         }
@@ -365,7 +349,7 @@
     if (this.ended) {
       return;
     }
-    const begun = this.exchange.begun;
+    const { begun } = this.exchange;
     this.exchange.refuse({ status, reason, ...(status === 503 ? { retryAfterMs } : {}) });
     this.end(begun || status !== 503 ? 'failed' : 'refused', status, reason);
   }
@@ -380,23 +364,7 @@
       this.ended = true;
       this.record.noteEnd(outcome, status, reason);
       this.abort.abort();
-      this.releaseResults();
+      this.results.release();
     }
   }
-
-  private releaseResults(): void {
-    const { results } = this;
-    this.results = undefined;
-    this.releaseAll(results);
-  }
-
-  private releaseOutcome(outcome: StagesOutcome): void {
-    this.releaseAll(outcome.type === 'done' ? outcome.results : undefined);
-  }
-
-  private releaseAll(results: StageResults | undefined): void {
-    this.request.route.stages.forEach(({ pool }, stage) => {
-      this.ports.stages.release(pool, results?.byStage[stage] ?? []);
-    });
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/requests/HeldResults.ts
@@ -0,0 +1,43 @@
+import type { StageClient } from '../stages/createStageClient.js';
+import type { StageResults } from '../stages/runStages.js';
+import type { ForwardRequest } from './types.js';
+
+/** Results of the stages of one request, which take up room at their servers until they are given up. */
+export default class HeldResults {
+  private results: StageResults | undefined;
+
+  constructor(
+    private readonly request: ForwardRequest,
+    private readonly client: StageClient,
+  ) {}
+
+  /** Handles of the last stages; undefined while there are none. */
+  get last(): readonly string[] | undefined {
+    return this.results?.last;
+  }
+
+  /** Whether the request can be sent: it has no stages, or their results exist. */
+  get complete(): boolean {
+    return this.request.route.stages.length === 0 || this.results !== undefined;
+  }
+
+  keep(results: StageResults): void {
+    this.results = results;
+  }
+
+  /** The results do not exist any more. */
+  forget(): void {
+    this.results = undefined;
+  }
+
+  /** Gives the results up. */
+  release(): void {
+    const { results } = this;
+    this.results = undefined;
+    if (results !== undefined) {
+      this.request.route.stages.forEach(({ pool }, stage) => {
+        this.client.release(pool, results.byStage[stage] ?? []);
+      });
+    }
+  }
+}
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -28,6 +28,14 @@
   | { readonly type: 'matched'; readonly route: Route; readonly organisation: RouteOrganisation | undefined }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
+/** A request that was read whole. */
+interface ReadRequest {
+  readonly facts: RequestFacts;
+  readonly matched: Extract<Match, { type: 'matched' }>;
+  readonly body: Buffer;
+  readonly requestId: string;
+}
+
 const match = (index: RouteIndex, exchange: CallerExchange, facts: RequestFacts): Match => {
   const { headers, url = '/' } = exchange.request;
   const route = matchRoute(index, headers.host ?? '', url);
@@ -41,59 +49,51 @@
   return { type: 'matched', route, organisation };
 };
 
-/**
- * Creates the handler of callers' requests: matches the route and the key, reads the body and runs the request.
- *
- * @param options - route tables and parts
- * @returns handles one request; never rejects
- */
-export default function createRequestHandler(options: RequestHandlerOptions): (exchange: CallerExchange) => void {
-  const { logger, tables, format } = options;
-  const withheld = withReframed(format);
+class Handler {
+  private readonly withheld: ReadonlySet<string>;
 
-  const reject = (exchange: CallerExchange, facts: RequestFacts, refusal: Refusal): void => {
-    logger.event('requestRejected', {
-      requestId: facts.requestId,
-      status: refusal.status,
-      reason: refusal.reason,
-      version: tables.current()?.table.version,
-      host: exchange.request.headers.host,
-    });
-    exchange.refuse(refusal);
-  };
+  constructor(private readonly options: RequestHandlerOptions) {
+    this.withheld = withReframed(options.format);
+  }
 
-  const handle = async (exchange: CallerExchange): Promise<void> => {
-    const { request, arrivedAtMs } = exchange;
-    const facts = format.readRequest(request.headers);
+  async handle(exchange: CallerExchange): Promise<void> {
+    const { tables, format } = this.options;
+    const facts = format.readRequest(exchange.request.headers);
     const index = tables.current();
     if (index === undefined) {
-      reject(exchange, facts, { status: 503, reason: 'no-route-table', retryAfterMs: NO_TABLE_RETRY_MS });
+      this.reject(exchange, facts, { status: 503, reason: 'no-route-table', retryAfterMs: NO_TABLE_RETRY_MS });
       return;
     }
     const matched = match(index, exchange, facts);
     if (matched.type === 'refused') {
-      reject(exchange, facts, matched.refusal);
+      this.reject(exchange, facts, matched.refusal);
       return;
     }
-    const read = await readCallerBody(request, index.table.limits.maxBodyBytes);
+    const read = await readCallerBody(exchange.request, index.table.limits.maxBodyBytes);
     if (read.type === 'too-large') {
-      reject(exchange, facts, { status: 413, reason: 'body-too-large' });
+      this.reject(exchange, facts, { status: 413, reason: 'body-too-large' });
       return;
     }
     if (read.type === 'broken' || exchange.closed) {
       return;
     }
-    const { route, organisation } = matched;
     if (facts.requestId === undefined) {
-      reject(exchange, facts, { status: 400, reason: 'bad-request' });
+      this.reject(exchange, facts, { status: 400, reason: 'bad-request' });
       return;
     }
+    await this.forward(exchange, index, { facts, matched, body: read.body, requestId: facts.requestId });
+  }
+
+  private async forward(exchange: CallerExchange, index: RouteIndex, read: ReadRequest): Promise<void> {
+    const { request, arrivedAtMs } = exchange;
+    const { facts, body, requestId } = read;
+    const { route, organisation } = read.matched;
     const forward: ForwardRequest = {
-      requestId: facts.requestId,
+      requestId,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: passHeaders(request.rawHeaders, withheld),
-      body: read.body.length > 0 || request.headers['content-length'] !== undefined ? read.body : undefined,
+      headers: passHeaders(request.rawHeaders, this.withheld),
+      body: body.length > 0 || request.headers['content-length'] !== undefined ? body : undefined,
       facts,
       route,
       organisation: route.keyless ? undefined : organisation,
@@ -102,14 +102,35 @@
       deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
       version: index.table.version,
     };
-    options.onAccepted(forward);
-    const end = await new ForwardRun(forward, index, exchange, options).execute();
-    options.onEnded(forward, end);
-  };
+    this.options.onAccepted(forward);
+    const end = await new ForwardRun(forward, index, exchange, this.options).execute();
+    this.options.onEnded(forward, end);
+  }
+
+  private reject(exchange: CallerExchange, facts: RequestFacts, refusal: Refusal): void {
+    const { logger, tables } = this.options;
+    logger.event('requestRejected', {
+      requestId: facts.requestId,
+      status: refusal.status,
+      reason: refusal.reason,
+      version: tables.current()?.table.version,
+      host: exchange.request.headers.host,
+    });
+    exchange.refuse(refusal);
+  }
+}
 
+/**
+ * Creates the handler of callers' requests: matches the route and the key, reads the body and runs the request.
+ *
+ * @param options - route tables and parts
+ * @returns handles one request; never rejects
+ */
+export default function createRequestHandler(options: RequestHandlerOptions): (exchange: CallerExchange) => void {
+  const handler = new Handler(options);
   return (exchange) => {
-    handle(exchange).catch((cause: Error) => {
-      logger.event('processFailed', { error: cause.message, stack: cause.stack });
+    handler.handle(exchange).catch((cause: Error) => {
+      options.logger.event('processFailed', { error: cause.message, stack: cause.stack });
       exchange.abort();
     });
   };
--- /dev/null
+++ b/packages/gateway/src/servers/placeAttempt.ts
@@ -0,0 +1,55 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { ServerView } from '@bergamotcove/decide';
+import type { PoolQueues } from '@bergamotcove/entry';
+import type { PlacementRequest, ServerPools } from './createServerPools.js';
+
+/** Where an attempt goes. */
+export type Placement =
+  | { readonly type: 'placed'; readonly server: ServerView }
+  /** The pool has no live server. */
+  | { readonly type: 'no-server' }
+  /** The request ended while it waited. */
+  | { readonly type: 'cancelled' };
+
+/** Parts that a placement needs. */
+export interface PlacementPorts {
+  readonly clock: Clock;
+  readonly pools: ServerPools;
+  readonly queues: PoolQueues;
+  readonly isCancelled: () => boolean;
+}
+
+/** Ranks of two priorities are further apart than any two arrivals. */
+const PRIORITY_STEP_MS = 1e9;
+
+/**
+ * Waits until a server has room for an attempt.
+ *
+ * @param placement - the attempt
+ * @param ports - servers and queues
+ * @returns the server, or why there is none
+ */
+export default function placeAttempt(placement: PlacementRequest, ports: PlacementPorts): Promise<Placement> {
+  const { clock, pools, queues, isCancelled } = ports;
+  const { request, pool } = placement;
+  return new Promise((resolve) => {
+    const tryStart = (): boolean => {
+      if (isCancelled()) {
+        resolve({ type: 'cancelled' });
+        return true;
+      }
+      const choice = pools.choose(placement);
+      if (choice === undefined) {
+        resolve({ type: 'no-server' });
+        return true;
+      }
+      if (choice.type === 'send') {
+        resolve({ type: 'placed', server: choice.server });
+        return true;
+      }
+      return false;
+    };
+    const rank = request.priority * PRIORITY_STEP_MS + clock.monotonicMs();
+    queues.enqueue({ pool, long: false, rank, tryStart });
+  });
+}
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -50,6 +50,7 @@
 }
 
 const STATUS_OK = 200;
+const STATUS_MISDIRECTED = 421;
 const CONNECT_LIMIT_MS = 300;
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
@@ -279,8 +280,6 @@
   }
 }
 
-const STATUS_MISDIRECTED = 421;
-
 /**
  * Creates the owner of the batches of one pool.
  *
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -26,33 +26,11 @@
 /** Hosts that are tried for one job. */
 const MAX_OWNERS = 3;
 
-/**
- * Creates the client of the batch owners.
- *
- * @param options - hosts and links to them
- * @returns the client
- */
-export default function createStageClient(options: StageClientOptions): StageClient {
-  const { clock, logger, hosts, links, local } = options;
+class Client implements StageClient {
+  constructor(private readonly options: StageClientOptions) {}
 
-  const callOwner = async (owner: HostEntry, job: StageJob, signal: AbortSignal): Promise<StageJobResult> => {
-    const isLocal = owner.hostId === hosts.self.hostId;
-    const cancel = (): void => {
-      if (isLocal) {
-        local.cancel(job.pool, job.jobId);
-      } else {
-        links.notify(owner.target, CANCEL_STAGE, { pool: job.pool, jobId: job.jobId });
-      }
-    };
-    signal.addEventListener('abort', cancel, { once: true });
-    try {
-      return isLocal ? await local.run(job) : ((await links.call(owner.target, RUN_STAGE, job)) as StageJobResult);
-    } finally {
-      signal.removeEventListener('abort', cancel);
-    }
-  };
-
-  const run = async (job: StageJob, signal: AbortSignal): Promise<StageJobResult> => {
+  async run(job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
+    const { clock, logger, hosts } = this.options;
     const startedAtMs = clock.monotonicMs();
     for (let sends = 0; sends < MAX_OWNERS && !signal.aborted; sends += 1) {
       const [owner = hosts.self] = hosts.rankOwners(job.pool);
@@ -64,31 +42,55 @@
       try {
         // The next owner is asked only after this one is lost.
         // eslint-disable-next-line no-await-in-loop
-        return await callOwner(owner, left, signal);
+        return await this.callOwner(owner, left, signal);
       } catch {
         hosts.noteSilent(owner.hostId);
-        logger.event('stageOwnerLost', {
-          requestId: job.requestId,
-          stage: job.stage,
-          pool: job.pool,
-          peer: owner.hostId,
-        });
+        const { requestId, stage, pool } = job;
+        logger.event('stageOwnerLost', { requestId, stage, pool, peer: owner.hostId });
       }
     }
     return LOST;
-  };
+  }
 
-  const release = (pool: string, results: readonly string[]): void => {
+  release(pool: string, results: readonly string[]): void {
     if (results.length === 0) {
       return;
     }
+    const { hosts, links, local } = this.options;
     const [owner = hosts.self] = hosts.rankOwners(pool);
     if (owner.hostId === hosts.self.hostId) {
       local.release({ pool, results });
     } else {
       links.notify(owner.target, RELEASE_RESULTS, { pool, results });
     }
-  };
+  }
 
-  return { run, release };
+  private async callOwner(owner: HostEntry, job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
+    const { hosts, links, local } = this.options;
+    const { pool, jobId } = job;
+    const isLocal = owner.hostId === hosts.self.hostId;
+    const cancel = (): void => {
+      if (isLocal) {
+        local.cancel(pool, jobId);
+      } else {
+        links.notify(owner.target, CANCEL_STAGE, { pool, jobId });
+      }
+    };
+    signal.addEventListener('abort', cancel, { once: true });
+    try {
+      return isLocal ? await local.run(job) : ((await links.call(owner.target, RUN_STAGE, job)) as StageJobResult);
+    } finally {
+      signal.removeEventListener('abort', cancel);
+    }
+  }
+}
+
+/**
+ * Creates the client of the batch owners.
+ *
+ * @param options - hosts and links to them
+ * @returns the client
+ */
+export default function createStageClient(options: StageClientOptions): StageClient {
+  return new Client(options);
 }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,23 +1,28 @@
-import http from 'node:http';
-import { createStoreClient, followStore, type StoreDialect, type StoreEntry } from '@bergamotcove/backends';
+import { createStoreClient, type StoreClient, type StoreDialect } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
-import { createWindowBudget, type WindowBudget } from '@bergamotcove/decide';
-import { createDrain, createPoolQueues } from '@bergamotcove/entry';
+import { createDrain, createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
 import { createLogger, type Logger } from '@bergamotcove/log';
-import { createLinkClient, createLinkServer, type LinkServer, type Target } from '@bergamotcove/transport';
+import {
+  createLinkClient,
+  createLinkServer,
+  type LinkClient,
+  type LinkMethod,
+  type LinkServer,
+} from '@bergamotcove/transport';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
-import createBackendDirectory, {
-  type BackendDirectory,
-  type StoredServer,
-} from './catalogue/createBackendDirectory.js';
+import startHealthServer from './callers/startHealthServer.js';
+import createBackendDirectory, { type BackendDirectory } from './catalogue/createBackendDirectory.js';
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
+import followCatalogue from './catalogue/followCatalogue.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
-import createHostSync from './hosts/createHostSync.js';
+import createHostExchange from './hosts/createHostExchange.js';
+import listenForPeers from './hosts/listenForPeers.js';
 import type { GatewayFormats } from './ports.js';
 import createRequestHandler from './requests/createRequestHandler.js';
-import createServerPools from './servers/createServerPools.js';
+import createRetryBudgets from './servers/createRetryBudgets.js';
+import createServerPools, { type ServerPools } from './servers/createServerPools.js';
 import type { GatewaySettings } from './settings.js';
-import createBatchOwners from './stages/createBatchOwners.js';
+import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
 import createStageClient from './stages/createStageClient.js';
 
 /** A running gateway. */
@@ -25,6 +30,7 @@
   readonly callersPort: number;
   /** Finishes the requests in flight, then stops. */
   drain(): Promise<void>;
+  /** Stops every part; requests in flight break. */
   close(): Promise<void>;
 }
 
@@ -35,113 +41,36 @@
   readonly clock?: Clock;
 }
 
+/** Parts that every other part is built from. */
+interface Base {
+  readonly settings: GatewaySettings;
+  readonly formats: GatewayFormats;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly store: StoreClient;
+  readonly tables: RouteTableHolder;
+  readonly directory: BackendDirectory;
+  readonly links: LinkClient;
+  readonly owners: BatchOwners;
+  readonly queues: PoolQueues;
+}
+
 const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
 const STORE_TIMEOUT_MS = 1_000;
 /** The balancer asks each second and takes two failures to stop sending new connections here. */
 const BALANCER_LAG_MS = 2_200;
 /** Part of the grace that is kept for the end of the process. */
 const STOP_RESERVE_MS = 500;
-/** Share of the fleet's slack that the hosts use together; the rest covers hosts that are not listed yet. */
-const SLACK_SHARE = 0.8;
-
-/** Offers what the store holds to the parts that keep it. */
-const followCatalogue = (
-  formats: GatewayFormats,
-  parts: { readonly tables: RouteTableHolder; readonly directory: BackendDirectory; readonly hosts: HostRegistry },
-) => {
-  const { routeTableKey, serverPrefix, hostPrefix } = formats.catalogue;
-  const { tables, directory, hosts } = parts;
-  const toServer = ({ key, value, modRevision }: StoreEntry): StoredServer => ({
-    serverId: key.slice(serverPrefix.length),
-    text: value,
-    revision: Number(modRevision),
-  });
-  const put = (entry: StoreEntry): void => {
-    if (entry.key === routeTableKey) {
-      tables.offer({ text: entry.value, revision: Number(entry.modRevision) }, 'store');
-    } else if (entry.key.startsWith(serverPrefix)) {
-      directory.put(toServer(entry));
-    } else if (entry.key.startsWith(hostPrefix)) {
-      hosts.put(entry.key, entry.value);
-    }
-  };
-  const replace = (entries: readonly StoreEntry[], revision: string): void => {
-    entries.filter(({ key }) => key === routeTableKey).forEach(put);
-    const servers = entries.filter(({ key }) => key.startsWith(serverPrefix)).map(toServer);
-    directory.replace({ servers, revision: Number(revision) });
-    const listed = entries.filter(({ key }) => key.startsWith(hostPrefix));
-    hosts.replace(listed.map(({ key, value }) => ({ key, text: value })));
-  };
-  const remove = (key: string, revision: string): void => {
-    if (key.startsWith(serverPrefix)) {
-      directory.remove(key.slice(serverPrefix.length), Number(revision));
-    } else if (key.startsWith(hostPrefix)) {
-      hosts.remove(key);
-    }
-  };
-  return { put, replace, remove };
-};
-
-/** Listens on the first of the ports that is free. */
-const listenForPeers = async (
-  settings: GatewaySettings,
-  listen: (port: number) => Promise<LinkServer>,
-): Promise<LinkServer> => {
-  const [firstPort, lastPort] = settings.peerPorts;
-  for (let port = firstPort; port < lastPort; port += 1) {
-    try {
-      // One port after the other.
-      // eslint-disable-next-line no-await-in-loop
-      return await listen(port);
-    } catch {
-      // The port is taken.
-    }
-  }
-  return listen(lastPort);
-};
-
-const startHealthServer = (target: Target, isReady: () => boolean): Promise<http.Server> => {
-  const server = http.createServer((_, response) => {
-    const ready = isReady();
-    response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 });
-    response.end();
-  });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(target.port, target.address, () => resolve(server));
-  });
-};
+const IDLE_POLL_MS = 50;
 
-const createRetryBudgets = (settings: GatewaySettings, clock: Clock, hosts: HostRegistry) => {
-  const budgets = new Map<string, WindowBudget>();
-  const { ratio, slack, windowMs } = settings.retries;
-  const find = (pool: string): WindowBudget => {
-    const budget = budgets.get(pool) ?? createWindowBudget(windowMs);
-    budgets.set(pool, budget);
-    return budget;
-  };
-  return {
-    noteRequest: (pool: string): void => find(pool).noteRequest(clock.monotonicMs()),
-    spend: (pool: string): boolean => {
-      const share = (slack * SLACK_SHARE) / hosts.list().length;
-      return find(pool).spend(1, { ratio, slack: share, windowMs }, clock.monotonicMs());
-    },
-  };
-};
-
-/**
- * Builds and starts a gateway.
- *
- * @param settings - checked settings
- * @param options - formats and the wire format of the store
- * @returns the running gateway, once it listens
- */
-export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
+const createBase = (settings: GatewaySettings, options: GatewayOptions): Base => {
   const clock = options.clock ?? createSystemClock();
   const { formats } = options;
-  const { id: hostId, address, failureDomain, regions } = settings.host;
+  const { id: hostId, failureDomain, regions } = settings.host;
   const region = regions[failureDomain] ?? failureDomain;
-  const logger: Logger = createLogger('gateway', { hostId, failureDomain });
+  const logger = createLogger('gateway', { hostId, failureDomain });
   const store = createStoreClient({
     urls: [`http://${settings.store.address}:${settings.store.port}`],
     timeoutMs: STORE_TIMEOUT_MS,
@@ -151,98 +80,92 @@
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const owners = createBatchOwners({ clock, logger, format: formats.stages, directory, tables, region });
-  let hosts: HostRegistry | undefined;
-  const methods: Record<string, (params: unknown) => unknown> = {};
-  const linkServer = await listenForPeers(settings, (port) =>
+  const queues = createPoolQueues(clock);
+  directory.onChange(() => queues.drainAll());
+  return { settings, formats, clock, logger, failureDomain, region, store, tables, directory, links, owners, queues };
+};
+
+const startLinkServer = (base: Base, methods: Readonly<Record<string, LinkMethod>>): Promise<LinkServer> =>
+  listenForPeers(base.settings.peerPorts, (port) =>
     createLinkServer({
-      address,
+      address: base.settings.host.address,
       port,
-      methods: { ...owners.methods, 'hosts.sync': (params) => methods['hosts.sync']?.(params) },
-      onError: (error) => logger.event('peerMessageInvalid', { error: error.message }),
+      methods,
+      onError: (error) => base.logger.event('peerMessageInvalid', { error: error.message }),
     }),
   );
-  const self = {
-    hostId,
-    target: { address, port: linkServer.port },
-    failureDomain,
-    region,
-    startId: `${clock.wallMs()}`,
-  };
-  hosts = createHostRegistry({ clock, logger, store, prefix: formats.catalogue.hostPrefix, self });
-  const sync = createHostSync({ clock, logger, hosts, links, tables, directory, random: Math.random });
-  Object.assign(methods, sync.methods);
-  const pools = createServerPools({ clock, logger, directory, tables, hosts, failureDomain, region });
-  const queues = createPoolQueues(clock);
-  const budgets = createRetryBudgets(settings, clock, hosts);
-  directory.onChange(() => queues.drainAll());
+
+const createRegistry = (base: Base, peersPort: number): HostRegistry => {
+  const { clock, logger, store, failureDomain, region, formats, settings } = base;
+  const { id: hostId, address } = settings.host;
+  const target = { address, port: peersPort };
+  const self = { hostId, target, failureDomain, region, startId: String(clock.wallMs()) };
+  return createHostRegistry({ clock, logger, store, prefix: formats.catalogue.hostPrefix, self });
+};
+
+const startCallers = (base: Base, hosts: HostRegistry, pools: ServerPools): Promise<CallerServer> => {
+  const { clock, logger, links, owners, settings } = base;
+  const budgets = createRetryBudgets({ clock, limits: settings.retries, hosts: () => hosts.list().length });
   const handler = createRequestHandler({
-    clock,
-    logger,
-    directory,
+    ...base,
     pools,
-    queues,
     stages: createStageClient({ clock, logger, hosts, links, local: owners }),
-    format: formats.requests,
-    failureDomain,
+    format: base.formats.requests,
     random: Math.random,
-    spendRetry: budgets.spend,
-    tables,
+    spendRetry: (pool) => budgets.spend(pool),
     onAccepted: ({ route }) => route.pools.forEach(({ pool }) => budgets.noteRequest(pool)),
-    onEnded: (request, end) => {
-      logger.event('requestEnded', {
-        requestId: request.requestId,
-        route: request.route.name,
-        version: request.version,
-        organisation: request.organisation?.name,
-        ...end,
-      });
+    onEnded: ({ requestId, route, version, organisation }, end) => {
+      logger.event('requestEnded', { requestId, route: route.name, version, organisation: organisation?.name, ...end });
     },
   });
-  const callers: CallerServer = await createCallerServer({
+  return createCallerServer({
     ...settings.callers,
     clock,
     onRequest: handler,
     onInvalid: (reason) => logger.event('callerMessageInvalid', { reason }),
   });
-  tables.onChange(({ table }) => callers.setLimits(table.limits));
-  const catalogue = followCatalogue(formats, { tables, directory, hosts });
-  const follower = followStore({
-    clock,
-    random: Math.random,
-    store,
-    prefix: '',
-    onSnapshot: catalogue.replace,
-    onPut: catalogue.put,
-    onDelete: catalogue.remove,
-    onLost: (reason) => {
-      directory.noteStore('lost');
-      logger.event('storeUnavailable', { reason });
-    },
-    onFound: () => {
-      directory.noteStore('found');
-      logger.event('storeRecovered', {});
-    },
+};
+
+const awaitIdle = (clock: Clock, callers: CallerServer): Promise<void> =>
+  new Promise((resolve) => {
+    const poll = (): void => {
+      if (callers.openRequests() === 0) {
+        resolve();
+      } else {
+        clock.schedule(IDLE_POLL_MS, poll);
+      }
+    };
+    poll();
   });
+
+/**
+ * Builds and starts a gateway.
+ *
+ * @param settings - checked settings
+ * @param options - formats and the wire format of the store
+ * @returns the running gateway, once it listens
+ */
+export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
+  const base = createBase(settings, options);
+  const { clock, logger, tables, directory, links, owners, queues, store, failureDomain, region } = base;
+  const exchange = createHostExchange({ clock, logger, links, tables, directory, random: Math.random });
+  const linkServer = await startLinkServer(base, { ...owners.methods, ...exchange.methods });
+  const hosts = createRegistry(base, linkServer.port);
+  const pools = createServerPools({ clock, logger, directory, tables, hosts, failureDomain, region });
+  const callers = await startCallers(base, hosts, pools);
+  tables.onChange(({ table }) => callers.setLimits(table.limits));
+  const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
   hosts.start();
-  sync.start();
+  exchange.start(hosts);
   let draining = false;
   const health = await startHealthServer(settings.health, () => !draining && tables.current() !== undefined);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
-  const registry = hosts;
+
   const close = async (): Promise<void> => {
-    follower.close();
-    sync.close();
-    await registry.leave();
-    callers.close();
-    health.close();
-    health.closeAllConnections();
-    owners.close();
-    linkServer.close();
-    links.close();
-    queues.close();
-    pools.close();
-    directory.close();
-    store.close();
+    await hosts.leave();
+    [follower, exchange, callers, health, owners, linkServer, links, queues, pools, directory, store].forEach((part) =>
+      part.close(),
+    );
   };
   const drain = createDrain({
     clock,
@@ -251,21 +174,11 @@
     timeoutMs: settings.stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
     onStart: () => {
       draining = true;
-      registry.leave().catch(() => undefined);
+      hosts.leave().catch(() => undefined);
       callers.drain();
     },
     inFlight: () => callers.openRequests(),
-    idle: () =>
-      new Promise((resolve) => {
-        const poll = (): void => {
-          if (callers.openRequests() === 0) {
-            resolve();
-          } else {
-            clock.schedule(50, poll);
-          }
-        };
-        poll();
-      }),
+    idle: () => awaitIdle(clock, callers),
     flush: () => Promise.resolve(0),
     close,
     abort: () => undefined,
--- a/packages/transport/src/links/links.test.ts
+++ b/packages/transport/src/links/links.test.ts
@@ -7,6 +7,10 @@
 
 const LIMITS = { clock: createSystemClock(), connectLimitMs: 300, pingMs: 30, silenceLimitMs: 120 };
 
+const FOREVER = new Promise(() => {
+  // Never answered.
+});
+
 const startServer = (methods: Record<string, LinkMethod>) =>
   createLinkServer({ address: '127.0.0.1', port: 0, methods, onError: () => undefined });
 
@@ -77,7 +81,7 @@
   const server = await startServer({
     hold: (_, peer) => {
       peer.onClose(noteClosed);
-      return closed.then(() => new Promise(() => undefined));
+      return closed.then(() => FOREVER);
     },
   });
   const client = createLinkClient(LIMITS);
--- a/tools/verify.mjs
+++ b/tools/verify.mjs
@@ -7,19 +7,25 @@
 /** With four files at a time, requests with deadlines of 2 s missed them on a machine that was busy otherwise. */
 const TEST_CONCURRENCY = 2;
 
+/** Folders of the workspaces. */
+const workspaceDirs = [
+  ...readdirSync(path.join(rootDir, 'packages')).map((name) => path.join(rootDir, 'packages', name)),
+  path.join(rootDir, 'platform'),
+];
+
 /** Removes earlier build output, so that tests of deleted sources do not run. */
 function cleanBuildOutput() {
-  readdirSync(path.join(rootDir, 'packages')).forEach((name) => {
-    rmSync(path.join(rootDir, 'packages', name, 'dist'), { recursive: true, force: true });
-    rmSync(path.join(rootDir, 'packages', name, 'tsconfig.tsbuildinfo'), { force: true });
+  workspaceDirs.forEach((dir) => {
+    rmSync(path.join(dir, 'dist'), { recursive: true, force: true });
+    rmSync(path.join(dir, 'tsconfig.tsbuildinfo'), { force: true });
   });
 }
 
 /** Lists the compiled test files of all packages in a stable order. */
 function listTestFiles() {
-  return readdirSync(path.join(rootDir, 'packages'))
-    .flatMap((name) => {
-      const dist = path.join(rootDir, 'packages', name, 'dist');
+  return workspaceDirs
+    .flatMap((dir) => {
+      const dist = path.join(dir, 'dist');
       return existsSync(dist)
         ? readdirSync(dist, { recursive: true }).map((file) => path.join(dist, String(file)))
         : [];
