Take an answer without a length that was reset for cut

Change: a socket error destroys such an answer, and at the end of the connection an empty write tells whether it was reset. Test: fails before for both forms, passes after.

--- a/packages/transport/src/createHttpClient.test.ts
+++ b/packages/transport/src/createHttpClient.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import net from 'node:net';
 import { test } from 'node:test';
 import createHttpClient from './createHttpClient.js';
 import createHttpServer from './createHttpServer.js';
@@ -45,3 +46,34 @@
   server.abort();
   await server.close();
 });
+
+test('an answer without a length that ends with a reset is cut, one that ends with a close is whole', async () => {
+  const sockets: net.Socket[] = [];
+  const server = net.createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', (head) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of a body');
+      const end = (): unknown => (head.includes('/reset') ? socket.resetAndDestroy() : socket.end());
+      // At once, so that the client finds the last bytes and the end together, or a moment later.
+      if (head.includes('/late')) {
+        setTimeout(end, 30);
+      } else {
+        setImmediate(end);
+      }
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const client = createHttpClient();
+  const target = { address: '127.0.0.1', port: (server.address() as net.AddressInfo).port };
+  for (const path of ['/close', '/close/late']) {
+    assert.equal((await client.send(target, { method: 'GET', path })).body, 'part of a body');
+  }
+  for (const path of ['/reset', '/reset/late']) {
+    await assert.rejects(client.send(target, { method: 'GET', path }), { code: 'connection-lost' });
+  }
+  client.close();
+  sockets.forEach((socket) => socket.destroy());
+  server.close();
+});
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -145,19 +145,47 @@
   outgoing.flushHeaders();
 };
 
+/** Whether only the end of the connection tells where the body ends. */
+const endsWithConnection = ({ headers }: IncomingMessage): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
+/**
+ * Destroys an answer without a length whose connection was reset. The parser takes a reset for the end of the body, and
+ * the event loop reports one that it finds together with the last bytes as an orderly end; only a write tells then.
+ */
+const detectReset = (response: IncomingMessage): void => {
+  if (!endsWithConnection(response)) {
+    return;
+  }
+  response.socket.prependOnceListener('end', () => {
+    response.socket.write('', (cause) => {
+      if (cause) {
+        response.destroy(cause);
+      }
+    });
+  });
+};
+
 /** Sends a request and resolves with the response as soon as its headers arrived. */
 const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
     let sent = false;
+    let received: IncomingMessage | undefined;
     const outgoing = http.request(formatOptions(target, request, agent));
     destroyOnAbort(outgoing, request.signal);
     limitConnecting(outgoing, request.connectLimitMs);
     outgoing.on('response', (response) => {
+      received = response;
+      detectReset(response);
       // A response that is cancelled after its reader has finished reports an error that nobody awaits.
       response.on('error', () => undefined);
       resolve(response);
     });
-    outgoing.on('error', (cause) => reject(toTransportError(cause, request.signal?.aborted === true, sent)));
+    outgoing.on('error', (cause) => {
+      reject(toTransportError(cause, request.signal?.aborted === true, sent));
+      // The parser takes a reset for the end of an answer that has no length.
+      received?.destroy(cause);
+    });
     const sendBody = (): void => {
       if (request.signal?.aborted === true || request.maySend?.() === false) {
         outgoing.destroy(new Error('the request was given up before it was sent'));
