--- a/packages/decide/src/batches/_lib/queuedJob.ts
+++ b/packages/decide/src/batches/_lib/queuedJob.ts
@@ -24,6 +24,9 @@
   sends: new Array<number>(job.pieceCount).fill(0),
 });
 
+/** Whether some piece waits for a call. */
+export const isOpen = ({ pieces }: QueuedJob): boolean => pieces.includes('waiting');
+
 /** Pieces that wait for a call, in the order of their jobs. */
 export const listPieces = (entries: readonly QueuedJob[]): WaitingPiece[] =>
   entries.flatMap(({ job, pieces }) => pieces.flatMap((state, piece) => (state === 'waiting' ? [{ job, piece }] : [])));
--- /dev/null
+++ b/packages/decide/src/batches/_lib/rankJobs.ts
@@ -0,0 +1,60 @@
+import type { QueuedJob } from './queuedJob.js';
+
+/** What the order of jobs depends on besides the jobs. */
+export interface RankFacts {
+  /** Time at which the next call can begin. */
+  readonly startMs: number;
+  /** Time from the begin of a full call to its end. */
+  readonly callMs: number;
+  /** Time that the servers of the pool together need for the waiting pieces of a job in full calls. */
+  readonly costMs: (entry: QueuedJob) => number;
+}
+
+/** Jobs in the order in which their pieces are sent. */
+export interface RankedJobs {
+  /** Jobs that are expected to be done by their due time, the earliest due time first. */
+  readonly onTime: readonly QueuedJob[];
+  /** The others, by value and then by the end of their use. */
+  readonly late: readonly QueuedJob[];
+}
+
+const density = (entry: QueuedJob, costMs: number): number => entry.job.value / Math.max(costMs, Number.MIN_VALUE);
+
+/**
+ * Orders jobs so that those done by their due time have the largest value together (Moore and Hodgson's rule with
+ * weights): jobs are scheduled by due time, and when one would be late, the scheduled one with the least value for its
+ * cost is put behind. Without it, a queue that is longer than the time left makes every job a little late.
+ *
+ * @param entries - jobs with waiting pieces
+ * @param facts - capacity of the pool
+ * @returns the order
+ */
+export default function rankJobs(entries: readonly QueuedJob[], facts: RankFacts): RankedJobs {
+  const byDue = [...entries].sort((a, b) => a.job.dueAtMs - b.job.dueAtMs);
+  const scheduled = new Map<QueuedJob, number>();
+  const late: QueuedJob[] = [];
+  let endMs = facts.startMs;
+  byDue.forEach((entry) => {
+    const costMs = facts.costMs(entry);
+    const isHopeless = facts.startMs + facts.callMs > entry.job.dueAtMs;
+    if (isHopeless) {
+      late.push(entry);
+      return;
+    }
+    scheduled.set(entry, costMs);
+    endMs += costMs;
+    while (endMs - costMs + facts.callMs > entry.job.dueAtMs && scheduled.size > 0) {
+      const [worst, worstMs] = [...scheduled].reduce((least, one) =>
+        density(...one) < density(...least) ? one : least,
+      );
+      scheduled.delete(worst);
+      late.push(worst);
+      endMs -= worstMs;
+      if (worst === entry) {
+        break;
+      }
+    }
+  });
+  late.sort((a, b) => b.job.value - a.job.value || a.job.expiresAtMs - b.job.expiresAtMs);
+  return { onTime: [...scheduled.keys()], late };
+}
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -8,8 +8,8 @@
   readSlowness,
   type ServerState,
 } from './_lib/createServerBook.js';
-import compareJobs from './_lib/compareJobs.js';
-import { createQueuedJob, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
+import rankJobs, { type RankedJobs } from './_lib/rankJobs.js';
+import { createQueuedJob, isOpen, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
 import type {
   BatchJob,
   BatchQueueView,
@@ -63,6 +63,8 @@
 /** Rest of a server that did not take a call. */
 const FULL_REST_MS = 60;
 const MIN_RETRY_AFTER_MS = 100;
+/** Slowness with which a pool without servers is counted. */
+const MAX_COUNTED_SLOWNESS = 10;
 /** Piece times are learnt only from calls that took less than this many times the usual time. */
 const USUAL_FACTOR = 1.5;
 const BYTES_PER_MB = 1_000_000;
@@ -86,10 +88,13 @@
 
   submit(job: BatchJob, nowMs: number): SubmitDecision {
     const entry = createQueuedJob(job);
-    const ahead = [...this.jobs.values()].filter((other) => compareJobs(other.job, job) <= 0);
-    const lateMs = nowMs + this.predictMs(listPieces([...ahead, entry]), nowMs) - job.expiresAtMs;
-    if (lateMs > 0 && this.servers.size > 0) {
-      return { type: 'refused', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, lateMs) };
+    const { onTime, late } = this.rank([...this.jobs.values(), entry], nowMs);
+    if (this.servers.size > 0 && !onTime.includes(entry)) {
+      const ahead = [...onTime, ...late.slice(0, late.indexOf(entry) + 1)];
+      const lateMs = nowMs + this.predictMs(listPieces(ahead), nowMs) - job.expiresAtMs;
+      if (lateMs > 0) {
+        return { type: 'refused', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, lateMs) };
+      }
     }
     this.jobs.set(job.jobId, entry);
     return { type: 'queued' };
@@ -116,7 +121,8 @@
   plan(nowMs: number): readonly PlannedCall[] {
     this.requeueOverdue(nowMs);
     const candidates = new Set([...this.servers.values()].filter((state) => state.restsUntilMs <= nowMs));
-    const waiting = listPieces([...this.jobs.values()].sort((a, b) => compareJobs(a.job, b.job)));
+    const { onTime, late } = this.rank([...this.jobs.values()], nowMs);
+    const waiting = listPieces([...onTime, ...late]);
     const planned: PlannedCall[] = [];
     while (candidates.size > 0 && waiting.length > 0) {
       const state = this.pickServer([...candidates], waiting, nowMs);
@@ -179,6 +185,25 @@
     };
   }
 
+  private rank(entries: readonly QueuedJob[], nowMs: number): RankedJobs {
+    const states = [...this.servers.values()];
+    const speed = states.reduce((sum, state) => sum + 1 / readSlowness(state, nowMs), 0);
+    const shareMs = this.spec.callMs / this.spec.maxPieces;
+    const callMs = this.spec.callMs + (this.spec.maxPieces * this.spec.pieceMs) / 2;
+    const count = Math.max(1, states.length);
+    const freeMs = states.reduce((sum, state) => sum + Math.max(nowMs, ...state.calls.values()), 0) / count;
+    // Servers end their calls at different times, so that the first one is free this much before their mean.
+    const spreadMs = (callMs * (count - 1)) / (2 * count);
+    return rankJobs(entries.filter(isOpen), {
+      startMs: Math.max(nowMs, freeMs - spreadMs),
+      callMs,
+      costMs: (entry) => {
+        const pieces = listPieces([entry]);
+        return (pieces.length * shareMs + this.workMs(pieces)) / Math.max(speed, 1 / MAX_COUNTED_SLOWNESS);
+      },
+    });
+  }
+
   /** The server that would finish the next batch first; far results count as time. */
   private pickServer(candidates: readonly ServerState[], waiting: readonly WaitingPiece[], nowMs: number): ServerState {
     const batch = waiting.slice(0, this.spec.maxPieces);
--- a/packages/decide/src/forwarding/index.ts
+++ b/packages/decide/src/forwarding/index.ts
@@ -1,3 +1,7 @@
 /** Attempts of requests whose bodies are not read. */
 export { default as decideRetry } from './decideRetry.js';
 export type { AttemptEnd, RetryDecision, RetryFacts } from './decideRetry.js';
+export { default as createSizeBook } from './createSizeBook.js';
+export type { SizeBook } from './createSizeBook.js';
+export { default as valueRequest } from './valueRequest.js';
+export type { ValueFacts } from './valueRequest.js';
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -1,5 +1,5 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
-import { matchRoute, type RouteIndex } from '@bergamotcove/decide';
+import { createSizeBook, matchRoute, valueRequest, type RouteIndex } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
 import readCallerBody from '../callers/readCallerBody.js';
@@ -20,6 +20,13 @@
 
 const NO_TABLE_RETRY_MS = 500;
 
+/** A generated token takes this many times as long as one that is read. */
+const OUTPUT_WEIGHT = 10;
+
+/** Size of a generation; 1 for other requests. */
+const measureSize = ({ generation }: RequestFacts): number =>
+  generation === undefined ? 1 : generation.promptTokens + OUTPUT_WEIGHT * generation.maxOutputTokens;
+
 /** The body length is stated anew, and these headers are never the caller's to set. */
 const withReframed = (format: RequestFormat): ReadonlySet<string> => new Set([...format.withheld, 'content-length']);
 
@@ -52,6 +59,8 @@
 class Handler {
   private readonly withheld: ReadonlySet<string>;
 
+  private readonly sizes = createSizeBook();
+
   constructor(private readonly options: RequestHandlerOptions) {
     this.withheld = withReframed(options.format);
   }
@@ -88,6 +97,8 @@
     const { request, arrivedAtMs } = exchange;
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
+    const priority = organisation?.priority ?? route.priority;
+    const sizeTokens = measureSize(facts);
     const forward: ForwardRequest = {
       requestId,
       method: request.method ?? 'GET',
@@ -97,7 +108,8 @@
       facts,
       route,
       organisation: route.keyless ? undefined : organisation,
-      priority: organisation?.priority ?? route.priority,
+      priority,
+      value: valueRequest({ priority, sizeTokens, meanSizeTokens: this.sizes.note(route.name, sizeTokens) }),
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
       version: index.table.version,
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -19,6 +19,8 @@
   readonly route: Route;
   readonly organisation: RouteOrganisation | undefined;
   readonly priority: number;
+  /** Worth of an answer on time, compared with that of other requests. */
+  readonly value: number;
   readonly arrivedAtMs: number;
   /** Monotonic time after which an answer is of no use, or the operator wants none any more. */
   readonly deadlineAtMs: number;
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -75,13 +75,13 @@
 
   run(job: StageJob): Promise<StageJobResult> {
     const nowMs = this.options.clock.monotonicMs();
-    const { jobId, kind, priority, resultBytes, failureDomain, pieces } = job;
+    const { jobId, kind, value, resultBytes, failureDomain, pieces } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
         jobId,
         kind,
-        priority,
+        value,
         resultBytes,
         failureDomain,
         pieceCount: pieces.length,
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -15,7 +15,8 @@
   readonly stage: number;
   /** Pieces of the same kind take about the same time. */
   readonly kind: string;
-  readonly priority: number;
+  /** Worth of the request, compared with that of others. */
+  readonly value: number;
   readonly dueInMs: number;
   readonly expiresInMs: number;
   readonly resultBytes: number;
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -93,7 +93,7 @@
   }
 
   private createJob(spec: RouteStage, stage: number): StageJob {
-    const { requestId, route, facts, priority } = this.request;
+    const { requestId, route, facts, value } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
     const { dueAtMs, expiresAtMs } = this.times[stage] as StageTimes;
     const inputs = spec.after.flatMap((before) => this.results[before] ?? []);
@@ -103,7 +103,7 @@
       requestId,
       stage,
       kind: `${route.name}/${stage}`,
-      priority,
+      value,
       dueInMs: dueAtMs - nowMs,
       expiresInMs: expiresAtMs - nowMs,
       resultBytes: spec.resultBytes,
