Release results of earlier batch owners and rest full stage servers

Results that a stopped or silent owner had made were never released, because the next owner did not know them, and a server without room was sent the same pieces again at once. Change: an owner releases any result at its maker; a server without room rests for 250 ms.

--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -62,6 +62,8 @@
 const MAX_REST_MS = 1_200;
 /** Rest of a server that did not take a call. */
 const FULL_REST_MS = 60;
+/** Time for which a server that had no room for a result gets no pieces. */
+const FULL_ROOM_MS = 250;
 const MIN_RETRY_AFTER_MS = 100;
 /** Slowness with which a pool without servers is counted. */
 const MAX_COUNTED_SLOWNESS = 10;
@@ -315,6 +317,9 @@
     call.pieces.forEach(({ job }, index) => {
       if (outcomes[index] === 'done') {
         call.state.held.push({ bytes: job.resultBytes, expiresAtMs });
+      } else if (outcomes[index] === 'no-room') {
+        // Results that this owner does not know of take up room; they go soon or when they expire.
+        call.state.held.push({ bytes: this.spec.roomBytes, expiresAtMs: nowMs + FULL_ROOM_MS });
       }
     });
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -101,6 +101,8 @@
   /** Reads the answer; undefined when it is not one. */
   readRun(body: string): readonly PieceAnswer[] | undefined;
   formatRelease(results: readonly string[]): string;
+  /** Address of the server that holds a result, `IP:PORT`. */
+  readMaker(result: string): string;
   /** Headers of a call to the server, names and values in turn. */
   formatHeaders(serverId: string): readonly string[];
 }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -111,10 +111,14 @@
     const byServer = new Map<string, string[]>();
     results.forEach((result) => {
       const held = this.held.get(result);
+      this.held.delete(result);
       if (held !== undefined) {
-        this.held.delete(result);
         this.queue.release(held.serverId, held.resultBytes);
-        byServer.set(held.serverId, [...(byServer.get(held.serverId) ?? []), result]);
+      }
+      // Results that were made for an owner before this one take up room as well.
+      const serverId = held?.serverId ?? this.findMaker(result);
+      if (serverId !== undefined) {
+        byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
       }
     });
     byServer.forEach((released, serverId) => this.sendRelease(serverId, released));
@@ -260,6 +264,12 @@
     this.release((open?.results ?? []).filter((result) => result !== undefined));
   }
 
+  private findMaker(result: string): string | undefined {
+    const { directory, format, pool } = this.options;
+    const maker = format.readMaker(result);
+    return directory.list(pool).find(({ address, port }) => `${address}:${port}` === maker)?.serverId;
+  }
+
   private sendRelease(serverId: string, results: readonly string[]): void {
     const { http, format, directory } = this.options;
     const server = directory.find(serverId);
