--- a/packages/decide/src/batches/_lib/createPieceTimes.ts
+++ b/packages/decide/src/batches/_lib/createPieceTimes.ts
@@ -6,6 +6,8 @@
   read(kind: string): number;
   /** A call with these pieces took so long at a server of usual speed, without the fixed part of a call. */
   learn(kinds: readonly string[], workMs: number): void;
+  /** Times of the kinds that were seen. */
+  list(): Readonly<Record<string, number>>;
 }
 
 /** Part of the error of a call that is corrected at once. */
@@ -25,6 +27,7 @@
   const read = (kind: string): number => learnt.get(kind) ?? spec.pieceMs;
   return {
     read,
+    list: () => Object.fromEntries(learnt),
     learn: (kinds, workMs) => {
       const counts = new Map<string, number>();
       kinds.forEach((kind) => counts.set(kind, (counts.get(kind) ?? 0) + 1));
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -12,6 +12,7 @@
 import { createQueuedJob, isOpen, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
 import type {
   BatchJob,
+  BatchPoolState,
   BatchQueueView,
   BatchServer,
   CallOutcome,
@@ -41,6 +42,8 @@
   /** When `plan` and `expire` should be asked again without an event, or undefined. */
   nextCheckMs(nowMs: number): number | undefined;
   view(nowMs: number): BatchQueueView;
+  /** How the servers do, for those who decide what begins. */
+  readState(nowMs: number): BatchPoolState;
 }
 
 interface RunningCall {
@@ -187,9 +190,18 @@
     };
   }
 
+  readState(nowMs: number): BatchPoolState {
+    return { speed: this.speed(nowMs), pieceMs: this.times.list() };
+  }
+
+  private speed(nowMs: number): number {
+    const usable = [...this.servers.values()].filter((state) => state.restsUntilMs <= nowMs);
+    return usable.reduce((sum, state) => sum + 1 / readSlowness(state, nowMs), 0);
+  }
+
   private rank(entries: readonly QueuedJob[], nowMs: number): RankedJobs {
     const states = [...this.servers.values()];
-    const speed = states.reduce((sum, state) => sum + 1 / readSlowness(state, nowMs), 0);
+    const speed = this.speed(nowMs);
     const shareMs = this.spec.callMs / this.spec.maxPieces;
     const callMs = this.spec.callMs + (this.spec.maxPieces * this.spec.pieceMs) / 2;
     const count = Math.max(1, states.length);
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -1,5 +1,3 @@
-import type { BatchSpec } from '@bergamotcove/config';
-
 /** All pieces of one stage of one request. */
 export interface BatchJob {
   readonly jobId: string;
@@ -81,5 +79,10 @@
   readonly waitMs: number;
 }
 
-/** How the pool of a queue works. */
-export type BatchPoolSpec = BatchSpec;
+/** How the servers of a queue do. */
+export interface BatchPoolState {
+  /** Servers, each counted by its speed relative to what is usual. */
+  readonly speed: number;
+  /** Learnt times of pieces by kind. */
+  readonly pieceMs: Readonly<Record<string, number>>;
+}
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -6,6 +6,7 @@
 export * from './batches/index.js';
 export * from './forwarding/index.js';
 export * from './routes/index.js';
+export * from './scheduling/index.js';
 export * from './routing/types.js';
 export { default as adaptWindow } from './routing/adaptWindow.js';
 export type { WindowFacts } from './routing/adaptWindow.js';
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -32,6 +32,8 @@
   /** Servers of a pool that may get new work. */
   list(pool: string): readonly KnownServer[];
   find(serverId: string): KnownServer | undefined;
+  /** The server at an address, `IP:PORT`. */
+  findAt(address: string): KnownServer | undefined;
   /** Servers of a pool with what this host has learnt about them. */
   view(pool: string): PoolView;
   note(serverId: string, event: ServerEventInput): void;
@@ -83,6 +85,8 @@
 
   private pools = new Map<string, KnownServer[]>();
 
+  private byAddress = new Map<string, KnownServer>();
+
   private revision = 0;
 
   private storeLost = false;
@@ -99,6 +103,10 @@
     return this.entries.get(serverId)?.server;
   }
 
+  findAt(address: string): KnownServer | undefined {
+    return this.byAddress.get(address);
+  }
+
   view(pool: string): PoolView {
     return this.book.view(pool, this.list(pool).map(Directory.describe), this.options.clock.monotonicMs());
   }
@@ -222,12 +230,17 @@
 
   private arrange(): void {
     const pools = new Map<string, KnownServer[]>();
+    const byAddress = new Map<string, KnownServer>();
     this.entries.forEach(({ server }) => {
+      if (server !== undefined) {
+        byAddress.set(`${server.address}:${server.port}`, server);
+      }
       if (server?.state === 'live' && !this.gone.has(Directory.incarnation(server))) {
         pools.set(server.pool, [...(pools.get(server.pool) ?? []), server]);
       }
     });
     this.pools = pools;
+    this.byAddress = byAddress;
     this.book.retain(new Set(this.entries.keys()));
     this.listeners.forEach((run) => run());
   }
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -21,8 +21,10 @@
   start(): void;
   /** All listed hosts, this one included. */
   list(): readonly HostEntry[];
-  /** Hosts in the order in which they own a duty of this region, those that do not answer left out. */
-  rankOwners(duty: string): readonly HostEntry[];
+  /** Regions with listed hosts. */
+  regions(): readonly string[];
+  /** Hosts in the order in which they own a duty of a region, by default the own one; silent ones are left out. */
+  rankOwners(duty: string, region?: string): readonly HostEntry[];
   /** A host did not answer; it owns no duty for a while. */
   noteSilent(hostId: string): void;
   put(key: string, text: string): void;
@@ -88,10 +90,14 @@
     return [...byId.values()];
   }
 
-  rankOwners(duty: string): readonly HostEntry[] {
+  regions(): readonly string[] {
+    return [...new Set(this.list().map(({ region }) => region))];
+  }
+
+  rankOwners(duty: string, region: string = this.self.region): readonly HostEntry[] {
     const nowMs = this.options.clock.monotonicMs();
     const isUsable = (host: HostEntry): boolean =>
-      host.region === this.self.region && (this.silentUntilMs.get(host.hostId) ?? 0) <= nowMs;
+      host.region === region && (this.silentUntilMs.get(host.hostId) ?? 0) <= nowMs;
     const byId = new Map(
       this.list()
         .filter(isUsable)
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -11,7 +11,8 @@
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
-import type { RequestFormat } from '../ports.js';
+import type { RequestFormat, StageFormat } from '../ports.js';
+import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import placeAttempt from '../servers/placeAttempt.js';
 import openAttempt, { type OpenedAttempt } from '../servers/openAttempt.js';
@@ -22,6 +23,7 @@
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
 import relayStream from './relayStream.js';
+import Reservation from './Reservation.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AnswerHead, ForwardRequest } from './types.js';
 
@@ -34,6 +36,9 @@
   readonly queues: PoolQueues;
   readonly stages: StageClient;
   readonly format: RequestFormat;
+  readonly stageFormat: StageFormat;
+  readonly scheduler: SchedulerClient;
+  readonly region: string;
   readonly failureDomain: string;
   readonly random: () => number;
   /** Takes room for one repeated send to a pool. */
@@ -67,8 +72,14 @@
 
   private readonly results: HeldResults;
 
+  private readonly pool: string;
+
+  private readonly reservation: Reservation;
+
   private rounds = 0;
 
+  private entered = false;
+
   /** Whether the attempt in flight has left this host and may run. */
   private inFlight = false;
 
@@ -85,6 +96,8 @@
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
     this.results = new HeldResults(request, ports.stages);
+    this.pool = this.pickPool();
+    this.reservation = new Reservation(request, this.pool, ports);
   }
 
   /** Answers the request; never rejects. */
@@ -93,10 +106,11 @@
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
     this.exchange.onGone(() => this.end('caller-gone', 0, 'caller-gone'));
     try {
-      await this.serve(this.pickPool());
+      await this.serve();
     } finally {
       timer.close();
       this.results.release();
+      this.reservation.leave();
     }
     return this.record.finish();
   }
@@ -117,14 +131,14 @@
     return (picked ?? pools.at(-1))?.pool ?? '';
   }
 
-  private async serve(pool: string): Promise<void> {
+  private async serve(): Promise<void> {
     while (!this.ended) {
       // Each step depends on the one before.
       /* eslint-disable no-await-in-loop */
-      if (!(await this.prepare())) {
+      if (!(await this.enter()) || !(await this.prepare())) {
         return;
       }
-      const server = await this.place(pool);
+      const server = await this.place();
       if (server === undefined) {
         return;
       }
@@ -133,12 +147,27 @@
       if (result.type === 'delivered' || this.ended) {
         return;
       }
-      if (!this.goesOn(pool, server, result)) {
+      if (!this.goesOn(server, result)) {
         return;
       }
     }
   }
 
+  /** Asks the scheduler before the first step of a request with stages; false when the request ended. */
+  private async enter(): Promise<boolean> {
+    if (this.entered || this.request.route.stages.length === 0) {
+      return true;
+    }
+    this.entered = true;
+    const entry = await this.reservation.enter();
+    if (entry.type === 'refused') {
+      this.refuse(503, 'overloaded', entry.retryAfterMs);
+    } else {
+      this.record.noteEntry(entry);
+    }
+    return !this.ended;
+  }
+
   /** Runs the stages unless their results exist; false when the request ended with them. */
   private async prepare(): Promise<boolean> {
     if (this.results.complete) {
@@ -146,14 +175,24 @@
     }
     this.rounds += 1;
     const { clock, stages: client, failureDomain } = this.ports;
+    const { region } = this.reservation;
     const options = { signal: this.abort.signal, round: this.rounds };
-    const outcome = await runStages(this.request, { clock, client, index: this.index, failureDomain }, options);
+    const ports = {
+      clock,
+      client,
+      index: this.index,
+      region,
+      failureDomain: this.reservation.failureDomain ?? failureDomain,
+      yields: this.reservation.tier === 'late',
+      onStageEnded: (stage: number) => this.reservation.endStage(stage),
+    };
+    const outcome = await runStages(this.request, ports, options);
     this.record.noteStages();
     if (outcome.type === 'failed') {
       this.refuseStages(outcome);
       return false;
     }
-    this.results.keep(outcome.results);
+    this.results.keep(outcome.results, region);
     if (this.ended) {
       this.results.release();
     }
@@ -166,8 +205,15 @@
   }
 
   /** Waits for a server with room; undefined when the request ended before. */
-  private async place(pool: string): Promise<ServerView | undefined> {
-    const placement = { request: this.request, pool, avoidServers: this.avoidServers, ...this.work };
+  private async place(): Promise<ServerView | undefined> {
+    const serverId = await this.reservation.place(this.results, this.avoidServers);
+    const placement = {
+      request: this.request,
+      pool: this.pool,
+      serverId,
+      avoidServers: this.avoidServers,
+      ...this.work,
+    };
     const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => this.ended });
     if (placed.type === 'placed') {
       this.record.notePlaced();
@@ -201,6 +247,7 @@
     const result = await this.readAttempt(server, opened);
     const elapsedMs = clock.monotonicMs() - startedAtMs;
     this.inFlight = false;
+    this.reservation.noteAttempt(opened.type === 'failed' && !this.ended ? 'failed' : 'ended');
     if (result.type === 'delivered' || result.end.type === 'answered') {
       directory.note(server.serverId, { type: 'progress', tokens, elapsedMs });
       directory.note(server.serverId, { type: 'answered' });
@@ -247,6 +294,7 @@
     }
     this.record.noteRun(true);
     this.record.noteFirstByte();
+    this.reservation.noteFirstToken(facts.load?.slowness);
     if (this.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
       return this.relay(opened);
     }
@@ -281,7 +329,7 @@
   }
 
   /** Applies what follows an attempt; true when the request is sent again. */
-  private goesOn(pool: string, server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
+  private goesOn(server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
     const { clock, logger, pools, spendRetry } = this.ports;
     const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
     const { runs, sends } = this.record;
@@ -292,9 +340,9 @@
       sends,
       maxAttempts: this.request.route.maxAttempts,
       remainingMs,
-      usualMs: pools.usualMs(pool),
+      usualMs: pools.usualMs(this.pool),
     });
-    const allowed = wanted !== 'send-again' || spendRetry(pool);
+    const allowed = wanted !== 'send-again' || spendRetry(this.pool);
     const withoutBudget: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
     const decision = allowed ? wanted : withoutBudget;
     if (decision !== 'pass-on') {
--- a/packages/gateway/src/requests/HeldResults.ts
+++ b/packages/gateway/src/requests/HeldResults.ts
@@ -6,6 +6,8 @@
 export default class HeldResults {
   private results: StageResults | undefined;
 
+  private region = '';
+
   constructor(
     private readonly request: ForwardRequest,
     private readonly client: StageClient,
@@ -21,8 +23,19 @@
     return this.request.route.stages.length === 0 || this.results !== undefined;
   }
 
-  keep(results: StageResults): void {
+  /** Keeps results that lie in a region. */
+  keep(results: StageResults, region: string): void {
     this.results = results;
+    this.region = region;
+  }
+
+  /** Results of the last stages with the usual size of each. */
+  listLast(): readonly { readonly result: string; readonly resultBytes: number }[] {
+    const { stages } = this.request.route;
+    const followed = new Set(stages.flatMap(({ after }) => after));
+    return stages.flatMap(({ resultBytes }, stage) =>
+      followed.has(stage) ? [] : (this.results?.byStage[stage] ?? []).map((result) => ({ result, resultBytes })),
+    );
   }
 
   /** The results do not exist any more. */
@@ -36,7 +49,7 @@
     this.results = undefined;
     if (results !== undefined) {
       this.request.route.stages.forEach(({ pool }, stage) => {
-        this.client.release(pool, results.byStage[stage] ?? []);
+        this.client.release(this.region, pool, results.byStage[stage] ?? []);
       });
     }
   }
--- /dev/null
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -0,0 +1,120 @@
+import type { EngineEvent } from '@bergamotcove/decide';
+import type { ForwardRequest } from './types.js';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { StageFormat } from '../ports.js';
+import type { GenerationRequest } from '../scheduling/messages.js';
+import type { Entry, SchedulerClient } from '../scheduling/createSchedulerClient.js';
+import type HeldResults from './HeldResults.js';
+
+/** Parts that a reservation needs. */
+export interface ReservationPorts {
+  readonly scheduler: SchedulerClient;
+  readonly directory: BackendDirectory;
+  readonly stageFormat: StageFormat;
+  readonly clock: { monotonicMs(): number };
+  readonly region: string;
+}
+
+/** The place of one request in the schedule of a region. */
+export default class Reservation {
+  /** Region whose servers serve the request. */
+  region: string;
+
+  /** Failure domain whose servers are preferred. */
+  failureDomain: string | undefined;
+
+  tier: 'on-time' | 'late' = 'on-time';
+
+  private entered = false;
+
+  constructor(
+    private readonly request: ForwardRequest,
+    private readonly pool: string,
+    private readonly ports: ReservationPorts,
+  ) {
+    this.region = ports.region;
+  }
+
+  /** Asks whether the request begins. A request that has begun is not asked again. */
+  async enter(): Promise<Entry> {
+    const { requestId, value, route, facts, arrivedAtMs, deadlineAtMs } = this.request;
+    const nowMs = this.ports.clock.monotonicMs();
+    const entry = await this.ports.scheduler.enter({
+      requestId,
+      value,
+      stages: route.stages.map(({ pool, after }, stage) => ({
+        pool,
+        after,
+        pieces: facts.pieceCounts[stage] ?? 0,
+        kind: `${route.name}/${stage}`,
+      })),
+      dueInMs: arrivedAtMs + route.objectiveMs - nowMs,
+      deadlineInMs: deadlineAtMs - nowMs,
+      generation: this.describeGeneration(),
+    });
+    if (entry.type === 'admitted') {
+      this.entered = true;
+      this.region = entry.region;
+      this.failureDomain = entry.failureDomain;
+      this.tier = entry.tier;
+    }
+    return entry;
+  }
+
+  endStage(stage: number): void {
+    const { requestId } = this.request;
+    this.ports.scheduler.note(this.region, { type: 'stage-ended', requestId, stage });
+  }
+
+  /** Engine for the generation, or undefined when the scheduler names none. */
+  place(results: HeldResults, avoidServers: readonly string[]): Promise<string | undefined> {
+    const generation = this.describeGeneration();
+    if (generation === undefined) {
+      return Promise.resolve(undefined);
+    }
+    const { requestId } = this.request;
+    const resultBytes = this.countBytes(results);
+    return this.ports.scheduler.place(this.region, { ...generation, requestId, resultBytes, avoidServers });
+  }
+
+  noteFirstToken(slowness: number | undefined): void {
+    const { requestId } = this.request;
+    this.noteEngine({ type: 'first-token', requestId, slowness });
+  }
+
+  /** The attempt in flight has ended. */
+  noteAttempt(type: 'ended' | 'failed'): void {
+    this.noteEngine({ type, requestId: this.request.requestId });
+  }
+
+  leave(): void {
+    if (this.entered) {
+      this.entered = false;
+      this.ports.scheduler.note(this.region, { type: 'left', requestId: this.request.requestId });
+    }
+  }
+
+  private noteEngine(event: EngineEvent): void {
+    if (this.entered) {
+      this.ports.scheduler.note(this.region, { type: 'engine', pool: this.pool, event });
+    }
+  }
+
+  private describeGeneration(): GenerationRequest | undefined {
+    const { generation } = this.request.facts;
+    return generation === undefined
+      ? undefined
+      : { pool: this.pool, parts: generation.parts, promptTokens: generation.promptTokens };
+  }
+
+  private countBytes(results: HeldResults): Readonly<Record<string, number>> {
+    const bytes: Record<string, number> = {};
+    results.listLast().forEach(({ result, resultBytes }) => {
+      const maker = this.ports.directory.findAt(this.ports.stageFormat.readMaker(result));
+      if (maker !== undefined) {
+        bytes[maker.failureDomain] = (bytes[maker.failureDomain] ?? 0) + resultBytes;
+      }
+    });
+    return bytes;
+  }
+}
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -10,6 +10,9 @@
   readonly runs: number;
   /** Servers that the request was sent to, in order. */
   readonly serverIds: readonly string[];
+  /** Region that served the request, and whether it was expected to be on time; undefined without stages. */
+  readonly region: string | undefined;
+  readonly tier: string | undefined;
   /** Times since arrival; undefined for steps that were not reached. */
   readonly stagesMs: number | undefined;
   readonly placedMs: number | undefined;
@@ -23,6 +26,10 @@
 
   private readonly serverIds: string[] = [];
 
+  private region: string | undefined;
+
+  private tier: string | undefined;
+
   private stagesMs: number | undefined;
 
   private placedMs: number | undefined;
@@ -44,6 +51,11 @@
     return this.serverIds.length;
   }
 
+  noteEntry({ region, tier }: { readonly region: string; readonly tier: string }): void {
+    this.region = region;
+    this.tier = tier;
+  }
+
   noteStages(): void {
     this.stagesMs = this.elapsedMs();
   }
@@ -74,6 +86,8 @@
       sends: this.sends,
       runs: this.runs,
       serverIds: this.serverIds,
+      region: this.region,
+      tier: this.tier,
       stagesMs: this.stagesMs,
       placedMs: this.placedMs,
       firstByteMs: this.firstByteMs,
--- /dev/null
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -0,0 +1,302 @@
+import type { Clock, Timer } from '@bergamotcove/clock';
+import {
+  createEngineBook,
+  createWorkLedger,
+  decideEntry,
+  predictPipeline,
+  type EngineBook,
+  type EntryDecision,
+  type EntryOutlook,
+  type GenerationNeed,
+  type PipelineNeed,
+  type StagePoolState,
+  type WorkLedger,
+} from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import {
+  ENTER,
+  NOTE,
+  PLACE,
+  REPORT_POOL,
+  REPORT_REGION,
+  type EnterAnswer,
+  type EnterRequest,
+  type PlaceAnswer,
+  type PlaceRequest,
+  type PoolReport,
+  type RegionReport,
+  type RequestNote,
+} from './messages.js';
+
+/** Decides for all hosts of a region which requests begin, and on which engines they run. */
+export interface RegionScheduler {
+  enter(request: EnterRequest): EnterAnswer;
+  place(request: PlaceRequest): PlaceAnswer;
+  note(note: RequestNote): void;
+  reportPool(report: PoolReport): void;
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+  start(hosts: HostRegistry): void;
+  close(): void;
+}
+
+/** Options of {@link createRegionScheduler}. */
+export interface RegionSchedulerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly links: LinkClient;
+  readonly directory: BackendDirectory;
+  readonly tables: RouteTableHolder;
+  readonly region: string;
+}
+
+/** Duty of the scheduler among the hosts of a region. */
+export const SCHEDULER_DUTY = 'schedule';
+
+/** Interval of the reports to other regions while requests come. */
+const REPORT_MS = 250;
+/** Reports of other regions hold for this time. */
+const REPORT_LIFETIME_MS = 1_000;
+/** Time that each hop to another region takes more. */
+const REGION_HOP_MS = 25;
+/** A region is left only for one that is expected to be this much earlier. */
+const REGION_GAIN_MS = 150;
+/** Time from the last stage to the first token when nothing is known of the engines. */
+const UNKNOWN_ANSWER_MS = 150;
+
+class Scheduler implements RegionScheduler {
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+
+  private readonly ledger: WorkLedger;
+
+  private readonly engines = new Map<string, EngineBook>();
+
+  private readonly reports = new Map<string, PoolReport>();
+
+  private readonly regions = new Map<string, { readonly report: RegionReport; readonly atMs: number }>();
+
+  /** Open requests of other hosts, which end with the link to their host. */
+  private readonly visitors = new Map<LinkPeer, Set<string>>();
+
+  private enteredAtMs = -Infinity;
+
+  private timer: Timer | undefined;
+
+  constructor(private readonly options: RegionSchedulerOptions) {
+    this.ledger = createWorkLedger((pool) => this.findPool(pool));
+    options.directory.onChange(() => this.engines.forEach((book, pool) => this.listEngines(book, pool)));
+    this.methods = {
+      [ENTER]: (params, peer) => {
+        const request = params as EnterRequest;
+        this.findVisitors(peer).add(request.requestId);
+        return this.enter(request);
+      },
+      [PLACE]: (params) => this.place(params as PlaceRequest),
+      [NOTE]: (params, peer) => {
+        const note = params as RequestNote;
+        if (note.type === 'left') {
+          this.findVisitors(peer).delete(note.requestId);
+        }
+        this.note(note);
+        return true;
+      },
+      [REPORT_POOL]: (params) => {
+        this.reportPool(params as PoolReport);
+        return true;
+      },
+      [REPORT_REGION]: (params) => {
+        const report = params as RegionReport;
+        this.regions.set(report.region, { report, atMs: this.options.clock.monotonicMs() });
+        return true;
+      },
+    };
+  }
+
+  enter(request: EnterRequest): EnterAnswer {
+    const nowMs = this.options.clock.monotonicMs();
+    this.enteredAtMs = nowMs;
+    this.ledger.expire(nowMs);
+    const engine = this.previewEngine(request, nowMs);
+    const need: PipelineNeed = {
+      requestId: request.requestId,
+      value: request.value,
+      stages: request.stages,
+      dueAtMs: nowMs + request.dueInMs,
+      deadlineAtMs: nowMs + request.deadlineInMs,
+      arrivedAtMs: nowMs,
+    };
+    const outlook = this.createOutlook(engine?.firstTokenMs ?? UNKNOWN_ANSWER_MS, nowMs);
+    const decision = decideEntry(need, outlook);
+    if (decision.type !== 'on-time' && !request.visiting) {
+      const region = this.findEarlier(need, outlook);
+      if (region !== undefined) {
+        return { type: 'elsewhere', region };
+      }
+    }
+    this.log(request, decision);
+    if (decision.type === 'refused') {
+      return decision;
+    }
+    this.ledger.add(need);
+    return { type: 'admitted', tier: decision.type, failureDomain: engine?.failureDomain };
+  }
+
+  place(request: PlaceRequest): PlaceAnswer {
+    const nowMs = this.options.clock.monotonicMs();
+    const book = this.findBook(request.pool);
+    const need: GenerationNeed = {
+      requestId: request.requestId,
+      parts: request.parts,
+      promptTokens: request.promptTokens,
+      resultBytes: new Map(Object.entries(request.resultBytes)),
+      avoidServers: request.avoidServers,
+    };
+    const choice = book.choose(need, nowMs);
+    if (choice === undefined) {
+      return {};
+    }
+    book.place(need, choice, nowMs);
+    return { serverId: choice.serverId };
+  }
+
+  note(note: RequestNote): void {
+    switch (note.type) {
+      case 'stage-ended':
+        this.ledger.endStage(note.requestId, note.stage);
+        break;
+      case 'left':
+        this.ledger.remove(note.requestId);
+        break;
+      default:
+        this.engines.get(note.pool)?.note(note.event, this.options.clock.monotonicMs());
+    }
+  }
+
+  reportPool(report: PoolReport): void {
+    this.reports.set(report.pool, report);
+  }
+
+  /** Tells the schedulers of other regions the load of this one while requests come. */
+  start(hosts: HostRegistry): void {
+    this.timer = this.options.clock.schedule(REPORT_MS, () => {
+      this.start(hosts);
+      const nowMs = this.options.clock.monotonicMs();
+      if (nowMs - this.enteredAtMs > REPORT_LIFETIME_MS) {
+        return;
+      }
+      const loadMs = Object.fromEntries([...this.reports.keys()].map((pool) => [pool, this.ledger.loadMs(pool, 0)]));
+      const report: RegionReport = { region: this.options.region, loadMs };
+      hosts.regions().forEach((region) => {
+        const [owner] = hosts.rankOwners(SCHEDULER_DUTY, region);
+        if (region !== this.options.region && owner !== undefined) {
+          this.options.links.call(owner.target, REPORT_REGION, report).catch(() => hosts.noteSilent(owner.hostId));
+        }
+      });
+    });
+  }
+
+  close(): void {
+    this.timer?.close();
+  }
+
+  private findVisitors(peer: LinkPeer): Set<string> {
+    const known = this.visitors.get(peer);
+    if (known !== undefined) {
+      return known;
+    }
+    const visitors = new Set<string>();
+    this.visitors.set(peer, visitors);
+    peer.onClose(() => {
+      this.visitors.delete(peer);
+      visitors.forEach((requestId) => this.ledger.remove(requestId));
+    });
+    return visitors;
+  }
+
+  private createOutlook(answerMs: number, nowMs: number): EntryOutlook {
+    return {
+      nowMs,
+      findPool: (pool) => this.findPool(pool),
+      loadMs: (pool, minValue) => this.ledger.loadMs(pool, minValue),
+      answerMs,
+      hopMs: 0,
+    };
+  }
+
+  /** A region that is expected to serve the request on time, by its last report. */
+  private findEarlier(need: PipelineNeed, outlook: EntryOutlook): string | undefined {
+    const localMs = predictPipeline(need, { ...outlook, loadMs: (pool) => outlook.loadMs(pool, need.value / 2) });
+    return [...this.regions.values()]
+      .filter(({ atMs }) => outlook.nowMs - atMs < REPORT_LIFETIME_MS)
+      .map(({ report }) => {
+        const loadMs = (pool: string): number => report.loadMs[pool] ?? 0;
+        return { region: report.region, endMs: predictPipeline(need, { ...outlook, loadMs, hopMs: REGION_HOP_MS }) };
+      })
+      .filter(({ endMs }) => endMs <= need.dueAtMs && endMs + REGION_GAIN_MS <= localMs)
+      .sort((a, b) => a.endMs - b.endMs)[0]?.region;
+  }
+
+  private previewEngine(request: EnterRequest, nowMs: number) {
+    const { generation, requestId } = request;
+    if (generation === undefined) {
+      return undefined;
+    }
+    const need = { requestId, ...generation, resultBytes: new Map<string, number>(), avoidServers: [] };
+    return this.findBook(generation.pool).choose(need, nowMs);
+  }
+
+  private findPool(pool: string): StagePoolState | undefined {
+    const spec = this.options.tables.current()?.pools.get(pool)?.batch;
+    if (spec === undefined) {
+      return undefined;
+    }
+    const report = this.reports.get(pool);
+    const servers = this.options.directory.list(pool).filter(({ region }) => region === this.options.region);
+    const speed = Math.min(report?.speed ?? Infinity, servers.length);
+    return { spec, speed, pieceMs: new Map(Object.entries(report?.pieceMs ?? {})) };
+  }
+
+  private findBook(pool: string): EngineBook {
+    const known = this.engines.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const book = createEngineBook();
+    this.engines.set(pool, book);
+    this.listEngines(book, pool);
+    return book;
+  }
+
+  private listEngines(book: EngineBook, pool: string): void {
+    const capacityTokens = this.options.tables.current()?.pools.get(pool)?.engine?.capacityTokens ?? 0;
+    const all = this.options.directory.list(pool);
+    const near = all.filter(({ region }) => region === this.options.region);
+    book.setEngines((near.length > 0 ? near : all).map((server) => ({ ...server, capacityTokens })));
+  }
+
+  private log({ requestId, value }: EnterRequest, decision: EntryDecision): void {
+    if (decision.type !== 'on-time') {
+      this.options.logger.event('requestDelayed', {
+        requestId,
+        decision: decision.type,
+        worth: Math.round(value * 100) / 100,
+        open: this.ledger.size,
+        loadsMs: [...this.reports.keys()].map((pool) => `${pool} ${Math.round(this.ledger.loadMs(pool, 0))}`),
+        ...(decision.type === 'refused' ? { retryAfterMs: Math.round(decision.retryAfterMs) } : {}),
+      });
+    }
+  }
+}
+
+/**
+ * Creates the scheduler of a region. Every host has one; the host that the ranking names is asked.
+ *
+ * @param options - servers, route table and links to other hosts
+ * @returns the scheduler; close it to stop its reports
+ */
+export default function createRegionScheduler(options: RegionSchedulerOptions): RegionScheduler {
+  return new Scheduler(options);
+}
--- /dev/null
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -0,0 +1,159 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { Logger } from '@bergamotcove/log';
+import type { LinkClient } from '@bergamotcove/transport';
+import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import { SCHEDULER_DUTY, type RegionScheduler } from './createRegionScheduler.js';
+import {
+  ENTER,
+  NOTE,
+  PLACE,
+  REPORT_POOL,
+  type EnterAnswer,
+  type EnterRequest,
+  type PlaceAnswer,
+  type PlaceRequest,
+  type PoolReport,
+  type RequestNote,
+} from './messages.js';
+
+/** Answer to a request that wants to begin. */
+export type Entry =
+  | {
+      readonly type: 'admitted';
+      /** Region whose servers serve the request. */
+      readonly region: string;
+      readonly tier: 'on-time' | 'late';
+      readonly failureDomain: string | undefined;
+    }
+  | { readonly type: 'refused'; readonly retryAfterMs: number };
+
+/** Asks the schedulers of the regions, wherever they are. */
+export interface SchedulerClient {
+  /** Without an answer in time the request begins in the own region. */
+  enter(request: Omit<EnterRequest, 'visiting'>): Promise<Entry>;
+  /** Id of the engine, or undefined when the scheduler does not answer or knows none. */
+  place(region: string, request: PlaceRequest): Promise<string | undefined>;
+  note(region: string, note: RequestNote): void;
+  reportPool(report: PoolReport): void;
+}
+
+/** Options of {@link createSchedulerClient}. */
+export interface SchedulerClientOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly hosts: HostRegistry;
+  readonly links: LinkClient;
+  readonly local: RegionScheduler;
+  readonly region: string;
+}
+
+/** A scheduler in the own region answers in a few ms; a request does not wait for one that is frozen. */
+const ANSWER_LIMIT_MS = 120;
+const FAR_ANSWER_LIMIT_MS = 250;
+
+class Client implements SchedulerClient {
+  constructor(private readonly options: SchedulerClientOptions) {}
+
+  async enter(request: Omit<EnterRequest, 'visiting'>): Promise<Entry> {
+    const { region } = this.options;
+    const answer = await this.askEntry(region, { ...request, visiting: false }, ANSWER_LIMIT_MS);
+    if (answer?.type !== 'elsewhere') {
+      return Client.toEntry(answer, region);
+    }
+    const far = await this.askEntry(answer.region, { ...request, visiting: true }, FAR_ANSWER_LIMIT_MS);
+    return Client.toEntry(far, far === undefined ? region : answer.region);
+  }
+
+  async place(region: string, request: PlaceRequest): Promise<string | undefined> {
+    const owner = this.findOwner(region);
+    if (owner === undefined) {
+      return undefined;
+    }
+    if (this.isLocal(owner)) {
+      return this.options.local.place(request).serverId;
+    }
+    const limitMs = region === this.options.region ? ANSWER_LIMIT_MS : FAR_ANSWER_LIMIT_MS;
+    const answer = await this.ask(owner, PLACE, request, limitMs);
+    return (answer as PlaceAnswer | undefined)?.serverId;
+  }
+
+  note(region: string, note: RequestNote): void {
+    this.tell(region, NOTE, note, () => this.options.local.note(note));
+  }
+
+  reportPool(report: PoolReport): void {
+    this.tell(this.options.region, REPORT_POOL, report, () => this.options.local.reportPool(report));
+  }
+
+  private static toEntry(answer: EnterAnswer | undefined, region: string): Entry {
+    if (answer?.type === 'refused') {
+      return answer;
+    }
+    const tier = answer?.type === 'admitted' ? answer.tier : 'on-time';
+    const failureDomain = answer?.type === 'admitted' ? answer.failureDomain : undefined;
+    return { type: 'admitted', region, tier, failureDomain };
+  }
+
+  private async askEntry(region: string, request: EnterRequest, limitMs: number): Promise<EnterAnswer | undefined> {
+    const owner = this.findOwner(region);
+    if (owner === undefined) {
+      return undefined;
+    }
+    return this.isLocal(owner)
+      ? this.options.local.enter(request)
+      : ((await this.ask(owner, ENTER, request, limitMs)) as EnterAnswer | undefined);
+  }
+
+  private findOwner(region: string): HostEntry | undefined {
+    return this.options.hosts.rankOwners(SCHEDULER_DUTY, region)[0];
+  }
+
+  private isLocal(owner: HostEntry): boolean {
+    return owner.hostId === this.options.hosts.self.hostId;
+  }
+
+  private tell(region: string, method: string, message: object, local: () => void): void {
+    const owner = this.findOwner(region);
+    if (owner === undefined) {
+      return;
+    }
+    if (this.isLocal(owner)) {
+      local();
+    } else {
+      this.options.links.notify(owner.target, method, message);
+    }
+  }
+
+  /** Undefined when the host does not answer in time; others are asked for a while. */
+  private ask(owner: HostEntry, method: string, request: object, limitMs: number): Promise<unknown> {
+    const { clock, hosts, links, logger } = this.options;
+    return new Promise((resolve) => {
+      const fail = (): void => {
+        hosts.noteSilent(owner.hostId);
+        logger.event('schedulerLost', { peer: owner.hostId, method });
+        resolve(undefined);
+      };
+      const timer = clock.schedule(limitMs, fail);
+      links.call(owner.target, method, request).then(
+        (answer) => {
+          timer.close();
+          resolve(answer);
+        },
+        () => {
+          timer.close();
+          fail();
+        },
+      );
+    });
+  }
+}
+
+/**
+ * Creates the client of the region schedulers.
+ *
+ * @param options - hosts and links to them
+ * @returns the client
+ */
+export default function createSchedulerClient(options: SchedulerClientOptions): SchedulerClient {
+  return new Client(options);
+}
--- /dev/null
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -0,0 +1,79 @@
+import type { EngineEvent, StageNeed } from '@bergamotcove/decide';
+import type { PromptPart } from '../ports.js';
+
+/** Method that asks the scheduler of a region whether a request begins. */
+export const ENTER = 'schedule.enter';
+/** Method that asks the scheduler of a region for an engine. */
+export const PLACE = 'schedule.place';
+/** Message that tells the scheduler of a region what became of a request. */
+export const NOTE = 'schedule.note';
+/** Message of a batch owner to the scheduler of its region. */
+export const REPORT_POOL = 'schedule.pool';
+/** Message of the scheduler of a region to that of another. */
+export const REPORT_REGION = 'schedule.region';
+
+/** A generation at the end of the stages. */
+export interface GenerationRequest {
+  readonly pool: string;
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+}
+
+/** Asks whether a request begins. Times are relative to the message. */
+export interface EnterRequest {
+  readonly requestId: string;
+  readonly value: number;
+  readonly stages: readonly StageNeed[];
+  readonly dueInMs: number;
+  readonly deadlineInMs: number;
+  readonly generation: GenerationRequest | undefined;
+  /** Whether the caller's own region has sent the request here. */
+  readonly visiting: boolean;
+}
+
+/** Answer to {@link EnterRequest}. */
+export type EnterAnswer =
+  | {
+      readonly type: 'admitted';
+      readonly tier: 'on-time' | 'late';
+      /** Failure domain of the engine that holds most of the prompt. */
+      readonly failureDomain: string | undefined;
+    }
+  | { readonly type: 'refused'; readonly retryAfterMs: number }
+  /** Another region is expected to serve it on time. */
+  | { readonly type: 'elsewhere'; readonly region: string };
+
+/** Asks for an engine. */
+export interface PlaceRequest extends GenerationRequest {
+  readonly requestId: string;
+  /** Bytes of stage results by the failure domain that holds them. */
+  readonly resultBytes: Readonly<Record<string, number>>;
+  readonly avoidServers: readonly string[];
+}
+
+/** Answer to {@link PlaceRequest}. */
+export interface PlaceAnswer {
+  /** Undefined when the region has no engine. */
+  readonly serverId?: string;
+}
+
+/** What became of a request. */
+export type RequestNote =
+  | { readonly type: 'stage-ended'; readonly requestId: string; readonly stage: number }
+  | { readonly type: 'left'; readonly requestId: string }
+  | { readonly type: 'engine'; readonly pool: string; readonly event: EngineEvent };
+
+/** How the stage servers of a pool do. */
+export interface PoolReport {
+  readonly pool: string;
+  /** Servers, each counted by its speed relative to what is usual. */
+  readonly speed: number;
+  /** Learnt times of pieces by kind. */
+  readonly pieceMs: Readonly<Record<string, number>>;
+}
+
+/** Load of the stage pools of a region. */
+export interface RegionReport {
+  readonly region: string;
+  readonly loadMs: Readonly<Record<string, number>>;
+}
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -12,6 +12,8 @@
 export interface PlacementRequest {
   readonly request: ForwardRequest;
   readonly pool: string;
+  /** Server that the scheduler named. */
+  readonly serverId?: string | undefined;
   /** Servers that failed this request. */
   readonly avoidServers: readonly string[];
   /** Work of the attempt: tokens of a generation, or 1. */
@@ -61,8 +63,13 @@
     return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / hosts.list().length));
   };
 
-  const choose = ({ request, pool, avoidServers, tokens, prefillTokens }: PlacementRequest): Choice | undefined => {
+  const choose = (placement: PlacementRequest): Choice | undefined => {
+    const { request, pool, serverId, avoidServers, tokens, prefillTokens } = placement;
     const view = directory.view(pool);
+    const named = view.servers.find((server) => server.serverId === serverId);
+    if (named !== undefined && !avoidServers.includes(named.serverId)) {
+      return { type: 'send', server: named, predictedMs: 0, crossRegion: named.region !== region };
+    }
     const limit = maxAttempts(pool);
     const servers = view.servers.filter((server: ServerView) => server.outstanding < limit);
     if (servers.length === 0 && view.servers.length > 0) {
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -2,6 +2,7 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import {
   createBatchQueue,
+  type BatchPoolState,
   type BatchQueue,
   type CallOutcome,
   type JobResult,
@@ -33,6 +34,8 @@
   readonly pool: string;
   readonly spec: BatchSpec;
   readonly region: string;
+  /** Tells the scheduler of the region how the servers do. */
+  readonly onState: (state: BatchPoolState) => void;
 }
 
 interface OpenJob {
@@ -55,6 +58,8 @@
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
 const RELEASE_LIMIT_MS = 1_000;
+/** Shortest interval of the reports to the scheduler. */
+const REPORT_MS = 300;
 const RETRY_AFTER_FAILURE_MS = 500;
 
 class Owner implements BatchOwner {
@@ -68,6 +73,8 @@
 
   private closed = false;
 
+  private reportedAtMs = -Infinity;
+
   constructor(private readonly options: BatchOwnerOptions) {
     this.queue = createBatchQueue(options.spec);
     this.refresh();
@@ -240,8 +247,13 @@
         outcome: outcome.type,
       });
     }
-    this.settle(this.queue.finish(call.callId, outcome, this.options.clock.monotonicMs()));
+    const nowMs = this.options.clock.monotonicMs();
+    this.settle(this.queue.finish(call.callId, outcome, nowMs));
     this.pump();
+    if (nowMs - this.reportedAtMs >= REPORT_MS) {
+      this.reportedAtMs = nowMs;
+      this.options.onState(this.queue.readState(nowMs));
+    }
   }
 
   private settle(ended: readonly JobResult[]): void {
@@ -265,9 +277,8 @@
   }
 
   private findMaker(result: string): string | undefined {
-    const { directory, format, pool } = this.options;
-    const maker = format.readMaker(result);
-    return directory.list(pool).find(({ address, port }) => `${address}:${port}` === maker)?.serverId;
+    const { directory, format } = this.options;
+    return directory.findAt(format.readMaker(result))?.serverId;
   }
 
   private sendRelease(serverId: string, results: readonly string[]): void {
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
+import type { BatchPoolState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import { createHttpClient, type HttpClient, type LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
@@ -21,6 +22,7 @@
   release(released: ReleasedResults): void;
   /** Methods for other hosts. */
   readonly methods: Readonly<Record<string, LinkMethod>>;
+  onState(sink: PoolStateSink): void;
   close(): void;
 }
 
@@ -34,6 +36,9 @@
   readonly region: string;
 }
 
+/** Receives how the servers of a pool do. */
+export type PoolStateSink = (pool: string, state: BatchPoolState) => void;
+
 const UNKNOWN_POOL: StageJobResult = { type: 'failed', reason: 'failed', retryAfterMs: 500 };
 /** Connections to one stage server: calls in progress, and releases beside them. */
 const MAX_CONNECTIONS = 6;
@@ -48,6 +53,7 @@
  */
 export default function createBatchOwners(options: BatchOwnersOptions): BatchOwners {
   const owners = new Map<string, BatchOwner>();
+  let tellState: PoolStateSink = () => undefined;
   const http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
   options.directory.onChange(() => owners.forEach((owner) => owner.refresh()));
 
@@ -57,7 +63,7 @@
     if (known !== undefined || spec === undefined) {
       return known;
     }
-    const owner = createBatchOwner({ ...options, http, pool, spec });
+    const owner = createBatchOwner({ ...options, http, pool, spec, onState: (state) => tellState(pool, state) });
     owners.set(pool, owner);
     options.logger.event('batchOwnerStarted', { pool });
     return owner;
@@ -88,6 +94,9 @@
     cancel,
     release,
     methods,
+    onState: (sink) => {
+      tellState = sink;
+    },
     close: () => {
       owners.forEach((owner) => owner.close());
       http.close();
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -8,8 +8,8 @@
 /** Hands pieces to the batch owners, wherever they are. */
 export interface StageClient {
   /** Runs a job; when its owner is lost, the next one gets it while there is time. */
-  run(job: StageJob, signal: AbortSignal): Promise<StageJobResult>;
-  release(pool: string, results: readonly string[]): void;
+  run(region: string, job: StageJob, signal: AbortSignal): Promise<StageJobResult>;
+  release(region: string, pool: string, results: readonly string[]): void;
 }
 
 /** Options of {@link createStageClient}. */
@@ -29,11 +29,11 @@
 class Client implements StageClient {
   constructor(private readonly options: StageClientOptions) {}
 
-  async run(job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
+  async run(region: string, job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
     const { clock, logger, hosts } = this.options;
     const startedAtMs = clock.monotonicMs();
     for (let sends = 0; sends < MAX_OWNERS && !signal.aborted; sends += 1) {
-      const [owner = hosts.self] = hosts.rankOwners(job.pool);
+      const [owner = hosts.self] = hosts.rankOwners(job.pool, region);
       const elapsedMs = clock.monotonicMs() - startedAtMs;
       if (elapsedMs >= job.expiresInMs) {
         return { type: 'failed', reason: 'late', retryAfterMs: 0 };
@@ -52,12 +52,12 @@
     return LOST;
   }
 
-  release(pool: string, results: readonly string[]): void {
+  release(region: string, pool: string, results: readonly string[]): void {
     if (results.length === 0) {
       return;
     }
     const { hosts, links, local } = this.options;
-    const [owner = hosts.self] = hosts.rankOwners(pool);
+    const [owner = hosts.self] = hosts.rankOwners(pool, region);
     if (owner.hostId === hosts.self.hostId) {
       local.release({ pool, results });
     } else {
--- a/packages/gateway/src/stages/planStageTimes.ts
+++ b/packages/gateway/src/stages/planStageTimes.ts
@@ -19,10 +19,16 @@
  *
  * @param request - the request
  * @param index - route table, which names the time of a call of each pool
+ * @param options - whether the request yields to those that can be on time
  * @returns times by stage
  */
-export default function planStageTimes(request: ForwardRequest, index: RouteIndex): readonly StageTimes[] {
+export default function planStageTimes(
+  request: ForwardRequest,
+  index: RouteIndex,
+  { yields }: { readonly yields: boolean },
+): readonly StageTimes[] {
   const { stages, objectiveMs } = request.route;
+  const dueAtMs = yields ? request.deadlineAtMs : request.arrivedAtMs + objectiveMs;
   const callMs = (stage: number): number => index.pools.get(stages[stage]?.pool ?? '')?.batch?.callMs ?? 0;
   const times: StageTimes[] = [];
   for (let stage = stages.length - 1; stage >= 0; stage -= 1) {
@@ -31,7 +37,7 @@
     const dueAfter = runs.map((follower) => (times[follower]?.dueAtMs ?? 0) - callMs(follower) * USUAL_STAGE_FACTOR);
     const expiresAfter = runs.map((follower) => (times[follower]?.expiresAtMs ?? 0) - callMs(follower));
     times[stage] = {
-      dueAtMs: Math.min(request.arrivedAtMs + objectiveMs - FIRST_TOKEN_MS, ...dueAfter),
+      dueAtMs: Math.min(dueAtMs - FIRST_TOKEN_MS, ...dueAfter),
       expiresAtMs: Math.min(request.deadlineAtMs - FIRST_TOKEN_MS, ...expiresAfter),
     };
   }
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -23,9 +23,18 @@
   readonly clock: Clock;
   readonly client: StageClient;
   readonly index: RouteIndex;
+  /** Region whose servers run the stages. */
+  readonly region: string;
+  /** Failure domain of the servers that are preferred between equals. */
   readonly failureDomain: string;
+  /** Whether the request is expected to be late anyway and yields to those that can be on time. */
+  readonly yields: boolean;
+  readonly onStageEnded: (stage: number) => void;
 }
 
+/** Worth of an answer that is late, compared with one on time. */
+const LATE_VALUE = 0.15;
+
 class StageRun {
   private readonly results: (readonly string[] | undefined)[];
 
@@ -42,7 +51,7 @@
     private readonly round: number,
   ) {
     this.results = request.route.stages.map((_, stage) => (this.countOf(stage) === 0 ? [] : undefined));
-    this.times = planStageTimes(request, ports.index);
+    this.times = planStageTimes(request, ports.index, { yields: ports.yields });
   }
 
   async run(signal: AbortSignal): Promise<StagesOutcome> {
@@ -75,7 +84,7 @@
             return;
           }
           started.add(stage);
-          this.ports.client.run(this.createJob(spec, stage), this.abort.signal).then((result) => {
+          this.ports.client.run(this.ports.region, this.createJob(spec, stage), this.abort.signal).then((result) => {
             if (result.type === 'failed') {
               this.abort.abort();
               this.releaseAll();
@@ -83,6 +92,7 @@
               return;
             }
             this.results[stage] = result.results;
+            this.ports.onStageEnded(stage);
             this.releaseUsed();
             advance();
           });
@@ -103,7 +113,7 @@
       requestId,
       stage,
       kind: `${route.name}/${stage}`,
-      value,
+      value: this.ports.yields ? value * LATE_VALUE : value,
       dueInMs: dueAtMs - nowMs,
       expiresInMs: expiresAtMs - nowMs,
       resultBytes: spec.resultBytes,
@@ -127,13 +137,14 @@
       const used = followers.length > 0 && followers.every((index) => this.results[index] !== undefined);
       if (used && results !== undefined && !this.released.has(stage)) {
         this.released.add(stage);
-        this.ports.client.release(pool, results);
+        this.ports.client.release(this.ports.region, pool, results);
       }
     });
   }
 
   private releaseAll(): void {
-    this.request.route.stages.forEach(({ pool }, stage) => this.ports.client.release(pool, this.results[stage] ?? []));
+    const { client, region } = this.ports;
+    this.request.route.stages.forEach(({ pool }, stage) => client.release(region, pool, this.results[stage] ?? []));
   }
 
   private collect(): StageResults {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -18,6 +18,8 @@
 import createHostExchange from './hosts/createHostExchange.js';
 import listenForPeers from './hosts/listenForPeers.js';
 import type { GatewayFormats } from './ports.js';
+import createRegionScheduler, { type RegionScheduler } from './scheduling/createRegionScheduler.js';
+import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
@@ -54,6 +56,7 @@
   readonly directory: BackendDirectory;
   readonly links: LinkClient;
   readonly owners: BatchOwners;
+  readonly scheduler: RegionScheduler;
   readonly queues: PoolQueues;
 }
 
@@ -80,9 +83,11 @@
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const owners = createBatchOwners({ clock, logger, format: formats.stages, directory, tables, region });
+  const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
   const queues = createPoolQueues(clock);
   directory.onChange(() => queues.drainAll());
-  return { settings, formats, clock, logger, failureDomain, region, store, tables, directory, links, owners, queues };
+  const parts = { settings, formats, clock, logger, failureDomain, region };
+  return { ...parts, store, tables, directory, links, owners, scheduler, queues };
 };
 
 const startLinkServer = (base: Base, methods: Readonly<Record<string, LinkMethod>>): Promise<LinkServer> =>
@@ -104,11 +109,15 @@
 };
 
 const startCallers = (base: Base, hosts: HostRegistry, pools: ServerPools): Promise<CallerServer> => {
-  const { clock, logger, links, owners, settings } = base;
+  const { clock, logger, links, owners, settings, region } = base;
+  const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
+  owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
   const budgets = createRetryBudgets({ clock, limits: settings.retries, hosts: () => hosts.list().length });
   const handler = createRequestHandler({
     ...base,
     pools,
+    scheduler,
+    stageFormat: base.formats.stages,
     stages: createStageClient({ clock, logger, hosts, links, local: owners }),
     format: base.formats.requests,
     random: Math.random,
@@ -147,25 +156,41 @@
  */
 export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
   const base = createBase(settings, options);
-  const { clock, logger, tables, directory, links, owners, queues, store, failureDomain, region } = base;
+  const { clock, logger, tables, directory, links, owners, scheduler, queues, store } = base;
   const exchange = createHostExchange({ clock, logger, links, tables, directory, random: Math.random });
-  const linkServer = await startLinkServer(base, { ...owners.methods, ...exchange.methods });
+  const linkServer = await startLinkServer(base, {
+    ...owners.methods,
+    ...scheduler.methods,
+    ...exchange.methods,
+  });
   const hosts = createRegistry(base, linkServer.port);
-  const pools = createServerPools({ clock, logger, directory, tables, hosts, failureDomain, region });
+  const pools = createServerPools({ ...base, hosts });
   const callers = await startCallers(base, hosts, pools);
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
   hosts.start();
   exchange.start(hosts);
+  scheduler.start(hosts);
   let draining = false;
   const health = await startHealthServer(settings.health, () => !draining && tables.current() !== undefined);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
   const close = async (): Promise<void> => {
     await hosts.leave();
-    [follower, exchange, callers, health, owners, linkServer, links, queues, pools, directory, store].forEach((part) =>
-      part.close(),
-    );
+    [
+      follower,
+      exchange,
+      scheduler,
+      callers,
+      health,
+      owners,
+      linkServer,
+      links,
+      queues,
+      pools,
+      directory,
+      store,
+    ].forEach((part) => part.close());
   };
   const drain = createDrain({
     clock,
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -71,6 +71,16 @@
     level: 'warn',
     text: 'The host that fills the batches of a pool did not answer; the next one gets the pieces.',
   },
+  requestDelayed: {
+    id: 2205,
+    level: 'info',
+    text: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
+  },
+  schedulerLost: {
+    id: 2206,
+    level: 'warn',
+    text: 'The scheduler of a region did not answer in time; the next host is asked.',
+  },
   batchOwnerStarted: { id: 2301, level: 'info', text: 'This host fills the batches of a pool.' },
   batchEnded: { id: 2302, level: 'debug', text: 'A call to a stage server ended.' },
   batchFailed: { id: 2303, level: 'info', text: 'A call to a stage server failed; its pieces wait for another one.' },
