Rank by organisation, then by route; count late requests less; log what the entry expected

Change: the order is lexicographic (organisation, route), the value follows it; late requests count 0.15 in the ledger; log lines carry what was expected.

--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -5,6 +5,8 @@
   /** Pieces of the same kind take about the same time. */
   readonly kind: string;
   readonly resultBytes: number;
+  /** Rank; 0 goes first. */
+  readonly priority: number;
   /** Worth of the request, compared with that of others. */
   readonly value: number;
   /** Time by which the stage should end for the request to be on time. */
--- a/packages/decide/src/forwarding/index.ts
+++ b/packages/decide/src/forwarding/index.ts
@@ -3,5 +3,6 @@
 export type { AttemptEnd, RetryDecision, RetryFacts } from './decideRetry.js';
 export { default as createSizeBook } from './createSizeBook.js';
 export type { SizeBook } from './createSizeBook.js';
-export { default as valueRequest } from './valueRequest.js';
+export { default as rankRequest } from './rankRequest.js';
+export { default as valueRequest, LATE_VALUE } from './valueRequest.js';
 export type { ValueFacts } from './valueRequest.js';
--- a/packages/decide/src/scheduling/decideEntry.ts
+++ b/packages/decide/src/scheduling/decideEntry.ts
@@ -29,14 +29,15 @@
 export default function decideEntry(need: PipelineNeed, outlook: EntryOutlook): EntryDecision {
   const first = predictPipeline(need, { ...outlook, loadMs: (pool) => outlook.loadMs(pool, need.value * YIELD_SHARE) });
   if (first <= need.dueAtMs) {
-    return { type: 'on-time' };
+    return { type: 'on-time', expectedAtMs: first };
   }
   const behindAll = predictPipeline(need, { ...outlook, loadMs: (pool) => outlook.loadMs(pool, 0) });
   const latestMs = need.arrivedAtMs + (need.deadlineAtMs - need.arrivedAtMs) * LATE_SHARE;
   if (behindAll <= latestMs) {
-    return { type: 'late' };
+    return { type: 'late', expectedAtMs: behindAll };
   }
   const leftMs = need.deadlineAtMs - outlook.nowMs;
   const wantedMs = Math.max(MIN_RETRY_AFTER_MS, behindAll - latestMs);
-  return { type: 'refused', retryAfterMs: Math.min(wantedMs, leftMs * MAX_RETRY_SHARE) };
+  const retryAfterMs = Math.min(wantedMs, leftMs * MAX_RETRY_SHARE);
+  return { type: 'refused', expectedAtMs: behindAll, retryAfterMs };
 }
--- a/packages/decide/src/scheduling/types.ts
+++ b/packages/decide/src/scheduling/types.ts
@@ -41,8 +41,8 @@
 /** Whether a request begins. */
 export type EntryDecision =
   /** It is expected to be on time. */
-  | { readonly type: 'on-time' }
+  | { readonly type: 'on-time'; readonly expectedAtMs: number }
   /** It is expected to be late, but well within its deadline. */
-  | { readonly type: 'late' }
+  | { readonly type: 'late'; readonly expectedAtMs: number }
   /** It would miss its deadline, or use up what others need to be on time. */
-  | { readonly type: 'refused'; readonly retryAfterMs: number };
+  | { readonly type: 'refused'; readonly expectedAtMs: number; readonly retryAfterMs: number };
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
+import type { Entry } from '../scheduling/createSchedulerClient.js';
 import type { ForwardRequest } from './types.js';
 
 /** How a request ended, for logs and metrics. */
@@ -13,6 +14,8 @@
   /** Region that served the request, and whether it was expected to be on time; undefined without stages. */
   readonly region: string | undefined;
   readonly tier: string | undefined;
+  /** Time to the first byte that the scheduler expected. */
+  readonly expectedMs: number | undefined;
   /** Times since arrival; undefined for steps that were not reached. */
   readonly stagesMs: number | undefined;
   readonly placedMs: number | undefined;
@@ -30,6 +33,8 @@
 
   private tier: string | undefined;
 
+  private expectedMs: number | undefined;
+
   private stagesMs: number | undefined;
 
   private placedMs: number | undefined;
@@ -51,9 +56,10 @@
     return this.serverIds.length;
   }
 
-  noteEntry({ region, tier }: { readonly region: string; readonly tier: string }): void {
+  noteEntry({ region, tier, expectedInMs }: Extract<Entry, { type: 'admitted' }>): void {
     this.region = region;
     this.tier = tier;
+    this.expectedMs = expectedInMs === undefined ? undefined : expectedInMs + this.elapsedMs();
   }
 
   noteStages(): void {
@@ -88,6 +94,7 @@
       serverIds: this.serverIds,
       region: this.region,
       tier: this.tier,
+      expectedMs: this.expectedMs,
       stagesMs: this.stagesMs,
       placedMs: this.placedMs,
       firstByteMs: this.firstByteMs,
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -1,5 +1,5 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
-import { createSizeBook, matchRoute, valueRequest, type RouteIndex } from '@bergamotcove/decide';
+import { createSizeBook, matchRoute, rankRequest, valueRequest, type RouteIndex } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
 import readCallerBody from '../callers/readCallerBody.js';
@@ -97,7 +97,6 @@
     const { request, arrivedAtMs } = exchange;
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
-    const priority = organisation?.priority ?? route.priority;
     const sizeTokens = measureSize(facts);
     const forward: ForwardRequest = {
       requestId,
@@ -108,8 +107,13 @@
       facts,
       route,
       organisation: route.keyless ? undefined : organisation,
-      priority,
-      value: valueRequest({ priority, sizeTokens, meanSizeTokens: this.sizes.note(route.name, sizeTokens) }),
+      priority: rankRequest(route.priority, organisation?.priority),
+      value: valueRequest({
+        routePriority: route.priority,
+        organisationPriority: organisation?.priority,
+        sizeTokens,
+        meanSizeTokens: this.sizes.note(route.name, sizeTokens),
+      }),
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
       version: index.table.version,
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -3,6 +3,7 @@
   createEngineBook,
   createWorkLedger,
   decideEntry,
+  LATE_VALUE,
   predictPipeline,
   type EngineBook,
   type EntryDecision,
@@ -136,12 +137,17 @@
         return { type: 'elsewhere', region };
       }
     }
-    this.log(request, decision);
+    this.log(request, decision, nowMs, outlook.answerMs);
     if (decision.type === 'refused') {
-      return decision;
+      return { type: 'refused', retryAfterMs: decision.retryAfterMs };
     }
-    this.ledger.add(need);
-    return { type: 'admitted', tier: decision.type, failureDomain: engine?.failureDomain };
+    this.ledger.add(decision.type === 'late' ? { ...need, value: need.value * LATE_VALUE } : need);
+    return {
+      type: 'admitted',
+      tier: decision.type,
+      expectedInMs: decision.expectedAtMs - nowMs,
+      failureDomain: engine?.failureDomain,
+    };
   }
 
   place(request: PlaceRequest): PlaceAnswer {
@@ -277,12 +283,16 @@
     book.setEngines((near.length > 0 ? near : all).map((server) => ({ ...server, capacityTokens })));
   }
 
-  private log({ requestId, value }: EnterRequest, decision: EntryDecision): void {
+  private log(request: EnterRequest, decision: EntryDecision, nowMs: number, answerMs: number): void {
+    const { requestId, value, dueInMs } = request;
     if (decision.type !== 'on-time') {
       this.options.logger.event('requestDelayed', {
         requestId,
         decision: decision.type,
         worth: Math.round(value * 100) / 100,
+        dueInMs: Math.round(dueInMs),
+        expectedInMs: Math.round(decision.expectedAtMs - nowMs),
+        answerMs: Math.round(answerMs),
         open: this.ledger.size,
         loadsMs: [...this.reports.keys()].map((pool) => `${pool} ${Math.round(this.ledger.loadMs(pool, 0))}`),
         ...(decision.type === 'refused' ? { retryAfterMs: Math.round(decision.retryAfterMs) } : {}),
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -23,6 +23,8 @@
       /** Region whose servers serve the request. */
       readonly region: string;
       readonly tier: 'on-time' | 'late';
+      /** Expected time from entry to the begin of the answer; undefined without an answer of the scheduler. */
+      readonly expectedInMs: number | undefined;
       readonly failureDomain: string | undefined;
     }
   | { readonly type: 'refused'; readonly retryAfterMs: number };
@@ -89,9 +91,9 @@
     if (answer?.type === 'refused') {
       return answer;
     }
-    const tier = answer?.type === 'admitted' ? answer.tier : 'on-time';
-    const failureDomain = answer?.type === 'admitted' ? answer.failureDomain : undefined;
-    return { type: 'admitted', region, tier, failureDomain };
+    return answer?.type === 'admitted'
+      ? { ...answer, region }
+      : { type: 'admitted', region, tier: 'on-time', expectedInMs: undefined, failureDomain: undefined };
   }
 
   private async askEntry(region: string, request: EnterRequest, limitMs: number): Promise<EnterAnswer | undefined> {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -36,6 +36,8 @@
   | {
       readonly type: 'admitted';
       readonly tier: 'on-time' | 'late';
+      /** Expected time to the begin of the answer. */
+      readonly expectedInMs: number;
       /** Failure domain of the engine that holds most of the prompt. */
       readonly failureDomain: string | undefined;
     }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -82,12 +82,13 @@
 
   run(job: StageJob): Promise<StageJobResult> {
     const nowMs = this.options.clock.monotonicMs();
-    const { jobId, kind, value, resultBytes, failureDomain, pieces } = job;
+    const { jobId, kind, priority, value, resultBytes, failureDomain, pieces } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
         jobId,
         kind,
+        priority,
         value,
         resultBytes,
         failureDomain,
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -15,6 +15,8 @@
   readonly stage: number;
   /** Pieces of the same kind take about the same time. */
   readonly kind: string;
+  /** Rank; 0 goes first. */
+  readonly priority: number;
   /** Worth of the request, compared with that of others. */
   readonly value: number;
   readonly dueInMs: number;
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -1,4 +1,4 @@
-import type { RouteIndex } from '@bergamotcove/decide';
+import { LATE_VALUE, type RouteIndex } from '@bergamotcove/decide';
 import type { Clock } from '@bergamotcove/clock';
 import type { RouteStage } from '@bergamotcove/config';
 import type { ForwardRequest } from '../requests/types.js';
@@ -32,9 +32,6 @@
   readonly onStageEnded: (stage: number) => void;
 }
 
-/** Worth of an answer that is late, compared with one on time. */
-const LATE_VALUE = 0.15;
-
 class StageRun {
   private readonly results: (readonly string[] | undefined)[];
 
@@ -103,7 +100,7 @@
   }
 
   private createJob(spec: RouteStage, stage: number): StageJob {
-    const { requestId, route, facts, value } = this.request;
+    const { requestId, route, facts, priority, value } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
     const { dueAtMs, expiresAtMs } = this.times[stage] as StageTimes;
     const inputs = spec.after.flatMap((before) => this.results[before] ?? []);
@@ -113,6 +110,7 @@
       requestId,
       stage,
       kind: `${route.name}/${stage}`,
+      priority,
       value: this.ports.yields ? value * LATE_VALUE : value,
       dueInMs: dueAtMs - nowMs,
       expiresInMs: expiresAtMs - nowMs,
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -82,7 +82,7 @@
     text: 'The scheduler of a region did not answer in time; the next host is asked.',
   },
   batchOwnerStarted: { id: 2301, level: 'info', text: 'This host fills the batches of a pool.' },
-  batchEnded: { id: 2302, level: 'debug', text: 'A call to a stage server ended.' },
+  batchEnded: { id: 2302, level: 'info', text: 'A call to a stage server ended.' },
   batchFailed: { id: 2303, level: 'info', text: 'A call to a stage server failed; its pieces wait for another one.' },
   routeTableApplied: { id: 4101, level: 'info', text: 'A newer route table is in force.' },
   routeTableUnreadable: { id: 4102, level: 'error', text: 'The route table in the store cannot be read.' },
