Plan due times from usual calls and the expected engine time

Change: a later stage counts as a half-full call with a usual wait, the engine as the scheduler expects it.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -184,7 +184,11 @@
       region,
       failureDomain: this.reservation.failureDomain ?? failureDomain,
       yields: this.reservation.tier === 'late',
-      onStageEnded: (stage: number) => this.reservation.endStage(stage),
+      answerMs: this.reservation.answerMs,
+      onStageEnded: (stage: number, elapsedMs: number) => {
+        this.record.noteStage(stage, elapsedMs);
+        this.reservation.endStage(stage);
+      },
     };
     const outcome = await runStages(this.request, ports, options);
     this.record.noteStages();
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -15,6 +15,9 @@
   readonly region: string;
 }
 
+/** Time from the last stage to the first token when nothing is known of the engines. */
+export const UNKNOWN_ANSWER_MS = 150;
+
 /** The place of one request in the schedule of a region. */
 export default class Reservation {
   /** Region whose servers serve the request. */
@@ -25,6 +28,9 @@
 
   tier: 'on-time' | 'late' = 'on-time';
 
+  /** Expected time from the last stage to the begin of the answer. */
+  answerMs = UNKNOWN_ANSWER_MS;
+
   private entered = false;
 
   constructor(
@@ -57,6 +63,7 @@
       this.region = entry.region;
       this.failureDomain = entry.failureDomain;
       this.tier = entry.tier;
+      this.answerMs = entry.answerMs ?? UNKNOWN_ANSWER_MS;
     }
     return entry;
   }
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -16,6 +16,8 @@
   readonly tier: string | undefined;
   /** Time to the first byte that the scheduler expected. */
   readonly expectedMs: number | undefined;
+  /** Time of each stage with its wait; -1 for stages that did not end. */
+  readonly stageTimesMs: readonly number[];
   /** Times since arrival; undefined for steps that were not reached. */
   readonly stagesMs: number | undefined;
   readonly placedMs: number | undefined;
@@ -35,6 +37,8 @@
 
   private expectedMs: number | undefined;
 
+  private readonly stageTimesMs: number[];
+
   private stagesMs: number | undefined;
 
   private placedMs: number | undefined;
@@ -50,7 +54,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly request: ForwardRequest,
-  ) {}
+  ) {
+    this.stageTimesMs = request.route.stages.map(() => -1);
+  }
 
   get sends(): number {
     return this.serverIds.length;
@@ -62,6 +68,10 @@
     this.expectedMs = expectedInMs === undefined ? undefined : expectedInMs + this.elapsedMs();
   }
 
+  noteStage(stage: number, elapsedMs: number): void {
+    this.stageTimesMs[stage] = Math.round(elapsedMs);
+  }
+
   noteStages(): void {
     this.stagesMs = this.elapsedMs();
   }
@@ -95,6 +105,7 @@
       region: this.region,
       tier: this.tier,
       expectedMs: this.expectedMs,
+      stageTimesMs: this.stageTimesMs,
       stagesMs: this.stagesMs,
       placedMs: this.placedMs,
       firstByteMs: this.firstByteMs,
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -17,6 +17,7 @@
 import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import { UNKNOWN_ANSWER_MS } from '../requests/Reservation.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import {
   ENTER,
@@ -65,8 +66,6 @@
 const REGION_HOP_MS = 25;
 /** A region is left only for one that is expected to be this much earlier. */
 const REGION_GAIN_MS = 150;
-/** Time from the last stage to the first token when nothing is known of the engines. */
-const UNKNOWN_ANSWER_MS = 150;
 
 class Scheduler implements RegionScheduler {
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -146,6 +145,7 @@
       type: 'admitted',
       tier: decision.type,
       expectedInMs: decision.expectedAtMs - nowMs,
+      answerMs: outlook.answerMs,
       failureDomain: engine?.failureDomain,
     };
   }
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -25,6 +25,7 @@
       readonly tier: 'on-time' | 'late';
       /** Expected time from entry to the begin of the answer; undefined without an answer of the scheduler. */
       readonly expectedInMs: number | undefined;
+      readonly answerMs: number | undefined;
       readonly failureDomain: string | undefined;
     }
   | { readonly type: 'refused'; readonly retryAfterMs: number };
@@ -93,7 +94,7 @@
     }
     return answer?.type === 'admitted'
       ? { ...answer, region }
-      : { type: 'admitted', region, tier: 'on-time', expectedInMs: undefined, failureDomain: undefined };
+      : { type: 'admitted', region, tier: 'on-time', expectedInMs: undefined, answerMs: undefined, failureDomain: undefined };
   }
 
   private async askEntry(region: string, request: EnterRequest, limitMs: number): Promise<EnterAnswer | undefined> {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -38,6 +38,8 @@
       readonly tier: 'on-time' | 'late';
       /** Expected time to the begin of the answer. */
       readonly expectedInMs: number;
+      /** Part of it after the last stage. */
+      readonly answerMs: number;
       /** Failure domain of the engine that holds most of the prompt. */
       readonly failureDomain: string | undefined;
     }
--- a/packages/gateway/src/stages/planStageTimes.ts
+++ b/packages/gateway/src/stages/planStageTimes.ts
@@ -9,36 +9,49 @@
   readonly expiresAtMs: number;
 }
 
-/** Time from the last stage to the first token of a generation. */
-const FIRST_TOKEN_MS = 150;
-/** Time of a stage with its wait, relative to a call with nothing in it. */
-const USUAL_STAGE_FACTOR = 1.5;
+/** What the plan of a request depends on besides its route. */
+export interface StagePlanOptions {
+  /** Whether the request is expected to be late anyway and yields to those that can be on time. */
+  readonly yields: boolean;
+  /** Expected time from the last stage to the begin of the answer. */
+  readonly answerMs: number;
+}
+
+/** Part of a full call's work that a usual call has. */
+const USUAL_FILL = 0.5;
+/** Wait for a server that is busy with the call before, as a part of the fixed time of a call. */
+const USUAL_WAIT = 0.6;
 
 /**
  * Plans the times of the stages of a request backwards from its objective and its deadline.
  *
  * @param request - the request
  * @param index - route table, which names the time of a call of each pool
- * @param options - whether the request yields to those that can be on time
+ * @param options - what is expected of the request
  * @returns times by stage
  */
 export default function planStageTimes(
   request: ForwardRequest,
   index: RouteIndex,
-  { yields }: { readonly yields: boolean },
+  { yields, answerMs }: StagePlanOptions,
 ): readonly StageTimes[] {
   const { stages, objectiveMs } = request.route;
   const dueAtMs = yields ? request.deadlineAtMs : request.arrivedAtMs + objectiveMs;
-  const callMs = (stage: number): number => index.pools.get(stages[stage]?.pool ?? '')?.batch?.callMs ?? 0;
+  const findBatch = (stage: number) => index.pools.get(stages[stage]?.pool ?? '')?.batch;
+  const leastMs = (stage: number): number => findBatch(stage)?.callMs ?? 0;
+  const usualMs = (stage: number): number => {
+    const { callMs = 0, maxPieces = 0, pieceMs = 0 } = findBatch(stage) ?? {};
+    return callMs * (1 + USUAL_WAIT) + maxPieces * pieceMs * USUAL_FILL;
+  };
   const times: StageTimes[] = [];
   for (let stage = stages.length - 1; stage >= 0; stage -= 1) {
     const followers = stages.flatMap(({ after }, follower) => (after.includes(stage) ? [follower] : []));
     const runs = followers.filter((follower) => (request.facts.pieceCounts[follower] ?? 0) > 0);
-    const dueAfter = runs.map((follower) => (times[follower]?.dueAtMs ?? 0) - callMs(follower) * USUAL_STAGE_FACTOR);
-    const expiresAfter = runs.map((follower) => (times[follower]?.expiresAtMs ?? 0) - callMs(follower));
+    const dueAfter = runs.map((follower) => (times[follower]?.dueAtMs ?? 0) - usualMs(follower));
+    const expiresAfter = runs.map((follower) => (times[follower]?.expiresAtMs ?? 0) - leastMs(follower));
     times[stage] = {
-      dueAtMs: Math.min(dueAtMs - FIRST_TOKEN_MS, ...dueAfter),
-      expiresAtMs: Math.min(request.deadlineAtMs - FIRST_TOKEN_MS, ...expiresAfter),
+      dueAtMs: Math.min(dueAtMs - answerMs, ...dueAfter),
+      expiresAtMs: Math.min(request.deadlineAtMs - answerMs, ...expiresAfter),
     };
   }
   return times;
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -29,7 +29,9 @@
   readonly failureDomain: string;
   /** Whether the request is expected to be late anyway and yields to those that can be on time. */
   readonly yields: boolean;
-  readonly onStageEnded: (stage: number) => void;
+  /** Expected time from the last stage to the begin of the answer. */
+  readonly answerMs: number;
+  readonly onStageEnded: (stage: number, elapsedMs: number) => void;
 }
 
 class StageRun {
@@ -48,7 +50,7 @@
     private readonly round: number,
   ) {
     this.results = request.route.stages.map((_, stage) => (this.countOf(stage) === 0 ? [] : undefined));
-    this.times = planStageTimes(request, ports.index, { yields: ports.yields });
+    this.times = planStageTimes(request, ports.index, ports);
   }
 
   async run(signal: AbortSignal): Promise<StagesOutcome> {
@@ -81,6 +83,7 @@
             return;
           }
           started.add(stage);
+          const startedAtMs = this.ports.clock.monotonicMs();
           this.ports.client.run(this.ports.region, this.createJob(spec, stage), this.abort.signal).then((result) => {
             if (result.type === 'failed') {
               this.abort.abort();
@@ -89,7 +92,7 @@
               return;
             }
             this.results[stage] = result.results;
-            this.ports.onStageEnded(stage);
+            this.ports.onStageEnded(stage, this.ports.clock.monotonicMs() - startedAtMs);
             this.releaseUsed();
             advance();
           });
