End stage jobs that cannot be done in time at once, and count what was done before

Change: a job that was not begun and would be done too late behind what goes before it ends at once; a request counts more with each stage that was done.

--- a/packages/decide/src/batches/_lib/rankJobs.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.ts
@@ -18,7 +18,11 @@
   readonly late: readonly QueuedJob[];
 }
 
-const density = (entry: QueuedJob, costMs: number): number => entry.job.value / Math.max(costMs, Number.MIN_VALUE);
+/** A request with all its other stages done counts as this much more, because giving it up wastes them. */
+const PROGRESS_WEIGHT = 2;
+
+const density = ({ job }: QueuedJob, costMs: number): number =>
+  (job.value * (1 + PROGRESS_WEIGHT * job.progress)) / Math.max(costMs, Number.MIN_VALUE);
 
 /**
  * Orders jobs so that those done by their due time have the largest value together (Moore and Hodgson's rule with
@@ -55,6 +59,7 @@
       }
     }
   });
-  late.sort((a, b) => b.job.value - a.job.value || a.job.expiresAtMs - b.job.expiresAtMs);
+  const lateValue = ({ job }: QueuedJob): number => job.value * (1 + PROGRESS_WEIGHT * job.progress);
+  late.sort((a, b) => lateValue(b) - lateValue(a) || a.job.expiresAtMs - b.job.expiresAtMs);
   return { onTime: [...scheduled.keys()], late };
 }
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -13,6 +13,7 @@
 import type {
   BatchJob,
   BatchPoolState,
+  BatchStep,
   BatchQueueView,
   BatchServer,
   CallOutcome,
@@ -31,15 +32,13 @@
   cancel(jobId: string): void;
   /** Replaces the servers that may be called; calls in progress at others go on. */
   setServers(servers: readonly BatchServer[], nowMs: number): void;
-  /** Calls to send now. */
-  plan(nowMs: number): readonly PlannedCall[];
+  /** Calls to send now, and jobs that leave the queue because they cannot be done in time any more. */
+  advance(nowMs: number): BatchStep;
   /** A call ended. Returns the jobs that ended with it. */
   finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[];
-  /** Jobs that cannot be done in time any more; they leave the queue. */
-  expire(nowMs: number): readonly JobResult[];
   /** A result at a server is not needed any more. */
   release(serverId: string, resultBytes: number): void;
-  /** When `plan` and `expire` should be asked again without an event, or undefined. */
+  /** When `advance` should be asked again without an event, or undefined. */
   nextCheckMs(nowMs: number): number | undefined;
   view(nowMs: number): BatchQueueView;
   /** How the servers do, for those who decide what begins. */
@@ -65,6 +64,8 @@
 const MAX_REST_MS = 1_200;
 /** Rest of a server that did not take a call. */
 const FULL_REST_MS = 60;
+/** Part of a predicted time that is taken for sure. */
+const SURE_SHARE = 0.8;
 /** Time for which a server that had no room for a result gets no pieces. */
 const FULL_ROOM_MS = 250;
 const MIN_RETRY_AFTER_MS = 100;
@@ -123,11 +124,16 @@
    * Gives batches of the most urgent pieces to the servers that would finish them first. A batch for a server that is
    * still busy is not sent yet: it keeps its pieces from a free server that would finish later.
    */
-  plan(nowMs: number): readonly PlannedCall[] {
+  advance(nowMs: number): BatchStep {
     this.requeueOverdue(nowMs);
+    const ranked = this.rank([...this.jobs.values()], nowMs);
+    const ended = [...this.expire(nowMs), ...this.giveUp(ranked, nowMs)];
+    const waiting = listPieces([...ranked.onTime, ...ranked.late].filter(({ job }) => this.jobs.has(job.jobId)));
+    return { ended, calls: this.plan(waiting, nowMs) };
+  }
+
+  private plan(waiting: WaitingPiece[], nowMs: number): readonly PlannedCall[] {
     const candidates = new Set([...this.servers.values()].filter((state) => state.restsUntilMs <= nowMs));
-    const { onTime, late } = this.rank([...this.jobs.values()], nowMs);
-    const waiting = listPieces([...onTime, ...late]);
     const planned: PlannedCall[] = [];
     while (candidates.size > 0 && waiting.length > 0) {
       const state = this.pickServer([...candidates], waiting, nowMs);
@@ -158,11 +164,27 @@
     return this.settle(call, (index) => outcome.pieces[index] ?? 'failed');
   }
 
-  expire(nowMs: number): readonly JobResult[] {
+  private expire(nowMs: number): readonly JobResult[] {
     const late = [...this.jobs.values()].filter(({ job }) => job.expiresAtMs <= nowMs);
     return late.map(({ job }) => this.end(job.jobId, 'late'));
   }
 
+  /** Ends jobs that were not begun and would be done too late behind what goes before them. */
+  private giveUp({ onTime, late }: RankedJobs, nowMs: number): readonly JobResult[] {
+    const ahead = [...onTime];
+    return late.flatMap((entry) => {
+      ahead.push(entry);
+      const begun = entry.sends.some((sends) => sends > 0);
+      const waitMs = this.predictMs(listPieces(ahead), nowMs) * SURE_SHARE;
+      const { jobId, expiresAtMs } = entry.job;
+      if (begun || nowMs + waitMs <= expiresAtMs || !this.jobs.has(jobId)) {
+        return [];
+      }
+      ahead.pop();
+      return [this.end(jobId, 'late')];
+    });
+  }
+
   release(serverId: string, resultBytes: number): void {
     const held = this.servers.get(serverId)?.held;
     const index = held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1;
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -9,6 +9,8 @@
   readonly priority: number;
   /** Worth of the request, compared with that of others. */
   readonly value: number;
+  /** Share of the request's stages that was done before this one, 0 to 1. */
+  readonly progress: number;
   /** Time by which the stage should end for the request to be on time. */
   readonly dueAtMs: number;
   /** Time after which the results are of no use. */
@@ -38,6 +40,12 @@
   readonly expectedMs: number;
 }
 
+/** What follows from the state of the queue. */
+export interface BatchStep {
+  readonly ended: readonly JobResult[];
+  readonly calls: readonly PlannedCall[];
+}
+
 /** What became of one piece of a call. */
 export type PieceOutcome =
   | 'done'
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -82,7 +82,7 @@
 
   run(job: StageJob): Promise<StageJobResult> {
     const nowMs = this.options.clock.monotonicMs();
-    const { jobId, kind, priority, value, resultBytes, failureDomain, pieces } = job;
+    const { jobId, kind, priority, value, progress, resultBytes, failureDomain, pieces } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
@@ -90,6 +90,7 @@
         kind,
         priority,
         value,
+        progress,
         resultBytes,
         failureDomain,
         pieceCount: pieces.length,
@@ -154,8 +155,9 @@
       return;
     }
     const nowMs = this.options.clock.monotonicMs();
-    this.settle(this.queue.expire(nowMs));
-    this.queue.plan(nowMs).forEach((call) => {
+    const { ended, calls } = this.queue.advance(nowMs);
+    this.settle(ended);
+    calls.forEach((call) => {
       this.send(call).then(
         (outcome) => this.finish(call, outcome),
         () => this.finish(call, { type: 'broken' }),
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -19,6 +19,8 @@
   readonly priority: number;
   /** Worth of the request, compared with that of others. */
   readonly value: number;
+  /** Share of the request's stages that was done before this one, 0 to 1. */
+  readonly progress: number;
   readonly dueInMs: number;
   readonly expiresInMs: number;
   readonly resultBytes: number;
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -114,6 +114,7 @@
       stage,
       kind: `${route.name}/${stage}`,
       priority,
+      progress: this.results.filter((results) => results !== undefined).length / route.stages.length,
       value: this.ports.yields ? value * LATE_VALUE : value,
       dueInMs: dueAtMs - nowMs,
       expiresInMs: expiresAtMs - nowMs,
