Give up only what is clearly too late

Cause: ending every job that was predicted too late also ended jobs that would have been served. Change: half of the predicted time is taken for sure; progress counts once instead of twice.

--- a/packages/decide/src/batches/_lib/rankJobs.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.ts
@@ -19,7 +19,7 @@
 }
 
 /** A request with all its other stages done counts as this much more, because giving it up wastes them. */
-const PROGRESS_WEIGHT = 2;
+const PROGRESS_WEIGHT = 1;
 
 const density = ({ job }: QueuedJob, costMs: number): number =>
   (job.value * (1 + PROGRESS_WEIGHT * job.progress)) / Math.max(costMs, Number.MIN_VALUE);
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -65,7 +65,7 @@
 /** Rest of a server that did not take a call. */
 const FULL_REST_MS = 60;
 /** Part of a predicted time that is taken for sure. */
-const SURE_SHARE = 0.8;
+const SURE_SHARE = 0.5;
 /** Time for which a server that had no room for a result gets no pieces. */
 const FULL_ROOM_MS = 250;
 const MIN_RETRY_AFTER_MS = 100;
