Hand over unsent stage jobs and open requests when an owner changes

Cause: while hosts are restarted in turn the owner of a pool changes twice for each; the old one went on with its queue beside the new one, and the new scheduler knew nothing of open requests. Change: an owner that is no longer first gives unsent jobs back, hosts tell a new scheduler what they have open, and a leaving host is no owner any more.

--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -30,6 +30,8 @@
   submit(job: BatchJob, nowMs: number): SubmitDecision;
   /** The request has ended; pieces in progress are not waited for. */
   cancel(jobId: string): void;
+  /** Takes the jobs of which nothing was sent out of the queue. */
+  takeUnsent(): readonly string[];
   /** Replaces the servers that may be called; calls in progress at others go on. */
   setServers(servers: readonly BatchServer[], nowMs: number): void;
   /** Calls to send now, and jobs that leave the queue because they cannot be done in time any more. */
@@ -110,6 +112,13 @@
     this.jobs.delete(jobId);
   }
 
+  takeUnsent(): readonly string[] {
+    const unsent = [...this.jobs.values()].filter(({ sends }) => sends.every((count) => count === 0));
+    const jobIds = unsent.map(({ job }) => job.jobId);
+    jobIds.forEach((jobId) => this.jobs.delete(jobId));
+    return jobIds;
+  }
+
   setServers(servers: readonly BatchServer[], nowMs: number): void {
     const listed = new Set(servers.map(({ serverId }) => serverId));
     [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -19,12 +19,14 @@
   readonly self: HostEntry;
   /** Writes the own key and keeps it. */
   start(): void;
-  /** All listed hosts, this one included. */
+  /** All listed hosts, this one included until it leaves. */
   list(): readonly HostEntry[];
   /** Regions with listed hosts. */
   regions(): readonly string[];
   /** Hosts in the order in which they own a duty of a region, by default the own one; silent ones are left out. */
   rankOwners(duty: string, region?: string): readonly HostEntry[];
+  /** A host has given its duties away; for a moment it is not asked, until the list shows why. */
+  noteMoved(hostId: string): void;
   /** A host did not answer; it owns no duty for a while. */
   noteSilent(hostId: string): void;
   put(key: string, text: string): void;
@@ -48,6 +50,8 @@
 const LEASE_TTL_MS = 4_000;
 /** Time for which a host that did not answer owns no duty. */
 const SILENT_MS = 2_000;
+/** The store shows within this time that a host has left or came back. */
+const MOVED_MS = 300;
 
 const parseEntry = (text: string): HostEntry | undefined => {
   try {
@@ -68,6 +72,8 @@
 
   private readonly lease: LeaseHolder;
 
+  private leaving = false;
+
   constructor(private readonly options: HostRegistryOptions) {
     const { clock, logger, store, self, prefix } = options;
     this.self = self;
@@ -86,7 +92,11 @@
 
   list(): readonly HostEntry[] {
     const byId = new Map([...this.entries.values()].map((entry) => [entry.hostId, entry]));
-    byId.set(this.self.hostId, this.self);
+    if (this.leaving) {
+      byId.delete(this.self.hostId);
+    } else {
+      byId.set(this.self.hostId, this.self);
+    }
     return [...byId.values()];
   }
 
@@ -106,6 +116,11 @@
     return rankByRendezvous([...byId.keys()], duty).map((hostId) => byId.get(hostId) as HostEntry);
   }
 
+  noteMoved(hostId: string): void {
+    const untilMs = this.options.clock.monotonicMs() + MOVED_MS;
+    this.silentUntilMs.set(hostId, Math.max(untilMs, this.silentUntilMs.get(hostId) ?? 0));
+  }
+
   noteSilent(hostId: string): void {
     this.silentUntilMs.set(hostId, this.options.clock.monotonicMs() + SILENT_MS);
     this.options.logger.event('peerSilent', { peer: hostId });
@@ -141,6 +156,8 @@
   }
 
   leave(): Promise<void> {
+    this.leaving = true;
+    this.changed();
     return this.lease.close();
   }
 
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -23,10 +23,12 @@
   ENTER,
   NOTE,
   PLACE,
+  REOPEN,
   REPORT_POOL,
   REPORT_REGION,
   type EnterAnswer,
   type EnterRequest,
+  type OpenRequest,
   type PlaceAnswer,
   type PlaceRequest,
   type PoolReport,
@@ -40,6 +42,7 @@
   place(request: PlaceRequest): PlaceAnswer;
   note(note: RequestNote): void;
   reportPool(report: PoolReport): void;
+  reopen(requests: readonly OpenRequest[]): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   start(hosts: HostRegistry): void;
   close(): void;
@@ -103,6 +106,12 @@
         this.note(note);
         return true;
       },
+      [REOPEN]: (params, peer) => {
+        const requests = params as readonly OpenRequest[];
+        requests.forEach(({ requestId }) => this.findVisitors(peer).add(requestId));
+        this.reopen(requests);
+        return true;
+      },
       [REPORT_POOL]: (params) => {
         this.reportPool(params as PoolReport);
         return true;
@@ -181,6 +190,15 @@
     }
   }
 
+  reopen(requests: readonly OpenRequest[]): void {
+    const nowMs = this.options.clock.monotonicMs();
+    requests.forEach(({ requestId, value, stages, deadlineInMs, endedStages }) => {
+      const deadlineAtMs = nowMs + deadlineInMs;
+      this.ledger.add({ requestId, value, stages, dueAtMs: deadlineAtMs, deadlineAtMs, arrivedAtMs: nowMs });
+      endedStages.forEach((stage) => this.ledger.endStage(requestId, stage));
+    });
+  }
+
   reportPool(report: PoolReport): void {
     this.reports.set(report.pool, report);
   }
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -7,9 +7,11 @@
   ENTER,
   NOTE,
   PLACE,
+  REOPEN,
   REPORT_POOL,
   type EnterAnswer,
   type EnterRequest,
+  type OpenRequest,
   type PlaceAnswer,
   type PlaceRequest,
   type PoolReport,
@@ -54,17 +56,32 @@
 const ANSWER_LIMIT_MS = 120;
 const FAR_ANSWER_LIMIT_MS = 250;
 
+/** A request in the schedule of a region. */
+interface Scheduled {
+  readonly region: string;
+  readonly request: Omit<EnterRequest, 'visiting'>;
+  readonly deadlineAtMs: number;
+  readonly endedStages: number[];
+}
+
 class Client implements SchedulerClient {
-  constructor(private readonly options: SchedulerClientOptions) {}
+  private readonly scheduled = new Map<string, Scheduled>();
+
+  /** Host that was the scheduler of a region when it was last asked. */
+  private readonly knownOwners = new Map<string, string>();
+
+  constructor(private readonly options: SchedulerClientOptions) {
+    options.hosts.onChange(() => this.knownOwners.forEach((_, region) => this.findOwner(region)));
+  }
 
   async enter(request: Omit<EnterRequest, 'visiting'>): Promise<Entry> {
     const { region } = this.options;
     const answer = await this.askEntry(region, { ...request, visiting: false }, ANSWER_LIMIT_MS);
     if (answer?.type !== 'elsewhere') {
-      return Client.toEntry(answer, region);
+      return this.keep(request, Client.toEntry(answer, region));
     }
     const far = await this.askEntry(answer.region, { ...request, visiting: true }, FAR_ANSWER_LIMIT_MS);
-    return Client.toEntry(far, far === undefined ? region : answer.region);
+    return this.keep(request, Client.toEntry(far, far === undefined ? region : answer.region));
   }
 
   async place(region: string, request: PlaceRequest): Promise<string | undefined> {
@@ -81,6 +98,11 @@
   }
 
   note(region: string, note: RequestNote): void {
+    if (note.type === 'stage-ended') {
+      this.scheduled.get(note.requestId)?.endedStages.push(note.stage);
+    } else if (note.type === 'left') {
+      this.scheduled.delete(note.requestId);
+    }
     this.tell(region, NOTE, note, () => this.options.local.note(note));
   }
 
@@ -107,8 +129,43 @@
       : ((await this.ask(owner, ENTER, request, limitMs)) as EnterAnswer | undefined);
   }
 
+  private keep(request: Omit<EnterRequest, 'visiting'>, entry: Entry): Entry {
+    if (entry.type === 'admitted') {
+      const deadlineAtMs = this.options.clock.monotonicMs() + request.deadlineInMs;
+      this.scheduled.set(request.requestId, { region: entry.region, request, deadlineAtMs, endedStages: [] });
+    }
+    return entry;
+  }
+
   private findOwner(region: string): HostEntry | undefined {
-    return this.options.hosts.rankOwners(SCHEDULER_DUTY, region)[0];
+    const owner = this.options.hosts.rankOwners(SCHEDULER_DUTY, region)[0];
+    const known = this.knownOwners.get(region);
+    if (owner !== undefined && owner.hostId !== known) {
+      this.knownOwners.set(region, owner.hostId);
+      if (known !== undefined) {
+        this.reopen(region, owner);
+      }
+    }
+    return owner;
+  }
+
+  /** Tells a new scheduler what this host has open. */
+  private reopen(region: string, owner: HostEntry): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const open = [...this.scheduled.values()]
+      .filter((scheduled) => scheduled.region === region)
+      .map(({ request: { requestId, value, stages }, deadlineAtMs, endedStages }): OpenRequest => {
+        return { requestId, value, stages, endedStages, deadlineInMs: deadlineAtMs - nowMs };
+      });
+    if (open.length === 0) {
+      return;
+    }
+    if (this.isLocal(owner)) {
+      this.options.local.reopen(open);
+    } else {
+      // Without it the new scheduler knows only the requests that come later.
+      this.options.links.call(owner.target, REOPEN, open).catch(() => undefined);
+    }
   }
 
   private isLocal(owner: HostEntry): boolean {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -12,6 +12,18 @@
 /** Message of the scheduler of a region to that of another. */
 export const REPORT_REGION = 'schedule.region';
 
+/** Message that tells a new scheduler which requests are open. */
+export const REOPEN = 'schedule.reopen';
+
+/** A request that was admitted by an earlier scheduler. Times are relative to the message. */
+export interface OpenRequest {
+  readonly requestId: string;
+  readonly value: number;
+  readonly stages: readonly StageNeed[];
+  readonly deadlineInMs: number;
+  readonly endedStages: readonly number[];
+}
+
 /** A generation at the end of the stages. */
 export interface GenerationRequest {
   readonly pool: string;
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -19,6 +19,8 @@
   run(job: StageJob): Promise<StageJobResult>;
   cancel(jobId: string): void;
   release(results: readonly string[]): void;
+  /** Another host owns the pool now: jobs of which nothing was sent go there. */
+  handOver(): void;
   /** The servers of the pool may have changed. */
   refresh(): void;
   close(): void;
@@ -116,6 +118,14 @@
     this.releaseMade(open);
   }
 
+  handOver(): void {
+    this.queue.takeUnsent().forEach((jobId) => {
+      const open = this.jobs.get(jobId);
+      this.jobs.delete(jobId);
+      open?.resolve({ type: 'failed', reason: 'moved', retryAfterMs: 0 });
+    });
+  }
+
   release(results: readonly string[]): void {
     const byServer = new Map<string, string[]>();
     results.forEach((result) => {
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -23,6 +23,10 @@
   /** Methods for other hosts. */
   readonly methods: Readonly<Record<string, LinkMethod>>;
   onState(sink: PoolStateSink): void;
+  /** The owners of pools may have changed. */
+  review(isOwner: (pool: string) => boolean): void;
+  /** This host stops: it takes no more jobs. */
+  leave(): void;
   close(): void;
 }
 
@@ -39,6 +43,7 @@
 /** Receives how the servers of a pool do. */
 export type PoolStateSink = (pool: string, state: BatchPoolState) => void;
 
+const MOVED: StageJobResult = { type: 'failed', reason: 'moved', retryAfterMs: 0 };
 const UNKNOWN_POOL: StageJobResult = { type: 'failed', reason: 'failed', retryAfterMs: 500 };
 /** Connections to one stage server: calls in progress, and releases beside them. */
 const MAX_CONNECTIONS = 6;
@@ -53,6 +58,7 @@
  */
 export default function createBatchOwners(options: BatchOwnersOptions): BatchOwners {
   const owners = new Map<string, BatchOwner>();
+  let leaving = false;
   let tellState: PoolStateSink = () => undefined;
   const http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
   options.directory.onChange(() => owners.forEach((owner) => owner.refresh()));
@@ -68,7 +74,8 @@
     options.logger.event('batchOwnerStarted', { pool });
     return owner;
   };
-  const run = (job: StageJob): Promise<StageJobResult> => find(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL);
+  const run = (job: StageJob): Promise<StageJobResult> =>
+    leaving ? Promise.resolve(MOVED) : (find(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL));
   const cancel = (pool: string, jobId: string): void => owners.get(pool)?.cancel(jobId);
   const release = ({ pool, results }: ReleasedResults): void => owners.get(pool)?.release(results);
 
@@ -97,6 +104,17 @@
     onState: (sink) => {
       tellState = sink;
     },
+    review: (isOwner) => {
+      owners.forEach((owner, pool) => {
+        if (!isOwner(pool)) {
+          owner.handOver();
+        }
+      });
+    },
+    leave: () => {
+      leaving = true;
+      owners.forEach((owner) => owner.handOver());
+    },
     close: () => {
       owners.forEach((owner) => owner.close());
       http.close();
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -24,7 +24,7 @@
 const LOST: StageJobResult = { type: 'failed', reason: 'failed', retryAfterMs: 500 };
 
 /** Hosts that are tried for one job. */
-const MAX_OWNERS = 3;
+const MAX_OWNERS = 4;
 
 class Client implements StageClient {
   constructor(private readonly options: StageClientOptions) {}
@@ -42,7 +42,11 @@
       try {
         // The next owner is asked only after this one is lost.
         // eslint-disable-next-line no-await-in-loop
-        return await this.callOwner(owner, left, signal);
+        const result = await this.callOwner(owner, left, signal);
+        if (result.type === 'done' || result.reason !== 'moved') {
+          return result;
+        }
+        hosts.noteMoved(owner.hostId);
       } catch {
         hosts.noteSilent(owner.hostId);
         const { requestId, stage, pool } = job;
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -34,7 +34,8 @@
   | { readonly type: 'done'; readonly results: readonly string[] }
   | {
       readonly type: 'failed';
-      readonly reason: 'refused' | 'late' | 'input-gone' | 'failed';
+      /** `moved`: nothing was sent, and another host owns the pool now. */
+      readonly reason: 'refused' | 'late' | 'input-gone' | 'failed' | 'moved';
       /** When a repeated request is expected to be served. */
       readonly retryAfterMs: number;
     };
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -168,6 +168,7 @@
   const callers = await startCallers(base, hosts, pools);
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
+  hosts.onChange(() => owners.review((pool) => hosts.rankOwners(pool)[0]?.hostId === settings.host.id));
   hosts.start();
   exchange.start(hosts);
   scheduler.start(hosts);
@@ -200,6 +201,7 @@
     onStart: () => {
       draining = true;
       hosts.leave().catch(() => undefined);
+      owners.leave();
       callers.drain();
     },
     inFlight: () => callers.openRequests(),
