Start stages with large results late, release results of lost hosts, forget what is not asked

Calls to schippers went out with 1 to 5 of 7 pieces and 50 to 85 waiting: the room for results (10 of 1.5 MB at a server) was taken by results of the first stage that lay there while a chain of three other stages ran, and by results of hosts that had died. The ledger of a scheduler that had been replaced kept requests that had ended, and counted them when the duty came back. Change: a stage that nothing follows starts when the rest of the chain is at most twice as long as it; results held by a host are released when its link ends; a scheduler that is not asked any more clears its ledger.

--- a/packages/decide/src/scheduling/createWorkLedger.ts
+++ b/packages/decide/src/scheduling/createWorkLedger.ts
@@ -7,6 +7,7 @@
   /** A stage of the request has ended. */
   endStage(requestId: string, stage: number): void;
   remove(requestId: string): void;
+  clear(): void;
   /** Drops requests whose deadline has passed. */
   expire(nowMs: number): void;
   /** Time that the servers of the pool need for the work of requests of at least the given value. */
@@ -59,6 +60,7 @@
     remove: (requestId) => {
       entries.delete(requestId);
     },
+    clear: () => entries.clear(),
     expire: (nowMs) => {
       entries.forEach(({ need }, requestId) => {
         if (need.deadlineAtMs <= nowMs) {
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -43,6 +43,8 @@
   note(note: RequestNote): void;
   reportPool(report: PoolReport): void;
   reopen(requests: readonly OpenRequest[]): void;
+  /** The scheduler of the region may have changed; one that is not asked any more knows nothing of what follows. */
+  review(isScheduler: boolean): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   start(hosts: HostRegistry): void;
   close(): void;
@@ -199,6 +201,12 @@
     });
   }
 
+  review(isScheduler: boolean): void {
+    if (!isScheduler) {
+      this.ledger.clear();
+    }
+  }
+
   reportPool(report: PoolReport): void {
     this.reports.set(report.pool, report);
   }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -208,6 +208,7 @@
       pieces: items.length,
       expectedMs: Math.round(call.expectedMs),
       totalMs: Math.round(totalMs),
+      waiting: this.queue.view(clock.monotonicMs()).waitingPieces,
       status: response.statusCode ?? 0,
     });
     if (answers?.length !== items.length) {
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -5,6 +5,7 @@
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { StageFormat } from '../ports.js';
+import createHoldings from './createHoldings.js';
 import createBatchOwner, { type BatchOwner } from './createBatchOwner.js';
 import {
   CANCEL_STAGE,
@@ -79,19 +80,25 @@
   const cancel = (pool: string, jobId: string): void => owners.get(pool)?.cancel(jobId);
   const release = ({ pool, results }: ReleasedResults): void => owners.get(pool)?.release(results);
 
+  const holdings = createHoldings(release);
+
   const methods: Record<string, LinkMethod> = {
     [RUN_STAGE]: (params, peer) => {
       const job = params as StageJob;
       const forget = peer.onClose(() => cancel(job.pool, job.jobId));
-      return run(job).finally(forget);
+      return run(job)
+        .then((result) => holdings.note(peer, job.pool, result))
+        .finally(forget);
     },
     [CANCEL_STAGE]: (params) => {
       const { pool, jobId } = params as { readonly pool: string; readonly jobId: string };
       cancel(pool, jobId);
       return true;
     },
-    [RELEASE_RESULTS]: (params) => {
-      release(params as ReleasedResults);
+    [RELEASE_RESULTS]: (params, peer) => {
+      const released = params as ReleasedResults;
+      holdings.forget(peer, released);
+      release(released);
       return true;
     },
   };
--- a/packages/gateway/src/stages/planStageTimes.ts
+++ b/packages/gateway/src/stages/planStageTimes.ts
@@ -1,5 +1,6 @@
 import type { RouteIndex } from '@bergamotcove/decide';
 import type { ForwardRequest } from '../requests/types.js';
+import usualStageMs from './usualStageMs.js';
 
 /** Times of one stage, monotonic. */
 export interface StageTimes {
@@ -17,11 +18,6 @@
   readonly answerMs: number;
 }
 
-/** Part of a full call's work that a usual call has. */
-const USUAL_FILL = 0.5;
-/** Wait for a server that is busy with the call before, as a part of the fixed time of a call. */
-const USUAL_WAIT = 0.6;
-
 /**
  * Plans the times of the stages of a request backwards from its objective and its deadline.
  *
@@ -39,10 +35,7 @@
   const dueAtMs = yields ? request.deadlineAtMs : request.arrivedAtMs + objectiveMs;
   const findBatch = (stage: number) => index.pools.get(stages[stage]?.pool ?? '')?.batch;
   const leastMs = (stage: number): number => findBatch(stage)?.callMs ?? 0;
-  const usualMs = (stage: number): number => {
-    const { callMs = 0, maxPieces = 0, pieceMs = 0 } = findBatch(stage) ?? {};
-    return callMs * (1 + USUAL_WAIT) + maxPieces * pieceMs * USUAL_FILL;
-  };
+  const usualMs = (stage: number): number => usualStageMs(findBatch(stage));
   const times: StageTimes[] = [];
   for (let stage = stages.length - 1; stage >= 0; stage -= 1) {
     const followers = stages.flatMap(({ after }, follower) => (after.includes(stage) ? [follower] : []));
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -4,6 +4,7 @@
 import type { ForwardRequest } from '../requests/types.js';
 import type { StageClient } from './createStageClient.js';
 import type { StageJob, StageJobResult } from './messages.js';
+import measureTails from './measureTails.js';
 import planStageTimes, { type StageTimes } from './planStageTimes.js';
 
 /** Results of the stages of a request. */
@@ -34,6 +35,9 @@
   readonly onStageEnded: (stage: number, elapsedMs: number) => void;
 }
 
+/** A stage starts when the rest of the longest chain takes at most this many times as long as it. */
+const EARLY_FACTOR = 2;
+
 class StageRun {
   private readonly results: (readonly string[] | undefined)[];
 
@@ -44,6 +48,8 @@
 
   private readonly times: readonly StageTimes[];
 
+  private readonly tailsMs: readonly number[];
+
   constructor(
     private readonly request: ForwardRequest,
     private readonly ports: StagePorts,
@@ -51,6 +57,7 @@
   ) {
     this.results = request.route.stages.map((_, stage) => (this.countOf(stage) === 0 ? [] : undefined));
     this.times = planStageTimes(request, ports.index, ports);
+    this.tailsMs = measureTails(request, ports.index);
   }
 
   async run(signal: AbortSignal): Promise<StagesOutcome> {
@@ -79,7 +86,7 @@
         }
         this.request.route.stages.forEach((spec, stage) => {
           const ready = spec.after.every((before) => this.results[before] !== undefined);
-          if (this.results[stage] !== undefined || started.has(stage) || !ready) {
+          if (this.results[stage] !== undefined || started.has(stage) || !ready || this.isEarly(stage)) {
             return;
           }
           started.add(stage);
@@ -102,6 +109,15 @@
     });
   }
 
+  /**
+   * Whether the results of a stage would lie at their server for long, while a longer chain of stages goes on. Room for
+   * results is what limits pools with large ones.
+   */
+  private isEarly(stage: number): boolean {
+    const open = this.tailsMs.filter((_, other) => other !== stage && this.results[other] === undefined);
+    return Math.max(0, ...open) > (this.tailsMs[stage] ?? 0) * EARLY_FACTOR;
+  }
+
   private createJob(spec: RouteStage, stage: number): StageJob {
     const { requestId, route, facts, priority, value } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -18,7 +18,7 @@
 import createHostExchange from './hosts/createHostExchange.js';
 import listenForPeers from './hosts/listenForPeers.js';
 import type { GatewayFormats } from './ports.js';
-import createRegionScheduler, { type RegionScheduler } from './scheduling/createRegionScheduler.js';
+import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
@@ -168,7 +168,11 @@
   const callers = await startCallers(base, hosts, pools);
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
-  hosts.onChange(() => owners.review((pool) => hosts.rankOwners(pool)[0]?.hostId === settings.host.id));
+  const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === settings.host.id;
+  hosts.onChange(() => {
+    owners.review(isOwner);
+    scheduler.review(isOwner(SCHEDULER_DUTY));
+  });
   hosts.start();
   exchange.start(hosts);
   scheduler.start(hosts);
