--- a/packages/decide/src/batches/_lib/createServerBook.ts
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -32,6 +32,9 @@
 export const readSlowness = (state: ServerState, nowMs: number): number =>
   1 + (state.slowness - 1) * Math.exp(-(nowMs - state.slownessAtMs) / SLOWNESS_FADE_MS);
 
+/** Sizes of results are approximate; a piece without room is made again, without the inputs that were given up. */
+const ROOM_SHARE = 0.9;
+
 /** Learns from a call that took `ratio` times as long as usual. */
 export const learnSlowness = (state: ServerState, ratio: number, nowMs: number): void => {
   const learnt = state;
@@ -44,7 +47,7 @@
 export const readRoomBytes = (state: ServerState, spec: BatchSpec, nowMs: number): number => {
   const kept = state;
   kept.held = state.held.filter((result) => result.expiresAtMs > nowMs);
-  return spec.roomBytes - kept.held.reduce((sum, { bytes }) => sum + bytes, 0);
+  return spec.roomBytes * ROOM_SHARE - kept.held.reduce((sum, { bytes }) => sum + bytes, 0);
 };
 
 /** Creates what is known of a server that was never called. */
--- a/packages/decide/src/scheduling/createEngineBook.ts
+++ b/packages/decide/src/scheduling/createEngineBook.ts
@@ -65,6 +65,8 @@
   slownessAtMs: number;
   failures: number;
   restsUntilMs: number;
+  /** When a first token last came from the engine. */
+  tokenAtMs: number;
 }
 
 /** Prompt tokens read in a millisecond, until it is learnt. */
@@ -81,6 +83,8 @@
 /** Cost of a result in another failure domain, in time for each megabyte. */
 const FAR_MS_PER_MB = 25;
 const BYTES_PER_MB = 1_000_000;
+/** A first token that takes this many times as long as expected is overdue. */
+const OVERDUE_FACTOR = 2;
 /** An engine's own figure of its slowness holds for about as long. */
 const SLOWNESS_FADE_MS = 400;
 const FIRST_REST_MS = 200;
@@ -110,6 +114,7 @@
           slownessAtMs: -Infinity,
           failures: 0,
           restsUntilMs: -Infinity,
+          tokenAtMs: -Infinity,
         });
       }
     });
@@ -155,6 +160,7 @@
     switch (event.type) {
       case 'first-token':
         engine.failures = 0;
+        engine.tokenAtMs = nowMs;
         engine.slowness = event.slowness ?? 1;
         engine.slownessAtMs = nowMs;
         this.learn(placed, nowMs);
@@ -177,7 +183,7 @@
     const sharedTokens = need.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const rereadTokens = Math.max(0, sharedTokens - cachedTokens);
     const readMs = ((this.queuedTokens(engine, nowMs) + missingTokens) / this.tokensPerMs) * Book.slow(engine, nowMs);
-    const firstTokenMs = BASE_MS + readMs;
+    const firstTokenMs = BASE_MS + readMs + this.overdueMs(engine, nowMs);
     let farBytes = 0;
     need.resultBytes.forEach((bytes, domain) => {
       farBytes += domain === failureDomain ? 0 : bytes;
@@ -186,17 +192,29 @@
     return { serverId, failureDomain, firstTokenMs, missingTokens, costMs };
   }
 
-  /** Prompt tokens that the engine still has to read. */
+  /**
+   * Prompt tokens that the engine still has to read. What it has read since its last first token is at most the prompt
+   * that came first: without a token, more progress is not believed.
+   */
   private queuedTokens(engine: EngineState, nowMs: number): number {
-    let tokens = 0;
-    let oldestMs = nowMs;
-    engine.placed.forEach((placed) => {
-      if (!placed.started) {
-        tokens += placed.missingTokens;
-        oldestMs = Math.min(oldestMs, placed.placedAtMs);
-      }
-    });
-    return Math.max(0, tokens - (nowMs - oldestMs) * this.tokensPerMs);
+    const waiting = [...engine.placed.values()].filter(({ started }) => !started);
+    const [first] = waiting;
+    if (first === undefined) {
+      return 0;
+    }
+    const sinceMs = Math.max(first.placedAtMs, engine.tokenAtMs);
+    const readTokens = Math.min(first.missingTokens, (nowMs - sinceMs) * this.tokensPerMs);
+    return waiting.reduce((sum, { missingTokens }) => sum + missingTokens, 0) - readTokens;
+  }
+
+  /** Time by which the first token of the oldest prompt is overdue. */
+  private overdueMs(engine: EngineState, nowMs: number): number {
+    const first = [...engine.placed.values()].find(({ started }) => !started);
+    if (first === undefined) {
+      return 0;
+    }
+    const expectedMs = BASE_MS + (first.queuedTokens / this.tokensPerMs) * OVERDUE_FACTOR;
+    return Math.max(0, nowMs - Math.max(first.placedAtMs, engine.tokenAtMs) - expectedMs);
   }
 
   private static slow(engine: EngineState, nowMs: number): number {
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -59,6 +59,8 @@
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
 const TIMED_OUT_RETRY_MS = 100;
+/** Times that the stages of a request run, when results are lost with their servers. */
+const MAX_ROUNDS = 3;
 
 /** One request on its way through stages and attempts to its answer. */
 export default class ForwardRun {
@@ -193,8 +195,11 @@
     const outcome = await runStages(this.request, ports, options);
     this.record.noteStages();
     if (outcome.type === 'failed') {
-      this.refuseStages(outcome);
-      return false;
+      const again = outcome.reason === 'input-gone' && this.rounds < MAX_ROUNDS && !this.ended;
+      if (!again) {
+        this.refuseStages(outcome);
+      }
+      return again ? this.prepare() : false;
     }
     this.results.keep(outcome.results, region);
     if (this.ended) {
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -36,6 +36,8 @@
   readonly pool: string;
   readonly spec: BatchSpec;
   readonly region: string;
+  /** Gives results of another pool up. */
+  readonly releaseInputs: (pool: string, results: readonly string[]) => void;
   /** Tells the scheduler of the region how the servers do. */
   readonly onState: (state: BatchPoolState) => void;
 }
@@ -44,6 +46,9 @@
   readonly job: StageJob;
   readonly expiresAtMs: number;
   readonly results: (string | undefined)[];
+  /** Pieces whose call has started. */
+  started: number;
+  inputsReleased?: boolean;
   readonly resolve: (result: StageJobResult) => void;
 }
 
@@ -60,6 +65,10 @@
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
 const RELEASE_LIMIT_MS = 1_000;
+/** Time in which a server that begins a call has fetched its inputs. */
+const FETCH_MS = 50;
+/** Calls of the owner before have ended this long after the duty has changed. */
+const SETTLE_MS = 1_000;
 /** Shortest interval of the reports to the scheduler. */
 const REPORT_MS = 300;
 const RETRY_AFTER_FAILURE_MS = 500;
@@ -77,14 +86,18 @@
 
   private reportedAtMs = -Infinity;
 
+  private beganAtMs: number;
+
   constructor(private readonly options: BatchOwnerOptions) {
     this.queue = createBatchQueue(options.spec);
+    this.beganAtMs = options.clock.monotonicMs();
     this.refresh();
   }
 
   run(job: StageJob): Promise<StageJobResult> {
     const nowMs = this.options.clock.monotonicMs();
-    const { jobId, kind, priority, value, progress, resultBytes, failureDomain, pieces } = job;
+    this.beganAtMs = Math.min(this.beganAtMs, nowMs);
+    const { jobId, kind, priority, value, progress, resultBytes, failureDomain, pieceCount } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
@@ -95,7 +108,7 @@
         progress,
         resultBytes,
         failureDomain,
-        pieceCount: pieces.length,
+        pieceCount,
         dueAtMs: nowMs + job.dueInMs,
         expiresAtMs,
       },
@@ -105,7 +118,7 @@
       return Promise.resolve({ type: 'failed', reason: 'refused', retryAfterMs: decision.retryAfterMs });
     }
     return new Promise((resolve) => {
-      this.jobs.set(jobId, { job, expiresAtMs, results: pieces.map(() => undefined), resolve });
+      this.jobs.set(jobId, { job, expiresAtMs, results: new Array<undefined>(pieceCount).fill(undefined), started: 0, resolve });
       this.pump();
     });
   }
@@ -119,6 +132,7 @@
   }
 
   handOver(): void {
+    this.beganAtMs = Infinity;
     this.queue.takeUnsent().forEach((jobId) => {
       const open = this.jobs.get(jobId);
       this.jobs.delete(jobId);
@@ -188,9 +202,14 @@
     const sentAtMs = clock.monotonicMs();
     const items = call.pieces.map(({ jobId, piece }) => {
       const { job, expiresAtMs } = this.jobs.get(jobId) as OpenJob;
-      const { requestId, stage } = job;
-      return { requestId, stage, remainingMs: expiresAtMs - sentAtMs, ...(job.pieces[piece] as StageJob['pieces'][0]) };
+      const { requestId, stage, key, inputs } = job;
+      const input =
+        inputs.length === 0
+          ? ({ type: 'key', key } as const)
+          : ({ type: 'results', results: inputs.flatMap(({ results }) => results) } as const);
+      return { requestId, stage, piece, remainingMs: expiresAtMs - sentAtMs, input };
     });
+    this.noteStarted(call);
     const response = await http.open(server, {
       method: 'POST',
       path: format.runPath,
@@ -221,6 +240,32 @@
     return { type: 'answered', pieces: answers.map(({ type }) => type), totalMs };
   }
 
+  /**
+   * Gives the inputs of a job up as soon as the calls of all its pieces have begun: a server fetches them when it begins,
+   * and their room is what the stages before wait for.
+   */
+  private noteStarted(call: PlannedCall): void {
+    call.pieces.forEach(({ jobId }) => {
+      const open = this.jobs.get(jobId);
+      if (open === undefined) {
+        return;
+      }
+      open.started += 1;
+      if (open.started < open.job.pieceCount || open.job.inputs.length === 0 || !this.isSettled()) {
+        return;
+      }
+      open.inputsReleased = true;
+      this.options.clock.schedule(FETCH_MS, () => {
+        open.job.inputs.forEach(({ pool, results }) => this.options.releaseInputs(pool, results));
+      });
+    });
+  }
+
+  /** Whether this owner has had the servers for itself for a while, so that its calls begin when they arrive. */
+  private isSettled(): boolean {
+    return this.options.clock.monotonicMs() - this.beganAtMs > SETTLE_MS;
+  }
+
   private keepResults(call: PlannedCall, answers: readonly PieceAnswer[], serverId: string): void {
     const nowMs = this.options.clock.monotonicMs();
     const unused: string[] = [];
@@ -278,7 +323,11 @@
         return;
       }
       if (result.type === 'done') {
-        open.resolve({ type: 'done', results: open.results as string[] });
+        open.resolve({
+          type: 'done',
+          results: open.results as string[],
+          inputsReleased: open.inputsReleased === true,
+        });
       } else {
         open.resolve({ type: 'failed', reason: result.reason, retryAfterMs: RETRY_AFTER_FAILURE_MS });
         this.releaseMade(open);
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -24,6 +24,7 @@
   /** Methods for other hosts. */
   readonly methods: Readonly<Record<string, LinkMethod>>;
   onState(sink: PoolStateSink): void;
+  onInputsUsed(sink: ResultSink): void;
   /** The owners of pools may have changed. */
   review(isOwner: (pool: string) => boolean): void;
   /** This host stops: it takes no more jobs. */
@@ -41,6 +42,9 @@
   readonly region: string;
 }
 
+/** Receives results of a pool that are not needed any more. */
+export type ResultSink = (pool: string, results: readonly string[]) => void;
+
 /** Receives how the servers of a pool do. */
 export type PoolStateSink = (pool: string, state: BatchPoolState) => void;
 
@@ -61,6 +65,7 @@
   const owners = new Map<string, BatchOwner>();
   let leaving = false;
   let tellState: PoolStateSink = () => undefined;
+  let releaseInputs: ResultSink = () => undefined;
   const http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
   options.directory.onChange(() => owners.forEach((owner) => owner.refresh()));
 
@@ -70,7 +75,7 @@
     if (known !== undefined || spec === undefined) {
       return known;
     }
-    const owner = createBatchOwner({ ...options, http, pool, spec, onState: (state) => tellState(pool, state) });
+    const owner = createBatchOwner({ ...options, http, pool, spec, onState: (state) => tellState(pool, state), releaseInputs: (from, results) => releaseInputs(from, results) });
     owners.set(pool, owner);
     options.logger.event('batchOwnerStarted', { pool });
     return owner;
@@ -111,6 +116,9 @@
     onState: (sink) => {
       tellState = sink;
     },
+    onInputsUsed: (sink) => {
+      releaseInputs = sink;
+    },
     review: (isOwner) => {
       owners.forEach((owner, pool) => {
         if (!isOwner(pool)) {
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -1,5 +1,3 @@
-import type { PieceItem } from '../ports.js';
-
 /** Method that hands the pieces of one stage of one request to the owner of its pool. */
 export const RUN_STAGE = 'stage.run';
 /** Method that takes a job back. */
@@ -7,6 +5,12 @@
 /** Method that gives results up. */
 export const RELEASE_RESULTS = 'stage.release';
 
+/** Results of one stage that another one takes. */
+export interface StageInput {
+  readonly pool: string;
+  readonly results: readonly string[];
+}
+
 /** Pieces of one stage of one request, as one host hands them to another. Times are relative to the message. */
 export interface StageJob {
   readonly jobId: string;
@@ -25,13 +29,22 @@
   readonly expiresInMs: number;
   readonly resultBytes: number;
   readonly failureDomain: string;
-  readonly pieces: readonly Pick<PieceItem, 'piece' | 'input'>[];
+  readonly pieceCount: number;
+  /** Names the input of a stage that takes no results. */
+  readonly key: string;
+  /** Results that every piece takes. */
+  readonly inputs: readonly StageInput[];
 }
 
 /** What became of a job. */
 export type StageJobResult =
   /** One handle for each piece, in order. */
-  | { readonly type: 'done'; readonly results: readonly string[] }
+  | {
+      readonly type: 'done';
+      readonly results: readonly string[];
+      /** Whether the inputs were given up already. */
+      readonly inputsReleased: boolean;
+    }
   | {
       readonly type: 'failed';
       /** `moved`: nothing was sent, and another host owns the pool now. */
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -99,6 +99,9 @@
               return;
             }
             this.results[stage] = result.results;
+            if (result.inputsReleased) {
+              spec.after.forEach((before) => this.released.add(before));
+            }
             this.ports.onStageEnded(stage, this.ports.clock.monotonicMs() - startedAtMs);
             this.releaseUsed();
             advance();
@@ -122,7 +125,6 @@
     const { requestId, route, facts, priority, value } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
     const { dueAtMs, expiresAtMs } = this.times[stage] as StageTimes;
-    const inputs = spec.after.flatMap((before) => this.results[before] ?? []);
     return {
       jobId: `${requestId}/${stage}/${this.round}`,
       pool: spec.pool,
@@ -136,12 +138,11 @@
       expiresInMs: expiresAtMs - nowMs,
       resultBytes: spec.resultBytes,
       failureDomain: this.ports.failureDomain,
-      pieces: Array.from({ length: this.countOf(stage) }, (_, piece) => ({
-        piece,
-        input:
-          spec.after.length === 0
-            ? { type: 'key' as const, key: facts.pieceKey }
-            : { type: 'results' as const, results: inputs },
+      pieceCount: this.countOf(stage),
+      key: facts.pieceKey,
+      inputs: spec.after.map((before) => ({
+        pool: route.stages[before]?.pool ?? '',
+        results: this.results[before] ?? [],
       })),
     };
   }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -112,13 +112,15 @@
   const { clock, logger, links, owners, settings, region } = base;
   const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
+  const stages = createStageClient({ clock, logger, hosts, links, local: owners });
+  owners.onInputsUsed((pool, results) => stages.release(region, pool, results));
   const budgets = createRetryBudgets({ clock, limits: settings.retries, hosts: () => hosts.list().length });
   const handler = createRequestHandler({
     ...base,
     pools,
     scheduler,
     stageFormat: base.formats.stages,
-    stages: createStageClient({ clock, logger, hosts, links, local: owners }),
+    stages,
     format: base.formats.requests,
     random: Math.random,
     spendRetry: (pool) => budgets.spend(pool),
