Give up results of one replica when a server's room runs short

Cause: the room for stage results (10 of 1.5 MB a server) binds before the servers' time does. Results that are held twice, or whose request already has its attempt under way, were kept until the request's end. Change: the batch owner releases such spare results when a call finds no room, and a request names its results as spare once its attempt has had time to fetch them. The release 80 ms after the attempt was sent has not been measured by itself.

--- a/packages/decide/src/batches/_lib/createServerBook.ts
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -5,6 +5,8 @@
 interface HeldResult {
   readonly bytes: number;
   expiresAtMs: number;
+  /** Whether it may be given up when its room is needed. */
+  spare: boolean;
 }
 
 /** What is known of one stage server. */
@@ -43,11 +45,20 @@
   learnt.slownessAtMs = nowMs;
 };
 
-/** Room for results at a server by now. */
-export const readRoomBytes = (state: ServerState, spec: BatchSpec, nowMs: number): number => {
+/** Room for results at a server by now: all of it, and the part that is free without giving spare results up. */
+export const readRoom = (
+  state: ServerState,
+  spec: BatchSpec,
+  nowMs: number,
+): { readonly usableBytes: number; readonly freeBytes: number } => {
   const kept = state;
   kept.held = state.held.filter((result) => result.expiresAtMs > nowMs);
-  return spec.roomBytes * ROOM_SHARE - kept.held.reduce((sum, { bytes }) => sum + bytes, 0);
+  const sum = (results: readonly HeldResult[]): number => results.reduce((total, { bytes }) => total + bytes, 0);
+  const roomBytes = spec.roomBytes * ROOM_SHARE;
+  return {
+    usableBytes: roomBytes - sum(kept.held.filter(({ spare }) => !spare)),
+    freeBytes: roomBytes - sum(kept.held),
+  };
 };
 
 /** Creates what is known of a server that was never called. */
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -1,13 +1,7 @@
 import type { BatchSpec } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
 import createPieceTimes from './_lib/createPieceTimes.js';
-import {
-  createServerState,
-  learnSlowness,
-  readRoomBytes,
-  readSlowness,
-  type ServerState,
-} from './_lib/createServerBook.js';
+import { createServerState, learnSlowness, readRoom, readSlowness, type ServerState } from './_lib/createServerBook.js';
 import rankJobs, { type RankedJobs } from './_lib/rankJobs.js';
 import { createQueuedJob, isOpen, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
 import type {
@@ -38,6 +32,8 @@
   advance(nowMs: number): BatchStep;
   /** A call ended. Returns the jobs that ended with it. */
   finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[];
+  /** A result at a server may be given up when its room is needed. */
+  spare(serverId: string, resultBytes: number): void;
   /** A result at a server is not needed any more. */
   release(serverId: string, resultBytes: number): void;
   /** When `advance` should be asked again without an event, or undefined. */
@@ -147,7 +143,7 @@
     while (candidates.size > 0 && waiting.length > 0) {
       const state = this.pickServer([...candidates], waiting, nowMs);
       candidates.delete(state);
-      const pieces = this.takePieces(waiting, readRoomBytes(state, this.spec, nowMs));
+      const pieces = this.takePieces(waiting, readRoom(state, this.spec, nowMs).usableBytes);
       if (pieces.length > 0 && state.calls.size < this.spec.parallelCalls) {
         planned.push(this.start(state, pieces, nowMs));
       }
@@ -194,9 +190,17 @@
     });
   }
 
+  spare(serverId: string, resultBytes: number): void {
+    const held = this.servers.get(serverId)?.held.find(({ bytes, spare }) => bytes === resultBytes && !spare);
+    if (held !== undefined) {
+      held.spare = true;
+    }
+  }
+
   release(serverId: string, resultBytes: number): void {
     const held = this.servers.get(serverId)?.held;
-    const index = held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1;
+    const spareIndex = held?.findIndex(({ bytes, spare }) => bytes === resultBytes && spare) ?? -1;
+    const index = spareIndex >= 0 ? spareIndex : (held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1);
     if (index >= 0) {
       held?.splice(index, 1);
     }
@@ -292,7 +296,9 @@
     state.calls.set(callId, nowMs + expectedMs);
     const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece }));
     this.calls.set(callId, { state, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
-    return { callId, serverId: state.server.serverId, pieces: refs, expectedMs };
+    const neededBytes = pieces.reduce((sum, { job }) => sum + job.resultBytes, 0);
+    const usesSpareRoom = neededBytes > readRoom(state, this.spec, nowMs).freeBytes;
+    return { callId, serverId: state.server.serverId, pieces: refs, expectedMs, usesSpareRoom };
   }
 
   /** Pieces of a call that takes too long may be made by another server; the first result counts. */
@@ -359,10 +365,10 @@
     const expiresAtMs = nowMs + this.spec.keepResultMs;
     call.pieces.forEach(({ job }, index) => {
       if (outcomes[index] === 'done') {
-        call.state.held.push({ bytes: job.resultBytes, expiresAtMs });
+        call.state.held.push({ bytes: job.resultBytes, expiresAtMs, spare: false });
       } else if (outcomes[index] === 'no-room') {
         // Results that this owner does not know of take up room; they go soon or when they expire.
-        call.state.held.push({ bytes: this.spec.roomBytes, expiresAtMs: nowMs + FULL_ROOM_MS });
+        call.state.held.push({ bytes: this.spec.roomBytes, expiresAtMs: nowMs + FULL_ROOM_MS, spare: false });
       }
     });
   }
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -38,6 +38,8 @@
   readonly serverId: string;
   readonly pieces: readonly PieceRef[];
   readonly expectedMs: number;
+  /** Whether spare results at the server have to be given up before. */
+  readonly usesSpareRoom: boolean;
 }
 
 /** What follows from the state of the queue. */
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -59,6 +59,8 @@
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
 const TIMED_OUT_RETRY_MS = 100;
+/** Time in which a server has fetched the results that an attempt names. */
+const FETCH_MS = 80;
 /** Times that the stages of a request run, when results are lost with their servers. */
 const MAX_ROUNDS = 3;
 
@@ -250,6 +252,7 @@
       signal: this.abort.signal,
       onSending: () => {
         this.inFlight = true;
+        this.ports.clock.schedule(FETCH_MS, () => this.results.spare());
       },
       maySend: () => !this.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
--- a/packages/gateway/src/requests/HeldResults.ts
+++ b/packages/gateway/src/requests/HeldResults.ts
@@ -43,6 +43,14 @@
     this.results = undefined;
   }
 
+  /** The results were fetched; they are kept only while there is room, in case that they are needed again. */
+  spare(): void {
+    const { results } = this;
+    this.request.route.stages.forEach(({ pool }, stage) => {
+      this.client.spare(this.region, pool, results?.byStage[stage] ?? []);
+    });
+  }
+
   /** Gives the results up. */
   release(): void {
     const { results } = this;
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -116,7 +116,14 @@
     }
     return answer?.type === 'admitted'
       ? { ...answer, region }
-      : { type: 'admitted', region, tier: 'on-time', expectedInMs: undefined, answerMs: undefined, failureDomain: undefined };
+      : {
+          type: 'admitted',
+          region,
+          tier: 'on-time',
+          expectedInMs: undefined,
+          answerMs: undefined,
+          failureDomain: undefined,
+        };
   }
 
   private async askEntry(region: string, request: EnterRequest, limitMs: number): Promise<EnterAnswer | undefined> {
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -19,6 +19,8 @@
   run(job: StageJob): Promise<StageJobResult>;
   cancel(jobId: string): void;
   release(results: readonly string[]): void;
+  /** The results may be given up when their room is needed. */
+  spare(results: readonly string[]): void;
   /** Another host owns the pool now: jobs of which nothing was sent go there. */
   handOver(): void;
   /** The servers of the pool may have changed. */
@@ -36,8 +38,8 @@
   readonly pool: string;
   readonly spec: BatchSpec;
   readonly region: string;
-  /** Gives results of another pool up. */
-  readonly releaseInputs: (pool: string, results: readonly string[]) => void;
+  /** Tells the owner of another pool which results it may give up. */
+  readonly spareInputs: (pool: string, results: readonly string[]) => void;
   /** Tells the scheduler of the region how the servers do. */
   readonly onState: (state: BatchPoolState) => void;
 }
@@ -48,7 +50,6 @@
   readonly results: (string | undefined)[];
   /** Pieces whose call has started. */
   started: number;
-  inputsReleased?: boolean;
   readonly resolve: (result: StageJobResult) => void;
 }
 
@@ -57,6 +58,7 @@
   readonly serverId: string;
   readonly resultBytes: number;
   readonly expiresAtMs: number;
+  spare: boolean;
 }
 
 const STATUS_OK = 200;
@@ -118,7 +120,13 @@
       return Promise.resolve({ type: 'failed', reason: 'refused', retryAfterMs: decision.retryAfterMs });
     }
     return new Promise((resolve) => {
-      this.jobs.set(jobId, { job, expiresAtMs, results: new Array<undefined>(pieceCount).fill(undefined), started: 0, resolve });
+      this.jobs.set(jobId, {
+        job,
+        expiresAtMs,
+        results: new Array<undefined>(pieceCount).fill(undefined),
+        started: 0,
+        resolve,
+      });
       this.pump();
     });
   }
@@ -154,12 +162,26 @@
         byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
       }
     });
-    byServer.forEach((released, serverId) => this.sendRelease(serverId, released));
+    byServer.forEach((released, serverId) => {
+      // eslint-disable-next-line no-void
+      void this.sendRelease(serverId, released);
+    });
     if (byServer.size > 0) {
       this.pump();
     }
   }
 
+  spare(results: readonly string[]): void {
+    results.forEach((result) => {
+      const held = this.held.get(result);
+      if (held !== undefined && !held.spare) {
+        held.spare = true;
+        this.queue.spare(held.serverId, held.resultBytes);
+      }
+    });
+    this.pump();
+  }
+
   refresh(): void {
     const { directory, pool, region, clock } = this.options;
     const all = directory.list(pool);
@@ -210,6 +232,9 @@
       return { requestId, stage, piece, remainingMs: expiresAtMs - sentAtMs, input };
     });
     this.noteStarted(call);
+    if (call.usesSpareRoom) {
+      await this.giveUpSpare(call.serverId);
+    }
     const response = await http.open(server, {
       method: 'POST',
       path: format.runPath,
@@ -241,8 +266,8 @@
   }
 
   /**
-   * Gives the inputs of a job up as soon as the calls of all its pieces have begun: a server fetches them when it begins,
-   * and their room is what the stages before wait for.
+   * Tells that the inputs of a job may be given up once the calls of all its pieces have begun: a server fetches them
+   * when it begins. They are kept while there is room, because a piece that fails needs them again.
    */
   private noteStarted(call: PlannedCall): void {
     call.pieces.forEach(({ jobId }) => {
@@ -254,9 +279,8 @@
       if (open.started < open.job.pieceCount || open.job.inputs.length === 0 || !this.isSettled()) {
         return;
       }
-      open.inputsReleased = true;
       this.options.clock.schedule(FETCH_MS, () => {
-        open.job.inputs.forEach(({ pool, results }) => this.options.releaseInputs(pool, results));
+        open.job.inputs.forEach(({ pool, results }) => this.options.spareInputs(pool, results));
       });
     });
   }
@@ -276,7 +300,12 @@
       }
       const open = this.jobs.get(jobId);
       const resultBytes = open?.job.resultBytes ?? 0;
-      this.held.set(answer.result, { serverId, resultBytes, expiresAtMs: nowMs + this.options.spec.keepResultMs });
+      this.held.set(answer.result, {
+        serverId,
+        resultBytes,
+        expiresAtMs: nowMs + this.options.spec.keepResultMs,
+        spare: false,
+      });
       if (open === undefined || open.results[piece] !== undefined) {
         unused.push(answer.result);
       } else {
@@ -323,11 +352,7 @@
         return;
       }
       if (result.type === 'done') {
-        open.resolve({
-          type: 'done',
-          results: open.results as string[],
-          inputsReleased: open.inputsReleased === true,
-        });
+        open.resolve({ type: 'done', results: open.results as string[] });
       } else {
         open.resolve({ type: 'failed', reason: result.reason, retryAfterMs: RETRY_AFTER_FAILURE_MS });
         this.releaseMade(open);
@@ -339,18 +364,30 @@
     this.release((open?.results ?? []).filter((result) => result !== undefined));
   }
 
+  /** Frees the room of all spare results at a server before a call that needs it. */
+  private giveUpSpare(serverId: string): Promise<void> {
+    const results = [...this.held].flatMap(([result, held]) =>
+      held.spare && held.serverId === serverId ? [result] : [],
+    );
+    results.forEach((result) => {
+      this.queue.release(serverId, this.held.get(result)?.resultBytes ?? 0);
+      this.held.delete(result);
+    });
+    return this.sendRelease(serverId, results);
+  }
+
   private findMaker(result: string): string | undefined {
     const { directory, format } = this.options;
     return directory.findAt(format.readMaker(result))?.serverId;
   }
 
-  private sendRelease(serverId: string, results: readonly string[]): void {
+  private async sendRelease(serverId: string, results: readonly string[]): Promise<void> {
     const { http, format, directory } = this.options;
     const server = directory.find(serverId);
-    if (server === undefined) {
+    if (server === undefined || results.length === 0) {
       return;
     }
-    http
+    await http
       .send(server, {
         method: 'POST',
         path: format.releasePath,
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -42,7 +42,7 @@
   readonly region: string;
 }
 
-/** Receives results of a pool that are not needed any more. */
+/** Receives results of a pool that may be given up. */
 export type ResultSink = (pool: string, results: readonly string[]) => void;
 
 /** Receives how the servers of a pool do. */
@@ -65,7 +65,7 @@
   const owners = new Map<string, BatchOwner>();
   let leaving = false;
   let tellState: PoolStateSink = () => undefined;
-  let releaseInputs: ResultSink = () => undefined;
+  let spareInputs: ResultSink = () => undefined;
   const http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
   options.directory.onChange(() => owners.forEach((owner) => owner.refresh()));
 
@@ -75,7 +75,14 @@
     if (known !== undefined || spec === undefined) {
       return known;
     }
-    const owner = createBatchOwner({ ...options, http, pool, spec, onState: (state) => tellState(pool, state), releaseInputs: (from, results) => releaseInputs(from, results) });
+    const owner = createBatchOwner({
+      ...options,
+      http,
+      pool,
+      spec,
+      onState: (state) => tellState(pool, state),
+      spareInputs: (from, results) => spareInputs(from, results),
+    });
     owners.set(pool, owner);
     options.logger.event('batchOwnerStarted', { pool });
     return owner;
@@ -83,7 +90,13 @@
   const run = (job: StageJob): Promise<StageJobResult> =>
     leaving ? Promise.resolve(MOVED) : (find(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL));
   const cancel = (pool: string, jobId: string): void => owners.get(pool)?.cancel(jobId);
-  const release = ({ pool, results }: ReleasedResults): void => owners.get(pool)?.release(results);
+  const release = ({ pool, results, spare }: ReleasedResults): void => {
+    if (spare === true) {
+      owners.get(pool)?.spare(results);
+    } else {
+      owners.get(pool)?.release(results);
+    }
+  };
 
   const holdings = createHoldings(release);
 
@@ -102,7 +115,9 @@
     },
     [RELEASE_RESULTS]: (params, peer) => {
       const released = params as ReleasedResults;
-      holdings.forget(peer, released);
+      if (released.spare !== true) {
+        holdings.forget(peer, released);
+      }
       release(released);
       return true;
     },
@@ -117,7 +132,7 @@
       tellState = sink;
     },
     onInputsUsed: (sink) => {
-      releaseInputs = sink;
+      spareInputs = sink;
     },
     review: (isOwner) => {
       owners.forEach((owner, pool) => {
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -3,13 +3,22 @@
 import type { LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
 import type { BatchOwners } from './createBatchOwners.js';
-import { CANCEL_STAGE, RELEASE_RESULTS, RUN_STAGE, type StageJob, type StageJobResult } from './messages.js';
+import {
+  CANCEL_STAGE,
+  RELEASE_RESULTS,
+  RUN_STAGE,
+  type ReleasedResults,
+  type StageJob,
+  type StageJobResult,
+} from './messages.js';
 
 /** Hands pieces to the batch owners, wherever they are. */
 export interface StageClient {
   /** Runs a job; when its owner is lost, the next one gets it while there is time. */
   run(region: string, job: StageJob, signal: AbortSignal): Promise<StageJobResult>;
   release(region: string, pool: string, results: readonly string[]): void;
+  /** The results may be given up when their room is needed. */
+  spare(region: string, pool: string, results: readonly string[]): void;
 }
 
 /** Options of {@link createStageClient}. */
@@ -57,15 +66,23 @@
   }
 
   release(region: string, pool: string, results: readonly string[]): void {
-    if (results.length === 0) {
+    this.tell(region, { pool, results });
+  }
+
+  spare(region: string, pool: string, results: readonly string[]): void {
+    this.tell(region, { pool, results, spare: true });
+  }
+
+  private tell(region: string, released: ReleasedResults): void {
+    if (released.results.length === 0) {
       return;
     }
     const { hosts, links, local } = this.options;
-    const [owner = hosts.self] = hosts.rankOwners(pool, region);
+    const [owner = hosts.self] = hosts.rankOwners(released.pool, region);
     if (owner.hostId === hosts.self.hostId) {
-      local.release({ pool, results });
+      local.release(released);
     } else {
-      links.notify(owner.target, RELEASE_RESULTS, { pool, results });
+      links.notify(owner.target, RELEASE_RESULTS, released);
     }
   }
 
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -42,8 +42,6 @@
   | {
       readonly type: 'done';
       readonly results: readonly string[];
-      /** Whether the inputs were given up already. */
-      readonly inputsReleased: boolean;
     }
   | {
       readonly type: 'failed';
@@ -53,8 +51,9 @@
       readonly retryAfterMs: number;
     };
 
-/** Results that are not needed any more. */
+/** Results that are not needed any more, or that may be given up when their room is needed. */
 export interface ReleasedResults {
   readonly pool: string;
   readonly results: readonly string[];
+  readonly spare?: boolean;
 }
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -99,9 +99,6 @@
               return;
             }
             this.results[stage] = result.results;
-            if (result.inputsReleased) {
-              spec.after.forEach((before) => this.released.add(before));
-            }
             this.ports.onStageEnded(stage, this.ports.clock.monotonicMs() - startedAtMs);
             this.releaseUsed();
             advance();
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -113,7 +113,7 @@
   const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
   const stages = createStageClient({ clock, logger, hosts, links, local: owners });
-  owners.onInputsUsed((pool, results) => stages.release(region, pool, results));
+  owners.onInputsUsed((pool, results) => stages.spare(region, pool, results));
   const budgets = createRetryBudgets({ clock, limits: settings.retries, hosts: () => hosts.list().length });
   const handler = createRequestHandler({
     ...base,
