--- a/packages/decide/src/batches/_lib/createServerBook.ts
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -29,6 +29,11 @@
 const SLOWNESS_FADE_MS = 4_000;
 const MIN_SLOWNESS = 0.7;
 const MAX_SLOWNESS = 12;
+/** Rest of a server after failed calls; doubles with each one in a row. */
+const FIRST_REST_MS = 150;
+const MAX_REST_MS = 1_200;
+/** Rest of a server that did not take a call. */
+const FULL_REST_MS = 60;
 
 /** Slowness of a server by now. */
 export const readSlowness = (state: ServerState, nowMs: number): number =>
@@ -61,6 +66,17 @@
   };
 };
 
+/** Keeps calls away from a server that did not take one, or whose connection broke. */
+export const restServer = (state: ServerState, type: 'refused' | 'broken', nowMs: number): void => {
+  const resting = state;
+  if (type === 'refused') {
+    resting.restsUntilMs = nowMs + FULL_REST_MS;
+    return;
+  }
+  resting.restsUntilMs = nowMs + Math.min(MAX_REST_MS, FIRST_REST_MS * 2 ** state.failures);
+  resting.failures += 1;
+};
+
 /** Creates what is known of a server that was never called. */
 export const createServerState = (server: BatchServer, nowMs: number): ServerState => ({
   server,
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -1,9 +1,17 @@
 import type { BatchSpec } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
 import createPieceTimes from './_lib/createPieceTimes.js';
-import { createServerState, learnSlowness, readRoom, readSlowness, type ServerState } from './_lib/createServerBook.js';
+import {
+  createServerState,
+  learnSlowness,
+  readRoom,
+  readSlowness,
+  restServer,
+  type ServerState,
+} from './_lib/createServerBook.js';
 import rankJobs, { type RankedJobs } from './_lib/rankJobs.js';
 import { createQueuedJob, isOpen, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
+import { readOverdueMs, type RunningCall } from './_lib/runningCall.js';
 import type {
   BatchJob,
   BatchPoolState,
@@ -43,25 +51,8 @@
   readState(nowMs: number): BatchPoolState;
 }
 
-interface RunningCall {
-  readonly state: ServerState;
-  readonly pieces: readonly WaitingPiece[];
-  readonly sentAtMs: number;
-  readonly expectedMs: number;
-  /** Whether its pieces were queued again because it takes too long. */
-  overdue: boolean;
-}
-
-/** A call that takes this many times as long as expected, and the margin besides, is overdue. */
-const OVERDUE_FACTOR = 2;
-const OVERDUE_MARGIN_MS = 100;
 /** Times that a piece is sent. */
 const MAX_SENDS = 4;
-/** Rest of a server after failed calls; doubles with each one in a row. */
-const FIRST_REST_MS = 150;
-const MAX_REST_MS = 1_200;
-/** Rest of a server that did not take a call. */
-const FULL_REST_MS = 60;
 /** Part of a predicted time that is taken for sure. */
 const SURE_SHARE = 0.5;
 /** Time for which a server that had no room for a result gets no pieces. */
@@ -159,7 +150,7 @@
     this.calls.delete(callId);
     call.state.calls.delete(callId);
     if (outcome.type !== 'answered') {
-      Queue.rest(call.state, outcome.type, nowMs);
+      restServer(call.state, outcome.type, nowMs);
       return this.settle(call, () => 'failed');
     }
     const { state } = call;
@@ -209,7 +200,7 @@
   nextCheckMs(nowMs: number): number | undefined {
     const times = [
       ...[...this.jobs.values()].map(({ job }) => job.expiresAtMs),
-      ...[...this.calls.values()].filter(({ overdue }) => !overdue).map(Queue.overdueAtMs),
+      ...[...this.calls.values()].filter(({ overdue }) => !overdue).map(readOverdueMs),
       ...(this.jobs.size === 0 ? [] : [...this.servers.values()].map((state) => state.restsUntilMs)),
     ].filter((atMs) => atMs > nowMs);
     return times.length === 0 ? undefined : Math.min(...times);
@@ -304,7 +295,7 @@
   /** Pieces of a call that takes too long may be made by another server; the first result counts. */
   private requeueOverdue(nowMs: number): void {
     [...this.calls.values()]
-      .filter((call) => !call.overdue && Queue.overdueAtMs(call) <= nowMs)
+      .filter((call) => !call.overdue && readOverdueMs(call) <= nowMs)
       .forEach((call) => {
         const late = call;
         late.overdue = true;
@@ -386,20 +377,6 @@
     const shared = states.length * this.spec.parallelCalls;
     return Math.min(Infinity, ...waits) + Math.max(this.spec.callMs, totalMs / Math.max(1, shared));
   }
-
-  private static overdueAtMs({ sentAtMs, expectedMs }: RunningCall): number {
-    return sentAtMs + expectedMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
-  }
-
-  private static rest(state: ServerState, type: 'refused' | 'broken', nowMs: number): void {
-    const resting = state;
-    if (type === 'refused') {
-      resting.restsUntilMs = nowMs + FULL_REST_MS;
-      return;
-    }
-    resting.restsUntilMs = nowMs + Math.min(MAX_REST_MS, FIRST_REST_MS * 2 ** state.failures);
-    resting.failures += 1;
-  }
 }
 
 /**
@@ -409,7 +386,7 @@
  * @returns the queue
  * @example
  * queue.submit(job, nowMs);
- * queue.plan(nowMs).forEach((call) => send(call));
+ * queue.advance(nowMs).calls.forEach((call) => send(call));
  */
 export default function createBatchQueue(spec: BatchSpec): BatchQueue {
   return new Queue(spec);
--- a/packages/decide/src/forwarding/index.ts
+++ b/packages/decide/src/forwarding/index.ts
@@ -1,4 +1,6 @@
 /** Attempts of requests whose bodies are not read. */
+export { default as choosePool } from './choosePool.js';
+export type { PoolShare } from './choosePool.js';
 export { default as decideRetry } from './decideRetry.js';
 export type { AttemptEnd, RetryDecision, RetryFacts } from './decideRetry.js';
 export { default as createSizeBook } from './createSizeBook.js';
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,11 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import {
-  decideRetry,
-  type AttemptEnd,
-  type RetryDecision,
-  type RouteIndex,
-  type ServerView,
-} from '@bergamotcove/decide';
+import { choosePool, decideRetry, type RetryDecision, type RouteIndex, type ServerView } from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { Logger } from '@bergamotcove/log';
 import type CallerExchange from '../callers/CallerExchange.js';
@@ -25,7 +19,7 @@
 import relayStream from './relayStream.js';
 import Reservation from './Reservation.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
-import type { AnswerHead, ForwardRequest } from './types.js';
+import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
 /** Parts that requests need. */
 export interface ForwardPorts {
@@ -45,16 +39,6 @@
   readonly spendRetry: (pool: string) => boolean;
 }
 
-/** What an attempt came to. */
-type AttemptResult =
-  | { readonly type: 'delivered' }
-  | { readonly type: 'ended'; readonly end: AttemptEnd; readonly answer?: WholeAnswer; readonly resultsGone: boolean };
-
-interface WholeAnswer {
-  readonly head: AnswerHead;
-  readonly body: Buffer;
-}
-
 const FIRST_REDIRECT = 300;
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
@@ -100,7 +84,7 @@
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
     this.results = new HeldResults(request, ports.stages);
-    this.pool = this.pickPool();
+    this.pool = choosePool(request.route.pools, ports.random()) ?? '';
     this.reservation = new Reservation(request, this.pool, ports);
   }
 
@@ -124,17 +108,6 @@
     return kind === 'idempotent' || (kind === 'stream' && resumable);
   }
 
-  private pickPool(): string {
-    const { pools } = this.request.route;
-    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
-    let rest = this.ports.random() * total;
-    const picked = pools.find(({ weight }) => {
-      rest -= weight;
-      return rest < 0;
-    });
-    return (picked ?? pools.at(-1))?.pool ?? '';
-  }
-
   private async serve(): Promise<void> {
     while (!this.ended) {
       // Each step depends on the one before.
@@ -341,7 +314,7 @@
   }
 
   /** Applies what follows an attempt; true when the request is sent again. */
-  private goesOn(server: ServerView, result: Extract<AttemptResult, { type: 'ended' }>): boolean {
+  private goesOn(server: ServerView, result: EndedAttempt): boolean {
     const { clock, logger, pools, spendRetry } = this.ports;
     const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
     const { runs, sends } = this.record;
@@ -372,11 +345,7 @@
     return this.follow(decision, server, result);
   }
 
-  private follow(
-    decision: RetryDecision,
-    server: ServerView,
-    result: Extract<AttemptResult, { type: 'ended' }>,
-  ): boolean {
+  private follow(decision: RetryDecision, server: ServerView, result: EndedAttempt): boolean {
     switch (decision) {
       case 'send-again':
         if (result.resultsGone) {
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,4 +1,5 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
+import type { AttemptEnd } from '@bergamotcove/decide';
 import type { RequestFacts } from '../ports.js';
 
 /** Status and headers of an answer, names and values in turn. */
@@ -7,6 +8,24 @@
   readonly headers: readonly string[];
 }
 
+/** An answer that was read whole. */
+export interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+/** An attempt after which the caller has no answer yet. */
+export interface EndedAttempt {
+  readonly type: 'ended';
+  readonly end: AttemptEnd;
+  readonly answer?: WholeAnswer;
+  /** Whether stage results that the attempt needed do not exist any more. */
+  readonly resultsGone: boolean;
+}
+
+/** What an attempt came to. */
+export type AttemptResult = { readonly type: 'delivered' } | EndedAttempt;
+
 /** A request that was matched to its route and read whole. */
 export interface ForwardRequest {
   readonly requestId: string;
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -161,7 +161,8 @@
     const nowMs = this.options.clock.monotonicMs();
     const open = [...this.scheduled.values()]
       .filter((scheduled) => scheduled.region === region)
-      .map(({ request: { requestId, value, stages }, deadlineAtMs, endedStages }): OpenRequest => {
+      .map(({ request, deadlineAtMs, endedStages }): OpenRequest => {
+        const { requestId, value, stages } = request;
         return { requestId, value, stages, endedStages, deadlineInMs: deadlineAtMs - nowMs };
       });
     if (open.length === 0) {
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -48,6 +48,12 @@
 /** Idle connections are closed after this time unless the server closes them earlier. */
 const IDLE_LIMIT_MS = 30_000;
 
+/** Attempts of this host at one server of a pool at a time. */
+const limitAttempts = (pool: string, { tables, hosts }: Pick<ServerPoolsOptions, 'tables' | 'hosts'>): number => {
+  const limit = tables.current()?.pools.get(pool)?.maxConnections ?? Infinity;
+  return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / hosts.list().length));
+};
+
 /**
  * Creates the choice of servers for requests.
  *
@@ -55,14 +61,9 @@
  * @returns the pools
  */
 export default function createServerPools(options: ServerPoolsOptions): ServerPools {
-  const { clock, directory, tables, hosts, failureDomain, region } = options;
+  const { clock, directory, hosts, failureDomain, region } = options;
   const clients = new Map<string, HttpClient>();
 
-  const maxAttempts = (pool: string): number => {
-    const limit = tables.current()?.pools.get(pool)?.maxConnections ?? Infinity;
-    return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / hosts.list().length));
-  };
-
   const choose = (placement: PlacementRequest): Choice | undefined => {
     const { request, pool, serverId, avoidServers, tokens, prefillTokens } = placement;
     const view = directory.view(pool);
@@ -70,7 +71,7 @@
     if (named !== undefined && !avoidServers.includes(named.serverId)) {
       return { type: 'send', server: named, predictedMs: 0, crossRegion: named.region !== region };
     }
-    const limit = maxAttempts(pool);
+    const limit = limitAttempts(pool, options);
     const servers = view.servers.filter((server: ServerView) => server.outstanding < limit);
     if (servers.length === 0 && view.servers.length > 0) {
       return { type: 'wait' };
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -12,6 +12,7 @@
 import { readBody, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { PieceAnswer, StageFormat } from '../ports.js';
+import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import type { StageJob, StageJobResult } from './messages.js';
 
 /** Fills the calls to the stage servers of one pool with the pieces of all hosts of the region. */
@@ -66,7 +67,6 @@
 const CONNECT_LIMIT_MS = 300;
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
-const RELEASE_LIMIT_MS = 1_000;
 /** Time in which a server that begins a call has fetched its inputs. */
 const FETCH_MS = 50;
 /** Calls of the owner before have ended this long after the duty has changed. */
@@ -90,7 +90,10 @@
 
   private beganAtMs: number;
 
+  private readonly releaser: ResultReleaser;
+
   constructor(private readonly options: BatchOwnerOptions) {
+    this.releaser = createResultReleaser(options);
     this.queue = createBatchQueue(options.spec);
     this.beganAtMs = options.clock.monotonicMs();
     this.refresh();
@@ -157,15 +160,12 @@
         this.queue.release(held.serverId, held.resultBytes);
       }
       // Results that were made for an owner before this one take up room as well.
-      const serverId = held?.serverId ?? this.findMaker(result);
+      const serverId = held?.serverId ?? this.releaser.findMaker(result);
       if (serverId !== undefined) {
         byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
       }
     });
-    byServer.forEach((released, serverId) => {
-      // eslint-disable-next-line no-void
-      void this.sendRelease(serverId, released);
-    });
+    byServer.forEach((released, serverId) => this.releaser.send(serverId, released));
     if (byServer.size > 0) {
       this.pump();
     }
@@ -365,7 +365,7 @@
   }
 
   /** Frees the room of all spare results at a server before a call that needs it. */
-  private giveUpSpare(serverId: string): Promise<void> {
+  private async giveUpSpare(serverId: string): Promise<void> {
     const results = [...this.held].flatMap(([result, held]) =>
       held.spare && held.serverId === serverId ? [result] : [],
     );
@@ -373,31 +373,7 @@
       this.queue.release(serverId, this.held.get(result)?.resultBytes ?? 0);
       this.held.delete(result);
     });
-    return this.sendRelease(serverId, results);
-  }
-
-  private findMaker(result: string): string | undefined {
-    const { directory, format } = this.options;
-    return directory.findAt(format.readMaker(result))?.serverId;
-  }
-
-  private async sendRelease(serverId: string, results: readonly string[]): Promise<void> {
-    const { http, format, directory } = this.options;
-    const server = directory.find(serverId);
-    if (server === undefined || results.length === 0) {
-      return;
-    }
-    await http
-      .send(server, {
-        method: 'POST',
-        path: format.releasePath,
-        headers: format.formatHeaders(serverId),
-        body: format.formatRelease(results),
-        connectLimitMs: CONNECT_LIMIT_MS,
-        signal: AbortSignal.timeout(RELEASE_LIMIT_MS),
-      })
-      // Without it the room is free again when the results expire.
-      .catch(() => undefined);
+    await this.releaser.send(serverId, results);
   }
 }
 
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { BatchPoolState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import { createHttpClient, type HttpClient, type LinkMethod } from '@bergamotcove/transport';
+import { createHttpClient, type HttpClient, type LinkMethod, type LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { StageFormat } from '../ports.js';
@@ -55,99 +55,120 @@
 /** Idle connections are closed after this time. */
 const IDLE_LIMIT_MS = 20_000;
 
-/**
- * Creates the batch owners of this host. Each begins with its first job.
- *
- * @param options - servers, route table and formats
- * @returns the owners
- */
-export default function createBatchOwners(options: BatchOwnersOptions): BatchOwners {
-  const owners = new Map<string, BatchOwner>();
-  let leaving = false;
-  let tellState: PoolStateSink = () => undefined;
-  let spareInputs: ResultSink = () => undefined;
-  const http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
-  options.directory.onChange(() => owners.forEach((owner) => owner.refresh()));
-
-  const find = (pool: string): BatchOwner | undefined => {
-    const known = owners.get(pool);
-    const spec = options.tables.current()?.pools.get(pool)?.batch;
+class Owners implements BatchOwners {
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+
+  private readonly owners = new Map<string, BatchOwner>();
+
+  private readonly holdings = createHoldings((released) => this.release(released));
+
+  private readonly http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
+
+  private leaving = false;
+
+  private tellState: PoolStateSink | undefined;
+
+  private spareInputs: ResultSink | undefined;
+
+  constructor(private readonly options: BatchOwnersOptions) {
+    options.directory.onChange(() => this.owners.forEach((owner) => owner.refresh()));
+    this.methods = {
+      [RUN_STAGE]: (params, peer) => this.runFor(peer, params as StageJob),
+      [CANCEL_STAGE]: (params) => {
+        const { pool, jobId } = params as { readonly pool: string; readonly jobId: string };
+        this.cancel(pool, jobId);
+        return true;
+      },
+      [RELEASE_RESULTS]: (params, peer) => {
+        const released = params as ReleasedResults;
+        if (released.spare !== true) {
+          this.holdings.forget(peer, released);
+        }
+        this.release(released);
+        return true;
+      },
+    };
+  }
+
+  run(job: StageJob): Promise<StageJobResult> {
+    return this.leaving ? Promise.resolve(MOVED) : (this.find(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL));
+  }
+
+  cancel(pool: string, jobId: string): void {
+    this.owners.get(pool)?.cancel(jobId);
+  }
+
+  release({ pool, results, spare }: ReleasedResults): void {
+    if (spare === true) {
+      this.owners.get(pool)?.spare(results);
+    } else {
+      this.owners.get(pool)?.release(results);
+    }
+  }
+
+  onState(sink: PoolStateSink): void {
+    this.tellState = sink;
+  }
+
+  onInputsUsed(sink: ResultSink): void {
+    this.spareInputs = sink;
+  }
+
+  review(isOwner: (pool: string) => boolean): void {
+    this.owners.forEach((owner, pool) => {
+      if (!isOwner(pool)) {
+        owner.handOver();
+      }
+    });
+  }
+
+  leave(): void {
+    this.leaving = true;
+    this.owners.forEach((owner) => owner.handOver());
+  }
+
+  close(): void {
+    this.owners.forEach((owner) => owner.close());
+    this.http.close();
+  }
+
+  /** Runs a job of another host; it is cancelled when the link to that host closes. */
+  private async runFor(peer: LinkPeer, job: StageJob): Promise<StageJobResult> {
+    const forget = peer.onClose(() => this.cancel(job.pool, job.jobId));
+    try {
+      return this.holdings.note(peer, job.pool, await this.run(job));
+    } finally {
+      forget();
+    }
+  }
+
+  private find(pool: string): BatchOwner | undefined {
+    const { tables, logger } = this.options;
+    const known = this.owners.get(pool);
+    const spec = tables.current()?.pools.get(pool)?.batch;
     if (known !== undefined || spec === undefined) {
       return known;
     }
     const owner = createBatchOwner({
-      ...options,
-      http,
+      ...this.options,
+      http: this.http,
       pool,
       spec,
-      onState: (state) => tellState(pool, state),
-      spareInputs: (from, results) => spareInputs(from, results),
+      onState: (state) => this.tellState?.(pool, state),
+      spareInputs: (from, results) => this.spareInputs?.(from, results),
     });
-    owners.set(pool, owner);
-    options.logger.event('batchOwnerStarted', { pool });
+    this.owners.set(pool, owner);
+    logger.event('batchOwnerStarted', { pool });
     return owner;
-  };
-  const run = (job: StageJob): Promise<StageJobResult> =>
-    leaving ? Promise.resolve(MOVED) : (find(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL));
-  const cancel = (pool: string, jobId: string): void => owners.get(pool)?.cancel(jobId);
-  const release = ({ pool, results, spare }: ReleasedResults): void => {
-    if (spare === true) {
-      owners.get(pool)?.spare(results);
-    } else {
-      owners.get(pool)?.release(results);
-    }
-  };
-
-  const holdings = createHoldings(release);
-
-  const methods: Record<string, LinkMethod> = {
-    [RUN_STAGE]: (params, peer) => {
-      const job = params as StageJob;
-      const forget = peer.onClose(() => cancel(job.pool, job.jobId));
-      return run(job)
-        .then((result) => holdings.note(peer, job.pool, result))
-        .finally(forget);
-    },
-    [CANCEL_STAGE]: (params) => {
-      const { pool, jobId } = params as { readonly pool: string; readonly jobId: string };
-      cancel(pool, jobId);
-      return true;
-    },
-    [RELEASE_RESULTS]: (params, peer) => {
-      const released = params as ReleasedResults;
-      if (released.spare !== true) {
-        holdings.forget(peer, released);
-      }
-      release(released);
-      return true;
-    },
-  };
-
-  return {
-    run,
-    cancel,
-    release,
-    methods,
-    onState: (sink) => {
-      tellState = sink;
-    },
-    onInputsUsed: (sink) => {
-      spareInputs = sink;
-    },
-    review: (isOwner) => {
-      owners.forEach((owner, pool) => {
-        if (!isOwner(pool)) {
-          owner.handOver();
-        }
-      });
-    },
-    leave: () => {
-      leaving = true;
-      owners.forEach((owner) => owner.handOver());
-    },
-    close: () => {
-      owners.forEach((owner) => owner.close());
-      http.close();
-    },
-  };
+  }
+}
+
+/**
+ * Creates the batch owners of this host. Each begins with its first job.
+ *
+ * @param options - servers, route table and formats
+ * @returns the owners
+ */
+export default function createBatchOwners(options: BatchOwnersOptions): BatchOwners {
+  return new Owners(options);
 }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -149,6 +149,26 @@
     poll();
   });
 
+interface DrainedParts {
+  readonly callers: CallerServer;
+  readonly onStart: () => void;
+  readonly close: () => Promise<void>;
+}
+
+const createGatewayDrain = (base: Base, { callers, onStart, close }: DrainedParts): (() => Promise<void>) =>
+  createDrain({
+    clock: base.clock,
+    logger: base.logger,
+    balancerLagMs: BALANCER_LAG_MS,
+    timeoutMs: base.settings.stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
+    onStart,
+    inFlight: () => callers.openRequests(),
+    idle: () => awaitIdle(base.clock, callers),
+    flush: () => Promise.resolve(0),
+    close,
+    abort: () => undefined,
+  });
+
 /**
  * Builds and starts a gateway.
  *
@@ -182,39 +202,21 @@
   const health = await startHealthServer(settings.health, () => !draining && tables.current() !== undefined);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
+  const parts = [follower, exchange, scheduler, callers, health, owners, linkServer];
   const close = async (): Promise<void> => {
     await hosts.leave();
-    [
-      follower,
-      exchange,
-      scheduler,
-      callers,
-      health,
-      owners,
-      linkServer,
-      links,
-      queues,
-      pools,
-      directory,
-      store,
-    ].forEach((part) => part.close());
+    [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
   };
-  const drain = createDrain({
-    clock,
-    logger,
-    balancerLagMs: BALANCER_LAG_MS,
-    timeoutMs: settings.stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
-    onStart: () => {
-      draining = true;
-      hosts.leave().catch(() => undefined);
-      owners.leave();
-      callers.drain();
-    },
-    inFlight: () => callers.openRequests(),
-    idle: () => awaitIdle(clock, callers),
-    flush: () => Promise.resolve(0),
+  const onDrainStart = (): void => {
+    draining = true;
+    // An entry that stays is gone when its lease ends.
+    hosts.leave().catch(() => undefined);
+    owners.leave();
+    callers.drain();
+  };
+  return {
+    callersPort: callers.port,
+    drain: createGatewayDrain(base, { callers, onStart: onDrainStart, close }),
     close,
-    abort: () => undefined,
-  });
-  return { callersPort: callers.port, drain, close };
+  };
 }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -84,6 +84,11 @@
   batchOwnerStarted: { id: 2301, level: 'info', text: 'This host fills the batches of a pool.' },
   batchEnded: { id: 2302, level: 'info', text: 'A call to a stage server ended.' },
   batchFailed: { id: 2303, level: 'info', text: 'A call to a stage server failed; its pieces wait for another one.' },
+  releaseFailed: {
+    id: 2304,
+    level: 'info',
+    text: 'A stage server did not release results; they take up room until they expire.',
+  },
   routeTableApplied: { id: 4101, level: 'info', text: 'A newer route table is in force.' },
   routeTableUnreadable: { id: 4102, level: 'error', text: 'The route table in the store cannot be read.' },
   routeTableRegressed: { id: 4103, level: 'error', text: 'An older route table is offered and not followed.' },
