--- /dev/null
+++ b/packages/decide/src/batches/_lib/rankJobs.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { BatchJob } from '../types.js';
+import { createQueuedJob, type QueuedJob } from './queuedJob.js';
+import rankJobs, { type RankFacts } from './rankJobs.js';
+
+const JOB: BatchJob = {
+  jobId: 'a',
+  pieceCount: 1,
+  kind: 'k',
+  resultBytes: 0,
+  priority: 0,
+  value: 1,
+  progress: 0,
+  dueAtMs: 1_000,
+  expiresAtMs: 3_000,
+  failureDomain: 'd',
+};
+
+const FACTS: RankFacts = { startMs: 0, callMs: 200, costMs: ({ job }) => job.pieceCount * 100 };
+
+const createJob = (changes: Partial<BatchJob>): QueuedJob => createQueuedJob({ ...JOB, ...changes });
+const listIds = (entries: readonly QueuedJob[]): readonly string[] => entries.map(({ job }) => job.jobId);
+
+test('sends what can all be on time by due time', () => {
+  const ranked = rankJobs([createJob({ jobId: 'b', dueAtMs: 900 }), createJob({ jobId: 'a', dueAtMs: 500 })], FACTS);
+  assert.deepEqual(listIds(ranked.onTime), ['a', 'b']);
+  assert.deepEqual(ranked.late, []);
+});
+
+test('puts the job with the least value for its cost behind when not all can be on time', () => {
+  const jobs = [
+    createJob({ jobId: 'dear', pieceCount: 6, value: 1, dueAtMs: 600 }),
+    createJob({ jobId: 'cheap', pieceCount: 1, value: 1, dueAtMs: 650 }),
+    createJob({ jobId: 'rich', pieceCount: 2, value: 10, dueAtMs: 650 }),
+  ];
+  const ranked = rankJobs(jobs, FACTS);
+  assert.deepEqual(listIds(ranked.onTime), ['cheap', 'rich']);
+  assert.deepEqual(listIds(ranked.late), ['dear']);
+});
+
+test('counts the work that a request has behind it', () => {
+  const jobs = [
+    createJob({ jobId: 'new', pieceCount: 4, dueAtMs: 400 }),
+    createJob({ jobId: 'nearly-done', pieceCount: 4, dueAtMs: 400, progress: 0.9 }),
+  ];
+  assert.deepEqual(listIds(rankJobs(jobs, FACTS).late), ['new']);
+});
+
+test('puts a job whose due time no call can meet behind', () => {
+  const ranked = rankJobs([createJob({ dueAtMs: 150 })], FACTS);
+  assert.deepEqual(listIds(ranked.late), ['a']);
+});
+
+interface Arrival {
+  readonly atMs: number;
+  readonly job: BatchJob;
+}
+
+const CALL_MS = 300;
+const PIECES = 7;
+
+/** Jobs that need 1.6 times what one server can do in 20 s. */
+const createArrivals = (seed: number): readonly Arrival[] => {
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformFloat64(generator);
+  const arrivals: Arrival[] = [];
+  for (let atMs = 0; atMs < 20_000; atMs += random() * 2 * (CALL_MS / PIECES) * (2.5 / 1.6)) {
+    const job = {
+      ...JOB,
+      jobId: String(arrivals.length),
+      pieceCount: 1 + Math.floor(random() * 4),
+      value: random() < 0.4 ? 4 : 1,
+      dueAtMs: atMs + 1_100,
+      expiresAtMs: atMs + 6_000,
+    };
+    arrivals.push({ atMs, job });
+  }
+  return arrivals;
+};
+
+type Order = (entries: readonly QueuedJob[], nowMs: number) => readonly QueuedJob[];
+
+/** Value of the jobs that one server, working without a break, ends by their due time. */
+const play = (arrivals: readonly Arrival[], order: Order): number => {
+  let waiting: { readonly entry: QueuedJob; left: number }[] = [];
+  let next = 0;
+  let value = 0;
+  for (let nowMs = 0; nowMs < 30_000; nowMs += CALL_MS) {
+    for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
+      waiting.push({ entry: createQueuedJob(arrival.job), left: arrival.job.pieceCount });
+      next += 1;
+    }
+    const live = new Map(
+      waiting.filter(({ entry }) => entry.job.expiresAtMs > nowMs).map((one) => [one.entry, one] as const),
+    );
+    let room = PIECES;
+    for (const entry of order([...live.keys()], nowMs)) {
+      const one = live.get(entry) as { left: number };
+      const taken = Math.min(room, one.left);
+      room -= taken;
+      one.left -= taken;
+      value += taken > 0 && one.left === 0 && nowMs + CALL_MS <= entry.job.dueAtMs ? entry.job.value : 0;
+    }
+    waiting = [...live.values()].filter(({ left }) => left > 0);
+  }
+  return value;
+};
+
+const byDueTime: Order = (entries) => [...entries].sort((a, b) => a.job.dueAtMs - b.job.dueAtMs);
+const byRank: Order = (entries, nowMs) => {
+  const costMs = ({ job }: QueuedJob): number => (job.pieceCount * CALL_MS) / PIECES;
+  const { onTime, late } = rankJobs(entries, { startMs: nowMs, callMs: CALL_MS, costMs });
+  return [...onTime, ...late];
+};
+
+[1, 2, 3, 5, 8, 13, 21].forEach((seed) => {
+  test(`keeps more value on time than an order by due time under overload, seed ${seed}`, () => {
+    const arrivals = createArrivals(seed);
+    const offered = arrivals.reduce((sum, { job }) => sum + job.value, 0);
+    const [ranked, due] = [play(arrivals, byRank) / offered, play(arrivals, byDueTime) / offered];
+    assert.ok(ranked >= 0.5, `ranked ${ranked}`);
+    assert.ok(ranked > due * 1.5, `ranked ${ranked}, by due time ${due}`);
+  });
+});
--- /dev/null
+++ b/packages/decide/src/batches/createBatchQueue.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { BatchSpec } from '@bergamotcove/config';
+import createBatchQueue, { type BatchQueue } from './createBatchQueue.js';
+import type { BatchJob, JobResult, PieceOutcome, PlannedCall } from './types.js';
+
+const SPEC: BatchSpec = {
+  parallelCalls: 1,
+  queuedCalls: 2,
+  maxPieces: 4,
+  callMs: 200,
+  pieceMs: 10,
+  roomBytes: 1_000,
+  keepResultMs: 10_000,
+};
+
+const JOB: BatchJob = {
+  jobId: 'a',
+  pieceCount: 2,
+  kind: 'k',
+  resultBytes: 10,
+  priority: 0,
+  value: 1,
+  progress: 0,
+  dueAtMs: 2_000,
+  expiresAtMs: 4_000,
+  failureDomain: 'd1',
+};
+
+const createQueue = (servers: readonly string[], changes: Partial<BatchSpec> = {}): BatchQueue => {
+  const queue = createBatchQueue({ ...SPEC, ...changes });
+  queue.setServers(
+    servers.map((serverId) => ({ serverId, failureDomain: 'd1' })),
+    0,
+  );
+  return queue;
+};
+
+const submit = (queue: BatchQueue, changes: Partial<BatchJob> = {}, nowMs = 0) =>
+  queue.submit({ ...JOB, ...changes }, nowMs);
+
+const answer = (queue: BatchQueue, call: PlannedCall, outcome: PieceOutcome, nowMs: number): readonly JobResult[] =>
+  queue.finish(
+    call.callId,
+    { type: 'answered', pieces: call.pieces.map(() => outcome), totalMs: call.expectedMs },
+    nowMs,
+  );
+
+const takeOnly = (calls: readonly PlannedCall[]): PlannedCall => {
+  assert.equal(calls.length, 1);
+  return calls[0] as PlannedCall;
+};
+
+test('fills a call with pieces of several jobs', () => {
+  const queue = createQueue(['s1']);
+  submit(queue, { jobId: 'a', pieceCount: 3 });
+  submit(queue, { jobId: 'b', pieceCount: 3 });
+  const call = takeOnly(queue.advance(0).calls);
+  assert.deepEqual(
+    call.pieces.map(({ jobId, piece }) => `${jobId}${piece}`),
+    ['a0', 'a1', 'a2', 'b0'],
+  );
+  assert.deepEqual(queue.advance(1).calls, []);
+});
+
+test('ends a job when its last piece is done', () => {
+  const queue = createQueue(['s1']);
+  submit(queue, { pieceCount: 5 });
+  assert.deepEqual(answer(queue, takeOnly(queue.advance(0).calls), 'done', 240), []);
+  assert.deepEqual(answer(queue, takeOnly(queue.advance(240).calls), 'done', 480), [{ jobId: 'a', type: 'done' }]);
+});
+
+test('makes the pieces of an overdue call at another server, and ends the job once', () => {
+  const queue = createQueue(['s1', 's2']);
+  submit(queue);
+  const slow = takeOnly(queue.advance(0).calls);
+  const overdueAtMs = queue.nextCheckMs(0) as number;
+  assert.ok(overdueAtMs > slow.expectedMs && overdueAtMs < 4 * slow.expectedMs);
+  const again = takeOnly(queue.advance(overdueAtMs).calls);
+  assert.notEqual(again.serverId, slow.serverId);
+  assert.deepEqual(again.pieces, slow.pieces);
+  assert.equal(answer(queue, again, 'done', overdueAtMs + 220).length, 1);
+  assert.deepEqual(answer(queue, slow, 'done', overdueAtMs + 300), []);
+});
+
+test('keeps calls away from a server that broke off, for longer each time', () => {
+  const queue = createQueue(['s1']);
+  submit(queue);
+  const breakCall = (nowMs: number): number => {
+    queue.finish(takeOnly(queue.advance(nowMs).calls).callId, { type: 'broken' }, nowMs);
+    assert.deepEqual(queue.advance(nowMs).calls, []);
+    return queue.nextCheckMs(nowMs) as number;
+  };
+  const first = breakCall(0);
+  const second = breakCall(first);
+  assert.ok(second - first > first);
+});
+
+test('fails a job whose piece fails again and again', () => {
+  const queue = createQueue(['s1'], { callMs: 10 });
+  submit(queue, { pieceCount: 1 });
+  let ended: readonly JobResult[] = [];
+  let sends = 0;
+  for (let nowMs = 0; ended.length === 0 && sends < 10; nowMs += 50) {
+    ended = answer(queue, takeOnly(queue.advance(nowMs).calls), 'failed', nowMs + 20);
+    sends += 1;
+  }
+  assert.deepEqual(ended, [{ jobId: 'a', type: 'failed', reason: 'failed' }]);
+  assert.equal(sends, 4);
+});
+
+test('ends a job that lost an input', () => {
+  const queue = createQueue(['s1']);
+  submit(queue, { pieceCount: 1 });
+  assert.deepEqual(answer(queue, takeOnly(queue.advance(0).calls), 'input-gone', 220), [
+    { jobId: 'a', type: 'failed', reason: 'input-gone' },
+  ]);
+});
+
+test('sends no more pieces than there is room for results, and goes on when room is free', () => {
+  const queue = createQueue(['s1'], { roomBytes: 1_000 });
+  submit(queue, { jobId: 'a', pieceCount: 2, resultBytes: 300 });
+  submit(queue, { jobId: 'b', pieceCount: 2, resultBytes: 300 });
+  const call = takeOnly(queue.advance(0).calls);
+  assert.equal(call.pieces.length, 3);
+  answer(queue, call, 'done', 230);
+  assert.deepEqual(queue.advance(230).calls, []);
+  queue.release('s1', 300);
+  assert.equal(takeOnly(queue.advance(240).calls).pieces.length, 1);
+});
+
+test('takes the room of spare results, and says so', () => {
+  const queue = createQueue(['s1']);
+  submit(queue, { jobId: 'a', pieceCount: 2, resultBytes: 400 });
+  answer(queue, takeOnly(queue.advance(0).calls), 'done', 220);
+  submit(queue, { jobId: 'b', pieceCount: 1, resultBytes: 400 }, 220);
+  assert.deepEqual(queue.advance(220).calls, []);
+  queue.spare('s1', 400);
+  assert.equal(takeOnly(queue.advance(230).calls).usesSpareRoom, true);
+});
+
+test('refuses a job that would end too late behind what goes before it, with a time to come back', () => {
+  const queue = createQueue(['s1']);
+  for (let index = 0; index < 40; index += 1) {
+    submit(queue, { jobId: `early-${index}`, pieceCount: 4, value: 5, dueAtMs: 500, expiresAtMs: 60_000 });
+  }
+  const decision = submit(queue, { jobId: 'last', value: 0.1, dueAtMs: 500, expiresAtMs: 900 });
+  assert.equal(decision.type, 'refused');
+  assert.ok(decision.type === 'refused' && decision.retryAfterMs >= 100);
+});
+
+test('ends waiting jobs at the end of their use', () => {
+  const queue = createQueue([]);
+  submit(queue, { expiresAtMs: 700 });
+  assert.equal(queue.nextCheckMs(0), 700);
+  assert.deepEqual(queue.advance(700).ended, [{ jobId: 'a', type: 'failed', reason: 'late' }]);
+});
+
+test('hands over only jobs of which nothing was sent', () => {
+  const queue = createQueue(['s1']);
+  submit(queue, { jobId: 'begun', pieceCount: 4, dueAtMs: 1_000 });
+  submit(queue, { jobId: 'waits', pieceCount: 4, dueAtMs: 1_500 });
+  queue.advance(0);
+  assert.deepEqual(queue.takeUnsent(), ['waits']);
+});
+
+test('learns a slow server and prefers the others until the memory of it fades', () => {
+  const queue = createQueue(['s1', 's2']);
+  submit(queue, { jobId: 'a' });
+  const slow = takeOnly(queue.advance(0).calls);
+  queue.finish(slow.callId, { type: 'answered', pieces: ['done', 'done'], totalMs: 1_500 }, 1_500);
+  submit(queue, { jobId: 'b', dueAtMs: 9_000, expiresAtMs: 9_000 }, 1_500);
+  const next = takeOnly(queue.advance(1_500).calls);
+  assert.notEqual(next.serverId, slow.serverId);
+  assert.ok(queue.readState(1_500).speed < 1.8);
+  assert.ok(queue.readState(20_000).speed > 1.9);
+});
+
+test('keeps its limits and ends each job at most once whatever the servers do', () => {
+  const step = fc.record({
+    pieces: fc.integer({ min: 1, max: 6 }),
+    waitMs: fc.integer({ min: 1, max: 400 }),
+    outcome: fc.constantFrom('done', 'failed', 'no-room', 'input-gone', 'late', 'refused', 'broken', 'silent'),
+    cancel: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const queue = createQueue(['s1', 's2'], { parallelCalls: 2 });
+      const open = new Map<number, PlannedCall>();
+      const ended = new Set<string>();
+      const end = (results: readonly JobResult[]): void =>
+        results.forEach(({ jobId }) => {
+          assert.ok(!ended.has(jobId), `${jobId} ended twice`);
+          ended.add(jobId);
+        });
+      let nowMs = 0;
+      steps.forEach(({ pieces, waitMs, outcome, cancel }, index) => {
+        nowMs += waitMs;
+        const expiresAtMs = nowMs + 2_000;
+        submit(queue, { jobId: String(index), pieceCount: pieces, expiresAtMs, dueAtMs: expiresAtMs }, nowMs);
+        const { calls, ended: late } = queue.advance(nowMs);
+        end(late);
+        calls.forEach((call) => open.set(call.callId, call));
+        calls.forEach((call) => assert.ok(call.pieces.length <= SPEC.maxPieces));
+        ['s1', 's2'].forEach((id) => {
+          assert.ok([...open.values()].filter(({ serverId }) => serverId === id).length <= 2);
+        });
+        const [first] = open.values();
+        if (first !== undefined && outcome !== 'silent') {
+          open.delete(first.callId);
+          end(
+            outcome === 'refused' || outcome === 'broken'
+              ? queue.finish(first.callId, { type: outcome }, nowMs)
+              : answer(queue, first, outcome, nowMs),
+          );
+        }
+        if (cancel) {
+          queue.cancel(String(index));
+          ended.add(String(index));
+        }
+      });
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
--- /dev/null
+++ b/packages/decide/src/scheduling/createEngineBook.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import createEngineBook, { type EngineBook, type EngineChoice, type GenerationNeed } from './createEngineBook.js';
+
+const ENGINES = ['e1', 'e2', 'e3'].map((serverId, index) => ({
+  serverId,
+  failureDomain: `d${index}`,
+  startedAtMs: 1,
+  capacityTokens: 300_000,
+}));
+
+const SHARED = [
+  { partId: 'contract', tokens: 2_500 },
+  { partId: 'clauses', tokens: 3_800 },
+];
+
+const createNeed = (requestId: string, changes: Partial<GenerationNeed> = {}): GenerationNeed => ({
+  requestId,
+  parts: [...SHARED, { partId: `own-${requestId}`, tokens: 2_900 }],
+  promptTokens: 9_200,
+  resultBytes: new Map(),
+  avoidServers: [],
+  ...changes,
+});
+
+const createBook = (): EngineBook => {
+  const book = createEngineBook();
+  book.setEngines(ENGINES);
+  return book;
+};
+
+const send = (book: EngineBook, need: GenerationNeed, nowMs: number): EngineChoice => {
+  const choice = book.choose(need, nowMs);
+  assert.ok(choice !== undefined);
+  book.place(need, choice, nowMs);
+  return choice;
+};
+
+test('sends shared parts to the engine that holds them', () => {
+  const book = createBook();
+  const first = send(book, createNeed('a'), 0);
+  book.note({ type: 'first-token', requestId: 'a', slowness: 1 }, 320);
+  book.note({ type: 'ended', requestId: 'a' }, 800);
+  const second = send(book, createNeed('b'), 1_000);
+  assert.equal(second.serverId, first.serverId);
+  assert.equal(second.missingTokens, 2_900);
+});
+
+test('leaves a cached prefix for an idle engine when much waits before it', () => {
+  const book = createBook();
+  const first = send(book, createNeed('a'), 0);
+  const others = ['b', 'c', 'd', 'e', 'f', 'g'].map((id) => send(book, createNeed(id), 1));
+  assert.ok(others.some(({ serverId }) => serverId !== first.serverId));
+});
+
+test('an engine that gives no first token is left, though time passes', () => {
+  const book = createBook();
+  const hung = send(book, createNeed('a'), 0);
+  for (let index = 0; index < 5; index += 1) {
+    const choice = book.choose(createNeed(`n${index}`), 3_000 + index);
+    assert.notEqual(choice?.serverId, hung.serverId);
+  }
+});
+
+test('an engine that failed rests, and is tried again', () => {
+  const book = createBook();
+  const failed = send(book, createNeed('a'), 0);
+  book.note({ type: 'failed', requestId: 'a' }, 50);
+  assert.notEqual(book.choose(createNeed('b'), 60)?.serverId, failed.serverId);
+  assert.equal(book.choose(createNeed('b'), 5_000)?.serverId, failed.serverId);
+});
+
+test('an engine that started again has an empty cache', () => {
+  const book = createBook();
+  const first = send(book, createNeed('a'), 0);
+  book.note({ type: 'first-token', requestId: 'a', slowness: 1 }, 320);
+  book.note({ type: 'ended', requestId: 'a' }, 800);
+  book.setEngines(
+    ENGINES.map((engine) => (engine.serverId === first.serverId ? { ...engine, startedAtMs: 2 } : engine)),
+  );
+  assert.equal(book.choose(createNeed('b'), 1_000)?.missingTokens, 9_200);
+});
+
+test('avoids engines that failed the request while others are left', () => {
+  const book = createBook();
+  assert.equal(book.choose(createNeed('a', { avoidServers: ['e1', 'e3'] }), 0)?.serverId, 'e2');
+  assert.ok(book.choose(createNeed('a', { avoidServers: ['e1', 'e2', 'e3'] }), 0) !== undefined);
+  assert.equal(createEngineBook().choose(createNeed('a'), 0), undefined);
+});
+
+test('prefers the failure domain that holds the results, between equals', () => {
+  const book = createBook();
+  assert.equal(book.choose(createNeed('a', { resultBytes: new Map([['d2', 2e6]]) }), 0)?.serverId, 'e3');
+});
+
+test('follows what an engine says of its slowness', () => {
+  const book = createBook();
+  const slow = send(book, createNeed('a'), 0);
+  book.note({ type: 'first-token', requestId: 'a', slowness: 8 }, 320);
+  book.note({ type: 'ended', requestId: 'a' }, 330);
+  assert.notEqual(book.choose(createNeed('b'), 340)?.serverId, slow.serverId);
+});
--- /dev/null
+++ b/packages/decide/src/scheduling/decideEntry.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import createWorkLedger from './createWorkLedger.js';
+import decideEntry, { type EntryOutlook } from './decideEntry.js';
+import predictPipeline from './predictPipeline.js';
+import type { PipelineNeed, StagePoolState } from './types.js';
+
+const SPEC = {
+  parallelCalls: 1,
+  queuedCalls: 2,
+  maxPieces: 7,
+  callMs: 200,
+  pieceMs: 24,
+  roomBytes: 1e7,
+  keepResultMs: 4_000,
+};
+const POOL: StagePoolState = { spec: SPEC, speed: 4, pieceMs: new Map() };
+
+const NEED: PipelineNeed = {
+  requestId: 'r1',
+  value: 1,
+  stages: [
+    { pool: 'first', after: [], pieces: 2, kind: 'k0' },
+    { pool: 'second', after: [0], pieces: 3, kind: 'k1' },
+  ],
+  dueAtMs: 1_100,
+  deadlineAtMs: 6_000,
+  arrivedAtMs: 0,
+};
+
+const outlookWith = (loads: (minValue: number) => number): EntryOutlook => ({
+  nowMs: 0,
+  findPool: () => POOL,
+  loadMs: (_, minValue) => loads(minValue),
+  answerMs: 150,
+  hopMs: 0,
+});
+
+test('predicts stages one after the other, and stages without pieces at no time', () => {
+  const outlook = { ...outlookWith(() => 0), loadMs: () => 0 };
+  const both = predictPipeline(NEED, outlook);
+  const one = predictPipeline(
+    { ...NEED, stages: NEED.stages.map((stage, index) => (index === 1 ? { ...stage, pieces: 0 } : stage)) },
+    outlook,
+  );
+  assert.ok(one >= 200 + 48 + 150);
+  assert.ok(both - one >= 200 + 72);
+});
+
+test('admits on time without load', () => {
+  assert.equal(
+    decideEntry(
+      NEED,
+      outlookWith(() => 0),
+    ).type,
+    'on-time',
+  );
+});
+
+test('admits late what cannot be on time but well within its deadline', () => {
+  assert.equal(
+    decideEntry(
+      NEED,
+      outlookWith(() => 1_500),
+    ).type,
+    'late',
+  );
+});
+
+test('refuses what would not be served in time, and lets its caller come back before the deadline', () => {
+  const decision = decideEntry(
+    NEED,
+    outlookWith(() => 9_000),
+  );
+  assert.equal(decision.type, 'refused');
+  assert.ok(decision.type === 'refused' && decision.retryAfterMs >= 150 && decision.retryAfterMs <= 2_000);
+});
+
+test('does not yield to what is worth much less', () => {
+  const mostlyCheap = outlookWith((minValue) => (minValue > 0.5 ? 0 : 9_000));
+  assert.equal(decideEntry(NEED, mostlyCheap).type, 'on-time');
+});
+
+test('counts admitted work from its admission to the end of its stage', () => {
+  const ledger = createWorkLedger((pool) => (pool === 'gone' ? undefined : POOL));
+  ledger.add(NEED);
+  const each = (200 / 7 + 24) / 4;
+  assert.ok(Math.abs(ledger.loadMs('second', 0) - 3 * each) < 1e-9);
+  assert.equal(ledger.loadMs('second', 2), 0);
+  assert.equal(ledger.loadMs('gone', 0), 0);
+  ledger.endStage('r1', 0);
+  assert.equal(ledger.loadMs('first', 0), 0);
+  ledger.expire(NEED.deadlineAtMs);
+  assert.equal(ledger.size, 0);
+});
+
+test('a pool without servers has a large and finite load', () => {
+  const ledger = createWorkLedger(() => ({ ...POOL, speed: 0 }));
+  ledger.add(NEED);
+  assert.ok(ledger.loadMs('first', 0) > 500 && Number.isFinite(ledger.loadMs('first', 0)));
+});
+
+test('a crest is refused at its begin, and what was admitted is on time', () => {
+  // 60 requests at once for pools that end about 75 pieces a second: some 1.1 s of work for 4 servers is admitted.
+  const ledger = createWorkLedger(() => POOL);
+  const types = Array.from({ length: 60 }, (_, index) => {
+    const need = { ...NEED, requestId: String(index) };
+    const decision = decideEntry(need, { ...outlookWith(() => 0), loadMs: (pool, min) => ledger.loadMs(pool, min) });
+    if (decision.type !== 'refused') {
+      ledger.add(need);
+    }
+    return decision.type;
+  });
+  const firstLate = types.findIndex((type) => type !== 'on-time');
+  assert.ok(firstLate > 5 && firstLate < 40, `first late ${firstLate}`);
+  assert.ok(types.slice(firstLate).every((type) => type !== 'on-time'));
+});
