--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -1,9 +1,9 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import type { Logger } from '@bergamotcove/log';
-import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
+import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { BackendDirectory, ServerSnapshot } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
-import type { HostRegistry } from './createHostRegistry.js';
+import type { HostEntry, HostRecord, HostRegistry } from './createHostRegistry.js';
 
 /** Passes what is newer from host to host, so that a host without the store does not stay behind. */
 export interface HostExchange {
@@ -22,76 +22,128 @@
   readonly random: () => number;
 }
 
-/** What a host knows. */
-interface Versions {
+/** What a host knows, as it tells the one that it asks. */
+interface Inquiry {
   readonly tableRevision: number;
   readonly serversRevision: number;
+  /** Listed hosts, itself left out. */
+  readonly otherHosts: number;
+  /** Where it can be asked in turn. */
+  readonly target: Target;
 }
 
 /** What a host has that the asking one has not. */
 interface Newer {
   readonly table?: StoredTable;
   readonly servers?: ServerSnapshot;
+  readonly hosts?: readonly HostRecord[];
 }
 
 /** Interval at which one other host is asked. */
 const INTERVAL_MS = 1_000;
 const SYNC = 'hosts.sync';
+/** Hosts that start together begin with different peers. */
+const FIRST_TURNS = 1_000;
 
-/**
- * Creates the exchange of route tables and server lists between hosts. Once a second a host asks one other host, in
- * turn, for what is newer.
- *
- * @param options - what is exchanged, and links
- * @returns the exchange; close it to stop
- */
-export default function createHostExchange(options: HostExchangeOptions): HostExchange {
-  const { clock, logger, links, tables, directory, random } = options;
-  let timer: Timer | undefined;
-  let turn = Math.floor(random() * 1_000);
-
-  const versions = (): Versions => ({
-    tableRevision: tables.stored()?.revision ?? 0,
-    serversRevision: directory.snapshot().revision,
-  });
-
-  const answer = (asked: Versions): Newer => {
-    const table = tables.stored();
-    const servers = directory.snapshot();
+const listOthers = (hosts: HostRegistry): readonly HostEntry[] =>
+  hosts.list().filter(({ hostId }) => hostId !== hosts.self.hostId);
+
+class Exchange implements HostExchange {
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+
+  private hosts: HostRegistry | undefined;
+
+  private timer: Timer | undefined;
+
+  private turn: number;
+
+  constructor(private readonly options: HostExchangeOptions) {
+    this.turn = Math.floor(options.random() * FIRST_TURNS);
+    this.methods = { [SYNC]: (params) => this.answer(params as Inquiry) };
+  }
+
+  start(hosts: HostRegistry): void {
+    const { clock, random } = this.options;
+    this.hosts = hosts;
+    this.timer = clock.schedule(INTERVAL_MS * (0.75 + random() / 2), () => {
+      this.askNext(hosts);
+      this.start(hosts);
+    });
+  }
+
+  close(): void {
+    this.timer?.close();
+  }
+
+  private describe(hosts: HostRegistry): Inquiry {
+    const { tables, directory } = this.options;
     return {
-      ...(table !== undefined && table.revision > asked.tableRevision ? { table } : {}),
-      ...(servers.revision > asked.serversRevision ? { servers } : {}),
+      tableRevision: tables.stored()?.revision ?? 0,
+      serversRevision: directory.snapshot().revision,
+      otherHosts: listOthers(hosts).length,
+      target: hosts.self.target,
     };
-  };
-
-  const ask = async (hosts: HostRegistry): Promise<void> => {
-    const others = hosts.list().filter(({ hostId }) => hostId !== hosts.self.hostId);
-    turn += 1;
-    const other = others[turn % Math.max(1, others.length)];
-    if (other === undefined) {
-      return;
+  }
+
+  private answer(inquiry: Inquiry): Newer {
+    const { hosts } = this;
+    if (hosts === undefined) {
+      return {};
     }
-    const newer = (await links.call(other.target, SYNC, versions())) as Newer;
-    if (newer.table !== undefined) {
-      tables.offer(newer.table, other.hostId);
+    const table = this.options.tables.stored();
+    const servers = this.options.directory.snapshot();
+    const own = this.describe(hosts);
+    if (inquiry.tableRevision > own.tableRevision || inquiry.serversRevision > own.serversRevision) {
+      this.ask(inquiry.target, hosts);
     }
-    if (newer.servers !== undefined) {
-      logger.event('serversLearnt', { peer: other.hostId, revision: newer.servers.revision });
-      directory.replace(newer.servers);
+    return {
+      ...(table !== undefined && table.revision > inquiry.tableRevision ? { table } : {}),
+      ...(servers.revision > inquiry.serversRevision ? { servers } : {}),
+      ...(inquiry.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
+    };
+  }
+
+  private askNext(hosts: HostRegistry): void {
+    const others = listOthers(hosts);
+    this.turn += 1;
+    const other = others[this.turn % Math.max(1, others.length)];
+    if (other !== undefined) {
+      this.ask(other.target, hosts);
     }
-  };
+  }
 
-  const schedule = (hosts: HostRegistry): void => {
-    timer = clock.schedule(INTERVAL_MS * (0.75 + random() / 2), () => {
+  private ask(target: Target, hosts: HostRegistry): void {
+    this.options.links.call(target, SYNC, this.describe(hosts)).then(
+      (newer) => this.apply(newer as Newer, target, hosts),
       // A host that does not answer is asked again in a later turn.
-      ask(hosts).catch(() => undefined);
-      schedule(hosts);
-    });
-  };
+      () => undefined,
+    );
+  }
 
-  return {
-    methods: { [SYNC]: (params) => answer(params as Versions) },
-    start: schedule,
-    close: () => timer?.close(),
-  };
+  private apply({ table, servers, hosts: listed }: Newer, target: Target, hosts: HostRegistry): void {
+    const { tables, directory, logger } = this.options;
+    const peer = `${target.address}:${target.port}`;
+    if (table !== undefined) {
+      tables.offer(table, peer);
+    }
+    if (servers !== undefined) {
+      logger.event('serversLearnt', { peer, revision: servers.revision });
+      directory.replace(servers);
+    }
+    if (listed !== undefined && listOthers(hosts).length === 0) {
+      hosts.replace(listed);
+    }
+  }
+}
+
+/**
+ * Creates the exchange of route tables and server lists between hosts. Once a second a host asks one other host, in
+ * turn, for what is newer. A host that is asked by one that knows more asks back: when it has just started and the
+ * store does not answer, it knows no host that it could ask itself.
+ *
+ * @param options - what is exchanged, and links
+ * @returns the exchange; close it to stop
+ */
+export default function createHostExchange(options: HostExchangeOptions): HostExchange {
+  return new Exchange(options);
 }
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -14,6 +14,12 @@
   readonly startId: string;
 }
 
+/** A host as it stands in the store. */
+export interface HostRecord {
+  readonly key: string;
+  readonly text: string;
+}
+
 /** The hosts of the system as this one sees them. */
 export interface HostRegistry {
   readonly self: HostEntry;
@@ -31,7 +37,9 @@
   noteSilent(hostId: string): void;
   put(key: string, text: string): void;
   remove(key: string): void;
-  replace(entries: readonly { readonly key: string; readonly text: string }[]): void;
+  replace(entries: readonly HostRecord[]): void;
+  /** The listed hosts, for others. */
+  snapshot(): readonly HostRecord[];
   /** Removes the own key, so that other hosts stop to use this one. */
   leave(): Promise<void>;
   onChange(run: () => void): void;
@@ -144,7 +152,11 @@
     }
   }
 
-  replace(all: readonly { readonly key: string; readonly text: string }[]): void {
+  snapshot(): readonly HostRecord[] {
+    return [...this.entries].map(([key, entry]) => ({ key, text: JSON.stringify(entry) }));
+  }
+
+  replace(all: readonly HostRecord[]): void {
     this.entries.clear();
     all.forEach(({ key, text }) => {
       const entry = parseEntry(text);
