Serve open requests until the end of the grace when there is nothing to flush

A host that got SIGTERM cut streams after 6.18 s of its 8 s: a quarter of the time was kept for outcomes, which the gateway has none of. Change: a host without a flush keeps no time for it.

--- a/packages/entry/src/drain/createDrain.ts
+++ b/packages/entry/src/drain/createDrain.ts
@@ -14,8 +14,11 @@
   readonly inFlight: () => number;
   /** Resolves when no request is in flight. */
   readonly idle: () => Promise<void>;
-  /** Makes the outcomes durable or hands them to other hosts; resolves to the number that is left. */
-  readonly flush: (limitMs: number) => Promise<number>;
+  /**
+   * Makes the outcomes durable or hands them to other hosts; resolves to the number that is left. A host without
+   * outcomes of its own has none, and keeps no time for it.
+   */
+  readonly flush?: (limitMs: number) => Promise<number>;
   /** Stops listening and waits for open responses. */
   readonly close: () => Promise<void>;
   /** Drops what is still open. */
@@ -37,15 +40,15 @@
   }
 
   private async perform(): Promise<void> {
-    const { clock, logger, balancerLagMs, timeoutMs } = this.options;
+    const { clock, logger, balancerLagMs, timeoutMs, flush } = this.options;
     this.options.onStart();
     logger.event('drainStarted', { inFlight: this.options.inFlight() });
     await this.pause(balancerLagMs);
     const endsAtMs = clock.monotonicMs() + timeoutMs;
-    const reserveMs = Math.min(MAX_FLUSH_MS, timeoutMs * FLUSH_RESERVE_RATIO);
+    const reserveMs = flush === undefined ? 0 : Math.min(MAX_FLUSH_MS, timeoutMs * FLUSH_RESERVE_RATIO);
     const idle = await this.within(timeoutMs - reserveMs, this.options.idle());
     const limitMs = Math.min(MAX_FLUSH_MS, Math.max(0, endsAtMs - clock.monotonicMs()));
-    const unsettled = (await this.within(limitMs, this.options.flush(limitMs))) ?? undefined;
+    const unsettled = flush === undefined ? 0 : await this.within(limitMs, flush(limitMs));
     const clean = idle !== undefined && unsettled === 0;
     logger.event(clean ? 'drainFinished' : 'drainTimedOut', { inFlight: this.options.inFlight(), unsettled });
     const closed = await this.within(Math.max(0, endsAtMs - clock.monotonicMs()), this.options.close());
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -164,7 +164,6 @@
     onStart,
     inFlight: () => callers.openRequests(),
     idle: () => awaitIdle(base.clock, callers),
-    flush: () => Promise.resolve(0),
     close,
     abort: () => undefined,
   });
