Refuse late requests of a stopping host that it would break off

Change: 2.8 s after the signal a host takes only requests whose deadline lies before its end; others get 503 with a short Retry-After and go to a host that stays.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -10,6 +10,7 @@
   | 'body-too-large'
   | 'headers-too-large'
   | 'overloaded'
+  | 'stopping'
   | 'no-server'
   | 'deadline-passed'
   | 'poisoned'
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -1,5 +1,13 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
-import { createSizeBook, matchRoute, rankRequest, valueRequest, type RouteIndex } from '@bergamotcove/decide';
+import {
+  createSizeBook,
+  matchRoute,
+  rankRequest,
+  takesWhileDraining,
+  valueRequest,
+  type DrainTimes,
+  type RouteIndex,
+} from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
 import readCallerBody from '../callers/readCallerBody.js';
@@ -13,12 +21,16 @@
 /** Options of {@link createRequestHandler}. */
 export interface RequestHandlerOptions extends ForwardPorts {
   readonly tables: RouteTableHolder;
+  /** Times of the stop of this host; undefined before. */
+  readonly drain: () => DrainTimes | undefined;
   /** A request was matched to a route and read. */
   readonly onAccepted: (request: ForwardRequest) => void;
   readonly onEnded: (request: ForwardRequest, end: ForwardEnd) => void;
 }
 
 const NO_TABLE_RETRY_MS = 500;
+/** Another host takes the request at once. */
+const STOPPING_RETRY_MS = 50;
 
 /** A generated token takes this many times as long as one that is read. */
 const OUTPUT_WEIGHT = 10;
@@ -118,6 +130,11 @@
       deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
       version: index.table.version,
     };
+    const drain = this.options.drain();
+    if (drain !== undefined && !takesWhileDraining(forward.deadlineAtMs, drain, this.options.clock.monotonicMs())) {
+      this.reject(exchange, facts, { status: 503, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
+      return;
+    }
     this.options.onAccepted(forward);
     const end = await new ForwardRun(forward, index, exchange, this.options).execute();
     this.options.onEnded(forward, end);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,3 +1,4 @@
+import type { DrainTimes } from '@bergamotcove/decide';
 import { createStoreClient, type StoreClient, type StoreDialect } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createDrain, createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
@@ -108,7 +109,13 @@
   return createHostRegistry({ clock, logger, store, prefix: formats.catalogue.hostPrefix, self });
 };
 
-const startCallers = (base: Base, hosts: HostRegistry, pools: ServerPools): Promise<CallerServer> => {
+interface CallerParts {
+  readonly hosts: HostRegistry;
+  readonly pools: ServerPools;
+  readonly drain: () => DrainTimes | undefined;
+}
+
+const startCallers = (base: Base, { hosts, pools, drain }: CallerParts): Promise<CallerServer> => {
   const { clock, logger, links, owners, settings, region } = base;
   const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
@@ -119,6 +126,7 @@
     ...base,
     pools,
     scheduler,
+    drain,
     stageFormat: base.formats.stages,
     stages,
     format: base.formats.requests,
@@ -186,7 +194,8 @@
   });
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
-  const callers = await startCallers(base, hosts, pools);
+  let drainTimes: DrainTimes | undefined;
+  const callers = await startCallers(base, { hosts, pools, drain: () => drainTimes });
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
   const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === settings.host.id;
@@ -197,8 +206,8 @@
   hosts.start();
   exchange.start(hosts);
   scheduler.start(hosts);
-  let draining = false;
-  const health = await startHealthServer(settings.health, () => !draining && tables.current() !== undefined);
+  const isReady = (): boolean => drainTimes === undefined && tables.current() !== undefined;
+  const health = await startHealthServer(settings.health, isReady);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
   const parts = [follower, exchange, scheduler, callers, health, owners, linkServer];
@@ -207,7 +216,8 @@
     [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
   };
   const onDrainStart = (): void => {
-    draining = true;
+    const startedAtMs = clock.monotonicMs();
+    drainTimes = { startedAtMs, endsAtMs: startedAtMs + settings.stop.graceMs - STOP_RESERVE_MS };
     // An entry that stays is gone when its lease ends.
     hosts.leave().catch(() => undefined);
     owners.leave();
