Notice a silent store connection within two seconds

Ruled out: the exchange (it passed version 81 on 1.9 s after its acknowledgement). Change: a watch begins with a call that does not wait, waits 2 s at a time, and is made anew when the renewal of the host's lease fails.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -118,7 +118,7 @@
   },
   {
     name: 'project/tests',
-    files: ['**/*.test.ts'],
+    files: ['**/*.test.ts', '**/testing/*.ts'],
     rules: { 'max-lines-per-function': 'off', 'no-await-in-loop': 'off' },
   },
   {
--- a/packages/backends/src/store/createLeaseHolder.ts
+++ b/packages/backends/src/store/createLeaseHolder.ts
@@ -9,6 +9,8 @@
   readonly ttlMs: number;
   /** Key that exists only as long as its lease; a lease whose key another holder has is not held. */
   readonly key?: { readonly key: string; readonly value: string };
+  /** Called when the store did not take or answer a call. */
+  readonly onFailed?: () => void;
   /** Called when the lease may have lapsed; everything that depends on it stops. */
   readonly onLost?: (leaseId: string) => void;
 }
@@ -113,6 +115,7 @@
     try {
       await (action.type === 'renew' ? this.prolong(action.leaseId) : this.grant());
     } catch (cause) {
+      this.options.onFailed?.();
       await this.handle({ type: 'failed' });
       throw cause;
     }
--- a/packages/backends/src/store/followStore.ts
+++ b/packages/backends/src/store/followStore.ts
@@ -24,6 +24,8 @@
 export interface StoreFollower {
   /** Reads everything again at once, for instance because a connection may be silent. */
   refresh(): void;
+  /** Makes the watch anew, because its connection may be silent; does nothing while the store is known to be lost. */
+  probe(): void;
   /** Revision up to which the entries are known, or undefined before the first read. */
   revision(): string | undefined;
   close(): void;
@@ -55,6 +57,13 @@
     this.read();
   }
 
+  probe(): void {
+    if (this.connected && this.watching !== undefined && !this.closed) {
+      this.watching.unsubscribe();
+      this.watch();
+    }
+  }
+
   revision(): string | undefined {
     return this.known;
   }
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -15,8 +15,8 @@
 export interface PollOptions extends WatchOptions {
   /** Time for which the store may hold a call without events. */
   readonly waitMs: number;
-  /** Formats a call that waits for events after the revision. */
-  readonly format: (afterRevision: string) => StoreCall<WatchPoll>;
+  /** Formats a call that waits for at most `waitMs` for events after the revision. */
+  readonly format: (afterRevision: string, waitMs: number) => StoreCall<WatchPoll>;
 }
 
 /** Time for an answer to arrive after the store had to send it; then the connection counts as silent. */
@@ -49,15 +49,18 @@
     let closed = false;
     const run = async (): Promise<void> => {
       let revision = String(Number(options.fromRevision) - 1);
+      // The first call does not wait, so that a store that does not answer is noticed at once.
+      let waitMs = 0;
       while (!closed) {
         const current = new AbortController();
         abort = current;
-        const limit = setTimeout(() => current.abort(), options.waitMs + ANSWER_LIMIT_MS);
+        const limit = setTimeout(() => current.abort(), waitMs + ANSWER_LIMIT_MS);
         try {
           // Each call begins where the one before ended.
           // eslint-disable-next-line no-await-in-loop
-          const answer = await poll(http, target, options.format(revision), abort.signal);
+          const answer = await poll(http, target, options.format(revision, waitMs), abort.signal);
           revision = answer.revision;
+          waitMs = options.waitMs;
           answer.events.forEach((event) => subscriber.next(event));
           subscriber.next({ type: 'started', revision });
         } finally {
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -43,6 +43,8 @@
   /** Removes the own key, so that other hosts stop to use this one. */
   leave(): Promise<void>;
   onChange(run: () => void): void;
+  /** The store did not take or answer a call. */
+  onStoreFailed(run: () => void): void;
 }
 
 /** Options of {@link createHostRegistry}. */
@@ -78,6 +80,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  private readonly failureListeners: (() => void)[] = [];
+
   private readonly lease: LeaseHolder;
 
   private leaving = false;
@@ -90,6 +94,7 @@
       random: Math.random,
       ttlMs: LEASE_TTL_MS,
       key: { key: `${prefix}${self.hostId}/${self.startId}`, value: JSON.stringify(self) },
+      onFailed: () => this.failureListeners.forEach((run) => run()),
       onLost: () => logger.event('hostLeaseLost', {}),
     });
   }
@@ -177,6 +182,10 @@
     this.listeners.push(run);
   }
 
+  onStoreFailed(run: () => void): void {
+    this.failureListeners.push(run);
+  }
+
   private changed(): void {
     this.listeners.forEach((run) => run());
   }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -203,6 +203,7 @@
     owners.review(isOwner);
     scheduler.review(isOwner(SCHEDULER_DUTY));
   });
+  hosts.onStoreFailed(() => follower.probe());
   hosts.start();
   exchange.start(hosts);
   scheduler.start(hosts);
