Stop requests that crash their servers on all hosts of the gateway

Cause: a request that crashes each server that runs it came again and again, at any host, and each host sent it to as many servers as its route allows.

--- a/packages/decide/src/poison/index.ts
+++ b/packages/decide/src/poison/index.ts
@@ -2,4 +2,5 @@
 export * from './constants.js';
 export * from './types.js';
 export { default as advancePoison } from './advancePoison.js';
+export { default as RunningAttempts } from './RunningAttempts.js';
 export { default as readBlock } from './readBlock.js';
--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { Observable, of, type Subscriber, type TeardownLogic } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
-import { advancePoison, readBlock, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
+import { advancePoison, readBlock, RunningAttempts, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import {
   OPERATOR_LIST_POISON,
@@ -16,7 +16,6 @@
 import type { PeerDirectory } from '../peers/types.js';
 import type { AttemptEvent } from '../requests/startRun.js';
 import createReportOutbox, { type ReportOutbox } from './createReportOutbox.js';
-import RunningAttempts from './_lib/RunningAttempts.js';
 
 /** Options of {@link createPoisonGuard}. */
 export interface PoisonGuardOptions {
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -14,11 +14,13 @@
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages, { type StagesOutcome } from '../stages/runStages.js';
+import { formatFingerprint, type CrashGuard } from './createCrashGuard.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
 import relayStream from './relayStream.js';
 import reportAttempt from './reportAttempt.js';
+import trackAttempt, { classifyEnd } from './trackAttempt.js';
 import Reservation from './Reservation.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
@@ -38,6 +40,7 @@
   readonly failureDomain: string;
   readonly random: () => number;
   readonly metrics: ScrapedMetrics;
+  readonly crashes: CrashGuard;
   /** Takes room for one repeated send to a pool. */
   readonly spendRetry: (pool: string) => boolean;
 }
@@ -46,6 +49,8 @@
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
 const TIMED_OUT_RETRY_MS = 100;
+/** A request that crashed two servers stays blocked for minutes. */
+const POISONED_RETRY_MS = 60_000;
 /** Time in which a server has fetched the results that an attempt names. */
 const FETCH_MS = 80;
 /** Times that the stages of a request run, when results are lost with their servers. */
@@ -61,6 +66,8 @@
 
   private readonly work;
 
+  private readonly fingerprint: string;
+
   private readonly results: HeldResults;
 
   private readonly pool: string;
@@ -86,6 +93,7 @@
   ) {
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
+    this.fingerprint = formatFingerprint({ ...request, organisation: request.organisation?.name });
     this.results = new HeldResults(request, ports.stages);
     this.pool = choosePool(request.route.pools, ports.random()) ?? '';
     this.reservation = new Reservation(request, this.pool, ports);
@@ -213,11 +221,14 @@
   }
 
   private async attempt(server: ServerView): Promise<AttemptResult> {
-    const { directory, pools, format, clock } = this.ports;
-    const { tokens } = this.work;
-    const startedAtMs = clock.monotonicMs();
+    const { pools, format, clock, crashes } = this.ports;
+    const { fingerprint } = this;
+    if (crashes.isBlocked(fingerprint)) {
+      this.refuse(this.record.runs > 0 ? 502 : 503, 'poisoned', POISONED_RETRY_MS);
+      return { type: 'ended', end: { type: 'not-run' }, resultsGone: false };
+    }
     this.record.noteSend(server.serverId);
-    directory.note(server.serverId, { type: 'sent', tokens, long: false });
+    const endTracking = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
     const opened = await openAttempt(pools.clientOf(server.pool), format, {
       target: server,
       requestId: this.request.requestId,
@@ -228,22 +239,14 @@
       signal: this.abort.signal,
       onSending: () => {
         this.inFlight = true;
-        this.ports.clock.schedule(FETCH_MS, () => this.results.spare());
+        clock.schedule(FETCH_MS, () => this.results.spare());
       },
       maySend: () => !this.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
     const result = await this.readAttempt(server, opened);
-    const elapsedMs = clock.monotonicMs() - startedAtMs;
     this.inFlight = false;
     this.reservation.noteAttempt(opened.type === 'failed' && !this.ended ? 'failed' : 'ended');
-    if (result.type === 'delivered' || result.end.type === 'answered') {
-      directory.note(server.serverId, { type: 'progress', tokens, elapsedMs });
-      directory.note(server.serverId, { type: 'answered' });
-    } else if (!this.ended && opened.type === 'failed') {
-      directory.note(server.serverId, { type: 'failed' });
-    }
-    directory.note(server.serverId, { type: 'done', tokensLeft: tokens, long: false });
-    this.ports.queues.drain(server.pool);
+    await endTracking(this.ended && opened.type === 'failed' ? 'abandoned' : classifyEnd(opened, result));
     return result;
   }
 
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -22,6 +22,7 @@
 import type { GatewayFormats } from './ports.js';
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
+import createCrashGuard, { type CrashGuard } from './requests/createCrashGuard.js';
 import createRequestHandler from './requests/createRequestHandler.js';
 import type { ForwardEnd } from './requests/RunRecord.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
@@ -64,6 +65,7 @@
   readonly owners: BatchOwners;
   readonly scheduler: RegionScheduler;
   readonly queues: PoolQueues;
+  readonly crashes: CrashGuard;
 }
 
 const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
@@ -92,9 +94,10 @@
   const owners = createBatchOwners({ clock, logger, metrics, format: formats.stages, directory, tables, region });
   const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
   const queues = createPoolQueues(clock);
+  const crashes = createCrashGuard({ clock, logger, links });
   directory.onChange(() => queues.drainAll());
   const parts = { settings, formats, clock, logger, metrics, failureDomain, region };
-  return { ...parts, store, tables, directory, links, owners, scheduler, queues };
+  return { ...parts, store, tables, directory, links, owners, scheduler, queues, crashes };
 };
 
 const startLinkServer = (base: Base, methods: Readonly<Record<string, LinkMethod>>): Promise<LinkServer> =>
@@ -226,6 +229,7 @@
     ...owners.methods,
     ...scheduler.methods,
     ...exchange.methods,
+    ...base.crashes.methods,
   });
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
@@ -242,6 +246,7 @@
   hosts.start();
   exchange.start(hosts);
   scheduler.start(hosts);
+  base.crashes.start(hosts);
   const isReady = (): boolean => drainTimes === undefined && tables.current() !== undefined;
   const health = await startHealthServer(settings.health, isReady);
   const metricsServer = await startMetrics(base, { callers, hosts, isReady });
