Take changed settings with a signal or without one

Change: SIGHUP reads the settings file again, and so does a check every 5 s. Limits of repeated sends, the grace and the regions of failure domains hold at once; the log names what needs a restart; wrong settings leave the old ones in force.

--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -47,6 +47,8 @@
   /** Everything that is not in the snapshot and older than it is gone. */
   replace(snapshot: ServerSnapshot): void;
   snapshot(): ServerSnapshot;
+  /** Replaces the regions of failure domains. */
+  setRegions(regions: Readonly<Record<string, string>>): void;
   /** The store stopped answering, or answers again. */
   noteStore(state: 'lost' | 'found'): void;
   onChange(run: () => void): void;
@@ -95,7 +97,11 @@
 
   private returnTimer: Timer | undefined;
 
-  constructor(private readonly options: BackendDirectoryOptions) {}
+  private regions: Readonly<Record<string, string>>;
+
+  constructor(private readonly options: BackendDirectoryOptions) {
+    this.regions = options.regions;
+  }
 
   list(pool: string): readonly KnownServer[] {
     return this.pools.get(pool) ?? [];
@@ -155,6 +161,14 @@
     return { servers: servers.map(({ stored }) => stored), revision: this.revision };
   }
 
+  setRegions(regions: Readonly<Record<string, string>>): void {
+    this.regions = regions;
+    this.entries.forEach((entry, serverId) =>
+      this.entries.set(serverId, { ...entry, server: this.read(entry.stored) }),
+    );
+    this.arrange();
+  }
+
   noteStore(state: 'lost' | 'found'): void {
     this.returnTimer?.close();
     if (state === 'lost') {
@@ -186,9 +200,7 @@
     if (stored.revision <= knownRevision) {
       return;
     }
-    const entry = this.options.format.readServer(stored.serverId, stored.text);
-    const region = entry === undefined ? undefined : this.options.regions[entry.failureDomain];
-    const server = entry === undefined || region === undefined ? undefined : { ...entry, region };
+    const server = this.read(stored);
     if (server !== undefined && known?.server !== undefined && known.server.startedAtMs !== server.startedAtMs) {
       this.book.retain(new Set([...this.entries.keys()].filter((serverId) => serverId !== stored.serverId)));
     }
@@ -196,6 +208,13 @@
     this.log(stored, server);
   }
 
+  /** The server of an entry; undefined when it names none, or a failure domain that is not known. */
+  private read({ serverId, text }: StoredServer): KnownServer | undefined {
+    const entry = this.options.format.readServer(serverId, text);
+    const region = entry === undefined ? undefined : this.regions[entry.failureDomain];
+    return entry === undefined || region === undefined ? undefined : { ...entry, region };
+  }
+
   private log(stored: StoredServer, server: KnownServer | undefined): void {
     const { serverId, revision } = stored;
     if (server === undefined) {
--- /dev/null
+++ b/packages/gateway/src/createSettingsHolder.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import createSettingsHolder from './createSettingsHolder.js';
+import parseGatewaySettings from './settings.js';
+
+const SETTINGS = parseGatewaySettings({
+  host: { id: 'a1', address: '10.0.0.1', failureDomain: 'a', regions: { a: 'r1' } },
+  callers: '10.0.0.1:80',
+  health: '10.0.0.1:81',
+  peerPorts: [7_000, 7_010],
+  metrics: { port: 9_464, path: '/metrics' },
+  store: '10.0.0.9:90',
+  retries: { ratio: 0.2, slack: 50, windowSeconds: 10 },
+  stop: { graceSeconds: 8 },
+});
+
+test('takes limits and regions at once', () => {
+  const holder = createSettingsHolder(SETTINGS);
+  const changed = {
+    ...SETTINGS,
+    host: { ...SETTINGS.host, regions: { a: 'r1', b: 'r2' } },
+    retries: { ...SETTINGS.retries, slack: 5 },
+    stop: { graceMs: 4_000 },
+  };
+  assert.deepEqual(holder.apply(changed), []);
+  assert.equal(holder.current().retries.slack, 5);
+  assert.equal(holder.current().stop.graceMs, 4_000);
+});
+
+test('names what needs a restart, until it is as before', () => {
+  const holder = createSettingsHolder(SETTINGS);
+  const moved = {
+    ...SETTINGS,
+    callers: { address: '10.0.0.1', port: 8_080 },
+    store: { address: '10.0.0.8', port: 90 },
+  };
+  assert.deepEqual(holder.apply(moved), ['callers', 'store']);
+  assert.deepEqual(holder.apply(SETTINGS), []);
+});
--- /dev/null
+++ b/packages/gateway/src/followSettings.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import followSettings from './followSettings.js';
+import type { GatewaySettings } from './settings.js';
+
+const SETTINGS = {
+  host: { id: 'a1', address: '10.0.0.1', failureDomain: 'a', regions: { a: 'r1' } },
+  callers: '10.0.0.1:80',
+  health: '10.0.0.1:81',
+  peerPorts: [7_000, 7_010],
+  metrics: { port: 9_464, path: '/metrics' },
+  store: '10.0.0.9:90',
+  retries: { ratio: 0.2, slack: 50, windowSeconds: 10 },
+  stop: { graceSeconds: 8 },
+};
+
+const run = async (
+  act: (world: {
+    readonly clock: ReturnType<typeof createManualClock>;
+    readonly applied: GatewaySettings[];
+    readonly events: string[];
+    readonly write: (text: string) => Promise<void>;
+    readonly refresh: () => Promise<void>;
+  }) => Promise<void>,
+): Promise<void> => {
+  const dir = await mkdtemp(path.join(tmpdir(), 'settings-'));
+  const file = path.join(dir, 'settings.json');
+  const text = JSON.stringify(SETTINGS);
+  await writeFile(file, text);
+  const clock = createManualClock();
+  const applied: GatewaySettings[] = [];
+  const events: string[] = [];
+  const follower = followSettings({
+    clock,
+    file,
+    text,
+    logger: { event: (name) => events.push(name) },
+    apply: (settings) => {
+      applied.push(settings);
+      return [];
+    },
+  });
+  try {
+    await act({ clock, applied, events, write: (next) => writeFile(file, next), refresh: () => follower.refresh() });
+  } finally {
+    follower.close();
+    await rm(dir, { recursive: true });
+  }
+};
+
+test('applies changed settings when it is told', () =>
+  run(async ({ applied, events, write, refresh }) => {
+    await refresh();
+    assert.equal(applied.length, 0);
+    await write(JSON.stringify({ ...SETTINGS, stop: { graceSeconds: 4 } }));
+    await refresh();
+    assert.equal(applied[0]?.stop.graceMs, 4_000);
+    assert.deepEqual(events, ['settingsApplied']);
+  }));
+
+test('finds changed settings without a signal', () =>
+  run(async ({ clock, applied, write }) => {
+    await write(JSON.stringify({ ...SETTINGS, stop: { graceSeconds: 4 } }));
+    clock.advance(5_000);
+    while (applied.length === 0) {
+      await new Promise(setImmediate);
+    }
+    assert.equal(applied.length, 1);
+  }));
+
+test('keeps the old settings when the new ones are wrong or half written', () =>
+  run(async ({ applied, events, write, refresh }) => {
+    await write('{"host":');
+    await refresh();
+    await write('{}');
+    await refresh();
+    assert.equal(applied.length, 0);
+    assert.deepEqual(events, ['settingsUnreadable', 'settingsUnreadable']);
+    await write(JSON.stringify({ ...SETTINGS, retries: { ratio: 0.1, slack: 5, windowSeconds: 10 } }));
+    await refresh();
+    assert.equal(applied[0]?.retries.slack, 5);
+  }));
--- a/packages/gateway/src/servers/createRetryBudgets.ts
+++ b/packages/gateway/src/servers/createRetryBudgets.ts
@@ -13,7 +13,7 @@
 export interface RetryBudgetsOptions {
   readonly clock: Clock;
   /** Limits of the whole fleet. */
-  readonly limits: { readonly ratio: number; readonly slack: number; readonly windowMs: number };
+  readonly limits: () => { readonly ratio: number; readonly slack: number; readonly windowMs: number };
   /** Hosts that share the slack. */
   readonly hosts: () => number;
 }
@@ -30,15 +30,15 @@
  */
 export default function createRetryBudgets({ clock, limits, hosts }: RetryBudgetsOptions): RetryBudgets {
   const budgets = new Map<string, WindowBudget>();
-  const { ratio, slack, windowMs } = limits;
   const find = (pool: string): WindowBudget => {
-    const budget = budgets.get(pool) ?? createWindowBudget(windowMs);
+    const budget = budgets.get(pool) ?? createWindowBudget(limits().windowMs);
     budgets.set(pool, budget);
     return budget;
   };
   return {
     noteRequest: (pool) => find(pool).noteRequest(clock.monotonicMs()),
     spend: (pool, count = 1) => {
+      const { ratio, slack, windowMs } = limits();
       const share = (slack * SLACK_SHARE) / Math.max(1, hosts());
       return find(pool).spend(count, { ratio, slack: share, windowMs }, clock.monotonicMs());
     },
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -17,7 +17,7 @@
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import followCatalogue from './catalogue/followCatalogue.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
-import createHostExchange from './hosts/createHostExchange.js';
+import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
 import listenForPeers from './hosts/listenForPeers.js';
 import type { GatewayFormats } from './ports.js';
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
@@ -27,6 +27,7 @@
 import type { ForwardEnd } from './requests/RunRecord.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
+import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import type { GatewaySettings } from './settings.js';
 import startMetricsServer, { type MetricsServer } from './observe/startMetricsServer.js';
 import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
@@ -36,6 +37,8 @@
 export interface Gateway {
   readonly callersPort: number;
   readonly metricsPort: number;
+  /** Takes changed settings; returns the names of those that hold only after a restart. */
+  apply(settings: GatewaySettings): readonly string[];
   /** Finishes the requests in flight, then stops. */
   drain(): Promise<void>;
   /** Stops every part; requests in flight break. */
@@ -51,7 +54,9 @@
 
 /** Parts that every other part is built from. */
 interface Base {
+  /** Settings at the start. */
   readonly settings: GatewaySettings;
+  readonly liveSettings: SettingsHolder;
   readonly formats: GatewayFormats;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -96,7 +101,8 @@
   const queues = createPoolQueues(clock);
   const crashes = createCrashGuard({ clock, logger, links });
   directory.onChange(() => queues.drainAll());
-  const parts = { settings, formats, clock, logger, metrics, failureDomain, region };
+  const liveSettings = createSettingsHolder(settings);
+  const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
   return { ...parts, store, tables, directory, links, owners, scheduler, queues, crashes };
 };
 
@@ -138,7 +144,11 @@
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
   const stages = createStageClient({ clock, logger, hosts, links, local: owners });
   owners.onInputsUsed((pool, results) => stages.spare(region, pool, results));
-  const budgets = createRetryBudgets({ clock, limits: settings.retries, hosts: () => hosts.list().length });
+  const budgets = createRetryBudgets({
+    clock,
+    limits: () => base.liveSettings.current().retries,
+    hosts: () => hosts.list().length,
+  });
   const handler = createRequestHandler({
     ...base,
     pools,
@@ -206,7 +216,7 @@
     clock: base.clock,
     logger: base.logger,
     balancerLagMs: BALANCER_LAG_MS,
-    timeoutMs: base.settings.stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
+    timeoutMs: base.liveSettings.current().stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
     onStart,
     inFlight: () => callers.openRequests(),
     idle: () => awaitIdle(base.clock, callers),
@@ -214,6 +224,20 @@
     abort: () => undefined,
   });
 
+/** Lists this host and takes the duties that fall to it, as long as they do. */
+const startDuties = (base: Base, hosts: HostRegistry, exchange: HostExchange): void => {
+  const { owners, scheduler, crashes } = base;
+  const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === hosts.self.hostId;
+  hosts.onChange(() => {
+    owners.review(isOwner);
+    scheduler.review(isOwner(SCHEDULER_DUTY));
+  });
+  hosts.start();
+  exchange.start(hosts);
+  scheduler.start(hosts);
+  crashes.start(hosts);
+};
+
 /**
  * Builds and starts a gateway.
  *
@@ -237,16 +261,8 @@
   const callers = await startCallers(base, { hosts, pools, drain: () => drainTimes });
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
-  const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === settings.host.id;
-  hosts.onChange(() => {
-    owners.review(isOwner);
-    scheduler.review(isOwner(SCHEDULER_DUTY));
-  });
   hosts.onStoreFailed(() => follower.probe());
-  hosts.start();
-  exchange.start(hosts);
-  scheduler.start(hosts);
-  base.crashes.start(hosts);
+  startDuties(base, hosts, exchange);
   const isReady = (): boolean => drainTimes === undefined && tables.current() !== undefined;
   const health = await startHealthServer(settings.health, isReady);
   const metricsServer = await startMetrics(base, { callers, hosts, isReady });
@@ -257,9 +273,10 @@
     await hosts.leave();
     [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
   };
+  const stop = { running: undefined as (() => Promise<void>) | undefined };
   const onDrainStart = (): void => {
     const startedAtMs = clock.monotonicMs();
-    drainTimes = { startedAtMs, endsAtMs: startedAtMs + settings.stop.graceMs - STOP_RESERVE_MS };
+    drainTimes = { startedAtMs, endsAtMs: startedAtMs + base.liveSettings.current().stop.graceMs - STOP_RESERVE_MS };
     // An entry that stays is gone when its lease ends.
     hosts.leave().catch(() => undefined);
     owners.leave();
@@ -268,7 +285,14 @@
   return {
     callersPort: callers.port,
     metricsPort: metricsServer.port,
-    drain: createGatewayDrain(base, { callers, onStart: onDrainStart, close }),
+    apply: (changed) => {
+      directory.setRegions(changed.host.regions);
+      return base.liveSettings.apply(changed);
+    },
+    drain: () => {
+      stop.running ??= createGatewayDrain(base, { callers, onStart: onDrainStart, close });
+      return stop.running();
+    },
     close,
   };
 }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -22,6 +22,11 @@
     level: 'warn',
     text: 'More lines than the limit came in a second; `lines` were not written.',
   },
+  settingsApplied: {
+    id: 1008,
+    level: 'info',
+    text: 'Changed settings are in force; those in `needRestart` only after a restart.',
+  },
   requestRefused: { id: 2001, level: 'info', text: 'A request ended without an answer; see its outcome.' },
   requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
   attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
