--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -2,6 +2,7 @@
 import apply from './apply.js';
 import diff from './diff.js';
 import drain from './drain.js';
+import explain from './explain.js';
 import get from './get.js';
 import history from './history.js';
 import poison from './poison.js';
@@ -22,6 +23,7 @@
   status,
   drain,
   trace,
+  explain,
   poison,
   release,
 ];
--- /dev/null
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -0,0 +1,98 @@
+/** One line of a structured log. */
+export interface LogLine {
+  readonly timeMs: number;
+  readonly name: string;
+  readonly level: string;
+  readonly hostId: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** What the logs tell of one request. */
+export interface RequestExplanation {
+  /** Lines of the request, in order of time. */
+  readonly own: readonly LogLine[];
+  /** Lines of its hosts and servers shortly before and while it ran. */
+  readonly around: readonly LogLine[];
+  /** Why it ended as it did; undefined when no line tells. */
+  readonly cause: string | undefined;
+}
+
+/** Time before the first line of a request in which the cause may lie. */
+const BEFORE_MS = 5_000;
+
+/** Reasons of the lines `requestEnded` and `requestRejected`. */
+const REASONS: ReadonlyMap<unknown, string> = new Map([
+  ['answered', 'it was answered by a backend server'],
+  ['streamed', 'its stream was passed on whole'],
+  ['caller-gone', 'its caller closed the connection first'],
+  ['overloaded', 'it would not have been served in time, see decision and expected times'],
+  ['stopping', 'the host was stopping and would have broken it off'],
+  ['no-server', 'no live server of its pool was known to the host'],
+  ['deadline-passed', 'a stage was not done in time, see stageTimesMs'],
+  ['timed-out', 'its deadline or the time-out of its route passed, see the times reached'],
+  ['attempts-exhausted', 'its attempts gave no answer and it could not be sent again, see attemptEnded'],
+  ['stream-broken', 'its stream broke off and could not go on at another server'],
+  ['poisoned', 'it crashed two servers and is blocked'],
+  ['no-route', 'no route of the table in force matches its host and path'],
+  ['unknown-key', 'its key is not in the table in force'],
+  ['no-route-table', 'the host knew no route table yet'],
+  ['bad-request', 'it had no request id'],
+  ['body-too-large', 'its body is larger than the limit'],
+  ['headers-too-large', 'its headers are larger than the limit'],
+]);
+
+const parseLine = (text: string): LogLine | undefined => {
+  // Collectors put their own time and host before the object.
+  const start = text.indexOf('{');
+  if (start === -1) {
+    return undefined;
+  }
+  try {
+    const { time, name, level, hostId, event, ...fields } = JSON.parse(text.slice(start)) as Record<string, unknown>;
+    return typeof time === 'number' && typeof name === 'string' && event !== undefined
+      ? { timeMs: time, name, level: String(level), hostId: String(hostId), fields }
+      : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+const listServers = (own: readonly LogLine[]): ReadonlySet<unknown> =>
+  new Set(own.flatMap(({ fields }) => [fields.serverId, ...(Array.isArray(fields.serverIds) ? fields.serverIds : [])]));
+
+const findCause = (own: readonly LogLine[]): string | undefined => {
+  const last = own.findLast(({ name }) => name === 'requestEnded' || name === 'requestRejected');
+  const reason = last?.fields.reason;
+  const status = last?.fields.status;
+  return last === undefined ? undefined : `status ${String(status)}: ${REASONS.get(reason) ?? String(reason)}`;
+};
+
+/**
+ * Gathers what structured logs tell of a request: its own lines, and those of its hosts and servers around it.
+ *
+ * @param text - log lines of any number of hosts; lines that are no events are passed over
+ * @param requestId - id of the request
+ * @returns the explanation; without lines when the logs do not hold the request
+ */
+export default function explainRequest(text: string, requestId: string): RequestExplanation {
+  const lines = text.split('\n').flatMap((line) => parseLine(line) ?? []);
+  const own = lines
+    .filter(({ fields }) => fields.requestId === requestId)
+    .sort((a, b) => a.timeMs - b.timeMs || Number(a.name === 'requestEnded') - Number(b.name === 'requestEnded'));
+  const [first] = own;
+  const last = own.at(-1);
+  if (first === undefined || last === undefined) {
+    return { own: [], around: [], cause: undefined };
+  }
+  const hosts = new Set(own.map(({ hostId }) => hostId));
+  const servers = listServers(own);
+  const elapsedMs = Number(last.fields.totalMs ?? 0);
+  const beganMs = Math.min(first.timeMs, last.timeMs - elapsedMs);
+  const concerns = ({ level, hostId, fields }: LogLine): boolean =>
+    (fields.serverId !== undefined && servers.has(fields.serverId)) || (hosts.has(hostId) && level !== 'info');
+  const around = lines
+    .filter((line) => line.fields.requestId === undefined && concerns(line))
+    .filter(({ timeMs }) => timeMs >= beganMs - BEFORE_MS && timeMs <= last.timeMs)
+    .sort((a, b) => a.timeMs - b.timeMs);
+  return { own, around, cause: findCause(own) };
+}
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from '@bergamotcove/clock';
 import { readJsonFile } from '@bergamotcove/config';
 import { createStoreClient } from '@bergamotcove/backends';
+import readTextFile from './_lib/readTextFile.js';
 import runCli from './cli/runCli.js';
 import COMMANDS from './commands/index.js';
 import callHost from './hosts/callHost.js';
@@ -17,6 +18,7 @@
   openStore: (urls) => createStoreClient({ urls, timeoutMs: STORE_TIMEOUT_MS }),
   callHost,
   readJson: readJsonFile,
+  readText: readTextFile,
   newChangeId: randomUUID,
   userName: () => userInfo().username,
   writeOut: (line) => console.log(line),
--- a/packages/ctl/src/testing/createTestPorts.ts
+++ b/packages/ctl/src/testing/createTestPorts.ts
@@ -43,6 +43,7 @@
     openStore: () => store,
     callHost: () => Promise.reject(new Error('the test has no hosts')),
     readJson: (file) => files.get(file),
+    readText: (file) => String(files.get(file) ?? ''),
     newChangeId: () => {
       nextId += 1;
       return `change-${nextId - 1}`;
--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -34,6 +34,8 @@
   readonly callHost: (hostUrl: string, method: string, params: object, options: CallHostOptions) => Promise<unknown>;
   /** Reads a JSON file; throws ConfigError. */
   readonly readJson: (file: string) => unknown;
+  /** Reads a text file, or standard input for `-`; throws CtlError. */
+  readonly readText: (file: string) => string;
   readonly newChangeId: () => string;
   readonly userName: () => string;
   readonly writeOut: (line: string) => void;
