--- a/packages/ctl/src/format/explainRequest.ts
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -20,7 +20,7 @@
 /** Time before the first line of a request in which the cause may lie. */
 const BEFORE_MS = 5_000;
 
-/** Reasons of the lines `requestEnded` and `requestRejected`. */
+/** Reasons of the lines `requestEnded` and `requestDenied`. */
 const REASONS: ReadonlyMap<unknown, string> = new Map([
   ['answered', 'it was answered by a backend server'],
   ['streamed', 'its stream was passed on whole'],
@@ -61,7 +61,7 @@
   new Set(own.flatMap(({ fields }) => [fields.serverId, ...(Array.isArray(fields.serverIds) ? fields.serverIds : [])]));
 
 const findCause = (own: readonly LogLine[]): string | undefined => {
-  const last = own.findLast(({ name }) => name === 'requestEnded' || name === 'requestRejected');
+  const last = own.findLast(({ name }) => name === 'requestEnded' || name === 'requestDenied');
   const reason = last?.fields.reason;
   const status = last?.fields.status;
   return last === undefined ? undefined : `status ${String(status)}: ${REASONS.get(reason) ?? String(reason)}`;
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -143,7 +143,7 @@
   private reject(exchange: CallerExchange, facts: RequestFacts, refusal: Refusal): void {
     const { logger, metrics, tables } = this.options;
     metrics.report('request.rejected', 1, { reason: refusal.reason });
-    logger.event('requestRejected', {
+    logger.event('requestDenied', {
       requestId: facts.requestId,
       status: refusal.status,
       reason: refusal.reason,
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -86,6 +86,11 @@
     level: 'warn',
     text: 'The scheduler of a region did not answer in time; the next host is asked.',
   },
+  requestDenied: {
+    id: 2207,
+    level: 'info',
+    text: 'A request was answered before it was sent anywhere; `reason` names what it lacks or why not now.',
+  },
   batchOwnerStarted: { id: 2301, level: 'info', text: 'This host fills the batches of a pool.' },
   batchEnded: { id: 2302, level: 'info', text: 'A call to a stage server ended.' },
   batchFailed: { id: 2303, level: 'info', text: 'A call to a stage server failed; its pieces wait for another one.' },
