--- a/packages/decide/src/batches/_lib/createServerBook.ts
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -29,6 +29,8 @@
 const SLOWNESS_FADE_MS = 4_000;
 const MIN_SLOWNESS = 0.7;
 const MAX_SLOWNESS = 12;
+/** Pieces are not left for servers that are slower than this. */
+const SOUND_SLOWNESS = 1.5;
 /** Rest of a server after failed calls; doubles with each one in a row. */
 const FIRST_REST_MS = 150;
 const MAX_REST_MS = 1_200;
@@ -66,6 +68,39 @@
   };
 };
 
+/** Room of the sound servers that could begin a call now, by failure domain. */
+export const readFreeRoom = (
+  states: readonly ServerState[],
+  spec: BatchSpec,
+  nowMs: number,
+): ReadonlyMap<string, number> => {
+  const rooms = new Map<string, number>();
+  states.forEach((state) => {
+    if (state.calls.size < spec.parallelCalls && readSlowness(state, nowMs) < SOUND_SLOWNESS) {
+      const { failureDomain } = state.server;
+      const { usableBytes } = readRoom(state, spec, nowMs);
+      rooms.set(failureDomain, Math.max(usableBytes, rooms.get(failureDomain) ?? 0));
+    }
+  });
+  return rooms;
+};
+
+/** Shares of the room of all servers that are taken, and that are spare. */
+export const readShares = (
+  states: readonly ServerState[],
+  spec: BatchSpec,
+  nowMs: number,
+): { readonly takenShare: number; readonly spareShare: number } => {
+  const rooms = states.map((state) => readRoom(state, spec, nowMs));
+  const roomBytes = Math.max(1, rooms.length * spec.roomBytes * ROOM_SHARE);
+  const freeBytes = rooms.reduce((sum, room) => sum + room.freeBytes, 0);
+  const usableBytes = rooms.reduce((sum, room) => sum + room.usableBytes, 0);
+  return {
+    takenShare: rooms.length === 0 ? 0 : 1 - freeBytes / roomBytes,
+    spareShare: (usableBytes - freeBytes) / roomBytes,
+  };
+};
+
 /** Keeps calls away from a server that did not take one, or whose connection broke. */
 export const restServer = (state: ServerState, type: 'refused' | 'broken', nowMs: number): void => {
   const resting = state;
--- a/packages/decide/src/batches/_lib/rankJobs.test.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.test.ts
@@ -11,6 +11,7 @@
   pieceCount: 1,
   kind: 'k',
   resultBytes: 0,
+  inputBytes: 0,
   priority: 0,
   value: 1,
   progress: 0,
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -1,10 +1,13 @@
 import type { BatchSpec } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
+import choosePieces from './_lib/choosePieces.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
   createServerState,
   learnSlowness,
+  readFreeRoom,
   readRoom,
+  readShares,
   readSlowness,
   restServer,
   type ServerState,
@@ -62,9 +65,11 @@
 const MAX_COUNTED_SLOWNESS = 10;
 /** Piece times are learnt only from calls that took less than this many times the usual time. */
 const USUAL_FACTOR = 1.5;
+/** Jobs whose results take more than this part of a server's room are spread over servers and calls. */
+const LARGE_JOB_SHARE = 0.5;
 const BYTES_PER_MB = 1_000_000;
 /** Time that a result in another failure domain counts for, because the next server has to fetch it from there. */
-const FAR_RESULT_MS_PER_MB = 20;
+const FAR_RESULT_MS_PER_MB = 60;
 
 class Queue implements BatchQueue {
   private readonly jobs = new Map<string, QueuedJob>();
@@ -134,7 +139,16 @@
     while (candidates.size > 0 && waiting.length > 0) {
       const state = this.pickServer([...candidates], waiting, nowMs);
       candidates.delete(state);
-      const pieces = this.takePieces(waiting, readRoom(state, this.spec, nowMs).usableBytes);
+      const freeRoom = readFreeRoom([...candidates], this.spec, nowMs);
+      const pieces = choosePieces(waiting, {
+        maxPieces: this.spec.maxPieces,
+        roomBytes: readRoom(state, this.spec, nowMs).usableBytes,
+        isNearer: ({ failureDomain, resultBytes }) =>
+          failureDomain !== state.server.failureDomain && (freeRoom.get(failureDomain) ?? 0) > resultBytes,
+        mayBePartial: (job) => this.mayBePartial(job),
+      });
+      const left = waiting.filter((piece) => !pieces.includes(piece));
+      waiting.splice(0, waiting.length, ...left);
       if (pieces.length > 0 && state.calls.size < this.spec.parallelCalls) {
         planned.push(this.start(state, pieces, nowMs));
       }
@@ -209,6 +223,7 @@
   view(nowMs: number): BatchQueueView {
     const waiting = listPieces([...this.jobs.values()]);
     return {
+      ...readShares([...this.servers.values()], this.spec, nowMs),
       waitingPieces: waiting.length,
       runningCalls: this.calls.size,
       servers: this.servers.size,
@@ -250,29 +265,18 @@
     const workMs = this.spec.callMs + this.workMs(batch);
     const endMs = (state: ServerState): number => {
       const far = batch.filter(({ job }) => job.failureDomain !== state.server.failureDomain);
-      const farBytes = far.reduce((sum, { job }) => sum + job.resultBytes, 0);
+      const inputBytes = [...new Set(far.map(({ job }) => job))].reduce((sum, job) => sum + job.inputBytes, 0);
+      const farBytes = far.reduce((sum, { job }) => sum + job.resultBytes, inputBytes);
       const startMs = Math.max(nowMs, ...state.calls.values());
       return startMs + workMs * readSlowness(state, nowMs) + (farBytes / BYTES_PER_MB) * FAR_RESULT_MS_PER_MB;
     };
     return candidates.reduce((best, state) => (endMs(state) < endMs(best) ? state : best));
   }
 
-  /** Removes the first pieces that fit into one call. */
-  private takePieces(waiting: WaitingPiece[], roomBytes: number): readonly WaitingPiece[] {
-    let leftBytes = roomBytes;
-    const taken = new Set<WaitingPiece>();
-    for (const entry of waiting) {
-      if (taken.size >= this.spec.maxPieces) {
-        break;
-      }
-      if (entry.job.resultBytes <= leftBytes) {
-        leftBytes -= entry.job.resultBytes;
-        taken.add(entry);
-      }
-    }
-    const rest = waiting.filter((entry) => !taken.has(entry));
-    waiting.splice(0, waiting.length, ...rest);
-    return [...taken];
+  /** Whether a job may begin with some of its pieces: it has begun, or is too large to wait for room for all. */
+  private mayBePartial({ jobId, pieceCount, resultBytes }: BatchJob): boolean {
+    const begun = this.jobs.get(jobId)?.sends.some((count) => count > 0) ?? false;
+    return begun || pieceCount * resultBytes > this.spec.roomBytes * LARGE_JOB_SHARE;
   }
 
   private start(state: ServerState, pieces: readonly WaitingPiece[], nowMs: number): PlannedCall {
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -5,6 +5,8 @@
   /** Pieces of the same kind take about the same time. */
   readonly kind: string;
   readonly resultBytes: number;
+  /** Inputs that lie in the preferred failure domain and are fetched from there by servers elsewhere. */
+  readonly inputBytes: number;
   /** Rank; 0 goes first. */
   readonly priority: number;
   /** Worth of the request, compared with that of others. */
@@ -87,6 +89,9 @@
   readonly waitingPieces: number;
   readonly runningCalls: number;
   readonly servers: number;
+  /** Share of the room for results that is taken, and that is spare, over all servers. */
+  readonly takenShare: number;
+  readonly spareShare: number;
   /** Expected wait of a piece that comes last. */
   readonly waitMs: number;
 }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -14,7 +14,9 @@
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { PieceAnswer, StageFormat } from '../ports.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
+import locateInputs from './locateInputs.js';
 import type { StageJob, StageJobResult } from './messages.js';
+import { reportCall, reportOutcome } from './reportCall.js';
 
 /** Fills the calls to the stage servers of one pool with the pieces of all hosts of the region. */
 export interface BatchOwner {
@@ -104,7 +106,7 @@
   run(job: StageJob): Promise<StageJobResult> {
     const nowMs = this.options.clock.monotonicMs();
     this.beganAtMs = Math.min(this.beganAtMs, nowMs);
-    const { jobId, kind, priority, value, progress, resultBytes, failureDomain, pieceCount } = job;
+    const { jobId, kind, priority, value, progress, resultBytes, pieceCount } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
@@ -114,7 +116,7 @@
         value,
         progress,
         resultBytes,
-        failureDomain,
+        ...locateInputs(job, (result) => this.releaser.findMaker(result)?.failureDomain),
         pieceCount,
         dueAtMs: nowMs + job.dueInMs,
         expiresAtMs,
@@ -162,7 +164,7 @@
         this.queue.release(held.serverId, held.resultBytes);
       }
       // Results that were made for an owner before this one take up room as well.
-      const serverId = held?.serverId ?? this.releaser.findMaker(result);
+      const serverId = held?.serverId ?? this.releaser.findMaker(result)?.serverId;
       if (serverId !== undefined) {
         byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
       }
@@ -218,7 +220,7 @@
   }
 
   private async send(call: PlannedCall): Promise<CallOutcome> {
-    const { clock, http, format, directory, logger, pool } = this.options;
+    const { clock, http, format, directory, pool } = this.options;
     const server = directory.find(call.serverId);
     if (server === undefined) {
       return { type: 'broken' };
@@ -248,15 +250,10 @@
     const body = await readBody(response);
     const totalMs = clock.monotonicMs() - sentAtMs;
     const answers = response.statusCode === STATUS_OK ? format.readRun(body) : undefined;
-    logger.event('batchEnded', {
-      pool,
-      serverId: server.serverId,
-      pieces: items.length,
-      expectedMs: Math.round(call.expectedMs),
-      totalMs: Math.round(totalMs),
-      waiting: this.queue.view(clock.monotonicMs()).waitingPieces,
-      status: response.statusCode ?? 0,
-    });
+    reportCall(
+      { pool, call, totalMs, status: response.statusCode ?? 0, view: this.queue.view(clock.monotonicMs()) },
+      this.options,
+    );
     if (answers?.length !== items.length) {
       if (response.statusCode === STATUS_MISDIRECTED) {
         directory.noteGone(server.serverId);
@@ -329,20 +326,7 @@
   }
 
   private finish(call: PlannedCall, outcome: CallOutcome): void {
-    const { metrics, pool } = this.options;
-    metrics.report('pool.calls', 1, { pool, result: outcome.type });
-    metrics.report('pool.pieces', call.pieces.length, { pool });
-    if (outcome.type === 'answered') {
-      metrics.report('pool.call_duration', outcome.totalMs, { pool });
-    }
-    if (outcome.type !== 'answered') {
-      this.options.logger.event('batchFailed', {
-        pool: this.options.pool,
-        serverId: call.serverId,
-        pieces: call.pieces.length,
-        outcome: outcome.type,
-      });
-    }
+    reportOutcome({ pool: this.options.pool, call, outcome }, this.options);
     const nowMs = this.options.clock.monotonicMs();
     this.settle(this.queue.finish(call.callId, outcome, nowMs));
     this.pump();
--- a/packages/gateway/src/stages/createResultReleaser.ts
+++ b/packages/gateway/src/stages/createResultReleaser.ts
@@ -1,12 +1,12 @@
 import type { Logger } from '@bergamotcove/log';
 import type { HttpClient } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { StageFormat } from '../ports.js';
 
 /** Frees the room that stage results take up at their servers. */
 export interface ResultReleaser {
   /** Server that made a result, if it still exists. */
-  findMaker(result: string): string | undefined;
+  findMaker(result: string): KnownServer | undefined;
   /** Never rejects: without the release the room is free again when the results expire. */
   send(serverId: string, results: readonly string[]): Promise<void>;
 }
@@ -32,7 +32,7 @@
 export default function createResultReleaser(options: ResultReleaserOptions): ResultReleaser {
   const { http, logger, format, directory } = options;
   return {
-    findMaker: (result) => directory.findAt(format.readMaker(result))?.serverId,
+    findMaker: (result) => directory.findAt(format.readMaker(result)),
     send: async (serverId, results) => {
       const server = directory.find(serverId);
       if (server === undefined || results.length === 0) {
--- /dev/null
+++ b/packages/gateway/src/stages/reportCall.ts
@@ -0,0 +1,51 @@
+import type { BatchQueueView, CallOutcome, PlannedCall } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
+
+/** Where calls are told. */
+export interface CallSinks {
+  readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
+}
+
+/** A call that a stage server answered. */
+export interface AnsweredCall {
+  readonly pool: string;
+  readonly call: PlannedCall;
+  readonly totalMs: number;
+  readonly status: number;
+  readonly view: BatchQueueView;
+}
+
+const HUNDREDTHS = 100;
+const roundShare = (share: number): number => Math.round(share * HUNDREDTHS) / HUNDREDTHS;
+
+/** Logs an answered call with the state of its queue. */
+export const reportCall = ({ pool, call, totalMs, status, view }: AnsweredCall, { logger }: CallSinks): void => {
+  logger.event('batchEnded', {
+    pool,
+    serverId: call.serverId,
+    pieces: call.pieces.length,
+    expectedMs: Math.round(call.expectedMs),
+    totalMs: Math.round(totalMs),
+    waiting: view.waitingPieces,
+    taken: roundShare(view.takenShare),
+    spare: roundShare(view.spareShare),
+    status,
+  });
+};
+
+/** Counts a call, and logs one that made nothing. */
+export const reportOutcome = (
+  { pool, call, outcome }: { readonly pool: string; readonly call: PlannedCall; readonly outcome: CallOutcome },
+  { logger, metrics }: CallSinks,
+): void => {
+  const pieces = call.pieces.length;
+  metrics.report('pool.calls', 1, { pool, result: outcome.type });
+  metrics.report('pool.pieces', pieces, { pool });
+  if (outcome.type === 'answered') {
+    metrics.report('pool.call_duration', outcome.totalMs, { pool });
+  } else {
+    logger.event('batchFailed', { pool, serverId: call.serverId, pieces, outcome: outcome.type });
+  }
+};
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -139,6 +139,7 @@
       key: facts.pieceKey,
       inputs: spec.after.map((before) => ({
         pool: route.stages[before]?.pool ?? '',
+        resultBytes: route.stages[before]?.resultBytes ?? 0,
         results: this.results[before] ?? [],
       })),
     };
