--- /dev/null
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import createBackendDirectory from './createBackendDirectory.js';
+
+const FORMAT: CatalogueFormat = {
+  routeTableKey: 'table',
+  serverPrefix: 'servers/',
+  hostPrefix: 'hosts/',
+  readRouteTable: () => undefined,
+  readServer: (_, text) => (text === '' ? undefined : (JSON.parse(text) as ServerEntry)),
+};
+
+const createWorld = () => {
+  const clock = createManualClock();
+  const events: string[] = [];
+  const logger = { event: (name: string) => events.push(name) };
+  const directory = createBackendDirectory({ clock, logger, format: FORMAT, regions: { a: 'r1', b: 'r2' } });
+  const put = (serverId: string, revision: number, changes: Partial<ServerEntry> = {}): void => {
+    const entry = { serverId, pool: 'p', address: '10.0.0.1', port: revision, failureDomain: 'a', state: 'live' };
+    directory.put({ serverId, revision, text: JSON.stringify({ ...entry, startedAtMs: 1, ...changes }) });
+  };
+  const list = (): readonly string[] => directory.list('p').map(({ serverId }) => serverId);
+  return { clock, directory, events, put, list };
+};
+
+test('lists live servers with their region, and leaves out those that leave', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 1);
+  put('s2', 2, { failureDomain: 'b' });
+  put('s3', 3, { state: 'leaving' });
+  assert.deepEqual(list(), ['s1', 's2']);
+  assert.deepEqual(
+    directory.list('p').map(({ region }) => region),
+    ['r1', 'r2'],
+  );
+  assert.equal(directory.find('s3')?.state, 'leaving');
+  assert.equal(directory.findAt('10.0.0.1:2')?.serverId, 's2');
+});
+
+test('does not follow an older state, and not an entry that was removed later', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 5);
+  put('s1', 4, { state: 'leaving' });
+  assert.deepEqual(list(), ['s1']);
+  directory.remove('s1', 6);
+  put('s1', 5);
+  assert.deepEqual(list(), []);
+  put('s1', 7);
+  assert.deepEqual(list(), ['s1']);
+});
+
+test('a snapshot removes what it does not hold, but nothing that is newer than it', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 1);
+  put('s2', 9);
+  directory.replace({ servers: [], revision: 5 });
+  assert.deepEqual(list(), ['s2']);
+});
+
+test('an entry that names no server or an unknown failure domain is ignored and logged', () => {
+  const { directory, put, list, events } = createWorld();
+  directory.put({ serverId: 's1', revision: 1, text: '' });
+  put('s2', 2, { failureDomain: 'elsewhere' });
+  assert.deepEqual(list(), []);
+  assert.deepEqual(events, ['serverEntryIgnored', 'serverEntryIgnored']);
+});
+
+test('takes new regions for the entries that it has', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 1, { failureDomain: 'c' });
+  assert.deepEqual(list(), []);
+  directory.setRegions({ a: 'r1', c: 'r3' });
+  assert.equal(directory.list('p')[0]?.region, 'r3');
+});
+
+test('another process at the address takes the server out until it starts anew', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 1);
+  directory.noteGone('s1');
+  assert.deepEqual(list(), []);
+  put('s1', 2);
+  assert.deepEqual(list(), []);
+  put('s1', 3, { startedAtMs: 2 });
+  assert.deepEqual(list(), ['s1']);
+});
+
+test('entries that lapse in an outage stay until shortly after it, unless they come back or were leaving', () => {
+  const { clock, directory, put, list } = createWorld();
+  put('s1', 1);
+  put('s2', 2);
+  put('s3', 3, { state: 'leaving' });
+  directory.noteStore('lost');
+  directory.replace({ servers: [], revision: 10 });
+  assert.deepEqual(list(), ['s1', 's2']);
+  assert.equal(directory.find('s3'), undefined);
+  directory.noteStore('found');
+  clock.advance(1_900);
+  assert.deepEqual(list(), ['s1', 's2']);
+  put('s2', 12);
+  clock.advance(200);
+  assert.deepEqual(list(), ['s2']);
+  assert.equal(directory.storeLost, false);
+  directory.remove('s2', 13);
+  assert.deepEqual(list(), []);
+});
+
+test('what it passes on to other hosts leaves out lapsed entries', () => {
+  const { directory, put } = createWorld();
+  put('s1', 1);
+  put('s2', 2);
+  directory.noteStore('lost');
+  directory.remove('s1', 3);
+  assert.deepEqual(
+    directory.snapshot().servers.map(({ serverId }) => serverId),
+    ['s2'],
+  );
+  assert.equal(directory.snapshot().revision, 3);
+});
--- /dev/null
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import { NEVER } from 'rxjs';
+import type { StoreClient } from '@bergamotcove/backends';
+import createHostRegistry, { type HostEntry } from './createHostRegistry.js';
+
+const createHost = (hostId: string, region = 'r1', startId = '1'): HostEntry => ({
+  hostId,
+  target: { address: '10.0.0.1', port: 1 },
+  failureDomain: 'a',
+  region,
+  startId,
+});
+
+const createWorld = () => {
+  const clock = createManualClock();
+  const calls: string[] = [];
+  const control = { failing: false };
+  const answer = <Value>(name: string, value: Value): Promise<Value> => {
+    calls.push(name);
+    return control.failing ? Promise.reject(new Error('down')) : Promise.resolve(value);
+  };
+  const store: StoreClient = {
+    get: () => answer('get', undefined),
+    range: () => answer('range', { entries: [], revision: '1' }),
+    txn: () => answer('txn', { succeeded: true, revision: '1', gets: [] }),
+    watch: () => NEVER,
+    grantLease: () => answer('grant', 'lease'),
+    keepAlive: () => answer('renew', 4_000),
+    revokeLease: () => answer('revoke', undefined),
+    close: () => undefined,
+  };
+  const registry = createHostRegistry({
+    clock,
+    store,
+    logger: { event: () => undefined },
+    prefix: 'hosts/',
+    self: createHost('h0'),
+  });
+  const put = (host: HostEntry): void => registry.put(`hosts/${host.hostId}/${host.startId}`, JSON.stringify(host));
+  return { clock, calls, control, registry, put };
+};
+
+const listIds = (hosts: readonly HostEntry[]): readonly string[] => hosts.map(({ hostId }) => hostId).sort();
+
+test('lists itself and the others, each host once', () => {
+  const { registry, put } = createWorld();
+  put(createHost('h1'));
+  put(createHost('h1', 'r1', '2'));
+  put(createHost('h2', 'r2'));
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
+  registry.remove('hosts/h1/1');
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
+  registry.remove('hosts/h1/2');
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h2']);
+});
+
+test('gives a duty to one host of the region, which silent hosts lose for a while', () => {
+  const { clock, registry, put } = createWorld();
+  ['h1', 'h2', 'h3'].forEach((hostId) => put(createHost(hostId)));
+  put(createHost('far', 'r2'));
+  const [owner, second] = registry.rankOwners('duty');
+  assert.equal(registry.rankOwners('duty').length, 4);
+  registry.noteSilent(owner?.hostId ?? '');
+  assert.equal(registry.rankOwners('duty')[0]?.hostId, second?.hostId);
+  clock.advance(2_001);
+  assert.equal(registry.rankOwners('duty')[0]?.hostId, owner?.hostId);
+  assert.deepEqual(listIds(registry.rankOwners('duty', 'r2')), ['far']);
+});
+
+test('a silent host that is listed anew is asked again at once', () => {
+  const { registry, put } = createWorld();
+  put(createHost('h1'));
+  registry.noteSilent('h1');
+  assert.deepEqual(listIds(registry.rankOwners('duty')), ['h0']);
+  put(createHost('h1', 'r1', '2'));
+  assert.deepEqual(listIds(registry.rankOwners('duty')), ['h0', 'h1']);
+});
+
+test('takes the list of another host as it was given away', () => {
+  const first = createWorld();
+  first.put(createHost('h1'));
+  const second = createWorld();
+  second.registry.replace(first.registry.snapshot());
+  assert.deepEqual(listIds(second.registry.list()), ['h0', 'h1']);
+  second.registry.put('hosts/x/1', 'no entry');
+  assert.deepEqual(listIds(second.registry.list()), ['h0', 'h1']);
+});
+
+test('is not listed any more when it leaves, and gives its lease back', async () => {
+  const { registry, calls } = createWorld();
+  registry.start();
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+  await registry.leave();
+  assert.deepEqual(registry.list(), []);
+  assert.ok(calls.includes('revoke'));
+});
+
+test('tells when the store does not answer its lease', async () => {
+  const { registry, control, clock } = createWorld();
+  let failures = 0;
+  registry.onStoreFailed(() => {
+    failures += 1;
+  });
+  control.failing = true;
+  registry.start();
+  for (let step = 0; step < 20; step += 1) {
+    clock.advance(100);
+    await new Promise(setImmediate);
+  }
+  assert.ok(failures > 0);
+  await registry.leave();
+});
--- /dev/null
+++ b/packages/gateway/src/requests/createEventSplitter.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import createEventSplitter from './createEventSplitter.js';
+
+test('passes only whole events on, with the ids of the first and the last', () => {
+  const splitter = createEventSplitter();
+  assert.equal(splitter.push(Buffer.from('id: 4\nda')).whole, undefined);
+  const parts = splitter.push(Buffer.from('ta: x\n\nid: 5\ndata: y\n\nid: 6\n'));
+  assert.equal(parts.whole?.toString(), 'id: 4\ndata: x\n\nid: 5\ndata: y\n\n');
+  assert.deepEqual([parts.firstEventId, parts.lastEventId], ['4', '5']);
+  assert.equal(splitter.rest().toString(), 'id: 6\n');
+});
+
+test('reads events that end in CR LF', () => {
+  const parts = createEventSplitter().push(Buffer.from('id: 1\r\ndata: x\r\n\r\nid: 2\r\n'));
+  assert.equal(parts.whole?.toString(), 'id: 1\r\ndata: x\r\n\r\n');
+  assert.equal(parts.lastEventId, '1');
+});
+
+test('loses and doubles no byte, however the stream is cut', () => {
+  const stream = Buffer.from([1, 2, 3, 4].map((id) => `id: ${id}\ndata: é${'x'.repeat(id)}\n\n`).join(''));
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 0, max: stream.length }), { maxLength: 12 }), (cuts) => {
+      const splitter = createEventSplitter();
+      const bounds = [0, ...cuts.sort((a, b) => a - b), stream.length];
+      const passed = bounds
+        .slice(1)
+        .flatMap((end, index) => splitter.push(stream.subarray(bounds[index], end)).whole ?? []);
+      return Buffer.concat([...passed, splitter.rest()]).equals(stream);
+    }),
+  );
+});
--- /dev/null
+++ b/packages/gateway/src/requests/passHeaders.test.ts
@@ -0,0 +1,16 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import passHeaders from './passHeaders.js';
+
+test('keeps order, spelling and repeated headers', () => {
+  const raw = ['X-B', '1', 'x-a', '2', 'X-B', '3'];
+  assert.deepEqual(passHeaders(raw, new Set()), raw);
+});
+
+test('drops headers of the connection, those that it names, and withheld ones', () => {
+  const raw = [
+    ...['Connection', 'close, X-Hop', 'X-Hop', '1', 'Keep-Alive', 'timeout=5', 'TE', 'trailers'],
+    ...['Transfer-Encoding', 'chunked', 'Upgrade', 'h2c', 'X-Secret', 's', 'X-Kept', '1'],
+  ];
+  assert.deepEqual(passHeaders(raw, new Set(['x-secret'])), ['X-Kept', '1']);
+});
