--- a/packages/gateway/src/stages/stagePlans.test.ts
+++ b/packages/gateway/src/stages/stagePlans.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { indexRoutes } from '@bergamotcove/decide';
-import type { RouteTable } from '@bergamotcove/config';
 import type { ForwardRequest } from '../requests/types.js';
 import measureTails from './measureTails.js';
 import planStageTimes from './planStageTimes.js';
