--- a/packages/gateway/src/createSettingsHolder.test.ts
+++ b/packages/gateway/src/createSettingsHolder.test.ts
@@ -2,17 +2,9 @@
 import { test } from 'node:test';
 import createSettingsHolder from './createSettingsHolder.js';
 import parseGatewaySettings from './settings.js';
+import SAMPLE_SETTINGS from './testing/sampleSettings.js';
 
-const SETTINGS = parseGatewaySettings({
-  host: { id: 'a1', address: '10.0.0.1', failureDomain: 'a', regions: { a: 'r1' } },
-  callers: '10.0.0.1:80',
-  health: '10.0.0.1:81',
-  peerPorts: [7_000, 7_010],
-  metrics: { port: 9_464, path: '/metrics' },
-  store: '10.0.0.9:90',
-  retries: { ratio: 0.2, slack: 50, windowSeconds: 10 },
-  stop: { graceSeconds: 8 },
-});
+const SETTINGS = parseGatewaySettings(SAMPLE_SETTINGS);
 
 test('takes limits and regions at once', () => {
   const holder = createSettingsHolder(SETTINGS);
--- a/packages/gateway/src/followSettings.test.ts
+++ b/packages/gateway/src/followSettings.test.ts
@@ -6,17 +6,7 @@
 import { createManualClock } from '@bergamotcove/clock';
 import followSettings from './followSettings.js';
 import type { GatewaySettings } from './settings.js';
-
-const SETTINGS = {
-  host: { id: 'a1', address: '10.0.0.1', failureDomain: 'a', regions: { a: 'r1' } },
-  callers: '10.0.0.1:80',
-  health: '10.0.0.1:81',
-  peerPorts: [7_000, 7_010],
-  metrics: { port: 9_464, path: '/metrics' },
-  store: '10.0.0.9:90',
-  retries: { ratio: 0.2, slack: 50, windowSeconds: 10 },
-  stop: { graceSeconds: 8 },
-};
+import SAMPLE_SETTINGS from './testing/sampleSettings.js';
 
 const run = async (
   act: (world: {
@@ -29,7 +19,7 @@
 ): Promise<void> => {
   const dir = await mkdtemp(path.join(tmpdir(), 'settings-'));
   const file = path.join(dir, 'settings.json');
-  const text = JSON.stringify(SETTINGS);
+  const text = JSON.stringify(SAMPLE_SETTINGS);
   await writeFile(file, text);
   const clock = createManualClock();
   const applied: GatewaySettings[] = [];
@@ -56,7 +46,7 @@
   run(async ({ applied, events, write, refresh }) => {
     await refresh();
     assert.equal(applied.length, 0);
-    await write(JSON.stringify({ ...SETTINGS, stop: { graceSeconds: 4 } }));
+    await write(JSON.stringify({ ...SAMPLE_SETTINGS, stop: { graceSeconds: 4 } }));
     await refresh();
     assert.equal(applied[0]?.stop.graceMs, 4_000);
     assert.deepEqual(events, ['settingsApplied']);
@@ -64,7 +54,7 @@
 
 test('finds changed settings without a signal', () =>
   run(async ({ clock, applied, write }) => {
-    await write(JSON.stringify({ ...SETTINGS, stop: { graceSeconds: 4 } }));
+    await write(JSON.stringify({ ...SAMPLE_SETTINGS, stop: { graceSeconds: 4 } }));
     clock.advance(5_000);
     while (applied.length === 0) {
       await new Promise(setImmediate);
@@ -80,7 +70,7 @@
     await refresh();
     assert.equal(applied.length, 0);
     assert.deepEqual(events, ['settingsUnreadable', 'settingsUnreadable']);
-    await write(JSON.stringify({ ...SETTINGS, retries: { ratio: 0.1, slack: 5, windowSeconds: 10 } }));
+    await write(JSON.stringify({ ...SAMPLE_SETTINGS, retries: { ratio: 0.1, slack: 5, windowSeconds: 10 } }));
     await refresh();
     assert.equal(applied[0]?.retries.slack, 5);
   }));
