Try another port when one was taken after it was found free

Ports of the worlds are drawn from 22,000 by every worker process and only held from the start of the host on; under load the time in between grows, and another worker took the port. Ruled out: ports given out by the system (from 32,768 on).

--- a/packages/bench/src/faults/world/startWorld.ts
+++ b/packages/bench/src/faults/world/startWorld.ts
@@ -15,6 +15,7 @@
 import createLink, { type Link } from './createLink.js';
 import createMatrixDocument from './createMatrixDocument.js';
 import findPeerPort from './findPeerPort.js';
+import startOnFreePort from './startOnFreePort.js';
 import startHost, { type HostProcess } from './startHost.js';
 import startServers, { type WorldServer } from './startServers.js';
 
@@ -154,14 +155,15 @@
   const settings = {
     host: { id: place.hostId, address: ADDRESS, failureDomain: place.failureDomain, region: REGION },
     callers: { port: 0 },
-    peers: { port: await findPeerPort(), keys: PEER_KEYS },
     store: { urls: [`http://${ADDRESS}:${store.port}`], timeoutMs: STORE_TIMEOUT_MS },
     hostList: { url: `http://${ADDRESS}:${hostList.port}/v1/hosts`, pollMs: HOST_LIST_POLL_MS },
     drain: options.drain,
     log: { namespaces: 'bergamot:*:error' },
   };
   const separate = options.separateFirstHost && place === PLACES[0];
-  const process = await startHost(settings, { separate });
+  const process = await startOnFreePort(findPeerPort, (port) =>
+    startHost({ ...settings, peers: { port, keys: PEER_KEYS } }, { separate }),
+  );
   callers.setTarget(process.callersPort);
   return { ...place, process, callers, store, hostList, peers, servers };
 };
