Tell how a worker of the fault matrix ended

The run kept neither the exit code nor the error output, so that its cause cannot be read from it. Both are now in the report of the cell.

--- a/packages/bench/src/faults/startCellWorker.ts
+++ b/packages/bench/src/faults/startCellWorker.ts
@@ -18,12 +18,31 @@
 const CELL_TIMEOUT_MS = 30_000;
 const READY_TIMEOUT_MS = 60_000;
 
+/** Length of the end of the error output that is kept, in characters; a stack trace is shorter. */
+const STDERR_TAIL_LENGTH = 4_000;
+
+/** Keeps the end of what a worker writes to its error output, and passes everything on. */
+const followStderr = (child: ChildProcess): (() => string) => {
+  let tail = '';
+  child.stderr?.setEncoding('utf8').on('data', (text: string) => {
+    tail = `${tail}${text}`.slice(-STDERR_TAIL_LENGTH);
+    process.stderr.write(text);
+  });
+  return () => tail.trim();
+};
+
 /** Waits for the next message; rejects when the process ends or the limit passes. */
-const waitForMessage = async (child: ChildProcess, limitMs: number): Promise<WorkerMessage> => {
+const waitForMessage = async (
+  child: ChildProcess,
+  limitMs: number,
+  readStderr: () => string,
+): Promise<WorkerMessage> => {
   const abort = new AbortController();
-  const onExit = (): void => abort.abort(new Error('the worker process ended'));
+  // 'close' follows 'exit' once the error output has been read to its end.
+  const onExit = (code: number | null, signal: string | null): void =>
+    abort.abort(new Error(`the worker process ended with ${signal ?? `code ${code}`}\n${readStderr()}`.trim()));
   const timer = setTimeout(() => abort.abort(new Error(`no message in ${limitMs} ms`)), limitMs);
-  child.once('exit', onExit);
+  child.once('close', onExit);
   try {
     const [message] = (await once(child, 'message', { signal: abort.signal })) as [WorkerMessage];
     return message;
@@ -31,10 +50,12 @@
     throw abort.signal.aborted ? abort.signal.reason : cause;
   } finally {
     clearTimeout(timer);
-    child.off('exit', onExit);
+    child.off('close', onExit);
   }
 };
 
+const CELL_WORKER_URL = new URL('./cellWorker.js', import.meta.url);
+
 /** Time for a worker to end by itself. */
 const CLOSE_LIMIT_MS = 2_000;
 
@@ -42,12 +63,14 @@
  * Starts a worker process. It inherits the arguments of this process for Node, among them the hooks of the mutation
  * check.
  *
+ * @param script - program of the worker
  * @returns the worker once it is warm
  * @throws Error when the process does not start
  */
-export default async function startCellWorker(): Promise<CellWorker> {
-  const child = fork(fileURLToPath(new URL('./cellWorker.js', import.meta.url)));
-  await waitForMessage(child, READY_TIMEOUT_MS);
+export default async function startCellWorker(script = CELL_WORKER_URL): Promise<CellWorker> {
+  const child = fork(fileURLToPath(script), { stdio: ['ignore', 'inherit', 'pipe', 'ipc'] });
+  const readStderr = followStderr(child);
+  await waitForMessage(child, READY_TIMEOUT_MS, readStderr);
   let runs = 0;
   return {
     runs: () => runs,
@@ -57,7 +80,7 @@
         throw new Error('the worker process has ended');
       }
       child.send(run);
-      const message = await waitForMessage(child, CELL_TIMEOUT_MS);
+      const message = await waitForMessage(child, CELL_TIMEOUT_MS, readStderr);
       if (message.type !== 'result') {
         throw new Error(`the worker answered with ${message.type}`);
       }
