Forget refused requests of other hosts; count the silence of a scheduler once

Cause: createRegionScheduler remembered every request of another host that asked to begin, and dropped it only when that host reported it as left, which it does for admitted requests alone. The set grew with refusals. createSchedulerClient counted a scheduler that did not answer in time again when its link then failed.

Change: one book of what is kept for other hosts (createPeerBook) serves the visits of the scheduler and the holdings of the batch owners; a lost scheduler is noted once; settings files are read one after the other; one method of the directory finds the servers near a region.

--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -33,6 +33,8 @@
   readonly storeLost: boolean;
   /** Servers of a pool that may get new work. */
   list(pool: string): readonly KnownServer[];
+  /** Those of them in a region, or all when it has none. */
+  listNear(pool: string, region: string): readonly KnownServer[];
   find(serverId: string): KnownServer | undefined;
   /** The server at an address, `IP:PORT`. */
   findAt(address: string): KnownServer | undefined;
@@ -107,6 +109,12 @@
     return this.pools.get(pool) ?? [];
   }
 
+  listNear(pool: string, region: string): readonly KnownServer[] {
+    const all = this.list(pool);
+    const near = all.filter((server) => server.region === region);
+    return near.length > 0 ? near : all;
+  }
+
   find(serverId: string): KnownServer | undefined {
     return this.entries.get(serverId)?.server;
   }
--- a/packages/gateway/src/followSettings.test.ts
+++ b/packages/gateway/src/followSettings.test.ts
@@ -74,3 +74,18 @@
     await refresh();
     assert.equal(applied[0]?.retries.slack, 5);
   }));
+
+test('a signal while the file is read does not apply the same settings twice', () =>
+  run(async ({ applied, write, refresh }) => {
+    await write(JSON.stringify({ ...SAMPLE_SETTINGS, stop: { graceSeconds: 4 } }));
+    await Promise.all([refresh(), refresh()]);
+    assert.equal(applied.length, 1);
+  }));
+
+test('a change between two signals is not missed', () =>
+  run(async ({ applied, write, refresh }) => {
+    const first = refresh();
+    await write(JSON.stringify({ ...SAMPLE_SETTINGS, stop: { graceSeconds: 4 } }));
+    await Promise.all([first, refresh()]);
+    assert.equal(applied.at(-1)?.stop.graceMs, 4_000);
+  }));
--- a/packages/gateway/src/followSettings.ts
+++ b/packages/gateway/src/followSettings.ts
@@ -30,12 +30,24 @@
 
   private timer: Timer | undefined;
 
+  /** Ends with the last reading that was begun; each one waits for the one before. */
+  private reading: Promise<void> = Promise.resolve();
+
   constructor(private readonly options: SettingsFollowerOptions) {
     this.text = options.text;
     this.schedule();
   }
 
-  async refresh(): Promise<void> {
+  refresh(): Promise<void> {
+    this.reading = this.reading.then(() => this.read());
+    return this.reading;
+  }
+
+  close(): void {
+    this.timer?.close();
+  }
+
+  private async read(): Promise<void> {
     const { file, logger, apply } = this.options;
     try {
       const text = await readFile(file, 'utf8');
@@ -50,10 +62,6 @@
     }
   }
 
-  close(): void {
-    this.timer?.close();
-  }
-
   private schedule(): void {
     this.timer = this.options.clock.schedule(CHECK_MS, () => {
       this.refresh().finally(() => this.schedule());
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -14,11 +14,12 @@
   type WorkLedger,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
+import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import { UNKNOWN_ANSWER_MS } from '../requests/Reservation.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import createPeerBook from '../hosts/createPeerBook.js';
 import {
   ENTER,
   NOTE,
@@ -45,6 +46,8 @@
   reopen(requests: readonly OpenRequest[]): void;
   /** The scheduler of the region may have changed; one that is not asked any more knows nothing of what follows. */
   review(isScheduler: boolean): void;
+  /** Requests of other hosts that are open. */
+  readonly openVisits: number;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   start(hosts: HostRegistry): void;
   close(): void;
@@ -63,6 +66,8 @@
 /** Duty of the scheduler among the hosts of a region. */
 export const SCHEDULER_DUTY = 'schedule';
 
+/** Open requests that are remembered for one host; older ones have passed their deadlines. */
+const MAX_VISITS = 5_000;
 /** Interval of the reports to other regions while requests come. */
 const REPORT_MS = 250;
 /** Reports of other regions hold for this time. */
@@ -84,7 +89,10 @@
   private readonly regions = new Map<string, { readonly report: RegionReport; readonly atMs: number }>();
 
   /** Open requests of other hosts, which end with the link to their host. */
-  private readonly visitors = new Map<LinkPeer, Set<string>>();
+  private readonly visits = createPeerBook<true>({
+    maxEntries: MAX_VISITS,
+    onGone: (requests) => requests.forEach((_, requestId) => this.ledger.remove(requestId)),
+  });
 
   private enteredAtMs = -Infinity;
 
@@ -96,21 +104,24 @@
     this.methods = {
       [ENTER]: (params, peer) => {
         const request = params as EnterRequest;
-        this.findVisitors(peer).add(request.requestId);
-        return this.enter(request);
+        const answer = this.enter(request);
+        if (answer.type === 'admitted') {
+          this.visits.set(peer, request.requestId, true);
+        }
+        return answer;
       },
       [PLACE]: (params) => this.place(params as PlaceRequest),
       [NOTE]: (params, peer) => {
         const note = params as RequestNote;
         if (note.type === 'left') {
-          this.findVisitors(peer).delete(note.requestId);
+          this.visits.delete(peer, note.requestId);
         }
         this.note(note);
         return true;
       },
       [REOPEN]: (params, peer) => {
         const requests = params as readonly OpenRequest[];
-        requests.forEach(({ requestId }) => this.findVisitors(peer).add(requestId));
+        requests.forEach(({ requestId }) => this.visits.set(peer, requestId, true));
         this.reopen(requests);
         return true;
       },
@@ -126,6 +137,10 @@
     };
   }
 
+  get openVisits(): number {
+    return this.visits.size;
+  }
+
   enter(request: EnterRequest): EnterAnswer {
     const nowMs = this.options.clock.monotonicMs();
     this.enteredAtMs = nowMs;
@@ -234,20 +249,6 @@
     this.timer?.close();
   }
 
-  private findVisitors(peer: LinkPeer): Set<string> {
-    const known = this.visitors.get(peer);
-    if (known !== undefined) {
-      return known;
-    }
-    const visitors = new Set<string>();
-    this.visitors.set(peer, visitors);
-    peer.onClose(() => {
-      this.visitors.delete(peer);
-      visitors.forEach((requestId) => this.ledger.remove(requestId));
-    });
-    return visitors;
-  }
-
   private createOutlook(answerMs: number, nowMs: number): EntryOutlook {
     return {
       nowMs,
@@ -304,9 +305,8 @@
 
   private listEngines(book: EngineBook, pool: string): void {
     const capacityTokens = this.options.tables.current()?.pools.get(pool)?.engine?.capacityTokens ?? 0;
-    const all = this.options.directory.list(pool);
-    const near = all.filter(({ region }) => region === this.options.region);
-    book.setEngines((near.length > 0 ? near : all).map((server) => ({ ...server, capacityTokens })));
+    const servers = this.options.directory.listNear(pool, this.options.region);
+    book.setEngines(servers.map((server) => ({ ...server, capacityTokens })));
   }
 
   private log(request: EnterRequest, decision: EntryDecision, nowMs: number, answerMs: number): void {
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -196,22 +196,20 @@
   private ask(owner: HostEntry, method: string, request: object, limitMs: number): Promise<unknown> {
     const { clock, hosts, links, logger } = this.options;
     return new Promise((resolve) => {
+      let isLost = false;
       const fail = (): void => {
-        hosts.noteSilent(owner.hostId);
-        logger.event('schedulerLost', { peer: owner.hostId, method });
-        resolve(undefined);
+        if (!isLost) {
+          isLost = true;
+          hosts.noteSilent(owner.hostId);
+          logger.event('schedulerLost', { peer: owner.hostId, method });
+          resolve(undefined);
+        }
       };
       const timer = clock.schedule(limitMs, fail);
-      links.call(owner.target, method, request).then(
-        (answer) => {
-          timer.close();
-          resolve(answer);
-        },
-        () => {
-          timer.close();
-          fail();
-        },
-      );
+      links
+        .call(owner.target, method, request)
+        .then(resolve, fail)
+        .finally(() => timer.close());
     });
   }
 }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -188,9 +188,7 @@
 
   refresh(): void {
     const { directory, pool, region, clock } = this.options;
-    const all = directory.list(pool);
-    const near = all.filter((server) => server.region === region);
-    this.queue.setServers(near.length > 0 ? near : all, clock.monotonicMs());
+    this.queue.setServers(directory.listNear(pool, region), clock.monotonicMs());
     this.pump();
   }
 
--- a/packages/gateway/src/stages/createHoldings.test.ts
+++ b/packages/gateway/src/stages/createHoldings.test.ts
@@ -1,26 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { LinkPeer } from '@bergamotcove/transport';
+import createTestPeer from '../testing/createTestPeer.js';
 import createHoldings from './createHoldings.js';
 import type { ReleasedResults } from './messages.js';
 
-const createPeer = () => {
-  const closers: (() => void)[] = [];
-  const peer = {
-    onClose: (run: () => void) => {
-      closers.push(run);
-      return () => undefined;
-    },
-  } as unknown as LinkPeer;
-  return { peer, drop: () => closers.forEach((run) => run()) };
-};
-
 const done = (...results: readonly string[]) => ({ type: 'done' as const, results });
 
 test('gives up what a lost host held, by pool, and nothing of others', () => {
   const released: ReleasedResults[] = [];
   const holdings = createHoldings((one) => released.push(one));
-  const [lost, other] = [createPeer(), createPeer()];
+  const [lost, other] = [createTestPeer(), createTestPeer()];
   holdings.note(lost.peer, 'p', done('a', 'b'));
   holdings.note(lost.peer, 'q', done('c'));
   holdings.note(other.peer, 'p', done('d'));
@@ -34,7 +23,7 @@
 
 test('passes results through, also of jobs that failed', () => {
   const holdings = createHoldings(() => assert.fail('nothing is held'));
-  const { peer, drop } = createPeer();
+  const { peer, drop } = createTestPeer();
   const failed = { type: 'failed' as const, reason: 'late' as const, retryAfterMs: 0 };
   assert.equal(holdings.note(peer, 'p', failed), failed);
   drop();
--- a/packages/gateway/src/stages/createHoldings.ts
+++ b/packages/gateway/src/stages/createHoldings.ts
@@ -1,4 +1,5 @@
 import type { LinkPeer } from '@bergamotcove/transport';
+import createPeerBook from '../hosts/createPeerBook.js';
 import type { ReleasedResults, StageJobResult } from './messages.js';
 
 /** Results that other hosts hold at the servers of this host's pools. */
@@ -20,36 +21,21 @@
  * @returns the holdings
  */
 export default function createHoldings(release: (released: ReleasedResults) => void): Holdings {
-  const byPeer = new Map<LinkPeer, Map<string, string>>();
-
-  const find = (peer: LinkPeer): Map<string, string> => {
-    const known = byPeer.get(peer);
-    if (known !== undefined) {
-      return known;
-    }
-    const held = new Map<string, string>();
-    byPeer.set(peer, held);
-    peer.onClose(() => {
-      byPeer.delete(peer);
+  const pools = createPeerBook<string>({
+    maxEntries: MAX_RESULTS,
+    onGone: (held) =>
       new Set(held.values()).forEach((pool) => {
         release({ pool, results: [...held].flatMap(([result, of]) => (of === pool ? [result] : [])) });
-      });
-    });
-    return held;
-  };
+      }),
+  });
 
   return {
     note: (peer, pool, result) => {
       if (result.type === 'done') {
-        const held = find(peer);
-        result.results.forEach((one) => held.set(one, pool));
-        [...held.keys()].slice(0, Math.max(0, held.size - MAX_RESULTS)).forEach((one) => held.delete(one));
+        result.results.forEach((one) => pools.set(peer, one, pool));
       }
       return result;
     },
-    forget: (peer, { results }) => {
-      const held = find(peer);
-      results.forEach((one) => held.delete(one));
-    },
+    forget: (peer, { results }) => results.forEach((one) => pools.delete(peer, one)),
   };
 }
