Do not crash when a kept connection ends after an answer without a body

The new report of the worker shows it: createHttpClient watches answers without a length for a reset at the end of their connection. It took 204 and 304 answers, and answers to HEAD, for such answers too, although they cannot have a body; their connection is kept, Node then detaches the answer from its socket, and the end of the connection read 'write' of null in a listener: the process ended. Each such answer also left a listener on its connection, which Node warned of. An entry host could be ended by a host list that closes an idle connection after a 304.

Ruled out: memory (160 to 200 MB a worker), ports taken twice, writes after the end of an answer.

Change: answers that cannot have a body are left out, and the socket is the one that carried the answer.

Before: the new tests fail with that TypeError.

--- a/packages/transport/src/createHttpClient.test.ts
+++ b/packages/transport/src/createHttpClient.test.ts
@@ -77,3 +77,43 @@
   sockets.forEach((socket) => socket.destroy());
   server.close();
 });
+
+const BODILESS_ANSWERS = [
+  { method: 'GET', head: 'HTTP/1.1 204 No Content\r\n\r\n' },
+  { method: 'GET', head: 'HTTP/1.1 304 Not Modified\r\netag: "1"\r\n\r\n' },
+  { method: 'HEAD', head: 'HTTP/1.1 200 OK\r\n\r\n' },
+];
+
+BODILESS_ANSWERS.forEach(({ method, head }) => {
+  const name = `${method} ${head.slice('HTTP/1.1 '.length, head.indexOf('\r'))}`;
+  test(`an answer that cannot have a body leaves its connection usable, and its end harmless (${name})`, async () => {
+    const sockets = new Set<net.Socket>();
+    const server = net.createServer((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () => socket.write(head));
+    });
+    server.listen(0, LISTEN.address);
+    await once(server, 'listening');
+    const client = createHttpClient();
+    const target = { address: LISTEN.address, port: (server.address() as net.AddressInfo).port };
+    let listeners = 0;
+    let connection: net.Socket | undefined;
+    for (let sent = 0; sent < 3; sent += 1) {
+      const response = await client.open(target, { method, path: '/' });
+      connection = response.socket;
+      listeners = connection.listenerCount('end');
+      response.resume();
+      await once(response, 'end');
+      await new Promise(setImmediate);
+    }
+    const closed = once(connection as net.Socket, 'close');
+    sockets.forEach((socket) => socket.end());
+    await closed;
+    client.close();
+    server.close();
+    sockets.forEach((socket) => socket.destroy());
+    assert.ok(listeners <= 3, `${listeners} listeners for the end of the connection`);
+    assert.equal(sockets.size, method === 'HEAD' ? 3 : 1, 'connections');
+  });
+});
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -145,20 +145,27 @@
   outgoing.flushHeaders();
 };
 
+/** Statuses of answers that never have a body; what they say of its length means nothing. */
+const BODILESS_STATUSES: readonly (number | undefined)[] = [204, 304];
+
 /** Whether only the end of the connection tells where the body ends. */
-const endsWithConnection = ({ headers }: IncomingMessage): boolean =>
-  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+const endsWithConnection = (method: string, { headers, statusCode }: IncomingMessage): boolean =>
+  method !== 'HEAD' &&
+  !BODILESS_STATUSES.includes(statusCode) &&
+  headers['content-length'] === undefined &&
+  headers['transfer-encoding'] === undefined;
 
 /**
  * Destroys an answer without a length whose connection was reset. The parser takes a reset for the end of the body, and
  * the event loop reports one that it finds together with the last bytes as an orderly end; only a write tells then.
  */
-const detectReset = (response: IncomingMessage): void => {
-  if (!endsWithConnection(response)) {
+const detectReset = (method: string, response: IncomingMessage): void => {
+  if (!endsWithConnection(method, response)) {
     return;
   }
-  response.socket.prependOnceListener('end', () => {
-    response.socket.write('', (cause) => {
+  const { socket } = response;
+  socket.prependOnceListener('end', () => {
+    socket.write('', (cause) => {
       if (cause) {
         response.destroy(cause);
       }
@@ -176,7 +183,7 @@
     limitConnecting(outgoing, request.connectLimitMs);
     outgoing.on('response', (response) => {
       received = response;
-      detectReset(response);
+      detectReset(request.method, response);
       // A response that is cancelled after its reader has finished reports an error that nobody awaits.
       response.on('error', () => undefined);
       resolve(response);
