Fill stage calls by rank first, then by due time

The due time of a stage leaves later stages only their usual time; the order by due time put requests of lower ranks with earlier due times into the call before, and the later stages then took longer than usual.

Change: jobs that can be on time go by rank, then by due time.

A new test plays two ranks at 1.2 times the capacity against the earlier order on seven seeds.

--- a/packages/decide/src/batches/_lib/rankJobs.test.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.test.ts
@@ -126,3 +126,77 @@
     assert.ok(ranked > due * 1.5, `ranked ${ranked}, by due time ${due}`);
   });
 });
+
+/** Jobs of two ranks with one stage to go after this one, at 1.2 times the capacity of the server. */
+const createRankedArrivals = (seed: number): readonly Arrival[] => {
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformFloat64(generator);
+  const arrivals: Arrival[] = [];
+  for (let atMs = 0; atMs < 20_000; atMs += random() * 2 * (CALL_MS / PIECES) * (2.5 / 1.2)) {
+    const isFirst = random() < 0.4;
+    const job = {
+      ...JOB,
+      jobId: String(arrivals.length),
+      pieceCount: 1 + Math.floor(random() * 4),
+      priority: isFirst ? 0 : 1,
+      value: isFirst ? 5 : 1,
+      dueAtMs: atMs + (isFirst ? 1_300 : 1_600),
+      expiresAtMs: atMs + 6_000,
+    };
+    arrivals.push({ atMs, job });
+  }
+  return arrivals;
+};
+
+/** Usual time of the stage that follows; at a crest it takes up to twice as long. */
+const NEXT_STAGE_MS = 400;
+
+/** Shares of the value that is on time after both stages: of the first rank, and of all. */
+const playTwoStages = (arrivals: readonly Arrival[], order: Order, seed: number) => {
+  const generator = xoroshiro128plus(seed + 1_000);
+  const done = new Map<string, number>();
+  let waiting: { readonly entry: QueuedJob; left: number }[] = [];
+  let next = 0;
+  for (let nowMs = 0; nowMs < 30_000;) {
+    for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
+      waiting.push({ entry: createQueuedJob(arrival.job), left: arrival.job.pieceCount });
+      next += 1;
+    }
+    const endMs = nowMs + CALL_MS * (0.8 + 0.5 * uniformFloat64(generator));
+    const live = new Map(waiting.map((one) => [one.entry, one] as const));
+    let room = PIECES;
+    for (const entry of order([...live.keys()], nowMs)) {
+      const one = live.get(entry) as { left: number };
+      const taken = Math.min(room, one.left);
+      room -= taken;
+      one.left -= taken;
+      if (taken > 0 && one.left === 0) {
+        done.set(entry.job.jobId, endMs + NEXT_STAGE_MS * (1 + uniformFloat64(generator)));
+      }
+    }
+    waiting = waiting.filter(({ left }) => left > 0);
+    nowMs = endMs;
+  }
+  const share = (jobs: readonly BatchJob[]): number => {
+    const onTime = jobs.filter(({ jobId, dueAtMs }) => (done.get(jobId) ?? Infinity) <= dueAtMs + NEXT_STAGE_MS);
+    return onTime.reduce((sum, { value }) => sum + value, 0) / jobs.reduce((sum, { value }) => sum + value, 0);
+  };
+  const jobs = arrivals.map(({ job }) => job);
+  return { first: share(jobs.filter(({ priority }) => priority === 0)), all: share(jobs) };
+};
+
+/** The order without ranks, which was used before. */
+const byDueAndValue: Order = (entries, nowMs) => {
+  const byId = new Map(entries.map((entry) => [entry.job.jobId, entry]));
+  const equal = entries.map((entry) => ({ ...entry, job: { ...entry.job, priority: 0 } }));
+  return byRank(equal, nowMs).map(({ job }) => byId.get(job.jobId) as QueuedJob);
+};
+
+[1, 2, 3, 5, 8, 13, 21].forEach((seed) => {
+  test(`the first rank is on time more often when later stages take long, at no cost to the whole (seed ${seed})`, () => {
+    const arrivals = createRankedArrivals(seed);
+    const [ranked, before] = [playTwoStages(arrivals, byRank, seed), playTwoStages(arrivals, byDueAndValue, seed)];
+    assert.ok(ranked.first >= before.first + 0.05, `first rank: ${ranked.first}, before ${before.first}`);
+    assert.ok(ranked.all >= before.all, `all: ${ranked.all}, before ${before.all}`);
+  });
+});
--- a/packages/decide/src/batches/_lib/rankJobs.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.ts
@@ -12,7 +12,7 @@
 
 /** Jobs in the order in which their pieces are sent. */
 export interface RankedJobs {
-  /** Jobs that are expected to be done by their due time, the earliest due time first. */
+  /** Jobs that are expected to be done by their due time: by rank, then the earliest due time first. */
   readonly onTime: readonly QueuedJob[];
   /** The others, by value and then by the end of their use. */
   readonly late: readonly QueuedJob[];
@@ -26,19 +26,21 @@
 
 /**
  * Orders jobs so that those done by their due time have the largest value together (Moore and Hodgson's rule with
- * weights): jobs are scheduled by due time, and when one would be late, the scheduled one with the least value for its
- * cost is put behind. Without it, a queue that is longer than the time left makes every job a little late.
+ * weights): jobs are scheduled by rank and due time, and when one would be late, the scheduled one with the least value
+ * for its cost is put behind. Without it, a queue that is longer than the time left makes every job a little late.
+ * The first ranks go first although later ones may be due earlier, because the stages that follow take longer than
+ * usual at a crest and need the time that is left.
  *
  * @param entries - jobs with waiting pieces
  * @param facts - capacity of the pool
  * @returns the order
  */
 export default function rankJobs(entries: readonly QueuedJob[], facts: RankFacts): RankedJobs {
-  const byDue = [...entries].sort((a, b) => a.job.dueAtMs - b.job.dueAtMs);
+  const byRank = [...entries].sort((a, b) => a.job.priority - b.job.priority || a.job.dueAtMs - b.job.dueAtMs);
   const scheduled = new Map<QueuedJob, number>();
   const late: QueuedJob[] = [];
   let endMs = facts.startMs;
-  byDue.forEach((entry) => {
+  byRank.forEach((entry) => {
     const costMs = facts.costMs(entry);
     const isHopeless = facts.startMs + facts.callMs > entry.job.dueAtMs;
     if (isHopeless) {
