--- a/packages/decide/src/scheduling/createWorkLedger.ts
+++ b/packages/decide/src/scheduling/createWorkLedger.ts
@@ -2,21 +2,26 @@
 
 /** Work that admitted requests still need of the stage pools of a region. */
 export interface WorkLedger {
-  /** Adds an admitted request. */
-  add(need: PipelineNeed): void;
+  /** Adds an admitted request with the regions of its stages, by default the own one. */
+  add(need: PipelineNeed, regions?: readonly string[]): void;
   /** A stage of the request has ended. */
   endStage(requestId: string, stage: number): void;
   remove(requestId: string): void;
   clear(): void;
   /** Drops requests whose deadline has passed. */
   expire(nowMs: number): void;
-  /** Time that the servers of the pool need for the work of requests of at least the given value. */
-  loadMs(pool: string, minValue: number): number;
+  /**
+   * Time that the servers of the pool need for the work of requests of at least the given value. For another region it
+   * is the work that was sent there.
+   */
+  loadMs(pool: string, minValue: number, region?: string): number;
   readonly size: number;
 }
 
 interface Entry {
   readonly need: PipelineNeed;
+  /** Region by stage; the own one where it is undefined. */
+  readonly regions: readonly string[];
   readonly ended: Set<number>;
 }
 
@@ -34,25 +39,28 @@
  * Creates the ledger of a region. Work counts from the admission of a request to the end of its stage, also while the
  * stages before are still running, so that a crest is seen at the pools behind before it reaches them.
  *
- * @param findPool - how the servers of a pool do
+ * @param homeRegion - own region
+ * @param findPool - how the servers of a pool do in a region
  * @returns the ledger
  */
-export default function createWorkLedger(findPool: (pool: string) => StagePoolState | undefined): WorkLedger {
+export default function createWorkLedger(
+  homeRegion: string,
+  findPool: (pool: string, region: string) => StagePoolState | undefined,
+): WorkLedger {
   const entries = new Map<string, Entry>();
 
-  const loadOf = ({ need, ended }: Entry, pool: string, state: StagePoolState): number =>
-    need.stages.reduce(
-      (sum, stage, index) =>
-        stage.pool === pool && !ended.has(index) ? sum + spreadWorkMs(state, stage.pieces, stage.kind) : sum,
-      0,
-    );
+  const countWork = ({ need, regions, ended }: Entry, pool: string, region: string, state: StagePoolState): number =>
+    need.stages.reduce((sum, stage, index) => {
+      const isOpen = stage.pool === pool && (regions[index] ?? homeRegion) === region && !ended.has(index);
+      return isOpen ? sum + spreadWorkMs(state, stage.pieces, stage.kind) : sum;
+    }, 0);
 
   return {
     get size() {
       return entries.size;
     },
-    add: (need) => {
-      entries.set(need.requestId, { need, ended: new Set() });
+    add: (need, regions = []) => {
+      entries.set(need.requestId, { need, regions, ended: new Set() });
     },
     endStage: (requestId, stage) => {
       entries.get(requestId)?.ended.add(stage);
@@ -68,15 +76,15 @@
         }
       });
     },
-    loadMs: (pool, minValue) => {
-      const state = findPool(pool);
+    loadMs: (pool, minValue, region = homeRegion) => {
+      const state = findPool(pool, region);
       if (state === undefined) {
         return 0;
       }
       let sum = 0;
       entries.forEach((entry) => {
         if (entry.need.value >= minValue) {
-          sum += loadOf(entry, pool, state);
+          sum += countWork(entry, pool, region, state);
         }
       });
       return sum;
--- a/packages/decide/src/scheduling/decideEntry.test.ts
+++ b/packages/decide/src/scheduling/decideEntry.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import createWorkLedger from './createWorkLedger.js';
 import decideEntry, { type EntryOutlook } from './decideEntry.js';
-import predictPipeline from './predictPipeline.js';
+import planPipeline, { type PipelineOutlook } from './planPipeline.js';
 import type { PipelineNeed, StagePoolState } from './types.js';
 
 const SPEC = {
@@ -20,8 +20,8 @@
   requestId: 'r1',
   value: 1,
   stages: [
-    { pool: 'first', after: [], pieces: 2, kind: 'k0' },
-    { pool: 'second', after: [0], pieces: 3, kind: 'k1' },
+    { pool: 'first', after: [], pieces: 2, kind: 'k0', resultBytes: 8_000 },
+    { pool: 'second', after: [0], pieces: 3, kind: 'k1', resultBytes: 6_000 },
   ],
   dueAtMs: 1_100,
   deadlineAtMs: 6_000,
@@ -30,19 +30,19 @@
 
 const outlookWith = (loads: (minValue: number) => number): EntryOutlook => ({
   nowMs: 0,
-  findPool: () => POOL,
-  loadMs: (_, minValue) => loads(minValue),
+  home: { region: 'r', findPool: () => POOL, loadMs: (_, minValue) => loads(minValue) },
+  others: [],
   answerMs: 150,
-  hopMs: 0,
 });
 
 test('predicts stages one after the other, and stages without pieces at no time', () => {
-  const outlook = { ...outlookWith(() => 0), loadMs: () => 0 };
-  const both = predictPipeline(NEED, outlook);
-  const one = predictPipeline(
+  const home = { region: 'r', findPool: () => POOL, loadMs: () => 0 };
+  const outlook: PipelineOutlook = { nowMs: 0, home, others: [], answerMs: 150 };
+  const both = planPipeline(NEED, outlook).endAtMs;
+  const one = planPipeline(
     { ...NEED, stages: NEED.stages.map((stage, index) => (index === 1 ? { ...stage, pieces: 0 } : stage)) },
     outlook,
-  );
+  ).endAtMs;
   assert.ok(one >= 200 + 48 + 150);
   assert.ok(both - one >= 200 + 72);
 });
@@ -82,7 +82,7 @@
 });
 
 test('counts admitted work from its admission to the end of its stage', () => {
-  const ledger = createWorkLedger((pool) => (pool === 'gone' ? undefined : POOL));
+  const ledger = createWorkLedger('r', (pool) => (pool === 'gone' ? undefined : POOL));
   ledger.add(NEED);
   const each = (200 / 7 + 24) / 4;
   assert.ok(Math.abs(ledger.loadMs('second', 0) - 3 * each) < 1e-9);
@@ -95,17 +95,18 @@
 });
 
 test('a pool without servers has a large and finite load', () => {
-  const ledger = createWorkLedger(() => ({ ...POOL, speed: 0 }));
+  const ledger = createWorkLedger('r', () => ({ ...POOL, speed: 0 }));
   ledger.add(NEED);
   assert.ok(ledger.loadMs('first', 0) > 500 && Number.isFinite(ledger.loadMs('first', 0)));
 });
 
 test('a crest is refused at its begin, and what was admitted is on time', () => {
   // 60 requests at once for pools that end about 75 pieces a second: some 1.1 s of work for 4 servers is admitted.
-  const ledger = createWorkLedger(() => POOL);
+  const ledger = createWorkLedger('r', () => POOL);
   const types = Array.from({ length: 60 }, (_, index) => {
     const need = { ...NEED, requestId: String(index) };
-    const decision = decideEntry(need, { ...outlookWith(() => 0), loadMs: (pool, min) => ledger.loadMs(pool, min) });
+    const home = { region: 'r', findPool: () => POOL, loadMs: ledger.loadMs };
+    const decision = decideEntry(need, { ...outlookWith(() => 0), home });
     if (decision.type !== 'refused') {
       ledger.add(need);
     }
--- /dev/null
+++ b/packages/decide/src/scheduling/planPipeline.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import decideEntry from './decideEntry.js';
+import planPipeline, { type RegionPools } from './planPipeline.js';
+import type { PipelineNeed, StagePoolState } from './types.js';
+
+const SPEC = {
+  parallelCalls: 1,
+  queuedCalls: 2,
+  maxPieces: 12,
+  callMs: 200,
+  pieceMs: 14,
+  roomBytes: 1.8e6,
+  keepResultMs: 4_000,
+};
+const findPool = (): StagePoolState => ({ spec: SPEC, speed: 2, pieceMs: new Map() });
+
+const createRegion = (region: string, loads: Readonly<Record<string, number>>): RegionPools => ({
+  region,
+  findPool,
+  loadMs: (pool) => loads[pool] ?? 0,
+});
+
+/** Three stages in a row; the sizes of their results decide where they may run. */
+const createNeed = (bytes: readonly number[]): PipelineNeed => ({
+  requestId: 'r',
+  value: 1,
+  stages: bytes.map((resultBytes, stage) => ({
+    pool: `p${stage}`,
+    after: stage === 0 ? [] : [stage - 1],
+    pieces: 4,
+    kind: 'k',
+    resultBytes,
+  })),
+  dueAtMs: 2_000,
+  deadlineAtMs: 8_000,
+  arrivedAtMs: 0,
+});
+
+const plan = (need: PipelineNeed, home: RegionPools, others: readonly RegionPools[]) =>
+  planPipeline(need, { nowMs: 0, home, others, answerMs: 100 });
+
+const SMALL = [8_000, 8_000, 8_000];
+
+test('stays in its region while that is as good', () => {
+  assert.deepEqual(plan(createNeed(SMALL), createRegion('a', {}), [createRegion('b', {})]).regions, ['a', 'a', 'a']);
+});
+
+test('only the stage whose pool is busy leaves, and the answer begins earlier', () => {
+  const busy = createRegion('a', { p1: 1_500 });
+  const need = createNeed(SMALL);
+  const shared = plan(need, busy, [createRegion('b', {})]);
+  assert.deepEqual(shared.regions, ['a', 'b', 'a']);
+  assert.ok(shared.endAtMs < plan(need, busy, []).endAtMs - 400);
+});
+
+test('a stage with large results stays, because the link between regions is narrow', () => {
+  const busy = createRegion('a', { p2: 1_500 });
+  assert.deepEqual(plan(createNeed([8_000, 8_000, 1_500_000]), busy, [createRegion('b', {})]).regions, ['a', 'a', 'a']);
+});
+
+test('a stage follows large inputs that are elsewhere, and the one behind it comes back', () => {
+  const busy = createRegion('a', { p0: 3_000 });
+  assert.deepEqual(plan(createNeed([500_000, 8_000, 8_000]), busy, [createRegion('b', {})]).regions, ['b', 'b', 'a']);
+});
+
+test('a region without servers of a pool is not used for it', () => {
+  const other = { ...createRegion('b', {}), findPool: () => undefined };
+  assert.deepEqual(plan(createNeed(SMALL), createRegion('a', { p1: 9_000 }), [other]).regions, ['a', 'a', 'a']);
+});
+
+/** Time that the two servers of a pool need for one stage of a request, in full calls. */
+const STAGE_MS = (4 * (SPEC.callMs / SPEC.maxPieces + SPEC.pieceMs)) / 2;
+
+/** Requests that begin on time in two regions with equal pools; region `a` gets twice as many as region `b`. */
+const countOnTime = (seed: number, isShared: boolean): number => {
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformFloat64(generator);
+  /** When a pool of a region has done what was admitted. */
+  const freeAtMs = new Map<string, number>();
+  let onTime = 0;
+  for (let nowMs = 0; nowMs < 20_000; nowMs += random() * 2 * (STAGE_MS / 2)) {
+    const arrivedAtMs = nowMs;
+    const describe = (region: string) => ({
+      region,
+      findPool,
+      loadMs: (pool: string) => Math.max(0, (freeAtMs.get(`${region} ${pool}`) ?? 0) - arrivedAtMs),
+    });
+    const [home, other] = random() < 2 / 3 ? ['a', 'b'] : ['b', 'a'];
+    const need = { ...createNeed(SMALL), arrivedAtMs, dueAtMs: nowMs + 2_000, deadlineAtMs: nowMs + 8_000 };
+    const decision = decideEntry(need, {
+      nowMs,
+      home: describe(home),
+      others: isShared ? [describe(other)] : [],
+      answerMs: 100,
+    });
+    if (decision.type === 'on-time') {
+      onTime += 1;
+      decision.regions.forEach((region, stage) => {
+        const key = `${region} p${stage}`;
+        freeAtMs.set(key, Math.max(nowMs, freeAtMs.get(key) ?? 0) + STAGE_MS);
+      });
+    }
+  }
+  return onTime;
+};
+
+[1, 2, 3, 5, 8].forEach((seed) => {
+  test(`regions that share their stage pools begin more requests on time than each alone (seed ${seed})`, () => {
+    const [shared, alone] = [countOnTime(seed, true), countOnTime(seed, false)];
+    assert.ok(shared >= alone * 1.1, `${shared} beside ${alone}`);
+  });
+});
--- a/packages/decide/src/scheduling/types.ts
+++ b/packages/decide/src/scheduling/types.ts
@@ -8,6 +8,8 @@
   readonly pieces: number;
   /** Pieces of the same kind take about the same time. */
   readonly kind: string;
+  /** Usual size of one result. */
+  readonly resultBytes: number;
 }
 
 /** A part of a prompt; requests share parts. */
@@ -38,11 +40,11 @@
   readonly pieceMs: ReadonlyMap<string, number>;
 }
 
-/** Whether a request begins. */
+/** Whether a request begins, and where its stages run. */
 export type EntryDecision =
   /** It is expected to be on time. */
-  | { readonly type: 'on-time'; readonly expectedAtMs: number }
+  | { readonly type: 'on-time'; readonly expectedAtMs: number; readonly regions: readonly string[] }
   /** It is expected to be late, but well within its deadline. */
-  | { readonly type: 'late'; readonly expectedAtMs: number }
+  | { readonly type: 'late'; readonly expectedAtMs: number; readonly regions: readonly string[] }
   /** It would miss its deadline, or use up what others need to be on time. */
   | { readonly type: 'refused'; readonly expectedAtMs: number; readonly retryAfterMs: number };
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -163,13 +163,13 @@
     }
     this.rounds += 1;
     const { clock, stages: client, failureDomain } = this.ports;
-    const { region } = this.reservation;
+    const regionOf = (stage: number): string => this.reservation.regionOf(stage);
     const options = { signal: this.abort.signal, round: this.rounds };
     const ports = {
       clock,
       client,
       index: this.index,
-      region,
+      regionOf,
       failureDomain: this.reservation.failureDomain ?? failureDomain,
       yields: this.reservation.tier === 'late',
       answerMs: this.reservation.answerMs,
@@ -187,7 +187,7 @@
       }
       return again ? this.prepare() : false;
     }
-    this.results.keep(outcome.results, region);
+    this.results.keep(outcome.results, regionOf);
     if (this.ended) {
       this.results.release();
     }
--- a/packages/gateway/src/requests/HeldResults.ts
+++ b/packages/gateway/src/requests/HeldResults.ts
@@ -6,7 +6,8 @@
 export default class HeldResults {
   private results: StageResults | undefined;
 
-  private region = '';
+  /** Region by stage. */
+  private regions: readonly string[] = [];
 
   constructor(
     private readonly request: ForwardRequest,
@@ -23,10 +24,10 @@
     return this.request.route.stages.length === 0 || this.results !== undefined;
   }
 
-  /** Keeps results that lie in a region. */
-  keep(results: StageResults, region: string): void {
+  /** Keeps results with the regions of their stages. */
+  keep(results: StageResults, regionOf: (stage: number) => string): void {
     this.results = results;
-    this.region = region;
+    this.regions = this.request.route.stages.map((_, stage) => regionOf(stage));
   }
 
   /** Results of the last stages with the usual size of each. */
@@ -47,7 +48,7 @@
   spare(): void {
     const { results } = this;
     this.request.route.stages.forEach(({ pool }, stage) => {
-      this.client.spare(this.region, pool, results?.byStage[stage] ?? []);
+      this.client.spare(this.regions[stage] ?? '', pool, results?.byStage[stage] ?? []);
     });
   }
 
@@ -57,7 +58,7 @@
     this.results = undefined;
     if (results !== undefined) {
       this.request.route.stages.forEach(({ pool }, stage) => {
-        this.client.release(this.region, pool, results.byStage[stage] ?? []);
+        this.client.release(this.regions[stage] ?? '', pool, results.byStage[stage] ?? []);
       });
     }
   }
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -31,6 +31,8 @@
   /** Expected time from the last stage to the begin of the answer. */
   answerMs = UNKNOWN_ANSWER_MS;
 
+  private stageRegions: readonly string[] = [];
+
   private entered = false;
 
   constructor(
@@ -48,11 +50,12 @@
     const entry = await this.ports.scheduler.enter({
       requestId,
       value,
-      stages: route.stages.map(({ pool, after }, stage) => ({
+      stages: route.stages.map(({ pool, after, resultBytes }, stage) => ({
         pool,
         after,
         pieces: facts.pieceCounts[stage] ?? 0,
         kind: `${route.name}/${stage}`,
+        resultBytes,
       })),
       dueInMs: arrivedAtMs + route.objectiveMs - nowMs,
       deadlineInMs: deadlineAtMs - nowMs,
@@ -61,6 +64,7 @@
     if (entry.type === 'admitted') {
       this.entered = true;
       this.region = entry.region;
+      this.stageRegions = entry.regions;
       this.failureDomain = entry.failureDomain;
       this.tier = entry.tier;
       this.answerMs = entry.answerMs ?? UNKNOWN_ANSWER_MS;
@@ -68,6 +72,11 @@
     return entry;
   }
 
+  /** Region whose servers run a stage. */
+  regionOf(stage: number): string {
+    return this.stageRegions[stage] ?? this.region;
+  }
+
   endStage(stage: number): void {
     const { requestId } = this.request;
     this.ports.scheduler.note(this.region, { type: 'stage-ended', requestId, stage });
--- /dev/null
+++ b/packages/gateway/src/scheduling/createRegionLoads.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import { createWorkLedger, type WorkLedger } from '@bergamotcove/decide';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import createRegionLoads from './createRegionLoads.js';
+
+const SPEC = {
+  parallelCalls: 1,
+  queuedCalls: 1,
+  maxPieces: 4,
+  callMs: 200,
+  pieceMs: 25,
+  roomBytes: 1e9,
+  keepResultMs: 4_000,
+};
+
+/** A region `a` with two servers of the pool beside a region `b` with one. */
+const createWorld = (region = 'a') => {
+  const clock = createManualClock();
+  const servers = [{ region: 'a' }, { region: 'a' }, { region: 'b' }];
+  let ledger: WorkLedger | undefined;
+  const loads = createRegionLoads({
+    clock,
+    directory: { list: (pool: string) => (pool === 'p' ? servers : []) } as unknown as BackendDirectory,
+    region,
+    findSpec: () => SPEC,
+    ledger: () => ledger as WorkLedger,
+  });
+  ledger = createWorkLedger(region, (pool, of) => loads.findPool(pool, of));
+  return { clock, loads, ledger };
+};
+
+const createNeed = (requestId: string, value: number) => ({
+  requestId,
+  value,
+  stages: [{ pool: 'p', after: [], pieces: 4, kind: 'k', resultBytes: 1 }],
+  dueAtMs: 1_000,
+  deadlineAtMs: 3_000,
+  arrivedAtMs: 0,
+});
+
+test('a region counts the work that another one sends there', () => {
+  const [a, b] = [createWorld('a'), createWorld('b')];
+  [a, b].forEach(({ loads }) => loads.notePool({ pool: 'p', speed: 9, pieceMs: {} }));
+  a.ledger.add(createNeed('sent', 1), ['b']);
+  a.ledger.add(createNeed('kept', 1));
+  b.loads.noteRegion(a.loads.report('b'));
+  // One server in b, and two in a: 4 pieces take a call.
+  assert.equal(b.loads.home().loadMs('p', 0), 300);
+  assert.equal(a.loads.home().loadMs('p', 0), 150);
+});
+
+test('what a region sends elsewhere counts there at once, and only once', () => {
+  const [a, b] = [createWorld('a'), createWorld('b')];
+  [a, b].forEach(({ loads }) => loads.notePool({ pool: 'p', speed: 9, pieceMs: {} }));
+  b.ledger.add(createNeed('own', 1));
+  a.loads.noteRegion(b.loads.report('a'));
+  const readElsewhere = () => a.loads.others()[0]?.loadMs('p', 0);
+  assert.equal(readElsewhere(), 300);
+  a.ledger.add(createNeed('sent', 1), ['b']);
+  assert.equal(readElsewhere(), 600);
+  b.loads.noteRegion(a.loads.report('b'));
+  a.loads.noteRegion(b.loads.report('a'));
+  assert.equal(readElsewhere(), 600);
+});
+
+test('tells load by value, so that work of the first rank does not yield to the rest', () => {
+  const [a, b] = [createWorld('a'), createWorld('b')];
+  b.loads.notePool({ pool: 'p', speed: 9, pieceMs: {} });
+  b.ledger.add(createNeed('cheap', 0.02));
+  b.ledger.add(createNeed('dear', 1));
+  a.loads.noteRegion(b.loads.report('a'));
+  const [pools] = a.loads.others();
+  assert.deepEqual([pools?.loadMs('p', 0), pools?.loadMs('p', 0.6)], [600, 300]);
+});
+
+test('a region that is not heard of is not used, and neither are its pools without servers', () => {
+  const [a, b] = [createWorld('a'), createWorld('b')];
+  assert.equal(a.loads.others().length, 0);
+  a.loads.noteRegion(b.loads.report('a'));
+  assert.equal(a.loads.others()[0]?.findPool('q'), undefined);
+  a.clock.advance(1_500);
+  assert.equal(a.loads.others().length, 0);
+});
--- /dev/null
+++ b/packages/gateway/src/scheduling/createRegionLoads.ts
@@ -0,0 +1,131 @@
+import type { Clock } from '@bergamotcove/clock';
+import type { BatchSpec } from '@bergamotcove/config';
+import type { RankedPools, StagePoolState, WorkLedger } from '@bergamotcove/decide';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { PoolReport, PoolSpeed, RegionReport } from './messages.js';
+import { measureSteps, readStep } from './valueSteps.js';
+
+/** What the scheduler of a region knows of the stage pools of all regions. */
+export interface RegionLoads {
+  notePool(report: PoolReport): void;
+  noteRegion(report: RegionReport): void;
+  /** How the servers of a pool do in a region; undefined when there are none. */
+  findPool(pool: string, region: string): StagePoolState | undefined;
+  home(): RankedPools;
+  /** Other regions that have told their load lately. */
+  others(): readonly RankedPools[];
+  /** What the scheduler of another region is told. */
+  report(receiver: string): RegionReport;
+  /** Pools whose owners have reported, with their loads, for logs. */
+  listLoads(): readonly string[];
+}
+
+/** Options of {@link createRegionLoads}. */
+export interface RegionLoadsOptions {
+  readonly clock: Clock;
+  readonly directory: BackendDirectory;
+  readonly region: string;
+  readonly findSpec: (pool: string) => BatchSpec | undefined;
+  readonly ledger: () => WorkLedger;
+}
+
+/** Reports of other regions hold for this time. */
+const REPORT_LIFETIME_MS = 1_000;
+
+class Loads implements RegionLoads {
+  private readonly speeds = new Map<string, PoolSpeed>();
+
+  private readonly reports = new Map<string, { readonly report: RegionReport; readonly atMs: number }>();
+
+  constructor(private readonly options: RegionLoadsOptions) {}
+
+  notePool({ pool, ...speed }: PoolReport): void {
+    this.speeds.set(pool, speed);
+  }
+
+  noteRegion(report: RegionReport): void {
+    this.reports.set(report.region, { report, atMs: this.options.clock.monotonicMs() });
+  }
+
+  findPool(pool: string, region: string): StagePoolState | undefined {
+    const { directory, findSpec } = this.options;
+    const spec = findSpec(pool);
+    if (spec === undefined) {
+      return undefined;
+    }
+    const isHome = region === this.options.region;
+    const told = isHome ? this.speeds.get(pool) : this.reports.get(region)?.report.speeds[pool];
+    const servers = directory.list(pool).filter((server) => server.region === region).length;
+    if (servers === 0 && !isHome) {
+      return undefined;
+    }
+    const speed = Math.min(told?.speed ?? Infinity, servers);
+    return { spec, speed, pieceMs: new Map(Object.entries(told?.pieceMs ?? {})) };
+  }
+
+  home(): RankedPools {
+    const { region } = this.options;
+    const reports = this.listFresh();
+    return {
+      region,
+      findPool: (pool) => this.findPool(pool, region),
+      loadMs: (pool, minValue) =>
+        reports.reduce(
+          (sum, { sentMs }) => sum + readStep(sentMs[pool], minValue),
+          this.options.ledger().loadMs(pool, minValue),
+        ),
+    };
+  }
+
+  others(): readonly RankedPools[] {
+    return this.listFresh().map(({ region, loadsMs }) => ({
+      region,
+      findPool: (pool) => this.findPool(pool, region),
+      loadMs: (pool, minValue) =>
+        readStep(loadsMs[pool], minValue) + this.options.ledger().loadMs(pool, minValue, region),
+    }));
+  }
+
+  report(receiver: string): RegionReport {
+    const ledger = this.options.ledger();
+    const thirds = this.listFresh().filter(({ region }) => region !== receiver);
+    const pools = [...this.speeds.keys()];
+    return {
+      region: this.options.region,
+      speeds: Object.fromEntries(this.speeds),
+      loadsMs: Object.fromEntries(
+        pools.map((pool) => [
+          pool,
+          measureSteps((least) =>
+            thirds.reduce((sum, { sentMs }) => sum + readStep(sentMs[pool], least), ledger.loadMs(pool, least)),
+          ),
+        ]),
+      ),
+      sentMs: Object.fromEntries(
+        pools.map((pool) => [pool, measureSteps((least) => ledger.loadMs(pool, least, receiver))]),
+      ),
+    };
+  }
+
+  listLoads(): readonly string[] {
+    return [...this.speeds.keys()].map((pool) => `${pool} ${Math.round(this.options.ledger().loadMs(pool, 0))}`);
+  }
+
+  private listFresh(): readonly RegionReport[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return [...this.reports.values()]
+      .filter(({ atMs }) => nowMs - atMs < REPORT_LIFETIME_MS)
+      .map(({ report }) => report);
+  }
+}
+
+/**
+ * Creates what the scheduler of a region knows of the load of all regions: its own from its ledger and from what other
+ * regions send here, theirs from their reports and from what it sends there.
+ *
+ * @param options - servers, pools and the ledger of the region
+ * @returns the loads
+ */
+export default function createRegionLoads(options: RegionLoadsOptions): RegionLoads {
+  return new Loads(options);
+}
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -32,7 +32,7 @@
 const createRequest = (requestId: string): EnterRequest => ({
   requestId,
   value: 1,
-  stages: [{ pool: 'p', after: [], pieces: 4, kind: 'k' }],
+  stages: [{ pool: 'p', after: [], pieces: 4, kind: 'k', resultBytes: 1 }],
   dueInMs: 1_000,
   deadlineInMs: 3_000,
   generation: undefined,
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -4,19 +4,21 @@
   createWorkLedger,
   decideEntry,
   LATE_VALUE,
-  predictPipeline,
+  planPipeline,
+  REGION_HOP_MS,
+  withValue,
   type EngineBook,
   type EntryDecision,
   type EntryOutlook,
   type GenerationNeed,
   type PipelineNeed,
-  type StagePoolState,
   type WorkLedger,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import createRegionLoads, { type RegionLoads } from './createRegionLoads.js';
 import { UNKNOWN_ANSWER_MS } from '../requests/Reservation.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import createPeerBook from '../hosts/createPeerBook.js';
@@ -70,13 +72,23 @@
 const MAX_VISITS = 5_000;
 /** Interval of the reports to other regions while requests come. */
 const REPORT_MS = 250;
-/** Reports of other regions hold for this time. */
-const REPORT_LIFETIME_MS = 1_000;
-/** Time that each hop to another region takes more. */
-const REGION_HOP_MS = 25;
+/** Reports are sent for this time after the last request. */
+const REPORT_AFTER_MS = 1_000;
 /** A region is left only for one that is expected to be this much earlier. */
 const REGION_GAIN_MS = 150;
 
+/** A region that is expected to serve the whole request on time. */
+const findEarlier = (need: PipelineNeed, outlook: EntryOutlook): string | undefined => {
+  const local = planPipeline(need, withValue(outlook, need.value / 2));
+  return withValue(outlook, 0)
+    .others.map((pools) => {
+      const plan = planPipeline(need, { ...outlook, home: pools, others: [] });
+      return { region: pools.region, endAtMs: plan.endAtMs + 2 * REGION_HOP_MS };
+    })
+    .filter(({ endAtMs }) => endAtMs <= need.dueAtMs && endAtMs + REGION_GAIN_MS <= local.endAtMs)
+    .sort((a, b) => a.endAtMs - b.endAtMs)[0]?.region;
+};
+
 class Scheduler implements RegionScheduler {
   readonly methods: Readonly<Record<string, LinkMethod>>;
 
@@ -84,9 +96,7 @@
 
   private readonly engines = new Map<string, EngineBook>();
 
-  private readonly reports = new Map<string, PoolReport>();
-
-  private readonly regions = new Map<string, { readonly report: RegionReport; readonly atMs: number }>();
+  private readonly loads: RegionLoads;
 
   /** Open requests of other hosts, which end with the link to their host. */
   private readonly visits = createPeerBook<true>({
@@ -99,7 +109,12 @@
   private timer: Timer | undefined;
 
   constructor(private readonly options: RegionSchedulerOptions) {
-    this.ledger = createWorkLedger((pool) => this.findPool(pool));
+    this.loads = createRegionLoads({
+      ...options,
+      findSpec: (pool) => options.tables.current()?.pools.get(pool)?.batch,
+      ledger: () => this.ledger,
+    });
+    this.ledger = createWorkLedger(options.region, (pool, region) => this.loads.findPool(pool, region));
     options.directory.onChange(() => this.engines.forEach((book, pool) => this.listEngines(book, pool)));
     this.methods = {
       [ENTER]: (params, peer) => {
@@ -130,8 +145,7 @@
         return true;
       },
       [REPORT_REGION]: (params) => {
-        const report = params as RegionReport;
-        this.regions.set(report.region, { report, atMs: this.options.clock.monotonicMs() });
+        this.loads.noteRegion(params as RegionReport);
         return true;
       },
     };
@@ -154,10 +168,15 @@
       deadlineAtMs: nowMs + request.deadlineInMs,
       arrivedAtMs: nowMs,
     };
-    const outlook = this.createOutlook(engine?.firstTokenMs ?? UNKNOWN_ANSWER_MS, nowMs);
+    const outlook: EntryOutlook = {
+      nowMs,
+      home: this.loads.home(),
+      others: this.loads.others(),
+      answerMs: engine?.firstTokenMs ?? UNKNOWN_ANSWER_MS,
+    };
     const decision = decideEntry(need, outlook);
     if (decision.type !== 'on-time' && !request.visiting) {
-      const region = this.findEarlier(need, outlook);
+      const region = findEarlier(need, outlook);
       if (region !== undefined) {
         return { type: 'elsewhere', region };
       }
@@ -166,13 +185,15 @@
     if (decision.type === 'refused') {
       return { type: 'refused', retryAfterMs: decision.retryAfterMs };
     }
-    this.ledger.add(decision.type === 'late' ? { ...need, value: need.value * LATE_VALUE } : need);
+    const { type: tier, regions } = decision;
+    this.ledger.add(tier === 'late' ? { ...need, value: need.value * LATE_VALUE } : need, regions);
     return {
       type: 'admitted',
-      tier: decision.type,
+      tier,
       expectedInMs: decision.expectedAtMs - nowMs,
       answerMs: outlook.answerMs,
       failureDomain: engine?.failureDomain,
+      regions,
     };
   }
 
@@ -209,9 +230,10 @@
 
   reopen(requests: readonly OpenRequest[]): void {
     const nowMs = this.options.clock.monotonicMs();
-    requests.forEach(({ requestId, value, stages, deadlineInMs, endedStages }) => {
+    requests.forEach(({ requestId, value, stages, regions, deadlineInMs, endedStages }) => {
       const deadlineAtMs = nowMs + deadlineInMs;
-      this.ledger.add({ requestId, value, stages, dueAtMs: deadlineAtMs, deadlineAtMs, arrivedAtMs: nowMs });
+      const need = { requestId, value, stages, dueAtMs: deadlineAtMs, deadlineAtMs, arrivedAtMs: nowMs };
+      this.ledger.add(need, regions);
       endedStages.forEach((stage) => this.ledger.endStage(requestId, stage));
     });
   }
@@ -223,7 +245,7 @@
   }
 
   reportPool(report: PoolReport): void {
-    this.reports.set(report.pool, report);
+    this.loads.notePool(report);
   }
 
   /** Tells the schedulers of other regions the load of this one while requests come. */
@@ -231,14 +253,13 @@
     this.timer = this.options.clock.schedule(REPORT_MS, () => {
       this.start(hosts);
       const nowMs = this.options.clock.monotonicMs();
-      if (nowMs - this.enteredAtMs > REPORT_LIFETIME_MS) {
+      if (nowMs - this.enteredAtMs > REPORT_AFTER_MS) {
         return;
       }
-      const loadMs = Object.fromEntries([...this.reports.keys()].map((pool) => [pool, this.ledger.loadMs(pool, 0)]));
-      const report: RegionReport = { region: this.options.region, loadMs };
       hosts.regions().forEach((region) => {
         const [owner] = hosts.rankOwners(SCHEDULER_DUTY, region);
         if (region !== this.options.region && owner !== undefined) {
+          const report = this.loads.report(region);
           this.options.links.call(owner.target, REPORT_REGION, report).catch(() => hosts.noteSilent(owner.hostId));
         }
       });
@@ -249,29 +270,6 @@
     this.timer?.close();
   }
 
-  private createOutlook(answerMs: number, nowMs: number): EntryOutlook {
-    return {
-      nowMs,
-      findPool: (pool) => this.findPool(pool),
-      loadMs: (pool, minValue) => this.ledger.loadMs(pool, minValue),
-      answerMs,
-      hopMs: 0,
-    };
-  }
-
-  /** A region that is expected to serve the request on time, by its last report. */
-  private findEarlier(need: PipelineNeed, outlook: EntryOutlook): string | undefined {
-    const localMs = predictPipeline(need, { ...outlook, loadMs: (pool) => outlook.loadMs(pool, need.value / 2) });
-    return [...this.regions.values()]
-      .filter(({ atMs }) => outlook.nowMs - atMs < REPORT_LIFETIME_MS)
-      .map(({ report }) => {
-        const loadMs = (pool: string): number => report.loadMs[pool] ?? 0;
-        return { region: report.region, endMs: predictPipeline(need, { ...outlook, loadMs, hopMs: REGION_HOP_MS }) };
-      })
-      .filter(({ endMs }) => endMs <= need.dueAtMs && endMs + REGION_GAIN_MS <= localMs)
-      .sort((a, b) => a.endMs - b.endMs)[0]?.region;
-  }
-
   private previewEngine(request: EnterRequest, nowMs: number) {
     const { generation, requestId } = request;
     if (generation === undefined) {
@@ -281,17 +279,6 @@
     return this.findBook(generation.pool).choose(need, nowMs);
   }
 
-  private findPool(pool: string): StagePoolState | undefined {
-    const spec = this.options.tables.current()?.pools.get(pool)?.batch;
-    if (spec === undefined) {
-      return undefined;
-    }
-    const report = this.reports.get(pool);
-    const servers = this.options.directory.list(pool).filter(({ region }) => region === this.options.region);
-    const speed = Math.min(report?.speed ?? Infinity, servers.length);
-    return { spec, speed, pieceMs: new Map(Object.entries(report?.pieceMs ?? {})) };
-  }
-
   private findBook(pool: string): EngineBook {
     const known = this.engines.get(pool);
     if (known !== undefined) {
@@ -320,7 +307,7 @@
         expectedInMs: Math.round(decision.expectedAtMs - nowMs),
         answerMs: Math.round(answerMs),
         open: this.ledger.size,
-        loadsMs: [...this.reports.keys()].map((pool) => `${pool} ${Math.round(this.ledger.loadMs(pool, 0))}`),
+        loadsMs: this.loads.listLoads(),
         ...(decision.type === 'refused' ? { retryAfterMs: Math.round(decision.retryAfterMs) } : {}),
       });
     }
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -29,6 +29,8 @@
       readonly expectedInMs: number | undefined;
       readonly answerMs: number | undefined;
       readonly failureDomain: string | undefined;
+      /** Region by stage; the region of the request where it is undefined. */
+      readonly regions: readonly string[];
     }
   | { readonly type: 'refused'; readonly retryAfterMs: number };
 
@@ -59,6 +61,7 @@
 /** A request in the schedule of a region. */
 interface Scheduled {
   readonly region: string;
+  readonly regions: readonly string[];
   readonly request: Omit<EnterRequest, 'visiting'>;
   readonly deadlineAtMs: number;
   readonly endedStages: number[];
@@ -123,6 +126,7 @@
           expectedInMs: undefined,
           answerMs: undefined,
           failureDomain: undefined,
+          regions: [],
         };
   }
 
@@ -139,7 +143,8 @@
   private keep(request: Omit<EnterRequest, 'visiting'>, entry: Entry): Entry {
     if (entry.type === 'admitted') {
       const deadlineAtMs = this.options.clock.monotonicMs() + request.deadlineInMs;
-      this.scheduled.set(request.requestId, { region: entry.region, request, deadlineAtMs, endedStages: [] });
+      const { region, regions } = entry;
+      this.scheduled.set(request.requestId, { region, regions, request, deadlineAtMs, endedStages: [] });
     }
     return entry;
   }
@@ -161,9 +166,9 @@
     const nowMs = this.options.clock.monotonicMs();
     const open = [...this.scheduled.values()]
       .filter((scheduled) => scheduled.region === region)
-      .map(({ request, deadlineAtMs, endedStages }): OpenRequest => {
+      .map(({ request, regions, deadlineAtMs, endedStages }): OpenRequest => {
         const { requestId, value, stages } = request;
-        return { requestId, value, stages, endedStages, deadlineInMs: deadlineAtMs - nowMs };
+        return { requestId, value, stages, regions, endedStages, deadlineInMs: deadlineAtMs - nowMs };
       });
     if (open.length === 0) {
       return;
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -20,6 +20,8 @@
   readonly requestId: string;
   readonly value: number;
   readonly stages: readonly StageNeed[];
+  /** Region by stage. */
+  readonly regions: readonly string[];
   readonly deadlineInMs: number;
   readonly endedStages: readonly number[];
 }
@@ -54,6 +56,8 @@
       readonly answerMs: number;
       /** Failure domain of the engine that holds most of the prompt. */
       readonly failureDomain: string | undefined;
+      /** Region by stage. */
+      readonly regions: readonly string[];
     }
   | { readonly type: 'refused'; readonly retryAfterMs: number }
   /** Another region is expected to serve it on time. */
@@ -80,16 +84,27 @@
   | { readonly type: 'engine'; readonly pool: string; readonly event: EngineEvent };
 
 /** How the stage servers of a pool do. */
-export interface PoolReport {
+export interface PoolReport extends PoolSpeed {
   readonly pool: string;
+}
+
+/** Speed of the stage servers of a pool. */
+export interface PoolSpeed {
   /** Servers, each counted by its speed relative to what is usual. */
   readonly speed: number;
   /** Learnt times of pieces by kind. */
   readonly pieceMs: Readonly<Record<string, number>>;
 }
 
-/** Load of the stage pools of a region. */
+/** Time that a pool needs for the work of requests of at least each of the {@link VALUE_STEPS}. */
+export type StepLoadsMs = readonly number[];
+
+/** Load of the stage pools of a region, by pool. */
 export interface RegionReport {
   readonly region: string;
-  readonly loadMs: Readonly<Record<string, number>>;
+  readonly speeds: Readonly<Record<string, PoolSpeed>>;
+  /** Work of the region's own pools, without what the receiver sends there. */
+  readonly loadsMs: Readonly<Record<string, StepLoadsMs>>;
+  /** Work that the region sends to the pools of the receiver. */
+  readonly sentMs: Readonly<Record<string, StepLoadsMs>>;
 }
--- /dev/null
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -0,0 +1,56 @@
+import type { Clock } from '@bergamotcove/clock';
+import { readBody, type HttpClient } from '@bergamotcove/transport';
+import type { KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { PieceAnswer, PieceItem, StageFormat } from '../ports.js';
+
+/** Parts that a call needs. */
+export interface StageCallPorts {
+  readonly clock: Clock;
+  readonly http: HttpClient;
+  readonly format: StageFormat;
+}
+
+/** What came of a call. */
+export interface StageCallAnswer {
+  readonly status: number;
+  /** One answer for each piece, in order; undefined when the server took none. */
+  readonly answers: readonly PieceAnswer[] | undefined;
+  readonly totalMs: number;
+}
+
+const STATUS_OK = 200;
+const CONNECT_LIMIT_MS = 300;
+
+/**
+ * Sends pieces to a stage server and reads its answer.
+ *
+ * @param server - where they go
+ * @param items - the pieces
+ * @param ports - connections and format
+ * @param options - time after which the call is given up
+ * @returns the answer
+ * @throws TransportError when the connection breaks or the time has passed
+ */
+export default async function callStageServer(
+  server: KnownServer,
+  items: readonly PieceItem[],
+  { clock, http, format }: StageCallPorts,
+  options: { readonly limitMs: number },
+): Promise<StageCallAnswer> {
+  const sentAtMs = clock.monotonicMs();
+  const response = await http.open(server, {
+    method: 'POST',
+    path: format.runPath,
+    headers: format.formatHeaders(server.serverId),
+    body: format.formatRun(items),
+    connectLimitMs: CONNECT_LIMIT_MS,
+    signal: AbortSignal.timeout(Math.ceil(options.limitMs)),
+  });
+  const body = await readBody(response);
+  const answers = response.statusCode === STATUS_OK ? format.readRun(body) : undefined;
+  return {
+    status: response.statusCode ?? 0,
+    answers: answers?.length === items.length ? answers : undefined,
+    totalMs: clock.monotonicMs() - sentAtMs,
+  };
+}
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -10,12 +10,13 @@
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import { readBody, type HttpClient } from '@bergamotcove/transport';
+import type { HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { PieceAnswer, StageFormat } from '../ports.js';
+import callStageServer from './callStageServer.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import locateInputs from './locateInputs.js';
-import type { StageJob, StageJobResult } from './messages.js';
+import type { StageInput, StageJob, StageJobResult } from './messages.js';
 import { reportCall, reportOutcome } from './reportCall.js';
 
 /** Fills the calls to the stage servers of one pool with the pieces of all hosts of the region. */
@@ -44,7 +45,7 @@
   readonly spec: BatchSpec;
   readonly region: string;
   /** Tells the owner of another pool which results it may give up. */
-  readonly spareInputs: (pool: string, results: readonly string[]) => void;
+  readonly spareInputs: (input: StageInput) => void;
   /** Tells the scheduler of the region how the servers do. */
   readonly onState: (state: BatchPoolState) => void;
 }
@@ -66,9 +67,7 @@
   spare: boolean;
 }
 
-const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
-const CONNECT_LIMIT_MS = 300;
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
 /** Time in which a server that begins a call has fetched its inputs. */
@@ -218,7 +217,7 @@
   }
 
   private async send(call: PlannedCall): Promise<CallOutcome> {
-    const { clock, http, format, directory, pool } = this.options;
+    const { clock, directory, pool } = this.options;
     const server = directory.find(call.serverId);
     if (server === undefined) {
       return { type: 'broken' };
@@ -237,29 +236,20 @@
     if (call.usesSpareRoom) {
       await this.giveUpSpare(call.serverId);
     }
-    const response = await http.open(server, {
-      method: 'POST',
-      path: format.runPath,
-      headers: format.formatHeaders(server.serverId),
-      body: format.formatRun(items),
-      connectLimitMs: CONNECT_LIMIT_MS,
-      signal: AbortSignal.timeout(Math.ceil(call.expectedMs * GIVE_UP_FACTOR)),
+    const { status, answers, totalMs } = await callStageServer(server, items, this.options, {
+      limitMs: call.expectedMs * GIVE_UP_FACTOR,
     });
-    const body = await readBody(response);
-    const totalMs = clock.monotonicMs() - sentAtMs;
-    const answers = response.statusCode === STATUS_OK ? format.readRun(body) : undefined;
-    reportCall(
-      { pool, call, totalMs, status: response.statusCode ?? 0, view: this.queue.view(clock.monotonicMs()) },
-      this.options,
-    );
-    if (answers?.length !== items.length) {
-      if (response.statusCode === STATUS_MISDIRECTED) {
+    const pieces = answers?.map(({ type }) => type);
+    const view = this.queue.view(clock.monotonicMs());
+    reportCall({ pool, call, totalMs, status, pieces, view }, this.options);
+    if (answers === undefined || pieces === undefined) {
+      if (status === STATUS_MISDIRECTED) {
         directory.noteGone(server.serverId);
       }
       return { type: 'refused' };
     }
     this.keepResults(call, answers, server.serverId);
-    return { type: 'answered', pieces: answers.map(({ type }) => type), totalMs };
+    return { type: 'answered', pieces, totalMs };
   }
 
   /**
@@ -277,7 +267,7 @@
         return;
       }
       this.options.clock.schedule(FETCH_MS, () => {
-        open.job.inputs.forEach(({ pool, results }) => this.options.spareInputs(pool, results));
+        open.job.inputs.forEach((input) => this.options.spareInputs(input));
       });
     });
   }
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -13,6 +13,7 @@
   RELEASE_RESULTS,
   RUN_STAGE,
   type ReleasedResults,
+  type StageInput,
   type StageJob,
   type StageJobResult,
 } from './messages.js';
@@ -44,8 +45,8 @@
   readonly region: string;
 }
 
-/** Receives results of a pool that may be given up. */
-export type ResultSink = (pool: string, results: readonly string[]) => void;
+/** Receives results that may be given up. */
+export type ResultSink = (input: StageInput) => void;
 
 /** Receives how the servers of a pool do. */
 export type PoolStateSink = (pool: string, state: BatchPoolState) => void;
@@ -157,7 +158,7 @@
       pool,
       spec,
       onState: (state) => this.tellState?.(pool, state),
-      spareInputs: (from, results) => this.spareInputs?.(from, results),
+      spareInputs: (input) => this.spareInputs?.(input),
     });
     this.owners.set(pool, owner);
     logger.event('batchOwnerStarted', { pool });
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -41,8 +41,10 @@
   async run(region: string, job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
     const { clock, logger, hosts } = this.options;
     const startedAtMs = clock.monotonicMs();
+    // Another region that lost one host may be cut off as a whole; the own one can do its work.
+    let isLost = false;
     for (let sends = 0; sends < MAX_OWNERS && !signal.aborted; sends += 1) {
-      const [owner = hosts.self] = hosts.rankOwners(job.pool, region);
+      const [owner = hosts.self] = hosts.rankOwners(job.pool, isLost ? hosts.self.region : region);
       const elapsedMs = clock.monotonicMs() - startedAtMs;
       if (elapsedMs >= job.expiresInMs) {
         return { type: 'failed', reason: 'late', retryAfterMs: 0 };
@@ -57,6 +59,7 @@
         }
         hosts.noteMoved(owner.hostId);
       } catch {
+        isLost = true;
         hosts.noteSilent(owner.hostId);
         const { requestId, stage, pool } = job;
         logger.event('stageOwnerLost', { requestId, stage, pool, peer: owner.hostId });
--- a/packages/gateway/src/stages/locateInputs.test.ts
+++ b/packages/gateway/src/stages/locateInputs.test.ts
@@ -6,8 +6,8 @@
 
 test('names the domain with most of the inputs by size', () => {
   const inputs = [
-    { pool: 'p', resultBytes: 100, results: ['x'] },
-    { pool: 'q', resultBytes: 30, results: ['y', 'z'] },
+    { region: 'r', pool: 'p', resultBytes: 100, results: ['x'] },
+    { region: 'r', pool: 'q', resultBytes: 30, results: ['y', 'z'] },
   ];
   assert.deepEqual(locateInputs({ inputs, failureDomain: 'd3' }, findDomain), { failureDomain: 'd1', inputBytes: 100 });
 });
@@ -17,6 +17,6 @@
     failureDomain: 'd3',
     inputBytes: 0,
   });
-  const inputs = [{ pool: 'p', resultBytes: 10, results: ['gone'] }];
+  const inputs = [{ region: 'r', pool: 'p', resultBytes: 10, results: ['gone'] }];
   assert.deepEqual(locateInputs({ inputs, failureDomain: 'd3' }, findDomain), { failureDomain: 'd3', inputBytes: 10 });
 });
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -8,6 +8,8 @@
 /** Results of one stage that another one takes. */
 export interface StageInput {
   readonly pool: string;
+  /** Region whose servers hold the results. */
+  readonly region: string;
   /** Usual size of one result. */
   readonly resultBytes: number;
   readonly results: readonly string[];
--- a/packages/gateway/src/stages/reportCall.ts
+++ b/packages/gateway/src/stages/reportCall.ts
@@ -1,4 +1,4 @@
-import type { BatchQueueView, CallOutcome, PlannedCall } from '@bergamotcove/decide';
+import type { BatchQueueView, CallOutcome, PieceOutcome, PlannedCall } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 
@@ -14,14 +14,30 @@
   readonly call: PlannedCall;
   readonly totalMs: number;
   readonly status: number;
+  /** What became of each piece; undefined when the server took none. */
+  readonly pieces: readonly PieceOutcome[] | undefined;
   readonly view: BatchQueueView;
 }
 
 const HUNDREDTHS = 100;
 const roundShare = (share: number): number => Math.round(share * HUNDREDTHS) / HUNDREDTHS;
 
+/** Counts pieces that were not made, by reason. */
+const countFailures = (pieces: readonly PieceOutcome[]): Readonly<Partial<Record<PieceOutcome, number>>> => {
+  const counts: Partial<Record<PieceOutcome, number>> = {};
+  pieces
+    .filter((outcome) => outcome !== 'done')
+    .forEach((outcome) => {
+      counts[outcome] = (counts[outcome] ?? 0) + 1;
+    });
+  return counts;
+};
+
 /** Logs an answered call with the state of its queue. */
-export const reportCall = ({ pool, call, totalMs, status, view }: AnsweredCall, { logger }: CallSinks): void => {
+export const reportCall = (
+  { pool, call, totalMs, status, pieces = [], view }: AnsweredCall,
+  { logger }: CallSinks,
+): void => {
   logger.event('batchEnded', {
     pool,
     serverId: call.serverId,
@@ -32,6 +48,7 @@
     taken: roundShare(view.takenShare),
     spare: roundShare(view.spareShare),
     status,
+    ...countFailures(pieces),
   });
 };
 
--- /dev/null
+++ b/packages/gateway/src/stages/runStages.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import { indexRoutes } from '@bergamotcove/decide';
+import type { ForwardRequest } from '../requests/types.js';
+import type { StageClient } from './createStageClient.js';
+import type { StageJob, StageJobResult } from './messages.js';
+import runStages from './runStages.js';
+
+const STAGES = [
+  { pool: 'p', after: [], resultBytes: 1 },
+  { pool: 'q', after: [0], resultBytes: 1 },
+];
+
+const INDEX = indexRoutes({
+  version: 1,
+  routes: [],
+  pools: [],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  organisations: undefined,
+});
+
+const REQUEST = {
+  requestId: 'r',
+  arrivedAtMs: 0,
+  deadlineAtMs: 8_000,
+  route: { name: 'route', objectiveMs: 2_000, stages: STAGES },
+  facts: { pieceCounts: [2, 1], pieceKey: 'key' },
+  priority: 0,
+  value: 1,
+} as unknown as ForwardRequest;
+
+/** Runs the stages of a request, the second one in another region. */
+const run = async (answer: (job: StageJob) => StageJobResult) => {
+  const jobs: { readonly region: string; readonly job: StageJob }[] = [];
+  const released: string[] = [];
+  const client: StageClient = {
+    run: (region, job) => {
+      jobs.push({ region, job });
+      return Promise.resolve(answer(job));
+    },
+    release: (region, pool, results) => {
+      released.push(...results.map((result) => `${region} ${pool} ${result}`));
+    },
+    spare: () => undefined,
+  };
+  const ports = {
+    clock: createManualClock(),
+    client,
+    index: INDEX,
+    regionOf: (stage: number) => (stage === 0 ? 'home' : 'other'),
+    failureDomain: 'd',
+    yields: false,
+    answerMs: 100,
+    onStageEnded: () => undefined,
+  };
+  const outcome = await runStages(REQUEST, ports, { signal: new AbortController().signal, round: 1 });
+  return { outcome, jobs, released };
+};
+
+const answerDone = ({ stage, pieceCount }: StageJob): StageJobResult => ({
+  type: 'done',
+  results: Array.from({ length: pieceCount }, (_, piece) => `${stage}/${piece}`),
+});
+
+test('each stage runs in its region and knows where its inputs are', async () => {
+  const { outcome, jobs } = await run(answerDone);
+  assert.deepEqual(
+    jobs.map(({ region, job }) => `${region} ${job.pool}`),
+    ['home p', 'other q'],
+  );
+  assert.deepEqual(jobs[1]?.job.inputs, [{ pool: 'p', region: 'home', resultBytes: 1, results: ['0/0', '0/1'] }]);
+  assert.deepEqual(outcome.type === 'done' && outcome.results.last, ['1/0']);
+});
+
+test('results are given up in the region of their stage when the next one has used them', async () => {
+  const { released } = await run(answerDone);
+  assert.deepEqual(released, ['home p 0/0', 'home p 0/1']);
+});
+
+test('a failed stage gives up the results of those before it', async () => {
+  const failed: StageJobResult = { type: 'failed', reason: 'late', retryAfterMs: 5 };
+  const { outcome, released } = await run((job) => (job.stage === 0 ? answerDone(job) : failed));
+  assert.deepEqual(outcome, failed);
+  assert.deepEqual(released, ['home p 0/0', 'home p 0/1']);
+});
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -24,8 +24,8 @@
   readonly clock: Clock;
   readonly client: StageClient;
   readonly index: RouteIndex;
-  /** Region whose servers run the stages. */
-  readonly region: string;
+  /** Region whose servers run a stage. */
+  readonly regionOf: (stage: number) => string;
   /** Failure domain of the servers that are preferred between equals. */
   readonly failureDomain: string;
   /** Whether the request is expected to be late anyway and yields to those that can be on time. */
@@ -91,7 +91,8 @@
           }
           started.add(stage);
           const startedAtMs = this.ports.clock.monotonicMs();
-          this.ports.client.run(this.ports.region, this.createJob(spec, stage), this.abort.signal).then((result) => {
+          const region = this.ports.regionOf(stage);
+          this.ports.client.run(region, this.createJob(spec, stage), this.abort.signal).then((result) => {
             if (result.type === 'failed') {
               this.abort.abort();
               this.releaseAll();
@@ -139,6 +140,7 @@
       key: facts.pieceKey,
       inputs: spec.after.map((before) => ({
         pool: route.stages[before]?.pool ?? '',
+        region: this.ports.regionOf(before),
         resultBytes: route.stages[before]?.resultBytes ?? 0,
         results: this.results[before] ?? [],
       })),
@@ -154,14 +156,16 @@
       const used = followers.length > 0 && followers.every((index) => this.results[index] !== undefined);
       if (used && results !== undefined && !this.released.has(stage)) {
         this.released.add(stage);
-        this.ports.client.release(this.ports.region, pool, results);
+        this.ports.client.release(this.ports.regionOf(stage), pool, results);
       }
     });
   }
 
   private releaseAll(): void {
-    const { client, region } = this.ports;
-    this.request.route.stages.forEach(({ pool }, stage) => client.release(region, pool, this.results[stage] ?? []));
+    const { client, regionOf } = this.ports;
+    this.request.route.stages.forEach(({ pool }, stage) =>
+      client.release(regionOf(stage), pool, this.results[stage] ?? []),
+    );
   }
 
   private collect(): StageResults {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -143,7 +143,7 @@
   const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
   const stages = createStageClient({ clock, logger, hosts, links, local: owners });
-  owners.onInputsUsed((pool, results) => stages.spare(region, pool, results));
+  owners.onInputsUsed((input) => stages.spare(input.region, input.pool, input.results));
   const budgets = createRetryBudgets({
     clock,
     limits: () => base.liveSettings.current().retries,
