Give up late stage jobs of later ranks that starve; tell their callers to come back

Change: a late job of a later rank whose pieces were not sent is given up after 0.5 s in its stage while other jobs can be on time. Jobs of the first rank, and late ones behind nothing else, wait as before. Time of a call by server has a module.

New tests play a crest on five seeds: 95 of 100 refusals come within a quarter of the time that callers wait; with the old rule after 4.3 to 4.5 s of 4.5 s.

--- a/packages/decide/src/batches/_lib/queuedJob.ts
+++ b/packages/decide/src/batches/_lib/queuedJob.ts
@@ -6,6 +6,7 @@
 /** A job with the progress of its pieces. */
 export interface QueuedJob {
   readonly job: BatchJob;
+  readonly submittedAtMs: number;
   readonly pieces: PieceState[];
   /** Calls that each piece was part of. */
   readonly sends: number[];
@@ -18,8 +19,9 @@
 }
 
 /** Creates a job of which no piece was sent. */
-export const createQueuedJob = (job: BatchJob): QueuedJob => ({
+export const createQueuedJob = (job: BatchJob, submittedAtMs: number): QueuedJob => ({
   job,
+  submittedAtMs,
   pieces: new Array<PieceState>(job.pieceCount).fill('waiting'),
   sends: new Array<number>(job.pieceCount).fill(0),
 });
--- a/packages/decide/src/batches/_lib/rankJobs.test.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.test.ts
@@ -22,7 +22,7 @@
 
 const FACTS: RankFacts = { startMs: 0, callMs: 200, costMs: ({ job }) => job.pieceCount * 100 };
 
-const createJob = (changes: Partial<BatchJob>): QueuedJob => createQueuedJob({ ...JOB, ...changes });
+const createJob = (changes: Partial<BatchJob>): QueuedJob => createQueuedJob({ ...JOB, ...changes }, 0);
 const listIds = (entries: readonly QueuedJob[]): readonly string[] => entries.map(({ job }) => job.jobId);
 
 test('sends what can all be on time by due time', () => {
@@ -91,7 +91,7 @@
   let value = 0;
   for (let nowMs = 0; nowMs < 30_000; nowMs += CALL_MS) {
     for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
-      waiting.push({ entry: createQueuedJob(arrival.job), left: arrival.job.pieceCount });
+      waiting.push({ entry: createQueuedJob(arrival.job, arrival.atMs), left: arrival.job.pieceCount });
       next += 1;
     }
     const live = new Map(
@@ -159,7 +159,7 @@
   let next = 0;
   for (let nowMs = 0; nowMs < 30_000;) {
     for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
-      waiting.push({ entry: createQueuedJob(arrival.job), left: arrival.job.pieceCount });
+      waiting.push({ entry: createQueuedJob(arrival.job, arrival.atMs), left: arrival.job.pieceCount });
       next += 1;
     }
     const endMs = nowMs + CALL_MS * (0.8 + 0.5 * uniformFloat64(generator));
--- a/packages/decide/src/batches/createBatchQueue.test.ts
+++ b/packages/decide/src/batches/createBatchQueue.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { BatchSpec } from '@bergamotcove/config';
 import createBatchQueue, { type BatchQueue } from './createBatchQueue.js';
 import type { BatchJob, JobResult, PieceOutcome, PlannedCall } from './types.js';
@@ -263,3 +265,102 @@
     { seed: 1, numRuns: 300 },
   );
 });
+
+/** Keeps the only server busy and a job of the first rank waiting that can be on time. */
+const createBusyQueue = (): BatchQueue => {
+  const queue = createQueue(['s1']);
+  submit(queue, { jobId: 'running', pieceCount: 4 });
+  takeOnly(queue.advance(0).calls);
+  submit(queue, { jobId: 'first', pieceCount: 4, dueAtMs: 3_000 });
+  return queue;
+};
+
+const listEnded = (queue: BatchQueue, nowMs: number): readonly string[] =>
+  queue.advance(nowMs).ended.map(({ jobId }) => jobId);
+
+test('a late job of a later rank does not wait behind others until it expires', () => {
+  const queue = createBusyQueue();
+  submit(queue, { jobId: 'late', priority: 1, dueAtMs: 100 });
+  assert.deepEqual(listEnded(queue, 300), []);
+  assert.deepEqual(listEnded(queue, 550), ['late']);
+});
+
+test('a late job of the first rank, and one behind nothing that can be on time, wait', () => {
+  const queue = createBusyQueue();
+  submit(queue, { jobId: 'late', priority: 0, dueAtMs: 100 });
+  assert.deepEqual(listEnded(queue, 550), []);
+  const other = createQueue(['s1']);
+  submit(other, { jobId: 'running', pieceCount: 4 });
+  takeOnly(other.advance(0).calls);
+  submit(other, { jobId: 'late', priority: 1, dueAtMs: 100 });
+  assert.deepEqual(listEnded(other, 550), []);
+});
+
+/** Jobs of two ranks at 1.5 times the capacity of two servers for 6 s. */
+const createCrest = (seed: number): readonly { readonly atMs: number; readonly job: BatchJob }[] => {
+  const generator = xoroshiro128plus(seed);
+  const random = (): number => uniformFloat64(generator);
+  const arrivals: { atMs: number; job: BatchJob }[] = [];
+  for (let atMs = 0; atMs < 6_000; atMs += random() * 2 * (240 / 8 / 1.5) * 2) {
+    const isFirst = random() < 0.4;
+    const job = {
+      ...JOB,
+      jobId: String(arrivals.length),
+      resultBytes: 0,
+      priority: isFirst ? 0 : 1,
+      value: isFirst ? 5 : 1,
+      dueAtMs: atMs + 800,
+      expiresAtMs: atMs + 4_500,
+    };
+    arrivals.push({ atMs, job });
+  }
+  return arrivals;
+};
+
+/** Plays a crest; tells when each job ended, and whether it was done. */
+const playCrest = (arrivals: ReturnType<typeof createCrest>) => {
+  const queue = createQueue(['s1', 's2']);
+  const ends = new Map<string, { readonly atMs: number; readonly done: boolean }>();
+  const running: { readonly call: PlannedCall; readonly endAtMs: number }[] = [];
+  let next = 0;
+  for (let nowMs = 0; nowMs < 12_000; nowMs += 10) {
+    const note = (results: readonly JobResult[]): void =>
+      results.forEach(({ jobId, type }) => ends.set(jobId, { atMs: nowMs, done: type === 'done' }));
+    for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
+      if (queue.submit(arrival.job, nowMs).type === 'refused') {
+        ends.set(arrival.job.jobId, { atMs: nowMs, done: false });
+      }
+      next += 1;
+    }
+    running
+      .splice(0)
+      .forEach((one) => (one.endAtMs <= nowMs ? note(answer(queue, one.call, 'done', nowMs)) : running.push(one)));
+    const { ended, calls } = queue.advance(nowMs);
+    note(ended);
+    calls.forEach((call) => running.push({ call, endAtMs: nowMs + call.expectedMs }));
+  }
+  return ends;
+};
+
+[1, 2, 3, 5, 8].forEach((seed) => {
+  test(`at a crest the first rank is on time, and callers that are not served know it soon (seed ${seed})`, () => {
+    const arrivals = createCrest(seed);
+    const ends = playCrest(arrivals);
+    const first = arrivals.filter(({ job }) => job.priority === 0);
+    const onTime = first.filter(({ job }) => {
+      const end = ends.get(job.jobId);
+      return end?.done === true && end.atMs <= job.dueAtMs;
+    });
+    assert.ok(onTime.length >= first.length * 0.95, `${onTime.length} of ${first.length} of the first rank`);
+    const refusedAfterMs = arrivals
+      .flatMap(({ atMs, job }) => {
+        const end = ends.get(job.jobId);
+        return end === undefined || end.done ? [] : [end.atMs - atMs];
+      })
+      .sort((a, b) => a - b);
+    const late95Ms = refusedAfterMs[Math.floor(refusedAfterMs.length * 0.95)] ?? 0;
+    assert.ok(refusedAfterMs.length > 10, `${refusedAfterMs.length} refused`);
+    // A quarter of the 4.5 s in which the result is of use.
+    assert.ok(late95Ms <= 1_125, `95 of 100 know after ${late95Ms} ms`);
+  });
+});
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -12,6 +12,7 @@
   restServer,
   type ServerState,
 } from './_lib/createServerBook.js';
+import predictCallEnd from './_lib/predictCallEnd.js';
 import rankJobs, { type RankedJobs } from './_lib/rankJobs.js';
 import { createQueuedJob, isOpen, listPieces, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
 import { readOverdueMs, type RunningCall } from './_lib/runningCall.js';
@@ -58,6 +59,8 @@
 const MAX_SENDS = 4;
 /** Part of a predicted time that is taken for sure. */
 const SURE_SHARE = 0.5;
+/** A late job of a later rank is given up after this wait while other jobs can be on time. */
+const STARVED_MS = 500;
 /** Time for which a server that had no room for a result gets no pieces. */
 const FULL_ROOM_MS = 250;
 const MIN_RETRY_AFTER_MS = 100;
@@ -67,9 +70,6 @@
 const USUAL_FACTOR = 1.5;
 /** Jobs whose results take more than this part of a server's room are spread over servers and calls. */
 const LARGE_JOB_SHARE = 0.5;
-const BYTES_PER_MB = 1_000_000;
-/** Time that a result in another failure domain counts for, because the next server has to fetch it from there. */
-const FAR_RESULT_MS_PER_MB = 60;
 
 class Queue implements BatchQueue {
   private readonly jobs = new Map<string, QueuedJob>();
@@ -87,7 +87,7 @@
   }
 
   submit(job: BatchJob, nowMs: number): SubmitDecision {
-    const entry = createQueuedJob(job);
+    const entry = createQueuedJob(job, nowMs);
     const { onTime, late } = this.rank([...this.jobs.values(), entry], nowMs);
     if (this.servers.size > 0 && !onTime.includes(entry)) {
       const ahead = [...onTime, ...late.slice(0, late.indexOf(entry) + 1)];
@@ -179,15 +179,19 @@
     return late.map(({ job }) => this.end(job.jobId, 'late'));
   }
 
-  /** Ends jobs that were not begun and would be done too late behind what goes before them. */
+  /**
+   * Ends jobs that were not begun and would be done too late behind what goes before them. Late jobs of later ranks
+   * would mostly wait until they expire while others can be on time: their callers are told to come back.
+   */
   private giveUp({ onTime, late }: RankedJobs, nowMs: number): readonly JobResult[] {
     const ahead = [...onTime];
     return late.flatMap((entry) => {
       ahead.push(entry);
       const begun = entry.sends.some((sends) => sends > 0);
       const waitMs = this.predictMs(listPieces(ahead), nowMs) * SURE_SHARE;
-      const { jobId, expiresAtMs } = entry.job;
-      if (begun || nowMs + waitMs <= expiresAtMs || !this.jobs.has(jobId)) {
+      const { jobId, expiresAtMs, priority } = entry.job;
+      const starves = priority > 0 && onTime.length > 0 && nowMs - entry.submittedAtMs > STARVED_MS;
+      if (begun || (nowMs + waitMs <= expiresAtMs && !starves) || !this.jobs.has(jobId)) {
         return [];
       }
       ahead.pop();
@@ -259,17 +263,11 @@
     });
   }
 
-  /** The server that would finish the next batch first; far results count as time. */
+  /** The server that would finish the next batch first. */
   private pickServer(candidates: readonly ServerState[], waiting: readonly WaitingPiece[], nowMs: number): ServerState {
     const batch = waiting.slice(0, this.spec.maxPieces);
     const workMs = this.spec.callMs + this.workMs(batch);
-    const endMs = (state: ServerState): number => {
-      const far = batch.filter(({ job }) => job.failureDomain !== state.server.failureDomain);
-      const inputBytes = [...new Set(far.map(({ job }) => job))].reduce((sum, job) => sum + job.inputBytes, 0);
-      const farBytes = far.reduce((sum, { job }) => sum + job.resultBytes, inputBytes);
-      const startMs = Math.max(nowMs, ...state.calls.values());
-      return startMs + workMs * readSlowness(state, nowMs) + (farBytes / BYTES_PER_MB) * FAR_RESULT_MS_PER_MB;
-    };
+    const endMs = (state: ServerState): number => predictCallEnd(state, batch, workMs, nowMs);
     return candidates.reduce((best, state) => (endMs(state) < endMs(best) ? state : best));
   }
 
