Give up streams whose engines fall silent, and go on at another one

Cause: an engine that loses its power or its path sends nothing more and keeps its connection; a request there ended only at its deadline. Only broken connections were repeated.

The end of a request has a class of its own (RunAnswer).

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,10 +1,16 @@
 import type { Clock } from '@bergamotcove/clock';
-import { choosePool, decideRetry, type RetryDecision, type RouteIndex, type ServerView } from '@bergamotcove/decide';
+import {
+  choosePool,
+  decideRetry,
+  limitSilenceMs,
+  type RetryDecision,
+  type RouteIndex,
+  type ServerView,
+} from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
-import type { Refusal } from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { RequestFormat, StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
@@ -21,7 +27,9 @@
 import relayStream from './relayStream.js';
 import reportAttempt from './reportAttempt.js';
 import trackAttempt, { classifyEnd } from './trackAttempt.js';
-import Reservation from './Reservation.js';
+import watchSilence, { type SilenceWatch } from './watchSilence.js';
+import Reservation, { UNKNOWN_ANSWER_MS } from './Reservation.js';
+import RunAnswer from './RunAnswer.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
@@ -53,6 +61,8 @@
 const POISONED_RETRY_MS = 60_000;
 /** Time in which a server has fetched the results that an attempt names. */
 const FETCH_MS = 80;
+/** A stream that was begun goes on elsewhere after this pause; callers give up after two seconds or more. */
+const STREAM_SILENCE_MS = 1_500;
 /** Times that the stages of a request run, when results are lost with their servers. */
 const MAX_ROUNDS = 3;
 
@@ -70,12 +80,17 @@
 
   private readonly results: HeldResults;
 
+  private readonly answer: RunAnswer;
+
   private readonly pool: string;
 
   private readonly reservation: Reservation;
 
   private rounds = 0;
 
+  /** Time to the first token that the scheduler expects of the attempt. */
+  private expectedMs: number | undefined;
+
   private entered = false;
 
   /** Whether the attempt in flight has left this host and may run. */
@@ -83,8 +98,6 @@
 
   private lastEventId: string | undefined;
 
-  private ended = false;
-
   constructor(
     private readonly request: ForwardRequest,
     private readonly index: RouteIndex,
@@ -95,6 +108,10 @@
     this.work = estimateWork(request);
     this.fingerprint = formatFingerprint({ ...request, organisation: request.organisation?.name });
     this.results = new HeldResults(request, ports.stages);
+    this.answer = new RunAnswer(exchange, this.record, () => {
+      this.abort.abort();
+      this.results.release();
+    });
     this.pool = choosePool(request.route.pools, ports.random()) ?? '';
     this.reservation = new Reservation(request, this.pool, ports);
   }
@@ -103,7 +120,7 @@
   async execute(): Promise<ForwardEnd> {
     const { clock } = this.ports;
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
-    this.exchange.onGone(() => this.end('caller-gone', 0, 'caller-gone'));
+    this.exchange.onGone(() => this.answer.end('caller-gone', 0, 'caller-gone'));
     try {
       await this.serve();
     } finally {
@@ -120,7 +137,7 @@
   }
 
   private async serve(): Promise<void> {
-    while (!this.ended) {
+    while (!this.answer.ended) {
       // Each step depends on the one before.
       /* eslint-disable no-await-in-loop */
       if (!(await this.enter()) || !(await this.prepare())) {
@@ -132,7 +149,7 @@
       }
       const result = await this.attempt(server);
       /* eslint-enable no-await-in-loop */
-      if (result.type === 'delivered' || this.ended) {
+      if (result.type === 'delivered' || this.answer.ended) {
         return;
       }
       if (!this.goesOn(server, result)) {
@@ -149,11 +166,11 @@
     this.entered = true;
     const entry = await this.reservation.enter();
     if (entry.type === 'refused') {
-      this.refuse(503, 'overloaded', entry.retryAfterMs);
+      this.answer.refuse(503, 'overloaded', entry.retryAfterMs);
     } else {
       this.record.noteEntry(entry);
     }
-    return !this.ended;
+    return !this.answer.ended;
   }
 
   /** Runs the stages unless their results exist; false when the request ended with them. */
@@ -163,16 +180,12 @@
     }
     this.rounds += 1;
     const { clock, stages: client, failureDomain } = this.ports;
-    const regionOf = (stage: number): string => this.reservation.regionOf(stage);
     const options = { signal: this.abort.signal, round: this.rounds };
     const ports = {
       clock,
       client,
       index: this.index,
-      regionOf,
-      failureDomain: this.reservation.failureDomain ?? failureDomain,
-      yields: this.reservation.tier === 'late',
-      answerMs: this.reservation.answerMs,
+      ...this.reservation.describeStages(failureDomain),
       onStageEnded: (stage: number, elapsedMs: number) => {
         this.record.noteStage(stage, elapsedMs);
         this.reservation.endStage(stage);
@@ -181,41 +194,37 @@
     const outcome = await runStages(this.request, ports, options);
     this.record.noteStages();
     if (outcome.type === 'failed') {
-      const again = outcome.reason === 'input-gone' && this.rounds < MAX_ROUNDS && !this.ended;
+      const again = outcome.reason === 'input-gone' && this.rounds < MAX_ROUNDS && !this.answer.ended;
       if (!again) {
         this.refuseStages(outcome);
       }
       return again ? this.prepare() : false;
     }
-    this.results.keep(outcome.results, regionOf);
-    if (this.ended) {
+    this.results.keep(outcome.results, ports.regionOf);
+    if (this.answer.ended) {
       this.results.release();
     }
-    return !this.ended;
+    return !this.answer.ended;
   }
 
   private refuseStages(outcome: Extract<StagesOutcome, { type: 'failed' }>): void {
     const late = outcome.reason === 'late';
-    this.refuse(this.record.runs > 0 ? 502 : 503, late ? 'deadline-passed' : 'overloaded', outcome.retryAfterMs);
+    this.answer.fail(late ? 'deadline-passed' : 'overloaded', outcome.retryAfterMs);
   }
 
   /** Waits for a server with room; undefined when the request ended before. */
   private async place(): Promise<ServerView | undefined> {
-    const serverId = await this.reservation.place(this.results, this.avoidServers);
-    const placement = {
-      request: this.request,
-      pool: this.pool,
-      serverId,
-      avoidServers: this.avoidServers,
-      ...this.work,
-    };
-    const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => this.ended });
+    const { serverId, firstTokenMs } = await this.reservation.place(this.results, this.avoidServers);
+    this.expectedMs = firstTokenMs;
+    const { request, pool, avoidServers, work, ports } = this;
+    const placement = { request, pool, serverId, avoidServers, ...work };
+    const placed = await placeAttempt(placement, { ...ports, isCancelled: () => this.answer.ended });
     if (placed.type === 'placed') {
       this.record.notePlaced();
       return placed.server;
     }
     if (placed.type === 'no-server') {
-      this.refuse(this.record.runs > 0 ? 502 : 503, 'no-server', NO_SERVER_RETRY_MS);
+      this.answer.fail('no-server', NO_SERVER_RETRY_MS);
     }
     return undefined;
   }
@@ -224,11 +233,12 @@
     const { pools, format, clock, crashes } = this.ports;
     const { fingerprint } = this;
     if (crashes.isBlocked(fingerprint)) {
-      this.refuse(this.record.runs > 0 ? 502 : 503, 'poisoned', POISONED_RETRY_MS);
+      this.answer.fail('poisoned', POISONED_RETRY_MS);
       return { type: 'ended', end: { type: 'not-run' }, resultsGone: false };
     }
     this.record.noteSend(server.serverId);
     const endTracking = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
+    const silence = this.watchSilence();
     const opened = await openAttempt(pools.clientOf(server.pool), format, {
       target: server,
       requestId: this.request.requestId,
@@ -236,18 +246,34 @@
       path: this.request.path,
       headers: this.formatHeaders(server),
       body: this.request.body,
-      signal: this.abort.signal,
+      signal: AbortSignal.any([this.abort.signal, silence.signal]),
       onSending: () => {
         this.inFlight = true;
         clock.schedule(FETCH_MS, () => this.results.spare());
       },
-      maySend: () => !this.ended && clock.monotonicMs() < this.request.deadlineAtMs,
+      maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
-    const result = await this.readAttempt(server, opened);
+    const result = await this.readAttempt(server, opened, silence);
+    silence.close();
     this.inFlight = false;
-    this.reservation.noteAttempt(opened.type === 'failed' && !this.ended ? 'failed' : 'ended');
-    await endTracking(this.ended && opened.type === 'failed' ? 'abandoned' : classifyEnd(opened, result));
-    return result;
+    this.reservation.noteAttempt(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
+    await endTracking(
+      this.answer.ended && opened.type === 'failed' ? 'abandoned' : classifyEnd(opened, result, silence.broke),
+    );
+    return result.type === 'ended' && silence.broke ? { ...result, paid: true } : result;
+  }
+
+  /** Gives a stream up whose engine is silent when another one may run it. */
+  private watchSilence(): SilenceWatch {
+    const { clock, spendRetry } = this.ports;
+    const { route, deadlineAtMs } = this.request;
+    const { expectedMs = UNKNOWN_ANSWER_MS } = this;
+    const mayRepeat = route.kind === 'stream' && this.repeatable && this.record.runs + 1 < route.maxAttempts;
+    return watchSilence({
+      clock,
+      limitMs: mayRepeat ? limitSilenceMs(expectedMs) : undefined,
+      mayGiveUp: () => !this.answer.ended && clock.monotonicMs() + expectedMs < deadlineAtMs && spendRetry(this.pool),
+    });
   }
 
   private formatHeaders(server: ServerView): readonly string[] {
@@ -266,7 +292,7 @@
     );
   }
 
-  private async readAttempt(server: ServerView, opened: OpenedAttempt): Promise<AttemptResult> {
+  private async readAttempt(server: ServerView, opened: OpenedAttempt, silence: SilenceWatch): Promise<AttemptResult> {
     if (opened.type === 'failed') {
       const notRun = opened.failure.type === 'not-sent';
       this.record.noteRun(!notRun);
@@ -287,7 +313,7 @@
     this.record.noteFirstByte();
     this.reservation.noteFirstToken(facts.load?.slowness);
     if (this.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
-      return this.relay(opened);
+      return this.relay(opened, silence);
     }
     const body = await readAnswerBody(response);
     return body === undefined
@@ -295,25 +321,30 @@
       : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
   }
 
-  private async relay({ head, response }: Extract<OpenedAttempt, { type: 'head' }>): Promise<AttemptResult> {
+  private async relay(
+    { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
+    silence: SilenceWatch,
+  ): Promise<AttemptResult> {
     // The server fetched the results before it began to generate.
     this.results.release();
-    if (this.ended) {
+    if (this.answer.ended) {
       response.destroy();
       return { type: 'delivered' };
     }
     if (!this.exchange.begun) {
       this.exchange.begin(head);
     }
+    silence.heard(STREAM_SILENCE_MS);
     const end = await relayStream(response, this.exchange, {
       afterEventId: this.lastEventId,
       onEvents: (lastEventId) => {
+        silence.heard(STREAM_SILENCE_MS);
         this.lastEventId = lastEventId ?? this.lastEventId;
       },
     });
-    if (end.type === 'complete' && !this.ended) {
+    if (end.type === 'complete' && !this.answer.ended) {
       this.exchange.finish();
-      this.end('answered', head.status, 'streamed');
+      this.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
     }
     return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
@@ -333,7 +364,7 @@
       remainingMs,
       usualMs: pools.usualMs(this.pool),
     });
-    const allowed = wanted !== 'send-again' || spendRetry(this.pool);
+    const allowed = wanted !== 'send-again' || result.paid === true || spendRetry(this.pool);
     const withoutBudget: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
     const decision = allowed ? wanted : withoutBudget;
     reportAttempt(
@@ -353,45 +384,16 @@
         }
         return true;
       case 'pass-on':
-        this.deliver(result.answer as WholeAnswer);
+        this.answer.deliver(result.answer as WholeAnswer);
         return false;
       default:
-        this.refuse(this.record.runs > 0 ? 502 : 503, 'attempts-exhausted', NO_SERVER_RETRY_MS);
+        this.answer.fail('attempts-exhausted', NO_SERVER_RETRY_MS);
         return false;
     }
   }
 
-  private deliver({ head, body }: WholeAnswer): void {
-    if (this.exchange.begun) {
-      this.exchange.abort();
-      this.end('failed', head.status, 'stream-broken');
-      return;
-    }
-    this.exchange.begin(head);
-    this.exchange.finish(body);
-    this.end('answered', head.status, 'answered');
-  }
-
-  private refuse(status: number, reason: Refusal['reason'], retryAfterMs: number): void {
-    if (this.ended) {
-      return;
-    }
-    const { begun } = this.exchange;
-    this.exchange.refuse({ status, reason, ...(status === 503 ? { retryAfterMs } : {}) });
-    this.end(begun || status !== 503 ? 'failed' : 'refused', status, reason);
-  }
-
   private expire(): void {
     const mayRun = this.inFlight || this.record.runs > 0;
-    this.refuse(mayRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_MS);
-  }
-
-  private end(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
-    if (!this.ended) {
-      this.ended = true;
-      this.record.noteEnd(outcome, status, reason);
-      this.abort.abort();
-      this.results.release();
-    }
+    this.answer.refuse(mayRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_MS);
   }
 }
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -2,8 +2,9 @@
 import type { ForwardRequest } from './types.js';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { StageFormat } from '../ports.js';
-import type { GenerationRequest } from '../scheduling/messages.js';
+import type { GenerationRequest, PlaceAnswer } from '../scheduling/messages.js';
 import type { Entry, SchedulerClient } from '../scheduling/createSchedulerClient.js';
+import type { StagePorts } from '../stages/runStages.js';
 import type HeldResults from './HeldResults.js';
 
 /** Parts that a reservation needs. */
@@ -77,16 +78,26 @@
     return this.stageRegions[stage] ?? this.region;
   }
 
+  /** Where and how the stages run. */
+  describeStages(ownDomain: string): Pick<StagePorts, 'regionOf' | 'failureDomain' | 'yields' | 'answerMs'> {
+    return {
+      regionOf: (stage) => this.regionOf(stage),
+      failureDomain: this.failureDomain ?? ownDomain,
+      yields: this.tier === 'late',
+      answerMs: this.answerMs,
+    };
+  }
+
   endStage(stage: number): void {
     const { requestId } = this.request;
     this.ports.scheduler.note(this.region, { type: 'stage-ended', requestId, stage });
   }
 
-  /** Engine for the generation, or undefined when the scheduler names none. */
-  place(results: HeldResults, avoidServers: readonly string[]): Promise<string | undefined> {
+  /** Engine for the generation; none for other requests, or when the scheduler names none. */
+  place(results: HeldResults, avoidServers: readonly string[]): Promise<PlaceAnswer> {
     const generation = this.describeGeneration();
     if (generation === undefined) {
-      return Promise.resolve(undefined);
+      return Promise.resolve({});
     }
     const { requestId } = this.request;
     const resultBytes = this.countBytes(results);
--- /dev/null
+++ b/packages/gateway/src/requests/RunAnswer.ts
@@ -0,0 +1,51 @@
+import type CallerExchange from '../callers/CallerExchange.js';
+import type { Refusal } from '../callers/CallerExchange.js';
+import type RunRecord from './RunRecord.js';
+import type { ForwardEnd } from './RunRecord.js';
+import type { WholeAnswer } from './types.js';
+
+/** The end of one request: its caller gets one answer, and nothing goes on after it. */
+export default class RunAnswer {
+  ended = false;
+
+  constructor(
+    private readonly exchange: CallerExchange,
+    private readonly record: RunRecord,
+    /** Called when the request has ended. */
+    private readonly onEnded: () => void,
+  ) {}
+
+  /** Passes a whole answer of a server on. */
+  deliver({ head, body }: WholeAnswer): void {
+    if (this.exchange.begun) {
+      this.exchange.abort();
+      this.end('failed', head.status, 'stream-broken');
+      return;
+    }
+    this.exchange.begin(head);
+    this.exchange.finish(body);
+    this.end('answered', head.status, 'answered');
+  }
+
+  /** Ends a request that got no answer of a server; a request that may have run is not refused. */
+  fail(reason: Refusal['reason'], retryAfterMs: number): void {
+    this.refuse(this.record.runs > 0 ? 502 : 503, reason, retryAfterMs);
+  }
+
+  refuse(status: number, reason: Refusal['reason'], retryAfterMs: number): void {
+    if (this.ended) {
+      return;
+    }
+    const { begun } = this.exchange;
+    this.exchange.refuse({ status, reason, ...(status === 503 ? { retryAfterMs } : {}) });
+    this.end(begun || status !== 503 ? 'failed' : 'refused', status, reason);
+  }
+
+  end(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
+    if (!this.ended) {
+      this.ended = true;
+      this.record.noteEnd(outcome, status, reason);
+      this.onEnded();
+    }
+  }
+}
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -31,7 +31,10 @@
 }
 
 /** What the pool learns from an attempt that ran to its end. */
-export const classifyEnd = (opened: OpenedAttempt, result: AttemptResult): TrackedEnd => {
+export const classifyEnd = (opened: OpenedAttempt, result: AttemptResult, isSilent: boolean): TrackedEnd => {
+  if (isSilent) {
+    return 'failed';
+  }
   if (result.type === 'delivered' || result.end.type === 'answered') {
     return 'answered';
   }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -21,6 +21,8 @@
   readonly answer?: WholeAnswer;
   /** Whether stage results that the attempt needed do not exist any more. */
   readonly resultsGone: boolean;
+  /** Whether the room for a repetition has been taken. */
+  readonly paid?: boolean;
 }
 
 /** What an attempt came to. */
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -212,7 +212,7 @@
       return {};
     }
     book.place(need, choice, nowMs);
-    return { serverId: choice.serverId };
+    return { serverId: choice.serverId, firstTokenMs: choice.firstTokenMs };
   }
 
   note(note: RequestNote): void {
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -38,8 +38,8 @@
 export interface SchedulerClient {
   /** Without an answer in time the request begins in the own region. */
   enter(request: Omit<EnterRequest, 'visiting'>): Promise<Entry>;
-  /** Id of the engine, or undefined when the scheduler does not answer or knows none. */
-  place(region: string, request: PlaceRequest): Promise<string | undefined>;
+  /** Names no engine when the scheduler does not answer or knows none. */
+  place(region: string, request: PlaceRequest): Promise<PlaceAnswer>;
   note(region: string, note: RequestNote): void;
   reportPool(report: PoolReport): void;
 }
@@ -87,17 +87,16 @@
     return this.keep(request, Client.toEntry(far, far === undefined ? region : answer.region));
   }
 
-  async place(region: string, request: PlaceRequest): Promise<string | undefined> {
+  async place(region: string, request: PlaceRequest): Promise<PlaceAnswer> {
     const owner = this.findOwner(region);
     if (owner === undefined) {
-      return undefined;
+      return {};
     }
     if (this.isLocal(owner)) {
-      return this.options.local.place(request).serverId;
+      return this.options.local.place(request);
     }
     const limitMs = region === this.options.region ? ANSWER_LIMIT_MS : FAR_ANSWER_LIMIT_MS;
-    const answer = await this.ask(owner, PLACE, request, limitMs);
-    return (answer as PlaceAnswer | undefined)?.serverId;
+    return ((await this.ask(owner, PLACE, request, limitMs)) as PlaceAnswer | undefined) ?? {};
   }
 
   note(region: string, note: RequestNote): void {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -75,6 +75,8 @@
 export interface PlaceAnswer {
   /** Undefined when the region has no engine. */
   readonly serverId?: string;
+  /** Expected time to the first token. */
+  readonly firstTokenMs?: number;
 }
 
 /** What became of a request. */
