--- a/packages/decide/src/scheduling/decideEntry.test.ts
+++ b/packages/decide/src/scheduling/decideEntry.test.ts
@@ -105,7 +105,7 @@
   const ledger = createWorkLedger('r', () => POOL);
   const types = Array.from({ length: 60 }, (_, index) => {
     const need = { ...NEED, requestId: String(index) };
-    const home = { region: 'r', findPool: () => POOL, loadMs: ledger.loadMs };
+    const home = { region: 'r', findPool: () => POOL, loadMs: (pool: string, min: number) => ledger.loadMs(pool, min) };
     const decision = decideEntry(need, { ...outlookWith(() => 0), home });
     if (decision.type !== 'refused') {
       ledger.add(need);
