--- a/packages/decide/src/batches/createBatchQueue.test.ts
+++ b/packages/decide/src/batches/createBatchQueue.test.ts
@@ -276,13 +276,13 @@
 };
 
 const listEnded = (queue: BatchQueue, nowMs: number): readonly string[] =>
-  queue.advance(nowMs).ended.map(({ jobId }) => jobId);
+  queue.advance(nowMs).ended.map((result) => `${result.jobId} ${result.type === 'failed' ? result.reason : 'done'}`);
 
 test('a late job of a later rank does not wait behind others until it expires', () => {
   const queue = createBusyQueue();
   submit(queue, { jobId: 'late', priority: 1, dueAtMs: 100 });
   assert.deepEqual(listEnded(queue, 300), []);
-  assert.deepEqual(listEnded(queue, 550), ['late']);
+  assert.deepEqual(listEnded(queue, 550), ['late overtaken']);
 });
 
 test('a late job of the first rank, and one behind nothing that can be on time, wait', () => {
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -195,7 +195,7 @@
         return [];
       }
       ahead.pop();
-      return [this.end(jobId, 'late')];
+      return [this.end(jobId, starves ? 'overtaken' : 'late')];
     });
   }
 
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -76,7 +76,12 @@
   | { readonly jobId: string; readonly type: 'failed'; readonly reason: JobFailure };
 
 /** Why a job failed. */
-export type JobFailure = 'late' | 'input-gone' | 'failed';
+export type JobFailure =
+  | 'late'
+  /** It was late and waited behind jobs that go first. */
+  | 'overtaken'
+  | 'input-gone'
+  | 'failed';
 
 /** Answer to a new job. */
 export type SubmitDecision =
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -13,6 +13,7 @@
   | 'stopping'
   | 'no-server'
   | 'deadline-passed'
+  | 'overtaken'
   | 'poisoned'
   | 'attempts-exhausted'
   | 'timed-out';
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -19,7 +19,7 @@
 import openAttempt, { type OpenedAttempt } from '../servers/openAttempt.js';
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type { StageClient } from '../stages/createStageClient.js';
-import runStages, { type StagesOutcome } from '../stages/runStages.js';
+import runStages from '../stages/runStages.js';
 import { formatFingerprint, type CrashGuard } from './createCrashGuard.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
@@ -196,7 +196,7 @@
     if (outcome.type === 'failed') {
       const again = outcome.reason === 'input-gone' && this.rounds < MAX_ROUNDS && !this.answer.ended;
       if (!again) {
-        this.refuseStages(outcome);
+        this.answer.failStages(outcome);
       }
       return again ? this.prepare() : false;
     }
@@ -207,11 +207,6 @@
     return !this.answer.ended;
   }
 
-  private refuseStages(outcome: Extract<StagesOutcome, { type: 'failed' }>): void {
-    const late = outcome.reason === 'late';
-    this.answer.fail(late ? 'deadline-passed' : 'overloaded', outcome.retryAfterMs);
-  }
-
   /** Waits for a server with room; undefined when the request ended before. */
   private async place(): Promise<ServerView | undefined> {
     const { serverId, firstTokenMs } = await this.reservation.place(this.results, this.avoidServers);
--- a/packages/gateway/src/requests/RunAnswer.ts
+++ b/packages/gateway/src/requests/RunAnswer.ts
@@ -1,9 +1,16 @@
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
+import type { StagesOutcome } from '../stages/runStages.js';
 import type RunRecord from './RunRecord.js';
 import type { ForwardEnd } from './RunRecord.js';
 import type { WholeAnswer } from './types.js';
 
+/** Reasons for failures of stages that do not come from servers without room. */
+const REASON_OF_STAGES: Readonly<Partial<Record<string, Refusal['reason']>>> = {
+  late: 'deadline-passed',
+  overtaken: 'overtaken',
+};
+
 /** The end of one request: its caller gets one answer, and nothing goes on after it. */
 export default class RunAnswer {
   ended = false;
@@ -32,6 +39,11 @@
     this.refuse(this.record.runs > 0 ? 502 : 503, reason, retryAfterMs);
   }
 
+  /** Ends a request whose stages failed. */
+  failStages({ reason, retryAfterMs }: Extract<StagesOutcome, { type: 'failed' }>): void {
+    this.fail(REASON_OF_STAGES[reason] ?? 'overloaded', retryAfterMs);
+  }
+
   refuse(status: number, reason: Refusal['reason'], retryAfterMs: number): void {
     if (this.ended) {
       return;
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -1,3 +1,5 @@
+import type { JobFailure } from '@bergamotcove/decide';
+
 /** Method that hands the pieces of one stage of one request to the owner of its pool. */
 export const RUN_STAGE = 'stage.run';
 /** Method that takes a job back. */
@@ -50,7 +52,7 @@
   | {
       readonly type: 'failed';
       /** `moved`: nothing was sent, and another host owns the pool now. */
-      readonly reason: 'refused' | 'late' | 'input-gone' | 'failed' | 'moved';
+      readonly reason: JobFailure | 'refused' | 'moved';
       /** When a repeated request is expected to be served. */
       readonly retryAfterMs: number;
     };
