--- a/packages/gateway/src/requests/HeldResults.ts
+++ b/packages/gateway/src/requests/HeldResults.ts
@@ -1,5 +1,6 @@
 import type { StageClient } from '../stages/createStageClient.js';
 import type { StageResults } from '../stages/runStages.js';
+import type { SizedResults } from '../stages/sumBytesByDomain.js';
 import type { ForwardRequest } from './types.js';
 
 /** Results of the stages of one request, which take up room at their servers until they are given up. */
@@ -31,11 +32,11 @@
   }
 
   /** Results of the last stages with the usual size of each. */
-  listLast(): readonly { readonly result: string; readonly resultBytes: number }[] {
+  listLast(): readonly SizedResults[] {
     const { stages } = this.request.route;
     const followed = new Set(stages.flatMap(({ after }) => after));
     return stages.flatMap(({ resultBytes }, stage) =>
-      followed.has(stage) ? [] : (this.results?.byStage[stage] ?? []).map((result) => ({ result, resultBytes })),
+      followed.has(stage) ? [] : [{ results: this.results?.byStage[stage] ?? [], resultBytes }],
     );
   }
 
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -5,6 +5,7 @@
 import type { GenerationRequest, PlaceAnswer } from '../scheduling/messages.js';
 import type { Entry, SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { StagePorts } from '../stages/runStages.js';
+import sumBytesByDomain from '../stages/sumBytesByDomain.js';
 import type HeldResults from './HeldResults.js';
 
 /** Parts that a reservation needs. */
@@ -100,7 +101,9 @@
       return Promise.resolve({});
     }
     const { requestId } = this.request;
-    const resultBytes = this.countBytes(results);
+    const { directory, stageFormat } = this.ports;
+    const findDomain = (result: string) => directory.findAt(stageFormat.readMaker(result))?.failureDomain;
+    const resultBytes = Object.fromEntries(sumBytesByDomain(results.listLast(), findDomain));
     return this.ports.scheduler.place(this.region, { ...generation, requestId, resultBytes, avoidServers });
   }
 
@@ -133,15 +136,4 @@
       ? undefined
       : { pool: this.pool, parts: generation.parts, promptTokens: generation.promptTokens };
   }
-
-  private countBytes(results: HeldResults): Readonly<Record<string, number>> {
-    const bytes: Record<string, number> = {};
-    results.listLast().forEach(({ result, resultBytes }) => {
-      const maker = this.ports.directory.findAt(this.ports.stageFormat.readMaker(result));
-      if (maker !== undefined) {
-        bytes[maker.failureDomain] = (bytes[maker.failureDomain] ?? 0) + resultBytes;
-      }
-    });
-    return bytes;
-  }
 }
--- a/packages/gateway/src/scheduling/createRegionLoads.test.ts
+++ b/packages/gateway/src/scheduling/createRegionLoads.test.ts
@@ -3,18 +3,9 @@
 import { createManualClock } from '@bergamotcove/clock';
 import { createWorkLedger, type WorkLedger } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import SAMPLE_BATCH from '../testing/sampleBatch.js';
 import createRegionLoads from './createRegionLoads.js';
 
-const SPEC = {
-  parallelCalls: 1,
-  queuedCalls: 1,
-  maxPieces: 4,
-  callMs: 200,
-  pieceMs: 25,
-  roomBytes: 1e9,
-  keepResultMs: 4_000,
-};
-
 /** A region `a` with two servers of the pool beside a region `b` with one. */
 const createWorld = (region = 'a') => {
   const clock = createManualClock();
@@ -24,7 +15,7 @@
     clock,
     directory: { list: (pool: string) => (pool === 'p' ? servers : []) } as unknown as BackendDirectory,
     region,
-    findSpec: () => SPEC,
+    findSpec: () => SAMPLE_BATCH,
     ledger: () => ledger as WorkLedger,
   });
   ledger = createWorkLedger(region, (pool, of) => loads.findPool(pool, of));
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -1,20 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
+import SAMPLE_BATCH from '../testing/sampleBatch.js';
 import createRegionScheduler, { type RegionSchedulerOptions } from './createRegionScheduler.js';
 import createTestPeer from '../testing/createTestPeer.js';
 import { ENTER, NOTE, type EnterAnswer, type EnterRequest } from './messages.js';
 
-const BATCH = {
-  parallelCalls: 1,
-  queuedCalls: 1,
-  maxPieces: 4,
-  callMs: 200,
-  pieceMs: 25,
-  roomBytes: 1e9,
-  keepResultMs: 4_000,
-};
-
 /** A region with one stage server. */
 const createWorld = () => {
   const server = { serverId: 's', pool: 'p', region: 'r', failureDomain: 'd', state: 'live', startedAtMs: 0 };
@@ -23,7 +14,7 @@
     logger: { event: () => undefined },
     links: {},
     directory: { list: () => [server], onChange: () => undefined },
-    tables: { current: () => ({ pools: new Map([['p', { batch: BATCH }]]) }) },
+    tables: { current: () => ({ pools: new Map([['p', { batch: SAMPLE_BATCH }]]) }) },
     region: 'r',
   } as unknown as RegionSchedulerOptions;
   return createRegionScheduler(options);
--- a/packages/gateway/src/stages/locateInputs.ts
+++ b/packages/gateway/src/stages/locateInputs.ts
@@ -1,5 +1,6 @@
 import type { BatchJob } from '@bergamotcove/decide';
 import type { StageJob } from './messages.js';
+import sumBytesByDomain from './sumBytesByDomain.js';
 
 /**
  * Finds the failure domain that holds most of the inputs of a job; without inputs it is the one that the job prefers.
@@ -12,13 +13,7 @@
   { inputs, failureDomain }: Pick<StageJob, 'inputs' | 'failureDomain'>,
   findDomain: (result: string) => string | undefined,
 ): Pick<BatchJob, 'failureDomain' | 'inputBytes'> {
-  const byDomain = new Map<string, number>();
-  inputs.forEach(({ results, resultBytes }) =>
-    results.forEach((result) => {
-      const domain = findDomain(result) ?? failureDomain;
-      byDomain.set(domain, (byDomain.get(domain) ?? 0) + resultBytes);
-    }),
-  );
+  const byDomain = sumBytesByDomain(inputs, (result) => findDomain(result) ?? failureDomain);
   const [nearest] = [...byDomain].sort(([, a], [, b]) => b - a);
   return { failureDomain: nearest?.[0] ?? failureDomain, inputBytes: nearest?.[1] ?? 0 };
 }
