Limit the time for the body of a request

Cause: a body that trickles or stops was waited for without a limit, past the deadline of its caller and the time-out of its route: both counted only from the moment when the body was whole.

Change: a body may pause for the idle time of the route table, and has to be whole before the deadline and the time-out. Reason in logs and in bergamotctl explain: body-too-slow.

--- a/packages/ctl/src/format/explainRequest.ts
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -39,6 +39,7 @@
   ['no-route-table', 'the host knew no route table yet'],
   ['bad-request', 'it had no request id'],
   ['body-too-large', 'its body is larger than the limit'],
+  ['body-too-slow', 'its body stopped coming, or was not whole before its deadline'],
   ['headers-too-large', 'its headers are larger than the limit'],
 ]);
 
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -8,6 +8,7 @@
   | 'unknown-key'
   | 'bad-request'
   | 'body-too-large'
+  | 'body-too-slow'
   | 'headers-too-large'
   | 'overloaded'
   | 'stopping'
--- /dev/null
+++ b/packages/gateway/src/callers/readCallerBody.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotcove/clock';
+import readCallerBody, { type CallerBody } from './readCallerBody.js';
+
+/** A request whose body comes as the test writes it. */
+const createWorld = () => {
+  const clock = createManualClock();
+  const body = new PassThrough();
+  const request = Object.assign(body, { headers: {} }) as unknown as IncomingMessage;
+  let ended: CallerBody | undefined;
+  readCallerBody(request, { clock, maxBytes: 10, idleMs: 1_000, totalMs: 3_000 }).then((result) => {
+    ended = result;
+  });
+  const settle = async (): Promise<CallerBody | undefined> => {
+    await new Promise(setImmediate);
+    return ended;
+  };
+  return { clock, body, settle };
+};
+
+test('reads a body that comes in parts', async () => {
+  const { clock, body, settle } = createWorld();
+  body.write('abc');
+  assert.equal(await settle(), undefined);
+  clock.advance(900);
+  body.end('def');
+  await settle();
+  const read = await settle();
+  assert.equal(read?.type === 'whole' && read.body.toString(), 'abcdef');
+});
+
+test('gives a body up that stops coming', async () => {
+  const { clock, body, settle } = createWorld();
+  body.write('abc');
+  await settle();
+  clock.advance(1_100);
+  assert.deepEqual(await settle(), { type: 'too-slow' });
+});
+
+test('gives a body up that trickles until its deadline', async () => {
+  const { clock, body, settle } = createWorld();
+  for (let parts = 0; parts < 4; parts += 1) {
+    body.write('a');
+    await settle();
+    clock.advance(800);
+  }
+  assert.deepEqual(await settle(), { type: 'too-slow' });
+});
+
+test('gives a body up that is too large, and says when its caller broke off', async () => {
+  const large = createWorld();
+  large.body.write('0123456789a');
+  assert.deepEqual(await large.settle(), { type: 'too-large' });
+  const broken = createWorld();
+  broken.body.destroy();
+  await broken.settle();
+  assert.deepEqual(await broken.settle(), { type: 'broken' });
+});
--- a/packages/gateway/src/callers/readCallerBody.ts
+++ b/packages/gateway/src/callers/readCallerBody.ts
@@ -1,37 +1,70 @@
 import type { IncomingMessage } from 'node:http';
+import type { Clock, Timer } from '@bergamotcove/clock';
 
 /** What became of the body of a request. */
 export type CallerBody =
   | { readonly type: 'whole'; readonly body: Buffer }
   | { readonly type: 'too-large' }
+  /** It stopped coming, or was not whole in time. */
+  | { readonly type: 'too-slow' }
   /** The caller went away or broke off. */
   | { readonly type: 'broken' };
 
+/** Limits of {@link readCallerBody}. */
+export interface CallerBodyLimits {
+  readonly clock: Clock;
+  readonly maxBytes: number;
+  /** Longest pause between two parts. */
+  readonly idleMs: number;
+  /** Time for the whole body. */
+  readonly totalMs: number;
+}
+
 /**
  * Reads the body of a caller's request.
  *
  * @param request - request
- * @param maxBytes - limit
+ * @param limits - size and time
  * @returns the body
  */
-export default function readCallerBody(request: IncomingMessage, maxBytes: number): Promise<CallerBody> {
+export default function readCallerBody(
+  request: IncomingMessage,
+  { clock, maxBytes, idleMs, totalMs }: CallerBodyLimits,
+): Promise<CallerBody> {
   if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
     return Promise.resolve({ type: 'too-large' });
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
+    let idle: Timer | undefined;
+    let total: Timer | undefined;
+    const settle = (body: CallerBody): void => {
+      idle?.close();
+      total?.close();
+      resolve(body);
+    };
+    const giveUp = (type: 'too-large' | 'too-slow'): void => {
+      request.pause();
+      settle({ type });
+    };
+    const expectMore = (): void => {
+      idle?.close();
+      idle = clock.schedule(idleMs, () => giveUp('too-slow'));
+    };
+    total = clock.schedule(Math.max(0, totalMs), () => giveUp('too-slow'));
+    expectMore();
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
       if (sizeBytes > maxBytes) {
-        request.pause();
-        resolve({ type: 'too-large' });
+        giveUp('too-large');
         return;
       }
       chunks.push(chunk);
+      expectMore();
     });
-    request.on('end', () => resolve({ type: 'whole', body: Buffer.concat(chunks) }));
-    request.on('error', () => resolve({ type: 'broken' }));
-    request.on('close', () => resolve({ type: 'broken' }));
+    request.on('end', () => settle({ type: 'whole', body: Buffer.concat(chunks) }));
+    request.on('error', () => settle({ type: 'broken' }));
+    request.on('close', () => settle({ type: 'broken' }));
   });
 }
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -68,6 +68,10 @@
   return { type: 'matched', route, organisation };
 };
 
+/** Time after which the caller does not wait any more, or the operator wants none to wait. */
+const findDeadline = ({ arrivedAtMs }: CallerExchange, { deadlineMs = Infinity }: RequestFacts, route: Route): number =>
+  arrivedAtMs + Math.min(deadlineMs, route.timeoutMs);
+
 class Handler {
   private readonly withheld: ReadonlySet<string>;
 
@@ -90,11 +94,24 @@
       this.reject(exchange, facts, matched.refusal);
       return;
     }
-    const read = await readCallerBody(exchange.request, index.table.limits.maxBodyBytes);
+    const { clock } = this.options;
+    const { maxBodyBytes, idleTimeoutMs } = index.table.limits;
+    const deadlineAtMs = findDeadline(exchange, facts, matched.route);
+    const totalMs = deadlineAtMs - clock.monotonicMs();
+    const read = await readCallerBody(exchange.request, {
+      clock,
+      maxBytes: maxBodyBytes,
+      idleMs: idleTimeoutMs,
+      totalMs,
+    });
     if (read.type === 'too-large') {
       this.reject(exchange, facts, { status: 413, reason: 'body-too-large' });
       return;
     }
+    if (read.type === 'too-slow') {
+      this.reject(exchange, facts, { status: 408, reason: 'body-too-slow' });
+      return;
+    }
     if (read.type === 'broken' || exchange.closed) {
       return;
     }
@@ -127,7 +144,7 @@
         meanSizeTokens: this.sizes.note(route.name, sizeTokens),
       }),
       arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
+      deadlineAtMs: findDeadline(exchange, facts, route),
       version: index.table.version,
     };
     const drain = this.options.drain();
