Collect changes in few answers of the store's watch

Change: a watch makes at most three calls at once and two a second; a change after a quiet time is still told at once (test; 506 calls in its first second before).

--- a/packages/backends/src/store/pollStore.test.ts
+++ b/packages/backends/src/store/pollStore.test.ts
@@ -70,3 +70,40 @@
   );
   client.close();
 });
+
+test('changes in a row come in few answers, and one after a quiet time at once', async () => {
+  const client = createHttpClient();
+  let changeAtMs = 0;
+  let revision = 5;
+  const calls: number[] = [];
+  const answer = (response: http.ServerResponse): void => {
+    revision += 1;
+    changeAtMs = Date.now();
+    const events = [{ type: 'delete', key: 'a', revision: String(revision) }];
+    response.end(JSON.stringify({ events, revision: String(revision) }));
+  };
+  await withStore(
+    (_, response) => {
+      calls.push(Date.now());
+      // The fleet is quiet for two seconds after a first second of changes.
+      const isQuiet = Date.now() - (calls[0] as number) > 1_000;
+      setTimeout(() => answer(response), isQuiet ? 2_000 : 0);
+    },
+    async (port) => {
+      const latenessMs: number[] = [];
+      const subscription = watch(port, client).subscribe(({ type }) => {
+        if (type === 'delete') {
+          latenessMs.push(Date.now() - changeAtMs);
+        }
+      });
+      await new Promise((resolve) => {
+        setTimeout(resolve, 4_000);
+      });
+      subscription.unsubscribe();
+      const early = calls.filter((atMs) => atMs - (calls[0] as number) <= 1_000).length;
+      assert.ok(early >= 3 && early <= 6, `${early} calls in the first second`);
+      assert.ok(latenessMs.length >= 5 && Math.max(...latenessMs) < 250, `late by ${latenessMs.join(', ')} ms`);
+    },
+  );
+  client.close();
+});
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -1,4 +1,7 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { Observable } from 'rxjs';
+import { createSystemClock } from '@bergamotcove/clock';
+import { reserveFromBucket, type Bucket } from '@bergamotcove/decide';
 import { readBody, type HttpClient, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
 import type { StoreCall, WatchOptions } from './dialect.js';
@@ -22,6 +25,12 @@
 /** Time for an answer to arrive after the store had to send it; then the connection counts as silent. */
 const ANSWER_LIMIT_MS = 700;
 
+/**
+ * Rate of calls with events. All hosts watch the same keys, so that the calls of a fleet that starts would otherwise
+ * grow with its square; later changes are collected in one answer.
+ */
+const CALL_RATE = { ratePerSecond: 2, capacity: 3 };
+
 /** Answers hold a few values of up to a megabyte. */
 const MAX_ANSWER_BYTES = 8 * 1_048_576;
 
@@ -36,7 +45,8 @@
 };
 
 /**
- * Watches a store by calls that it holds until there are events.
+ * Watches a store by calls that it holds until there are events. A change after a quiet time is told at once, several
+ * in a row in at most two answers a second.
  *
  * @param http - HTTP client
  * @param target - address of the store
@@ -44,6 +54,7 @@
  * @returns the changes, and the revision that each answer reaches; ends with BackendError when a call fails
  */
 export default function pollStore(http: HttpClient, target: Target, options: PollOptions): Observable<WatchEvent> {
+  const clock = createSystemClock();
   return new Observable((subscriber) => {
     let abort = new AbortController();
     let closed = false;
@@ -51,9 +62,14 @@
       let revision = String(Number(options.fromRevision) - 1);
       // The first call does not wait, so that a store that does not answer is noticed at once.
       let waitMs = 0;
+      let bucket: Bucket | undefined;
       while (!closed) {
         const current = new AbortController();
         abort = current;
+        const reservation = reserveFromBucket(bucket, CALL_RATE, { amount: 1, nowMs: clock.monotonicMs() });
+        bucket = reservation.bucket;
+        // eslint-disable-next-line no-await-in-loop
+        await delay(reservation.waitMs, undefined, { signal: current.signal });
         const limit = setTimeout(() => current.abort(), waitMs + ANSWER_LIMIT_MS);
         try {
           // Each call begins where the one before ended.
