--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -14,6 +14,7 @@
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { PieceAnswer, StageFormat } from '../ports.js';
 import callStageServer from './callStageServer.js';
+import createResultBook from './createResultBook.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import locateInputs from './locateInputs.js';
 import type { StageInput, StageJob, StageJobResult } from './messages.js';
@@ -59,14 +60,6 @@
   readonly resolve: (result: StageJobResult) => void;
 }
 
-/** Where a result lies and how much room it takes. */
-interface HeldResult {
-  readonly serverId: string;
-  readonly resultBytes: number;
-  readonly expiresAtMs: number;
-  spare: boolean;
-}
-
 const STATUS_MISDIRECTED = 421;
 /** A call that takes this many times as long as expected is given up; its pieces were queued again long before. */
 const GIVE_UP_FACTOR = 8;
@@ -85,7 +78,7 @@
 
   private readonly jobs = new Map<string, OpenJob>();
 
-  private readonly held = new Map<string, HeldResult>();
+  private readonly held = createResultBook();
 
   private timer: Timer | undefined;
 
@@ -164,8 +157,7 @@
   release(results: readonly string[]): void {
     const byServer = new Map<string, string[]>();
     results.forEach((result) => {
-      const held = this.held.get(result);
-      this.held.delete(result);
+      const held = this.held.take(result);
       if (held !== undefined) {
         this.queue.release(held.serverId, held.resultBytes);
       }
@@ -183,9 +175,8 @@
 
   spare(results: readonly string[]): void {
     results.forEach((result) => {
-      const held = this.held.get(result);
-      if (held !== undefined && !held.spare) {
-        held.spare = true;
+      const held = this.held.spare(result);
+      if (held !== undefined) {
         this.queue.spare(held.serverId, held.resultBytes);
       }
     });
@@ -315,32 +306,19 @@
       }
       const open = this.jobs.get(jobId);
       const resultBytes = open?.job.resultBytes ?? 0;
-      this.held.set(answer.result, {
-        serverId,
-        resultBytes,
-        expiresAtMs: nowMs + this.options.spec.keepResultMs,
-        spare: false,
-      });
+      const expiresAtMs = nowMs + this.options.spec.keepResultMs;
+      this.held.add(answer.result, { serverId, resultBytes, expiresAtMs }, nowMs);
       if (open === undefined || open.results[piece] !== undefined) {
         unused.push(answer.result);
       } else {
         open.results[piece] = answer.result;
       }
     });
-    this.forgetExpired(nowMs);
     if (unused.length > 0) {
       this.options.clock.schedule(0, () => this.release(unused));
     }
   }
 
-  private forgetExpired(nowMs: number): void {
-    this.held.forEach(({ expiresAtMs }, result) => {
-      if (expiresAtMs <= nowMs) {
-        this.held.delete(result);
-      }
-    });
-  }
-
   private finish(call: PlannedCall, outcome: CallOutcome): void {
     reportOutcome({ pool: this.options.pool, call, outcome }, this.options);
     const nowMs = this.options.clock.monotonicMs();
@@ -374,14 +352,9 @@
 
   /** Frees the room of all spare results at a server before a call that needs it. */
   private async giveUpSpare(serverId: string): Promise<void> {
-    const results = [...this.held].flatMap(([result, held]) =>
-      held.spare && held.serverId === serverId ? [result] : [],
-    );
-    results.forEach((result) => {
-      this.queue.release(serverId, this.held.get(result)?.resultBytes ?? 0);
-      this.held.delete(result);
-    });
-    await this.releaser.send(serverId, results);
+    const spare = this.held.takeSpare(serverId);
+    spare.forEach(({ resultBytes }) => this.queue.release(serverId, resultBytes));
+    await this.releaser.send(serverId, [...spare.keys()]);
   }
 }
 
