Play both loads of rankJobs with one line and one call

The two plays of the test took arrived jobs and the pieces of a call in loops of their own. The figures played are the same, and so are the assertions.

--- a/packages/decide/src/batches/_lib/rankJobs.test.ts
+++ b/packages/decide/src/batches/_lib/rankJobs.test.ts
@@ -84,28 +84,49 @@
 
 type Order = (entries: readonly QueuedJob[], nowMs: number) => readonly QueuedJob[];
 
+interface WaitingJob {
+  readonly entry: QueuedJob;
+  left: number;
+}
+
+/** Jobs that have arrived by now, without the first ones that were taken before. */
+const listArrived = (arrivals: readonly Arrival[], taken: number, nowMs: number): readonly WaitingJob[] =>
+  arrivals
+    .slice(taken)
+    .filter(({ atMs }) => atMs <= nowMs)
+    .map(({ job, atMs }) => ({ entry: createQueuedJob(job, atMs), left: job.pieceCount }));
+
+/** Takes the pieces of one call out of the line; returns the jobs that are done with it. */
+const takeCall = (waiting: readonly WaitingJob[], order: Order, nowMs: number): readonly QueuedJob[] => {
+  const byEntry = new Map(waiting.map((one) => [one.entry, one] as const));
+  const done: QueuedJob[] = [];
+  let room = PIECES;
+  order([...byEntry.keys()], nowMs).forEach((entry) => {
+    const one = byEntry.get(entry) as WaitingJob;
+    const taken = Math.min(room, one.left);
+    room -= taken;
+    one.left -= taken;
+    if (taken > 0 && one.left === 0) {
+      done.push(entry);
+    }
+  });
+  return done;
+};
+
 /** Value of the jobs that one server, working without a break, ends by their due time. */
 const play = (arrivals: readonly Arrival[], order: Order): number => {
-  let waiting: { readonly entry: QueuedJob; left: number }[] = [];
+  let waiting: WaitingJob[] = [];
   let next = 0;
   let value = 0;
   for (let nowMs = 0; nowMs < 30_000; nowMs += CALL_MS) {
-    for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
-      waiting.push({ entry: createQueuedJob(arrival.job, arrival.atMs), left: arrival.job.pieceCount });
-      next += 1;
-    }
-    const live = new Map(
-      waiting.filter(({ entry }) => entry.job.expiresAtMs > nowMs).map((one) => [one.entry, one] as const),
-    );
-    let room = PIECES;
-    for (const entry of order([...live.keys()], nowMs)) {
-      const one = live.get(entry) as { left: number };
-      const taken = Math.min(room, one.left);
-      room -= taken;
-      one.left -= taken;
-      value += taken > 0 && one.left === 0 && nowMs + CALL_MS <= entry.job.dueAtMs ? entry.job.value : 0;
-    }
-    waiting = [...live.values()].filter(({ left }) => left > 0);
+    const endMs = nowMs + CALL_MS;
+    const arrived = listArrived(arrivals, next, nowMs);
+    next += arrived.length;
+    waiting.push(...arrived);
+    waiting = waiting.filter(({ entry }) => entry.job.expiresAtMs > nowMs);
+    const onTime = takeCall(waiting, order, nowMs).filter(({ job }) => endMs <= job.dueAtMs);
+    value += onTime.reduce((sum, { job }) => sum + job.value, 0);
+    waiting = waiting.filter(({ left }) => left > 0);
   }
   return value;
 };
@@ -155,25 +176,16 @@
 const playTwoStages = (arrivals: readonly Arrival[], order: Order, seed: number) => {
   const generator = xoroshiro128plus(seed + 1_000);
   const done = new Map<string, number>();
-  let waiting: { readonly entry: QueuedJob; left: number }[] = [];
+  let waiting: WaitingJob[] = [];
   let next = 0;
   for (let nowMs = 0; nowMs < 30_000;) {
-    for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
-      waiting.push({ entry: createQueuedJob(arrival.job, arrival.atMs), left: arrival.job.pieceCount });
-      next += 1;
-    }
+    const arrived = listArrived(arrivals, next, nowMs);
+    next += arrived.length;
+    waiting.push(...arrived);
     const endMs = nowMs + CALL_MS * (0.8 + 0.5 * uniformFloat64(generator));
-    const live = new Map(waiting.map((one) => [one.entry, one] as const));
-    let room = PIECES;
-    for (const entry of order([...live.keys()], nowMs)) {
-      const one = live.get(entry) as { left: number };
-      const taken = Math.min(room, one.left);
-      room -= taken;
-      one.left -= taken;
-      if (taken > 0 && one.left === 0) {
-        done.set(entry.job.jobId, endMs + NEXT_STAGE_MS * (1 + uniformFloat64(generator)));
-      }
-    }
+    takeCall(waiting, order, nowMs).forEach(({ job }) => {
+      done.set(job.jobId, endMs + NEXT_STAGE_MS * (1 + uniformFloat64(generator)));
+    });
     waiting = waiting.filter(({ left }) => left > 0);
     nowMs = endMs;
   }
