Heed servers that say they leave or ask for a rest

Cause: the platform's servers now say in every answer when they leave, and may add Retry-After to a 503. The system read neither: it followed only the entry in the store, which lags or is unreachable in an outage, and went on sending to a server that had turned it away.

Change: each answer of a server (requests, stage calls, releases) is read for both. A process that says it leaves gets no new work from this host, whatever its entry says afterwards, until another process starts under its key. A server that asks for a rest is left out of this host's choices until its end; batch owners count it out of their capacity, releases of results wait, and a pool that rests as a whole refuses at once with the earliest end. The scheduler is told which servers the asking host does not use.

--- a/packages/decide/src/batches/_lib/createServerBook.ts
+++ b/packages/decide/src/batches/_lib/createServerBook.ts
@@ -109,10 +109,11 @@
 export const restServer = (state: ServerState, type: 'refused' | 'broken', nowMs: number): void => {
   const resting = state;
   if (type === 'refused') {
-    resting.restsUntilMs = nowMs + FULL_REST_MS;
+    resting.restsUntilMs = Math.max(state.restsUntilMs, nowMs + FULL_REST_MS);
     return;
   }
-  resting.restsUntilMs = nowMs + Math.min(MAX_REST_MS, FIRST_REST_MS * 2 ** state.failures);
+  const restMs = Math.min(MAX_REST_MS, FIRST_REST_MS * 2 ** state.failures);
+  resting.restsUntilMs = Math.max(state.restsUntilMs, nowMs + restMs);
   resting.failures += 1;
 };
 
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -118,9 +118,9 @@
     const listed = new Set(servers.map(({ serverId }) => serverId));
     [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
     servers.forEach((server) => {
-      if (!this.servers.has(server.serverId)) {
-        this.servers.set(server.serverId, createServerState(server, nowMs));
-      }
+      const state = this.servers.get(server.serverId) ?? createServerState(server, nowMs);
+      state.restsUntilMs = Math.max(state.restsUntilMs, server.restsUntilMs ?? 0);
+      this.servers.set(server.serverId, state);
     });
   }
 
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -25,6 +25,8 @@
 export interface BatchServer {
   readonly serverId: string;
   readonly failureDomain: string;
+  /** The server wants no calls before this time. */
+  readonly restsUntilMs?: number;
 }
 
 /** One piece of a job. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -7,7 +7,8 @@
   type ServerEventInput,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import type { CatalogueFormat, ServerEntry, ServerSigns } from '../ports.js';
+import createRestBook from './createRestBook.js';
 
 /** A backend server with its place. */
 export interface KnownServer extends ServerEntry {
@@ -31,19 +32,30 @@
 export interface BackendDirectory {
   /** Whether the store does not answer, or has answered again for too short a time for lapsed entries to be back. */
   readonly storeLost: boolean;
-  /** Servers of a pool that may get new work. */
+  /** Servers of a pool that may get new work, those that rest included. */
   list(pool: string): readonly KnownServer[];
   /** Those of them in a region, or all when it has none. */
   listNear(pool: string, region: string): readonly KnownServer[];
   find(serverId: string): KnownServer | undefined;
   /** The server at an address, `IP:PORT`. */
   findAt(address: string): KnownServer | undefined;
-  /** Servers of a pool with what this host has learnt about them. */
+  /** Servers of a pool that this host may send to now, with what it has learnt about them. */
   view(pool: string): PoolView;
   note(serverId: string, event: ServerEventInput): void;
   noteReport(serverId: string, report: LoadReport, hosts: number): void;
   /** The process at the server's address is another one. */
   noteGone(serverId: string): void;
+  /**
+   * Takes what a server said in an answer. A leaving process gets no new work from this host, whatever its entry says;
+   * one that asks for a rest gets no requests from this host until its end.
+   */
+  noteSigns(serverId: string, signs: ServerSigns): void;
+  /** End of the rest that a server asked for, monotonic time; in the past without one. */
+  readRestEndMs(serverId: string): number;
+  /** Time until the first server of a pool ends its rest; undefined unless all of them rest. */
+  readReturnMs(pool: string): number | undefined;
+  /** Servers of a pool that other hosts may still use, but not this one. */
+  listShunned(pool: string): readonly string[];
   put(server: StoredServer): void;
   remove(serverId: string, revision: number): void;
   /** Everything that is not in the snapshot and older than it is gone. */
@@ -87,6 +99,8 @@
 
   private readonly book = createPoolBook();
 
+  private readonly rests;
+
   private readonly listeners: (() => void)[] = [];
 
   private pools = new Map<string, KnownServer[]>();
@@ -103,6 +117,7 @@
 
   constructor(private readonly options: BackendDirectoryOptions) {
     this.regions = options.regions;
+    this.rests = createRestBook(options.clock, () => this.tell());
   }
 
   list(pool: string): readonly KnownServer[] {
@@ -124,7 +139,8 @@
   }
 
   view(pool: string): PoolView {
-    return this.book.view(pool, this.list(pool).map(Directory.describe), this.options.clock.monotonicMs());
+    const awake = this.list(pool).filter(({ serverId }) => !this.rests.has(serverId));
+    return this.book.view(pool, awake.map(Directory.describe), this.options.clock.monotonicMs());
   }
 
   note(serverId: string, event: ServerEventInput): void {
@@ -137,13 +153,46 @@
 
   noteGone(serverId: string): void {
     const server = this.find(serverId);
-    if (server !== undefined) {
-      this.gone.add(Directory.incarnation(server));
+    if (server !== undefined && this.dismiss(server)) {
       this.options.logger.event('serverGone', { serverId, pool: server.pool, reason: 'other process at its address' });
-      this.arrange();
     }
   }
 
+  noteSigns(serverId: string, { leaving, restMs }: ServerSigns): void {
+    const server = this.find(serverId);
+    if (server === undefined) {
+      return;
+    }
+    const { pool, state } = server;
+    if (leaving && this.dismiss(server)) {
+      this.options.logger.event('serverLeaving', { serverId, pool, listedAs: state, revision: this.revision });
+    }
+    if (restMs !== undefined) {
+      this.rests.add(serverId, restMs);
+      this.options.logger.event('serverRests', { serverId, pool, restMs: Math.round(restMs) });
+      this.tell();
+    }
+  }
+
+  readRestEndMs(serverId: string): number {
+    return this.rests.endMs(serverId);
+  }
+
+  readReturnMs(pool: string): number | undefined {
+    const servers = this.list(pool);
+    return servers.length > 0 && servers.every(({ serverId }) => this.rests.has(serverId))
+      ? Math.min(...servers.map(({ serverId }) => this.rests.endMs(serverId))) - this.options.clock.monotonicMs()
+      : undefined;
+  }
+
+  listShunned(pool: string): readonly string[] {
+    return [...this.entries.values()].flatMap(({ server }) =>
+      server?.pool === pool && server.state === 'live' && (this.isGone(server) || this.rests.has(server.serverId))
+        ? [server.serverId]
+        : [],
+    );
+  }
+
   put(stored: StoredServer): void {
     this.apply(stored);
     this.arrange();
@@ -198,6 +247,21 @@
 
   close(): void {
     this.returnTimer?.close();
+    this.rests.close();
+  }
+
+  private isGone(server: KnownServer): boolean {
+    return this.gone.has(Directory.incarnation(server));
+  }
+
+  /** Keeps new work from a process; false when it gets none already. */
+  private dismiss(server: KnownServer): boolean {
+    if (this.isGone(server)) {
+      return false;
+    }
+    this.gone.add(Directory.incarnation(server));
+    this.arrange();
+    return true;
   }
 
   private apply(stored: StoredServer): void {
@@ -211,6 +275,7 @@
     const server = this.read(stored);
     if (server !== undefined && known?.server !== undefined && known.server.startedAtMs !== server.startedAtMs) {
       this.book.retain(new Set([...this.entries.keys()].filter((serverId) => serverId !== stored.serverId)));
+      this.rests.delete(stored.serverId);
     }
     this.entries.set(stored.serverId, { stored, server });
     this.log(stored, server);
@@ -264,13 +329,17 @@
       if (server !== undefined) {
         byAddress.set(`${server.address}:${server.port}`, server);
       }
-      if (server?.state === 'live' && !this.gone.has(Directory.incarnation(server))) {
+      if (server?.state === 'live' && !this.isGone(server)) {
         pools.set(server.pool, [...(pools.get(server.pool) ?? []), server]);
       }
     });
     this.pools = pools;
     this.byAddress = byAddress;
     this.book.retain(new Set(this.entries.keys()));
+    this.tell();
+  }
+
+  private tell(): void {
     this.listeners.forEach((run) => run());
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,6 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { RouteTable } from '@bergamotcove/config';
 
+/** Headers of an answer by name, in lower case. */
+export type HttpHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** A part of a prompt; requests share parts. */
 export interface PromptPart {
   readonly partId: string;
@@ -52,8 +55,16 @@
   readonly slowness: number | undefined;
 }
 
+/** What a server says about itself in any of its answers. */
+export interface ServerSigns {
+  /** Whether it is leaving and wants no new work. */
+  readonly leaving: boolean;
+  /** Time for which it wants no requests from this host; undefined when it does not ask for that. */
+  readonly restMs: number | undefined;
+}
+
 /** What the headers of a server's answer say. */
-export interface AnswerFacts {
+export interface AnswerFacts extends ServerSigns {
   /** The attempt that the answer belongs to. */
   readonly requestId: string | undefined;
   /** Whether the server signed the answer. */
@@ -105,6 +116,7 @@
   readMaker(result: string): string;
   /** Headers of a call to the server, names and values in turn. */
   formatHeaders(serverId: string): readonly string[];
+  readSigns(status: number, headers: HttpHeaders): ServerSigns;
 }
 
 /** A backend server as it registered itself. */
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -219,7 +219,7 @@
       return placed.server;
     }
     if (placed.type === 'no-server') {
-      this.answer.fail('no-server', NO_SERVER_RETRY_MS);
+      this.answer.fail('no-server', ports.directory.readReturnMs(pool) ?? NO_SERVER_RETRY_MS);
     }
     return undefined;
   }
@@ -297,6 +297,9 @@
     if (facts.load !== undefined) {
       this.ports.pools.noteLoad(server.serverId, facts.load);
     }
+    if (!facts.otherServer) {
+      this.ports.directory.noteSigns(server.serverId, facts);
+    }
     if (facts.notRun) {
       response.resume();
       if (facts.otherServer) {
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -104,7 +104,9 @@
     const { directory, stageFormat } = this.ports;
     const findDomain = (result: string) => directory.findAt(stageFormat.readMaker(result))?.failureDomain;
     const resultBytes = Object.fromEntries(sumBytesByDomain(results.listLast(), findDomain));
-    return this.ports.scheduler.place(this.region, { ...generation, requestId, resultBytes, avoidServers });
+    // The scheduler does not hear what servers tell this host.
+    const avoided = [...avoidServers, ...directory.listShunned(this.pool)];
+    return this.ports.scheduler.place(this.region, { ...generation, requestId, resultBytes, avoidServers: avoided });
   }
 
   noteFirstToken(slowness: number | undefined): void {
--- a/packages/gateway/src/stages/callStageServer.ts
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import { readBody, type HttpClient } from '@bergamotcove/transport';
 import type { KnownServer } from '../catalogue/createBackendDirectory.js';
-import type { PieceAnswer, PieceItem, StageFormat } from '../ports.js';
+import type { PieceAnswer, PieceItem, ServerSigns, StageFormat } from '../ports.js';
 
 /** Parts that a call needs. */
 export interface StageCallPorts {
@@ -15,6 +15,7 @@
   readonly status: number;
   /** One answer for each piece, in order; undefined when the server took none. */
   readonly answers: readonly PieceAnswer[] | undefined;
+  readonly signs: ServerSigns;
   readonly totalMs: number;
 }
 
@@ -47,9 +48,11 @@
     signal: AbortSignal.timeout(Math.ceil(options.limitMs)),
   });
   const body = await readBody(response);
-  const answers = response.statusCode === STATUS_OK ? format.readRun(body) : undefined;
+  const status = response.statusCode ?? 0;
+  const answers = status === STATUS_OK ? format.readRun(body) : undefined;
   return {
-    status: response.statusCode ?? 0,
+    status,
+    signs: format.readSigns(status, response.headers),
     answers: answers?.length === items.length ? answers : undefined,
     totalMs: clock.monotonicMs() - sentAtMs,
   };
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -185,7 +185,11 @@
 
   refresh(): void {
     const { directory, pool, region, clock } = this.options;
-    this.queue.setServers(directory.listNear(pool, region), clock.monotonicMs());
+    const servers = directory.listNear(pool, region);
+    this.queue.setServers(
+      servers.map((server) => ({ ...server, restsUntilMs: directory.readRestEndMs(server.serverId) })),
+      clock.monotonicMs(),
+    );
     this.pump();
   }
 
@@ -255,16 +259,18 @@
     if (call.usesSpareRoom) {
       await this.giveUpSpare(call.serverId);
     }
-    const { status, answers, totalMs } = await callStageServer(server, items, this.options, {
+    const { status, answers, signs, totalMs } = await callStageServer(server, items, this.options, {
       limitMs: call.expectedMs * GIVE_UP_FACTOR,
     });
     const pieces = answers?.map(({ type }) => type);
     const view = this.queue.view(clock.monotonicMs());
     reportCall({ pool, call, totalMs, status, pieces, view }, this.options);
+    if (status === STATUS_MISDIRECTED) {
+      directory.noteGone(server.serverId);
+    } else {
+      directory.noteSigns(server.serverId, signs);
+    }
     if (answers === undefined || pieces === undefined) {
-      if (status === STATUS_MISDIRECTED) {
-        directory.noteGone(server.serverId);
-      }
       return { type: 'refused' };
     }
     this.keepResults(call, answers, server.serverId);
--- a/packages/gateway/src/stages/createResultReleaser.ts
+++ b/packages/gateway/src/stages/createResultReleaser.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@bergamotcove/log';
+import type { Clock } from '@bergamotcove/clock';
 import type { HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { StageFormat } from '../ports.js';
@@ -13,12 +14,14 @@
 
 /** Options of {@link createResultReleaser}. */
 export interface ResultReleaserOptions {
+  readonly clock: Clock;
   readonly http: HttpClient;
   readonly logger: Logger;
   readonly format: StageFormat;
   readonly directory: BackendDirectory;
 }
 
+const STATUS_MISDIRECTED = 421;
 const CONNECT_LIMIT_MS = 300;
 /** A release that takes longer is of no use: the room was needed at once. */
 const RELEASE_LIMIT_MS = 1_000;
@@ -30,10 +33,22 @@
  * @returns the releaser
  */
 export default function createResultReleaser(options: ResultReleaserOptions): ResultReleaser {
-  const { http, logger, format, directory } = options;
+  const { clock, http, logger, format, directory } = options;
+
+  /** Resolves when the server takes requests of this host. */
+  const awaitRest = (serverId: string): Promise<void> => {
+    const restMs = directory.readRestEndMs(serverId) - clock.monotonicMs();
+    return restMs <= 0
+      ? Promise.resolve()
+      : new Promise((resolve) => {
+          clock.schedule(restMs, resolve);
+        });
+  };
+
   return {
     findMaker: (result) => directory.findAt(format.readMaker(result)),
     send: async (serverId, results) => {
+      await awaitRest(serverId);
       const server = directory.find(serverId);
       if (server === undefined || results.length === 0) {
         return;
@@ -47,6 +62,11 @@
           connectLimitMs: CONNECT_LIMIT_MS,
           signal: AbortSignal.timeout(RELEASE_LIMIT_MS),
         })
+        .then(({ status, headers }) => {
+          if (status !== STATUS_MISDIRECTED) {
+            directory.noteSigns(serverId, format.readSigns(status, headers));
+          }
+        })
         .catch((error: Error) => {
           logger.event('releaseFailed', { serverId, results: results.length, error: error.message });
         });
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -200,7 +200,10 @@
     metrics.report('host.ready', isReady() ? 1 : 0);
     metrics.report('table.version', index?.table.version ?? 0);
     metrics.report('store.connected', directory.storeLost ? 0 : 1);
-    index?.pools.forEach((_, pool) => metrics.report('pool.servers', directory.list(pool).length, { pool }));
+    index?.pools.forEach((_, pool) => {
+      metrics.report('pool.servers', directory.list(pool).length, { pool });
+      metrics.report('pool.servers_shunned', directory.listShunned(pool).length, { pool });
+    });
   };
   return startMetricsServer({ ...settings.metrics, address: settings.host.address, metrics, sample });
 };
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -106,6 +106,12 @@
   serverGone: { id: 5102, level: 'info', text: 'A backend server gets no more work.' },
   serverEntryIgnored: { id: 5103, level: 'warn', text: 'An entry of the catalogue names no server that can be used.' },
   serversLearnt: { id: 5104, level: 'info', text: 'Another host knew a newer list of servers.' },
+  serverLeaving: {
+    id: 5105,
+    level: 'info',
+    text: 'A backend server said in an answer that it leaves; it gets no more work from this host.',
+  },
+  serverRests: { id: 5106, level: 'info', text: 'A backend server asked for no requests for a time.' },
   hostListed: { id: 7101, level: 'info', text: 'Another host of the system registered itself.' },
   hostDropped: { id: 7102, level: 'info', text: 'The registration of another host ended.' },
   hostLeaseLost: { id: 7103, level: 'warn', text: 'The registration of this host may have lapsed; it is made anew.' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -25,6 +25,12 @@
   'pool.call_duration': { type: 'timing', unit: 'ms', tags: ['pool'], text: 'Time of one call to a stage server.' },
   'pool.pieces': { type: 'counter', unit: '1', tags: ['pool'], text: 'Pieces sent to stage servers.' },
   'pool.servers': { type: 'gauge', unit: '1', tags: ['pool'], text: 'Servers that may get new work.' },
+  'pool.servers_shunned': {
+    type: 'gauge',
+    unit: '1',
+    tags: ['pool'],
+    text: 'Listed servers that this host does not use because they said that they leave, or asked for a rest.',
+  },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a whole answer.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host takes requests.' },
