Give duties to hosts by what they can carry

Cause: the batch owners and the scheduler of a region were chosen by rendezvous hashing over all its hosts. On the grown and large sites 2 or 3 hosts of a failure domain have 1.35 cores and a link of 200 Mbit/s, the other 8 to 33 have 0.324 cores and 20 Mbit/s or less, so a duty for hundreds of requests a second nearly always fell to one of the small ones.

Change: a host lists its capacity (processor and link, from its settings), and duties are ranked by weighted rendezvous hashing. Hosts of equal capacity keep their order, so that sites with equal hosts work as before.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -4,6 +4,7 @@
 export * from './poison/index.js';
 export * from './planner/index.js';
 export * from './batches/index.js';
+export * from './duties/index.js';
 export * from './forwarding/index.js';
 export * from './routes/index.js';
 export * from './scheduling/index.js';
--- a/packages/gateway/src/hosts/createHostRegistry.test.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -10,6 +10,7 @@
   target: { address: '10.0.0.1', port: 1 },
   failureDomain: 'a',
   region,
+  capacity: 0.5,
   startId,
 });
 
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -1,6 +1,6 @@
 import { createLeaseHolder, type LeaseHolder, type StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
-import { rankByRendezvous } from '@bergamotcove/decide';
+import { rankByCapacity } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { Target } from '@bergamotcove/transport';
 
@@ -10,6 +10,8 @@
   readonly target: Target;
   readonly failureDomain: string;
   readonly region: string;
+  /** What the host can carry beside its own requests, in cores. */
+  readonly capacity: number;
   /** Distinguishes the starts of a host. */
   readonly startId: string;
 }
@@ -63,9 +65,13 @@
 /** The store shows within this time that a host has left or came back. */
 const MOVED_MS = 300;
 
+/** Capacity of hosts that do not tell theirs. */
+const DEFAULT_CAPACITY = 0.5;
+
 const parseEntry = (text: string): HostEntry | undefined => {
   try {
-    return JSON.parse(text) as HostEntry;
+    const entry = JSON.parse(text) as Omit<HostEntry, 'capacity'> & Partial<HostEntry>;
+    return { ...entry, capacity: entry.capacity ?? DEFAULT_CAPACITY };
   } catch {
     return undefined;
   }
@@ -121,12 +127,7 @@
     const nowMs = this.options.clock.monotonicMs();
     const isUsable = (host: HostEntry): boolean =>
       host.region === region && (this.silentUntilMs.get(host.hostId) ?? 0) <= nowMs;
-    const byId = new Map(
-      this.list()
-        .filter(isUsable)
-        .map((host) => [host.hostId, host]),
-    );
-    return rankByRendezvous([...byId.keys()], duty).map((hostId) => byId.get(hostId) as HostEntry);
+    return rankByCapacity(this.list().filter(isUsable), duty);
   }
 
   noteMoved(hostId: string): void {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,6 +23,11 @@
     /** Region of each failure domain. */
     regions: z.record(z.string(), z.string()),
   }),
+  /** What this host has; hosts with more take more of the duties. */
+  resources: z.pipe(
+    z.object({ cpuShare: z.number(), coreSpeed: z.number(), linkMbps: z.number() }),
+    z.transform(({ cpuShare, coreSpeed, linkMbps }) => ({ cores: cpuShare * coreSpeed, linkMbps })),
+  ),
   /** Where callers connect. */
   callers: targetSchema,
   /** Where the balancer asks whether this host takes requests. */
--- a/packages/gateway/src/testing/sampleSettings.ts
+++ b/packages/gateway/src/testing/sampleSettings.ts
@@ -1,5 +1,6 @@
 /** A settings file of a gateway, as tests change it. */
 const SAMPLE_SETTINGS = {
+  resources: { cpuShare: 0.675, coreSpeed: 1, linkMbps: 1_000 },
   host: { id: 'a1', address: '10.0.0.1', failureDomain: 'a', regions: { a: 'r1' } },
   callers: '10.0.0.1:80',
   health: '10.0.0.1:81',
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,4 +1,4 @@
-import type { DrainTimes } from '@bergamotcove/decide';
+import { rateCapacity, type DrainTimes } from '@bergamotcove/decide';
 import { createStoreClient, type StoreClient, type StoreDialect } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createDrain, createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
@@ -120,7 +120,8 @@
   const { clock, logger, store, failureDomain, region, formats, settings } = base;
   const { id: hostId, address } = settings.host;
   const target = { address, port: peersPort };
-  const self = { hostId, target, failureDomain, region, startId: String(clock.wallMs()) };
+  const capacity = rateCapacity(settings.resources);
+  const self = { hostId, target, failureDomain, region, capacity, startId: String(clock.wallMs()) };
   return createHostRegistry({ clock, logger, store, prefix: formats.catalogue.hostPrefix, self });
 };
 
