Let a few hosts of a large failure domain follow the store for the others

Cause: every host kept a watch of every key.

Change: in failure domains of more than four hosts the first two of a ranking follow the store and push each batch of changes, or a sign of life each second, to the others, which confirm it. A host that finds a gap asks the relay for what is missing. Hosts that hear no relay that reaches the store ask it themselves, one after the other, and the first ones stand in; in an outage hosts that still hear their relays ask every few seconds only. chooseSource decides; it knows no network. Failure domains of up to four hosts work as before.

--- a/packages/backends/src/store/createGuardedStore.ts
+++ b/packages/backends/src/store/createGuardedStore.ts
@@ -74,13 +74,17 @@
   }
 }
 
-const watchGuarded = (store: StoreClient, guard: CallGuard, prefix: string, from: string): Observable<WatchEvent> =>
+const watchGuarded = (
+  store: StoreClient,
+  guard: CallGuard,
+  ...[prefix, from, limits]: Parameters<StoreClient['watch']>
+): Observable<WatchEvent> =>
   new Observable((subscriber) => {
     if (guard.isOpen()) {
       subscriber.error(new BackendError('unavailable', 'the store does not answer; no watch is started'));
       return undefined;
     }
-    return store.watch(prefix, from).subscribe(subscriber);
+    return store.watch(prefix, from, limits).subscribe(subscriber);
   });
 
 /**
@@ -99,7 +103,7 @@
     get: (key) => guard.run(() => store.get(key), 'always'),
     range: (prefix, bounds) => guard.run(() => store.range(prefix, bounds), 'always'),
     txn: (compares, success, failure) => guard.run(() => store.txn(compares, success, failure), 'if-not-sent'),
-    watch: (prefix, fromRevision) => watchGuarded(store, guard, prefix, fromRevision),
+    watch: (prefix, fromRevision, limits) => watchGuarded(store, guard, prefix, fromRevision, limits),
     grantLease: (ttlMs) => guard.run(() => store.grantLease(ttlMs), 'if-not-sent'),
     keepAlive: (leaseId) => guard.run(() => store.keepAlive(leaseId), 'always'),
     revokeLease: (leaseId) => guard.run(() => store.revokeLease(leaseId), 'always'),
--- a/packages/backends/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -12,6 +12,7 @@
   StoreOp,
   TxnResult,
   WatchEvent,
+  WatchLimits,
 } from './types.js';
 
 /** Options of {@link createStoreClient}. */
@@ -78,8 +79,8 @@
     return this.send(this.dialect.txn(compares, success, failure));
   }
 
-  watch(prefix: string, fromRevision: string): Observable<WatchEvent> {
-    return this.dialect.watch(this.http, this.target(), { prefix, fromRevision });
+  watch(prefix: string, fromRevision: string, limits: WatchLimits = {}): Observable<WatchEvent> {
+    return this.dialect.watch(this.http, this.target(), { prefix, fromRevision, ...limits });
   }
 
   grantLease(ttlMs: number): Promise<string> {
--- a/packages/backends/src/store/dialect.ts
+++ b/packages/backends/src/store/dialect.ts
@@ -1,6 +1,15 @@
 import type { Observable } from 'rxjs';
 import type { HttpClient, Target } from '@bergamotcove/transport';
-import type { Compare, RangeOptions, RangeResult, StoreEntry, StoreOp, TxnResult, WatchEvent } from './types.js';
+import type {
+  Compare,
+  RangeOptions,
+  RangeResult,
+  StoreEntry,
+  StoreOp,
+  TxnResult,
+  WatchEvent,
+  WatchLimits,
+} from './types.js';
 
 /** One call of a store, with the reader of its answer. */
 export interface StoreCall<Result> {
@@ -34,7 +43,7 @@
 }
 
 /** What is watched. */
-export interface WatchOptions {
+export interface WatchOptions extends WatchLimits {
   readonly prefix: string;
   /** First revision that is reported. */
   readonly fromRevision: string;
--- a/packages/backends/src/store/followStore.ts
+++ b/packages/backends/src/store/followStore.ts
@@ -2,7 +2,7 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
 import BackendError from '../BackendError.js';
-import type { StoreClient, StoreEntry } from './types.js';
+import type { StoreClient, StoreEntry, WatchLimits } from './types.js';
 
 /** Options of {@link followStore}. */
 export interface StoreFollowerOptions {
@@ -10,10 +10,18 @@
   readonly random: () => number;
   readonly store: Pick<StoreClient, 'range' | 'watch'>;
   readonly prefix: string;
+  /** Revision up to which the entries are known already; without it they are read first. */
+  readonly knownRevision?: string;
+  /** Limits of the watches. */
+  readonly limits?: () => WatchLimits;
   /** All entries as of a read; whatever is not among them does not exist. */
   readonly onSnapshot: (entries: readonly StoreEntry[], revision: string) => void;
   readonly onPut: (entry: StoreEntry) => void;
   readonly onDelete: (key: string, revision: string) => void;
+  /** Everything up to this revision was reported. */
+  readonly onReached?: (revision: string) => void;
+  /** A call failed. */
+  readonly onFailed?: () => void;
   /** The store stopped answering, with the reason of the first failure. */
   readonly onLost: (reason: string) => void;
   /** The store answers again, or for the first time. */
@@ -50,7 +58,17 @@
   /** Grows with each read, so that the answer of an older one is dropped. */
   private round = 0;
 
-  constructor(private readonly options: StoreFollowerOptions) {}
+  constructor(private readonly options: StoreFollowerOptions) {
+    this.known = options.knownRevision;
+  }
+
+  start(): void {
+    if (this.known === undefined) {
+      this.read();
+    } else {
+      this.watch();
+    }
+  }
 
   refresh(): void {
     this.stop();
@@ -88,6 +106,9 @@
           this.noteAnswer();
           this.known = revision;
           this.options.onSnapshot(entries, revision);
+        }
+        // The receiver may have closed the follower.
+        if (round === this.round) {
           this.watch();
         }
       },
@@ -101,7 +122,8 @@
 
   private watch(): void {
     const fromRevision = String(Number(this.known) + 1);
-    this.watching = this.options.store.watch(this.options.prefix, fromRevision).subscribe({
+    const limits = this.options.limits?.();
+    this.watching = this.options.store.watch(this.options.prefix, fromRevision, limits).subscribe({
       next: (event) => {
         this.noteAnswer();
         switch (event.type) {
@@ -113,6 +135,7 @@
             break;
           default:
             this.known = event.revision;
+            this.options.onReached?.(event.revision);
         }
       },
       error: (cause: Error) => {
@@ -139,6 +162,13 @@
       this.connected = false;
       this.options.onLost(cause.message);
     }
+    if (!compacted) {
+      this.options.onFailed?.();
+    }
+    // The receiver may have closed the follower.
+    if (this.closed) {
+      return;
+    }
     const delayMs = compacted ? 0 : Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** this.failures);
     this.failures += 1;
     this.timer = this.options.clock.schedule(delayMs * (0.5 + this.options.random()), retry);
@@ -154,6 +184,6 @@
  */
 export default function followStore(options: StoreFollowerOptions): StoreFollower {
   const follower = new Follower(options);
-  follower.refresh();
+  follower.start();
   return follower;
 }
--- a/packages/backends/src/store/types.ts
+++ b/packages/backends/src/store/types.ts
@@ -48,6 +48,12 @@
   readonly limit?: number;
 }
 
+/** Limits of a watch. */
+export interface WatchLimits {
+  /** Longest time between two signs that the store still answers; by default that of the dialect. */
+  readonly quietMs?: number;
+}
+
 /** Client of the configuration store. Calls reject with BackendError. */
 export interface StoreClient {
   /** Reads one key. */
@@ -57,7 +63,7 @@
   /** Runs `success` if every compare holds, else `failure`. */
   txn(compares: readonly Compare[], success: readonly StoreOp[], failure?: readonly StoreOp[]): Promise<TxnResult>;
   /** Watches the keys that start with the prefix; ends with an error when the connection breaks. */
-  watch(prefix: string, fromRevision: string): Observable<WatchEvent>;
+  watch(prefix: string, fromRevision: string, limits?: WatchLimits): Observable<WatchEvent>;
   /** Grants a lease and returns its id. */
   grantLease(ttlMs: number): Promise<string>;
   /** Renews a lease and returns its remaining time in ms; zero when it has lapsed. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -32,6 +32,8 @@
 export interface BackendDirectory {
   /** Whether the store does not answer, or has answered again for too short a time for lapsed entries to be back. */
   readonly storeLost: boolean;
+  /** Latest revision of the store that this host knows of. */
+  readonly revision: number;
   /** Servers of a pool that may get new work, those that rest included. */
   list(pool: string): readonly KnownServer[];
   /** Those of them in a region, or all when it has none. */
@@ -107,7 +109,7 @@
 
   private byAddress = new Map<string, KnownServer>();
 
-  private revision = 0;
+  revision = 0;
 
   storeLost = false;
 
--- /dev/null
+++ b/packages/gateway/src/catalogue/createCatalogueLog.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import createCatalogueLog, { type CatalogueChange } from './createCatalogueLog.js';
+
+const put = (key: string, revision: number): CatalogueChange => ({ key, value: `${key}${revision}`, revision });
+
+const createWorld = () => {
+  const seen: string[] = [];
+  const log = createCatalogueLog({
+    onSnapshot: ({ entries, revision }) => seen.push(`snapshot ${entries.length} at ${revision}`),
+    onChanges: (changes) =>
+      changes.forEach(({ key, value, revision }) => seen.push(`${value === undefined ? '-' : '+'}${key} ${revision}`)),
+  });
+  return { log, seen };
+};
+
+test('takes each change once, from whichever source it comes first', () => {
+  const { log, seen } = createWorld();
+  log.replace({ entries: [{ key: 'a', value: 'a', revision: 3 }], revision: 5 });
+  assert.equal(log.apply({ fromRevision: 5, toRevision: 7, changes: [put('b', 6), put('a', 7)] }), true);
+  assert.equal(log.apply({ fromRevision: 4, toRevision: 8, changes: [put('b', 6), { key: 'a', revision: 8 }] }), true);
+  log.replace({ entries: [], revision: 7 });
+  assert.deepEqual(seen, ['snapshot 1 at 5', '+b 6', '+a 7', '-a 8']);
+  assert.equal(log.revision, 8);
+});
+
+test('refuses changes after a gap, and everything before the first snapshot', () => {
+  const { log, seen } = createWorld();
+  assert.equal(log.apply({ fromRevision: 0, toRevision: 2, changes: [put('a', 2)] }), false);
+  log.replace({ entries: [], revision: 5 });
+  assert.equal(log.apply({ fromRevision: 6, toRevision: 7, changes: [put('a', 7)] }), false);
+  assert.deepEqual(seen, ['snapshot 0 at 5']);
+});
+
+test('tells what has changed since a revision, and everything when that is too long ago', () => {
+  const { log } = createWorld();
+  log.replace({ entries: [{ key: 'a', value: 'a', revision: 3 }], revision: 5 });
+  log.apply({ fromRevision: 5, toRevision: 6, changes: [put('b', 6)] });
+  log.apply({ fromRevision: 6, toRevision: 9, changes: [{ key: 'a', revision: 8 }] });
+  assert.deepEqual(log.since(6), { fromRevision: 6, toRevision: 9, changes: [{ key: 'a', revision: 8 }] });
+  assert.deepEqual(log.since(4), { entries: [{ key: 'b', value: 'b6', revision: 6 }], revision: 9 });
+  for (let revision = 10; revision < 1_000; revision += 1) {
+    log.apply({ fromRevision: revision - 1, toRevision: revision, changes: [put('c', revision)] });
+  }
+  assert.ok('entries' in log.since(9));
+  assert.ok('changes' in log.since(900));
+});
--- /dev/null
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -0,0 +1,77 @@
+import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import type { CatalogueFormat } from '../ports.js';
+import type { BackendDirectory, StoredServer } from './createBackendDirectory.js';
+import type { CatalogueChange, CatalogueEntry, CatalogueSink } from './createCatalogueLog.js';
+import type { RouteTableHolder } from './createRouteTableHolder.js';
+
+/** Parts that keep what the store holds. */
+export interface CatalogueKeepers {
+  readonly format: CatalogueFormat;
+  readonly tables: RouteTableHolder;
+  readonly directory: BackendDirectory;
+}
+
+class Sink implements CatalogueSink {
+  constructor(
+    private readonly keepers: CatalogueKeepers,
+    private readonly hosts: () => HostRegistry | undefined,
+  ) {}
+
+  readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision }) => {
+    const { format, directory } = this.keepers;
+    entries.filter(({ key }) => key === format.routeTableKey).forEach((entry) => this.put(entry));
+    const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
+    directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision });
+    const listed = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
+    this.hosts()?.replace(listed.map(({ key, value }) => ({ key, text: value })));
+  };
+
+  readonly onChanges: CatalogueSink['onChanges'] = (changes) => {
+    changes.forEach(({ key, value, revision }) => {
+      if (value === undefined) {
+        this.remove({ key, revision });
+      } else {
+        this.put({ key, value, revision });
+      }
+    });
+  };
+
+  private put(entry: CatalogueEntry): void {
+    const { format, tables, directory } = this.keepers;
+    const { key, value, revision } = entry;
+    if (key === format.routeTableKey) {
+      tables.offer({ text: value, revision }, 'store');
+    } else if (key.startsWith(format.serverPrefix)) {
+      directory.put(this.toServer(entry));
+    } else if (key.startsWith(format.hostPrefix)) {
+      this.hosts()?.put(key, value);
+    }
+  }
+
+  private remove({ key, revision }: CatalogueChange): void {
+    const { format, directory } = this.keepers;
+    if (key.startsWith(format.serverPrefix)) {
+      directory.remove(key.slice(format.serverPrefix.length), revision);
+    } else if (key.startsWith(format.hostPrefix)) {
+      this.hosts()?.remove(key);
+    }
+  }
+
+  private toServer({ key, value, revision }: CatalogueEntry): StoredServer {
+    return { serverId: key.slice(this.keepers.format.serverPrefix.length), text: value, revision };
+  }
+}
+
+/**
+ * Creates the receiver that hands entries of the store to the parts that keep them.
+ *
+ * @param keepers - the parts
+ * @param hosts - list of hosts, once it exists
+ * @returns the receiver
+ */
+export default function createCatalogueSink(
+  keepers: CatalogueKeepers,
+  hosts: () => HostRegistry | undefined,
+): CatalogueSink {
+  return new Sink(keepers, hosts);
+}
--- /dev/null
+++ b/packages/gateway/src/catalogue/packMessage.ts
@@ -0,0 +1,40 @@
+import { gunzipSync, gzipSync } from 'node:zlib';
+
+/** A message as it is sent; long ones are compressed, since route tables repeat themselves. */
+export type PackedMessage =
+  { readonly type: 'plain'; readonly text: string } | { readonly type: 'gzip'; readonly base64: string };
+
+/** Shorter messages are not worth the time of the compression. */
+const MIN_COMPRESSED_CHARS = 4_096;
+/** A message that unpacks to more is not one of ours. */
+const MAX_UNPACKED_BYTES = 32 * 1_048_576;
+
+/**
+ * Packs a message.
+ *
+ * @param message - plain data
+ * @returns the message as it is sent
+ */
+export const packMessage = (message: object): PackedMessage => {
+  const text = JSON.stringify(message);
+  return text.length < MIN_COMPRESSED_CHARS
+    ? { type: 'plain', text }
+    : // Messages keep their order only if each is packed before the next one.
+      // eslint-disable-next-line n/no-sync
+      { type: 'gzip', base64: gzipSync(text, { level: 1 }).toString('base64') };
+};
+
+/**
+ * Unpacks a message.
+ *
+ * @param packed - message as it was sent
+ * @returns the plain data
+ * @throws Error when it cannot be read
+ */
+export const unpackMessage = (packed: PackedMessage): unknown =>
+  JSON.parse(
+    packed.type === 'plain'
+      ? packed.text
+      : // eslint-disable-next-line n/no-sync
+        gunzipSync(Buffer.from(packed.base64, 'base64'), { maxOutputLength: MAX_UNPACKED_BYTES }).toString('utf8'),
+  );
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -79,7 +79,7 @@
     const { tables, directory } = this.options;
     return {
       tableRevision: tables.stored()?.revision ?? 0,
-      serversRevision: directory.snapshot().revision,
+      serversRevision: directory.revision,
       otherHosts: listOthers(hosts).length,
       target: hosts.self.target,
     };
@@ -91,14 +91,14 @@
       return {};
     }
     const table = this.options.tables.stored();
-    const servers = this.options.directory.snapshot();
+    const { directory } = this.options;
     const own = this.describe(hosts);
     if (inquiry.tableRevision > own.tableRevision || inquiry.serversRevision > own.serversRevision) {
       this.ask(inquiry.target, hosts);
     }
     return {
       ...(table !== undefined && table.revision > inquiry.tableRevision ? { table } : {}),
-      ...(servers.revision > inquiry.serversRevision ? { servers } : {}),
+      ...(directory.revision > inquiry.serversRevision ? { servers: directory.snapshot() } : {}),
       ...(inquiry.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
     };
   }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -253,18 +253,15 @@
   const base = createBase(settings, options);
   const { clock, logger, tables, directory, links, owners, scheduler, queues, store } = base;
   const exchange = createHostExchange({ clock, logger, links, tables, directory, random: Math.random });
-  const linkServer = await startLinkServer(base, {
-    ...owners.methods,
-    ...scheduler.methods,
-    ...exchange.methods,
-    ...base.crashes.methods,
-  });
+  const follower = followCatalogue({ ...base, format: base.formats.catalogue, random: Math.random });
+  const served = [owners, scheduler, exchange, follower, base.crashes].map(({ methods }) => methods);
+  const linkServer = await startLinkServer(base, Object.assign({}, ...served) as Record<string, LinkMethod>);
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
   let drainTimes: DrainTimes | undefined;
   const callers = await startCallers(base, { hosts, pools, drain: () => drainTimes });
   tables.onChange(({ table }) => callers.setLimits(table.limits));
-  const follower = followCatalogue({ ...base, format: base.formats.catalogue, hosts });
+  follower.start(hosts);
   hosts.onStoreFailed(() => follower.probe());
   startDuties(base, hosts, exchange);
   const isReady = (): boolean => drainTimes === undefined && tables.current() !== undefined;
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -112,6 +112,16 @@
     text: 'A backend server said in an answer that it leaves; it gets no more work from this host.',
   },
   serverRests: { id: 5106, level: 'info', text: 'A backend server asked for no requests for a time.' },
+  catalogueSourceChanged: {
+    id: 5107,
+    level: 'info',
+    text: 'This host learns of changes in the store from another source: the store itself, or relays of its failure domain.',
+  },
+  catalogueBehind: {
+    id: 5108,
+    level: 'info',
+    text: 'A relay is ahead of this host, which asks it for what is missing.',
+  },
   hostListed: { id: 7101, level: 'info', text: 'Another host of the system registered itself.' },
   hostDropped: { id: 7102, level: 'info', text: 'The registration of another host ended.' },
   hostLeaseLost: { id: 7103, level: 'warn', text: 'The registration of this host may have lapsed; it is made anew.' },
