Keep the leases of hosts longer, and take their keys without a look before

The lease told which hosts answer, which calls between hosts tell sooner.

Change: leases of 10 s, no read before the key is taken, and a host that stays silent owns no duty for 2, 4, then 8 s. Test: createHostRegistry.test.ts.

--- a/packages/backends/src/store/createLeaseHolder.ts
+++ b/packages/backends/src/store/createLeaseHolder.ts
@@ -8,7 +8,12 @@
   readonly random: () => number;
   readonly ttlMs: number;
   /** Key that exists only as long as its lease; a lease whose key another holder has is not held. */
-  readonly key?: { readonly key: string; readonly value: string };
+  readonly key?: {
+    readonly key: string;
+    readonly value: string;
+    /** Whether no other holder ever uses the key, so that it need not be looked at before it is taken. */
+    readonly exclusive?: boolean;
+  };
   /** Called when the store did not take or answer a call. */
   readonly onFailed?: () => void;
   /** Called when the lease may have lapsed; everything that depends on it stops. */
@@ -129,7 +134,7 @@
 
   private async grant(): Promise<void> {
     const { clock, key, ttlMs } = this.options;
-    if (key !== undefined && (await this.store.get(key.key)) !== undefined) {
+    if (key !== undefined && key.exclusive !== true && (await this.store.get(key.key)) !== undefined) {
       await this.handle({ type: 'failed' });
       return;
     }
@@ -159,7 +164,7 @@
     try {
       const result = await this.store.txn(
         [{ type: 'create-revision', key: key.key, revision: '0' }],
-        [{ type: 'put', ...key, leaseId }],
+        [{ type: 'put', key: key.key, value: key.value, leaseId }],
       );
       return result.succeeded ? Number(result.revision) : undefined;
     } catch (cause) {
--- a/packages/gateway/src/hosts/createHostRegistry.test.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -70,6 +70,25 @@
   assert.deepEqual(listIds(registry.rankOwners('duty', 'r2')), ['far']);
 });
 
+test('a host that stays silent owns no duty for longer each time', () => {
+  const { clock, registry, put } = createWorld();
+  put(createHost('h1'));
+  const isUsable = (): boolean => registry.rankOwners('duty').some(({ hostId }) => hostId === 'h1');
+  const times = [2_000, 4_000, 8_000, 8_000].map((silentMs) => {
+    registry.noteSilent('h1');
+    registry.noteSilent('h1');
+    clock.advance(silentMs - 1);
+    const early = isUsable();
+    clock.advance(2);
+    return [early, isUsable()];
+  });
+  assert.deepEqual(times, Array(4).fill([false, true]));
+  clock.advance(10_000);
+  registry.noteSilent('h1');
+  clock.advance(2_001);
+  assert.equal(isUsable(), true);
+});
+
 test('a silent host that is listed anew is asked again at once', () => {
   const { registry, put } = createWorld();
   put(createHost('h1'));
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -58,10 +58,14 @@
   readonly self: HostEntry;
 }
 
-/** A host that lost its power or its path to the store is dropped from the list after this time. */
-const LEASE_TTL_MS = 4_000;
-/** Time for which a host that did not answer owns no duty. */
-const SILENT_MS = 2_000;
+/**
+ * A host that lost its power or its path to the store is dropped from the list after this time. The list tells which
+ * hosts there are; whether one answers is learnt from calls to it.
+ */
+const LEASE_TTL_MS = 10_000;
+/** Time for which a host that did not answer owns no duty; doubles with each call in a row that it does not answer. */
+const FIRST_SILENT_MS = 2_000;
+const MAX_SILENT_MS = 8_000;
 /** The store shows within this time that a host has left or came back. */
 const MOVED_MS = 300;
 
@@ -84,6 +88,9 @@
 
   private readonly silentUntilMs = new Map<string, number>();
 
+  /** Times in a row that a host was found silent. */
+  private readonly silences = new Map<string, number>();
+
   private readonly listeners: (() => void)[] = [];
 
   private readonly failureListeners: (() => void)[] = [];
@@ -99,7 +106,7 @@
       clock,
       random: Math.random,
       ttlMs: LEASE_TTL_MS,
-      key: { key: `${prefix}${self.hostId}/${self.startId}`, value: JSON.stringify(self) },
+      key: { key: `${prefix}${self.hostId}/${self.startId}`, value: JSON.stringify(self), exclusive: true },
       onFailed: () => this.failureListeners.forEach((run) => run()),
       onLost: () => logger.event('hostLeaseLost', {}),
     });
@@ -136,7 +143,14 @@
   }
 
   noteSilent(hostId: string): void {
-    this.silentUntilMs.set(hostId, this.options.clock.monotonicMs() + SILENT_MS);
+    const nowMs = this.options.clock.monotonicMs();
+    const untilMs = this.silentUntilMs.get(hostId) ?? 0;
+    if (nowMs >= untilMs) {
+      const isRepeated = nowMs - untilMs < MAX_SILENT_MS;
+      const count = isRepeated ? (this.silences.get(hostId) ?? 0) : 0;
+      this.silences.set(hostId, count + 1);
+      this.silentUntilMs.set(hostId, nowMs + Math.min(MAX_SILENT_MS, FIRST_SILENT_MS * 2 ** count));
+    }
     this.options.logger.event('peerSilent', { peer: hostId });
   }
 
@@ -145,6 +159,7 @@
     if (entry !== undefined) {
       this.entries.set(key, entry);
       this.silentUntilMs.delete(entry.hostId);
+      this.silences.delete(entry.hostId);
       this.options.logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
       this.changed();
     }
