Spread sessions over the engines of a region

Cause: engines that cost the same were taken in the order of their list, and the choice did not count the requests in progress.

Change: a request in progress costs time, and each session has its own order of the engines. A scheduler that takes over knows nothing of the engines' memory and finds the same order again.

Tried and left: a low price of time before a first token is due and a high one after it.

--- a/packages/decide/src/scheduling/createEngineBook.ts
+++ b/packages/decide/src/scheduling/createEngineBook.ts
@@ -1,6 +1,9 @@
+import xxhash from 'xxhash-wasm';
 import createPartCache, { type PartCache } from './_lib/createPartCache.js';
 import type { PartNeed } from './types.js';
 
+const { h32 } = await xxhash();
+
 /** An engine as the book uses it. */
 export interface EngineDescription {
   readonly serverId: string;
@@ -59,6 +62,7 @@
 
 interface EngineState {
   readonly description: EngineDescription;
+  readonly hashSeed: number;
   readonly cache: PartCache;
   readonly placed: Map<string, Placed>;
   slowness: number;
@@ -80,6 +84,14 @@
 const BASE_MS = 20;
 /** Cost of a shared token that has to be read again, beside the time it takes: it pushes others out of the cache. */
 const SHARED_TOKEN_MS = 0.06;
+/**
+ * Spread between engines that cost the same otherwise. Each session has its own order of the engines, which a scheduler
+ * that knows nothing yet finds again.
+ */
+const SPREAD_MS = 160;
+const HASH_RANGE = 2 ** 32;
+/** Cost of a request in progress: all tokens of an engine are made at a slower pace. */
+const RUNNING_MS = 10;
 /** Cost of a result in another failure domain, in time for each megabyte. */
 const FAR_MS_PER_MB = 25;
 const BYTES_PER_MB = 1_000_000;
@@ -90,6 +102,9 @@
 const FIRST_REST_MS = 200;
 const MAX_REST_MS = 1_600;
 
+/** What is served by the same engine if possible: the session of a prompt, or else the request alone. */
+const nameSession = ({ parts, requestId }: GenerationNeed): string => parts.at(-2)?.partId ?? requestId;
+
 class Book implements EngineBook {
   private readonly engines = new Map<string, EngineState>();
 
@@ -108,6 +123,7 @@
       if (!this.engines.has(serverId)) {
         this.engines.set(serverId, {
           description,
+          hashSeed: h32(serverId),
           cache: createPartCache(description.capacityTokens),
           placed: new Map(),
           slowness: 1,
@@ -125,7 +141,8 @@
     const rested = all.filter(({ restsUntilMs }) => restsUntilMs <= nowMs);
     const usable = rested.length > 0 ? rested : all;
     const fresh = usable.filter(({ description }) => !need.avoidServers.includes(description.serverId));
-    const rated = (fresh.length > 0 ? fresh : usable).map((engine) => this.rate(engine, need, nowMs));
+    const session = nameSession(need);
+    const rated = (fresh.length > 0 ? fresh : usable).map((engine) => this.rate(engine, need, session, nowMs));
     return rated.reduce<(EngineChoice & { readonly costMs: number }) | undefined>(
       (best, one) => (best === undefined || one.costMs < best.costMs ? one : best),
       undefined,
@@ -176,7 +193,12 @@
     }
   }
 
-  private rate(engine: EngineState, need: GenerationNeed, nowMs: number): EngineChoice & { readonly costMs: number } {
+  private rate(
+    engine: EngineState,
+    need: GenerationNeed,
+    session: string,
+    nowMs: number,
+  ): EngineChoice & { readonly costMs: number } {
     const { serverId, failureDomain } = engine.description;
     const cachedTokens = engine.cache.prefixTokens(need.parts);
     const missingTokens = Math.max(0, need.promptTokens - cachedTokens);
@@ -188,7 +210,12 @@
     need.resultBytes.forEach((bytes, domain) => {
       farBytes += domain === failureDomain ? 0 : bytes;
     });
-    const costMs = firstTokenMs + rereadTokens * SHARED_TOKEN_MS + (farBytes / BYTES_PER_MB) * FAR_MS_PER_MB;
+    const costMs =
+      firstTokenMs +
+      rereadTokens * SHARED_TOKEN_MS +
+      (farBytes / BYTES_PER_MB) * FAR_MS_PER_MB +
+      engine.placed.size * RUNNING_MS +
+      (h32(session, engine.hashSeed) / HASH_RANGE) * SPREAD_MS;
     return { serverId, failureDomain, firstTokenMs, missingTokens, costMs };
   }
 
