Keep the leaving sign of a server whose entry is missing for a moment

Cause: an answer with the sign may arrive after the entry was dropped, and the entry may come back after an outage of the store. The sign was lost then. So was that of an answer without the id of its request.

Change: the directory remembers the start of removed processes, and answers that belong to no request still tell what their server said about itself.

--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -118,3 +118,48 @@
   );
   assert.equal(directory.snapshot().revision, 3);
 });
+
+const LEAVING = { leaving: true, restMs: undefined };
+
+test('a process that said it leaves gets no work when its entry comes back, and the next one does', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 1);
+  put('s2', 2);
+  directory.noteSigns('s1', LEAVING);
+  assert.deepEqual(list(), ['s2']);
+  assert.deepEqual(directory.listShunned('p'), ['s1']);
+  directory.remove('s1', 3);
+  directory.remove('s2', 4);
+  directory.noteSigns('s2', LEAVING);
+  put('s1', 5);
+  put('s2', 6);
+  assert.deepEqual(list(), []);
+  put('s1', 7, { startedAtMs: 2 });
+  assert.deepEqual(list(), ['s1']);
+});
+
+test('a server that asked for a rest is listed, but not sent to before its end', () => {
+  const { clock, directory, events, put, list } = createWorld();
+  put('s1', 1);
+  put('s2', 2);
+  const listAwake = (): readonly string[] => directory.view('p').servers.map(({ serverId }) => serverId);
+  directory.noteSigns('s1', { leaving: false, restMs: 2_000 });
+  directory.noteSigns('s1', { leaving: false, restMs: 500 });
+  assert.deepEqual([list(), listAwake()], [['s1', 's2'], ['s2']]);
+  assert.equal(directory.readReturnMs('p'), undefined);
+  directory.noteSigns('s2', { leaving: false, restMs: 1_000 });
+  assert.deepEqual([listAwake(), directory.readReturnMs('p')], [[], 1_000]);
+  clock.advance(1_000);
+  assert.deepEqual(listAwake(), ['s2']);
+  clock.advance(1_000);
+  assert.deepEqual(listAwake(), ['s1', 's2']);
+  assert.equal(events.filter((name) => name === 'serverRests').length, 3);
+});
+
+test('another process under the key of a resting server does not rest', () => {
+  const { directory, put } = createWorld();
+  put('s1', 1);
+  directory.noteSigns('s1', { leaving: false, restMs: 60_000 });
+  put('s1', 2, { startedAtMs: 2 });
+  assert.equal(directory.view('p').servers.length, 1);
+});
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -86,6 +86,12 @@
   lapsedAtRevision?: number;
 }
 
+/** What is remembered of an entry that was removed. */
+interface RemovedEntry {
+  readonly revision: number;
+  readonly startedAtMs: number | undefined;
+}
+
 /** After an outage of the store, live servers have registered again within this time. */
 const RETURN_MS = 2_000;
 /** Removed entries that are remembered; more than leave while an old state is on its way. */
@@ -96,8 +102,8 @@
 
   private readonly gone = new Set<string>();
 
-  /** Revisions at which entries were removed; an older state of them may still arrive from another host. */
-  private readonly removed = new Map<string, number>();
+  /** Entries that were removed; an older state of them may still arrive from another host. */
+  private readonly removed = new Map<string, RemovedEntry>();
 
   private readonly book = createPoolBook();
 
@@ -163,6 +169,11 @@
   noteSigns(serverId: string, { leaving, restMs }: ServerSigns): void {
     const server = this.find(serverId);
     if (server === undefined) {
+      const startedAtMs = this.removed.get(serverId)?.startedAtMs;
+      if (leaving && startedAtMs !== undefined) {
+        // Its entry may come back after an outage of the store.
+        this.gone.add(Directory.incarnation({ serverId, startedAtMs }));
+      }
       return;
     }
     const { pool, state } = server;
@@ -269,7 +280,7 @@
   private apply(stored: StoredServer): void {
     const known = this.entries.get(stored.serverId);
     this.revision = Math.max(this.revision, stored.revision);
-    const removedAt = this.removed.get(stored.serverId) ?? 0;
+    const removedAt = this.removed.get(stored.serverId)?.revision ?? 0;
     const knownRevision = Math.max(known?.stored.revision ?? 0, known?.lapsedAtRevision ?? 0, removedAt);
     if (stored.revision <= knownRevision) {
       return;
@@ -315,7 +326,8 @@
   }
 
   private forget(serverId: string, revision: number): void {
-    this.removed.set(serverId, revision);
+    const { startedAtMs } = this.find(serverId) ?? {};
+    this.removed.set(serverId, { revision, startedAtMs });
     if (this.removed.size > MAX_REMOVED) {
       this.removed.delete(this.removed.keys().next().value as string);
     }
@@ -345,8 +357,8 @@
     this.listeners.forEach((run) => run());
   }
 
-  private static incarnation(server: KnownServer): string {
-    return `${server.serverId} ${server.startedAtMs}`;
+  private static incarnation({ serverId, startedAtMs }: Pick<KnownServer, 'serverId' | 'startedAtMs'>): string {
+    return `${serverId} ${startedAtMs}`;
   }
 
   private static describe(server: KnownServer): ServerDescription {
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -290,6 +290,9 @@
   private async readAttempt(server: ServerView, opened: OpenedAttempt, silence: SilenceWatch): Promise<AttemptResult> {
     if (opened.type === 'failed') {
       const notRun = opened.failure.type === 'not-sent';
+      if (opened.signs !== undefined) {
+        this.ports.directory.noteSigns(server.serverId, opened.signs);
+      }
       this.record.noteRun(!notRun);
       return { type: 'ended', end: { type: notRun ? 'not-run' : 'unknown' }, resultsGone: false };
     }
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -3,7 +3,7 @@
 import { TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
 import passHeaders from '../requests/passHeaders.js';
 import type { AnswerHead } from '../requests/types.js';
-import type { AnswerFacts, RequestFormat } from '../ports.js';
+import type { AnswerFacts, RequestFormat, ServerSigns } from '../ports.js';
 
 /** One attempt on a backend server. */
 export interface AttemptCall {
@@ -29,7 +29,12 @@
       readonly facts: AnswerFacts;
       readonly response: IncomingMessage;
     }
-  | { readonly type: 'failed'; readonly failure: AttemptFailure };
+  | {
+      readonly type: 'failed';
+      readonly failure: AttemptFailure;
+      /** What the server said about itself in an answer that belongs to no request. */
+      readonly signs?: ServerSigns;
+    };
 
 /** A connection within a region is made in a few ms; a lost packet delays it by a second. */
 const CONNECT_LIMIT_MS = 300;
@@ -88,7 +93,8 @@
     const facts = format.readAnswer(response.statusCode ?? 0, response.headers);
     if (!isOwnAnswer(call, response, facts)) {
       response.destroy();
-      return { type: 'failed', failure: { type: 'invalid-answer' } };
+      const failure = { type: 'invalid-answer' } as const;
+      return facts.otherServer ? { type: 'failed', failure } : { type: 'failed', failure, signs: facts };
     }
     const head = { status: response.statusCode ?? 0, headers: passHeaders(response.rawHeaders, NO_HEADERS) };
     return { type: 'head', head, facts, response };
