--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { CatalogueFormat, ServerEntry, ServerSigns } from '../ports.js';
 import createRestBook from './createRestBook.js';
+import createDismissals from './createDismissals.js';
 
 /** A backend server with its place. */
 export interface KnownServer extends ServerEntry {
@@ -100,7 +101,7 @@
 class Directory implements BackendDirectory {
   private readonly entries = new Map<string, Entry>();
 
-  private readonly gone = new Set<string>();
+  private readonly dismissals = createDismissals();
 
   /** Entries that were removed; an older state of them may still arrive from another host. */
   private readonly removed = new Map<string, RemovedEntry>();
@@ -172,7 +173,7 @@
       const startedAtMs = this.removed.get(serverId)?.startedAtMs;
       if (leaving && startedAtMs !== undefined) {
         // Its entry may come back after an outage of the store.
-        this.gone.add(Directory.incarnation({ serverId, startedAtMs }));
+        this.dismissals.add({ serverId, startedAtMs });
       }
       return;
     }
@@ -200,7 +201,9 @@
 
   listShunned(pool: string): readonly string[] {
     return [...this.entries.values()].flatMap(({ server }) =>
-      server?.pool === pool && server.state === 'live' && (this.isGone(server) || this.rests.has(server.serverId))
+      server?.pool === pool &&
+      server.state === 'live' &&
+      (this.dismissals.has(server) || this.rests.has(server.serverId))
         ? [server.serverId]
         : [],
     );
@@ -263,18 +266,13 @@
     this.rests.close();
   }
 
-  private isGone(server: KnownServer): boolean {
-    return this.gone.has(Directory.incarnation(server));
-  }
-
   /** Keeps new work from a process; false when it gets none already. */
   private dismiss(server: KnownServer): boolean {
-    if (this.isGone(server)) {
-      return false;
+    const isNew = this.dismissals.add(server);
+    if (isNew) {
+      this.arrange();
     }
-    this.gone.add(Directory.incarnation(server));
-    this.arrange();
-    return true;
+    return isNew;
   }
 
   private apply(stored: StoredServer): void {
@@ -343,7 +341,7 @@
       if (server !== undefined) {
         byAddress.set(`${server.address}:${server.port}`, server);
       }
-      if (server?.state === 'live' && !this.isGone(server)) {
+      if (server?.state === 'live' && !this.dismissals.has(server)) {
         pools.set(server.pool, [...(pools.get(server.pool) ?? []), server]);
       }
     });
@@ -357,10 +355,6 @@
     this.listeners.forEach((run) => run());
   }
 
-  private static incarnation({ serverId, startedAtMs }: Pick<KnownServer, 'serverId' | 'startedAtMs'>): string {
-    return `${serverId} ${startedAtMs}`;
-  }
-
   private static describe(server: KnownServer): ServerDescription {
     return server;
   }
