Let large answers of the store arrive, and pack what hosts exchange

Hosts also sent whole tables and server lists to each other in each exchange that met an older state.

What hosts exchange is compressed like the messages of relays, and a message of the second relay that tells nothing new is not unpacked.

Test: pollStore.test.ts, an answer that takes 1.2 s to arrive.

--- a/packages/backends/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -2,6 +2,7 @@
 import { createHttpClient, TransportError, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
 import type { RangePage, StoreCall, StoreDialect } from './dialect.js';
+import fetchAnswer from './_lib/fetchAnswer.js';
 import jsonDialect from './jsonDialect.js';
 import type {
   Compare,
@@ -18,6 +19,7 @@
 /** Options of {@link createStoreClient}. */
 export interface StoreClientOptions {
   readonly urls: readonly string[];
+  /** Time until an answer begins. */
   readonly timeoutMs: number;
   /** Wire format of the store; by default that of the product's own store. */
   readonly dialect?: StoreDialect;
@@ -105,12 +107,9 @@
 
   private async send<Result>({ method, path, body, read }: StoreCall<Result>): Promise<Result> {
     try {
-      const response = await this.http.send(this.target(), {
-        method,
-        path,
-        ...(body === undefined ? {} : { body, headers: JSON_HEADERS }),
-        signal: AbortSignal.timeout(this.options.timeoutMs),
-      });
+      const request = { method, path, ...(body === undefined ? {} : { body, headers: JSON_HEADERS }) };
+      const limits = { beginMs: this.options.timeoutMs, abort: new AbortController() };
+      const response = await fetchAnswer(this.http, this.target(), request, limits);
       const result = read(response.status, response.body);
       this.options.onCall?.(path, 'ok');
       return result;
--- a/packages/backends/src/store/pollStore.test.ts
+++ b/packages/backends/src/store/pollStore.test.ts
@@ -105,3 +105,19 @@
   );
   client.close();
 });
+
+test('a large answer that begins in time may take longer to arrive', async () => {
+  const client = createHttpClient();
+  await withStore(
+    (_, response) => {
+      const text = JSON.stringify({ events: [{ type: 'delete', key: 'a', revision: '8' }], revision: '8' });
+      response.write(text.slice(0, 5));
+      setTimeout(() => response.end(text.slice(5)), 1_200);
+    },
+    async (port) => {
+      const event = await firstValueFrom(watch(port, client));
+      assert.equal(event.type, 'delete');
+    },
+  );
+  client.close();
+});
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -2,8 +2,9 @@
 import { Observable } from 'rxjs';
 import { createSystemClock } from '@bergamotcove/clock';
 import { reserveFromBucket, type Bucket } from '@bergamotcove/decide';
-import { readBody, type HttpClient, type Target } from '@bergamotcove/transport';
+import type { HttpClient, Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
+import fetchAnswer, { type AnswerLimits } from './_lib/fetchAnswer.js';
 import type { StoreCall, WatchOptions } from './dialect.js';
 import type { WatchEvent } from './types.js';
 
@@ -22,7 +23,7 @@
   readonly format: (afterRevision: string, waitMs: number) => StoreCall<WatchPoll>;
 }
 
-/** Time for an answer to arrive after the store had to send it; then the connection counts as silent. */
+/** Time for an answer to begin after the store had to send it; then the connection counts as silent. */
 const ANSWER_LIMIT_MS = 700;
 
 /**
@@ -31,17 +32,14 @@
  */
 const CALL_RATE = { ratePerSecond: 2, capacity: 3 };
 
-/** Answers hold a few values of up to a megabyte. */
-const MAX_ANSWER_BYTES = 8 * 1_048_576;
-
 const poll = async (
   http: HttpClient,
   target: Target,
-  call: StoreCall<WatchPoll>,
-  signal: AbortSignal,
+  { method, path, read }: StoreCall<WatchPoll>,
+  limits: AnswerLimits,
 ): Promise<WatchPoll> => {
-  const response = await http.open(target, { method: call.method, path: call.path, signal });
-  return call.read(response.statusCode ?? 0, await readBody(response, { maxBytes: MAX_ANSWER_BYTES }));
+  const { status, body } = await fetchAnswer(http, target, { method, path }, limits);
+  return read(status, body);
 };
 
 /**
@@ -70,18 +68,14 @@
         bucket = reservation.bucket;
         // eslint-disable-next-line no-await-in-loop
         await delay(reservation.waitMs, undefined, { signal: current.signal });
-        const limit = setTimeout(() => current.abort(), waitMs + ANSWER_LIMIT_MS);
-        try {
-          // Each call begins where the one before ended.
-          // eslint-disable-next-line no-await-in-loop
-          const answer = await poll(http, target, options.format(revision, waitMs), abort.signal);
-          revision = answer.revision;
-          waitMs = options.waitMs;
-          answer.events.forEach((event) => subscriber.next(event));
-          subscriber.next({ type: 'started', revision });
-        } finally {
-          clearTimeout(limit);
-        }
+        const limits = { beginMs: waitMs + ANSWER_LIMIT_MS, abort: current };
+        // Each call begins where the one before ended.
+        // eslint-disable-next-line no-await-in-loop
+        const answer = await poll(http, target, options.format(revision, waitMs), limits);
+        revision = answer.revision;
+        waitMs = options.waitMs;
+        answer.events.forEach((event) => subscriber.next(event));
+        subscriber.next({ type: 'started', revision });
       }
     };
     run().catch((cause: unknown) =>
--- a/packages/gateway/src/catalogue/createCatalogueRelay.ts
+++ b/packages/gateway/src/catalogue/createCatalogueRelay.ts
@@ -4,7 +4,7 @@
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { HostEntry } from '../hosts/createHostRegistry.js';
 import type { CatalogueBatch, CatalogueLog, CatalogueSnapshot } from './createCatalogueLog.js';
-import { packMessage, unpackMessage, type PackedMessage } from './packMessage.js';
+import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
 
 /** Whether a relay reaches the store; entries that lapsed in an outage may still come back while it is returning. */
 export type RelayState = 'live' | 'returning' | 'lost';
@@ -49,6 +49,8 @@
   /** Where what is missing can be asked for. */
   readonly target: Target;
   readonly state: RelayState;
+  /** Revision up to which the batch tells everything. */
+  readonly toRevision: number;
   readonly batch: PackedMessage;
 }
 
@@ -142,6 +144,7 @@
       hostId: self.hostId,
       target: self.target,
       state: readState(),
+      toRevision: batch.toRevision,
       batch: packMessage(batch),
     };
     receivers.forEach(({ hostId, target }) => {
@@ -154,13 +157,15 @@
     });
   }
 
-  private receive({ hostId, target, state, batch }: Push): boolean {
+  private receive({ hostId, target, state, toRevision, batch }: Push): boolean {
     const { clock, log, onHeard, onReturning } = this.options;
     if (state === 'returning' && this.sightings.get(hostId)?.state !== 'returning') {
       onReturning();
     }
     this.sightings.set(hostId, { state, atMs: clock.monotonicMs() });
-    const isComplete = log.apply(unpackMessage(batch) as CatalogueBatch);
+    // The other relay has told most of it before.
+    const isKnown = log.revision > 0 && toRevision <= log.revision;
+    const isComplete = isKnown || log.apply(unpackMessage(batch) as CatalogueBatch);
     onHeard();
     if (!isComplete) {
       this.read(hostId, target);
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -3,6 +3,7 @@
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { BackendDirectory, ServerSnapshot } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
+import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
 import type { HostEntry, HostRecord, HostRegistry } from './createHostRegistry.js';
 
 /** Passes what is newer from host to host, so that a host without the store does not stay behind. */
@@ -85,7 +86,11 @@
     };
   }
 
-  private answer(inquiry: Inquiry): Newer {
+  private answer(inquiry: Inquiry): PackedMessage {
+    return packMessage(this.findNewer(inquiry));
+  }
+
+  private findNewer(inquiry: Inquiry): Newer {
     const { hosts } = this;
     if (hosts === undefined) {
       return {};
@@ -114,7 +119,7 @@
 
   private ask(target: Target, hosts: HostRegistry): void {
     this.options.links.call(target, SYNC, this.describe(hosts)).then(
-      (newer) => this.apply(newer as Newer, target, hosts),
+      (newer) => this.apply(unpackMessage(newer as PackedMessage) as Newer, target, hosts),
       // A host that does not answer is asked again in a later turn.
       () => undefined,
     );
