Log and count the losses of servers, whether they are crashes or not

Without these lines the hypotheses of the incident cannot be told apart: a crash that the guard counted, or chose not to count, left no line until a request was blocked. serverCrashNoted names what ran on the server and who saw it, serverLossUnproved why a loss does not count, attemptEnded the fingerprint that ties the lines of all hosts to a request. No decision is changed.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -20,7 +20,7 @@
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
-import { formatFingerprint, type CrashGuard } from './createCrashGuard.js';
+import type { CrashGuard } from './createCrashGuard.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
@@ -76,8 +76,6 @@
 
   private readonly work;
 
-  private readonly fingerprint: string;
-
   private readonly results: HeldResults;
 
   private readonly answer: RunAnswer;
@@ -106,7 +104,6 @@
   ) {
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
-    this.fingerprint = formatFingerprint({ ...request, organisation: request.organisation?.name });
     this.results = new HeldResults(request, ports.stages);
     this.answer = new RunAnswer(exchange, this.record, () => {
       this.abort.abort();
@@ -226,7 +223,7 @@
 
   private async attempt(server: ServerView): Promise<AttemptResult> {
     const { pools, format, clock, crashes } = this.ports;
-    const { fingerprint } = this;
+    const { fingerprint } = this.request;
     if (crashes.isBlocked(fingerprint)) {
       this.answer.fail('poisoned', POISONED_RETRY_MS);
       return { type: 'ended', end: { type: 'not-run' }, resultsGone: false };
@@ -368,8 +365,9 @@
     const allowed = wanted !== 'send-again' || result.paid === true || spendRetry(this.pool);
     const withoutBudget: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
     const decision = allowed ? wanted : withoutBudget;
+    const { requestId, fingerprint } = this.request;
     reportAttempt(
-      { requestId: this.request.requestId, server, end: result.end.type, decision, allowed, runs, sends, remainingMs },
+      { requestId, fingerprint, server, end: result.end.type, decision, allowed, runs, sends, remainingMs },
       this.ports,
     );
     return this.follow(decision, server, result);
--- a/packages/gateway/src/requests/createCrashGuard.ts
+++ b/packages/gateway/src/requests/createCrashGuard.ts
@@ -1,18 +1,16 @@
-import { createHash } from 'node:crypto';
 import net from 'node:net';
 import type { Clock } from '@bergamotcove/clock';
 import { advancePoison, readBlock, RunningAttempts, type PoisonState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 
-/** What makes two requests of callers the same one. */
-export interface RequestIdentity {
-  readonly method: string;
-  readonly path: string;
-  readonly organisation: string | undefined;
-  readonly body: Buffer | undefined;
-}
+/** What a new connection to a server tells: one that is out of reach has not crashed for sure. */
+type ConnectionCheck = 'refused' | 'accepted' | 'no-answer' | 'failed';
+
+/** Why the loss of a server is no crash. */
+export type UnprovedLoss = 'entry-gone' | 'broken' | 'silent' | Exclude<ConnectionCheck, 'refused'>;
 
 /** Stops requests that crash the servers which run them, on all hosts. */
 export interface CrashGuard {
@@ -22,6 +20,8 @@
   watch(serverId: string, fingerprint: string): () => void;
   /** A connection was lost before an answer; resolves when it is known whether the server crashed. */
   noteLost(server: Target & { readonly serverId: string }): Promise<void>;
+  /** An attempt lost its server in a way that is not counted as a crash. */
+  noteUnproved(serverId: string, reason: UnprovedLoss): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   /** Hosts that are told of crashes. */
   start(hosts: HostRegistry): void;
@@ -31,6 +31,7 @@
 export interface CrashGuardOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
   readonly links: LinkClient;
 }
 
@@ -41,29 +42,21 @@
 }
 
 const REPORT_CRASH = 'requests.crash';
-const FINGERPRINT_CHARS = 22;
 /** A server that takes no connection within this time is down or out of reach. */
 const CHECK_LIMIT_MS = 150;
 
-/** Fingerprint of a request: the same request gets the same one on every host. */
-export const formatFingerprint = ({ method, path, organisation, body }: RequestIdentity): string =>
-  createHash('sha256')
-    .update(JSON.stringify([method, path, organisation ?? null]))
-    .update(body ?? '')
-    .digest('base64url')
-    .slice(0, FINGERPRINT_CHARS);
-
-/** Whether a server refuses connections. One that is out of reach has not crashed for sure. */
-const refusesConnections = ({ address, port }: Target): Promise<boolean> =>
+const checkConnection = ({ address, port }: Target): Promise<ConnectionCheck> =>
   new Promise((resolve) => {
     const socket = net.connect({ host: address, port });
-    const settle = (refuses: boolean): void => {
+    const settle = (check: ConnectionCheck): void => {
       socket.destroy();
-      resolve(refuses);
+      resolve(check);
     };
-    socket.setTimeout(CHECK_LIMIT_MS, () => settle(false));
-    socket.once('connect', () => settle(false));
-    socket.once('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNREFUSED'));
+    socket.setTimeout(CHECK_LIMIT_MS, () => settle('no-answer'));
+    socket.once('connect', () => settle('accepted'));
+    socket.once('error', (error: NodeJS.ErrnoException) =>
+      settle(error.code === 'ECONNREFUSED' ? 'refused' : 'failed'),
+    );
   });
 
 class Guard implements CrashGuard {
@@ -78,7 +71,7 @@
   constructor(private readonly options: CrashGuardOptions) {
     this.methods = {
       [REPORT_CRASH]: (params) => {
-        this.apply(params as CrashReport);
+        this.apply(params as CrashReport, 'peer');
         return true;
       },
     };
@@ -99,11 +92,15 @@
   }
 
   async noteLost(server: Target & { readonly serverId: string }): Promise<void> {
-    const report = { serverId: server.serverId, fingerprints: [...this.running.list(server.serverId)] };
-    if (!(await refusesConnections(server))) {
+    const { serverId } = server;
+    const report = { serverId, fingerprints: [...this.running.list(serverId)] };
+    const check = await checkConnection(server);
+    if (check !== 'refused') {
+      this.noteUnproved(serverId, check);
       return;
     }
-    this.apply(report);
+    this.options.metrics.report('server.losses', 1, { verdict: 'crashed' });
+    this.apply(report, 'own');
     const { hosts } = this;
     hosts
       ?.list()
@@ -112,11 +109,21 @@
       .forEach(({ target }) => this.options.links.call(target, REPORT_CRASH, report).catch(() => undefined));
   }
 
-  private apply({ serverId, fingerprints }: CrashReport): void {
-    const { clock, logger } = this.options;
+  noteUnproved(serverId: string, reason: UnprovedLoss): void {
+    const { logger, metrics } = this.options;
+    metrics.report('server.losses', 1, { verdict: reason });
+    logger.event('serverLossUnproved', { serverId, fingerprints: this.running.list(serverId), reason });
+  }
+
+  private apply({ serverId, fingerprints }: CrashReport, source: 'own' | 'peer'): void {
+    const { clock, logger, metrics } = this.options;
+    logger.event('serverCrashNoted', { serverId, fingerprints, source });
     const step = advancePoison(this.state, { type: 'crash', serverId, fingerprints }, clock.monotonicMs());
     this.state = step.state;
-    step.blocked.forEach((fingerprint) => logger.event('requestPoisoned', { fingerprint }));
+    step.blocked.forEach((fingerprint) => {
+      metrics.report('request.blocks', 1);
+      logger.event('requestPoisoned', { fingerprint, serverId });
+    });
   }
 }
 
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -15,6 +15,7 @@
 import type { RequestFacts, RequestFormat } from '../ports.js';
 import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
+import formatFingerprint from './formatFingerprint.js';
 import passHeaders from './passHeaders.js';
 import type { ForwardRequest } from './types.js';
 
@@ -127,15 +128,19 @@
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
     const sizeTokens = measureSize(facts);
+    const method = request.method ?? 'GET';
+    const path = request.url ?? '/';
+    const owner = route.keyless ? undefined : organisation;
     const forward: ForwardRequest = {
       requestId,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
+      fingerprint: formatFingerprint({ method, path, organisation: owner?.name, body }),
+      method,
+      path,
       headers: passHeaders(request.rawHeaders, this.withheld),
       body: body.length > 0 || request.headers['content-length'] !== undefined ? body : undefined,
       facts,
       route,
-      organisation: route.keyless ? undefined : organisation,
+      organisation: owner,
       priority: rankRequest(route.priority, organisation?.priority),
       value: valueRequest({
         routePriority: route.priority,
--- a/packages/gateway/src/requests/reportAttempt.ts
+++ b/packages/gateway/src/requests/reportAttempt.ts
@@ -5,6 +5,7 @@
 /** What is told of an attempt that has ended. */
 export interface AttemptReport {
   readonly requestId: string;
+  readonly fingerprint: string;
   readonly server: ServerView;
   readonly end: AttemptEnd['type'];
   readonly decision: RetryDecision;
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -13,6 +13,10 @@
   | 'failed'
   /** The connection was lost before an answer. */
   | 'lost'
+  /** The connection was lost within an answer. */
+  | 'broken'
+  /** The server sent nothing for too long. */
+  | 'silent'
   /** The request ended first. */
   | 'abandoned';
 
@@ -33,13 +37,13 @@
 /** What the pool learns from an attempt that ran to its end. */
 export const classifyEnd = (opened: OpenedAttempt, result: AttemptResult, isSilent: boolean): TrackedEnd => {
   if (isSilent) {
-    return 'failed';
+    return 'silent';
   }
   if (result.type === 'delivered' || result.end.type === 'answered') {
     return 'answered';
   }
   if (opened.type === 'head') {
-    return 'abandoned';
+    return result.end.type === 'unknown' ? 'broken' : 'abandoned';
   }
   return opened.failure.type === 'connection-lost' ? 'lost' : 'failed';
 };
@@ -65,7 +69,7 @@
     if (end === 'answered') {
       directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
       directory.note(serverId, { type: 'answered' });
-    } else if (end !== 'abandoned') {
+    } else if (end !== 'abandoned' && end !== 'broken') {
       directory.note(serverId, { type: 'failed' });
     }
     directory.note(serverId, { type: 'done', tokensLeft: tokens, long: false });
@@ -73,6 +77,8 @@
     const known = directory.find(serverId);
     if (end === 'lost' && known !== undefined) {
       await crashes.noteLost(known);
+    } else if (end === 'lost' || end === 'broken' || end === 'silent') {
+      crashes.noteUnproved(serverId, end === 'lost' ? 'entry-gone' : end);
     }
     unwatch();
   };
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -31,6 +31,8 @@
 /** A request that was matched to its route and read whole. */
 export interface ForwardRequest {
   readonly requestId: string;
+  /** The same for requests that are the same, on every host. */
+  readonly fingerprint: string;
   readonly method: string;
   readonly path: string;
   /** Headers that are passed on, names and values in turn. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -99,7 +99,7 @@
   const owners = createBatchOwners({ clock, logger, metrics, format: formats.stages, directory, tables, region });
   const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
   const queues = createPoolQueues(clock);
-  const crashes = createCrashGuard({ clock, logger, links });
+  const crashes = createCrashGuard({ clock, logger, metrics, links });
   directory.onChange(() => queues.drainAll());
   const liveSettings = createSettingsHolder(settings);
   const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -31,6 +31,16 @@
   requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
   attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
   requestPoisoned: { id: 2101, level: 'warn', text: 'A request crashed two servers; release it with releasePoison.' },
+  serverCrashNoted: {
+    id: 2102,
+    level: 'info',
+    text: 'A backend server ended under requests; `source` tells who saw it, `fingerprints` what ran on it.',
+  },
+  serverLossUnproved: {
+    id: 2103,
+    level: 'info',
+    text: 'An attempt lost its server, which is not known to have ended; `reason` tells why the loss is no crash.',
+  },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -31,6 +31,18 @@
     tags: ['pool'],
     text: 'Listed servers that this host does not use because they said that they leave, or asked for a rest.',
   },
+  'server.losses': {
+    type: 'counter',
+    unit: '1',
+    tags: ['verdict'],
+    text: 'Attempts that lost their server, by whether it is known to have crashed.',
+  },
+  'request.blocks': {
+    type: 'counter',
+    unit: '1',
+    tags: [],
+    text: 'Requests that were blocked because servers crashed.',
+  },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a whole answer.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host takes requests.' },
