Count crashes instead of server ids before a request is blocked

Cause: a request was blocked only after two different server ids, and beside others after three. A pool of one or two ids never gave that many.

Now three crashes under a request block it, whatever ids they have and whoever else ran in them; two crashes still suffice on different servers if no other request explains both. Starts of a server are told apart by the time of its start, so that one that is back within the 2 s in which reports are merged counts anew.

--- a/packages/decide/src/poison/advancePoison.ts
+++ b/packages/decide/src/poison/advancePoison.ts
@@ -1,39 +1,47 @@
 import { exhaustive } from '@bergamotcove/errors';
-import { AMBIGUOUS_CRASHES, CRASH_MERGE_MS, MAX_CRASHES, POISON_BLOCK_MS } from './constants.js';
-import type { Crash, PoisonEvent, PoisonState, PoisonStep } from './types.js';
+import { CRASH_MERGE_MS, MAX_CRASHES, POISON_BLOCK_MS, SURE_CRASHES } from './constants.js';
+import type { Crash, CrashEvent, PoisonEvent, PoisonState, PoisonStep } from './types.js';
 
 const expire = (state: PoisonState, nowMs: number): PoisonState => ({
   crashes: state.crashes.filter((crash) => crash.atMs + POISON_BLOCK_MS > nowMs),
   blocks: new Map([...state.blocks].filter(([, untilMs]) => untilMs > nowMs)),
 });
 
-const mergeCrash = (
-  crashes: readonly Crash[],
-  event: Extract<PoisonEvent, { type: 'crash' }>,
-  nowMs: number,
-): readonly Crash[] => {
-  const same = crashes.find(({ serverId, atMs }) => serverId === event.serverId && nowMs - atMs < CRASH_MERGE_MS);
-  const fingerprints = new Set([...(same?.fingerprints ?? []), ...event.fingerprints]);
-  const merged = { serverId: event.serverId, atMs: same?.atMs ?? nowMs, fingerprints };
+/** Whether a report is about a crash that is known; servers that restart under their ids crash again. */
+const isSameCrash = (crash: Crash, { serverId, startId }: CrashEvent, nowMs: number): boolean =>
+  crash.serverId === serverId &&
+  nowMs - crash.atMs < CRASH_MERGE_MS &&
+  (crash.startId === startId || crash.startId === undefined || startId === undefined);
+
+const mergeCrash = (crashes: readonly Crash[], event: CrashEvent, nowMs: number): readonly Crash[] => {
+  const same = crashes.find((crash) => isSameCrash(crash, event, nowMs));
+  const merged: Crash = {
+    serverId: event.serverId,
+    startId: event.startId ?? same?.startId,
+    atMs: same?.atMs ?? nowMs,
+    fingerprints: new Set([...(same?.fingerprints ?? []), ...event.fingerprints]),
+  };
   return [...crashes.filter((crash) => crash !== same), merged].slice(-MAX_CRASHES);
 };
 
-const countServers = (crashes: readonly Crash[], fingerprint: string): number =>
-  new Set(crashes.filter((crash) => crash.fingerprints.has(fingerprint)).map(({ serverId }) => serverId)).size;
+const countCrashes = (crashes: readonly Crash[], fingerprint: string): number =>
+  crashes.filter(({ fingerprints }) => fingerprints.has(fingerprint)).length;
+
+const listCommon = (one: Crash, other: Crash): readonly string[] =>
+  [...one.fingerprints].filter((fingerprint) => other.fingerprints.has(fingerprint));
 
 /**
- * Fingerprints that two crashes of different servers attribute to one request. If several requests ran in both
- * crashes, either could be to blame; they are blocked only after a further server crashed under them.
+ * Fingerprints that the latest crash proves guilty: those that ran in enough crashes, and the only one that it has in
+ * common with the crash of another server. Two crashes of one server may be its own fault, and several common requests
+ * leave open which one is to blame.
  */
-const findCulprits = (crashes: readonly Crash[], latest: Crash): readonly string[] =>
-  crashes
+const findCulprits = (crashes: readonly Crash[], latest: Crash): readonly string[] => [
+  ...[...latest.fingerprints].filter((fingerprint) => countCrashes(crashes, fingerprint) >= SURE_CRASHES),
+  ...crashes
     .filter(({ serverId }) => serverId !== latest.serverId)
-    .flatMap((earlier) => {
-      const common = [...latest.fingerprints].filter((fingerprint) => earlier.fingerprints.has(fingerprint));
-      return common.length === 1
-        ? common
-        : common.filter((fingerprint) => countServers(crashes, fingerprint) >= AMBIGUOUS_CRASHES);
-    });
+    .map((earlier) => listCommon(earlier, latest))
+    .flatMap((common) => (common.length === 1 ? common : [])),
+];
 
 const block = (state: PoisonState, fingerprints: readonly string[], untilMs: number): PoisonStep => {
   const blocked = [...new Set(fingerprints)].filter((fingerprint) => !state.blocks.has(fingerprint));
@@ -53,7 +61,8 @@
 
 /**
  * Advances the suspicions of one host by one event. A fingerprint is blocked when two different servers crashed under
- * it and no other request explains both crashes. A request that shared one crashing server is never blocked.
+ * it and no other request explains both crashes, or when three crashes came under it. A request that shared one crash
+ * is never blocked.
  *
  * @param state - state before the event
  * @param event - what happened
--- a/packages/decide/src/poison/constants.ts
+++ b/packages/decide/src/poison/constants.ts
@@ -4,8 +4,11 @@
 /** Reports about the same server within this time are one crash, seen by several hosts. */
 export const CRASH_MERGE_MS = 2_000;
 
-/** Servers after which every request that ran on all of them is blocked, although one of them alone is to blame. */
-export const AMBIGUOUS_CRASHES = 3;
+/**
+ * Crashes after which a request that ran in all of them is blocked, whether they were crashes of one server, and
+ * whether other requests ran in all of them too.
+ */
+export const SURE_CRASHES = 3;
 
 /** Crashes that are remembered; a lost failure domain can break all of its servers at once. */
 export const MAX_CRASHES = 512;
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -1,6 +1,8 @@
 /** One crash of one backend server and the requests that ran on it, as far as known. */
 export interface Crash {
   readonly serverId: string;
+  /** Distinguishes the starts of a server that keeps its id; undefined when it is not known. */
+  readonly startId: string | undefined;
   readonly atMs: number;
   readonly fingerprints: ReadonlySet<string>;
 }
@@ -12,9 +14,18 @@
   readonly blocks: ReadonlyMap<string, number>;
 }
 
+/** A server ended under requests. */
+export interface CrashEvent {
+  readonly type: 'crash';
+  readonly serverId: string;
+  /** Distinguishes the starts of a server that keeps its id, where they are known. */
+  readonly startId?: string;
+  readonly fingerprints: readonly string[];
+}
+
 /** Something that happened to a fingerprint. */
 export type PoisonEvent =
-  | { readonly type: 'crash'; readonly serverId: string; readonly fingerprints: readonly string[] }
+  | CrashEvent
   /** Another host blocked the fingerprint. */
   | { readonly type: 'block'; readonly fingerprint: string; readonly remainingMs: number }
   /** An operator released the fingerprint. */
--- a/packages/gateway/src/requests/createCrashGuard.ts
+++ b/packages/gateway/src/requests/createCrashGuard.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
+import type { KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 
 /** What a new connection to a server tells: one that is out of reach has not crashed for sure. */
@@ -19,7 +20,7 @@
   /** The request is sent to a server; call the returned function when the attempt has ended. */
   watch(serverId: string, fingerprint: string): () => void;
   /** A connection was lost before an answer; resolves when it is known whether the server crashed. */
-  noteLost(server: Target & { readonly serverId: string }): Promise<void>;
+  noteLost(server: KnownServer): Promise<void>;
   /** An attempt lost its server in a way that is not counted as a crash. */
   noteUnproved(serverId: string, reason: UnprovedLoss): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -38,6 +39,7 @@
 /** A crash as hosts tell it to each other. */
 interface CrashReport {
   readonly serverId: string;
+  readonly startId: string;
   readonly fingerprints: readonly string[];
 }
 
@@ -91,9 +93,9 @@
     return () => this.running.remove(serverId, attempt);
   }
 
-  async noteLost(server: Target & { readonly serverId: string }): Promise<void> {
-    const { serverId } = server;
-    const report = { serverId, fingerprints: [...this.running.list(serverId)] };
+  async noteLost(server: KnownServer): Promise<void> {
+    const { serverId, startedAtMs } = server;
+    const report = { serverId, startId: String(startedAtMs), fingerprints: [...this.running.list(serverId)] };
     const check = await checkConnection(server);
     if (check !== 'refused') {
       this.noteUnproved(serverId, check);
@@ -115,10 +117,11 @@
     logger.event('serverLossUnproved', { serverId, fingerprints: this.running.list(serverId), reason });
   }
 
-  private apply({ serverId, fingerprints }: CrashReport, source: 'own' | 'peer'): void {
+  private apply(report: CrashReport, source: 'own' | 'peer'): void {
+    const { serverId, startId, fingerprints } = report;
     const { clock, logger, metrics } = this.options;
-    logger.event('serverCrashNoted', { serverId, fingerprints, source });
-    const step = advancePoison(this.state, { type: 'crash', serverId, fingerprints }, clock.monotonicMs());
+    logger.event('serverCrashNoted', { serverId, startId, fingerprints, source });
+    const step = advancePoison(this.state, { type: 'crash', ...report }, clock.monotonicMs());
     this.state = step.state;
     step.blocked.forEach((fingerprint) => {
       metrics.report('request.blocks', 1);
@@ -129,7 +132,7 @@
 
 /**
  * Creates the guard against requests that crash servers. A request is blocked when two servers crashed under it, on
- * this host or others, and no other request explains both crashes.
+ * this host or others, and no other request explains both crashes, or when it ran in three crashes.
  *
  * @param options - links to other hosts
  * @returns the guard
