--- /dev/null
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -0,0 +1,109 @@
+import type { ServerView } from '@bergamotcove/decide';
+import type CallerExchange from '../callers/CallerExchange.js';
+import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { ServerPools } from '../servers/createServerPools.js';
+import type { OpenedAttempt } from '../servers/openAttempt.js';
+import readAnswerBody from '../servers/readAnswerBody.js';
+import type HeldResults from './HeldResults.js';
+import relayStream from './relayStream.js';
+import type Reservation from './Reservation.js';
+import type RunAnswer from './RunAnswer.js';
+import type RunRecord from './RunRecord.js';
+import type { AttemptResult, ForwardRequest } from './types.js';
+import type { SilenceWatch } from './watchSilence.js';
+
+/** The request whose answers are read. */
+export interface AnsweredRun {
+  readonly request: ForwardRequest;
+  readonly exchange: CallerExchange;
+  readonly record: RunRecord;
+  readonly answer: RunAnswer;
+  readonly results: HeldResults;
+  readonly reservation: Reservation;
+}
+
+/** Parts that are told what servers say of themselves. */
+export interface ReaderPorts {
+  readonly directory: BackendDirectory;
+  readonly pools: ServerPools;
+}
+
+const FIRST_REDIRECT = 300;
+/** A stream that was begun goes on elsewhere after this pause; callers give up after two seconds or more. */
+const STREAM_SILENCE_MS = 1_500;
+
+/** Reads the answers to the attempts of one request, and passes streams on as they arrive. */
+export default class AnswerReader {
+  /** Last event of the stream that the caller has. */
+  lastEventId: string | undefined;
+
+  constructor(
+    private readonly run: AnsweredRun,
+    private readonly ports: ReaderPorts,
+  ) {}
+
+  /** Reads the answer to one attempt. */
+  async read(server: ServerView, opened: OpenedAttempt, silence: SilenceWatch): Promise<AttemptResult> {
+    if (opened.type === 'failed') {
+      const notRun = opened.failure.type === 'not-sent';
+      if (opened.signs !== undefined) {
+        this.ports.directory.noteSigns(server.serverId, opened.signs);
+      }
+      this.run.record.noteRun(!notRun);
+      return { type: 'ended', end: { type: notRun ? 'not-run' : 'unknown' }, resultsGone: false };
+    }
+    const { head, facts, response } = opened;
+    if (facts.load !== undefined) {
+      this.ports.pools.noteLoad(server.serverId, facts.load);
+    }
+    if (!facts.otherServer) {
+      this.ports.directory.noteSigns(server.serverId, facts);
+    }
+    if (facts.notRun) {
+      response.resume();
+      if (facts.otherServer) {
+        this.ports.directory.noteGone(server.serverId);
+      }
+      return { type: 'ended', end: { type: 'not-run' }, resultsGone: facts.resultsGone };
+    }
+    this.run.record.noteRun(true);
+    this.run.record.noteFirstByte();
+    this.run.reservation.noteFirstToken(facts.load?.slowness);
+    if (this.run.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
+      return this.relay(opened, silence);
+    }
+    const body = await readAnswerBody(response);
+    return body === undefined
+      ? { type: 'ended', end: { type: 'unknown' }, resultsGone: false }
+      : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
+  }
+
+  private async relay(
+    { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
+    silence: SilenceWatch,
+  ): Promise<AttemptResult> {
+    // The server fetched the results before it began to generate.
+    this.run.results.release();
+    if (this.run.answer.ended) {
+      response.destroy();
+      return { type: 'delivered' };
+    }
+    if (!this.run.exchange.begun) {
+      this.run.exchange.begin(head);
+    }
+    silence.heard(STREAM_SILENCE_MS);
+    const end = await relayStream(response, this.run.exchange, {
+      afterEventId: this.lastEventId,
+      onEvents: (lastEventId) => {
+        silence.heard(STREAM_SILENCE_MS);
+        this.lastEventId = lastEventId ?? this.lastEventId;
+      },
+    });
+    if (end.type === 'complete' && !this.run.answer.ended) {
+      this.run.exchange.finish();
+      this.run.answer.end('answered', head.status, 'streamed');
+      return { type: 'delivered' };
+    }
+    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
+  }
+}
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -16,15 +16,14 @@
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import placeAttempt from '../servers/placeAttempt.js';
-import openAttempt, { type OpenedAttempt } from '../servers/openAttempt.js';
-import readAnswerBody from '../servers/readAnswerBody.js';
+import openAttempt from '../servers/openAttempt.js';
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
+import AnswerReader from './AnswerReader.js';
 import type { CrashGuard } from './createCrashGuard.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
-import relayStream from './relayStream.js';
 import reportAttempt from './reportAttempt.js';
 import trackAttempt, { classifyEnd } from './trackAttempt.js';
 import watchSilence, { type SilenceWatch } from './watchSilence.js';
@@ -53,7 +52,6 @@
   readonly spendRetry: (pool: string) => boolean;
 }
 
-const FIRST_REDIRECT = 300;
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
 const TIMED_OUT_RETRY_MS = 100;
@@ -61,8 +59,6 @@
 const POISONED_RETRY_MS = 60_000;
 /** Time in which a server has fetched the results that an attempt names. */
 const FETCH_MS = 80;
-/** A stream that was begun goes on elsewhere after this pause; callers give up after two seconds or more. */
-const STREAM_SILENCE_MS = 1_500;
 /** Times that the stages of a request run, when results are lost with their servers. */
 const MAX_ROUNDS = 3;
 
@@ -84,6 +80,8 @@
 
   private readonly reservation: Reservation;
 
+  private readonly reader: AnswerReader;
+
   private rounds = 0;
 
   /** Time to the first token that the scheduler expects of the attempt. */
@@ -94,8 +92,6 @@
   /** Whether the attempt in flight has left this host and may run. */
   private inFlight = false;
 
-  private lastEventId: string | undefined;
-
   constructor(
     private readonly request: ForwardRequest,
     private readonly index: RouteIndex,
@@ -111,6 +107,8 @@
     });
     this.pool = choosePool(request.route.pools, ports.random()) ?? '';
     this.reservation = new Reservation(request, this.pool, ports);
+    const { record, answer, results, reservation } = this;
+    this.reader = new AnswerReader({ request, exchange, record, answer, results, reservation }, ports);
   }
 
   /** Answers the request; never rejects. */
@@ -245,7 +243,7 @@
       },
       maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
-    const result = await this.readAttempt(server, opened, silence);
+    const result = await this.reader.read(server, opened, silence);
     silence.close();
     this.inFlight = false;
     this.reservation.noteAttempt(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
@@ -277,77 +275,13 @@
         remainingMs: request.deadlineAtMs - this.ports.clock.monotonicMs(),
         organisation: request.organisation?.name,
         results: this.results.last,
-        lastEventId: this.lastEventId,
+        lastEventId: this.reader.lastEventId,
         priority: request.priority,
       },
       this.ports.format,
     );
   }
 
-  private async readAttempt(server: ServerView, opened: OpenedAttempt, silence: SilenceWatch): Promise<AttemptResult> {
-    if (opened.type === 'failed') {
-      const notRun = opened.failure.type === 'not-sent';
-      if (opened.signs !== undefined) {
-        this.ports.directory.noteSigns(server.serverId, opened.signs);
-      }
-      this.record.noteRun(!notRun);
-      return { type: 'ended', end: { type: notRun ? 'not-run' : 'unknown' }, resultsGone: false };
-    }
-    const { head, facts, response } = opened;
-    if (facts.load !== undefined) {
-      this.ports.pools.noteLoad(server.serverId, facts.load);
-    }
-    if (!facts.otherServer) {
-      this.ports.directory.noteSigns(server.serverId, facts);
-    }
-    if (facts.notRun) {
-      response.resume();
-      if (facts.otherServer) {
-        this.ports.directory.noteGone(server.serverId);
-      }
-      return { type: 'ended', end: { type: 'not-run' }, resultsGone: facts.resultsGone };
-    }
-    this.record.noteRun(true);
-    this.record.noteFirstByte();
-    this.reservation.noteFirstToken(facts.load?.slowness);
-    if (this.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
-      return this.relay(opened, silence);
-    }
-    const body = await readAnswerBody(response);
-    return body === undefined
-      ? { type: 'ended', end: { type: 'unknown' }, resultsGone: false }
-      : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
-  }
-
-  private async relay(
-    { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
-    silence: SilenceWatch,
-  ): Promise<AttemptResult> {
-    // The server fetched the results before it began to generate.
-    this.results.release();
-    if (this.answer.ended) {
-      response.destroy();
-      return { type: 'delivered' };
-    }
-    if (!this.exchange.begun) {
-      this.exchange.begin(head);
-    }
-    silence.heard(STREAM_SILENCE_MS);
-    const end = await relayStream(response, this.exchange, {
-      afterEventId: this.lastEventId,
-      onEvents: (lastEventId) => {
-        silence.heard(STREAM_SILENCE_MS);
-        this.lastEventId = lastEventId ?? this.lastEventId;
-      },
-    });
-    if (end.type === 'complete' && !this.answer.ended) {
-      this.exchange.finish();
-      this.answer.end('answered', head.status, 'streamed');
-      return { type: 'delivered' };
-    }
-    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
-  }
-
   /** Applies what follows an attempt; true when the request is sent again. */
   private goesOn(server: ServerView, result: EndedAttempt): boolean {
     const { clock, pools, spendRetry } = this.ports;
