Notice the crash of a server however its end shows

Cause: a crash counted only where the connection broke before the head of an answer and a new one was refused within 150 ms.

Attempts that lose their server are now remembered with the process that they ran on. The loss becomes a crash when that process is known to have ended: it refuses connections, its entry goes, or another process has its id or address within 8 s. It is dropped when the process answers anything, or had said that it leaves. A request whose answer had begun needs three crashes, since it may have run well. What a host notices late carries the time of the crash, so that reports of one crash still merge.

--- a/packages/decide/src/poison/advancePoison.test.ts
+++ b/packages/decide/src/poison/advancePoison.test.ts
@@ -4,7 +4,7 @@
 import advancePoison from './advancePoison.js';
 import { POISON_BLOCK_MS } from './constants.js';
 import readBlock from './readBlock.js';
-import type { PoisonEvent, PoisonState } from './types.js';
+import type { CrashEvent, PoisonEvent, PoisonState } from './types.js';
 
 const EMPTY: PoisonState = { crashes: [], blocks: new Map() };
 const STEP_MS = 5_000;
@@ -12,7 +12,7 @@
 const play = (events: readonly PoisonEvent[]): PoisonState =>
   events.reduce((state, event, index) => advancePoison(state, event, index * STEP_MS).state, EMPTY);
 
-const crash = (serverId: string, ...fingerprints: string[]): PoisonEvent => ({ type: 'crash', serverId, fingerprints });
+const crash = (serverId: string, ...fingerprints: string[]): CrashEvent => ({ type: 'crash', serverId, fingerprints });
 
 test('blocks a request after two servers and for ten minutes, so that it cannot take down a whole pool', () => {
   const state = play([crash('s1', 'f'), crash('s2', 'f')]);
@@ -48,6 +48,19 @@
   assert.deepEqual([...play([both('s1'), both('s2'), both('s1')]).blocks.keys()], ['f', 'g']);
 });
 
+test('requests that the server had begun to answer are blocked only after three crashes', () => {
+  const begun = (serverId: string): PoisonEvent => ({ ...crash(serverId, 'f'), answering: ['f'] });
+  assert.equal(play([begun('s1'), begun('s2')]).blocks.size, 0);
+  assert.deepEqual([...play([begun('s1'), begun('s2'), begun('s3')]).blocks.keys()], ['f']);
+});
+
+test('hosts that notice a silent server at different times report one crash', () => {
+  const early = { ...crash('s1', 'f'), startId: '1' };
+  const late = { ...early, agoMs: 6_000 };
+  const { state } = advancePoison(advancePoison(EMPTY, early, 0).state, late, 7_000);
+  assert.equal(state.crashes.length, 1);
+});
+
 test('the reports of two hosts about one crash are one crash, so that nobody is blocked by it', () => {
   const reports = [crash('s1', 'f'), crash('s1', 'g'), crash('s1', 'f')];
   const state = reports.reduce((before, event) => advancePoison(before, event, 0).state, EMPTY);
--- a/packages/decide/src/poison/advancePoison.ts
+++ b/packages/decide/src/poison/advancePoison.ts
@@ -1,5 +1,5 @@
 import { exhaustive } from '@bergamotcove/errors';
-import { CRASH_MERGE_MS, MAX_CRASHES, POISON_BLOCK_MS, SURE_CRASHES } from './constants.js';
+import { CRASH_MERGE_MS, MAX_CRASHES, POISON_BLOCK_MS, SAME_START_MERGE_MS, SURE_CRASHES } from './constants.js';
 import type { Crash, CrashEvent, PoisonEvent, PoisonState, PoisonStep } from './types.js';
 
 const expire = (state: PoisonState, nowMs: number): PoisonState => ({
@@ -8,18 +8,25 @@
 });
 
 /** Whether a report is about a crash that is known; servers that restart under their ids crash again. */
-const isSameCrash = (crash: Crash, { serverId, startId }: CrashEvent, nowMs: number): boolean =>
-  crash.serverId === serverId &&
-  nowMs - crash.atMs < CRASH_MERGE_MS &&
-  (crash.startId === startId || crash.startId === undefined || startId === undefined);
+const isSameCrash = (crash: Crash, { serverId, startId }: CrashEvent, atMs: number): boolean => {
+  if (crash.serverId !== serverId) {
+    return false;
+  }
+  const apartMs = Math.abs(crash.atMs - atMs);
+  return crash.startId === undefined || startId === undefined
+    ? apartMs < CRASH_MERGE_MS
+    : crash.startId === startId && apartMs < SAME_START_MERGE_MS;
+};
 
 const mergeCrash = (crashes: readonly Crash[], event: CrashEvent, nowMs: number): readonly Crash[] => {
-  const same = crashes.find((crash) => isSameCrash(crash, event, nowMs));
+  const atMs = nowMs - (event.agoMs ?? 0);
+  const same = crashes.find((crash) => isSameCrash(crash, event, atMs));
   const merged: Crash = {
     serverId: event.serverId,
     startId: event.startId ?? same?.startId,
-    atMs: same?.atMs ?? nowMs,
+    atMs: same?.atMs ?? atMs,
     fingerprints: new Set([...(same?.fingerprints ?? []), ...event.fingerprints]),
+    answering: new Set([...(same?.answering ?? []), ...(event.answering ?? [])]),
   };
   return [...crashes.filter((crash) => crash !== same), merged].slice(-MAX_CRASHES);
 };
@@ -32,15 +39,18 @@
 
 /**
  * Fingerprints that the latest crash proves guilty: those that ran in enough crashes, and the only one that it has in
- * common with the crash of another server. Two crashes of one server may be its own fault, and several common requests
- * leave open which one is to blame.
+ * common with the crash of another server. Two crashes of one server may be its own fault, several common requests
+ * leave open which one is to blame, and one whose answer had begun may have run well.
  */
 const findCulprits = (crashes: readonly Crash[], latest: Crash): readonly string[] => [
   ...[...latest.fingerprints].filter((fingerprint) => countCrashes(crashes, fingerprint) >= SURE_CRASHES),
   ...crashes
     .filter(({ serverId }) => serverId !== latest.serverId)
-    .map((earlier) => listCommon(earlier, latest))
-    .flatMap((common) => (common.length === 1 ? common : [])),
+    .flatMap((earlier) => {
+      const common = listCommon(earlier, latest);
+      const wasAnswered = common.some((each) => earlier.answering.has(each) || latest.answering.has(each));
+      return common.length === 1 && !wasAnswered ? common : [];
+    }),
 ];
 
 const block = (state: PoisonState, fingerprints: readonly string[], untilMs: number): PoisonStep => {
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -5,6 +5,8 @@
   readonly startId: string | undefined;
   readonly atMs: number;
   readonly fingerprints: ReadonlySet<string>;
+  /** Those of them that the server had begun to answer. */
+  readonly answering: ReadonlySet<string>;
 }
 
 /** Suspicions of one host. */
@@ -20,7 +22,11 @@
   readonly serverId: string;
   /** Distinguishes the starts of a server that keeps its id, where they are known. */
   readonly startId?: string;
+  /** Time since it ended, when it was noticed later. */
+  readonly agoMs?: number;
   readonly fingerprints: readonly string[];
+  /** Those of them that the server had begun to answer. */
+  readonly answering?: readonly string[];
 }
 
 /** Something that happened to a fingerprint. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -3,6 +3,7 @@
   createPoolBook,
   type LoadReport,
   type PoolView,
+  type ProcessEnd,
   type ServerDescription,
   type ServerEventInput,
 } from '@bergamotcove/decide';
@@ -16,6 +17,11 @@
   readonly region: string;
 }
 
+/** A process of a server that gets no more work, because it has ended or another one took its place. */
+export interface EndedProcess extends KnownServer {
+  readonly end: ProcessEnd;
+}
+
 /** An entry of the store as another host passes it on. */
 export interface StoredServer {
   readonly serverId: string;
@@ -69,6 +75,7 @@
   /** The store stopped answering, or answers again. */
   noteStore(state: 'lost' | 'found'): void;
   onChange(run: () => void): void;
+  onProcessEnded(run: (process: EndedProcess) => void): void;
   close(): void;
 }
 
@@ -112,6 +119,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  private readonly endListeners: ((process: EndedProcess) => void)[] = [];
+
   private pools = new Map<string, KnownServer[]>();
 
   private byAddress = new Map<string, KnownServer>();
@@ -163,6 +172,7 @@
   noteGone(serverId: string): void {
     const server = this.find(serverId);
     if (server !== undefined && this.dismiss(server)) {
+      this.tellEnd(server, 'replaced');
       this.options.logger.event('serverGone', { serverId, pool: server.pool, reason: 'other process at its address' });
     }
   }
@@ -261,6 +271,10 @@
     this.listeners.push(run);
   }
 
+  onProcessEnded(run: (process: EndedProcess) => void): void {
+    this.endListeners.push(run);
+  }
+
   close(): void {
     this.returnTimer?.close();
     this.rests.close();
@@ -287,6 +301,7 @@
     if (server !== undefined && known?.server !== undefined && known.server.startedAtMs !== server.startedAtMs) {
       this.book.retain(new Set([...this.entries.keys()].filter((serverId) => serverId !== stored.serverId)));
       this.rests.delete(stored.serverId);
+      this.tellEnd(known.server, 'replaced');
     }
     this.entries.set(stored.serverId, { stored, server });
     this.log(stored, server);
@@ -324,14 +339,17 @@
   }
 
   private forget(serverId: string, revision: number): void {
-    const { startedAtMs } = this.find(serverId) ?? {};
-    this.removed.set(serverId, { revision, startedAtMs });
+    const server = this.find(serverId);
+    this.removed.set(serverId, { revision, startedAtMs: server?.startedAtMs });
     if (this.removed.size > MAX_REMOVED) {
       this.removed.delete(this.removed.keys().next().value as string);
     }
-    const pool = this.find(serverId)?.pool;
     this.entries.delete(serverId);
-    this.options.logger.event('serverGone', { serverId, pool, reason: 'entry removed', revision });
+    this.options.logger.event('serverGone', { serverId, pool: server?.pool, reason: 'entry removed', revision });
+    if (server !== undefined) {
+      const hasLeft = server.state === 'leaving' || this.dismissals.has(server);
+      this.tellEnd(server, hasLeft ? 'left' : 'removed');
+    }
   }
 
   private arrange(): void {
@@ -351,6 +369,10 @@
     this.tell();
   }
 
+  private tellEnd(server: KnownServer, end: ProcessEnd): void {
+    this.endListeners.forEach((run) => run({ ...server, end }));
+  }
+
   private tell(): void {
     this.listeners.forEach((run) => run());
   }
--- /dev/null
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -0,0 +1,190 @@
+import type { Clock } from '@bergamotcove/clock';
+import {
+  advancePoison,
+  createLossBook,
+  readBlock,
+  type LossKind,
+  type PoisonState,
+  type ProcessCrash,
+  type RunningAttempt,
+} from '@bergamotcove/decide';
+import { exhaustive } from '@bergamotcove/errors';
+import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
+import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
+import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import checkConnection from './checkConnection.js';
+
+/** How an attempt ended, as far as it tells of its server. */
+export type AttemptEnding =
+  /** A whole answer. */
+  | 'answered'
+  /** The server did not take it. */
+  | 'refused'
+  /** The connection was lost. */
+  | 'reset'
+  /** Nothing came, or nothing that can be read, until it was given up. */
+  | 'silent'
+  /** The request ended first. */
+  | 'abandoned';
+
+/** An attempt that is watched for a crash of its server. */
+export interface AttemptWatch {
+  /** The server has begun to answer. */
+  noteAnswering(): void;
+  /** The attempt has ended; resolves when it is known whether the server refuses connections. */
+  end(ending: AttemptEnding): Promise<void>;
+}
+
+/** Stops requests that crash the servers which run them, on all hosts. */
+export interface CrashGuard {
+  /** Whether the request crashed servers of late, by its fingerprint. */
+  isBlocked(fingerprint: string): boolean;
+  /** A request is sent to a server. */
+  watch(server: KnownServer, fingerprint: string): AttemptWatch;
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+  /** Hosts that are told of crashes. */
+  start(hosts: HostRegistry): void;
+}
+
+/** Options of {@link createCrashGuard}. */
+export interface CrashGuardOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
+  readonly links: LinkClient;
+  readonly directory: Pick<BackendDirectory, 'onProcessEnded'>;
+}
+
+/** A crash as hosts tell it to each other. */
+interface CrashReport {
+  readonly serverId: string;
+  readonly startId: string;
+  readonly agoMs: number;
+  readonly fingerprints: readonly string[];
+  readonly answering: readonly string[];
+}
+
+const REPORT_CRASH = 'requests.crash';
+
+class Guard implements CrashGuard {
+  readonly methods: Readonly<Record<string, LinkMethod>>;
+
+  private state: PoisonState = { crashes: [], blocks: new Map() };
+
+  private readonly losses = createLossBook();
+
+  private hosts: HostRegistry | undefined;
+
+  constructor(private readonly options: CrashGuardOptions) {
+    const { clock, directory } = options;
+    this.methods = {
+      [REPORT_CRASH]: (params) => {
+        this.apply(params as CrashReport, 'peer');
+        return true;
+      },
+    };
+    directory.onProcessEnded(({ serverId, startedAtMs, end }) => {
+      const process = { serverId, startId: String(startedAtMs) };
+      this.note(this.losses.noteEnded(process, end, clock.monotonicMs()));
+    });
+  }
+
+  start(hosts: HostRegistry): void {
+    this.hosts = hosts;
+  }
+
+  isBlocked(fingerprint: string): boolean {
+    return readBlock(this.state, fingerprint, this.options.clock.monotonicMs()) !== undefined;
+  }
+
+  watch(server: KnownServer, fingerprint: string): AttemptWatch {
+    const { losses } = this;
+    const attempt = losses.begin({ serverId: server.serverId, startId: String(server.startedAtMs) }, fingerprint);
+    return {
+      noteAnswering: () => losses.noteAnswering(attempt),
+      end: (ending) => this.end(server, attempt, ending),
+    };
+  }
+
+  private async end(server: KnownServer, attempt: RunningAttempt, ending: AttemptEnding): Promise<void> {
+    switch (ending) {
+      case 'answered':
+        this.losses.noteAnswered(attempt);
+        break;
+      case 'refused':
+        this.losses.drop(attempt);
+        break;
+      case 'reset':
+        if (!this.lose(attempt, ending)) {
+          await this.check(server, attempt);
+        }
+        break;
+      case 'silent':
+      case 'abandoned':
+        this.lose(attempt, ending);
+        break;
+      default:
+        exhaustive(ending);
+    }
+  }
+
+  /** Notes a loss; true when the process is known to have ended. */
+  private lose(attempt: RunningAttempt, kind: LossKind): boolean {
+    const crash = this.losses.noteLost(attempt, kind, this.options.clock.monotonicMs());
+    this.note(crash);
+    return crash !== undefined;
+  }
+
+  private async check(server: KnownServer, attempt: RunningAttempt): Promise<void> {
+    const { clock, logger, metrics } = this.options;
+    const check = await checkConnection(server);
+    metrics.report('server.losses', 1, { verdict: check });
+    if (check === 'refused') {
+      this.note(this.losses.noteRefused(attempt, clock.monotonicMs()));
+    } else {
+      const { fingerprint } = attempt;
+      logger.event('serverLossUnproved', { serverId: server.serverId, fingerprint, reason: check });
+    }
+  }
+
+  /** Applies a crash that this host has seen, and tells the other hosts. */
+  private note(crash: ProcessCrash | undefined): void {
+    if (crash === undefined) {
+      return;
+    }
+    const { atMs, ...facts } = crash;
+    const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
+    this.apply(report, 'own');
+    const { hosts } = this;
+    hosts
+      ?.list()
+      .filter(({ hostId }) => hostId !== hosts.self.hostId)
+      // A host that does not get the report learns of the request from its own crashes.
+      .forEach(({ target }) => this.options.links.call(target, REPORT_CRASH, report).catch(() => undefined));
+  }
+
+  private apply(report: CrashReport, source: 'own' | 'peer'): void {
+    const { clock, logger, metrics } = this.options;
+    const { serverId } = report;
+    logger.event('serverCrashNoted', { ...report, source });
+    const step = advancePoison(this.state, { type: 'crash', ...report }, clock.monotonicMs());
+    this.state = step.state;
+    step.blocked.forEach((fingerprint) => {
+      metrics.report('request.blocks', 1);
+      logger.event('requestPoisoned', { fingerprint, serverId });
+    });
+  }
+}
+
+/**
+ * Creates the guard against requests that crash servers. A request is blocked when two servers crashed under it, on
+ * this host or others, and no other request explains both crashes, or when it ran in three crashes.
+ *
+ * @param options - servers, and links to other hosts
+ * @returns the guard
+ */
+export default function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+  return new Guard(options);
+}
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -86,7 +86,7 @@
     this.run.results.release();
     if (this.run.answer.ended) {
       response.destroy();
-      return { type: 'delivered' };
+      return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
     }
     if (!this.run.exchange.begun) {
       this.run.exchange.begin(head);
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -12,6 +12,7 @@
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RequestFormat, StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { ServerPools } from '../servers/createServerPools.js';
@@ -20,7 +21,6 @@
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
-import type { CrashGuard } from './createCrashGuard.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
@@ -227,7 +227,7 @@
       return { type: 'ended', end: { type: 'not-run' }, resultsGone: false };
     }
     this.record.noteSend(server.serverId);
-    const endTracking = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
+    const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
     const silence = this.watchSilence();
     const opened = await openAttempt(pools.clientOf(server.pool), format, {
       target: server,
@@ -243,14 +243,16 @@
       },
       maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
+    if (opened.type === 'head' && !opened.facts.notRun) {
+      tracked.noteAnswering();
+    }
     const result = await this.reader.read(server, opened, silence);
     silence.close();
     this.inFlight = false;
     this.reservation.noteAttempt(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
-    await endTracking(
-      this.answer.ended && opened.type === 'failed' ? 'abandoned' : classifyEnd(opened, result, silence.broke),
-    );
-    return result.type === 'ended' && silence.broke ? { ...result, paid: true } : result;
+    const wasSilent = silence.broke;
+    await tracked.end(classifyEnd({ opened, result, wasSilent, wasEnded: this.answer.ended }));
+    return result.type === 'ended' && wasSilent ? { ...result, paid: true } : result;
   }
 
   /** Gives a stream up whose engine is silent when another one may run it. */
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -12,10 +12,10 @@
 import type { Refusal } from '../callers/CallerExchange.js';
 import readCallerBody from '../callers/readCallerBody.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import formatFingerprint from '../crashes/formatFingerprint.js';
 import type { RequestFacts, RequestFormat } from '../ports.js';
 import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
-import formatFingerprint from './formatFingerprint.js';
 import passHeaders from './passHeaders.js';
 import type { ForwardRequest } from './types.js';
 
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -2,15 +2,19 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { AttemptEnding, CrashGuard } from '../crashes/createCrashGuard.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
-import type { CrashGuard } from './createCrashGuard.js';
 import type { AttemptResult } from './types.js';
 
 /** What the pool learns from an attempt. */
 export type TrackedEnd =
   | 'answered'
-  /** The server did not take the request. */
-  | 'failed'
+  /** The server could not be reached. */
+  | 'not-sent'
+  /** The server turned it away. */
+  | 'not-run'
+  /** What came is no answer to it. */
+  | 'invalid'
   /** The connection was lost before an answer. */
   | 'lost'
   /** The connection was lost within an answer. */
@@ -29,23 +33,68 @@
 }
 
 /** Work of an attempt, and the request that it is for. */
-export interface TrackedAttempt {
+export interface SentAttempt {
   readonly tokens: number;
   readonly fingerprint: string;
 }
 
-/** What the pool learns from an attempt that ran to its end. */
-export const classifyEnd = (opened: OpenedAttempt, result: AttemptResult, isSilent: boolean): TrackedEnd => {
-  if (isSilent) {
+/** An attempt whose end its server's pool and the guard against crashes are told. */
+export interface TrackedAttempt {
+  /** The server has begun to answer. */
+  noteAnswering(): void;
+  /** Resolves when it is known whether the server crashed. */
+  end(end: TrackedEnd): Promise<void>;
+}
+
+/** How an attempt came to its end. */
+export interface AttemptCourse {
+  readonly opened: OpenedAttempt;
+  readonly result: AttemptResult;
+  /** Whether it was given up because its server was silent. */
+  readonly wasSilent: boolean;
+  /** Whether the request ended first. */
+  readonly wasEnded: boolean;
+}
+
+const ENDINGS: Readonly<Record<TrackedEnd, AttemptEnding>> = {
+  answered: 'answered',
+  'not-sent': 'refused',
+  'not-run': 'refused',
+  invalid: 'silent',
+  lost: 'reset',
+  broken: 'reset',
+  silent: 'silent',
+  abandoned: 'abandoned',
+};
+
+/** Ends after which a pool trusts its server less. */
+const FAILURES: ReadonlySet<TrackedEnd> = new Set(['not-sent', 'invalid', 'lost', 'silent']);
+
+/** What the pool learns from an attempt that has ended. */
+export const classifyEnd = ({ opened, result, wasSilent, wasEnded }: AttemptCourse): TrackedEnd => {
+  if (wasSilent) {
     return 'silent';
   }
   if (result.type === 'delivered' || result.end.type === 'answered') {
     return 'answered';
   }
+  if (opened.type === 'head' && result.end.type === 'not-run') {
+    return 'not-run';
+  }
+  if (wasEnded) {
+    return 'abandoned';
+  }
   if (opened.type === 'head') {
-    return result.end.type === 'unknown' ? 'broken' : 'abandoned';
+    return 'broken';
+  }
+  switch (opened.failure.type) {
+    case 'connection-lost':
+      return 'lost';
+    case 'invalid-answer':
+      return 'invalid';
+    default:
+      return 'not-sent';
   }
-  return opened.failure.type === 'connection-lost' ? 'lost' : 'failed';
 };
 
 /**
@@ -54,32 +103,30 @@
  * @param server - where it goes
  * @param attempt - what is sent
  * @param ports - who is told
- * @returns call it with the end; resolves when it is known whether the server crashed
+ * @returns the attempt
  */
 export default function trackAttempt(
   server: ServerView,
-  { tokens, fingerprint }: TrackedAttempt,
+  { tokens, fingerprint }: SentAttempt,
   { clock, directory, queues, crashes }: TrackPorts,
-): (end: TrackedEnd) => Promise<void> {
+): TrackedAttempt {
   const { serverId } = server;
   const startedAtMs = clock.monotonicMs();
   directory.note(serverId, { type: 'sent', tokens, long: false });
-  const unwatch = crashes.watch(serverId, fingerprint);
-  return async (end) => {
-    if (end === 'answered') {
-      directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
-      directory.note(serverId, { type: 'answered' });
-    } else if (end !== 'abandoned' && end !== 'broken') {
-      directory.note(serverId, { type: 'failed' });
-    }
-    directory.note(serverId, { type: 'done', tokensLeft: tokens, long: false });
-    queues.drain(server.pool);
-    const known = directory.find(serverId);
-    if (end === 'lost' && known !== undefined) {
-      await crashes.noteLost(known);
-    } else if (end === 'lost' || end === 'broken' || end === 'silent') {
-      crashes.noteUnproved(serverId, end === 'lost' ? 'entry-gone' : end);
-    }
-    unwatch();
+  const known = directory.find(serverId);
+  const watch = known === undefined ? undefined : crashes.watch(known, fingerprint);
+  return {
+    noteAnswering: () => watch?.noteAnswering(),
+    end: async (end) => {
+      if (end === 'answered') {
+        directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
+        directory.note(serverId, { type: 'answered' });
+      } else if (FAILURES.has(end)) {
+        directory.note(serverId, { type: 'failed' });
+      }
+      directory.note(serverId, { type: 'done', tokensLeft: tokens, long: false });
+      queues.drain(server.pool);
+      await watch?.end(ENDINGS[end]);
+    },
   };
 }
