Refuse a blocked request before its stages, and end those that wait

A blocked request ran all of its stages, at servers that others needed, before it was refused; a copy that waited on another host went on to its end.

Cause: the block was looked at only just before a request was sent to its server.

A blocked request is refused when it comes, with the time for which it stays blocked, and requests in progress end when they are blocked, unless a server is answering them already.

--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -39,8 +39,10 @@
 
 /** Stops requests that crash the servers which run them, on all hosts. */
 export interface CrashGuard {
-  /** Whether the request crashed servers of late, by its fingerprint. */
-  isBlocked(fingerprint: string): boolean;
+  /** Time for which a request stays blocked because it crashed servers; undefined for one that is not. */
+  readBlockMs(fingerprint: string): number | undefined;
+  /** Calls when a request is blocked, until the returned function is called. */
+  onBlocked(fingerprint: string, run: () => void): () => void;
   /** A request is sent to a server. */
   watch(server: KnownServer, fingerprint: string): AttemptWatch;
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -75,6 +77,9 @@
 
   private readonly losses = createLossBook();
 
+  /** Requests in progress that end when they are blocked. */
+  private readonly listeners = new Map<string, Set<() => void>>();
+
   private hosts: HostRegistry | undefined;
 
   constructor(private readonly options: CrashGuardOptions) {
@@ -95,8 +100,20 @@
     this.hosts = hosts;
   }
 
-  isBlocked(fingerprint: string): boolean {
-    return readBlock(this.state, fingerprint, this.options.clock.monotonicMs()) !== undefined;
+  readBlockMs(fingerprint: string): number | undefined {
+    return readBlock(this.state, fingerprint, this.options.clock.monotonicMs());
+  }
+
+  onBlocked(fingerprint: string, run: () => void): () => void {
+    const listeners = this.listeners.get(fingerprint) ?? new Set();
+    listeners.add(run);
+    this.listeners.set(fingerprint, listeners);
+    return () => {
+      listeners.delete(run);
+      if (listeners.size === 0) {
+        this.listeners.delete(fingerprint);
+      }
+    };
   }
 
   watch(server: KnownServer, fingerprint: string): AttemptWatch {
@@ -174,6 +191,7 @@
     step.blocked.forEach((fingerprint) => {
       metrics.report('request.blocks', 1);
       logger.event('requestPoisoned', { fingerprint, serverId });
+      [...(this.listeners.get(fingerprint) ?? [])].forEach((run) => run());
     });
   }
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -55,8 +55,6 @@
 /** Time after which a request that found no server is expected to find one. */
 const NO_SERVER_RETRY_MS = 300;
 const TIMED_OUT_RETRY_MS = 100;
-/** A request that crashed two servers stays blocked for minutes. */
-const POISONED_RETRY_MS = 60_000;
 /** Time in which a server has fetched the results that an attempt names. */
 const FETCH_MS = 80;
 /** Times that the stages of a request run, when results are lost with their servers. */
@@ -92,6 +90,9 @@
   /** Whether the attempt in flight has left this host and may run. */
   private inFlight = false;
 
+  /** Whether a server has begun to answer the attempt in flight. */
+  private isAnswering = false;
+
   constructor(
     private readonly request: ForwardRequest,
     private readonly index: RouteIndex,
@@ -116,10 +117,12 @@
     const { clock } = this.ports;
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
     this.exchange.onGone(() => this.answer.end('caller-gone', 0, 'caller-gone'));
+    const stopListening = this.ports.crashes.onBlocked(this.request.fingerprint, () => this.refuseBlocked());
     try {
       await this.serve();
     } finally {
       timer.close();
+      stopListening();
       this.results.release();
       this.reservation.leave();
     }
@@ -132,6 +135,7 @@
   }
 
   private async serve(): Promise<void> {
+    this.refuseBlocked();
     while (!this.answer.ended) {
       // Each step depends on the one before.
       /* eslint-disable no-await-in-loop */
@@ -139,7 +143,8 @@
         return;
       }
       const server = await this.place();
-      if (server === undefined) {
+      this.refuseBlocked();
+      if (server === undefined || this.answer.ended) {
         return;
       }
       const result = await this.attempt(server);
@@ -220,12 +225,8 @@
   }
 
   private async attempt(server: ServerView): Promise<AttemptResult> {
-    const { pools, format, clock, crashes } = this.ports;
+    const { pools, format, clock } = this.ports;
     const { fingerprint } = this.request;
-    if (crashes.isBlocked(fingerprint)) {
-      this.answer.fail('poisoned', POISONED_RETRY_MS);
-      return { type: 'ended', end: { type: 'not-run' }, resultsGone: false };
-    }
     this.record.noteSend(server.serverId);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
     const silence = this.watchSilence();
@@ -243,12 +244,14 @@
       },
       maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
-    if (opened.type === 'head' && !opened.facts.notRun) {
+    this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
+    if (this.isAnswering) {
       tracked.noteAnswering();
     }
     const result = await this.reader.read(server, opened, silence);
     silence.close();
     this.inFlight = false;
+    this.isAnswering = false;
     this.reservation.noteAttempt(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
     const wasSilent = silence.broke;
     await tracked.end(classifyEnd({ opened, result, wasSilent, wasEnded: this.answer.ended }));
@@ -327,8 +330,20 @@
     }
   }
 
+  /** Whether a server may have begun the request. */
+  private get mayHaveRun(): boolean {
+    return this.inFlight || this.record.runs > 0;
+  }
+
   private expire(): void {
-    const mayRun = this.inFlight || this.record.runs > 0;
-    this.answer.refuse(mayRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_MS);
+    this.answer.refuse(this.mayHaveRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_MS);
+  }
+
+  /** Ends a request that crashes servers, unless its answer is on the way. */
+  private refuseBlocked(): void {
+    const blockMs = this.ports.crashes.readBlockMs(this.request.fingerprint);
+    if (blockMs !== undefined && !this.isAnswering) {
+      this.answer.refuse(this.mayHaveRun ? 502 : 503, 'poisoned', blockMs);
+    }
   }
 }
