Keep blocked requests in the store, and crashes with hosts that put them together

Cause: a crash was told once to the hosts listed at that moment, and kept in memory only. A host that was restarted, cut off or paused then never heard of it, and nothing compared what hosts know afterwards.

Hosts also compare a digest of their blocks when they ask each other for news, so that a host without the store hears of them. Deleting the key ends a block; a key that lapses while the store is away does not.

Crashes that have not led to a block go to two keepers of each region, found like other duties, in place of all hosts: what a crash costs does not grow with the fleet. Who has seen a crash tells it again when a region has another keeper, since a keeper has its knowledge in memory.

--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -8,6 +8,7 @@
   routeTableKey: 'table',
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
+  blockPrefix: 'blocks/',
   readRouteTable: () => undefined,
   readServer: (_, text) => (text === '' ? undefined : (JSON.parse(text) as ServerEntry)),
 };
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -1,3 +1,4 @@
+import type { StoredBlocks } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
 import type { BackendDirectory, StoredServer } from './createBackendDirectory.js';
@@ -9,6 +10,7 @@
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly blocks: StoredBlocks;
 }
 
 class Sink implements CatalogueSink {
@@ -18,12 +20,14 @@
   ) {}
 
   readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision }) => {
-    const { format, directory } = this.keepers;
+    const { format, directory, blocks } = this.keepers;
     entries.filter(({ key }) => key === format.routeTableKey).forEach((entry) => this.put(entry));
     const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
     directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision });
     const listed = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
     this.hosts()?.replace(listed.map(({ key, value }) => ({ key, text: value })));
+    const blocked = entries.filter(({ key }) => key.startsWith(format.blockPrefix));
+    blocks.replace(blocked.map(({ key }) => key.slice(format.blockPrefix.length)));
   };
 
   readonly onChanges: CatalogueSink['onChanges'] = (changes) => {
@@ -37,7 +41,7 @@
   };
 
   private put(entry: CatalogueEntry): void {
-    const { format, tables, directory } = this.keepers;
+    const { format, tables, directory, blocks } = this.keepers;
     const { key, value, revision } = entry;
     if (key === format.routeTableKey) {
       tables.offer({ text: value, revision }, 'store');
@@ -45,15 +49,19 @@
       directory.put(this.toServer(entry));
     } else if (key.startsWith(format.hostPrefix)) {
       this.hosts()?.put(key, value);
+    } else if (key.startsWith(format.blockPrefix)) {
+      blocks.put(key.slice(format.blockPrefix.length));
     }
   }
 
   private remove({ key, revision }: CatalogueChange): void {
-    const { format, directory } = this.keepers;
+    const { format, directory, blocks } = this.keepers;
     if (key.startsWith(format.serverPrefix)) {
       directory.remove(key.slice(format.serverPrefix.length), revision);
     } else if (key.startsWith(format.hostPrefix)) {
       this.hosts()?.remove(key);
+    } else if (key.startsWith(format.blockPrefix)) {
+      blocks.remove(key.slice(format.blockPrefix.length));
     }
   }
 
--- a/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
@@ -9,6 +9,7 @@
   routeTableKey: 'table',
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
+  blockPrefix: 'blocks/',
   readRouteTable: (text) =>
     text === 'broken'
       ? undefined
--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -17,6 +17,7 @@
   routeTableKey: 'table',
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
+  blockPrefix: 'blocks/',
   readRouteTable: () => undefined,
   readServer: (serverId, text) => ({ serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) }),
 };
@@ -98,6 +99,7 @@
     const follower = followCatalogue({
       clock,
       logger,
+      blocks: { put: () => undefined, remove: () => undefined, replace: () => undefined },
       links: {
         call: async (target, method, params) => {
           const serve = network.get(target.port)?.[method];
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -3,6 +3,7 @@
 import { chooseSource, MAX_DIRECT_HOSTS, RELAY_LIMIT_MS, RELAYS, type CatalogueSource } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
+import type { StoredBlocks } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
 import type { BackendDirectory } from './createBackendDirectory.js';
@@ -20,6 +21,7 @@
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly blocks: StoredBlocks;
   readonly random: () => number;
 }
 
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -1,3 +1,4 @@
+import type { StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
 import {
   advancePoison,
@@ -5,6 +6,7 @@
   createLossBook,
   readBlock,
   type LossKind,
+  type PoisonEvent,
   type PoisonState,
   type ProcessCrash,
   type RunningAttempt,
@@ -16,6 +18,9 @@
 import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import checkConnection from './checkConnection.js';
+import createBlockSharing, { type BlockExchange, type BlockSharing, type StoredBlocks } from './createBlockSharing.js';
+import createCrashReporter, { type CrashReporter } from './createCrashReporter.js';
+import { REPORT_CRASH, type BlockNotice, type CrashReport } from './messages.js';
 
 /** How an attempt ended, as far as it tells of its server. */
 export type AttemptEnding =
@@ -50,8 +55,13 @@
   /** Requests are sent to a server: one, or those whose pieces a call has. */
   watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
   readonly methods: Readonly<Record<string, LinkMethod>>;
-  /** Hosts that are told of crashes. */
+  /** Blocks as they stand in the store. */
+  readonly storedBlocks: StoredBlocks;
+  /** Blocks for hosts that ask what they have missed. */
+  readonly blockExchange: BlockExchange;
+  /** Hosts that are told of crashes and blocks. */
   start(hosts: HostRegistry): void;
+  close(): void;
 }
 
 /** Options of {@link createCrashGuard}. */
@@ -60,21 +70,17 @@
   readonly logger: Logger;
   readonly metrics: ScrapedMetrics;
   readonly links: LinkClient;
-  readonly directory: Pick<BackendDirectory, 'onProcessEnded'>;
+  readonly directory: Pick<BackendDirectory, 'onProcessEnded' | 'storeLost'>;
+  readonly store: Pick<StoreClient, 'grantLease' | 'txn' | 'revokeLease'>;
+  /** Prefix of the keys of blocks. */
+  readonly prefix: string;
+  readonly hostId: string;
 }
 
-/** A crash as hosts tell it to each other. */
-interface CrashReport {
-  readonly serverId: string;
-  readonly startId: string;
-  readonly agoMs: number;
-  readonly fingerprints: readonly string[];
-  readonly answering: readonly string[];
-}
-
-const REPORT_CRASH = 'requests.crash';
 /** Crashes after which the requests that ran in all of them are told apart. */
 const SUSPECT_CRASHES = 2;
+/** Time for which a keeper leaves the write of a block to the host that has seen the crash. */
+const KEEPER_DELAY_MS = 500;
 
 class Guard implements CrashGuard {
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -83,16 +89,27 @@
 
   private readonly losses = createLossBook();
 
+  private readonly reporter: CrashReporter;
+
+  private readonly sharing: BlockSharing;
+
   /** Requests in progress that end when they are blocked. */
   private readonly listeners = new Map<string, Set<() => void>>();
 
   private readonly blockListeners: ((fingerprint: string) => void)[] = [];
 
-  private hosts: HostRegistry | undefined;
-
   constructor(private readonly options: CrashGuardOptions) {
     const { clock, directory } = options;
+    this.reporter = createCrashReporter(options);
+    this.sharing = createBlockSharing({
+      ...options,
+      list: () => this.listBlocks(),
+      onLearnt: (notice) => this.advance({ type: 'block', ...notice }),
+      onReleased: (fingerprint) => this.release(fingerprint),
+      isStoreLost: () => directory.storeLost,
+    });
     this.methods = {
+      ...this.sharing.methods,
       [REPORT_CRASH]: (params) => {
         this.apply(params as CrashReport, 'peer');
         return true;
@@ -104,8 +121,22 @@
     });
   }
 
+  get storedBlocks(): StoredBlocks {
+    return this.sharing.stored;
+  }
+
+  get blockExchange(): BlockExchange {
+    return this.sharing.exchange;
+  }
+
   start(hosts: HostRegistry): void {
-    this.hosts = hosts;
+    this.reporter.start(hosts);
+    this.sharing.start(hosts);
+  }
+
+  close(): void {
+    this.reporter.close();
+    this.sharing.close();
   }
 
   readBlockMs(fingerprint: string): number | undefined {
@@ -182,34 +213,51 @@
     }
   }
 
-  /** Applies a crash that this host has seen, and tells the other hosts. */
+  /** Applies a crash that this host has seen, and tells those who put crashes together. */
   private note(crash: ProcessCrash | undefined): void {
-    if (crash === undefined) {
-      return;
+    if (crash !== undefined) {
+      const { atMs, ...facts } = crash;
+      const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
+      this.apply(report, 'own');
+      this.reporter.report(report);
     }
-    const { atMs, ...facts } = crash;
-    const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
-    this.apply(report, 'own');
-    const { hosts } = this;
-    hosts
-      ?.list()
-      .filter(({ hostId }) => hostId !== hosts.self.hostId)
-      // A host that does not get the report learns of the request from its own crashes.
-      .forEach(({ target }) => this.options.links.call(target, REPORT_CRASH, report).catch(() => undefined));
   }
 
   private apply(report: CrashReport, source: 'own' | 'peer'): void {
-    const { clock, logger, metrics } = this.options;
-    const { serverId } = report;
-    logger.event('serverCrashNoted', { ...report, source });
-    const step = advancePoison(this.state, { type: 'crash', ...report }, clock.monotonicMs());
-    this.state = step.state;
-    step.blocked.forEach((fingerprint) => {
+    this.options.logger.event('serverCrashNoted', { ...report, source });
+    const blocked = this.advance({ type: 'crash', ...report });
+    blocked.forEach((fingerprint) => {
+      this.options.logger.event('requestPoisoned', { fingerprint, serverId: report.serverId });
+      const remainingMs = this.readBlockMs(fingerprint) ?? 0;
+      this.sharing.announce({ fingerprint, remainingMs }, { storeDelayMs: source === 'own' ? 0 : KEEPER_DELAY_MS });
+    });
+  }
+
+  /** Applies an event; returns the requests that it blocks in addition. */
+  private advance(event: PoisonEvent): readonly string[] {
+    const { clock, metrics } = this.options;
+    const { state, blocked } = advancePoison(this.state, event, clock.monotonicMs());
+    this.state = state;
+    blocked.forEach((fingerprint) => {
       metrics.report('request.blocks', 1);
-      logger.event('requestPoisoned', { fingerprint, serverId });
       [...(this.listeners.get(fingerprint) ?? [])].forEach((run) => run());
       this.blockListeners.forEach((run) => run(fingerprint));
     });
+    return blocked;
+  }
+
+  private release(fingerprint: string): void {
+    if (this.readBlockMs(fingerprint) !== undefined) {
+      this.options.logger.event('requestUnblocked', { fingerprint });
+      this.advance({ type: 'release', fingerprint });
+    }
+  }
+
+  private listBlocks(): readonly BlockNotice[] {
+    return [...this.state.blocks.keys()].flatMap((fingerprint) => {
+      const remainingMs = this.readBlockMs(fingerprint);
+      return remainingMs === undefined ? [] : [{ fingerprint, remainingMs }];
+    });
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/crashes/messages.ts
@@ -0,0 +1,22 @@
+/** Method that tells a keeper of a crash. */
+export const REPORT_CRASH = 'crashes.report';
+/** Method that tells a host of a blocked request. */
+export const BLOCK_REQUEST = 'crashes.block';
+
+/** A crash of a server, as one host tells it to another. */
+export interface CrashReport {
+  readonly serverId: string;
+  /** Distinguishes the starts of a server that keeps its id. */
+  readonly startId: string;
+  readonly agoMs: number;
+  /** Requests that ran on it. */
+  readonly fingerprints: readonly string[];
+  /** Those of them that it had begun to answer. */
+  readonly answering: readonly string[];
+}
+
+/** A request that is not sent to servers. */
+export interface BlockNotice {
+  readonly fingerprint: string;
+  readonly remainingMs: number;
+}
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -4,6 +4,8 @@
 import type { BackendDirectory, ServerSnapshot } from '../catalogue/createBackendDirectory.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
+import type { BlockExchange } from '../crashes/createBlockSharing.js';
+import type { BlockNotice } from '../crashes/messages.js';
 import type { HostEntry, HostRecord, HostRegistry } from './createHostRegistry.js';
 
 /** Passes what is newer from host to host, so that a host without the store does not stay behind. */
@@ -20,6 +22,7 @@
   readonly links: LinkClient;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly blocks: BlockExchange;
   readonly random: () => number;
 }
 
@@ -29,6 +32,8 @@
   readonly serversRevision: number;
   /** Listed hosts, itself left out. */
   readonly otherHosts: number;
+  /** Digest of the requests that it blocks; undefined from hosts of earlier versions. */
+  readonly blocks?: string;
   /** Where it can be asked in turn. */
   readonly target: Target;
 }
@@ -38,6 +43,7 @@
   readonly table?: StoredTable;
   readonly servers?: ServerSnapshot;
   readonly hosts?: readonly HostRecord[];
+  readonly blocks?: readonly BlockNotice[];
 }
 
 /** Interval at which one other host is asked. */
@@ -77,11 +83,12 @@
   }
 
   private describe(hosts: HostRegistry): Inquiry {
-    const { tables, directory } = this.options;
+    const { tables, directory, blocks } = this.options;
     return {
       tableRevision: tables.stored()?.revision ?? 0,
       serversRevision: directory.revision,
       otherHosts: listOthers(hosts).length,
+      blocks: blocks.digest(),
       target: hosts.self.target,
     };
   }
@@ -96,7 +103,7 @@
       return {};
     }
     const table = this.options.tables.stored();
-    const { directory } = this.options;
+    const { directory, blocks } = this.options;
     const own = this.describe(hosts);
     if (inquiry.tableRevision > own.tableRevision || inquiry.serversRevision > own.serversRevision) {
       this.ask(inquiry.target, hosts);
@@ -105,6 +112,7 @@
       ...(table !== undefined && table.revision > inquiry.tableRevision ? { table } : {}),
       ...(directory.revision > inquiry.serversRevision ? { servers: directory.snapshot() } : {}),
       ...(inquiry.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
+      ...(inquiry.blocks !== own.blocks ? { blocks: blocks.list() } : {}),
     };
   }
 
@@ -125,8 +133,12 @@
     );
   }
 
-  private apply({ table, servers, hosts: listed }: Newer, target: Target, hosts: HostRegistry): void {
-    const { tables, directory, logger } = this.options;
+  private apply(
+    { table, servers, hosts: listed, blocks: notices = [] }: Newer,
+    target: Target,
+    hosts: HostRegistry,
+  ): void {
+    const { tables, directory, blocks, logger } = this.options;
     const peer = `${target.address}:${target.port}`;
     if (table !== undefined) {
       tables.offer(table, peer);
@@ -138,11 +150,12 @@
     if (listed !== undefined && listOthers(hosts).length === 0) {
       hosts.replace(listed);
     }
+    blocks.learn(notices);
   }
 }
 
 /**
- * Creates the exchange of route tables and server lists between hosts. Once a second a host asks one other host, in
+ * Creates the exchange of route tables, server lists and blocked requests between hosts. Once a second a host asks one other host, in
  * turn, for what is newer. A host that is asked by one that knows more asks back: when it has just started and the
  * store does not answer, it knows no host that it could ask itself.
  *
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -137,6 +137,8 @@
   readonly serverPrefix: string;
   /** Prefix of the keys that this system writes. */
   readonly hostPrefix: string;
+  /** Prefix of the keys of requests that crash servers; this system writes them too. */
+  readonly blockPrefix: string;
   /** Reads a route table; undefined when it cannot be read. */
   readRouteTable(text: string): RouteTable | undefined;
   /** Reads the entry of a server; undefined when it names no server to use. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -15,7 +15,7 @@
 import startHealthServer from './callers/startHealthServer.js';
 import createBackendDirectory, { type BackendDirectory } from './catalogue/createBackendDirectory.js';
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
-import followCatalogue from './catalogue/followCatalogue.js';
+import followCatalogue, { type CatalogueFollower } from './catalogue/followCatalogue.js';
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
@@ -96,7 +96,8 @@
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const metrics = createScrapedMetrics();
-  const crashes = createCrashGuard({ clock, logger, metrics, links, directory });
+  const { blockPrefix: prefix } = formats.catalogue;
+  const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefix, hostId });
   const owned = { clock, logger, metrics, format: formats.stages, directory, crashes, tables, region };
   const owners = createBatchOwners(owned);
   const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
@@ -107,6 +108,25 @@
   return { ...parts, store, tables, directory, links, owners, scheduler, queues, crashes };
 };
 
+interface Sources {
+  readonly exchange: HostExchange;
+  readonly follower: CatalogueFollower;
+}
+
+/** Creates the parts that learn what is new, from other hosts and from the store. */
+const createSources = (base: Base): Sources => {
+  const { formats, crashes } = base;
+  return {
+    exchange: createHostExchange({ ...base, blocks: crashes.blockExchange, random: Math.random }),
+    follower: followCatalogue({
+      ...base,
+      format: formats.catalogue,
+      blocks: crashes.storedBlocks,
+      random: Math.random,
+    }),
+  };
+};
+
 const startLinkServer = (base: Base, methods: Readonly<Record<string, LinkMethod>>): Promise<LinkServer> =>
   listenForPeers(base.settings.peerPorts, (port) =>
     createLinkServer({
@@ -253,8 +273,7 @@
 export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
   const base = createBase(settings, options);
   const { clock, logger, tables, directory, links, owners, scheduler, queues, store } = base;
-  const exchange = createHostExchange({ clock, logger, links, tables, directory, random: Math.random });
-  const follower = followCatalogue({ ...base, format: base.formats.catalogue, random: Math.random });
+  const { exchange, follower } = createSources(base);
   const served = [owners, scheduler, exchange, follower, base.crashes].map(({ methods }) => methods);
   const linkServer = await startLinkServer(base, Object.assign({}, ...served) as Record<string, LinkMethod>);
   const hosts = createRegistry(base, linkServer.port);
@@ -270,7 +289,7 @@
   const metricsServer = await startMetrics(base, { callers, hosts, isReady });
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
-  const parts = [follower, exchange, scheduler, callers, health, metricsServer, owners, linkServer];
+  const parts = [follower, exchange, scheduler, base.crashes, callers, health, metricsServer, owners, linkServer];
   const close = async (): Promise<void> => {
     await hosts.leave();
     [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -30,7 +30,11 @@
   requestRefused: { id: 2001, level: 'info', text: 'A request ended without an answer; see its outcome.' },
   requestRejected: { id: 2002, level: 'debug', text: 'A request had wrong input and was not started.' },
   attemptFailed: { id: 2003, level: 'debug', text: 'An attempt on a backend server failed.' },
-  requestPoisoned: { id: 2101, level: 'warn', text: 'A request crashed two servers; release it with releasePoison.' },
+  requestPoisoned: {
+    id: 2101,
+    level: 'warn',
+    text: 'A request crashes servers and is blocked on all hosts; release it with releasePoison, on the platform by deleting its key.',
+  },
   serverCrashNoted: {
     id: 2102,
     level: 'info',
@@ -41,6 +45,16 @@
     level: 'info',
     text: 'An attempt lost its server, which is not known to have ended; `reason` tells why the loss is no crash.',
   },
+  blockNotStored: {
+    id: 2104,
+    level: 'warn',
+    text: 'A blocked request could not be written to the store; it is tried again.',
+  },
+  requestUnblocked: {
+    id: 2105,
+    level: 'info',
+    text: 'A blocked request may be sent again: its key in the store has ended, or an operator has deleted it.',
+  },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
