Let an entry host ask for blocked requests when it starts

A host that restarted had confirmed before, and was not told again, so that the request crashed two more servers through it.

A host that starts asks another one for the blocks, until one answers.

--- a/packages/entry/src/poison/createPoisonGuard.ts
+++ b/packages/entry/src/poison/createPoisonGuard.ts
@@ -1,19 +1,21 @@
 import { createHash } from 'node:crypto';
 import { Observable, of, type Subscriber, type TeardownLogic } from 'rxjs';
-import type { Clock } from '@bergamotcove/clock';
+import type { Clock, Timer } from '@bergamotcove/clock';
 import { advancePoison, readBlock, RunningAttempts, type PoisonEvent, type PoisonState } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import {
   OPERATOR_LIST_POISON,
   OPERATOR_RELEASE_POISON,
+  POISON_BLOCKS,
   POISON_REPORT,
+  poisonBlocksSchema,
   poisonReportSchema,
   releasePoisonSchema,
   type PoisonBlock,
 } from '@bergamotcove/protocol';
 import type { PeerClient, PeerServer } from '@bergamotcove/transport';
 import type { CallerRequest } from '../callers/types.js';
-import type { PeerDirectory } from '../peers/types.js';
+import type { EntryHostView, PeerDirectory } from '../peers/types.js';
 import type { AttemptEvent } from '../requests/startRun.js';
 import createReportOutbox, { type ReportOutbox } from './createReportOutbox.js';
 
@@ -43,11 +45,18 @@
   /** Starts an attempt unless its request is blocked, and watches it for a crash of its server. */
   watch(request: WatchedRequest, dispatch: () => Observable<AttemptEvent>): Observable<AttemptEvent>;
   listBlocks(): readonly PoisonBlock[];
+  /** Asks another host what is blocked: a host that starts was not told before. */
+  start(): void;
   close(): void;
 }
 
 /** Time for which a crash or a release is repeated to hosts that did not confirm it. */
 const REPORT_LIFETIME_MS = 10_000;
+/** Time after which another host is asked for the blocks when one did not answer, or none is known yet. */
+const LEARN_REPEAT_MS = 500;
+/** A host that is alone for so long is the first one. */
+const LEARN_TRIES = 20;
+const LEARN_TIMEOUT_MS = 500;
 const FINGERPRINT_CHARS = 22;
 
 /** Fingerprint of a request: the same request gets the same one on every host. */
@@ -64,6 +73,10 @@
 
   private readonly outbox: ReportOutbox;
 
+  private learnTimer: Timer | undefined;
+
+  private learnTries = 0;
+
   constructor(private readonly options: PoisonGuardOptions) {
     const { peerServer } = options;
     this.outbox = createReportOutbox(options);
@@ -79,9 +92,29 @@
       return { released: blocked };
     });
     peerServer.register(OPERATOR_LIST_POISON, () => this.listBlocks());
+    peerServer.register(POISON_BLOCKS, () => this.listBlocks());
+  }
+
+  start(): void {
+    const { clock, directory, hostId } = this.options;
+    const others = directory.liveHosts().filter((host) => host.hostId !== hostId);
+    const other = others[this.learnTries % Math.max(1, others.length)];
+    this.learnTries += 1;
+    const repeat = (): void => {
+      if (this.learnTries < LEARN_TRIES) {
+        this.learnTimer = clock.schedule(LEARN_REPEAT_MS, () => this.start());
+      }
+    };
+    if (other === undefined) {
+      repeat();
+    } else {
+      this.learnFrom(other).catch(repeat);
+    }
   }
 
   close(): void {
+    this.learnTries = LEARN_TRIES;
+    this.learnTimer?.close();
     this.outbox.close();
   }
 
@@ -142,6 +175,12 @@
     };
   }
 
+  private async learnFrom({ address, peersPort }: EntryHostView): Promise<void> {
+    const target = { address, port: peersPort };
+    const answer = await this.options.peers.call(target, POISON_BLOCKS, {}, { timeoutMs: LEARN_TIMEOUT_MS });
+    poisonBlocksSchema.parse(answer).forEach((block) => this.handle({ type: 'block', ...block }));
+  }
+
   private mayBeCrash(request: WatchedRequest, event: AttemptEvent): boolean {
     return (
       event.type === 'failed' &&
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -320,6 +320,7 @@
     listen: () => listen(base, settings.peers.port, (exchange) => peerServer.handle(exchange)),
     bind: (port) => base.control.start(port, peerServer),
   });
+  poison.start();
   const callers = await listen(base, settings.callers.port, createCallersHandler(base, requests, drainState));
   const planner = startPlanner(base, base.control);
   const { close, abort } = createStop(base, { requests, claims, poison, closeRequests, callers, peers, planner });
--- a/packages/protocol/src/poison.ts
+++ b/packages/protocol/src/poison.ts
@@ -3,6 +3,8 @@
 
 /** Method that tells another host of a crash, a block or a release. */
 export const POISON_REPORT = 'poison.report';
+/** Method that tells another host which fingerprints are blocked. */
+export const POISON_BLOCKS = 'poison.blocks';
 /** Method by which an operator releases a blocked fingerprint. */
 export const OPERATOR_RELEASE_POISON = 'operator.releasePoison';
 /** Method by which an operator lists the blocked fingerprints. */
@@ -27,6 +29,11 @@
 /** Parameters of {@link OPERATOR_RELEASE_POISON}. */
 export const releasePoisonSchema = z.strictObject({ fingerprint: fingerprintSchema });
 
+/** Answer to {@link POISON_BLOCKS}. */
+export const poisonBlocksSchema = z.array(
+  z.strictObject({ fingerprint: fingerprintSchema, remainingMs: z.number().min(0) }),
+);
+
 export type PoisonReport = Readonly<z.output<typeof poisonReportSchema>>;
 
 /** One blocked fingerprint as operators see it. */
