Take the loss of a silent server for weaker evidence

A request that met silent servers now needs three crashes, like one whose answer had begun. The lines of requests that ended name their fingerprint, so that all lines of a crashing request can be found.

--- a/packages/decide/src/poison/advancePoison.ts
+++ b/packages/decide/src/poison/advancePoison.ts
@@ -27,7 +27,7 @@
     startId: event.startId ?? same?.startId,
     atMs: same?.atMs ?? atMs,
     fingerprints: new Set([...(same?.fingerprints ?? []), ...event.fingerprints]),
-    answering: new Set([...(same?.answering ?? []), ...(event.answering ?? [])]),
+    doubtful: new Set([...(same?.doubtful ?? []), ...(event.doubtful ?? [])]),
   };
   return [...crashes.filter((crash) => crash !== same), merged].slice(-MAX_CRASHES);
 };
@@ -38,7 +38,7 @@
 /**
  * Fingerprints that the latest crash proves guilty: those that ran in enough crashes, and the only one that it has in
  * common with the crash of another server. Two crashes of one server may be its own fault, several common requests
- * leave open which one is to blame, and one whose answer had begun may have run well.
+ * leave open which one is to blame, and one that met a silent server, or whose answer had begun, may have run well.
  */
 const findCulprits = (state: PoisonState, latest: Crash, nowMs: number): readonly string[] => [
   ...[...latest.fingerprints].filter((fingerprint) => countCrashes(state, fingerprint, nowMs) >= SURE_CRASHES),
@@ -46,8 +46,8 @@
     .filter(({ serverId }) => serverId !== latest.serverId)
     .flatMap((earlier) => {
       const common = listCommon(earlier, latest);
-      const wasAnswered = common.some((each) => earlier.answering.has(each) || latest.answering.has(each));
-      return common.length === 1 && !wasAnswered ? common : [];
+      const isDoubtful = common.some((each) => earlier.doubtful.has(each) || latest.doubtful.has(each));
+      return common.length === 1 && !isDoubtful ? common : [];
     }),
 ];
 
--- a/packages/decide/src/poison/createLossBook.ts
+++ b/packages/decide/src/poison/createLossBook.ts
@@ -35,8 +35,8 @@
 export interface ProcessCrash extends ServerProcess {
   readonly atMs: number;
   readonly fingerprints: readonly string[];
-  /** Those that the server had begun to answer. */
-  readonly answering: readonly string[];
+  /** Those whose end may have another cause: the server had begun to answer them, or was silent. */
+  readonly doubtful: readonly string[];
 }
 
 /** Attempts on backend servers, and those that lost their server, until it is known whether the server ended. */
@@ -59,6 +59,7 @@
 
 interface Loss {
   readonly attempt: Attempt;
+  readonly kind: LossKind;
   readonly atMs: number;
 }
 
@@ -93,23 +94,30 @@
   ...new Set(attempts.flatMap(({ fingerprints }) => fingerprints)),
 ];
 
-const describeCrash = (record: ProcessRecord, attempts: readonly Attempt[], atMs: number): ProcessCrash => {
+const isDoubtful = ({ attempt, kind }: Pick<Loss, 'attempt' | 'kind'>): boolean =>
+  attempt.answering || kind !== 'reset';
+
+const describeCrash = (
+  record: ProcessRecord,
+  losses: readonly Pick<Loss, 'attempt' | 'kind'>[],
+  atMs: number,
+): ProcessCrash => {
   const { serverId, startId, unlistedStarts } = record;
   return {
     serverId,
     startId: unlistedStarts === 0 ? startId : `${startId}+${unlistedStarts}`,
     atMs,
-    fingerprints: listFingerprints(attempts),
-    answering: listFingerprints(attempts.filter(({ answering }) => answering)),
+    fingerprints: listFingerprints(losses.map(({ attempt }) => attempt)),
+    doubtful: listFingerprints(losses.filter(isDoubtful).map(({ attempt }) => attempt)),
   };
 };
 
 const listRecent = ({ losses }: ProcessRecord, nowMs: number): readonly Loss[] =>
   losses.filter(({ atMs }) => nowMs - atMs < LOSS_WINDOW_MS);
 
-const addLoss = (losing: ProcessRecord, attempt: Attempt, nowMs: number): void => {
-  const record = losing;
-  record.losses = [...listRecent(record, nowMs), { attempt, atMs: nowMs }];
+const addLoss = ({ record, ...loss }: Omit<Loss, 'atMs'> & { readonly record: ProcessRecord }, nowMs: number): void => {
+  const losing = record;
+  losing.losses = [...listRecent(losing, nowMs), { ...loss, atMs: nowMs }];
 };
 
 /** Ends a process; all attempts that run on it or have lost it are part of the crash. */
@@ -119,7 +127,10 @@
   record.end = end;
   record.crashedAtMs ??= Math.min(nowMs, ...recent.map(({ atMs }) => atMs));
   record.losses = [];
-  return describeCrash(record, [...recent.map(({ attempt }) => attempt), ...record.running], record.crashedAtMs);
+  // Those that run on a server which refuses connections lose theirs next.
+  const kind: LossKind = end === 'refused' ? 'reset' : 'silent';
+  const running = [...record.running].map((attempt) => ({ attempt, kind }));
+  return describeCrash(record, [...recent, ...running], record.crashedAtMs);
 };
 
 /** Applies the loss of an attempt; returns the crash when its process is known to have ended. */
@@ -128,13 +139,13 @@
   if (record.end === undefined) {
     // A caller that leaves an answer early says nothing of the server.
     if (kind !== 'abandoned' || !answering) {
-      addLoss(record, attempt, nowMs);
+      addLoss({ record, attempt, kind }, nowMs);
     }
     return undefined;
   }
   // A server that leaves without a word is listed no more before it breaks its last connections.
   const hasLeft = record.end === 'left' || (record.end === 'removed' && kind === 'reset');
-  return hasLeft ? undefined : describeCrash(record, [attempt], record.crashedAtMs ?? nowMs);
+  return hasLeft ? undefined : describeCrash(record, [{ attempt, kind }], record.crashedAtMs ?? nowMs);
 };
 
 /** The processes that have attempts, and those that have ended. */
@@ -211,7 +222,7 @@
     },
     noteRefused: (running, nowMs) => {
       const attempt = running as Attempt;
-      addLoss(attempt.record, attempt, nowMs);
+      addLoss({ record: attempt.record, attempt, kind: 'reset' }, nowMs);
       return endProcess(attempt.record, 'refused', nowMs);
     },
     noteEnded: (process, end, nowMs) => {
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -5,8 +5,8 @@
   readonly startId: string | undefined;
   readonly atMs: number;
   readonly fingerprints: ReadonlySet<string>;
-  /** Those of them that the server had begun to answer. */
-  readonly answering: ReadonlySet<string>;
+  /** Those of them whose end may have another cause. */
+  readonly doubtful: ReadonlySet<string>;
 }
 
 /** Suspicions of one host. */
@@ -25,8 +25,8 @@
   /** Time since it ended, when it was noticed later. */
   readonly agoMs?: number;
   readonly fingerprints: readonly string[];
-  /** Those of them that the server had begun to answer. */
-  readonly answering?: readonly string[];
+  /** Those of them whose end may have another cause. */
+  readonly doubtful?: readonly string[];
 }
 
 /** Something that happened to a fingerprint. */
--- a/packages/gateway/src/crashes/messages.ts
+++ b/packages/gateway/src/crashes/messages.ts
@@ -11,8 +11,8 @@
   readonly agoMs: number;
   /** Requests that ran on it. */
   readonly fingerprints: readonly string[];
-  /** Those of them that it had begun to answer. */
-  readonly answering: readonly string[];
+  /** Those of them whose end may have another cause. */
+  readonly doubtful: readonly string[];
 }
 
 /** A request that is not sent to servers. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -182,9 +182,10 @@
     random: Math.random,
     spendRetry: (pool) => budgets.spend(pool),
     onAccepted: ({ route }) => route.pools.forEach(({ pool }) => budgets.noteRequest(pool)),
-    onEnded: ({ requestId, route, version, organisation }, end) => {
+    onEnded: ({ requestId, fingerprint, route, version, organisation }, end) => {
       reportEnd(base.metrics, route.name, end);
-      logger.event('requestEnded', { requestId, route: route.name, version, organisation: organisation?.name, ...end });
+      const facts = { requestId, fingerprint, route: route.name, version, organisation: organisation?.name };
+      logger.event('requestEnded', { ...facts, ...end });
     },
   });
   return createCallerServer({
