Do not block requests that are often answered after an outage of many servers

A request that many callers send, such as a lookup, can be in flight on several servers that end at once, and would have been blocked for all of its callers: two crashes on different servers were proof against it. Whatever a server answers has not crashed it, so:

- an answer clears a request of the crashes before;
- requests that a host has seen answered are judged on that host, where their next answers are seen, and like those of silent servers need three crashes that are not all of one moment.

Evidence: advancePoison.test.ts ('an outage of many servers is no proof ...', 'an answer clears a request ...').

--- a/packages/decide/src/poison/advancePoison.test.ts
+++ b/packages/decide/src/poison/advancePoison.test.ts
@@ -54,6 +54,17 @@
   assert.deepEqual([...play([begun('s1'), begun('s2'), begun('s3')]).blocks.keys()], ['f']);
 });
 
+test('an outage of many servers is no proof against a request that is often sent', () => {
+  const events = ['s1', 's2', 's3', 's4'].map((serverId) => ({ ...crash(serverId, 'f'), doubtful: ['f'] }));
+  const state = events.reduce((before, event, index) => advancePoison(before, event, index * 400).state, EMPTY);
+  assert.deepEqual([state.crashes.length, state.blocks.size], [4, 0]);
+});
+
+test('an answer clears a request of the crashes before, and no other request', () => {
+  const before = [crash('s1', 'f', 'g'), crash('s2', 'f', 'g'), { type: 'answered', fingerprint: 'f' } as const];
+  assert.deepEqual([...play([...before, crash('s3', 'f', 'g')]).blocks.keys()], ['g']);
+});
+
 test('hosts that notice a silent server at different times report one crash', () => {
   const early = { ...crash('s1', 'f'), startId: '1' };
   const late = { ...early, agoMs: 6_000 };
--- a/packages/decide/src/poison/advancePoison.ts
+++ b/packages/decide/src/poison/advancePoison.ts
@@ -1,6 +1,5 @@
 import { exhaustive } from '@bergamotcove/errors';
 import { CRASH_MERGE_MS, MAX_CRASHES, POISON_BLOCK_MS, SAME_START_MERGE_MS, SURE_CRASHES } from './constants.js';
-import countCrashes from './countCrashes.js';
 import type { Crash, CrashEvent, PoisonEvent, PoisonState, PoisonStep } from './types.js';
 
 const expire = (state: PoisonState, nowMs: number): PoisonState => ({
@@ -35,13 +34,22 @@
 const listCommon = (one: Crash, other: Crash): readonly string[] =>
   [...one.fingerprints].filter((fingerprint) => other.fingerprints.has(fingerprint));
 
+/** Whether a request ran in enough crashes. Those of one moment are an outage rather than the fault of a request. */
+const isProved = ({ crashes }: PoisonState, fingerprint: string): boolean => {
+  const under = crashes.filter(({ fingerprints }) => fingerprints.has(fingerprint));
+  const timesMs = under.map(({ atMs }) => atMs);
+  const isDoubtful = under.some(({ doubtful }) => doubtful.has(fingerprint));
+  const isSpread = Math.max(...timesMs) - Math.min(...timesMs) >= CRASH_MERGE_MS;
+  return under.length >= SURE_CRASHES && (isSpread || !isDoubtful);
+};
+
 /**
  * Fingerprints that the latest crash proves guilty: those that ran in enough crashes, and the only one that it has in
  * common with the crash of another server. Two crashes of one server may be its own fault, several common requests
  * leave open which one is to blame, and one that met a silent server, or whose answer had begun, may have run well.
  */
-const findCulprits = (state: PoisonState, latest: Crash, nowMs: number): readonly string[] => [
-  ...[...latest.fingerprints].filter((fingerprint) => countCrashes(state, fingerprint, nowMs) >= SURE_CRASHES),
+const findCulprits = (state: PoisonState, latest: Crash): readonly string[] => [
+  ...[...latest.fingerprints].filter((fingerprint) => isProved(state, fingerprint)),
   ...state.crashes
     .filter(({ serverId }) => serverId !== latest.serverId)
     .flatMap((earlier) => {
@@ -57,20 +65,34 @@
   return { state: { ...state, blocks: new Map([...state.blocks, ...added]) }, blocked };
 };
 
-const release = (state: PoisonState, released: string): PoisonState => ({
+const without = (fingerprints: ReadonlySet<string>, removed: string): ReadonlySet<string> =>
+  new Set([...fingerprints].filter((fingerprint) => fingerprint !== removed));
+
+/** Forgets the crashes under a request. */
+const acquit = (state: PoisonState, acquitted: string): PoisonState => ({
+  ...state,
   crashes: state.crashes
-    .map((crash) => ({
-      ...crash,
-      fingerprints: new Set([...crash.fingerprints].filter((fingerprint) => fingerprint !== released)),
-    }))
-    .filter((crash) => crash.fingerprints.size > 0),
+    .map((crash) =>
+      crash.fingerprints.has(acquitted)
+        ? {
+            ...crash,
+            fingerprints: without(crash.fingerprints, acquitted),
+            doubtful: without(crash.doubtful, acquitted),
+          }
+        : crash,
+    )
+    .filter(({ fingerprints }) => fingerprints.size > 0),
+});
+
+const release = (state: PoisonState, released: string): PoisonState => ({
+  ...acquit(state, released),
   blocks: new Map([...state.blocks].filter(([fingerprint]) => fingerprint !== released)),
 });
 
 /**
  * Advances the suspicions of one host by one event. A fingerprint is blocked when two different servers crashed under
  * it and no other request explains both crashes, or when three crashes came under it. A request that shared one crash
- * is never blocked.
+ * is never blocked, and an answer clears a request of the crashes before.
  *
  * @param state - state before the event
  * @param event - what happened
@@ -85,10 +107,12 @@
     case 'crash': {
       const crashes = mergeCrash(current.crashes, event, nowMs);
       const next = { ...current, crashes };
-      return block(next, findCulprits(next, crashes.at(-1) as Crash, nowMs), nowMs + POISON_BLOCK_MS);
+      return block(next, findCulprits(next, crashes.at(-1) as Crash), nowMs + POISON_BLOCK_MS);
     }
     case 'block':
       return block(current, [event.fingerprint], nowMs + Math.min(event.remainingMs, POISON_BLOCK_MS));
+    case 'answered':
+      return { state: acquit(current, event.fingerprint), blocked: [] };
     case 'release':
       return { state: release(current, event.fingerprint), blocked: [] };
     default:
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -34,6 +34,8 @@
   | CrashEvent
   /** Another host blocked the fingerprint. */
   | { readonly type: 'block'; readonly fingerprint: string; readonly remainingMs: number }
+  /** A server has answered the request whole. */
+  | { readonly type: 'answered'; readonly fingerprint: string }
   /** An operator released the fingerprint. */
   | { readonly type: 'release'; readonly fingerprint: string };
 
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from 'lru-cache';
 import type { StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
 import {
@@ -54,6 +55,8 @@
   isSuspect(fingerprint: string): boolean;
   /** Requests are sent to a server: one, or those whose pieces a call has. */
   watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
+  /** A server has answered the request whole. */
+  noteAnswered(fingerprint: string): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   /** Blocks as they stand in the store. */
   readonly storedBlocks: StoredBlocks;
@@ -79,6 +82,8 @@
 
 /** Crashes after which the requests that ran in all of them are told apart. */
 const SUSPECT_CRASHES = 2;
+/** Answered requests that are remembered. */
+const MAX_ANSWERED = 4_096;
 /** Time for which a keeper leaves the write of a block to the host that has seen the crash. */
 const KEEPER_DELAY_MS = 500;
 
@@ -89,6 +94,9 @@
 
   private readonly losses = createLossBook();
 
+  /** Requests that were answered of late. */
+  private readonly answered = new LRUCache<string, true>({ max: MAX_ANSWERED });
+
   private readonly reporter: CrashReporter;
 
   private readonly sharing: BlockSharing;
@@ -172,6 +180,13 @@
     };
   }
 
+  noteAnswered(fingerprint: string): void {
+    this.answered.set(fingerprint, true);
+    if (countCrashes(this.state, fingerprint, this.options.clock.monotonicMs()) > 0) {
+      this.advance({ type: 'answered', fingerprint });
+    }
+  }
+
   private async end(server: KnownServer, attempt: RunningAttempt, ending: AttemptEnding): Promise<void> {
     switch (ending) {
       case 'answered':
@@ -217,9 +232,18 @@
   private note(crash: ProcessCrash | undefined): void {
     if (crash !== undefined) {
       const { atMs, ...facts } = crash;
-      const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
-      this.apply(report, 'own');
-      this.reporter.report(report);
+      const agoMs = this.options.clock.monotonicMs() - atMs;
+      const known = facts.fingerprints.filter((fingerprint) => this.answered.has(fingerprint));
+      this.apply({ ...facts, agoMs, doubtful: [...facts.doubtful, ...known] }, 'own');
+      this.reportUnknown({ ...facts, agoMs }, new Set(known));
+    }
+  }
+
+  /** Requests that this host has seen answered are judged here, where their next answers are seen. */
+  private reportUnknown(report: CrashReport, known: ReadonlySet<string>): void {
+    const fingerprints = report.fingerprints.filter((fingerprint) => !known.has(fingerprint));
+    if (fingerprints.length > 0) {
+      this.reporter.report({ ...report, fingerprints });
     }
   }
 
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -121,6 +121,7 @@
       if (end === 'answered') {
         directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
         directory.note(serverId, { type: 'answered' });
+        crashes.noteAnswered(fingerprint);
       } else if (FAILURES.has(end)) {
         directory.note(serverId, { type: 'failed' });
       }
