Let the gateways of tests listen on ports that the system picks

A test looked for a free port, closed it, and gave its number to a gateway: another process could take it in between, and the gateway then failed to start.

--- a/packages/gateway/src/callers/startHealthServer.ts
+++ b/packages/gateway/src/callers/startHealthServer.ts
@@ -1,8 +1,10 @@
 import http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import type { Target } from '@bergamotcove/transport';
 
 /** Tells the balancer whether this host takes requests. */
 export interface HealthServer {
+  readonly port: number;
   close(): void;
 }
 
@@ -25,6 +27,7 @@
     server.once('error', reject);
     server.listen(target.port, target.address, () => {
       resolve({
+        port: (server.address() as AddressInfo).port,
         close: () => {
           server.close();
           server.closeAllConnections();
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -36,6 +36,8 @@
 /** A running gateway. */
 export interface Gateway {
   readonly callersPort: number;
+  readonly healthPort: number;
+  readonly peersPort: number;
   readonly metricsPort: number;
   /** Takes changed settings; returns the names of those that hold only after a restart. */
   apply(settings: GatewaySettings): readonly string[];
@@ -306,6 +308,8 @@
   };
   return {
     callersPort: callers.port,
+    healthPort: health.port,
+    peersPort: linkServer.port,
     metricsPort: metricsServer.port,
     apply: (changed) => {
       directory.setRegions(changed.host.regions);
