--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -168,7 +168,7 @@
   }
 
   isSuspect(fingerprint: string): boolean {
-    return countCrashes(this.state, fingerprint, this.options.clock.monotonicMs()) >= SUSPECT_CRASHES;
+    return this.countCrashes(fingerprint) >= SUSPECT_CRASHES;
   }
 
   watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch {
@@ -182,7 +182,9 @@
 
   noteAnswered(fingerprint: string): void {
     this.answered.set(fingerprint, true);
-    if (countCrashes(this.state, fingerprint, this.options.clock.monotonicMs()) > 0) {
+    const crashes = this.countCrashes(fingerprint);
+    if (crashes > 0) {
+      this.options.logger.event('requestCleared', { fingerprint, crashes });
       this.advance({ type: 'answered', fingerprint });
     }
   }
@@ -255,6 +257,19 @@
       const remainingMs = this.readBlockMs(fingerprint) ?? 0;
       this.sharing.announce({ fingerprint, remainingMs }, { storeDelayMs: source === 'own' ? 0 : KEEPER_DELAY_MS });
     });
+    this.logSuspects(report.fingerprints);
+  }
+
+  private logSuspects(fingerprints: readonly string[]): void {
+    fingerprints
+      .filter((fingerprint) => this.readBlockMs(fingerprint) === undefined)
+      .map((fingerprint) => ({ fingerprint, crashes: this.countCrashes(fingerprint) }))
+      .filter(({ crashes }) => crashes >= SUSPECT_CRASHES)
+      .forEach((suspect) => this.options.logger.event('requestSuspected', suspect));
+  }
+
+  private countCrashes(fingerprint: string): number {
+    return countCrashes(this.state, fingerprint, this.options.clock.monotonicMs());
   }
 
   /** Applies an event; returns the requests that it blocks in addition. */
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -55,6 +55,16 @@
     level: 'info',
     text: 'A blocked request may be sent again: its key in the store has ended, or an operator has deleted it.',
   },
+  requestCleared: {
+    id: 2106,
+    level: 'info',
+    text: 'Crashes under a request do not count any more, because a server has answered it; `crashes` tells how many.',
+  },
+  requestSuspected: {
+    id: 2107,
+    level: 'info',
+    text: 'A backend server ended under a request that is not blocked; `crashes` tells how many this host knows of.',
+  },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
