Let only runs that went well speak for a request under which servers crashed

Cause: any whole answer acquitted a request, on the host that saw it; that host then told nobody of later crashes under it, for ever. An attempt that had been answered was no part of the crash that followed. One kind of evidence, an answer, was taken for another, that the request had run to its end and its server lived on.

Now: - A crash charges requests; it does not block them yet. A charge is weighed against the successes of the request that hosts remember from the last minute. All hosts are asked, within 300 ms, by whoever holds the charge. Successes whose server ended within half a second do not count, and failures never do. - Every crash goes to the hosts that put crashes together, whatever was answered before. - What a server answered in the last 0.3 s of its life is part of its crash, as the weakest evidence: it takes three crashes that are not all of one moment. - A server that refuses a connection has ended, also if nothing was in flight on it. - An answer after a loss may come from the next process under the id: the loss stays, in doubt. Losses noticed while the store is away count until its list goes on.

'an answer clears a request ...' plays the event that replaced the answer, same assertions.

decide: noteCrash, createRunHistory; gateway: createAttemptWatcher, createRunTally.

--- a/packages/decide/src/poison/advancePoison.test.ts
+++ b/packages/decide/src/poison/advancePoison.test.ts
@@ -60,8 +60,8 @@
   assert.deepEqual([state.crashes.length, state.blocks.size], [4, 0]);
 });
 
-test('an answer clears a request of the crashes before, and no other request', () => {
-  const before = [crash('s1', 'f', 'g'), crash('s2', 'f', 'g'), { type: 'answered', fingerprint: 'f' } as const];
+test('a request that is cleared of the crashes before is not blocked for them, and no other request is cleared', () => {
+  const before = [crash('s1', 'f', 'g'), crash('s2', 'f', 'g'), { type: 'cleared', fingerprint: 'f' } as const];
   assert.deepEqual([...play([...before, crash('s3', 'f', 'g')]).blocks.keys()], ['g']);
 });
 
--- a/packages/decide/src/poison/countCrashes.ts
+++ b/packages/decide/src/poison/countCrashes.ts
@@ -2,7 +2,7 @@
 import type { PoisonState } from './types.js';
 
 /**
- * Counts the crashes that came under a request.
+ * Counts the crashes that may have come under a request, those after its answer included.
  *
  * @param state - suspicions of the host
  * @param fingerprint - fingerprint of the request
@@ -11,6 +11,7 @@
  */
 export default function countCrashes(state: PoisonState, fingerprint: string, nowMs: number): number {
   return state.crashes.filter(
-    ({ atMs, fingerprints }) => atMs + POISON_BLOCK_MS > nowMs && fingerprints.has(fingerprint),
+    ({ atMs, fingerprints, answered }) =>
+      atMs + POISON_BLOCK_MS > nowMs && (fingerprints.has(fingerprint) || answered.has(fingerprint)),
   ).length;
 }
--- a/packages/decide/src/poison/index.ts
+++ b/packages/decide/src/poison/index.ts
@@ -5,5 +5,7 @@
 export { default as countCrashes } from './countCrashes.js';
 export * from './createLossBook.js';
 export { default as createLossBook } from './createLossBook.js';
+export { default as createRunHistory, type RunHistory } from './createRunHistory.js';
+export { default as noteCrash } from './noteCrash.js';
 export { default as RunningAttempts } from './RunningAttempts.js';
 export { default as readBlock } from './readBlock.js';
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -7,6 +7,8 @@
   readonly fingerprints: ReadonlySet<string>;
   /** Those of them whose end may have another cause. */
   readonly doubtful: ReadonlySet<string>;
+  /** Requests that it answered last. */
+  readonly answered: ReadonlySet<string>;
 }
 
 /** Suspicions of one host. */
@@ -27,6 +29,8 @@
   readonly fingerprints: readonly string[];
   /** Those of them whose end may have another cause. */
   readonly doubtful?: readonly string[];
+  /** Requests that it answered last. */
+  readonly answered?: readonly string[];
 }
 
 /** Something that happened to a fingerprint. */
@@ -34,8 +38,8 @@
   | CrashEvent
   /** Another host blocked the fingerprint. */
   | { readonly type: 'block'; readonly fingerprint: string; readonly remainingMs: number }
-  /** A server has answered the request whole. */
-  | { readonly type: 'answered'; readonly fingerprint: string }
+  /** Servers have run the request well since it was charged with crashes that came after one another. */
+  | { readonly type: 'cleared'; readonly fingerprint: string }
   /** An operator released the fingerprint. */
   | { readonly type: 'release'; readonly fingerprint: string };
 
@@ -44,3 +48,20 @@
   readonly state: PoisonState;
   readonly blocked: readonly string[];
 }
+
+/** A request that crashes speak against. */
+export interface Charge {
+  readonly fingerprint: string;
+  /** Whether the crashes came after one another, so that answers between them can clear the request. */
+  readonly isSpread: boolean;
+  /** Monotonic time from which answers speak for the request. */
+  readonly sinceMs: number;
+  /** Answers that outweigh the crashes. */
+  readonly clearingRuns: number;
+}
+
+/** State after a crash, and the requests that it speaks against. */
+export interface CrashStep {
+  readonly state: PoisonState;
+  readonly charges: readonly Charge[];
+}
--- /dev/null
+++ b/packages/gateway/src/crashes/createAttemptWatcher.ts
@@ -0,0 +1,153 @@
+import type { Clock } from '@bergamotcove/clock';
+import {
+  createLossBook,
+  createRunHistory,
+  type LossBook,
+  type LossKind,
+  type ProcessCrash,
+  type RunHistory,
+  type RunningAttempt,
+} from '@bergamotcove/decide';
+import { exhaustive } from '@bergamotcove/errors';
+import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
+import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import checkConnection from './checkConnection.js';
+
+/** How an attempt ended, as far as it tells of its server. */
+export type AttemptEnding =
+  /** A whole answer of success. */
+  | 'succeeded'
+  /** Another whole answer; the server may not have run the request to its end. */
+  | 'answered'
+  /** The server did not take it. */
+  | 'refused'
+  /** The server refused the connection. */
+  | 'unreachable'
+  /** The connection was lost. */
+  | 'reset'
+  /** Nothing came, or nothing that can be read, until it was given up. */
+  | 'silent'
+  /** The request ended first. */
+  | 'abandoned';
+
+/** An attempt that is watched for a crash of its server. */
+export interface AttemptWatch {
+  /** The server has begun to answer. */
+  noteAnswering(): void;
+  /** The attempt has ended; resolves when it is known whether its request may be sent again. */
+  end(ending: AttemptEnding): Promise<void>;
+}
+
+/** Watches the attempts of this host for crashes of their servers. */
+export interface AttemptWatcher {
+  /** Requests are sent to a server: one, or those whose pieces a call has. */
+  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
+  /** Counts the answers after a time that speak for a request. */
+  countRuns(fingerprint: string, sinceMs: number): number;
+}
+
+/** Options of {@link createAttemptWatcher}. */
+export interface AttemptWatcherOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
+  readonly directory: Pick<BackendDirectory, 'onProcessEnded' | 'storeLost'>;
+  /** A process has ended under requests; resolves when it is known which of them are blocked. */
+  readonly onCrash: (crash: ProcessCrash) => Promise<void>;
+}
+
+class Watcher implements AttemptWatcher {
+  private readonly losses: LossBook;
+
+  private readonly history: RunHistory = createRunHistory();
+
+  constructor(private readonly options: AttemptWatcherOptions) {
+    const { clock, directory } = options;
+    this.losses = createLossBook({ isListStale: () => directory.storeLost });
+    directory.onProcessEnded(({ serverId, startedAtMs, end }) => {
+      const process = { serverId, startId: String(startedAtMs) };
+      this.note(this.losses.noteEnded(process, end, clock.monotonicMs())).catch(() => undefined);
+    });
+  }
+
+  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch {
+    const { losses } = this;
+    const attempt = losses.begin({ serverId: server.serverId, startId: String(server.startedAtMs) }, fingerprints);
+    return {
+      noteAnswering: () => losses.noteAnswering(attempt),
+      end: (ending) => this.end(server, attempt, ending),
+    };
+  }
+
+  countRuns(fingerprint: string, sinceMs: number): number {
+    return this.history.count(fingerprint, sinceMs, this.options.clock.monotonicMs());
+  }
+
+  private async end(server: KnownServer, attempt: RunningAttempt, ending: AttemptEnding): Promise<void> {
+    const { losses } = this;
+    const nowMs = this.options.clock.monotonicMs();
+    switch (ending) {
+      case 'succeeded':
+        attempt.fingerprints.forEach((fingerprint) => this.history.note(fingerprint, server.serverId, nowMs));
+        losses.noteAnswered(attempt, nowMs);
+        break;
+      case 'answered':
+        losses.noteAnswered(attempt, nowMs);
+        break;
+      case 'refused':
+        losses.drop(attempt);
+        break;
+      case 'unreachable':
+        await this.note(losses.noteUnreachable(attempt, nowMs));
+        break;
+      case 'reset':
+        if (!(await this.lose(attempt, ending))) {
+          await this.check(server, attempt);
+        }
+        break;
+      case 'silent':
+      case 'abandoned':
+        await this.lose(attempt, ending);
+        break;
+      default:
+        exhaustive(ending);
+    }
+  }
+
+  /** Notes a loss; true when the process is known to have ended. */
+  private async lose(attempt: RunningAttempt, kind: LossKind): Promise<boolean> {
+    const crash = this.losses.noteLost(attempt, kind, this.options.clock.monotonicMs());
+    await this.note(crash);
+    return crash !== undefined;
+  }
+
+  private async check(server: KnownServer, attempt: RunningAttempt): Promise<void> {
+    const { clock, logger, metrics } = this.options;
+    const check = await checkConnection(server);
+    metrics.report('server.losses', 1, { verdict: check });
+    if (check === 'refused') {
+      await this.note(this.losses.noteRefused(attempt, clock.monotonicMs()));
+    } else {
+      const { fingerprints } = attempt;
+      logger.event('serverLossUnproved', { serverId: server.serverId, fingerprints, reason: check });
+    }
+  }
+
+  private async note(crash: ProcessCrash | undefined): Promise<void> {
+    if (crash !== undefined) {
+      this.history.noteEnded(crash.serverId, crash.atMs);
+      await this.options.onCrash(crash);
+    }
+  }
+}
+
+/**
+ * Creates the watcher of a host's attempts.
+ *
+ * @param options - servers, and who is told of crashes
+ * @returns the watcher
+ */
+export default function createAttemptWatcher(options: AttemptWatcherOptions): AttemptWatcher {
+  return new Watcher(options);
+}
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -1,49 +1,27 @@
-import { LRUCache } from 'lru-cache';
 import type { StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
 import {
   advancePoison,
   countCrashes,
-  createLossBook,
+  noteCrash,
+  POISON_BLOCK_MS,
   readBlock,
-  type LossKind,
+  type Charge,
   type PoisonEvent,
   type PoisonState,
   type ProcessCrash,
-  type RunningAttempt,
 } from '@bergamotcove/decide';
-import { exhaustive } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
-import checkConnection from './checkConnection.js';
+import createAttemptWatcher, { type AttemptWatch, type AttemptWatcher } from './createAttemptWatcher.js';
 import createBlockSharing, { type BlockExchange, type BlockSharing, type StoredBlocks } from './createBlockSharing.js';
 import createCrashReporter, { type CrashReporter } from './createCrashReporter.js';
+import createRunTally, { type RunTally } from './createRunTally.js';
 import { REPORT_CRASH, type BlockNotice, type CrashReport } from './messages.js';
 
-/** How an attempt ended, as far as it tells of its server. */
-export type AttemptEnding =
-  /** A whole answer. */
-  | 'answered'
-  /** The server did not take it. */
-  | 'refused'
-  /** The connection was lost. */
-  | 'reset'
-  /** Nothing came, or nothing that can be read, until it was given up. */
-  | 'silent'
-  /** The request ended first. */
-  | 'abandoned';
-
-/** An attempt that is watched for a crash of its server. */
-export interface AttemptWatch {
-  /** The server has begun to answer. */
-  noteAnswering(): void;
-  /** The attempt has ended; resolves when it is known whether the server refuses connections. */
-  end(ending: AttemptEnding): Promise<void>;
-}
-
 /** Stops requests that crash the servers which run them, on all hosts. */
 export interface CrashGuard {
   /** Time for which a request stays blocked because it crashed servers; undefined for one that is not. */
@@ -55,8 +33,6 @@
   isSuspect(fingerprint: string): boolean;
   /** Requests are sent to a server: one, or those whose pieces a call has. */
   watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
-  /** A server has answered the request whole. */
-  noteAnswered(fingerprint: string): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   /** Blocks as they stand in the store. */
   readonly storedBlocks: StoredBlocks;
@@ -82,8 +58,6 @@
 
 /** Crashes after which the requests that ran in all of them are told apart. */
 const SUSPECT_CRASHES = 2;
-/** Answered requests that are remembered. */
-const MAX_ANSWERED = 4_096;
 /** Time for which a keeper leaves the write of a block to the host that has seen the crash. */
 const KEEPER_DELAY_MS = 500;
 
@@ -92,22 +66,29 @@
 
   private state: PoisonState = { crashes: [], blocks: new Map() };
 
-  private readonly losses = createLossBook();
+  private readonly attempts: AttemptWatcher;
 
-  /** Requests that were answered of late. */
-  private readonly answered = new LRUCache<string, true>({ max: MAX_ANSWERED });
+  private readonly tally: RunTally;
 
   private readonly reporter: CrashReporter;
 
   private readonly sharing: BlockSharing;
 
+  /** Charges that are being weighed, by request. */
+  private readonly weighed = new Map<string, Promise<void>>();
+
   /** Requests in progress that end when they are blocked. */
   private readonly listeners = new Map<string, Set<() => void>>();
 
   private readonly blockListeners: ((fingerprint: string) => void)[] = [];
 
   constructor(private readonly options: CrashGuardOptions) {
-    const { clock, directory } = options;
+    const { directory } = options;
+    this.attempts = createAttemptWatcher({ ...options, onCrash: (crash) => this.note(crash) });
+    this.tally = createRunTally({
+      ...options,
+      countRuns: (fingerprint, sinceMs) => this.attempts.countRuns(fingerprint, sinceMs),
+    });
     this.reporter = createCrashReporter(options);
     this.sharing = createBlockSharing({
       ...options,
@@ -118,15 +99,12 @@
     });
     this.methods = {
       ...this.sharing.methods,
+      ...this.tally.methods,
       [REPORT_CRASH]: (params) => {
-        this.apply(params as CrashReport, 'peer');
+        this.apply(params as CrashReport, 'peer').catch(() => undefined);
         return true;
       },
     };
-    directory.onProcessEnded(({ serverId, startedAtMs, end }) => {
-      const process = { serverId, startId: String(startedAtMs) };
-      this.note(this.losses.noteEnded(process, end, clock.monotonicMs()));
-    });
   }
 
   get storedBlocks(): StoredBlocks {
@@ -140,6 +118,7 @@
   start(hosts: HostRegistry): void {
     this.reporter.start(hosts);
     this.sharing.start(hosts);
+    this.tally.start(hosts);
   }
 
   close(): void {
@@ -172,108 +151,70 @@
   }
 
   watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch {
-    const { losses } = this;
-    const attempt = losses.begin({ serverId: server.serverId, startId: String(server.startedAtMs) }, fingerprints);
-    return {
-      noteAnswering: () => losses.noteAnswering(attempt),
-      end: (ending) => this.end(server, attempt, ending),
-    };
+    return this.attempts.watch(server, fingerprints);
   }
 
-  noteAnswered(fingerprint: string): void {
-    this.answered.set(fingerprint, true);
-    const crashes = this.countCrashes(fingerprint);
-    if (crashes > 0) {
-      this.options.logger.event('requestCleared', { fingerprint, crashes });
-      this.advance({ type: 'answered', fingerprint });
-    }
-  }
-
-  private async end(server: KnownServer, attempt: RunningAttempt, ending: AttemptEnding): Promise<void> {
-    switch (ending) {
-      case 'answered':
-        this.losses.noteAnswered(attempt);
-        break;
-      case 'refused':
-        this.losses.drop(attempt);
-        break;
-      case 'reset':
-        if (!this.lose(attempt, ending)) {
-          await this.check(server, attempt);
-        }
-        break;
-      case 'silent':
-      case 'abandoned':
-        this.lose(attempt, ending);
-        break;
-      default:
-        exhaustive(ending);
-    }
-  }
-
-  /** Notes a loss; true when the process is known to have ended. */
-  private lose(attempt: RunningAttempt, kind: LossKind): boolean {
-    const crash = this.losses.noteLost(attempt, kind, this.options.clock.monotonicMs());
-    this.note(crash);
-    return crash !== undefined;
+  /** Applies a crash that this host has seen, and tells those who put crashes together. */
+  private async note({ atMs, ...facts }: ProcessCrash): Promise<void> {
+    const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
+    this.reporter.report(report);
+    await this.apply(report, 'own');
   }
 
-  private async check(server: KnownServer, attempt: RunningAttempt): Promise<void> {
-    const { clock, logger, metrics } = this.options;
-    const check = await checkConnection(server);
-    metrics.report('server.losses', 1, { verdict: check });
-    if (check === 'refused') {
-      this.note(this.losses.noteRefused(attempt, clock.monotonicMs()));
-    } else {
-      const { fingerprints } = attempt;
-      logger.event('serverLossUnproved', { serverId: server.serverId, fingerprints, reason: check });
-    }
+  /** Notes a crash; resolves when the requests that it charges are weighed. */
+  private async apply(report: CrashReport, source: 'own' | 'peer'): Promise<void> {
+    const { clock, logger } = this.options;
+    logger.event('serverCrashNoted', { ...report, source });
+    const { state, charges } = noteCrash(this.state, { type: 'crash', ...report }, clock.monotonicMs());
+    this.state = state;
+    const open = charges.filter(({ fingerprint }) => this.readBlockMs(fingerprint) === undefined);
+    await Promise.all(open.map((charge) => this.weigh(charge, source)));
+  }
+
+  /** Weighs one charge of a request at a time; a later one is weighed with what was found out by then. */
+  private weigh(charge: Charge, source: 'own' | 'peer'): Promise<void> {
+    const { fingerprint } = charge;
+    const before = this.weighed.get(fingerprint) ?? Promise.resolve();
+    const weighed = before.then(() => this.judge(charge, source));
+    this.weighed.set(fingerprint, weighed);
+    return weighed.finally(() => {
+      if (this.weighed.get(fingerprint) === weighed) {
+        this.weighed.delete(fingerprint);
+      }
+    });
   }
 
-  /** Applies a crash that this host has seen, and tells those who put crashes together. */
-  private note(crash: ProcessCrash | undefined): void {
-    if (crash !== undefined) {
-      const { atMs, ...facts } = crash;
-      const agoMs = this.options.clock.monotonicMs() - atMs;
-      const known = facts.fingerprints.filter((fingerprint) => this.answered.has(fingerprint));
-      this.apply({ ...facts, agoMs, doubtful: [...facts.doubtful, ...known] }, 'own');
-      this.reportUnknown({ ...facts, agoMs }, new Set(known));
+  /** Blocks a request unless the answers to it outweigh the crashes under it. */
+  private async judge(charge: Charge, source: 'own' | 'peer'): Promise<void> {
+    const { fingerprint, clearingRuns, isSpread } = charge;
+    const isOpen = (): boolean => this.readBlockMs(fingerprint) === undefined && this.countCrashes(fingerprint) > 0;
+    if (!isOpen()) {
+      return;
     }
-  }
-
-  /** Requests that this host has seen answered are judged here, where their next answers are seen. */
-  private reportUnknown(report: CrashReport, known: ReadonlySet<string>): void {
-    const fingerprints = report.fingerprints.filter((fingerprint) => !known.has(fingerprint));
-    if (fingerprints.length > 0) {
-      this.reporter.report({ ...report, fingerprints });
+    const runs = await this.tally.count(charge);
+    if (!isOpen()) {
+      return;
     }
-  }
-
-  private apply(report: CrashReport, source: 'own' | 'peer'): void {
-    this.options.logger.event('serverCrashNoted', { ...report, source });
-    const blocked = this.advance({ type: 'crash', ...report });
-    blocked.forEach((fingerprint) => {
-      this.options.logger.event('requestPoisoned', { fingerprint, serverId: report.serverId });
+    const facts = { fingerprint, crashes: this.countCrashes(fingerprint), runs };
+    if (runs < clearingRuns) {
+      this.options.logger.event('requestPoisoned', facts);
+      this.advance({ type: 'block', fingerprint, remainingMs: POISON_BLOCK_MS });
       const remainingMs = this.readBlockMs(fingerprint) ?? 0;
       this.sharing.announce({ fingerprint, remainingMs }, { storeDelayMs: source === 'own' ? 0 : KEEPER_DELAY_MS });
-    });
-    this.logSuspects(report.fingerprints);
-  }
-
-  private logSuspects(fingerprints: readonly string[]): void {
-    fingerprints
-      .filter((fingerprint) => this.readBlockMs(fingerprint) === undefined)
-      .map((fingerprint) => ({ fingerprint, crashes: this.countCrashes(fingerprint) }))
-      .filter(({ crashes }) => crashes >= SUSPECT_CRASHES)
-      .forEach((suspect) => this.options.logger.event('requestSuspected', suspect));
+    } else if (isSpread) {
+      this.options.logger.event('requestCleared', facts);
+      this.advance({ type: 'cleared', fingerprint });
+    } else {
+      this.options.logger.event('requestSuspected', facts);
+    }
   }
 
   private countCrashes(fingerprint: string): number {
     return countCrashes(this.state, fingerprint, this.options.clock.monotonicMs());
   }
 
-  /** Applies an event; returns the requests that it blocks in addition. */
-  private advance(event: PoisonEvent): readonly string[] {
+  /** Applies an event, and ends what runs of a request that it blocks. */
+  private advance(event: PoisonEvent): void {
     const { clock, metrics } = this.options;
     const { state, blocked } = advancePoison(this.state, event, clock.monotonicMs());
     this.state = state;
@@ -282,7 +223,6 @@
       [...(this.listeners.get(fingerprint) ?? [])].forEach((run) => run());
       this.blockListeners.forEach((run) => run(fingerprint));
     });
-    return blocked;
   }
 
   private release(fingerprint: string): void {
@@ -302,7 +242,8 @@
 
 /**
  * Creates the guard against requests that crash servers. A request is blocked when two servers crashed under it, on
- * this host or others, and no other request explains both crashes, or when it ran in three crashes.
+ * this host or others, and no other request explains both crashes, or when it ran in three crashes, unless servers have
+ * run it well often enough at the same time.
  *
  * @param options - servers, and links to other hosts
  * @returns the guard
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -2,15 +2,21 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
-import type { AttemptEnding, CrashGuard } from '../crashes/createCrashGuard.js';
+import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
+import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
 import type { AttemptResult } from './types.js';
 
 /** What the pool learns from an attempt. */
 export type TrackedEnd =
+  /** A whole answer of success. */
+  | 'succeeded'
+  /** Another whole answer. */
   | 'answered'
   /** The server could not be reached. */
   | 'not-sent'
+  /** The server refused the connection. */
+  | 'unreachable'
   /** The server turned it away. */
   | 'not-run'
   /** What came is no answer to it. */
@@ -57,8 +63,10 @@
 }
 
 const ENDINGS: Readonly<Record<TrackedEnd, AttemptEnding>> = {
+  succeeded: 'succeeded',
   answered: 'answered',
   'not-sent': 'refused',
+  unreachable: 'unreachable',
   'not-run': 'refused',
   invalid: 'silent',
   lost: 'reset',
@@ -68,15 +76,22 @@
 };
 
 /** Ends after which a pool trusts its server less. */
-const FAILURES: ReadonlySet<TrackedEnd> = new Set(['not-sent', 'invalid', 'lost', 'silent']);
+const FAILURES: ReadonlySet<TrackedEnd> = new Set(['not-sent', 'unreachable', 'invalid', 'lost', 'silent']);
+
+const FIRST_OK = 200;
+const FIRST_REDIRECT = 300;
 
 /** What the pool learns from an attempt that has ended. */
 export const classifyEnd = ({ opened, result, wasSilent, wasEnded }: AttemptCourse): TrackedEnd => {
   if (wasSilent) {
     return 'silent';
   }
-  if (result.type === 'delivered' || result.end.type === 'answered') {
-    return 'answered';
+  if (result.type === 'delivered') {
+    return 'succeeded';
+  }
+  if (result.end.type === 'answered') {
+    const { status } = result.end;
+    return status >= FIRST_OK && status < FIRST_REDIRECT ? 'succeeded' : 'answered';
   }
   if (opened.type === 'head' && result.end.type === 'not-run') {
     return 'not-run';
@@ -93,7 +108,7 @@
     case 'invalid-answer':
       return 'invalid';
     default:
-      return 'not-sent';
+      return opened.refused ? 'unreachable' : 'not-sent';
   }
 };
 
@@ -118,10 +133,9 @@
   return {
     noteAnswering: () => watch?.noteAnswering(),
     end: async (end) => {
-      if (end === 'answered') {
+      if (end === 'succeeded' || end === 'answered') {
         directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
         directory.note(serverId, { type: 'answered' });
-        crashes.noteAnswered(fingerprint);
       } else if (FAILURES.has(end)) {
         directory.note(serverId, { type: 'failed' });
       }
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -32,6 +32,8 @@
   | {
       readonly type: 'failed';
       readonly failure: AttemptFailure;
+      /** Whether the server refused the connection. */
+      readonly refused: boolean;
       /** What the server said about itself in an answer that belongs to no request. */
       readonly signs?: ServerSigns;
     };
@@ -48,6 +50,12 @@
     ? { type: 'not-sent' }
     : { type: 'connection-lost' };
 
+/** Whether nothing listens at the server's address. */
+const isRefused = (cause: unknown): boolean => {
+  const reason: NodeJS.ErrnoException | undefined = cause instanceof TransportError ? cause.cause() : undefined;
+  return reason?.code === 'ECONNREFUSED';
+};
+
 /**
  * Whether the message is this server's answer to this attempt. On a kept connection a late or doubled answer can come
  * in the place of the next one.
@@ -94,11 +102,12 @@
     if (!isOwnAnswer(call, response, facts)) {
       response.destroy();
       const failure = { type: 'invalid-answer' } as const;
-      return facts.otherServer ? { type: 'failed', failure } : { type: 'failed', failure, signs: facts };
+      const failed = { type: 'failed', failure, refused: false } as const;
+      return facts.otherServer ? failed : { ...failed, signs: facts };
     }
     const head = { status: response.statusCode ?? 0, headers: passHeaders(response.rawHeaders, NO_HEADERS) };
     return { type: 'head', head, facts, response };
   } catch (cause) {
-    return { type: 'failed', failure: sent ? toFailure(cause) : { type: 'not-sent' } };
+    return { type: 'failed', failure: sent ? toFailure(cause) : { type: 'not-sent' }, refused: isRefused(cause) };
   }
 }
--- a/packages/gateway/src/stages/callWatched.ts
+++ b/packages/gateway/src/stages/callWatched.ts
@@ -1,6 +1,7 @@
 import { TransportError } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
-import type { AttemptEnding, CrashGuard } from '../crashes/createCrashGuard.js';
+import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
+import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { PieceItem } from '../ports.js';
 import callStageServer, { type StageCallAnswer, type StageCallPorts } from './callStageServer.js';
 
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -58,12 +58,12 @@
   requestCleared: {
     id: 2106,
     level: 'info',
-    text: 'Crashes under a request do not count any more, because a server has answered it; `crashes` tells how many.',
+    text: 'Crashes under a request do not count any more: servers have run it well `runs` times in the meantime.',
   },
   requestSuspected: {
     id: 2107,
     level: 'info',
-    text: 'A backend server ended under a request that is not blocked; `crashes` tells how many this host knows of.',
+    text: 'Servers crashed under a request that is not blocked, because it has also run well; `crashes` and `runs` tell how often.',
   },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
