End a block only by an operator's release, which has a sign of its own

What callers saw: nothing yet. What the test saw: a block whose key is missing in the store was lifted on all hosts, and the crashes under it forgotten, so that the request was sent to servers again until it had crashed two or three more.

Cause: the absence of a key was read as a decision. A key is also absent when its lease lapsed while the store was away, when a listing is older than the watch, or when the store came back from an older copy.

Now a release is a key of its own (bergamot/releases/), written together with the end of the block, under a lease of a block's length. Each block names the release that was known when it was decided, so that a host which missed the release, or hears of the old block from another, does not bring it back, and a request that is blocked again after a release stays blocked. A key that is missing without a release is written again by the first of the hosts that hold the block. Blocks carry their end: hosts that read one from the store no longer hold it for ten minutes anew. Crashes of a released request are not told to later keepers any more, which could have blocked it again at once. operator.listPoison and operator.releasePoison are served to links.

--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -9,6 +9,7 @@
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
   blockPrefix: 'blocks/',
+  releasePrefix: 'releases/',
   readRouteTable: () => undefined,
   readServer: (_, text) => (text === '' ? undefined : (JSON.parse(text) as ServerEntry)),
 };
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -1,4 +1,4 @@
-import type { StoredBlocks } from '../crashes/createBlockSharing.js';
+import type { StoredBlocks, StoredText } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
 import type { BackendDirectory, StoredServer } from './createBackendDirectory.js';
@@ -13,6 +13,14 @@
   readonly blocks: StoredBlocks;
 }
 
+const toText = ({ key, value }: CatalogueEntry, prefix: string): StoredText => ({
+  fingerprint: key.slice(prefix.length),
+  text: value,
+});
+
+const listTexts = (entries: readonly CatalogueEntry[], prefix: string): readonly StoredText[] =>
+  entries.filter(({ key }) => key.startsWith(prefix)).map((entry) => toText(entry, prefix));
+
 class Sink implements CatalogueSink {
   constructor(
     private readonly keepers: CatalogueKeepers,
@@ -26,8 +34,10 @@
     directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision });
     const listed = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
     this.hosts()?.replace(listed.map(({ key, value }) => ({ key, text: value })));
-    const blocked = entries.filter(({ key }) => key.startsWith(format.blockPrefix));
-    blocks.replace(blocked.map(({ key }) => key.slice(format.blockPrefix.length)));
+    blocks.replace({
+      blocks: listTexts(entries, format.blockPrefix),
+      releases: listTexts(entries, format.releasePrefix),
+    });
   };
 
   readonly onChanges: CatalogueSink['onChanges'] = (changes) => {
@@ -50,7 +60,9 @@
     } else if (key.startsWith(format.hostPrefix)) {
       this.hosts()?.put(key, value);
     } else if (key.startsWith(format.blockPrefix)) {
-      blocks.put(key.slice(format.blockPrefix.length));
+      blocks.put(toText(entry, format.blockPrefix));
+    } else if (key.startsWith(format.releasePrefix)) {
+      blocks.putRelease(toText(entry, format.releasePrefix));
     }
   }
 
@@ -62,6 +74,8 @@
       this.hosts()?.remove(key);
     } else if (key.startsWith(format.blockPrefix)) {
       blocks.remove(key.slice(format.blockPrefix.length));
+    } else if (key.startsWith(format.releasePrefix)) {
+      blocks.removeRelease(key.slice(format.releasePrefix.length));
     }
   }
 
--- a/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
@@ -10,6 +10,7 @@
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
   blockPrefix: 'blocks/',
+  releasePrefix: 'releases/',
   readRouteTable: (text) =>
     text === 'broken'
       ? undefined
--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -18,6 +18,7 @@
   serverPrefix: 'servers/',
   hostPrefix: 'hosts/',
   blockPrefix: 'blocks/',
+  releasePrefix: 'releases/',
   readRouteTable: () => undefined,
   readServer: (serverId, text) => ({ serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) }),
 };
@@ -99,7 +100,13 @@
     const follower = followCatalogue({
       clock,
       logger,
-      blocks: { put: () => undefined, remove: () => undefined, replace: () => undefined },
+      blocks: {
+        put: () => undefined,
+        remove: () => undefined,
+        putRelease: () => undefined,
+        removeRelease: () => undefined,
+        replace: () => undefined,
+      },
       links: {
         call: async (target, method, params) => {
           const serve = network.get(target.port)?.[method];
--- a/packages/gateway/src/crashes/createBlockSharing.ts
+++ b/packages/gateway/src/crashes/createBlockSharing.ts
@@ -1,11 +1,11 @@
 import { createHash } from 'node:crypto';
 import type { StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
-import { POISON_BLOCK_MS } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
-import createBlockStore, { type BlockStore } from './createBlockStore.js';
+import { readBlockText, readRemainingMs } from './blockTexts.js';
+import createBlockStore, { type BlockPrefixes, type BlockStore } from './createBlockStore.js';
 import { BLOCK_REQUEST, type BlockNotice } from './messages.js';
 
 /** What a host passes on of its blocks when others ask what they have missed. */
@@ -16,12 +16,21 @@
   learn(notices: readonly BlockNotice[]): void;
 }
 
-/** Blocks as they stand in the store. */
+/** A key of the store that is about a request. */
+export interface StoredText {
+  readonly fingerprint: string;
+  readonly text: string;
+}
+
+/** Blocks and releases as they stand in the store. */
 export interface StoredBlocks {
-  put(fingerprint: string): void;
+  put(block: StoredText): void;
+  /** The key of a block is missing; the block ends only with a release. */
   remove(fingerprint: string): void;
+  putRelease(release: StoredText): void;
+  removeRelease(fingerprint: string): void;
   /** These are all. */
-  replace(fingerprints: readonly string[]): void;
+  replace(all: { readonly blocks: readonly StoredText[]; readonly releases: readonly StoredText[] }): void;
 }
 
 /** Shares blocked requests between hosts: at once, over the store, and by asking. */
@@ -31,7 +40,9 @@
   readonly stored: StoredBlocks;
   start(hosts: HostRegistry): void;
   /** This host has blocked a request. */
-  announce(notice: BlockNotice, options: { readonly storeDelayMs: number }): void;
+  announce(notice: Omit<BlockNotice, 'release'>, options: { readonly storeDelayMs: number }): void;
+  /** Ends a block on all hosts. Rejects when the store does not take the release. */
+  release(fingerprint: string): Promise<void>;
   close(): void;
 }
 
@@ -41,18 +52,19 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly store: Pick<StoreClient, 'grantLease' | 'txn' | 'revokeLease'>;
-  readonly prefix: string;
+  readonly prefixes: BlockPrefixes;
   readonly hostId: string;
+  readonly random: () => number;
   /** Requests that this host blocks. */
-  readonly list: () => readonly BlockNotice[];
+  readonly list: () => readonly Omit<BlockNotice, 'release'>[];
   readonly onLearnt: (notice: BlockNotice) => void;
   readonly onReleased: (fingerprint: string) => void;
-  /** Whether entries may lapse because the store is away. */
-  readonly isStoreLost: () => boolean;
 }
 
-/** Time in which hosts that still block a released request do not bring it back. */
-const RELEASE_MS = 10_000;
+/** A key that is missing so soon before its block ends has ended with its lease. */
+const LEASE_SLACK_MS = 10_000;
+/** Hosts write a missing key again within this time; the first one spares the others the call. */
+const REWRITE_SPREAD_MS = 2_000;
 
 class Sharing implements BlockSharing {
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -63,11 +75,11 @@
 
   private readonly store: BlockStore;
 
-  /** Requests whose blocks are in the store. */
-  private readonly inStore = new Set<string>();
+  /** Releases that stand in the store; a block that was decided without knowing its release does not hold. */
+  private readonly releases = new Map<string, string>();
 
-  /** End of the time in which a released request is not blocked by what others tell. */
-  private readonly releasedUntilMs = new Map<string, number>();
+  /** Releases that were known when the blocks of this host were decided. */
+  private readonly decidedAfter = new Map<string, string | undefined>();
 
   private hosts: HostRegistry | undefined;
 
@@ -81,13 +93,17 @@
     };
     this.exchange = {
       digest: () => this.digest(),
-      list: options.list,
+      list: () => this.list(),
       learn: (notices) => notices.forEach((notice) => this.learn(notice)),
     };
     this.stored = {
-      put: (fingerprint) => this.putStored(fingerprint),
-      remove: (fingerprint) => this.removeStored(fingerprint),
-      replace: (fingerprints) => this.replaceStored(new Set(fingerprints)),
+      put: (block) => this.putStored(block),
+      remove: (fingerprint) => this.rewrite(fingerprint),
+      putRelease: (release) => this.putRelease(release),
+      removeRelease: (fingerprint) => {
+        this.releases.delete(fingerprint);
+      },
+      replace: ({ blocks, releases }) => this.replaceStored(blocks, releases),
     };
   }
 
@@ -95,9 +111,15 @@
     this.hosts = hosts;
   }
 
-  announce(notice: BlockNotice, { storeDelayMs }: { readonly storeDelayMs: number }): void {
+  announce(
+    { fingerprint, remainingMs }: Omit<BlockNotice, 'release'>,
+    { storeDelayMs }: { readonly storeDelayMs: number },
+  ): void {
     const { hosts } = this;
-    this.store.publish(notice.fingerprint, { lastsMs: notice.remainingMs, delayMs: storeDelayMs });
+    const release = this.releases.get(fingerprint);
+    this.decidedAfter.set(fingerprint, release);
+    this.store.publish(fingerprint, { lastsMs: remainingMs, delayMs: storeDelayMs, release });
+    const notice: BlockNotice = { fingerprint, remainingMs, ...(release === undefined ? {} : { release }) };
     hosts
       ?.list()
       .filter(({ hostId }) => hostId !== hosts.self.hostId)
@@ -105,10 +127,21 @@
       .forEach(({ target }) => this.options.links.call(target, BLOCK_REQUEST, notice).catch(() => undefined));
   }
 
+  async release(fingerprint: string): Promise<void> {
+    this.putRelease({ fingerprint, text: await this.store.release(fingerprint) });
+  }
+
   close(): void {
     this.store.close();
   }
 
+  private list(): readonly BlockNotice[] {
+    return this.options.list().map((notice) => {
+      const release = this.decidedAfter.get(notice.fingerprint);
+      return release === undefined ? notice : { ...notice, release };
+    });
+  }
+
   private digest(): string {
     const fingerprints = this.options.list().map(({ fingerprint }) => fingerprint);
     return fingerprints.length === 0
@@ -117,43 +150,63 @@
   }
 
   private learn(notice: BlockNotice): void {
-    const nowMs = this.options.clock.monotonicMs();
-    if ((this.releasedUntilMs.get(notice.fingerprint) ?? -Infinity) <= nowMs) {
+    const { fingerprint, release, remainingMs } = notice;
+    const known = this.releases.get(fingerprint);
+    if (remainingMs > 0 && (known === undefined || known === release)) {
+      this.decidedAfter.set(fingerprint, release);
       this.options.onLearnt(notice);
     }
   }
 
-  private putStored(fingerprint: string): void {
-    this.inStore.add(fingerprint);
-    this.releasedUntilMs.delete(fingerprint);
-    this.store.noteStored(fingerprint);
-    this.options.onLearnt({ fingerprint, remainingMs: POISON_BLOCK_MS });
+  private putStored({ fingerprint, text }: StoredText): void {
+    this.store.cancel(fingerprint);
+    const block = readBlockText(text);
+    if (block === undefined) {
+      this.options.logger.event('blockUnreadable', { fingerprint });
+      return;
+    }
+    const remainingMs = readRemainingMs(block, this.options.clock.wallMs());
+    const { release } = block;
+    this.learn({ fingerprint, remainingMs, ...(release === undefined ? {} : { release }) });
   }
 
-  private removeStored(fingerprint: string): void {
-    const { clock, isStoreLost, onReleased } = this.options;
-    if (!this.inStore.delete(fingerprint) || isStoreLost()) {
-      return;
+  private putRelease({ fingerprint, text }: StoredText): void {
+    this.releases.set(fingerprint, text);
+    if (this.decidedAfter.get(fingerprint) !== text) {
+      this.store.cancel(fingerprint);
+      this.decidedAfter.delete(fingerprint);
+      this.options.onReleased(fingerprint);
+    }
+  }
+
+  /** Writes a block again whose key is missing: its lease lapsed in an outage, or the store lost it. */
+  private rewrite(fingerprint: string): void {
+    const { clock, logger, random, list } = this.options;
+    const remainingMs = list().find((block) => block.fingerprint === fingerprint)?.remainingMs ?? 0;
+    if (remainingMs > LEASE_SLACK_MS) {
+      const delayMs = random() * REWRITE_SPREAD_MS;
+      const release = this.decidedAfter.get(fingerprint);
+      logger.event('blockMissing', { fingerprint, remainingMs: Math.round(remainingMs), wallMs: clock.wallMs() });
+      this.store.publish(fingerprint, { lastsMs: remainingMs, delayMs, release });
     }
-    const nowMs = clock.monotonicMs();
-    [...this.releasedUntilMs]
-      .filter(([, untilMs]) => untilMs <= nowMs)
-      .forEach(([released]) => this.releasedUntilMs.delete(released));
-    this.releasedUntilMs.set(fingerprint, nowMs + RELEASE_MS);
-    onReleased(fingerprint);
   }
 
-  private replaceStored(fingerprints: ReadonlySet<string>): void {
-    [...this.inStore]
-      .filter((fingerprint) => !fingerprints.has(fingerprint))
-      .forEach((fingerprint) => this.removeStored(fingerprint));
-    fingerprints.forEach((fingerprint) => this.putStored(fingerprint));
+  private replaceStored(blocks: readonly StoredText[], releases: readonly StoredText[]): void {
+    this.releases.clear();
+    releases.forEach((release) => this.putRelease(release));
+    blocks.forEach((block) => this.putStored(block));
+    const stored = new Set(blocks.map(({ fingerprint }) => fingerprint));
+    this.options
+      .list()
+      .filter(({ fingerprint }) => !stored.has(fingerprint))
+      .forEach(({ fingerprint }) => this.rewrite(fingerprint));
   }
 }
 
 /**
  * Creates the sharing of blocks. What one host blocks holds on all of them: it is told at once to those that are listed,
- * kept in the store for hosts that start or were cut off, and passed from host to host while the store is away.
+ * kept in the store for hosts that start or were cut off, and passed from host to host while the store is away. Only a
+ * release ends a block before its time; a key that is missing is written again by a host that holds the block.
  *
  * @param options - store, links, and the blocks of this host
  * @returns the sharing; close it to stop its writes
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -12,12 +12,14 @@
   type ProcessCrash,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
+import { OPERATOR_LIST_POISON, OPERATOR_RELEASE_POISON, releasePoisonSchema } from '@bergamotcove/protocol';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import createAttemptWatcher, { type AttemptWatch, type AttemptWatcher } from './createAttemptWatcher.js';
 import createBlockSharing, { type BlockExchange, type BlockSharing, type StoredBlocks } from './createBlockSharing.js';
+import type { BlockPrefixes } from './createBlockStore.js';
 import createCrashReporter, { type CrashReporter } from './createCrashReporter.js';
 import createRunTally, { type RunTally } from './createRunTally.js';
 import { REPORT_CRASH, type BlockNotice, type CrashReport } from './messages.js';
@@ -51,9 +53,10 @@
   readonly links: LinkClient;
   readonly directory: Pick<BackendDirectory, 'onProcessEnded' | 'storeLost'>;
   readonly store: Pick<StoreClient, 'grantLease' | 'txn' | 'revokeLease'>;
-  /** Prefix of the keys of blocks. */
-  readonly prefix: string;
+  /** Prefixes of the keys of blocks and releases. */
+  readonly prefixes: BlockPrefixes;
   readonly hostId: string;
+  readonly random: () => number;
 }
 
 /** Crashes after which the requests that ran in all of them are told apart. */
@@ -83,7 +86,6 @@
   private readonly blockListeners: ((fingerprint: string) => void)[] = [];
 
   constructor(private readonly options: CrashGuardOptions) {
-    const { directory } = options;
     this.attempts = createAttemptWatcher({ ...options, onCrash: (crash) => this.note(crash) });
     this.tally = createRunTally({
       ...options,
@@ -93,9 +95,8 @@
     this.sharing = createBlockSharing({
       ...options,
       list: () => this.listBlocks(),
-      onLearnt: (notice) => this.advance({ type: 'block', ...notice }),
-      onReleased: (fingerprint) => this.release(fingerprint),
-      isStoreLost: () => directory.storeLost,
+      onLearnt: ({ fingerprint, remainingMs }) => this.advance({ type: 'block', fingerprint, remainingMs }),
+      onReleased: (fingerprint) => this.forget(fingerprint),
     });
     this.methods = {
       ...this.sharing.methods,
@@ -104,6 +105,8 @@
         this.apply(params as CrashReport, 'peer').catch(() => undefined);
         return true;
       },
+      [OPERATOR_LIST_POISON]: () => this.listBlocks(),
+      [OPERATOR_RELEASE_POISON]: (params) => this.release(releasePoisonSchema.parse(params).fingerprint),
     };
   }
 
@@ -225,14 +228,23 @@
     });
   }
 
-  private release(fingerprint: string): void {
+  /** Ends a block by an operator's order; rejects when the store does not take it. */
+  private async release(fingerprint: string): Promise<{ readonly released: boolean }> {
+    const released = this.readBlockMs(fingerprint) !== undefined;
+    await this.sharing.release(fingerprint);
+    return { released };
+  }
+
+  /** Forgets a request that an operator has released. */
+  private forget(fingerprint: string): void {
     if (this.readBlockMs(fingerprint) !== undefined) {
       this.options.logger.event('requestUnblocked', { fingerprint });
-      this.advance({ type: 'release', fingerprint });
     }
+    this.reporter.forget(fingerprint);
+    this.advance({ type: 'release', fingerprint });
   }
 
-  private listBlocks(): readonly BlockNotice[] {
+  private listBlocks(): readonly Omit<BlockNotice, 'release'>[] {
     return [...this.state.blocks.keys()].flatMap((fingerprint) => {
       const remainingMs = this.readBlockMs(fingerprint);
       return remainingMs === undefined ? [] : [{ fingerprint, remainingMs }];
--- a/packages/gateway/src/crashes/createCrashReporter.test.ts
+++ b/packages/gateway/src/crashes/createCrashReporter.test.ts
@@ -109,3 +109,14 @@
   world.change();
   assert.deepEqual(world.listPorts(), []);
 });
+
+test('a released request is no part of what a new keeper is told', () => {
+  const world = createWorld([createHost(1, 'r1'), createHost(2, 'r1')]);
+  world.reporter.report({ ...CRASH, fingerprints: ['f', 'g'], doubtful: ['f'], answered: ['f'] });
+  world.calls.splice(0);
+  world.reporter.forget('f');
+  world.entries[1] = createHost(2, 'r1', '2');
+  world.change();
+  const [call] = world.calls;
+  assert.deepEqual([call?.report.fingerprints, call?.report.doubtful, call?.report.answered], [['g'], [], []]);
+});
--- a/packages/gateway/src/crashes/createCrashReporter.ts
+++ b/packages/gateway/src/crashes/createCrashReporter.ts
@@ -8,6 +8,8 @@
 export interface CrashReporter {
   start(hosts: HostRegistry): void;
   report(crash: CrashReport): void;
+  /** A request was released: nobody is told of crashes under it any more. */
+  forget(fingerprint: string): void;
   close(): void;
 }
 
@@ -55,6 +57,20 @@
     this.tell();
   }
 
+  forget(fingerprint: string): void {
+    const without = (fingerprints: readonly string[]): readonly string[] =>
+      fingerprints.filter((each) => each !== fingerprint);
+    this.open = this.open.map(({ crash, ...report }) => ({
+      ...report,
+      crash: {
+        ...crash,
+        fingerprints: without(crash.fingerprints),
+        doubtful: without(crash.doubtful),
+        answered: without(crash.answered ?? []),
+      },
+    }));
+  }
+
   close(): void {
     this.closed = true;
     this.timer?.close();
--- a/packages/gateway/src/crashes/messages.ts
+++ b/packages/gateway/src/crashes/messages.ts
@@ -31,4 +31,6 @@
 export interface BlockNotice {
   readonly fingerprint: string;
   readonly remainingMs: number;
+  /** Latest release of the request that was known when it was blocked. */
+  readonly release?: string;
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -139,6 +139,8 @@
   readonly hostPrefix: string;
   /** Prefix of the keys of requests that crash servers; this system writes them too. */
   readonly blockPrefix: string;
+  /** Prefix of the keys of requests that operators have released from their block. */
+  readonly releasePrefix: string;
   /** Reads a route table; undefined when it cannot be read. */
   readRouteTable(text: string): RouteTable | undefined;
   /** Reads the entry of a server; undefined when it names no server to use. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -98,8 +98,10 @@
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const metrics = createScrapedMetrics();
-  const { blockPrefix: prefix } = formats.catalogue;
-  const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefix, hostId });
+  const { blockPrefix, releasePrefix } = formats.catalogue;
+  const prefixes = { blocks: blockPrefix, releases: releasePrefix };
+  const { random } = Math;
+  const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefixes, hostId, random });
   const owned = { clock, logger, metrics, format: formats.stages, directory, crashes, tables, region };
   const owners = createBatchOwners(owned);
   const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -33,7 +33,7 @@
   requestPoisoned: {
     id: 2101,
     level: 'warn',
-    text: 'A request crashes servers and is blocked on all hosts; release it with releasePoison, on the platform by deleting its key.',
+    text: 'A request crashes servers and is blocked on all hosts; release it with releasePoison once the cause is known.',
   },
   serverCrashNoted: {
     id: 2102,
@@ -53,7 +53,17 @@
   requestUnblocked: {
     id: 2105,
     level: 'info',
-    text: 'A blocked request may be sent again: its key in the store has ended, or an operator has deleted it.',
+    text: 'A blocked request may be sent again, because an operator has released it.',
+  },
+  blockMissing: {
+    id: 2108,
+    level: 'info',
+    text: 'The key of a blocked request is missing in the store, and nobody has released it; it is written again.',
+  },
+  blockUnreadable: {
+    id: 2109,
+    level: 'warn',
+    text: 'The key of a blocked request cannot be read; another version wrote it, or someone else did.',
   },
   requestCleared: {
     id: 2106,
