Notice answers that break in the bytes in which they begin

What callers saw: a time-out at their deadline where a server's answer was no answer any more right after its head (1,503 ms of a deadline of 1,500; 504), and the same where a whole answer was followed by other bytes in one segment.

Cause: the parser reports the fault in the same turn as the head. The answer was destroyed then, and its events were over before a reader could listen: the reader waited for events of an answer that had none to come. A whole answer with a length was destroyed as well, with its body unread.

Now readers look whether the answer is destroyed already, a whole answer stays whole, and a server that announces an answer more than 16 times is given up, where it was read until the deadline.

--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -173,6 +173,22 @@
   });
 };
 
+/** Heads that may announce an answer; a server that sends more of them never answers. */
+const MAX_INFORMATIONAL_HEADS = 16;
+
+/** Gives a request up whose server announces an answer over and over. */
+const limitInformation = (outgoing: ClientRequest): void => {
+  let heads = 0;
+  const count = (): void => {
+    heads += 1;
+    if (heads > MAX_INFORMATIONAL_HEADS) {
+      outgoing.destroy(new Error('the server sent too many informational heads'));
+    }
+  };
+  outgoing.on('information', count);
+  outgoing.on('continue', count);
+};
+
 /** Sends a request and resolves with the response as soon as its headers arrived. */
 const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
@@ -181,6 +197,7 @@
     const outgoing = http.request(formatOptions(target, request, agent));
     destroyOnAbort(outgoing, request.signal);
     limitConnecting(outgoing, request.connectLimitMs);
+    limitInformation(outgoing);
     outgoing.on('response', (response) => {
       received = response;
       detectReset(request.method, response);
@@ -190,8 +207,11 @@
     });
     outgoing.on('error', (cause) => {
       reject(toTransportError(cause, request.signal?.aborted === true, sent));
-      // The parser takes a reset for the end of an answer that has no length.
-      received?.destroy(cause);
+      // The parser takes a reset for the end of an answer that has no length. One that has a length and is whole stays
+      // whole, whatever comes after it.
+      if (received?.complete === false || (received !== undefined && endsWithConnection(request.method, received))) {
+        received.destroy(cause);
+      }
     });
     const sendBody = (): void => {
       if (request.signal?.aborted === true || request.maySend?.() === false) {
--- a/packages/transport/src/links/links.test.ts
+++ b/packages/transport/src/links/links.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { createSystemClock } from '@bergamotcove/clock';
 import createLinkClient from './createLinkClient.js';
+import { MAX_LINE_BYTES } from './createLineReader.js';
 import createLinkServer, { type LinkMethod } from './createLinkServer.js';
 
 const LIMITS = { clock: createSystemClock(), connectLimitMs: 300, pingMs: 30, silenceLimitMs: 120 };
@@ -92,3 +93,37 @@
   await lost;
   server.close();
 });
+
+test('a peer whose message does not end is dropped at the limit of a line', async () => {
+  const filler = Buffer.alloc(65_536, 'x');
+  let takenBytes = 0;
+  let dropped = false;
+  const endless = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      dropped = true;
+    });
+    const send = (): void => {
+      if (!socket.destroyed) {
+        socket.write(filler, () => {
+          takenBytes += filler.length;
+          setImmediate(send);
+        });
+      }
+    };
+    send();
+  });
+  await new Promise<void>((resolve) => {
+    endless.listen(0, '127.0.0.1', resolve);
+  });
+  const client = createLinkClient(LIMITS);
+  const { port } = endless.address() as net.AddressInfo;
+  await assert.rejects(client.call({ address: '127.0.0.1', port }, 'ask', {}), { code: 'connection-lost' });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  assert.ok(dropped);
+  assert.ok(takenBytes < 2 * MAX_LINE_BYTES, `${takenBytes} bytes were taken`);
+  client.close();
+  endless.close();
+});
--- a/packages/transport/src/readBody.ts
+++ b/packages/transport/src/readBody.ts
@@ -28,6 +28,11 @@
       settled = true;
       reject(new TransportError('connection-lost', 'body ended early', cause === undefined ? {} : { cause }));
     };
+    if (stream.destroyed) {
+      // It broke before it could be read, and tells so no more.
+      endEarly();
+      return;
+    }
     stream.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
       if (sizeBytes > options.maxBytes) {
--- a/packages/transport/src/readEventStream.ts
+++ b/packages/transport/src/readEventStream.ts
@@ -68,6 +68,11 @@
         stream.destroy();
       }
     };
+    if (stream.destroyed) {
+      // It broke before it could be read, and tells so no more.
+      fail();
+      return;
+    }
     stream.on('data', onData);
     stream.on('end', resolve);
     stream.on('error', fail);
