Bound the memory of answers and events that do not end

What callers saw: the event loop of a host stood still for seconds, and its heap grew to 4 GB in a test, while a server sent one event without end: answered after 3,096 to 5,050 ms of a deadline of 1,500 ms.

Cause: the part of an event that had come was copied and searched again with each chunk, without a limit. Class: bytes kept for a peer without a bound, as whole answers were together (4 MiB each, however many).

Now an event of more than 256 KiB breaks its stream, and bytes are searched once. Whole answers share 32 MiB; one that finds no room is given up, those up to 64 KiB always find some.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -2,6 +2,7 @@
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
 import type { ServerPools } from '../servers/createServerPools.js';
+import type { AnswerRoom } from '../servers/createAnswerRoom.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type HeldResults from './HeldResults.js';
@@ -26,6 +27,7 @@
 export interface ReaderPorts {
   readonly directory: BackendDirectory;
   readonly pools: ServerPools;
+  readonly room: AnswerRoom;
 }
 
 const FIRST_REDIRECT = 300;
@@ -72,7 +74,7 @@
     if (this.run.request.route.kind === 'stream' && head.status < FIRST_REDIRECT) {
       return this.relay(opened, silence);
     }
-    const body = await readAnswerBody(response);
+    const body = await readAnswerBody(response, this.ports.room);
     return body === undefined
       ? { type: 'ended', end: { type: 'unknown' }, resultsGone: false }
       : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -15,6 +15,7 @@
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RequestFormat, StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
+import type { AnswerRoom } from '../servers/createAnswerRoom.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import placeAttempt from '../servers/placeAttempt.js';
 import openAttempt from '../servers/openAttempt.js';
@@ -48,6 +49,7 @@
   readonly random: () => number;
   readonly metrics: ScrapedMetrics;
   readonly crashes: CrashGuard;
+  readonly room: AnswerRoom;
   /** Takes room for one repeated send to a pool. */
   readonly spendRetry: (pool: string) => boolean;
 }
--- a/packages/gateway/src/requests/createEventSplitter.test.ts
+++ b/packages/gateway/src/requests/createEventSplitter.test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import createEventSplitter from './createEventSplitter.js';
+import createEventSplitter, { MAX_EVENT_BYTES } from './createEventSplitter.js';
 
 test('passes only whole events on, with the ids of the first and the last', () => {
   const splitter = createEventSplitter();
-  assert.equal(splitter.push(Buffer.from('id: 4\nda')).whole, undefined);
+  assert.equal(splitter.push(Buffer.from('id: 4\nda'))?.whole, undefined);
   const parts = splitter.push(Buffer.from('ta: x\n\nid: 5\ndata: y\n\nid: 6\n'));
-  assert.equal(parts.whole?.toString(), 'id: 4\ndata: x\n\nid: 5\ndata: y\n\n');
-  assert.deepEqual([parts.firstEventId, parts.lastEventId], ['4', '5']);
+  assert.equal(parts?.whole?.toString(), 'id: 4\ndata: x\n\nid: 5\ndata: y\n\n');
+  assert.deepEqual([parts?.firstEventId, parts?.lastEventId], ['4', '5']);
   assert.equal(splitter.rest().toString(), 'id: 6\n');
 });
 
 test('reads events that end in CR LF', () => {
   const parts = createEventSplitter().push(Buffer.from('id: 1\r\ndata: x\r\n\r\nid: 2\r\n'));
-  assert.equal(parts.whole?.toString(), 'id: 1\r\ndata: x\r\n\r\n');
-  assert.equal(parts.lastEventId, '1');
+  assert.equal(parts?.whole?.toString(), 'id: 1\r\ndata: x\r\n\r\n');
+  assert.equal(parts?.lastEventId, '1');
 });
 
 test('loses and doubles no byte, however the stream is cut', () => {
@@ -26,8 +26,27 @@
       const bounds = [0, ...cuts.sort((a, b) => a - b), stream.length];
       const passed = bounds
         .slice(1)
-        .flatMap((end, index) => splitter.push(stream.subarray(bounds[index], end)).whole ?? []);
+        .flatMap((end, index) => splitter.push(stream.subarray(bounds[index], end))?.whole ?? []);
       return Buffer.concat([...passed, splitter.rest()]).equals(stream);
     }),
   );
 });
+
+test('finds the end of an event whose blank line is cut', () => {
+  const splitter = createEventSplitter();
+  const ends = ['data: x\r', '\n\r', '\n', 'data: y\n', '\n'].map((text) => splitter.push(Buffer.from(text))?.whole);
+  assert.deepEqual(
+    ends.map((whole) => whole?.toString()),
+    [undefined, undefined, 'data: x\r\n\r\n', undefined, 'data: y\n\n'],
+  );
+});
+
+test('gives up an event that does not end, in the time of its bytes', () => {
+  const splitter = createEventSplitter();
+  const line = Buffer.from('data: x\n');
+  let taken = 0;
+  while (splitter.push(line) !== undefined) {
+    taken += line.length;
+  }
+  assert.ok(taken <= MAX_EVENT_BYTES && taken > MAX_EVENT_BYTES - line.length);
+});
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -10,13 +10,19 @@
 
 /** Splits the bytes of an event stream after whole events. */
 export interface EventSplitter {
-  push(chunk: Buffer): EventParts;
+  /** Takes the next bytes; undefined when an event is too large, after which nothing more is taken. */
+  push(chunk: Buffer): EventParts | undefined;
   /** Bytes after the last whole event. */
   rest(): Buffer;
 }
 
 const NOTHING: EventParts = { whole: undefined, firstEventId: undefined, lastEventId: undefined };
 
+/** Largest event; usual ones have some hundred bytes. */
+export const MAX_EVENT_BYTES = 262_144;
+/** A blank line may begin so many bytes before those that end it. */
+const LONGEST_START_BYTES = 3;
+
 /** Position after the last blank line, or -1. */
 const findLastEnd = (bytes: Buffer): number => {
   const lineFeeds = bytes.lastIndexOf('\n\n');
@@ -36,19 +42,35 @@
  * @returns the splitter
  */
 export default function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
+  /** Last bytes before the next ones. */
+  let tail: Buffer = Buffer.alloc(0);
+
+  const keep = (bytes: Buffer): void => {
+    pending.push(bytes);
+    pendingBytes += bytes.length;
+    tail = Buffer.concat([tail, bytes.subarray(-LONGEST_START_BYTES)]).subarray(-LONGEST_START_BYTES);
+  };
+
+  const clear = (): void => {
+    pending = [];
+    pendingBytes = 0;
+    tail = Buffer.alloc(0);
+  };
+
   return {
     push: (chunk) => {
-      const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const end = findLastEnd(bytes);
-      if (end === -1) {
-        pending = bytes;
-        return NOTHING;
+      const end = findLastEnd(tail.length === 0 ? chunk : Buffer.concat([tail, chunk])) - tail.length;
+      if (end <= 0) {
+        keep(chunk);
+        return pendingBytes > MAX_EVENT_BYTES ? undefined : NOTHING;
       }
-      const whole = bytes.subarray(0, end);
-      pending = bytes.subarray(end);
+      const whole = Buffer.concat([...pending, chunk.subarray(0, end)]);
+      clear();
+      keep(chunk.subarray(end));
       return { whole, ...readIds(whole) };
     },
-    rest: () => pending,
+    rest: () => Buffer.concat(pending),
   };
 }
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -37,8 +37,18 @@
   const splitter = createEventSplitter();
   let begun = false;
   return new Promise((resolve) => {
+    if (response.destroyed) {
+      // It broke before it could be read, and tells so no more.
+      resolve({ type: 'broken' });
+      return;
+    }
     response.on('data', (chunk: Buffer) => {
-      const { whole, firstEventId, lastEventId } = splitter.push(chunk);
+      const parts = splitter.push(chunk);
+      if (parts === undefined) {
+        response.destroy();
+        return;
+      }
+      const { whole, firstEventId, lastEventId } = parts;
       if (whole === undefined || exchange.closed) {
         return;
       }
--- /dev/null
+++ b/packages/gateway/src/servers/readAnswerBody.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { test } from 'node:test';
+import createAnswerRoom from './createAnswerRoom.js';
+import readAnswerBody, { MAX_ANSWER_BYTES } from './readAnswerBody.js';
+
+const CHUNK = Buffer.alloc(65_536, 'x');
+
+/** An answer that is fed by a test; it is whole when it ends. */
+const createAnswer = (): PassThrough & IncomingMessage => {
+  const stream = Object.assign(new PassThrough({ highWaterMark: 2 * MAX_ANSWER_BYTES }), { complete: true });
+  return stream as unknown as PassThrough & IncomingMessage;
+};
+
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+test('a body without end is given up at the limit, and its connection closed', async () => {
+  const answer = createAnswer();
+  const body = readAnswerBody(answer, createAnswerRoom());
+  for (let sentBytes = 0; sentBytes <= MAX_ANSWER_BYTES; sentBytes += CHUNK.length) {
+    answer.write(CHUNK);
+  }
+  assert.equal(await body, undefined);
+  assert.ok(answer.destroyed);
+});
+
+test('many bodies that do not end hold no more than the room together, and a usual one arrives beside them', async () => {
+  const room = createAnswerRoom();
+  const answers = Array.from({ length: 64 }, createAnswer);
+  answers.forEach((answer) => readAnswerBody(answer, room));
+  for (let sentBytes = 0; sentBytes < 3 * 1_048_576; sentBytes += CHUNK.length) {
+    answers.forEach((answer) => answer.write(CHUNK));
+    // Each body is read in turn.
+    await settle();
+  }
+  const open = answers.filter(({ destroyed }) => !destroyed).length;
+  assert.ok(open <= 11, `${open} bodies of 3 MiB are held`);
+  const usual = createAnswer();
+  const body = readAnswerBody(usual, room);
+  usual.end('done');
+  assert.equal((await body)?.toString(), 'done');
+});
+
+test('an answer that broke before it was read is given up at once', async () => {
+  const answer = createAnswer();
+  answer.destroy();
+  await settle();
+  assert.equal(await readAnswerBody(answer, createAnswerRoom()), undefined);
+});
--- a/packages/gateway/src/servers/readAnswerBody.ts
+++ b/packages/gateway/src/servers/readAnswerBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { AnswerRoom } from './createAnswerRoom.js';
 
 /** Largest answer that is read whole before it is passed on. */
 export const MAX_ANSWER_BYTES = 4 * 1_048_576;
@@ -7,22 +8,32 @@
  * Reads the body of an answer.
  *
  * @param response - answer
+ * @param room - memory for answers that are being read
  * @returns the body, or undefined when it broke off or is too large
  */
-export default function readAnswerBody(response: IncomingMessage): Promise<Buffer | undefined> {
+export default function readAnswerBody(response: IncomingMessage, room: AnswerRoom): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const share = room.open();
+    const settle = (body: Buffer | undefined): void => {
+      share.close();
+      resolve(body);
+    };
+    if (response.destroyed) {
+      // It broke before it could be read, and tells so no more.
+      settle(undefined);
+      return;
+    }
     response.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
       chunks.push(chunk);
-      if (sizeBytes > MAX_ANSWER_BYTES) {
+      if (!share.take(chunk.length) || share.sizeBytes > MAX_ANSWER_BYTES) {
+        chunks.length = 0;
         response.destroy();
-        resolve(undefined);
+        settle(undefined);
       }
     });
-    response.on('end', () => resolve(response.complete ? Buffer.concat(chunks) : undefined));
-    response.on('error', () => resolve(undefined));
-    response.on('close', () => resolve(undefined));
+    response.on('end', () => settle(response.complete ? Buffer.concat(chunks) : undefined));
+    response.on('error', () => settle(undefined));
+    response.on('close', () => settle(undefined));
   });
 }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -25,6 +25,7 @@
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
 import type { ForwardEnd } from './requests/RunRecord.js';
+import createAnswerRoom from './servers/createAnswerRoom.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
@@ -184,6 +185,7 @@
     stages,
     format: base.formats.requests,
     random: Math.random,
+    room: createAnswerRoom(),
     spendRetry: (pool) => budgets.spend(pool),
     onAccepted: ({ route }) => route.pools.forEach(({ pool }) => budgets.noteRequest(pool)),
     onEnded: ({ requestId, fingerprint, route, version, organisation }, end) => {
