Let the record step of the fault matrix wait for the answer of the watched call

Cause: the test, not the product. The step 'record' was taken to be the next write of any claim after the server had received the watched call. Under load that was the claim of the companion request: the answers were then swapped while the watched call was still at its server, where unknown is an allowed end (step send-call).

The check and its allowed ends are as before.

--- a/packages/bench/src/faults/createTrigger.ts
+++ b/packages/bench/src/faults/createTrigger.ts
@@ -54,7 +54,8 @@
 
   private readonly gate = createResendGate();
 
-  private callReceived = false;
+  /** Whether the answer to the call of the watched request has left its server. */
+  private callAnswered = false;
 
   private readonly receivedBy = new Map<string, number>();
 
@@ -75,7 +76,12 @@
     if (point.echo !== this.marker) {
       return;
     }
-    this.callReceived ||= point.kind === 'call';
+    if (point.type === 'executed' && point.kind === 'call') {
+      // The answer leaves in this turn; a claim that others write before is not the record of the call.
+      setImmediate(() => {
+        this.callAnswered = true;
+      });
+    }
     const lastStage = this.cell.operation === 'explain' ? 'generate' : 'call';
     if (point.type === 'received' && point.kind === lastStage) {
       await this.gate.pass();
@@ -88,7 +94,7 @@
 
   onStorePoint(point: StorePoint): void {
     if (point.type === 'before' && point.writtenKeys.some((key) => key.startsWith(CLAIMS_PREFIX))) {
-      this.fire(this.callReceived ? 'record' : 'claim', undefined);
+      this.fire(this.callAnswered ? 'record' : 'claim', undefined);
     }
   }
 
