--- a/packages/ctl/src/cli/optionTable.ts
+++ b/packages/ctl/src/cli/optionTable.ts
@@ -15,7 +15,11 @@
     repeated: true,
     text: 'address of the configuration store; repeat it for further addresses',
   },
-  host: { value: 'URL', repeated: true, text: 'peer address of an entry host; repeat it for further hosts' },
+  host: {
+    value: 'URL',
+    repeated: true,
+    text: 'peer address of an entry host, or link://HOST:PORT of a gateway; repeat it for further hosts',
+  },
   settings: { value: 'FILE', text: 'settings of an entry host; their first peer key signs the calls to the hosts' },
   expect: { value: 'VERSION', text: 'version that the change is based on; 0 when the service is new' },
   version: { value: 'VERSION', text: 'version to read; the current one by default' },
--- a/packages/ctl/src/cli/parseCommandLine.ts
+++ b/packages/ctl/src/cli/parseCommandLine.ts
@@ -42,11 +42,14 @@
   return value;
 };
 
-const readUrls = (values: RawOptions, name: OptionName): readonly string[] => {
+/** Entry hosts are called over HTTP, gateways over the links that hosts use among themselves. */
+const PROTOCOLS: Readonly<Record<'store' | 'host', readonly string[]>> = { store: ['http:'], host: ['http:', 'link:'] };
+
+const readUrls = (values: RawOptions, name: 'store' | 'host'): readonly string[] => {
   const urls = (values[name] ?? []) as readonly string[];
   urls.forEach((url) => {
     const parsed = URL.canParse(url) ? new URL(url) : undefined;
-    if (parsed?.protocol !== 'http:' || parsed.port === '') {
+    if (parsed === undefined || !PROTOCOLS[name].includes(parsed.protocol) || parsed.port === '') {
       throw new CtlError('usage', `--${name}: expected a URL such as http://10.0.0.5:7000, found "${url}"`);
     }
   });
--- a/packages/ctl/src/cli/runCli.test.ts
+++ b/packages/ctl/src/cli/runCli.test.ts
@@ -19,6 +19,8 @@
   { argv: ['rollback', 'clerk', 'one', ...STORE], expected: /argument VERSION: .*found "one"/ },
   { argv: ['status'], expected: /option --host URL is missing/ },
   { argv: ['trace', 'abc', '--host', 'http://10.0.0.7:7000'], expected: /argument ID: expected 32/ },
+  { argv: ['poison', '--host', 'ftp://10.0.0.7:7000'], expected: /--host: expected a URL/ },
+  { argv: ['get', 'clerk', '--store', 'link://10.0.0.7:7000'], expected: /--store: expected a URL/ },
 ];
 
 usageCases.forEach(({ argv, expected }) => {
