--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -7,6 +7,8 @@
 export type { StoreClientOptions } from './store/createStoreClient.js';
 export { default as createGuardedStore } from './store/createGuardedStore.js';
 export type { GuardedStoreOptions } from './store/createGuardedStore.js';
+export { default as createEraTracker } from './store/createEraTracker.js';
+export type { EraEvent, EraProblem, EraTracker } from './store/createEraTracker.js';
 export { default as createLeaseHolder } from './store/createLeaseHolder.js';
 export type { LeaseHolder, LeaseHolderOptions } from './store/createLeaseHolder.js';
 export { default as fetchHostList } from './hosts/fetchHostList.js';
--- a/packages/backends/src/store/_lib/fetchAnswer.ts
+++ b/packages/backends/src/store/_lib/fetchAnswer.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import { readBody, type HttpClient, type HttpRequest, type Target } from '@bergamotcove/transport';
 
 /** Limits of one call to the store. */
@@ -12,6 +13,7 @@
 export interface StoreAnswer {
   readonly status: number;
   readonly body: string;
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** Answers hold a few values of up to a megabyte. */
@@ -41,7 +43,7 @@
     clearTimeout(timer);
     timer = setTimeout(() => abort.abort(), BODY_LIMIT_MS);
     const body = await readBody(response, { maxBytes: MAX_ANSWER_BYTES });
-    return { status: response.statusCode ?? 0, body };
+    return { status: response.statusCode ?? 0, body, headers: response.headers };
   } finally {
     clearTimeout(timer);
   }
--- a/packages/backends/src/store/createLeaseHolder.ts
+++ b/packages/backends/src/store/createLeaseHolder.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { advanceLease, isLeaseHeld, type LeaseAction, type LeaseEvent, type LeaseState } from '@bergamotcove/decide';
-import type { StoreClient } from './types.js';
+import type { EraTracker } from './createEraTracker.js';
+import type { Compare, StoreClient, StoreOp } from './types.js';
 
 /** Options of {@link createLeaseHolder}. */
 export interface LeaseHolderOptions {
@@ -14,6 +15,8 @@
     /** Whether no other holder ever uses the key, so that it need not be looked at before it is taken. */
     readonly exclusive?: boolean;
   };
+  /** Era of the store; leases of an earlier one are not used any more. */
+  readonly eras?: EraTracker;
   /** Called when the store did not take or answer a call. */
   readonly onFailed?: () => void;
   /** Called when the lease may have lapsed; everything that depends on it stops. */
@@ -50,10 +53,21 @@
 
   private closed = false;
 
+  /** Whether an exclusive key may stand there under a lease that the store has forgotten or brought back. */
+  private mayReplace = false;
+
   constructor(
     private readonly store: StoreClient,
     private readonly options: LeaseHolderOptions,
-  ) {}
+  ) {
+    options.eras?.onEvent(({ type }) => {
+      if (type === 'advanced') {
+        this.fencing = 0;
+        this.mayReplace = true;
+        this.handle({ type: 'forgotten' }).catch(() => undefined);
+      }
+    });
+  }
 
   heldId(): string | undefined {
     const { state } = this;
@@ -86,7 +100,7 @@
     this.state = { type: 'none', retryMs: this.closed ? Infinity : this.options.clock.monotonicMs() };
     this.fencing = 0;
     if (state.type === 'held') {
-      await this.store.revokeLease(state.leaseId);
+      await this.giveBack(state.leaseId);
     }
   }
 
@@ -113,7 +127,7 @@
       this.options.onLost?.(action.leaseId);
       if (this.options.key !== undefined) {
         // The key may outlive the margin, and would keep this holder from taking it again.
-        this.store.revokeLease(action.leaseId).catch(() => undefined);
+        this.giveBack(action.leaseId).catch(() => undefined);
       }
       return;
     }
@@ -140,9 +154,10 @@
     }
     const startedMs = clock.monotonicMs();
     const leaseId = await this.store.grantLease(ttlMs);
-    const fencing = await this.takeKey(leaseId);
+    const { era } = this;
+    const fencing = await this.takeKey(leaseId, era);
     if (fencing === undefined) {
-      await this.store.revokeLease(leaseId);
+      await this.revoke(leaseId, era);
       await this.handle({ type: 'failed' });
       return;
     }
@@ -151,25 +166,46 @@
     if (this.heldId() !== leaseId) {
       // The holder gave the lease up, or the grant took too long.
       this.fencing = 0;
+      await this.revoke(leaseId, era);
+    }
+  }
+
+  private get era(): number {
+    return this.options.eras?.era ?? 0;
+  }
+
+  /** Revokes a lease, unless its id may be another holder's by now. */
+  private async revoke(leaseId: string, era: number): Promise<void> {
+    if (era === this.era) {
+      await this.store.revokeLease(leaseId);
+    }
+  }
+
+  /** Gives up what the lease holds. An exclusive key is deleted by name: the store may have forgotten the lease unnoticed. */
+  private async giveBack(leaseId: string): Promise<void> {
+    const { key } = this.options;
+    if (key?.exclusive === true) {
+      await this.store.txn([], [{ type: 'delete', key: key.key }]);
+    } else {
       await this.store.revokeLease(leaseId);
     }
   }
 
   /** Creates the key of the lease. Returns its revision, or undefined when another holder has the key. */
-  private async takeKey(leaseId: string): Promise<number | undefined> {
+  private async takeKey(leaseId: string, era: number): Promise<number | undefined> {
     const { key } = this.options;
     if (key === undefined) {
       return 0;
     }
+    const put: StoreOp = { type: 'put', key: key.key, value: key.value, leaseId };
+    const replaces = key.exclusive === true && this.mayReplace;
+    const isFree: Compare = { type: 'create-revision', key: key.key, revision: '0' };
     try {
-      const result = await this.store.txn(
-        [{ type: 'create-revision', key: key.key, revision: '0' }],
-        [{ type: 'put', key: key.key, value: key.value, leaseId }],
-      );
+      const result = await this.store.txn(replaces ? [] : [isFree], [put]);
       return result.succeeded ? Number(result.revision) : undefined;
     } catch (cause) {
       // The key may exist; giving the lease back removes it, and otherwise it lapses by itself.
-      this.store.revokeLease(leaseId).catch(() => undefined);
+      this.revoke(leaseId, era).catch(() => undefined);
       throw cause;
     }
   }
--- a/packages/backends/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -1,8 +1,10 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Observable } from 'rxjs';
 import { createHttpClient, TransportError, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
 import type { RangePage, StoreCall, StoreDialect } from './dialect.js';
 import fetchAnswer from './_lib/fetchAnswer.js';
+import createEraTracker, { type EraTracker } from './createEraTracker.js';
 import jsonDialect from './jsonDialect.js';
 import type {
   Compare,
@@ -23,6 +25,8 @@
   readonly timeoutMs: number;
   /** Wire format of the store; by default that of the product's own store. */
   readonly dialect?: StoreDialect;
+  /** Follows the era of a store that tells it. */
+  readonly eras?: EraTracker;
   /** Called after each call, for metrics. */
   readonly onCall?: (call: string, result: 'ok' | 'failed') => void;
 }
@@ -50,11 +54,14 @@
 
   private readonly dialect: StoreDialect;
 
+  private readonly eras: EraTracker;
+
   private current = 0;
 
   constructor(private readonly options: StoreClientOptions) {
     this.targets = options.urls.map(toTarget);
     this.dialect = options.dialect ?? jsonDialect;
+    this.eras = options.eras ?? createEraTracker();
   }
 
   get(key: string): Promise<StoreEntry | undefined> {
@@ -64,17 +71,22 @@
   async range(prefix: string, bounds: RangeOptions = {}): Promise<RangeResult> {
     const entries: StoreEntry[] = [];
     let revision: string | undefined;
+    let era: number | undefined;
     let call: StoreCall<RangePage> | undefined = this.dialect.range(prefix, bounds);
     while (call !== undefined) {
       // Each page says where the next one begins.
       // eslint-disable-next-line no-await-in-loop
       const page: RangePage = await this.send(call);
+      era ??= this.eras.era;
+      if (era !== this.eras.era) {
+        throw new BackendError('unavailable', 'the store has come back from an older copy between two pages');
+      }
       entries.push(...page.entries);
       // Pages are read at different revisions; a watch from the first one repeats what later pages already show.
       revision ??= page.revision;
       call = page.next;
     }
-    return { entries, revision: revision ?? '0' };
+    return { entries, revision: revision ?? '0', ...(era === undefined ? {} : { era }) };
   }
 
   txn(compares: readonly Compare[], success: readonly StoreOp[], failure: readonly StoreOp[] = []): Promise<TxnResult> {
@@ -82,7 +94,8 @@
   }
 
   watch(prefix: string, fromRevision: string, limits: WatchLimits = {}): Observable<WatchEvent> {
-    return this.dialect.watch(this.http, this.target(), { prefix, fromRevision, ...limits });
+    const readEra = (headers: IncomingHttpHeaders): number => this.readEra(headers);
+    return this.dialect.watch(this.http, this.target(), { prefix, fromRevision, readEra, ...limits });
   }
 
   grantLease(ttlMs: number): Promise<string> {
@@ -105,11 +118,22 @@
     return this.targets[this.current % this.targets.length] as Target;
   }
 
+  private readEra(headers: IncomingHttpHeaders): number {
+    const { eraHeader } = this.dialect;
+    const text = eraHeader === undefined ? undefined : headers[eraHeader];
+    const era = this.eras.read(Array.isArray(text) ? text.join(',') : text);
+    if (era < this.eras.era) {
+      throw new BackendError('outcome-unknown', 'the answer is from before the store came back from an older copy');
+    }
+    return era;
+  }
+
   private async send<Result>({ method, path, body, read }: StoreCall<Result>): Promise<Result> {
     try {
       const request = { method, path, ...(body === undefined ? {} : { body, headers: JSON_HEADERS }) };
       const limits = { beginMs: this.options.timeoutMs, abort: new AbortController() };
       const response = await fetchAnswer(this.http, this.target(), request, limits);
+      this.readEra(response.headers);
       const result = read(response.status, response.body);
       this.options.onCall?.(path, 'ok');
       return result;
--- a/packages/backends/src/store/dialect.ts
+++ b/packages/backends/src/store/dialect.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Observable } from 'rxjs';
 import type { HttpClient, Target } from '@bergamotcove/transport';
 import type {
@@ -38,6 +39,8 @@
   grantLease(ttlMs: number): StoreCall<string>;
   keepAlive(leaseId: string): StoreCall<number>;
   revokeLease(leaseId: string): StoreCall<void>;
+  /** Header of all answers that tells the era of the store, in lower case; undefined for a store without eras. */
+  readonly eraHeader?: string;
   /** Watches the keys that start with the prefix; see {@link StoreClient.watch}. */
   watch(http: HttpClient, target: Target, options: WatchOptions): Observable<WatchEvent>;
 }
@@ -47,4 +50,6 @@
   readonly prefix: string;
   /** First revision that is reported. */
   readonly fromRevision: string;
+  /** Takes the headers of an answer; returns its era, and throws when it is of an earlier one than is known. */
+  readonly readEra: (headers: IncomingHttpHeaders) => number;
 }
--- a/packages/backends/src/store/followStore.ts
+++ b/packages/backends/src/store/followStore.ts
@@ -12,10 +12,12 @@
   readonly prefix: string;
   /** Revision up to which the entries are known already; without it they are read first. */
   readonly knownRevision?: string;
+  /** Era in which the known revision counts. */
+  readonly knownEra?: number;
   /** Limits of the watches. */
   readonly limits?: () => WatchLimits;
   /** All entries as of a read; whatever is not among them does not exist. */
-  readonly onSnapshot: (entries: readonly StoreEntry[], revision: string) => void;
+  readonly onSnapshot: (entries: readonly StoreEntry[], revision: string, era: number | undefined) => void;
   readonly onPut: (entry: StoreEntry) => void;
   readonly onDelete: (key: string, revision: string) => void;
   /** Everything up to this revision was reported. */
@@ -45,6 +47,8 @@
 class Follower implements StoreFollower {
   private known: string | undefined;
 
+  private era: number | undefined;
+
   private watching: Subscription | undefined;
 
   private timer: Timer | undefined;
@@ -60,6 +64,7 @@
 
   constructor(private readonly options: StoreFollowerOptions) {
     this.known = options.knownRevision;
+    this.era = options.knownEra;
   }
 
   start(): void {
@@ -101,11 +106,12 @@
   private read(): void {
     const { round } = this;
     this.options.store.range(this.options.prefix).then(
-      ({ entries, revision }) => {
+      ({ entries, revision, era }) => {
         if (round === this.round) {
           this.noteAnswer();
           this.known = revision;
-          this.options.onSnapshot(entries, revision);
+          this.era = era;
+          this.options.onSnapshot(entries, revision, era);
         }
         // The receiver may have closed the follower.
         if (round === this.round) {
@@ -122,7 +128,7 @@
 
   private watch(): void {
     const fromRevision = String(Number(this.known) + 1);
-    const limits = this.options.limits?.();
+    const limits = { ...this.options.limits?.(), ...(this.era === undefined ? {} : { era: this.era }) };
     this.watching = this.options.store.watch(this.options.prefix, fromRevision, limits).subscribe({
       next: (event) => {
         this.noteAnswer();
--- a/packages/backends/src/store/pollStore.test.ts
+++ b/packages/backends/src/store/pollStore.test.ts
@@ -27,6 +27,7 @@
     client,
     { address: '127.0.0.1', port },
     {
+      readEra: () => 0,
       prefix: '',
       fromRevision: '5',
       waitMs: 60_000,
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -36,9 +36,13 @@
   http: HttpClient,
   target: Target,
   { method, path, read }: StoreCall<WatchPoll>,
-  limits: AnswerLimits,
+  { limits, era, readEra }: Pick<PollOptions, 'era' | 'readEra'> & { readonly limits: AnswerLimits },
 ): Promise<WatchPoll> => {
-  const { status, body } = await fetchAnswer(http, target, { method, path }, limits);
+  const { status, body, headers } = await fetchAnswer(http, target, { method, path }, limits);
+  const answerEra = readEra(headers);
+  if (era !== undefined && answerEra !== era) {
+    throw new BackendError('compacted', 'the store has come back from an older copy');
+  }
   return read(status, body);
 };
 
@@ -71,7 +75,7 @@
         const limits = { beginMs: waitMs + ANSWER_LIMIT_MS, abort: current };
         // Each call begins where the one before ended.
         // eslint-disable-next-line no-await-in-loop
-        const answer = await poll(http, target, options.format(revision, waitMs), limits);
+        const answer = await poll(http, target, options.format(revision, waitMs), { ...options, limits });
         revision = answer.revision;
         waitMs = options.waitMs;
         answer.events.forEach((event) => subscriber.next(event));
--- a/packages/backends/src/store/types.ts
+++ b/packages/backends/src/store/types.ts
@@ -12,6 +12,8 @@
 export interface RangeResult {
   readonly entries: readonly StoreEntry[];
   readonly revision: string;
+  /** Era in which the revision counts, where the store tells it. */
+  readonly era?: number;
 }
 
 /** Condition of a transaction. A revision of '0' means that the key does not exist. */
@@ -52,6 +54,8 @@
 export interface WatchLimits {
   /** Longest time between two signs that the store still answers; by default that of the dialect. */
   readonly quietMs?: number;
+  /** Era in which the first revision counts; a watch ends as `compacted` when the store is in another one. */
+  readonly era?: number;
 }
 
 /** Client of the configuration store. Calls reject with BackendError. */
--- a/packages/decide/src/lease/advanceLease.ts
+++ b/packages/decide/src/lease/advanceLease.ts
@@ -1,6 +1,6 @@
 import { exhaustive } from '@bergamotcove/errors';
 import type { Random } from '../routing/types.js';
-import { LEASE_MARGIN_RATIO, LEASE_RENEW_RATIO, LEASE_RETRY_MS } from './constants.js';
+import { LEASE_MARGIN_RATIO, LEASE_RENEW_RATIO, LEASE_RETRY_MS, LEASE_SPREAD_MS } from './constants.js';
 import isLeaseHeld from './isLeaseHeld.js';
 import type { LeaseEvent, LeaseState, LeaseStep } from './types.js';
 
@@ -70,6 +70,8 @@
       return state.type === 'held' && state.leaseId === event.leaseId ? hold(event, nowMs) : keep(state);
     case 'failed':
       return fail(state, nowMs, random);
+    case 'forgotten':
+      return keep({ type: 'none', retryMs: nowMs + LEASE_SPREAD_MS * random() });
     default:
       return exhaustive(event);
   }
--- a/packages/decide/src/lease/constants.ts
+++ b/packages/decide/src/lease/constants.ts
@@ -10,3 +10,6 @@
 
 /** Wait after a failed grant. */
 export const LEASE_RETRY_MS = 1_000;
+
+/** All holders take a new lease within this time when the store has forgotten the old ones. */
+export const LEASE_SPREAD_MS = 2_000;
--- a/packages/decide/src/lease/types.ts
+++ b/packages/decide/src/lease/types.ts
@@ -20,7 +20,9 @@
   | { readonly type: 'granted'; readonly leaseId: string; readonly startedMs: number; readonly ttlMs: number }
   | { readonly type: 'renewed'; readonly leaseId: string; readonly startedMs: number; readonly ttlMs: number }
   /** No answer, or an error answer. */
-  | { readonly type: 'failed' };
+  | { readonly type: 'failed' }
+  /** The store has forgotten the lease, and may have given its id to another holder. */
+  | { readonly type: 'forgotten' };
 
 /** What the interpreter does. */
 export type LeaseAction =
--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -46,7 +46,7 @@
   put('s1', 5);
   put('s1', 4, { state: 'leaving' });
   assert.deepEqual(list(), ['s1']);
-  directory.remove('s1', 6);
+  directory.remove('s1', { era: 0, revision: 6 });
   put('s1', 5);
   assert.deepEqual(list(), []);
   put('s1', 7);
@@ -104,7 +104,7 @@
   clock.advance(200);
   assert.deepEqual(list(), ['s2']);
   assert.equal(directory.storeLost, false);
-  directory.remove('s2', 13);
+  directory.remove('s2', { era: 0, revision: 13 });
   assert.deepEqual(list(), []);
 });
 
@@ -113,7 +113,7 @@
   put('s1', 1);
   put('s2', 2);
   directory.noteStore('lost');
-  directory.remove('s1', 3);
+  directory.remove('s1', { era: 0, revision: 3 });
   assert.deepEqual(
     directory.snapshot().servers.map(({ serverId }) => serverId),
     ['s2'],
@@ -130,8 +130,8 @@
   directory.noteSigns('s1', LEAVING);
   assert.deepEqual(list(), ['s2']);
   assert.deepEqual(directory.listShunned('p'), ['s1']);
-  directory.remove('s1', 3);
-  directory.remove('s2', 4);
+  directory.remove('s1', { era: 0, revision: 3 });
+  directory.remove('s2', { era: 0, revision: 4 });
   directory.noteSigns('s2', LEAVING);
   put('s1', 5);
   put('s2', 6);
@@ -165,3 +165,49 @@
   put('s1', 2, { startedAtMs: 2 });
   assert.equal(directory.view('p').servers.length, 1);
 });
+
+test('what comes late from an earlier era is dropped', () => {
+  const { directory, put, list } = createWorld();
+  put('s1', 100);
+  directory.replace({ servers: [], revision: 91, era: 1 });
+  directory.replace({ servers: [], revision: 200, era: 0 });
+  directory.remove('s1', { era: 0, revision: 201 });
+  assert.deepEqual(list(), ['s1']);
+  assert.deepEqual(directory.position, { era: 1, revision: 91 });
+});
+
+test('servers that the copy lacks stay until they had time to write themselves again', () => {
+  const { clock, directory, put, list } = createWorld();
+  put('s1', 100);
+  put('s2', 101);
+  directory.replace({ servers: [], revision: 91, era: 1 });
+  assert.deepEqual(list(), ['s1', 's2']);
+  put('s2', 92);
+  clock.advance(2_000);
+  assert.deepEqual(list(), ['s2']);
+});
+
+test('the copy brings no server back that was leaving or had left, and a new process is taken', () => {
+  const { directory, put, list } = createWorld();
+  const entry = { pool: 'p', address: '10.0.0.1', port: 1, failureDomain: 'a', state: 'live', startedAtMs: 1 };
+  const copied = ['s1', 's2', 's3'].map((serverId, index) => ({
+    serverId,
+    revision: index + 1,
+    text: JSON.stringify({ serverId, ...entry }),
+  }));
+  directory.replace({ servers: copied, revision: 3 });
+  put('s1', 101, { state: 'leaving' });
+  put('s2', 102, { state: 'leaving' });
+  directory.remove('s2', { era: 0, revision: 103 });
+  directory.remove('s3', { era: 0, revision: 104 });
+  directory.replace({ servers: copied, revision: 91, era: 1 });
+  assert.deepEqual(list(), []);
+  // Another host does not know that they have left.
+  directory.replace({ servers: copied, revision: 92, era: 1 });
+  assert.deepEqual(list(), []);
+  put('s3', 93);
+  put('s2', 94);
+  assert.deepEqual(list(), ['s3']);
+  put('s2', 95, { startedAtMs: 2 });
+  assert.deepEqual(list(), ['s3', 's2']);
+});
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -8,76 +8,12 @@
   type ServerEventInput,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { CatalogueFormat, ServerEntry, ServerSigns } from '../ports.js';
-import createRestBook from './createRestBook.js';
+import type { CatalogueFormat, ServerSigns } from '../ports.js';
+import type { BackendDirectory, EndedProcess, KnownServer, ServerSnapshot, StoredServer } from './BackendDirectory.js';
+import type { StorePosition } from './comparePositions.js';
 import createDismissals from './createDismissals.js';
-
-/** A backend server with its place. */
-export interface KnownServer extends ServerEntry {
-  readonly region: string;
-}
-
-/** A process of a server that gets no more work, because it has ended or another one took its place. */
-export interface EndedProcess extends KnownServer {
-  readonly end: ProcessEnd;
-}
-
-/** An entry of the store as another host passes it on. */
-export interface StoredServer {
-  readonly serverId: string;
-  readonly text: string;
-  readonly revision: number;
-}
-
-/** All entries as of a revision of the store. */
-export interface ServerSnapshot {
-  readonly servers: readonly StoredServer[];
-  readonly revision: number;
-}
-
-/** Backend servers as this host sees them. */
-export interface BackendDirectory {
-  /** Whether the store does not answer, or has answered again for too short a time for lapsed entries to be back. */
-  readonly storeLost: boolean;
-  /** Latest revision of the store that this host knows of. */
-  readonly revision: number;
-  /** Servers of a pool that may get new work, those that rest included. */
-  list(pool: string): readonly KnownServer[];
-  /** Those of them in a region, or all when it has none. */
-  listNear(pool: string, region: string): readonly KnownServer[];
-  find(serverId: string): KnownServer | undefined;
-  /** The server at an address, `IP:PORT`. */
-  findAt(address: string): KnownServer | undefined;
-  /** Servers of a pool that this host may send to now, with what it has learnt about them. */
-  view(pool: string): PoolView;
-  note(serverId: string, event: ServerEventInput): void;
-  noteReport(serverId: string, report: LoadReport, hosts: number): void;
-  /** The process at the server's address is another one. */
-  noteGone(serverId: string): void;
-  /**
-   * Takes what a server said in an answer. A leaving process gets no new work from this host, whatever its entry says;
-   * one that asks for a rest gets no requests from this host until its end.
-   */
-  noteSigns(serverId: string, signs: ServerSigns): void;
-  /** End of the rest that a server asked for, monotonic time; in the past without one. */
-  readRestEndMs(serverId: string): number;
-  /** Time until the first server of a pool ends its rest; undefined unless all of them rest. */
-  readReturnMs(pool: string): number | undefined;
-  /** Servers of a pool that other hosts may still use, but not this one. */
-  listShunned(pool: string): readonly string[];
-  put(server: StoredServer): void;
-  remove(serverId: string, revision: number): void;
-  /** Everything that is not in the snapshot and older than it is gone. */
-  replace(snapshot: ServerSnapshot): void;
-  snapshot(): ServerSnapshot;
-  /** Replaces the regions of failure domains. */
-  setRegions(regions: Readonly<Record<string, string>>): void;
-  /** The store stopped answering, or answers again. */
-  noteStore(state: 'lost' | 'found'): void;
-  onChange(run: () => void): void;
-  onProcessEnded(run: (process: EndedProcess) => void): void;
-  close(): void;
-}
+import createRemovedEntries from './createRemovedEntries.js';
+import createRestBook from './createRestBook.js';
 
 /** Options of {@link createBackendDirectory}. */
 export interface BackendDirectoryOptions {
@@ -94,24 +30,15 @@
   lapsedAtRevision?: number;
 }
 
-/** What is remembered of an entry that was removed. */
-interface RemovedEntry {
-  readonly revision: number;
-  readonly startedAtMs: number | undefined;
-}
-
 /** After an outage of the store, live servers have registered again within this time. */
 const RETURN_MS = 2_000;
-/** Removed entries that are remembered; more than leave while an old state is on its way. */
-const MAX_REMOVED = 2_000;
 
 class Directory implements BackendDirectory {
   private readonly entries = new Map<string, Entry>();
 
   private readonly dismissals = createDismissals();
 
-  /** Entries that were removed; an older state of them may still arrive from another host. */
-  private readonly removed = new Map<string, RemovedEntry>();
+  private readonly removed = createRemovedEntries();
 
   private readonly book = createPoolBook();
 
@@ -125,7 +52,7 @@
 
   private byAddress = new Map<string, KnownServer>();
 
-  revision = 0;
+  position: StorePosition = { era: 0, revision: 0 };
 
   storeLost = false;
 
@@ -180,7 +107,7 @@
   noteSigns(serverId: string, { leaving, restMs }: ServerSigns): void {
     const server = this.find(serverId);
     if (server === undefined) {
-      const startedAtMs = this.removed.get(serverId)?.startedAtMs;
+      const startedAtMs = this.removed.find(serverId)?.startedAtMs;
       if (leaving && startedAtMs !== undefined) {
         // Its entry may come back after an outage of the store.
         this.dismissals.add({ serverId, startedAtMs });
@@ -189,7 +116,7 @@
     }
     const { pool, state } = server;
     if (leaving && this.dismiss(server)) {
-      this.options.logger.event('serverLeaving', { serverId, pool, listedAs: state, revision: this.revision });
+      this.options.logger.event('serverLeaving', { serverId, pool, listedAs: state, revision: this.position.revision });
     }
     if (restMs !== undefined) {
       this.rests.add(serverId, restMs);
@@ -219,29 +146,39 @@
     );
   }
 
-  put(stored: StoredServer): void {
-    this.apply(stored);
-    this.arrange();
+  put(stored: StoredServer, era = this.position.era): void {
+    if (era === this.position.era) {
+      this.apply(stored);
+      this.arrange();
+    }
   }
 
-  remove(serverId: string, revision: number): void {
-    this.drop(serverId, revision);
-    this.arrange();
+  remove(serverId: string, { era, revision }: StorePosition): void {
+    if (era === this.position.era) {
+      this.drop(serverId, revision);
+      this.arrange();
+    }
   }
 
-  replace(snapshot: ServerSnapshot): void {
-    const listed = new Set(snapshot.servers.map(({ serverId }) => serverId));
-    snapshot.servers.forEach((stored) => this.apply(stored));
+  replace({ servers, revision, era = this.position.era }: ServerSnapshot): void {
+    if (era < this.position.era) {
+      return;
+    }
+    if (era > this.position.era) {
+      this.beginEra(era);
+    }
+    const listed = new Set(servers.map(({ serverId }) => serverId));
+    servers.forEach((stored) => this.apply(stored));
     [...this.entries.keys()]
       .filter((serverId) => !listed.has(serverId))
-      .forEach((serverId) => this.drop(serverId, snapshot.revision));
-    this.revision = Math.max(this.revision, snapshot.revision);
+      .forEach((serverId) => this.drop(serverId, revision));
+    this.advance(revision);
     this.arrange();
   }
 
   snapshot(): ServerSnapshot {
     const servers = [...this.entries.values()].filter(({ lapsedAtRevision }) => lapsedAtRevision === undefined);
-    return { servers: servers.map(({ stored }) => stored), revision: this.revision };
+    return { servers: servers.map(({ stored }) => stored), ...this.position };
   }
 
   setRegions(regions: Readonly<Record<string, string>>): void {
@@ -262,7 +199,9 @@
       this.storeLost = false;
       [...this.entries.values()]
         .filter(({ lapsedAtRevision }) => lapsedAtRevision !== undefined)
-        .forEach(({ stored, lapsedAtRevision }) => this.forget(stored.serverId, lapsedAtRevision ?? this.revision));
+        .forEach(({ stored, lapsedAtRevision }) =>
+          this.forget(stored.serverId, lapsedAtRevision ?? this.position.revision),
+        );
       this.arrange();
     });
   }
@@ -289,17 +228,48 @@
     return isNew;
   }
 
+  /**
+   * Begins anew with the revisions of another era. Processes that leave stay out, whatever the copy says of them, and
+   * servers that it lacks stay until they had time to write themselves again.
+   */
+  private beginEra(era: number): void {
+    const isFirst = this.position.revision === 0;
+    this.entries.forEach((entry, serverId) => {
+      const { server, stored } = entry;
+      if (server?.state === 'leaving') {
+        this.dismissals.add(server);
+      }
+      this.entries.set(serverId, { server, stored: { ...stored, revision: 0 } });
+    });
+    this.position = { era, revision: 0 };
+    if (!isFirst) {
+      this.noteStore('lost');
+      this.noteStore('found');
+    }
+  }
+
+  private advance(revision: number): void {
+    const { era, revision: known } = this.position;
+    this.position = { era, revision: Math.max(known, revision) };
+  }
+
   private apply(stored: StoredServer): void {
-    const known = this.entries.get(stored.serverId);
-    this.revision = Math.max(this.revision, stored.revision);
-    const removedAt = this.removed.get(stored.serverId)?.revision ?? 0;
-    const knownRevision = Math.max(known?.stored.revision ?? 0, known?.lapsedAtRevision ?? 0, removedAt);
-    if (stored.revision <= knownRevision) {
+    const { serverId, revision } = stored;
+    const known = this.entries.get(serverId);
+    this.advance(revision);
+    if (revision <= Math.max(known?.stored.revision ?? 0, known?.lapsedAtRevision ?? 0)) {
       return;
     }
     const server = this.read(stored);
+    const { era } = this.position;
+    if (this.removed.isOutdated({ serverId, era, revision, startedAtMs: server?.startedAtMs })) {
+      if (this.removed.find(serverId)?.era !== era) {
+        this.options.logger.event('serverEntryOutdated', { serverId, revision, era });
+      }
+      return;
+    }
     if (server !== undefined && known?.server !== undefined && known.server.startedAtMs !== server.startedAtMs) {
-      this.book.retain(new Set([...this.entries.keys()].filter((serverId) => serverId !== stored.serverId)));
+      this.book.retain(new Set([...this.entries.keys()].filter((listed) => listed !== serverId)));
       this.rests.delete(stored.serverId);
       this.tellEnd(known.server, 'replaced');
     }
@@ -326,7 +296,7 @@
 
   private drop(serverId: string, revision: number): void {
     const known = this.entries.get(serverId);
-    this.revision = Math.max(this.revision, revision);
+    this.advance(revision);
     if (known === undefined || revision < known.stored.revision) {
       return;
     }
@@ -339,15 +309,15 @@
   }
 
   private forget(serverId: string, revision: number): void {
-    const server = this.find(serverId);
-    this.removed.set(serverId, { revision, startedAtMs: server?.startedAtMs });
-    if (this.removed.size > MAX_REMOVED) {
-      this.removed.delete(this.removed.keys().next().value as string);
-    }
+    const entry = this.entries.get(serverId);
+    const server = entry?.server;
+    const hasLeft = server !== undefined && (server.state === 'leaving' || this.dismissals.has(server));
+    const { era } = this.position;
+    const writtenAt = entry?.stored.revision ?? 0;
+    this.removed.add(serverId, { era, revision, startedAtMs: server?.startedAtMs, writtenAt, hasLeft });
     this.entries.delete(serverId);
     this.options.logger.event('serverGone', { serverId, pool: server?.pool, reason: 'entry removed', revision });
     if (server !== undefined) {
-      const hasLeft = server.state === 'leaving' || this.dismissals.has(server);
       this.tellEnd(server, hasLeft ? 'left' : 'removed');
     }
   }
--- a/packages/gateway/src/catalogue/createCatalogueLog.test.ts
+++ b/packages/gateway/src/catalogue/createCatalogueLog.test.ts
@@ -21,7 +21,7 @@
   assert.equal(log.apply({ fromRevision: 4, toRevision: 8, changes: [put('b', 6), { key: 'a', revision: 8 }] }), true);
   log.replace({ entries: [], revision: 7 });
   assert.deepEqual(seen, ['snapshot 1 at 5', '+b 6', '+a 7', '-a 8']);
-  assert.equal(log.revision, 8);
+  assert.deepEqual(log.position, { era: 0, revision: 8 });
 });
 
 test('refuses changes after a gap, and everything before the first snapshot', () => {
@@ -36,12 +36,52 @@
   const { log } = createWorld();
   log.replace({ entries: [{ key: 'a', value: 'a', revision: 3 }], revision: 5 });
   log.apply({ fromRevision: 5, toRevision: 6, changes: [put('b', 6)] });
-  log.apply({ fromRevision: 6, toRevision: 9, changes: [{ key: 'a', revision: 8 }] });
-  assert.deepEqual(log.since(6), { fromRevision: 6, toRevision: 9, changes: [{ key: 'a', revision: 8 }] });
-  assert.deepEqual(log.since(4), { entries: [{ key: 'b', value: 'b6', revision: 6 }], revision: 9 });
+  log.apply({
+    era: 0,
+    fromRevision: 6,
+    toRevision: 9,
+    changes: [{ key: 'a', revision: 8 }],
+  });
+  assert.deepEqual(log.since({ era: 0, revision: 6 }), {
+    era: 0,
+    fromRevision: 6,
+    toRevision: 9,
+    changes: [{ key: 'a', revision: 8 }],
+  });
+  assert.deepEqual(log.since({ era: 0, revision: 4 }), {
+    entries: [{ key: 'b', value: 'b6', revision: 6 }],
+    era: 0,
+    revision: 9,
+  });
   for (let revision = 10; revision < 1_000; revision += 1) {
     log.apply({ fromRevision: revision - 1, toRevision: revision, changes: [put('c', revision)] });
   }
-  assert.ok('entries' in log.since(9));
-  assert.ok('changes' in log.since(900));
+  assert.ok('entries' in log.since({ era: 0, revision: 9 }));
+  assert.ok('changes' in log.since({ era: 0, revision: 900 }));
+});
+
+test('takes a snapshot of a later era at a lower revision, and drops what comes late from the earlier one', () => {
+  const { log, seen } = createWorld();
+  log.replace({ entries: [], revision: 100, era: 1 });
+  log.replace({ entries: [{ key: 'a', value: 'a', revision: 90 }], revision: 91, era: 2 });
+  assert.equal(log.apply({ era: 1, fromRevision: 100, toRevision: 101, changes: [put('old', 101)] }), true);
+  log.replace({ entries: [], revision: 120, era: 1 });
+  assert.equal(log.apply({ era: 2, fromRevision: 91, toRevision: 92, changes: [put('new', 92)] }), true);
+  assert.deepEqual(seen, ['snapshot 0 at 100', 'snapshot 1 at 91', '+new 92']);
+});
+
+test('refuses changes of a later era until it has read it, and tells a host of an earlier era everything', () => {
+  const { log, seen } = createWorld();
+  log.replace({ entries: [], revision: 100, era: 1 });
+  assert.equal(log.apply({ era: 2, fromRevision: 100, toRevision: 101, changes: [put('new', 101)] }), false);
+  assert.deepEqual(seen, ['snapshot 0 at 100']);
+  assert.ok('entries' in log.since({ era: 0, revision: 100 }));
+  assert.ok('changes' in log.since({ era: 1, revision: 100 }));
+});
+
+test('hosts of the version before tell no era, and are understood', () => {
+  const { log, seen } = createWorld();
+  log.replace({ entries: [], revision: 100, era: 3 });
+  assert.equal(log.apply({ fromRevision: 100, toRevision: 101, changes: [put('a', 101)] }), true);
+  assert.deepEqual(seen, ['snapshot 0 at 100', '+a 101']);
 });
--- a/packages/gateway/src/catalogue/createCatalogueLog.ts
+++ b/packages/gateway/src/catalogue/createCatalogueLog.ts
@@ -1,3 +1,5 @@
+import comparePositions, { type StorePosition } from './comparePositions.js';
+
 /** An entry of the store. */
 export interface CatalogueEntry {
   readonly key: string;
@@ -14,6 +16,8 @@
 
 /** All changes after one revision up to another one. */
 export interface CatalogueBatch {
+  /** Era of its revisions; undefined from hosts of earlier versions, which have the era of the receiver. */
+  readonly era?: number;
   readonly fromRevision: number;
   readonly toRevision: number;
   readonly changes: readonly CatalogueChange[];
@@ -21,33 +25,39 @@
 
 /** All entries as of a revision. */
 export interface CatalogueSnapshot {
+  /** Era of its revision; undefined from hosts of earlier versions, which have the era of the receiver. */
+  readonly era?: number;
   readonly entries: readonly CatalogueEntry[];
   readonly revision: number;
 }
 
 /** Receives what is new. */
 export interface CatalogueSink {
-  readonly onSnapshot: (snapshot: CatalogueSnapshot) => void;
-  readonly onChanges: (changes: readonly CatalogueChange[]) => void;
+  readonly onSnapshot: (snapshot: Required<CatalogueSnapshot>, isNewEra: boolean) => void;
+  readonly onChanges: (changes: readonly CatalogueChange[], era: number) => void;
 }
 
 /** Entries of the store as one host knows them, with the changes of the last while. */
 export interface CatalogueLog {
-  /** Everything up to this revision is known; 0 before the first snapshot. */
-  readonly revision: number;
+  /** Everything up to this position is known. */
+  readonly position: StorePosition;
+  /** Whether there was a snapshot. */
+  readonly isFilled: boolean;
   /** Takes a snapshot; an older one changes nothing. */
   replace(snapshot: CatalogueSnapshot): void;
   /** Takes what is new of a batch; false when changes before it are missing. */
   apply(batch: CatalogueBatch): boolean;
-  /** What has changed after a revision, or everything when that is not remembered any more. */
-  since(revision: number): CatalogueBatch | CatalogueSnapshot;
+  /** What has changed after a position, or everything when that is not remembered any more or of another era. */
+  since(position: StorePosition): CatalogueBatch | CatalogueSnapshot;
 }
 
 /** Changes that are remembered; more than come while a host looks for another relay. */
 const MAX_REMEMBERED = 500;
 
 class Log implements CatalogueLog {
-  revision = 0;
+  position: StorePosition = { era: 0, revision: 0 };
+
+  isFilled = false;
 
   private readonly entries = new Map<string, CatalogueEntry>();
 
@@ -59,23 +69,32 @@
   constructor(private readonly sink: CatalogueSink) {}
 
   replace(snapshot: CatalogueSnapshot): void {
-    if (snapshot.revision <= this.revision) {
+    const { entries, revision, era = this.position.era } = snapshot;
+    const position = { era, revision };
+    if (this.isFilled && comparePositions(position, this.position) <= 0) {
       return;
     }
+    const isNewEra = this.isFilled && era > this.position.era;
     this.entries.clear();
-    snapshot.entries.forEach((entry) => this.entries.set(entry.key, entry));
-    this.revision = snapshot.revision;
+    entries.forEach((entry) => this.entries.set(entry.key, entry));
+    this.position = position;
+    this.isFilled = true;
     this.remembered = [];
-    this.rememberedFrom = snapshot.revision;
-    this.sink.onSnapshot(snapshot);
+    this.rememberedFrom = revision;
+    this.sink.onSnapshot({ entries, ...position }, isNewEra);
   }
 
-  apply({ fromRevision, toRevision, changes }: CatalogueBatch): boolean {
-    if (this.revision === 0 || fromRevision > this.revision) {
+  apply({ era = this.position.era, fromRevision, toRevision, changes }: CatalogueBatch): boolean {
+    const known = this.position;
+    if (this.isFilled && era < known.era) {
+      // It is worth nothing any more.
+      return true;
+    }
+    if (!this.isFilled || era > known.era || fromRevision > known.revision) {
       return false;
     }
-    const fresh = changes.filter(({ revision }) => revision > this.revision);
-    this.revision = Math.max(this.revision, toRevision);
+    const fresh = changes.filter(({ revision }) => revision > known.revision);
+    this.position = { era, revision: Math.max(known.revision, toRevision) };
     if (fresh.length === 0) {
       return true;
     }
@@ -87,16 +106,17 @@
       }
     });
     this.remember(fresh);
-    this.sink.onChanges(fresh);
+    this.sink.onChanges(fresh, era);
     return true;
   }
 
-  since(revision: number): CatalogueBatch | CatalogueSnapshot {
-    if (revision < this.rememberedFrom) {
-      return { entries: [...this.entries.values()], revision: this.revision };
+  since({ era, revision }: StorePosition): CatalogueBatch | CatalogueSnapshot {
+    const known = this.position;
+    if (era !== known.era || revision < this.rememberedFrom) {
+      return { entries: [...this.entries.values()], ...known };
     }
     const changes = this.remembered.filter((change) => change.revision > revision);
-    return { fromRevision: revision, toRevision: this.revision, changes };
+    return { era, fromRevision: revision, toRevision: known.revision, changes };
   }
 
   private remember(fresh: readonly CatalogueChange[]): void {
--- a/packages/gateway/src/catalogue/createCatalogueRelay.ts
+++ b/packages/gateway/src/catalogue/createCatalogueRelay.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { HostEntry } from '../hosts/createHostRegistry.js';
+import comparePositions from './comparePositions.js';
 import type { CatalogueBatch, CatalogueLog, CatalogueSnapshot } from './createCatalogueLog.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
 
@@ -26,6 +27,8 @@
   review(self: HostEntry, receivers: readonly HostEntry[]): void;
   /** Passes changes on. */
   push(batch: CatalogueBatch): void;
+  /** Tells at once what this host knows, because the others have to read it. */
+  announce(): void;
   close(): void;
 }
 
@@ -37,8 +40,8 @@
   readonly log: CatalogueLog;
   /** Whether this host reaches the store. */
   readonly readState: () => RelayState;
-  /** A relay was heard. */
-  readonly onHeard: () => void;
+  /** A relay was heard, with the era that it knows. */
+  readonly onHeard: (era: number | undefined) => void;
   /** The store of a relay has returned from an outage that this host did not notice. */
   readonly onReturning: () => void;
 }
@@ -49,13 +52,16 @@
   /** Where what is missing can be asked for. */
   readonly target: Target;
   readonly state: RelayState;
-  /** Revision up to which the batch tells everything. */
+  /** Position up to which the batch tells everything; hosts of earlier versions tell no era. */
+  readonly era?: number;
   readonly toRevision: number;
   readonly batch: PackedMessage;
 }
 
 interface Inquiry {
   readonly afterRevision: number;
+  /** Undefined from hosts of earlier versions. */
+  readonly afterEra?: number;
 }
 
 const PUSH = 'catalogue.push';
@@ -79,10 +85,13 @@
 
   private isReading = false;
 
+  /** The last answer with everything. */
+  private packed: { readonly position: string; readonly message: PackedMessage } | undefined;
+
   constructor(private readonly options: CatalogueRelayOptions) {
     this.methods = {
       [PUSH]: (params) => this.receive(params as Push),
-      [READ]: (params) => packMessage(options.log.since((params as Inquiry).afterRevision)),
+      [READ]: (params) => this.answer(params as Inquiry),
     };
   }
 
@@ -113,6 +122,13 @@
     }
   }
 
+  announce(): void {
+    if (this.isActive) {
+      this.send(this.describe(), this.receivers);
+      this.beat();
+    }
+  }
+
   close(): void {
     this.receivers = [];
     this.timer?.close();
@@ -130,8 +146,23 @@
   }
 
   private describe(): CatalogueBatch {
-    const { revision } = this.options.log;
-    return { fromRevision: revision, toRevision: revision, changes: [] };
+    const { era, revision } = this.options.log.position;
+    return { era, fromRevision: revision, toRevision: revision, changes: [] };
+  }
+
+  /** Tells what has changed, or everything; all hosts ask for everything when an era begins. */
+  private answer({ afterRevision, afterEra }: Inquiry): PackedMessage {
+    const { log } = this.options;
+    const { era, revision } = log.position;
+    const missing = log.since({ era: afterEra ?? era, revision: afterRevision });
+    if ('changes' in missing) {
+      return packMessage(missing);
+    }
+    const position = `${era} ${revision}`;
+    if (this.packed?.position !== position) {
+      this.packed = { position, message: packMessage(missing) };
+    }
+    return this.packed.message;
   }
 
   private send(batch: CatalogueBatch, receivers: readonly HostEntry[]): void {
@@ -144,6 +175,7 @@
       hostId: self.hostId,
       target: self.target,
       state: readState(),
+      ...(batch.era === undefined ? {} : { era: batch.era }),
       toRevision: batch.toRevision,
       batch: packMessage(batch),
     };
@@ -157,16 +189,17 @@
     });
   }
 
-  private receive({ hostId, target, state, toRevision, batch }: Push): boolean {
+  private receive({ hostId, target, state, era, toRevision, batch }: Push): boolean {
     const { clock, log, onHeard, onReturning } = this.options;
     if (state === 'returning' && this.sightings.get(hostId)?.state !== 'returning') {
       onReturning();
     }
     this.sightings.set(hostId, { state, atMs: clock.monotonicMs() });
     // The other relay has told most of it before.
-    const isKnown = log.revision > 0 && toRevision <= log.revision;
+    const position = { era: era ?? log.position.era, revision: toRevision };
+    const isKnown = log.isFilled && comparePositions(position, log.position) <= 0;
     const isComplete = isKnown || log.apply(unpackMessage(batch) as CatalogueBatch);
-    onHeard();
+    onHeard(era);
     if (!isComplete) {
       this.read(hostId, target);
     }
@@ -180,8 +213,9 @@
       return;
     }
     this.isReading = true;
-    logger.event('catalogueBehind', { relay, revision: log.revision });
-    const inquiry: Inquiry = { afterRevision: log.revision };
+    const { era, revision } = log.position;
+    logger.event('catalogueBehind', { relay, era, revision });
+    const inquiry: Inquiry = { afterRevision: revision, afterEra: era };
     links
       .call(target, READ, inquiry)
       .then((answer) => {
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -1,7 +1,7 @@
 import type { StoredBlocks, StoredText } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
-import type { BackendDirectory, StoredServer } from './createBackendDirectory.js';
+import type { BackendDirectory, StoredServer } from './BackendDirectory.js';
 import type { CatalogueChange, CatalogueEntry, CatalogueSink } from './createCatalogueLog.js';
 import type { RouteTableHolder } from './createRouteTableHolder.js';
 
@@ -27,36 +27,38 @@
     private readonly hosts: () => HostRegistry | undefined,
   ) {}
 
-  readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision }) => {
+  readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision, era }, isNewEra) => {
     const { format, directory, blocks } = this.keepers;
-    entries.filter(({ key }) => key === format.routeTableKey).forEach((entry) => this.put(entry));
+    entries.filter(({ key }) => key === format.routeTableKey).forEach((entry) => this.put(entry, era));
     const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
-    directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision });
+    directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision, era });
     const listed = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
-    this.hosts()?.replace(listed.map(({ key, value }) => ({ key, text: value })));
+    const records = listed.map(({ key, value }) => ({ key, text: value }));
+    this.hosts()?.replace(records, { keepsMissing: isNewEra });
     blocks.replace({
       blocks: listTexts(entries, format.blockPrefix),
       releases: listTexts(entries, format.releasePrefix),
+      isNewEra,
     });
   };
 
-  readonly onChanges: CatalogueSink['onChanges'] = (changes) => {
+  readonly onChanges: CatalogueSink['onChanges'] = (changes, era) => {
     changes.forEach(({ key, value, revision }) => {
       if (value === undefined) {
-        this.remove({ key, revision });
+        this.remove({ key, revision }, era);
       } else {
-        this.put({ key, value, revision });
+        this.put({ key, value, revision }, era);
       }
     });
   };
 
-  private put(entry: CatalogueEntry): void {
+  private put(entry: CatalogueEntry, era: number): void {
     const { format, tables, directory, blocks } = this.keepers;
     const { key, value, revision } = entry;
     if (key === format.routeTableKey) {
       tables.offer({ text: value, revision }, 'store');
     } else if (key.startsWith(format.serverPrefix)) {
-      directory.put(this.toServer(entry));
+      directory.put(this.toServer(entry), era);
     } else if (key.startsWith(format.hostPrefix)) {
       this.hosts()?.put(key, value);
     } else if (key.startsWith(format.blockPrefix)) {
@@ -66,10 +68,10 @@
     }
   }
 
-  private remove({ key, revision }: CatalogueChange): void {
+  private remove({ key, revision }: CatalogueChange, era: number): void {
     const { format, directory, blocks } = this.keepers;
     if (key.startsWith(format.serverPrefix)) {
-      directory.remove(key.slice(format.serverPrefix.length), revision);
+      directory.remove(key.slice(format.serverPrefix.length), { era, revision });
     } else if (key.startsWith(format.hostPrefix)) {
       this.hosts()?.remove(key);
     } else if (key.startsWith(format.blockPrefix)) {
--- a/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
@@ -45,12 +45,13 @@
   assert.deepEqual(holder.stored(), { text: '4', revision: 12 });
 });
 
-test('never goes back, neither by version nor by revision', () => {
+test('never goes back by version, and takes a newer one whatever its revision', () => {
   const { offer, events } = createWorld();
   offer('5', 20);
   assert.equal(offer('4', 21), 5);
-  assert.equal(offer('6', 19), 5);
-  assert.deepEqual(events.slice(1), ['routeTableRegressed']);
+  assert.equal(offer('4', 7), 5);
+  assert.deepEqual(events.slice(1), ['routeTableRegressed', 'routeTableRegressed']);
+  assert.equal(offer('6', 9), 6);
 });
 
 test('keeps the table in force when a newer one cannot be read', () => {
--- a/packages/gateway/src/catalogue/createRouteTableHolder.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { CatalogueFormat } from '../ports.js';
 
-/** A route table as it stands in the store. */
+/** A route table as it stands in the store. Tables are ordered by their version, which no copy of the store changes. */
 export interface StoredTable {
   readonly text: string;
   /** Revision of the store at which it was written. */
@@ -40,7 +40,7 @@
   let stored: StoredTable | undefined;
 
   const offer = (offered: StoredTable, source: string): void => {
-    if (stored !== undefined && offered.revision <= stored.revision) {
+    if (offered.text === stored?.text) {
       return;
     }
     const table = format.readRouteTable(offered.text);
--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Observable, type Subscriber } from 'rxjs';
-import { BackendError, type StoreEntry, type WatchEvent } from '@bergamotcove/backends';
+import { BackendError, createEraTracker, type StoreEntry, type WatchEvent } from '@bergamotcove/backends';
 import { createManualClock, type Clock } from '@bergamotcove/clock';
 import { rankByCapacity } from '@bergamotcove/decide';
 import type { LinkMethod, LinkPeer } from '@bergamotcove/transport';
@@ -119,6 +119,7 @@
         close: () => undefined,
       },
       store: store.clientOf(self.hostId),
+      eras: createEraTracker(),
       format: FORMAT,
       tables: createRouteTableHolder({ clock, logger, format: FORMAT }),
       directory,
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -1,4 +1,11 @@
-import { followStore, type StoreClient, type StoreFollower } from '@bergamotcove/backends';
+import {
+  followStore,
+  type EraTracker,
+  type StoreClient,
+  type StoreEntry,
+  type StoreFollower,
+  type StoreFollowerOptions,
+} from '@bergamotcove/backends';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { chooseSource, MAX_DIRECT_HOSTS, RELAY_LIMIT_MS, RELAYS, type CatalogueSource } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
@@ -6,7 +13,8 @@
 import type { StoredBlocks } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
-import type { BackendDirectory } from './createBackendDirectory.js';
+import type { BackendDirectory } from './BackendDirectory.js';
+import type { StorePosition } from './comparePositions.js';
 import createCatalogueLog, { type CatalogueChange, type CatalogueLog } from './createCatalogueLog.js';
 import createCatalogueRelay, { type CatalogueRelay, type RelaySighting } from './createCatalogueRelay.js';
 import createCatalogueSink from './createCatalogueSink.js';
@@ -18,6 +26,7 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly store: Pick<StoreClient, 'range' | 'watch'>;
+  readonly eras: EraTracker;
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
@@ -93,7 +102,7 @@
   private closed = false;
 
   constructor(private readonly options: CatalogueOptions) {
-    const { clock, logger, links, directory } = options;
+    const { clock, logger, links, directory, eras } = options;
     this.log = createCatalogueLog(createCatalogueSink(options, () => this.hosts));
     this.relay = createCatalogueRelay({
       clock,
@@ -106,7 +115,12 @@
         }
         return directory.storeLost ? 'returning' : 'live';
       },
-      onHeard: () => this.review(),
+      onHeard: (era) => {
+        if (era !== undefined) {
+          eras.hear(era);
+        }
+        this.review();
+      },
       onReturning: () => {
         if (!this.storeAnswers) {
           directory.noteStore('lost');
@@ -115,6 +129,12 @@
       },
     });
     this.methods = this.relay.methods;
+    eras.onEvent((event) => {
+      if (event.type === 'advanced' && !this.closed) {
+        // Hosts that follow a relay hear of it there.
+        this.store?.refresh();
+      }
+    });
   }
 
   start(hosts: HostRegistry): void {
@@ -163,7 +183,7 @@
     if (hearsRelay || this.storeAnswers) {
       this.searchingSinceMs = Math.max(this.searchingSinceMs, nowMs);
     }
-    if (this.log.revision > 0) {
+    if (this.log.isFilled) {
       this.follow(
         chooseSource(
           {
@@ -207,49 +227,65 @@
       this.closeStore();
     }
     if (type !== this.source) {
-      const { revision } = this.log;
-      this.options.logger.event('catalogueSourceChanged', { source: type, before: this.source, revision });
+      const { position } = this.log;
+      this.options.logger.event('catalogueSourceChanged', { source: type, before: this.source, ...position });
       this.source = type;
     }
   }
 
   private openStore(): void {
     const { clock, random, store } = this.options;
-    const { revision } = this.log;
-    let fromRevision = revision;
+    const { isFilled, position } = this.log;
+    let { era, revision: fromRevision } = position;
     let changes: CatalogueChange[] = [];
     this.store = followStore({
       clock,
       random,
       store,
       prefix: ALL_KEYS,
-      ...(revision === 0 ? {} : { knownRevision: String(revision) }),
+      ...(isFilled ? { knownRevision: String(fromRevision), knownEra: era } : {}),
       limits: () => (this.relay.isActive ? { quietMs: RELAY_QUIET_MS } : {}),
-      onSnapshot: (entries, read) => {
+      onSnapshot: (entries, read, readEra) => {
+        era = readEra ?? era;
         fromRevision = Number(read);
         changes = [];
-        this.log.replace({
-          entries: entries.map(({ key, value, modRevision }) => ({ key, value, revision: Number(modRevision) })),
-          revision: fromRevision,
-        });
-        this.review();
+        this.takeSnapshot(entries, { era, revision: fromRevision });
       },
       onPut: ({ key, value, modRevision }) => changes.push({ key, value, revision: Number(modRevision) }),
       onDelete: (key, deleted) => changes.push({ key, revision: Number(deleted) }),
       onReached: (reached) => {
-        const batch = { fromRevision, toRevision: Number(reached), changes };
+        const batch = { era, fromRevision, toRevision: Number(reached), changes };
         fromRevision = batch.toRevision;
         changes = [];
         this.log.apply(batch);
         this.relay.push(batch);
       },
+      ...this.watchAnswers(),
+    });
+  }
+
+  private takeSnapshot(entries: readonly StoreEntry[], position: StorePosition): void {
+    const { era } = this.log.position;
+    this.log.replace({
+      entries: entries.map(({ key, value, modRevision }) => ({ key, value, revision: Number(modRevision) })),
+      ...position,
+    });
+    if (position.era > era) {
+      this.relay.announce();
+    }
+    this.review();
+  }
+
+  /** Follows whether the store answers. */
+  private watchAnswers(): Pick<StoreFollowerOptions, 'onLost' | 'onFailed' | 'onFound'> {
+    return {
       onLost: (reason) => {
         this.storeAnswers = false;
         this.failedWith = reason;
       },
       onFailed: () => {
         this.failures += 1;
-        this.failedAtMs = clock.monotonicMs();
+        this.failedAtMs = this.options.clock.monotonicMs();
         this.review();
       },
       onFound: () => {
@@ -257,7 +293,7 @@
         this.failures = 0;
         this.review();
       },
-    });
+    };
   }
 
   private closeStore(): void {
--- a/packages/gateway/src/crashes/createAttemptWatcher.ts
+++ b/packages/gateway/src/crashes/createAttemptWatcher.ts
@@ -11,7 +11,7 @@
 import { exhaustive } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import checkConnection from './checkConnection.js';
 
 /** How an attempt ended, as far as it tells of its server. */
--- a/packages/gateway/src/crashes/createBlockSharing.test.ts
+++ b/packages/gateway/src/crashes/createBlockSharing.test.ts
@@ -97,7 +97,7 @@
     stored('late', lateMs),
     stored('over', clock.wallMs() - 1),
   ];
-  sharing.stored.replace({ blocks: texts, releases: [] });
+  sharing.stored.replace({ blocks: texts, releases: [], isNewEra: false });
   assert.deepEqual(
     [...blocks],
     [
@@ -123,7 +123,7 @@
 test('a snapshot without the key of a block ends no block either', async () => {
   const { clock, writes, blocks, sharing } = createWorld();
   sharing.exchange.learn([{ ...NOTICE, remainingMs: 60_000 }]);
-  sharing.stored.replace({ blocks: [], releases: [] });
+  sharing.stored.replace({ blocks: [], releases: [], isNewEra: false });
   assert.equal(blocks.size, 1);
   clock.advance(1_000);
   await settle();
@@ -161,7 +161,7 @@
   const { clock, blocks, sharing } = createWorld();
   const release = { fingerprint: 'f', text: 'r1' };
   const block = stored('f', clock.wallMs() + 60_000, 'r1');
-  sharing.stored.replace({ blocks: [block], releases: [release] });
+  sharing.stored.replace({ blocks: [block], releases: [release], isNewEra: false });
   assert.equal(blocks.size, 1);
   sharing.stored.putRelease({ ...release, text: 'r2' });
   assert.equal(blocks.size, 0);
@@ -170,7 +170,7 @@
 test('a host that was cut off during a release ends its block when it reads the word', async () => {
   const { clock, writes, blocks, sharing } = createWorld();
   sharing.stored.put(stored('f', clock.wallMs() + 60_000));
-  sharing.stored.replace({ blocks: [], releases: [{ fingerprint: 'f', text: 'r1' }] });
+  sharing.stored.replace({ blocks: [], releases: [{ fingerprint: 'f', text: 'r1' }], isNewEra: false });
   clock.advance(5_000);
   await settle();
   assert.deepEqual([blocks.size, writes], [0, []]);
@@ -184,3 +184,14 @@
   other.sharing.exchange.learn([{ ...NOTICE, fingerprint: 'g', remainingMs: 7 }, NOTICE]);
   assert.equal(one.sharing.exchange.digest(), other.sharing.exchange.digest());
 });
+
+test('a release that the store lost with an older copy holds, and is written again', async () => {
+  const { clock, writes, blocks, sharing } = createWorld();
+  await sharing.release('f');
+  writes.length = 0;
+  sharing.stored.replace({ blocks: [stored('f', clock.wallMs() + 60_000)], releases: [], isNewEra: true });
+  assert.equal(blocks.size, 0);
+  clock.advance(1_000);
+  await settle();
+  assert.deepEqual(writes, [`lease ${POISON_BLOCK_MS - 1_000}`, 'put releases/f']);
+});
--- a/packages/gateway/src/crashes/createBlockSharing.ts
+++ b/packages/gateway/src/crashes/createBlockSharing.ts
@@ -22,6 +22,14 @@
   readonly text: string;
 }
 
+/** All blocks and releases of the store. */
+export interface StoredBlockTexts {
+  readonly blocks: readonly StoredText[];
+  readonly releases: readonly StoredText[];
+  /** Whether the store came back from an older copy, which may lack releases that hold. */
+  readonly isNewEra: boolean;
+}
+
 /** Blocks and releases as they stand in the store. */
 export interface StoredBlocks {
   put(block: StoredText): void;
@@ -30,7 +38,7 @@
   putRelease(release: StoredText): void;
   removeRelease(fingerprint: string): void;
   /** These are all. */
-  replace(all: { readonly blocks: readonly StoredText[]; readonly releases: readonly StoredText[] }): void;
+  replace(all: StoredBlockTexts): void;
 }
 
 /** Shares blocked requests between hosts: at once, over the store, and by asking. */
@@ -103,7 +111,7 @@
       removeRelease: (fingerprint) => {
         this.releases.delete(fingerprint);
       },
-      replace: ({ blocks, releases }) => this.replaceStored(blocks, releases),
+      replace: (all) => this.replaceStored(all),
     };
   }
 
@@ -170,8 +178,18 @@
     this.learn({ fingerprint, remainingMs, ...(release === undefined ? {} : { release }) });
   }
 
+  /** Writes releases again that the store has lost. */
+  private rewriteReleases(stored: ReadonlySet<string>): void {
+    [...this.releases]
+      .filter(([fingerprint]) => !stored.has(fingerprint))
+      .forEach(([fingerprint, text]) => {
+        this.store.rewriteRelease(fingerprint, { text, delayMs: this.options.random() * REWRITE_SPREAD_MS });
+      });
+  }
+
   private putRelease({ fingerprint, text }: StoredText): void {
     this.releases.set(fingerprint, text);
+    this.store.cancelRelease(fingerprint);
     if (this.decidedAfter.get(fingerprint) !== text) {
       this.store.cancel(fingerprint);
       this.decidedAfter.delete(fingerprint);
@@ -191,8 +209,12 @@
     }
   }
 
-  private replaceStored(blocks: readonly StoredText[], releases: readonly StoredText[]): void {
-    this.releases.clear();
+  private replaceStored({ blocks, releases, isNewEra }: StoredBlockTexts): void {
+    if (isNewEra) {
+      this.rewriteReleases(new Set(releases.map(({ fingerprint }) => fingerprint)));
+    } else {
+      this.releases.clear();
+    }
     releases.forEach((release) => this.putRelease(release));
     blocks.forEach((block) => this.putStored(block));
     const stored = new Set(blocks.map(({ fingerprint }) => fingerprint));
--- a/packages/gateway/src/crashes/createBlockStore.ts
+++ b/packages/gateway/src/crashes/createBlockStore.ts
@@ -13,6 +13,10 @@
   cancel(fingerprint: string): void;
   /** Removes a block, and leaves word of it for hosts that do not hear of it now; returns the word. */
   release(fingerprint: string): Promise<string>;
+  /** Writes the word of a release again unless the store has it by then. */
+  rewriteRelease(fingerprint: string, release: { readonly text: string; readonly delayMs: number }): void;
+  /** The store has the word of a release. */
+  cancelRelease(fingerprint: string): void;
   close(): void;
 }
 
@@ -45,39 +49,52 @@
 /** Pause after a write that the store did not take. */
 const RETRY_MS = 1_000;
 
+/** A key that is to be written. */
+interface Write {
+  readonly fingerprint: string;
+  readonly key: string;
+  /** Monotonic time until which it holds. */
+  readonly endsAtMs: number;
+  readonly format: (lastsMs: number) => string;
+}
+
 class Blocks implements BlockStore {
-  /** Blocks that are not in the store yet, with the time of the next write. */
+  /** Keys that are not in the store yet, with the time of the next write. */
   private readonly waiting = new Map<string, Timer>();
 
   constructor(private readonly options: BlockStoreOptions) {}
 
   publish(fingerprint: string, { lastsMs, delayMs, release }: PublishedBlock): void {
-    const { clock } = this.options;
+    const { clock, hostId } = this.options;
+    const format = (remainingMs: number): string =>
+      formatBlock({ decidedBy: hostId, endsAtMs: Math.round(clock.wallMs() + remainingMs), release });
     const endsAtMs = clock.monotonicMs() + lastsMs;
-    this.cancel(fingerprint);
-    this.waiting.set(
-      fingerprint,
-      clock.schedule(delayMs, () => {
-        this.write(fingerprint, endsAtMs, release).catch(() => undefined);
-      }),
-    );
+    this.schedule({ fingerprint, key: this.keyOfBlock(fingerprint), endsAtMs, format }, delayMs);
   }
 
   cancel(fingerprint: string): void {
-    this.waiting.get(fingerprint)?.close();
-    this.waiting.delete(fingerprint);
+    this.stop(this.keyOfBlock(fingerprint));
+  }
+
+  rewriteRelease(fingerprint: string, { text, delayMs }: { readonly text: string; readonly delayMs: number }): void {
+    const endsAtMs = this.options.clock.monotonicMs() + POISON_BLOCK_MS;
+    this.schedule({ fingerprint, key: this.keyOfRelease(fingerprint), endsAtMs, format: () => text }, delayMs);
+  }
+
+  cancelRelease(fingerprint: string): void {
+    this.stop(this.keyOfRelease(fingerprint));
   }
 
   async release(fingerprint: string): Promise<string> {
-    const { clock, store, prefixes, hostId } = this.options;
+    const { clock, store, hostId } = this.options;
     const word = JSON.stringify({ releasedBy: hostId, atMs: clock.wallMs() });
     // A block that was decided before lasts no longer than this.
     const leaseId = await store.grantLease(POISON_BLOCK_MS);
     await store.txn(
       [],
       [
-        { type: 'put', key: `${prefixes.releases}${fingerprint}`, value: word, leaseId },
-        { type: 'delete', key: `${prefixes.blocks}${fingerprint}` },
+        { type: 'put', key: this.keyOfRelease(fingerprint), value: word, leaseId },
+        { type: 'delete', key: this.keyOfBlock(fingerprint) },
       ],
     );
     return word;
@@ -88,30 +105,50 @@
     this.waiting.clear();
   }
 
-  private async write(fingerprint: string, endsAtMs: number, release: string | undefined): Promise<void> {
-    const { clock, logger, store, prefixes, hostId } = this.options;
+  private keyOfBlock(fingerprint: string): string {
+    return `${this.options.prefixes.blocks}${fingerprint}`;
+  }
+
+  private keyOfRelease(fingerprint: string): string {
+    return `${this.options.prefixes.releases}${fingerprint}`;
+  }
+
+  private schedule(write: Write, delayMs: number): void {
+    this.stop(write.key);
+    const timer = this.options.clock.schedule(delayMs, () => {
+      this.write(write).catch(() => undefined);
+    });
+    this.waiting.set(write.key, timer);
+  }
+
+  private stop(key: string): void {
+    this.waiting.get(key)?.close();
+    this.waiting.delete(key);
+  }
+
+  private async write(write: Write): Promise<void> {
+    const { clock, logger, store } = this.options;
+    const { fingerprint, key, endsAtMs, format } = write;
     const lastsMs = endsAtMs - clock.monotonicMs();
     if (lastsMs <= 0) {
-      this.cancel(fingerprint);
+      this.stop(key);
       return;
     }
-    const key = `${prefixes.blocks}${fingerprint}`;
-    const value = formatBlock({ decidedBy: hostId, endsAtMs: Math.round(clock.wallMs() + lastsMs), release });
     try {
       const leaseId = await store.grantLease(Math.ceil(lastsMs));
       const { succeeded } = await store.txn(
         [{ type: 'create-revision', key, revision: '0' }],
-        [{ type: 'put', key, value, leaseId }],
+        [{ type: 'put', key, value: format(lastsMs), leaseId }],
       );
-      this.cancel(fingerprint);
+      this.stop(key);
       if (!succeeded) {
         // Another host has written it.
         await store.revokeLease(leaseId);
       }
     } catch (cause) {
       logger.event('blockNotStored', { fingerprint, error: toError(cause).message });
-      if (this.waiting.has(fingerprint)) {
-        this.publish(fingerprint, { lastsMs: endsAtMs - clock.monotonicMs(), delayMs: RETRY_MS, release });
+      if (this.waiting.has(key)) {
+        this.schedule(write, RETRY_MS);
       }
     }
   }
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -15,7 +15,7 @@
 import { OPERATOR_LIST_POISON, OPERATOR_RELEASE_POISON, releasePoisonSchema } from '@bergamotcove/protocol';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
-import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import createAttemptWatcher, { type AttemptWatch, type AttemptWatcher } from './createAttemptWatcher.js';
 import createBlockSharing, { type BlockExchange, type BlockSharing, type StoredBlocks } from './createBlockSharing.js';
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -1,7 +1,9 @@
+import type { EraTracker } from '@bergamotcove/backends';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
-import type { BackendDirectory, ServerSnapshot } from '../catalogue/createBackendDirectory.js';
+import comparePositions from '../catalogue/comparePositions.js';
+import type { BackendDirectory, ServerSnapshot } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
 import type { BlockExchange } from '../crashes/createBlockSharing.js';
@@ -23,13 +25,18 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly blocks: BlockExchange;
+  readonly eras: EraTracker;
   readonly random: () => number;
 }
 
 /** What a host knows, as it tells the one that it asks. */
 interface Inquiry {
   readonly tableRevision: number;
+  /** Version of the route table; undefined from hosts of earlier versions. */
+  readonly tableVersion?: number;
   readonly serversRevision: number;
+  /** Era of the revision of the servers; undefined from hosts of earlier versions. */
+  readonly serversEra?: number;
   /** Listed hosts, itself left out. */
   readonly otherHosts: number;
   /** Digest of the requests that it blocks; undefined from hosts of earlier versions. */
@@ -52,6 +59,15 @@
 /** Hosts that start together begin with different peers. */
 const FIRST_TURNS = 1_000;
 
+/** Positive when the first host has the newer table. Hosts of earlier versions tell only the revision of theirs. */
+const compareTables = (
+  own: Pick<Inquiry, 'tableRevision' | 'tableVersion'>,
+  other: Pick<Inquiry, 'tableRevision' | 'tableVersion'>,
+): number =>
+  own.tableVersion === undefined || other.tableVersion === undefined
+    ? own.tableRevision - other.tableRevision
+    : own.tableVersion - other.tableVersion;
+
 const listOthers = (hosts: HostRegistry): readonly HostEntry[] =>
   hosts.list().filter(({ hostId }) => hostId !== hosts.self.hostId);
 
@@ -86,7 +102,9 @@
     const { tables, directory, blocks } = this.options;
     return {
       tableRevision: tables.stored()?.revision ?? 0,
-      serversRevision: directory.revision,
+      tableVersion: tables.current()?.table.version ?? 0,
+      serversRevision: directory.position.revision,
+      serversEra: directory.position.era,
       otherHosts: listOthers(hosts).length,
       blocks: blocks.digest(),
       target: hosts.self.target,
@@ -105,12 +123,17 @@
     const table = this.options.tables.stored();
     const { directory, blocks } = this.options;
     const own = this.describe(hosts);
-    if (inquiry.tableRevision > own.tableRevision || inquiry.serversRevision > own.serversRevision) {
+    const isTableNewer = compareTables(own, inquiry);
+    const areServersNewer = comparePositions(directory.position, {
+      era: inquiry.serversEra ?? directory.position.era,
+      revision: inquiry.serversRevision,
+    });
+    if (isTableNewer < 0 || areServersNewer < 0) {
       this.ask(inquiry.target, hosts);
     }
     return {
-      ...(table !== undefined && table.revision > inquiry.tableRevision ? { table } : {}),
-      ...(directory.revision > inquiry.serversRevision ? { servers: directory.snapshot() } : {}),
+      ...(table !== undefined && isTableNewer > 0 ? { table } : {}),
+      ...(areServersNewer > 0 ? { servers: directory.snapshot() } : {}),
       ...(inquiry.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
       ...(inquiry.blocks !== own.blocks ? { blocks: blocks.list() } : {}),
     };
@@ -138,13 +161,14 @@
     target: Target,
     hosts: HostRegistry,
   ): void {
-    const { tables, directory, blocks, logger } = this.options;
+    const { tables, directory, blocks, eras, logger } = this.options;
     const peer = `${target.address}:${target.port}`;
     if (table !== undefined) {
       tables.offer(table, peer);
     }
     if (servers !== undefined) {
-      logger.event('serversLearnt', { peer, revision: servers.revision });
+      logger.event('serversLearnt', { peer, era: servers.era, revision: servers.revision });
+      eras.hear(servers.era ?? directory.position.era);
       directory.replace(servers);
     }
     if (listed !== undefined && listOthers(hosts).length === 0) {
--- a/packages/gateway/src/hosts/createHostRegistry.test.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
 import { NEVER } from 'rxjs';
-import type { StoreClient } from '@bergamotcove/backends';
+import { createEraTracker, type StoreClient } from '@bergamotcove/backends';
 import createHostRegistry, { type HostEntry } from './createHostRegistry.js';
 
 const createHost = (hostId: string, region = 'r1', startId = '1'): HostEntry => ({
@@ -25,7 +25,10 @@
   const store: StoreClient = {
     get: () => answer('get', undefined),
     range: () => answer('range', { entries: [], revision: '1' }),
-    txn: () => answer('txn', { succeeded: true, revision: '1', gets: [] }),
+    txn: (_, success) => {
+      calls.push(...success.map((op) => `${op.type} ${op.key}`));
+      return answer('txn', { succeeded: true, revision: '1', gets: [] });
+    },
     watch: () => NEVER,
     grantLease: () => answer('grant', 'lease'),
     keepAlive: () => answer('renew', 4_000),
@@ -36,6 +39,7 @@
     clock,
     store,
     logger: { event: () => undefined },
+    eras: createEraTracker(),
     prefix: 'hosts/',
     self: createHost('h0'),
   });
@@ -108,14 +112,15 @@
   assert.deepEqual(listIds(second.registry.list()), ['h0', 'h1']);
 });
 
-test('is not listed any more when it leaves, and gives its lease back', async () => {
+test('is not listed any more when it leaves, and removes its key', async () => {
   const { registry, calls } = createWorld();
   registry.start();
   await new Promise(setImmediate);
   await new Promise(setImmediate);
   await registry.leave();
   assert.deepEqual(registry.list(), []);
-  assert.ok(calls.includes('revoke'));
+  const { hostId, startId } = registry.self;
+  assert.equal(calls.filter((call) => call === `delete hosts/${hostId}/${startId}`).length, 1);
 });
 
 test('tells when the store does not answer its lease', async () => {
@@ -133,3 +138,18 @@
   assert.ok(failures > 0);
   await registry.leave();
 });
+
+test('hosts that the copy of the store lacks stay listed until they had time to write themselves again', () => {
+  const { registry, put, clock } = createWorld();
+  ['h1', 'h2', 'h3'].forEach((hostId) => put(createHost(hostId)));
+  registry.replace([], { keepsMissing: true });
+  clock.advance(1_000);
+  put(createHost('h2'));
+  registry.remove('hosts/h3/1');
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
+  // Another read of the same era in between tells nothing of hosts that have not had their time.
+  registry.replace([{ key: 'hosts/h2/1', text: JSON.stringify(createHost('h2')) }]);
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
+  clock.advance(3_000);
+  assert.deepEqual(listIds(registry.list()), ['h0', 'h2']);
+});
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -1,5 +1,5 @@
-import { createLeaseHolder, type LeaseHolder, type StoreClient } from '@bergamotcove/backends';
-import type { Clock } from '@bergamotcove/clock';
+import { createLeaseHolder, type EraTracker, type LeaseHolder, type StoreClient } from '@bergamotcove/backends';
+import type { Clock, Timer } from '@bergamotcove/clock';
 import { rankByCapacity } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { Target } from '@bergamotcove/transport';
@@ -39,7 +39,11 @@
   noteSilent(hostId: string): void;
   put(key: string, text: string): void;
   remove(key: string): void;
-  replace(entries: readonly HostRecord[]): void;
+  /**
+   * These are all. The store may have forgotten hosts that live: with `keepsMissing` those that are not among them stay
+   * until they had time to write themselves again.
+   */
+  replace(entries: readonly HostRecord[], options?: { readonly keepsMissing: boolean }): void;
   /** The listed hosts, for others. */
   snapshot(): readonly HostRecord[];
   /** Removes the own key, so that other hosts stop to use this one. */
@@ -54,6 +58,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: StoreClient;
+  readonly eras: EraTracker;
   readonly prefix: string;
   readonly self: HostEntry;
 }
@@ -69,6 +74,9 @@
 /** The store shows within this time that a host has left or came back. */
 const MOVED_MS = 300;
 
+/** Hosts that the store has forgotten write themselves again within this time. */
+const REWRITE_MS = 4_000;
+
 /** Capacity of hosts that do not tell theirs. */
 const DEFAULT_CAPACITY = 0.5;
 
@@ -99,12 +107,18 @@
 
   private leaving = false;
 
+  /** Keys of hosts that the store has forgotten, and that are listed until they had time to write themselves again. */
+  private readonly missing = new Set<string>();
+
+  private missingTimer: Timer | undefined;
+
   constructor(private readonly options: HostRegistryOptions) {
-    const { clock, logger, store, self, prefix } = options;
+    const { clock, logger, store, eras, self, prefix } = options;
     this.self = self;
     this.lease = createLeaseHolder(store, {
       clock,
       random: Math.random,
+      eras,
       ttlMs: LEASE_TTL_MS,
       key: { key: `${prefix}${self.hostId}/${self.startId}`, value: JSON.stringify(self), exclusive: true },
       onFailed: () => this.failureListeners.forEach((run) => run()),
@@ -158,6 +172,7 @@
     const entry = parseEntry(text);
     if (entry !== undefined) {
       this.entries.set(key, entry);
+      this.missing.delete(key);
       this.silentUntilMs.delete(entry.hostId);
       this.silences.delete(entry.hostId);
       this.options.logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
@@ -167,6 +182,7 @@
 
   remove(key: string): void {
     const entry = this.entries.get(key);
+    this.missing.delete(key);
     if (this.entries.delete(key)) {
       this.options.logger.event('hostDropped', { peer: entry?.hostId });
       this.changed();
@@ -177,8 +193,17 @@
     return [...this.entries].map(([key, entry]) => ({ key, text: JSON.stringify(entry) }));
   }
 
-  replace(all: readonly HostRecord[]): void {
-    this.entries.clear();
+  replace(all: readonly HostRecord[], { keepsMissing } = { keepsMissing: false }): void {
+    const listed = new Set(all.map(({ key }) => key));
+    if (keepsMissing) {
+      [...this.entries.keys()].filter((key) => !listed.has(key)).forEach((key) => this.missing.add(key));
+      this.missingTimer?.close();
+      this.missingTimer = this.options.clock.schedule(REWRITE_MS, () => this.dropMissing());
+    }
+    listed.forEach((key) => this.missing.delete(key));
+    [...this.entries.keys()]
+      .filter((key) => !listed.has(key) && !this.missing.has(key))
+      .forEach((key) => this.entries.delete(key));
     all.forEach(({ key, text }) => {
       const entry = parseEntry(text);
       if (entry !== undefined) {
@@ -190,6 +215,7 @@
 
   leave(): Promise<void> {
     this.leaving = true;
+    this.missingTimer?.close();
     this.changed();
     return this.lease.close();
   }
@@ -202,6 +228,10 @@
     this.failureListeners.push(run);
   }
 
+  private dropMissing(): void {
+    [...this.missing].forEach((key) => this.remove(key));
+  }
+
   private changed(): void {
     this.listeners.forEach((run) => run());
   }
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,6 +1,6 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import type { AnswerRoom } from '../servers/createAnswerRoom.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RequestFormat, StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -1,6 +1,6 @@
 import type { EngineEvent } from '@bergamotcove/decide';
 import type { ForwardRequest } from './types.js';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { StageFormat } from '../ports.js';
 import type { GenerationRequest, PlaceAnswer } from '../scheduling/messages.js';
 import type { Entry, SchedulerClient } from '../scheduling/createSchedulerClient.js';
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { ServerView } from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
--- a/packages/gateway/src/scheduling/createRegionLoads.test.ts
+++ b/packages/gateway/src/scheduling/createRegionLoads.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
 import { createWorkLedger, type WorkLedger } from '@bergamotcove/decide';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import SAMPLE_BATCH from '../testing/sampleBatch.js';
 import createRegionLoads from './createRegionLoads.js';
 
--- a/packages/gateway/src/scheduling/createRegionLoads.ts
+++ b/packages/gateway/src/scheduling/createRegionLoads.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { BatchSpec } from '@bergamotcove/config';
 import type { RankedPools, StagePoolState, WorkLedger } from '@bergamotcove/decide';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { PoolReport, PoolSpeed, RegionReport } from './messages.js';
 import { measureSteps, readStep } from './valueSteps.js';
 
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -16,7 +16,7 @@
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import createRegionLoads, { type RegionLoads } from './createRegionLoads.js';
 import { UNKNOWN_ANSWER_MS } from '../requests/Reservation.js';
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -2,7 +2,7 @@
 import { chooseServer, type Choice, type ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { ServerLoadFacts } from '../ports.js';
--- a/packages/gateway/src/stages/callStageServer.ts
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import { readBody, type HttpClient } from '@bergamotcove/transport';
-import type { KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { KnownServer } from '../catalogue/BackendDirectory.js';
 import type { PieceAnswer, PieceItem, ServerSigns, StageFormat } from '../ports.js';
 
 /** Parts that a call needs. */
--- a/packages/gateway/src/stages/callWatched.ts
+++ b/packages/gateway/src/stages/callWatched.ts
@@ -1,5 +1,5 @@
 import { TransportError } from '@bergamotcove/transport';
-import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { PieceItem } from '../ports.js';
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -11,7 +11,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { HttpClient } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { PieceAnswer, StageFormat } from '../ports.js';
 import callWatched from './callWatched.js';
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import { createHttpClient, type HttpClient, type LinkMethod, type LinkPeer } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { StageFormat } from '../ports.js';
--- a/packages/gateway/src/stages/createResultReleaser.ts
+++ b/packages/gateway/src/stages/createResultReleaser.ts
@@ -1,7 +1,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { Clock } from '@bergamotcove/clock';
 import type { HttpClient } from '@bergamotcove/transport';
-import type { BackendDirectory, KnownServer } from '../catalogue/createBackendDirectory.js';
+import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { StageFormat } from '../ports.js';
 
 /** Frees the room that stage results take up at their servers. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,7 +1,15 @@
 import { rateCapacity, type DrainTimes } from '@bergamotcove/decide';
-import { createStoreClient, type StoreClient, type StoreDialect } from '@bergamotcove/backends';
+import {
+  createEraTracker,
+  createStoreClient,
+  type EraEvent,
+  type EraTracker,
+  type StoreClient,
+  type StoreDialect,
+} from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createDrain, createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
+import { exhaustive } from '@bergamotcove/errors';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createScrapedMetrics, type ScrapedMetrics } from '@bergamotcove/telemetry';
 import {
@@ -13,7 +21,8 @@
 } from '@bergamotcove/transport';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
 import startHealthServer from './callers/startHealthServer.js';
-import createBackendDirectory, { type BackendDirectory } from './catalogue/createBackendDirectory.js';
+import type { BackendDirectory } from './catalogue/BackendDirectory.js';
+import createBackendDirectory from './catalogue/createBackendDirectory.js';
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from './catalogue/followCatalogue.js';
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
@@ -67,6 +76,7 @@
   readonly failureDomain: string;
   readonly region: string;
   readonly store: StoreClient;
+  readonly eras: EraTracker;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly links: LinkClient;
@@ -82,15 +92,35 @@
 const BALANCER_LAG_MS = 2_200;
 /** Part of the grace that is kept for the end of the process. */
 const STOP_RESERVE_MS = 500;
+const MAX_LOGGED_CHARS = 64;
 const IDLE_POLL_MS = 50;
 
+const logEra = (event: EraEvent, logger: Logger): void => {
+  switch (event.type) {
+    case 'advanced':
+      logger.event('storeEraAdvanced', { era: event.era, before: event.before });
+      break;
+    case 'ignored':
+      logger.event('storeEraIgnored', {
+        problem: event.problem,
+        header: String(event.text).slice(0, MAX_LOGGED_CHARS),
+      });
+      break;
+    default:
+      exhaustive(event);
+  }
+};
+
 const createBase = (settings: GatewaySettings, options: GatewayOptions): Base => {
   const clock = options.clock ?? createSystemClock();
   const { formats } = options;
   const { id: hostId, failureDomain, regions } = settings.host;
   const region = regions[failureDomain] ?? failureDomain;
   const logger = createLogger('gateway', { hostId, failureDomain });
+  const eras = createEraTracker();
+  eras.onEvent((event) => logEra(event, logger));
   const store = createStoreClient({
+    eras,
     urls: [`http://${settings.store.address}:${settings.store.port}`],
     timeoutMs: STORE_TIMEOUT_MS,
     dialect: options.storeDialect,
@@ -110,7 +140,7 @@
   directory.onChange(() => queues.drainAll());
   const liveSettings = createSettingsHolder(settings);
   const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
-  return { ...parts, store, tables, directory, links, owners, scheduler, queues, crashes };
+  return { ...parts, store, eras, tables, directory, links, owners, scheduler, queues, crashes };
 };
 
 interface Sources {
@@ -143,12 +173,12 @@
   );
 
 const createRegistry = (base: Base, peersPort: number): HostRegistry => {
-  const { clock, logger, store, failureDomain, region, formats, settings } = base;
+  const { clock, logger, store, eras, failureDomain, region, formats, settings } = base;
   const { id: hostId, address } = settings.host;
   const target = { address, port: peersPort };
   const capacity = rateCapacity(settings.resources);
   const self = { hostId, target, failureDomain, region, capacity, startId: String(clock.wallMs()) };
-  return createHostRegistry({ clock, logger, store, prefix: formats.catalogue.hostPrefix, self });
+  return createHostRegistry({ clock, logger, store, eras, prefix: formats.catalogue.hostPrefix, self });
 };
 
 const reportEnd = (metrics: ScrapedMetrics, route: string, { outcome, totalMs, firstByteMs }: ForwardEnd): void => {
@@ -228,6 +258,7 @@
     metrics.report('host.peers', hosts.list().length);
     metrics.report('host.ready', isReady() ? 1 : 0);
     metrics.report('table.version', index?.table.version ?? 0);
+    metrics.report('store.era', base.eras.era);
     metrics.report('store.connected', directory.storeLost ? 0 : 1);
     index?.pools.forEach((_, pool) => {
       metrics.report('pool.servers', directory.list(pool).length, { pool });
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -76,6 +76,21 @@
     text: 'Servers crashed under a request that is not blocked, because it has also run well; `crashes` and `runs` tell how often.',
   },
   storeUnavailable: { id: 3001, level: 'warn', text: 'The configuration store does not answer.' },
+  storeEraAdvanced: {
+    id: 3003,
+    level: 'warn',
+    text: 'The store came back from an older copy; this host reads it afresh and writes its own keys again.',
+  },
+  storeEraIgnored: {
+    id: 3004,
+    level: 'warn',
+    text: 'The era of an answer of the store does not count; `problem` tells why. Told once until a good one comes.',
+  },
+  serverEntryOutdated: {
+    id: 3005,
+    level: 'info',
+    text: 'The copy of the store lists a server that has left or was removed since; it is not used.',
+  },
   storeRecovered: { id: 3002, level: 'info', text: 'The configuration store answers again.' },
   configApplied: { id: 4001, level: 'info', text: 'A newer version of a service document is in force.' },
   configInvalid: { id: 4002, level: 'error', text: 'A service document in the store does not match the schema.' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -47,6 +47,7 @@
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host takes requests.' },
   'table.version': { type: 'gauge', unit: '1', tags: [], text: 'Version of the route table in force.' },
+  'store.era': { type: 'gauge', unit: '1', tags: [], text: 'Era of the store: rises when it comes back from a copy.' },
   'store.connected': { type: 'gauge', unit: '1', tags: [], text: '1 while the store answers.' },
 } as const satisfies Record<string, MetricSpec>;
 
