Rank the hosts of a duty once for each change of their list

Cause: in a model of 100 hosts that start and live through a drill, 57% of the processor time went to ranking hosts by hash and to building their list: each message of a relay, each tick and each single host of a batch of changes did both anew, for every duty, so that a start of n hosts cost each of them n rankings of n hashes several times over.

The registry keeps the list and the ranking of each duty until the list changes; silent hosts are left out afterwards, which does not change the order of the others. Changes of hosts that come together are told once.

--- a/packages/decide/src/duties/rankByCapacity.ts
+++ b/packages/decide/src/duties/rankByCapacity.ts
@@ -33,7 +33,8 @@
   hosts: readonly Host[],
   duty: string,
 ): readonly Host[] {
-  const scores = new Map(hosts.map((host) => [host.hostId, scoreHost(host, duty)]));
-  const scoreOf = ({ hostId }: Host): number => scores.get(hostId) ?? 0;
-  return [...hosts].sort((a, b) => scoreOf(b) - scoreOf(a) || (a.hostId < b.hostId ? -1 : 1));
+  return hosts
+    .map((host) => ({ host, score: scoreHost(host, duty) }))
+    .sort((one, other) => other.score - one.score || (one.host.hostId < other.host.hostId ? -1 : 1))
+    .map(({ host }) => host);
 }
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -50,8 +50,21 @@
         this.put({ key, value, revision }, era);
       }
     });
+    this.updateHosts(changes);
   };
 
+  /** Tells of all hosts that have changed at once: each change makes the parts look at their duties anew. */
+  private updateHosts(changes: readonly CatalogueChange[]): void {
+    const { hostPrefix } = this.keepers.format;
+    const last = new Map(changes.filter(({ key }) => key.startsWith(hostPrefix)).map(({ key, value }) => [key, value]));
+    if (last.size > 0) {
+      this.hosts()?.update({
+        put: [...last].flatMap(([key, text]) => (text === undefined ? [] : [{ key, text }])),
+        removed: [...last].flatMap(([key, text]) => (text === undefined ? [key] : [])),
+      });
+    }
+  }
+
   private put(entry: CatalogueEntry, era: number): void {
     const { format, tables, directory, blocks } = this.keepers;
     const { key, value, revision } = entry;
@@ -59,8 +72,6 @@
       tables.offer({ text: value, revision }, 'store');
     } else if (key.startsWith(format.serverPrefix)) {
       directory.put(this.toServer(entry), era);
-    } else if (key.startsWith(format.hostPrefix)) {
-      this.hosts()?.put(key, value);
     } else if (key.startsWith(format.blockPrefix)) {
       blocks.put(toText(entry, format.blockPrefix));
     } else if (key.startsWith(format.releasePrefix)) {
@@ -72,8 +83,6 @@
     const { format, directory, blocks } = this.keepers;
     if (key.startsWith(format.serverPrefix)) {
       directory.remove(key.slice(format.serverPrefix.length), { era, revision });
-    } else if (key.startsWith(format.hostPrefix)) {
-      this.hosts()?.remove(key);
     } else if (key.startsWith(format.blockPrefix)) {
       blocks.remove(key.slice(format.blockPrefix.length));
     } else if (key.startsWith(format.releasePrefix)) {
--- a/packages/gateway/src/hosts/createHostRegistry.test.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -43,7 +43,8 @@
     prefix: 'hosts/',
     self: createHost('h0'),
   });
-  const put = (host: HostEntry): void => registry.put(`hosts/${host.hostId}/${host.startId}`, JSON.stringify(host));
+  const put = (host: HostEntry): void =>
+    registry.update({ put: [{ key: `hosts/${host.hostId}/${host.startId}`, text: JSON.stringify(host) }] });
   return { clock, calls, control, registry, put };
 };
 
@@ -55,9 +56,9 @@
   put(createHost('h1', 'r1', '2'));
   put(createHost('h2', 'r2'));
   assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
-  registry.remove('hosts/h1/1');
+  registry.update({ removed: ['hosts/h1/1'] });
   assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
-  registry.remove('hosts/h1/2');
+  registry.update({ removed: ['hosts/h1/2'] });
   assert.deepEqual(listIds(registry.list()), ['h0', 'h2']);
 });
 
@@ -108,7 +109,7 @@
   const second = createWorld();
   second.registry.replace(first.registry.snapshot());
   assert.deepEqual(listIds(second.registry.list()), ['h0', 'h1']);
-  second.registry.put('hosts/x/1', 'no entry');
+  second.registry.update({ put: [{ key: 'hosts/x/1', text: 'no entry' }] });
   assert.deepEqual(listIds(second.registry.list()), ['h0', 'h1']);
 });
 
@@ -145,7 +146,7 @@
   registry.replace([], { keepsMissing: true });
   clock.advance(1_000);
   put(createHost('h2'));
-  registry.remove('hosts/h3/1');
+  registry.update({ removed: ['hosts/h3/1'] });
   assert.deepEqual(listIds(registry.list()), ['h0', 'h1', 'h2']);
   // Another read of the same era in between tells nothing of hosts that have not had their time.
   registry.replace([{ key: 'hosts/h2/1', text: JSON.stringify(createHost('h2')) }]);
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -22,6 +22,12 @@
   readonly text: string;
 }
 
+/** Hosts whose keys were written, and keys that are gone. */
+export interface HostChanges {
+  readonly put?: readonly HostRecord[];
+  readonly removed?: readonly string[];
+}
+
 /** The hosts of the system as this one sees them. */
 export interface HostRegistry {
   readonly self: HostEntry;
@@ -37,8 +43,8 @@
   noteMoved(hostId: string): void;
   /** A host did not answer; it owns no duty for a while. */
   noteSilent(hostId: string): void;
-  put(key: string, text: string): void;
-  remove(key: string): void;
+  /** Takes what has changed since; listeners are told once. */
+  update(changes: HostChanges): void;
   /**
    * These are all. The store may have forgotten hosts that live: with `keepsMissing` those that are not among them stay
    * until they had time to write themselves again.
@@ -99,6 +105,12 @@
   /** Times in a row that a host was found silent. */
   private readonly silences = new Map<string, number>();
 
+  /** Listed hosts, until the list changes. */
+  private listed: readonly HostEntry[] | undefined;
+
+  /** Hosts of a region in the order of a duty, silent ones included, until the list changes. */
+  private readonly ranked = new Map<string, readonly HostEntry[]>();
+
   private readonly listeners: (() => void)[] = [];
 
   private readonly failureListeners: (() => void)[] = [];
@@ -131,6 +143,11 @@
   }
 
   list(): readonly HostEntry[] {
+    this.listed ??= this.readList();
+    return this.listed;
+  }
+
+  private readList(): readonly HostEntry[] {
     const byId = new Map([...this.entries.values()].map((entry) => [entry.hostId, entry]));
     if (this.leaving) {
       byId.delete(this.self.hostId);
@@ -146,9 +163,20 @@
 
   rankOwners(duty: string, region: string = this.self.region): readonly HostEntry[] {
     const nowMs = this.options.clock.monotonicMs();
-    const isUsable = (host: HostEntry): boolean =>
-      host.region === region && (this.silentUntilMs.get(host.hostId) ?? 0) <= nowMs;
-    return rankByCapacity(this.list().filter(isUsable), duty);
+    return this.rankAll(duty, region).filter(({ hostId }) => (this.silentUntilMs.get(hostId) ?? 0) <= nowMs);
+  }
+
+  /** The order of hosts does not depend on which others are silent. */
+  private rankAll(duty: string, region: string): readonly HostEntry[] {
+    const key = JSON.stringify([duty, region]);
+    const known = this.ranked.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const near = this.list().filter((host) => host.region === region);
+    const ranked = rankByCapacity(near, duty);
+    this.ranked.set(key, ranked);
+    return ranked;
   }
 
   noteMoved(hostId: string): void {
@@ -168,25 +196,35 @@
     this.options.logger.event('peerSilent', { peer: hostId });
   }
 
-  put(key: string, text: string): void {
-    const entry = parseEntry(text);
-    if (entry !== undefined) {
-      this.entries.set(key, entry);
-      this.missing.delete(key);
-      this.silentUntilMs.delete(entry.hostId);
-      this.silences.delete(entry.hostId);
-      this.options.logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
+  update({ put = [], removed = [] }: HostChanges): void {
+    const isChanged = [...put.map((record) => this.set(record)), ...removed.map((key) => this.drop(key))];
+    if (isChanged.includes(true)) {
       this.changed();
     }
   }
 
-  remove(key: string): void {
+  private set({ key, text }: HostRecord): boolean {
+    const entry = parseEntry(text);
+    if (entry === undefined) {
+      return false;
+    }
+    this.entries.set(key, entry);
+    this.missing.delete(key);
+    this.silentUntilMs.delete(entry.hostId);
+    this.silences.delete(entry.hostId);
+    this.options.logger.event('hostListed', { peer: entry.hostId, failureDomain: entry.failureDomain });
+    return true;
+  }
+
+  private drop(key: string): boolean {
     const entry = this.entries.get(key);
     this.missing.delete(key);
-    if (this.entries.delete(key)) {
-      this.options.logger.event('hostDropped', { peer: entry?.hostId });
-      this.changed();
+    if (entry === undefined) {
+      return false;
     }
+    this.entries.delete(key);
+    this.options.logger.event('hostDropped', { peer: entry.hostId });
+    return true;
   }
 
   snapshot(): readonly HostRecord[] {
@@ -229,10 +267,12 @@
   }
 
   private dropMissing(): void {
-    [...this.missing].forEach((key) => this.remove(key));
+    this.update({ removed: [...this.missing] });
   }
 
   private changed(): void {
+    this.listed = undefined;
+    this.ranked.clear();
     this.listeners.forEach((run) => run());
   }
 }
--- /dev/null
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -0,0 +1,194 @@
+import { createEraTracker, type EraTracker, type StoreClient } from '@bergamotcove/backends';
+import { createManualClock, type ManualClock } from '@bergamotcove/clock';
+import { rankByCapacity } from '@bergamotcove/decide';
+import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
+import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
+import createBackendDirectory from '../catalogue/createBackendDirectory.js';
+import createRouteTableHolder, { type RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import followCatalogue, { type CatalogueFollower } from '../catalogue/followCatalogue.js';
+import createHostRegistry, { type HostEntry, type HostRegistry } from '../hosts/createHostRegistry.js';
+import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import createStoreModel, { type StoreModel } from './createStoreModel.js';
+
+/** One host of a fleet. */
+export interface FleetHost {
+  readonly hostId: string;
+  readonly directory: BackendDirectory;
+  readonly tables: RouteTableHolder;
+  readonly registry: HostRegistry;
+  readonly follower: CatalogueFollower;
+}
+
+/** Hosts that start at the same time, with a model of the store and of the links between them. */
+export interface CatalogueFleet {
+  readonly store: StoreModel;
+  readonly hosts: readonly FleetHost[];
+  /** Hosts that no other one reaches. */
+  readonly down: Set<string>;
+  advance(ms: number): Promise<void>;
+  /** Writes a new server; returns its id. */
+  addServer(): string;
+  /** Writes a server again. */
+  putServer(serverId: string, changes?: object): void;
+  putTable(version: number): void;
+  /** Hosts that know a server. */
+  countKnowing(serverId: string): number;
+  close(): void;
+}
+
+/** Options of {@link createCatalogueFleet}. */
+export interface CatalogueFleetOptions {
+  readonly hosts: number;
+  readonly failureDomains: number;
+  /** `fixed` lists all hosts from the start; `leased` lists those whose keys stand in the store. */
+  readonly registry: 'fixed' | 'leased';
+}
+
+const STEP_MS = 50;
+/** Turns of the event loop that messages between hosts take. */
+const TURNS = 4;
+
+const FORMAT: CatalogueFormat = {
+  routeTableKey: 'table',
+  serverPrefix: 'servers/',
+  hostPrefix: 'hosts/',
+  blockPrefix: 'blocks/',
+  releasePrefix: 'releases/',
+  readRouteTable: (text) => {
+    const { version } = JSON.parse(text) as { readonly version: number };
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return { version, routes: [], pools: [], limits, organisations: undefined };
+  },
+  readServer: (serverId, text) => ({ serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) }),
+};
+
+const PEER: LinkPeer = { remoteAddress: '10.0.0.1', onClose: () => () => undefined };
+const LOGGER = { event: (): void => undefined };
+
+const listEntries = ({ hosts, failureDomains }: CatalogueFleetOptions): readonly HostEntry[] =>
+  Array.from({ length: hosts }, (_, index) => ({
+    hostId: `h${index}`,
+    target: { address: '10.0.0.1', port: index },
+    failureDomain: `d${index % failureDomains}`,
+    region: 'r1',
+    capacity: 0.3,
+    startId: '1',
+  }));
+
+interface World {
+  readonly clock: ManualClock;
+  readonly store: StoreModel;
+  readonly entries: readonly HostEntry[];
+  readonly regions: Readonly<Record<string, string>>;
+  readonly network: Map<number, Readonly<Record<string, LinkMethod>>>;
+  readonly down: Set<string>;
+}
+
+const createLinks = ({ network, down }: World, self: HostEntry): LinkClient => ({
+  call: async (target, method, params) => {
+    const serve = network.get(target.port)?.[method];
+    if (serve === undefined || down.has(self.hostId) || down.has(`h${target.port}`)) {
+      throw new Error('no link');
+    }
+    return JSON.parse(JSON.stringify(await serve(JSON.parse(JSON.stringify(params)), PEER))) as unknown;
+  },
+  notify: () => undefined,
+  close: () => undefined,
+});
+
+const createFixedRegistry = ({ entries }: World, self: HostEntry): HostRegistry =>
+  ({
+    self,
+    start: () => undefined,
+    list: () => entries,
+    rankOwners: (duty: string) => rankByCapacity(entries, duty),
+    onChange: () => undefined,
+    replace: () => undefined,
+    leave: () => Promise.resolve(),
+  }) as unknown as HostRegistry;
+
+const createLeasedRegistry = (
+  { clock }: World,
+  self: HostEntry,
+  { store, eras }: { readonly store: StoreClient; readonly eras: EraTracker },
+): HostRegistry => createHostRegistry({ clock, logger: LOGGER, store, eras, prefix: FORMAT.hostPrefix, self });
+
+const startHost = (world: World, self: HostEntry, kind: CatalogueFleetOptions['registry']): FleetHost => {
+  const { clock, regions } = world;
+  const eras = createEraTracker();
+  const store = world.store.clientOf(self.hostId, eras);
+  const directory = createBackendDirectory({ clock, logger: LOGGER, format: FORMAT, regions });
+  const tables = createRouteTableHolder({ clock, logger: LOGGER, format: FORMAT });
+  const follower = followCatalogue({
+    clock,
+    logger: LOGGER,
+    blocks: {
+      put: () => undefined,
+      remove: () => undefined,
+      putRelease: () => undefined,
+      removeRelease: () => undefined,
+      replace: () => undefined,
+    },
+    links: createLinks(world, self),
+    store,
+    eras,
+    format: FORMAT,
+    tables,
+    directory,
+    random: () => 0.5,
+  });
+  world.network.set(self.target.port, follower.methods);
+  const registry =
+    kind === 'fixed' ? createFixedRegistry(world, self) : createLeasedRegistry(world, self, { store, eras });
+  follower.start(registry);
+  registry.start();
+  return { hostId: self.hostId, directory, tables, registry, follower };
+};
+
+/**
+ * Creates a fleet in virtual time.
+ *
+ * @param options - its size
+ * @returns the fleet
+ */
+export default function createCatalogueFleet(options: CatalogueFleetOptions): CatalogueFleet {
+  const clock = createManualClock();
+  const store = createStoreModel(clock);
+  const down = new Set<string>();
+  const entries = listEntries(options);
+  const regions = Object.fromEntries(entries.map(({ failureDomain, region }) => [failureDomain, region]));
+  const world: World = { clock, store, entries, regions, network: new Map(), down };
+  const hosts = entries.map((self) => startHost(world, self, options.registry));
+  const putServer = (serverId: string, changes: object = {}): void => {
+    const place = { address: '10.0.0.9', port: Number(serverId.slice(1)), failureDomain: 'd0' };
+    store.put(`servers/${serverId}`, { pool: 'p', ...place, state: 'live', startedAtMs: 1, ...changes });
+  };
+  let servers = 0;
+  return {
+    store,
+    hosts,
+    down,
+    advance: async (ms) => {
+      for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+        clock.advance(STEP_MS);
+        for (let turn = 0; turn < TURNS; turn += 1) {
+          await new Promise(setImmediate);
+        }
+      }
+    },
+    addServer: () => {
+      servers += 1;
+      putServer(`s${servers}`);
+      return `s${servers}`;
+    },
+    putServer,
+    putTable: (version) => store.put(FORMAT.routeTableKey, { version }),
+    countKnowing: (serverId) => hosts.filter(({ directory }) => directory.find(serverId) !== undefined).length,
+    close: () =>
+      hosts.forEach(({ follower, directory, registry }) => {
+        follower.close();
+        directory.close();
+        registry.leave().catch(() => undefined);
+      }),
+  };
+}
