--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod/mini';
 import type { StoreClient } from '@bergamotcove/backends';
 import type { Clock } from '@bergamotcove/clock';
 import {
@@ -12,7 +13,7 @@
   type ProcessCrash,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import { OPERATOR_LIST_POISON, OPERATOR_RELEASE_POISON, releasePoisonSchema } from '@bergamotcove/protocol';
+import { OPERATOR_LIST_POISON, OPERATOR_RELEASE_POISON } from '@bergamotcove/protocol';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
@@ -59,6 +60,8 @@
   readonly random: () => number;
 }
 
+const releaseSchema = z.object({ fingerprint: z.string().check(z.minLength(1), z.maxLength(64)) });
+
 /** Crashes after which the requests that ran in all of them are told apart. */
 const SUSPECT_CRASHES = 2;
 /** Time for which a keeper leaves the write of a block to the host that has seen the crash. */
@@ -106,7 +109,7 @@
         return true;
       },
       [OPERATOR_LIST_POISON]: () => this.listBlocks(),
-      [OPERATOR_RELEASE_POISON]: (params) => this.release(releasePoisonSchema.parse(params).fingerprint),
+      [OPERATOR_RELEASE_POISON]: (params) => this.release(releaseSchema.parse(params).fingerprint),
     };
   }
 
--- a/packages/protocol/src/poison.ts
+++ b/packages/protocol/src/poison.ts
@@ -5,10 +5,6 @@
 export const POISON_REPORT = 'poison.report';
 /** Method that tells another host which fingerprints are blocked. */
 export const POISON_BLOCKS = 'poison.blocks';
-/** Method by which an operator releases a blocked fingerprint. */
-export const OPERATOR_RELEASE_POISON = 'operator.releasePoison';
-/** Method by which an operator lists the blocked fingerprints. */
-export const OPERATOR_LIST_POISON = 'operator.listPoison';
 
 const fingerprintSchema = z.string().min(1).max(64);
 
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,24 +1,7 @@
 /** Builds the program that runs on the platform: compiles the packages and bundles what its entry point reaches. */
-import path from 'node:path';
 import { build as bundle } from 'esbuild';
-import { build, rootDir } from './install.mjs';
-
-/** Dependencies in CommonJS form call `require`, which a module does not have. */
-const REQUIRE_BANNER =
-  "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);";
+import bundleOptions from './bundleOptions.mjs';
+import { build } from './install.mjs';
 
 build();
-await bundle({
-  entryPoints: [path.join(rootDir, 'platform/dist/main.js')],
-  outfile: path.join(rootDir, 'target/bergamotcove.mjs'),
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minify: true,
-  keepNames: true,
-  // For Node the package names its CommonJS form, from which nothing can be left out.
-  alias: { rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js') },
-  banner: { js: REQUIRE_BANNER },
-  logLevel: 'warning',
-});
+await bundle(bundleOptions);
