--- a/packages/ctl/src/format/formatStatus.ts
+++ b/packages/ctl/src/format/formatStatus.ts
@@ -3,7 +3,7 @@
 import findLimitingStage from './findLimitingStage.js';
 import formatTable from './formatTable.js';
 
-const HOST_HEADING = ['HOST', 'FAILURE DOMAIN', 'REGION', 'STATE', 'IN FLIGHT', 'ENTRY HOSTS SEEN'];
+const HOST_HEADING = ['HOST', 'FAILURE DOMAIN', 'REGION', 'STATE', 'IN FLIGHT', 'ENTRY HOSTS SEEN', 'STORE ERA'];
 
 const describeState = (status: HostStatusAnswer): string => {
   if (status.draining) {
@@ -12,6 +12,9 @@
   return status.ready ? 'ready' : 'not ready';
 };
 
+/** Differs between hosts only for a moment after the store came back from an older copy. */
+const describeEra = ({ store }: HostStatusAnswer): string => (store === undefined ? '' : String(store.era));
+
 const toHostRow = (answer: HostAnswer<HostStatusAnswer>): readonly string[] => {
   if (answer.type === 'failed') {
     return [answer.hostUrl, '', '', `no answer: ${answer.error.message}`];
@@ -24,6 +27,7 @@
     describeState(result),
     String(result.inFlight),
     String(result.entryHosts.length),
+    describeEra(result),
   ];
 };
 
--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -40,6 +40,8 @@
     )
     .optional(),
   lostDomains: z.array(z.string()).optional(),
+  /** Latest position of the store that a gateway knows. */
+  store: z.looseObject({ era: z.number(), revision: z.number() }).optional(),
 });
 
 export const poisonListSchema = z.array(z.looseObject({ fingerprint: z.string(), remainingMs: z.number() }));
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -39,6 +39,7 @@
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import type { GatewaySettings } from './settings.js';
+import describeStatus, { type GatewayStatus } from './observe/describeStatus.js';
 import startMetricsServer, { type MetricsServer } from './observe/startMetricsServer.js';
 import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
 import createStageClient from './stages/createStageClient.js';
@@ -93,6 +94,8 @@
 /** Part of the grace that is kept for the end of the process. */
 const STOP_RESERVE_MS = 500;
 const MAX_LOGGED_CHARS = 64;
+/** Method by which an operator asks for the state of a host. */
+const OPERATOR_STATUS = 'operator.status';
 const IDLE_POLL_MS = 50;
 
 const logEra = (event: EraEvent, logger: Logger): void => {
@@ -268,24 +271,52 @@
   return startMetricsServer({ ...settings.metrics, address: settings.host.address, metrics, sample });
 };
 
+/** Times of the stop of this host, once it has begun. */
+interface StopState {
+  times: DrainTimes | undefined;
+}
+
+const readStatus = (base: Base, { callers, hosts, isReady }: SampledParts, stop: StopState): GatewayStatus =>
+  describeStatus({
+    self: hosts.self,
+    hosts: hosts.list(),
+    ready: isReady(),
+    draining: stop.times !== undefined,
+    inFlight: callers.openRequests(),
+    tableVersion: base.tables.current()?.table.version,
+    store: base.directory.position,
+  });
+
 interface DrainedParts {
   readonly callers: CallerServer;
-  readonly onStart: () => void;
+  readonly hosts: HostRegistry;
+  readonly stop: StopState;
   readonly close: () => Promise<void>;
 }
 
-const createGatewayDrain = (base: Base, { callers, onStart, close }: DrainedParts): (() => Promise<void>) =>
-  createDrain({
-    clock: base.clock,
-    logger: base.logger,
+const createGatewayDrain = (base: Base, { callers, hosts, stop, close }: DrainedParts): (() => Promise<void>) => {
+  const { clock, logger, owners, liveSettings } = base;
+  const { graceMs } = liveSettings.current().stop;
+  const state = stop;
+  return createDrain({
+    clock,
+    logger,
     balancerLagMs: BALANCER_LAG_MS,
-    timeoutMs: base.liveSettings.current().stop.graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
-    onStart,
+    timeoutMs: graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
+    onStart: () => {
+      const startedAtMs = clock.monotonicMs();
+      state.times = { startedAtMs, endsAtMs: startedAtMs + liveSettings.current().stop.graceMs - STOP_RESERVE_MS };
+      // An entry that stays is gone when its lease ends.
+      hosts.leave().catch(() => undefined);
+      owners.leave();
+      callers.drain();
+    },
     inFlight: () => callers.openRequests(),
-    idle: () => awaitIdle(base.clock, callers),
+    idle: () => awaitIdle(clock, callers),
     close,
     abort: () => undefined,
   });
+};
 
 /** Lists this host and takes the duties that fall to it, as long as they do. */
 const startDuties = (base: Base, hosts: HostRegistry, exchange: HostExchange): void => {
@@ -310,21 +341,25 @@
  */
 export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
   const base = createBase(settings, options);
-  const { clock, logger, tables, directory, links, owners, scheduler, queues, store } = base;
+  const { logger, tables, directory, links, owners, scheduler, queues, store } = base;
   const { exchange, follower } = createSources(base);
   const served = [owners, scheduler, exchange, follower, base.crashes].map(({ methods }) => methods);
-  const linkServer = await startLinkServer(base, Object.assign({}, ...served) as Record<string, LinkMethod>);
+  const status = { read: (): GatewayStatus | undefined => undefined };
+  const operators = { [OPERATOR_STATUS]: () => status.read() };
+  const linkServer = await startLinkServer(base, Object.assign(operators, ...served) as Record<string, LinkMethod>);
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
-  let drainTimes: DrainTimes | undefined;
-  const callers = await startCallers(base, { hosts, pools, drain: () => drainTimes });
+  const stop: StopState = { times: undefined };
+  const callers = await startCallers(base, { hosts, pools, drain: () => stop.times });
   tables.onChange(({ table }) => callers.setLimits(table.limits));
   follower.start(hosts);
   hosts.onStoreFailed(() => follower.probe());
   startDuties(base, hosts, exchange);
-  const isReady = (): boolean => drainTimes === undefined && tables.current() !== undefined;
+  const isReady = (): boolean => stop.times === undefined && tables.current() !== undefined;
+  const sampled = { callers, hosts, isReady };
+  status.read = () => readStatus(base, sampled, stop);
   const health = await startHealthServer(settings.health, isReady);
-  const metricsServer = await startMetrics(base, { callers, hosts, isReady });
+  const metricsServer = await startMetrics(base, sampled);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
   const parts = [follower, exchange, scheduler, base.crashes, callers, health, metricsServer, owners, linkServer];
@@ -332,15 +367,7 @@
     await hosts.leave();
     [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
   };
-  const stop = { running: undefined as (() => Promise<void>) | undefined };
-  const onDrainStart = (): void => {
-    const startedAtMs = clock.monotonicMs();
-    drainTimes = { startedAtMs, endsAtMs: startedAtMs + base.liveSettings.current().stop.graceMs - STOP_RESERVE_MS };
-    // An entry that stays is gone when its lease ends.
-    hosts.leave().catch(() => undefined);
-    owners.leave();
-    callers.drain();
-  };
+  const drain = { running: undefined as Promise<void> | undefined };
   return {
     callersPort: callers.port,
     healthPort: health.port,
@@ -351,8 +378,8 @@
       return base.liveSettings.apply(changed);
     },
     drain: () => {
-      stop.running ??= createGatewayDrain(base, { callers, onStart: onDrainStart, close });
-      return stop.running();
+      drain.running ??= createGatewayDrain(base, { callers, hosts, stop, close })();
+      return drain.running;
     },
     close,
   };
