--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -1,24 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
-import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import type { ServerEntry } from '../ports.js';
+import sampleFormat from '../testing/sampleFormat.js';
 import createBackendDirectory from './createBackendDirectory.js';
 
-const FORMAT: CatalogueFormat = {
-  routeTableKey: 'table',
-  serverPrefix: 'servers/',
-  hostPrefix: 'hosts/',
-  blockPrefix: 'blocks/',
-  releasePrefix: 'releases/',
-  readRouteTable: () => undefined,
-  readServer: (_, text) => (text === '' ? undefined : (JSON.parse(text) as ServerEntry)),
-};
-
 const createWorld = () => {
   const clock = createManualClock();
   const events: string[] = [];
   const logger = { event: (name: string) => events.push(name) };
-  const directory = createBackendDirectory({ clock, logger, format: FORMAT, regions: { a: 'r1', b: 'r2' } });
+  const directory = createBackendDirectory({ clock, logger, format: sampleFormat, regions: { a: 'r1', b: 'r2' } });
   const put = (serverId: string, revision: number, changes: Partial<ServerEntry> = {}): void => {
     const entry = { serverId, pool: 'p', address: '10.0.0.1', port: revision, failureDomain: 'a', state: 'live' };
     directory.put({ serverId, revision, text: JSON.stringify({ ...entry, startedAtMs: 1, ...changes }) });
--- a/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
+++ b/packages/gateway/src/catalogue/createRouteTableHolder.test.ts
@@ -3,14 +3,11 @@
 import { createManualClock } from '@bergamotcove/clock';
 import type { RouteTable } from '@bergamotcove/config';
 import type { CatalogueFormat } from '../ports.js';
+import sampleFormat from '../testing/sampleFormat.js';
 import createRouteTableHolder from './createRouteTableHolder.js';
 
 const FORMAT: CatalogueFormat = {
-  routeTableKey: 'table',
-  serverPrefix: 'servers/',
-  hostPrefix: 'hosts/',
-  blockPrefix: 'blocks/',
-  releasePrefix: 'releases/',
+  ...sampleFormat,
   readRouteTable: (text) =>
     text === 'broken'
       ? undefined
@@ -21,7 +18,6 @@
           limits: {},
           organisations: undefined,
         } as unknown as RouteTable),
-  readServer: () => undefined,
 };
 
 const createWorld = () => {
--- a/packages/gateway/src/catalogue/storeSchedules.test.ts
+++ b/packages/gateway/src/catalogue/storeSchedules.test.ts
@@ -4,20 +4,16 @@
 import { createManualClock } from '@bergamotcove/clock';
 import type { RouteTable } from '@bergamotcove/config';
 import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import sampleFormat from '../testing/sampleFormat.js';
 import createBackendDirectory from './createBackendDirectory.js';
 import createCatalogueLog, { type CatalogueChange, type CatalogueEntry } from './createCatalogueLog.js';
 import createCatalogueSink from './createCatalogueSink.js';
 import createRouteTableHolder from './createRouteTableHolder.js';
 
 const FORMAT: CatalogueFormat = {
-  routeTableKey: 'table',
-  serverPrefix: 'servers/',
-  hostPrefix: 'hosts/',
-  blockPrefix: 'blocks/',
-  releasePrefix: 'releases/',
+  ...sampleFormat,
   readRouteTable: (text) =>
     ({ version: Number(text), routes: [], pools: [], limits: {}, organisations: undefined }) as unknown as RouteTable,
-  readServer: (serverId, text) => ({ serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) }),
 };
 const SERVERS = ['s1', 's2', 's3'];
 const SERVER_PLACE = { pool: 'p', address: '10.0.0.1', port: 1, failureDomain: 'a' };
--- a/packages/gateway/src/testing/createCatalogueFleet.ts
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -7,7 +7,8 @@
 import createRouteTableHolder, { type RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from '../catalogue/followCatalogue.js';
 import createHostRegistry, { type HostEntry, type HostRegistry } from '../hosts/createHostRegistry.js';
-import type { CatalogueFormat, ServerEntry } from '../ports.js';
+import type { CatalogueFormat } from '../ports.js';
+import sampleFormat from './sampleFormat.js';
 import createStoreModel, { type StoreModel } from './createStoreModel.js';
 
 /** One host of a fleet. */
@@ -49,17 +50,12 @@
 const TURNS = 4;
 
 const FORMAT: CatalogueFormat = {
-  routeTableKey: 'table',
-  serverPrefix: 'servers/',
-  hostPrefix: 'hosts/',
-  blockPrefix: 'blocks/',
-  releasePrefix: 'releases/',
+  ...sampleFormat,
   readRouteTable: (text) => {
     const { version } = JSON.parse(text) as { readonly version: number };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     return { version, routes: [], pools: [], limits, organisations: undefined };
   },
-  readServer: (serverId, text) => ({ serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) }),
 };
 
 const PEER: LinkPeer = { remoteAddress: '10.0.0.1', onClose: () => () => undefined };
--- /dev/null
+++ b/packages/gateway/src/testing/sampleFormat.ts
@@ -0,0 +1,15 @@
+import type { CatalogueFormat, ServerEntry } from '../ports.js';
+
+/** Keys of a store in tests; a server's entry is its fields as JSON. */
+const sampleFormat: CatalogueFormat = {
+  routeTableKey: 'table',
+  serverPrefix: 'servers/',
+  hostPrefix: 'hosts/',
+  blockPrefix: 'blocks/',
+  releasePrefix: 'releases/',
+  readRouteTable: () => undefined,
+  readServer: (serverId, text) =>
+    text === '' ? undefined : { serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) },
+};
+
+export default sampleFormat;
