Keep a later report of a crash from casting doubt on an earlier one

What callers saw: nothing; a server was ended once more than needed.

Cause: a crash can be told twice, first by the list of servers (the attempt still runs, so its request is in doubt), then by the broken connection (no doubt). The reports were merged by taking the union of the doubts, so that the weaker word won, and one doubtful crash among three or more kept a charge away until the crashes were 2 s apart. Class: evidence that was once there is lost when more evidence comes.

Change: a request is in doubt only if each report, and each of its attempts in one report, leaves it in doubt; three crashes without doubt are enough, whatever others say.

Looked for elsewhere: requests that a server answered last stay in doubt as before.

Before: 6 of 144 runs of the test red, 16 at a time; the three new unit tests red (one a property: a request that is charged stays so with each further report). After: 0 of 144; tests of decide and gateway 372 of 372.

--- a/packages/decide/src/poison/_lib/processRecord.ts
+++ b/packages/decide/src/poison/_lib/processRecord.ts
@@ -67,13 +67,15 @@
   suspects: readonly Suspect[],
   answered: readonly Attempt[] = [],
 ): ProcessCrash => {
-  const doubtful = suspects.filter(({ isDoubtful }) => isDoubtful);
+  const listOf = (chosen: readonly Suspect[]): readonly string[] =>
+    listFingerprints(chosen.map(({ attempt }) => attempt));
+  const sure = new Set(listOf(suspects.filter(({ isDoubtful }) => !isDoubtful)));
   return {
     serverId,
     startId: unlistedStarts === 0 ? startId : `${startId}+${unlistedStarts}`,
     atMs: crashedAtMs,
-    fingerprints: listFingerprints(suspects.map(({ attempt }) => attempt)),
-    doubtful: listFingerprints(doubtful.map(({ attempt }) => attempt)),
+    fingerprints: listOf(suspects),
+    doubtful: listOf(suspects).filter((fingerprint) => !sure.has(fingerprint)),
     answered: listFingerprints(answered),
   };
 };
--- a/packages/decide/src/poison/createLossBook.test.ts
+++ b/packages/decide/src/poison/createLossBook.test.ts
@@ -130,3 +130,12 @@
   const late = book.noteLost(second, 'silent', 3_000);
   assert.deepEqual([late?.atMs, late?.fingerprints], [100, ['g']]);
 });
+
+test('a request is in no doubt when one of its attempts is in none', () => {
+  const book = createBook();
+  const [lost, answering] = ['f', 'f'].map((fingerprint) => book.begin(PROCESS, [fingerprint]));
+  assert.ok(lost !== undefined && answering !== undefined);
+  book.noteAnswering(answering);
+  const { fingerprints, doubtful } = book.noteRefused(lost, 10);
+  assert.deepEqual([fingerprints, doubtful], [['f'], []]);
+});
--- a/packages/decide/src/poison/noteCrash.test.ts
+++ b/packages/decide/src/poison/noteCrash.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import fc from 'fast-check';
+import createLossBook from './createLossBook.js';
 import { CLEARING_RUNS, CRASH_MERGE_MS, RUN_LEAD_MS, RUN_MEMORY_MS } from './constants.js';
 import noteCrash from './noteCrash.js';
-import type { Charge, CrashEvent, PoisonState } from './types.js';
+import type { Charge, CrashEvent, CrashStep, PoisonState } from './types.js';
 
 const EMPTY: PoisonState = { crashes: [], blocks: new Map() };
 const START_MS = 100_000;
@@ -50,3 +52,50 @@
     ['f'],
   );
 });
+
+test('a request is charged with its third crash though the list of servers told of one before the connection broke', () => {
+  const book = createLossBook({ isListStale: () => false });
+  const step = ['1', '2', '3'].reduce<CrashStep>(
+    ({ state }, startId, index) => {
+      const nowMs = START_MS + index * 200;
+      const process = { serverId: 's1', startId };
+      const [answered, attempt] = [book.begin(process, ['g']), book.begin(process, ['f'])];
+      book.noteAnswered(answered, nowMs);
+      const told = book.noteEnded(process, 'replaced', nowMs);
+      const lost = book.noteLost(attempt, 'reset', nowMs + 5);
+      return [told, lost].reduce<CrashStep>(
+        (before, crash) => (crash === undefined ? before : noteCrash(before.state, { type: 'crash', ...crash }, nowMs)),
+        { state, charges: [] },
+      );
+    },
+    { state: EMPTY, charges: [] },
+  );
+  assert.deepEqual(
+    step.charges.map(({ fingerprint }) => fingerprint),
+    ['f'],
+  );
+});
+
+test('a request that is charged stays so with each further report of crashes', () => {
+  const report = fc.record({
+    serverId: fc.constantFrom('s1', 's2', 's3', 's4'),
+    startId: fc.constantFrom('1', '2'),
+    fingerprints: fc.constant(['f', 'g']),
+    doubtful: fc.subarray(['f', 'g']),
+    answered: fc.constant([]),
+  });
+  fc.assert(
+    fc.property(fc.array(report, { minLength: 3, maxLength: 12 }), (reports) => {
+      let state = EMPTY;
+      let wasCharged = false;
+      reports.forEach((each) => {
+        const step = noteCrash(state, { type: 'crash', ...each }, START_MS);
+        const isCharged = step.charges.some(({ fingerprint }) => fingerprint === 'f');
+        assert.ok(isCharged || !wasCharged);
+        state = step.state;
+        wasCharged = isCharged;
+      });
+    }),
+    { seed: 1, numRuns: 2_000 },
+  );
+});
--- a/packages/decide/src/poison/noteCrash.ts
+++ b/packages/decide/src/poison/noteCrash.ts
@@ -18,8 +18,8 @@
   if (spreadStartMs !== undefined) {
     return [{ fingerprint, isSpread: true, sinceMs: spreadStartMs - RUN_LEAD_MS, clearingRuns: CLEARING_RUNS }];
   }
-  const isDoubtful = under.some(({ doubtful, answered }) => doubtful.has(fingerprint) || answered.has(fingerprint));
-  return under.length < SURE_CRASHES || isDoubtful
+  const sure = under.filter(({ doubtful, answered }) => !doubtful.has(fingerprint) && !answered.has(fingerprint));
+  return sure.length < SURE_CRASHES
     ? []
     : [{ fingerprint, isSpread: false, sinceMs: nowMs - RUN_MEMORY_MS, clearingRuns: CLEARING_RUNS }];
 };
