Read the claim log around a host that falls silent

What callers saw: a request that was sent again while its first run ended could be refused as outcome-unknown at its deadline, although the outcome stood in the log.

Cause: the wait for another request's outcome asked, one after the other, the claiming host (1.1 s), paused (0.1 s), and then asked the owner of the shard (0.5 s), which may be the same host. 1.7 s of silence are more than the 1.67 s that were left.

Evidence: a trace of the store, the servers and the faults: the record is written 1.67 s before the deadline, and the waiting host reads nothing until then.

Change: the claiming host is asked for 0.5 s at a time, and the log is read around it when it is silent.

--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -37,6 +37,13 @@
   | { readonly type: 'record'; readonly record: ClaimRecord }
   | { readonly type: 'unavailable' };
 
+/** How a log is read. */
+export interface ReadOptions {
+  /** Whether what the store has now must be read. */
+  readonly refresh: boolean;
+  readonly limitMs: number;
+}
+
 /** The shard logs, reached through their owners or directly. */
 export interface ClaimLogs {
   /** Makes an operation durable through the shard owner, or by itself when the owner cannot be reached. */
@@ -47,8 +54,9 @@
   persist(op: ClaimOp): Promise<void>;
   /** Gives an operation to another host, which keeps it until it is durable. Returns whether a host accepted it. */
   handOver(op: ClaimOp): Promise<boolean>;
-  read(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView>;
-  readHere(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView>;
+  /** What the shard owner knows of a key; the next host in the ranking is asked in place of one that is silent. */
+  read(keyHash: string, options: ReadOptions & { readonly silentHostId?: string | undefined }): Promise<LogView>;
+  readHere(keyHash: string, options: ReadOptions): Promise<LogView>;
   close(): void;
 }
 
@@ -124,8 +132,11 @@
     }, Promise.resolve(false));
   }
 
-  async read(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView> {
-    const owner = this.findOwner(keyHash);
+  async read(
+    keyHash: string,
+    { silentHostId, ...options }: ReadOptions & { readonly silentHostId?: string | undefined },
+  ): Promise<LogView> {
+    const owner = this.findOwner(keyHash, new Set(silentHostId === undefined ? [] : [silentHostId]));
     if (owner !== undefined) {
       const limitMs = Math.min(options.limitMs, OWNER_LIMIT_MS);
       const about = { type: 'log', refresh: options.refresh };
@@ -137,7 +148,7 @@
     return this.readHere(keyHash, options);
   }
 
-  async readHere(keyHash: string, options: { readonly refresh: boolean; readonly limitMs: number }): Promise<LogView> {
+  async readHere(keyHash: string, options: ReadOptions): Promise<LogView> {
     const log = this.logOf(keyHash);
     if (options.refresh || !log.isKnown()) {
       const fresh = log.refresh().then(() => true);
--- a/packages/entry/src/claims/createOutcomeWait.ts
+++ b/packages/entry/src/claims/createOutcomeWait.ts
@@ -23,7 +23,7 @@
 /** What asking the claiming process gave. */
 type ClaimantAnswer = ClaimsAnswer | { readonly type: 'unreachable' } | { readonly type: 'gone' };
 
-const ASK_MS = 1_000;
+const ASK_MS = 500;
 const REPLY_MARGIN_MS = 100;
 const PAUSE_MS = 100;
 /** Part of the deadline that is kept for a status query; the query itself takes at most 300 ms. */
@@ -58,7 +58,7 @@
 const readHostId = (processId: string): string => processId.slice(0, processId.lastIndexOf('/'));
 
 /** How the wait goes on after one look. */
-type Next = 'pause' | 'again' | 'refresh';
+type Next = 'pause' | 'again' | 'refresh' | 'read-around';
 
 class OutcomeWait {
   /** When this process first saw a claim, on its own monotonic clock. */
@@ -69,10 +69,11 @@
   async wait(request: ClaimRequest): Promise<ClaimWait> {
     const keyHash = hashKey(request);
     let refresh = false;
+    let silentHostId: string | undefined;
     for (let limitMs = this.remaining(request); limitMs > 0; limitMs = this.remaining(request)) {
       // Each look depends on the one before.
       // eslint-disable-next-line no-await-in-loop
-      const view = await this.options.logs.read(keyHash, { refresh, limitMs });
+      const view = await this.options.logs.read(keyHash, { refresh, limitMs, silentHostId });
       if (view.type === 'free') {
         return { type: 'free' };
       }
@@ -83,7 +84,8 @@
       }
       // While the claimant cannot be reached, only the store can show its outcome.
       refresh = next !== 'again';
-      if (next === 'pause') {
+      silentHostId = next === 'read-around' && view.type === 'record' ? readHostId(view.record.hostId) : undefined;
+      if (next === 'pause' || next === 'read-around') {
         // eslint-disable-next-line no-await-in-loop
         await this.pause(Math.min(PAUSE_MS, this.remaining(request)));
       }
@@ -131,7 +133,7 @@
         // The outcome may have become durable just before its host went away.
         return fresh ? this.settle(request, record, 'gone') : 'refresh';
       case 'unreachable':
-        return fresh ? this.settle(request, record, 'unreachable') : 'pause';
+        return fresh ? this.settle(request, record, 'unreachable') : 'read-around';
       default:
         return 'pause';
     }
@@ -183,17 +185,17 @@
     request: ClaimRequest,
     record: ClaimRecord,
     claimant: 'gone' | 'unreachable',
-  ): Promise<ClaimWait | 'pause'> {
+  ): Promise<ClaimWait | 'pause' | 'read-around'> {
     const seenForMs = this.options.clock.monotonicMs() - (this.seenAtMs.get(record.claimId) ?? Infinity);
     if (claimant === 'unreachable' && seenForMs < UNREACHABLE_MS) {
-      return 'pause';
+      return 'read-around';
     }
     const executed = await request.queryStatus?.();
     if (executed === true) {
       return this.settleRecorded(request, record);
     }
     if (claimant === 'unreachable') {
-      return 'pause';
+      return 'read-around';
     }
     if (request.queryStatus === undefined && !request.serversCheckKeys) {
       return settleUnknown();
