End generations whose host is gone in the scheduler's book of engines

What callers saw: streams were refused with 503 "overloaded" by a region whose engines were idle, from a fault on and without an end.

Cause: a generation is placed on an engine in the scheduler's book and ends there when its host says so. A host that is killed says nothing, and one whose scheduler changed says so to the new one. Such a generation stayed for ever; without a first token it counts as overdue, by all the time since, so that the engine was the worst of all: 15.8 s were expected of an engine that answered at once. Class: state kept for another process without a bound; the request ledger beside it had both bounds, the book of engines none.

Evidence: requestDelayed of host-1, answerMs grows by one second a second from 1.2 to 17.5 s with no request open; host-2 was killed and host-1 paused before.

Change: a placement carries the deadline of its request and ends with it; it ends with the link of its host, and with the duty of the scheduler.

Before: the two new tests of the book and the one of the scheduler red (each part switched off alone: red).

Looked for elsewhere: stage results and batches are bounded by their handles and the links of their hosts.

--- a/packages/decide/src/scheduling/createEngineBook.load.test.ts
+++ b/packages/decide/src/scheduling/createEngineBook.load.test.ts
@@ -39,6 +39,7 @@
     promptTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
     resultBytes: new Map(),
     avoidServers: [],
+    deadlineAtMs: Infinity,
   };
 };
 
--- a/packages/decide/src/scheduling/createEngineBook.test.ts
+++ b/packages/decide/src/scheduling/createEngineBook.test.ts
@@ -20,6 +20,7 @@
   promptTokens: 9_200,
   resultBytes: new Map(),
   avoidServers: [],
+  deadlineAtMs: 60_000,
   ...changes,
 });
 
@@ -100,3 +101,24 @@
   book.note({ type: 'ended', requestId: 'a' }, 330);
   assert.notEqual(book.choose(createNeed('b'), 340)?.serverId, slow.serverId);
 });
+
+test('a generation whose end was never told holds its engine until its deadline only', () => {
+  const book = createBook();
+  const need = createNeed('a', { deadlineAtMs: 3_000 });
+  const lost = send(book, need, 0);
+  const others = ENGINES.map(({ serverId }) => serverId).filter((serverId) => serverId !== lost.serverId);
+  const later = (nowMs: number) => book.choose(createNeed('b', { avoidServers: others }), nowMs);
+  assert.ok((later(2_999)?.firstTokenMs ?? 0) > 1_000);
+  const expectedMs = createBook().choose(createNeed('b'), 0)?.firstTokenMs ?? 0;
+  assert.ok((later(3_001)?.firstTokenMs ?? Infinity) <= expectedMs);
+});
+
+test('a scheduler that begins again forgets what was placed, and keeps what engines hold', () => {
+  const book = createBook();
+  const first = send(book, createNeed('a'), 0);
+  book.forgetPlaced();
+  const next = book.choose(createNeed('b'), 30_000);
+  assert.equal(next?.serverId, first.serverId);
+  assert.equal(next?.missingTokens, 2_900);
+  assert.ok((next?.firstTokenMs ?? Infinity) < 1_000);
+});
--- a/packages/decide/src/scheduling/createEngineBook.ts
+++ b/packages/decide/src/scheduling/createEngineBook.ts
@@ -21,6 +21,8 @@
   /** Bytes of stage results by the failure domain that holds them. */
   readonly resultBytes: ReadonlyMap<string, number>;
   readonly avoidServers: readonly string[];
+  /** Monotonic time after which nobody waits for it. */
+  readonly deadlineAtMs: number;
 }
 
 /** An engine chosen for a generation. */
@@ -49,10 +51,13 @@
   /** The generation is sent there. */
   place(need: GenerationNeed, choice: EngineChoice, nowMs: number): void;
   note(event: EngineEvent, nowMs: number): void;
+  /** Forgets every generation that is placed. */
+  forgetPlaced(): void;
 }
 
 interface Placed {
   readonly engine: EngineState;
+  readonly deadlineAtMs: number;
   readonly missingTokens: number;
   readonly placedAtMs: number;
   /** Tokens that were to be read before and with this prompt. */
@@ -112,6 +117,9 @@
 
   private tokensPerMs = FIRST_RATE;
 
+  /** No generation that is placed has an earlier deadline. */
+  private nextDeadlineAtMs = Infinity;
+
   setEngines(engines: readonly EngineDescription[]): void {
     const listed = new Map(engines.map((engine) => [engine.serverId, engine]));
     this.engines.forEach(({ description }, serverId) => {
@@ -137,6 +145,7 @@
   }
 
   choose(need: GenerationNeed, nowMs: number): EngineChoice | undefined {
+    this.expire(nowMs);
     const all = [...this.engines.values()];
     const rested = all.filter(({ restsUntilMs }) => restsUntilMs <= nowMs);
     const usable = rested.length > 0 ? rested : all;
@@ -157,6 +166,7 @@
     const { missingTokens } = choice;
     const placed = {
       engine,
+      deadlineAtMs: need.deadlineAtMs,
       missingTokens,
       placedAtMs: nowMs,
       queuedTokens: this.queuedTokens(engine, nowMs) + missingTokens,
@@ -164,6 +174,7 @@
     };
     this.end(need.requestId);
     this.placed.set(need.requestId, placed);
+    this.nextDeadlineAtMs = Math.min(this.nextDeadlineAtMs, need.deadlineAtMs);
     engine.placed.set(need.requestId, placed);
     engine.cache.use(need.parts);
   }
@@ -193,6 +204,23 @@
     }
   }
 
+  forgetPlaced(): void {
+    [...this.placed.keys()].forEach((requestId) => this.end(requestId));
+  }
+
+  /** Ends generations past their deadlines: the host that was to tell their end may be gone. */
+  private expire(nowMs: number): void {
+    if (nowMs <= this.nextDeadlineAtMs) {
+      return;
+    }
+    const overdue = [...this.placed].filter(([, { deadlineAtMs }]) => deadlineAtMs < nowMs);
+    overdue.forEach(([requestId]) => this.end(requestId));
+    this.nextDeadlineAtMs = [...this.placed.values()].reduce(
+      (earliest, { deadlineAtMs }) => Math.min(earliest, deadlineAtMs),
+      Infinity,
+    );
+  }
+
   private rate(
     engine: EngineState,
     need: GenerationNeed,
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -100,13 +100,15 @@
     if (generation === undefined) {
       return Promise.resolve({});
     }
-    const { requestId } = this.request;
-    const { directory, stageFormat } = this.ports;
+    const { requestId, deadlineAtMs } = this.request;
+    const { clock, directory, stageFormat } = this.ports;
     const findDomain = (result: string) => directory.findAt(stageFormat.readMaker(result))?.failureDomain;
     const resultBytes = Object.fromEntries(sumBytesByDomain(results.listLast(), findDomain));
     // The scheduler does not hear what servers tell this host.
     const avoided = [...avoidServers, ...directory.listShunned(this.pool)];
-    return this.ports.scheduler.place(this.region, { ...generation, requestId, resultBytes, avoidServers: avoided });
+    const deadlineInMs = deadlineAtMs - clock.monotonicMs();
+    const facts = { requestId, deadlineInMs, resultBytes, avoidServers: avoided };
+    return this.ports.scheduler.place(this.region, { ...generation, ...facts });
   }
 
   noteFirstToken(slowness: number | undefined): void {
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -4,17 +4,19 @@
 import SAMPLE_BATCH from '../testing/sampleBatch.js';
 import createRegionScheduler, { type RegionSchedulerOptions } from './createRegionScheduler.js';
 import createTestPeer from '../testing/createTestPeer.js';
-import { ENTER, NOTE, type EnterAnswer, type EnterRequest } from './messages.js';
+import { ENTER, NOTE, PLACE, type EnterAnswer, type EnterRequest, type PlaceAnswer } from './messages.js';
 
-/** A region with one stage server. */
-const createWorld = () => {
+/** A region with one server, for stages and generations. */
+const createWorld = (clock = createManualClock()) => {
   const server = { serverId: 's', pool: 'p', region: 'r', failureDomain: 'd', state: 'live', startedAtMs: 0 };
   const options = {
-    clock: createManualClock(),
+    clock,
     logger: { event: () => undefined },
     links: {},
-    directory: { list: () => [server], onChange: () => undefined },
-    tables: { current: () => ({ pools: new Map([['p', { batch: SAMPLE_BATCH }]]) }) },
+    directory: { list: () => [server], listNear: () => [server], onChange: () => undefined },
+    tables: {
+      current: () => ({ pools: new Map([['p', { batch: SAMPLE_BATCH, engine: { capacityTokens: 100_000 } }]]) }),
+    },
     region: 'r',
   } as unknown as RegionSchedulerOptions;
   return createRegionScheduler(options);
@@ -45,3 +47,24 @@
   assert.equal(scheduler.openVisits, 0);
   assert.equal(enter('later'), 'admitted');
 });
+
+test('generations of a host whose link ended do not hold an engine, nor those that a scheduler has before it begins again', () => {
+  const clock = createManualClock();
+  const scheduler = createWorld(clock);
+  const generation = { pool: 'p', parts: [], promptTokens: 3_000 };
+  const place = (requestId: string, peer = createTestPeer().peer): number => {
+    const facts = { ...generation, requestId, deadlineInMs: 60_000, resultBytes: {}, avoidServers: [] };
+    return (scheduler.methods[PLACE]?.(facts, peer) as PlaceAnswer).firstTokenMs ?? Infinity;
+  };
+  const { peer, drop } = createTestPeer();
+  const idleMs = place('lost', peer);
+  clock.advance(20_000);
+  assert.ok(place('waits') > 2 * idleMs);
+  drop();
+  scheduler.review(false);
+  clock.advance(20_000);
+  assert.equal(place('later', peer), idleMs);
+  drop();
+  clock.advance(20_000);
+  assert.equal(place('last'), idleMs);
+});
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -70,6 +70,8 @@
 
 /** Open requests that are remembered for one host; older ones have passed their deadlines. */
 const MAX_VISITS = 5_000;
+/** Deadline of generations whose host tells none. */
+const UNTOLD_DEADLINE_MS = 60_000;
 /** Interval of the reports to other regions while requests come. */
 const REPORT_MS = 250;
 /** Reports are sent for this time after the last request. */
@@ -104,6 +106,12 @@
     onGone: (requests) => requests.forEach((_, requestId) => this.ledger.remove(requestId)),
   });
 
+  /** Pools of the generations of other hosts that are placed; the end of one is not told when its host is lost. */
+  private readonly placements = createPeerBook<string>({
+    maxEntries: MAX_VISITS,
+    onGone: (pools) => pools.forEach((pool, requestId) => this.endPlacement(pool, requestId)),
+  });
+
   private enteredAtMs = -Infinity;
 
   private timer: Timer | undefined;
@@ -125,11 +133,16 @@
         }
         return answer;
       },
-      [PLACE]: (params) => this.place(params as PlaceRequest),
+      [PLACE]: (params, peer) => {
+        const request = params as PlaceRequest;
+        this.placements.set(peer, request.requestId, request.pool);
+        return this.place(request);
+      },
       [NOTE]: (params, peer) => {
         const note = params as RequestNote;
         if (note.type === 'left') {
           this.visits.delete(peer, note.requestId);
+          this.placements.delete(peer, note.requestId);
         }
         this.note(note);
         return true;
@@ -206,6 +219,7 @@
       promptTokens: request.promptTokens,
       resultBytes: new Map(Object.entries(request.resultBytes)),
       avoidServers: request.avoidServers,
+      deadlineAtMs: nowMs + (request.deadlineInMs ?? UNTOLD_DEADLINE_MS),
     };
     const choice = book.choose(need, nowMs);
     if (choice === undefined) {
@@ -241,6 +255,7 @@
   review(isScheduler: boolean): void {
     if (!isScheduler) {
       this.ledger.clear();
+      this.engines.forEach((book) => book.forgetPlaced());
     }
   }
 
@@ -275,10 +290,15 @@
     if (generation === undefined) {
       return undefined;
     }
-    const need = { requestId, ...generation, resultBytes: new Map<string, number>(), avoidServers: [] };
+    const nothing = { resultBytes: new Map<string, number>(), avoidServers: [] };
+    const need = { requestId, ...generation, ...nothing, deadlineAtMs: nowMs + request.deadlineInMs };
     return this.findBook(generation.pool).choose(need, nowMs);
   }
 
+  private endPlacement(pool: string, requestId: string): void {
+    this.engines.get(pool)?.note({ type: 'ended', requestId }, this.options.clock.monotonicMs());
+  }
+
   private findBook(pool: string): EngineBook {
     const known = this.engines.get(pool);
     if (known !== undefined) {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -66,6 +66,8 @@
 /** Asks for an engine. */
 export interface PlaceRequest extends GenerationRequest {
   readonly requestId: string;
+  /** Time to the deadline; hosts of an earlier version do not tell it. */
+  readonly deadlineInMs?: number;
   /** Bytes of stage results by the failure domain that holds them. */
   readonly resultBytes: Readonly<Record<string, number>>;
   readonly avoidServers: readonly string[];
