Say why a process ended before it was ready, so that a world draws another port

A world draws another port when a start fails with EADDRINUSE, but the error of a host in a process of its own did not have the text, so it never did.

Change: the error has the end of what the process wrote to its error output.

Before: the new test, a daemon on a taken port, red ("ended with code 1 before it was ready" only).

--- a/packages/bench/src/deployment/daemon.test.ts
+++ b/packages/bench/src/deployment/daemon.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, test } from 'node:test';
@@ -109,6 +109,16 @@
   assert.ok(performance.now() - startedAtMs < BALANCER_LAG_MS / 2);
 });
 
+test('a daemon whose port was taken in between says so, so that a world draws another port', async () => {
+  const [store] = platform;
+  const file = path.join(directory, 'taken.json');
+  writeSettings(file, [OLD_KEY]);
+  const settings = JSON.parse(readFileSync(file, 'utf8')) as object;
+  writeFileSync(file, JSON.stringify({ ...settings, callers: { port: store?.ready.port } }));
+  const start = startProcess('taken', [builtScript('entry', 'main.js'), '--settings', file]);
+  await assert.rejects(start, /EADDRINUSE/);
+});
+
 test('wrong settings end the daemon with code 2 before it listens, so that no half-configured host serves', async () => {
   const file = path.join(directory, 'wrong.json');
   writeFileSync(file, JSON.stringify({ host: { id: 'entry-0' } }));
--- a/packages/bench/src/deployment/startProcess.ts
+++ b/packages/bench/src/deployment/startProcess.ts
@@ -1,5 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
+import followStderr from './followStderr.js';
 
 /** A process that the bench started. */
 export interface BenchProcess {
@@ -14,7 +15,6 @@
 }
 
 const READY_TIMEOUT_MS = 15_000;
-
 const running = new Set<ChildProcess>();
 
 // A bench that ends in the middle of a run must not leave processes behind, least of all paused ones.
@@ -26,11 +26,12 @@
  * @param name - name in messages
  * @param args - script and arguments
  * @returns the process
- * @throws Error when the process ends or stays silent
+ * @throws Error when the process ends or stays silent; its message has what the process wrote last
  */
 export default function startProcess(name: string, args: readonly string[]): Promise<BenchProcess> {
-  const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
   running.add(child);
+  const readStderr = followStderr(child);
   const exited = new Promise<number | null>((resolve) => {
     child.on('exit', (code) => {
       running.delete(child);
@@ -51,9 +52,10 @@
       clearTimeout(timer);
       resolve({ name, pid: child.pid ?? 0, ready, exited, signal: (signal) => child.kill(signal) });
     });
-    exited.then((code) => {
+    // 'close' follows 'exit' once the error output has been read to its end.
+    child.on('close', (code) => {
       clearTimeout(timer);
-      reject(new Error(`${name} ended with code ${code} before it was ready`));
+      reject(new Error(`${name} ended with code ${code} before it was ready\n${readStderr()}`.trim()));
     });
   });
 }
--- a/packages/bench/src/faults/startCellWorker.ts
+++ b/packages/bench/src/faults/startCellWorker.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { fork, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
+import followStderr from '../deployment/followStderr.js';
 import type { MatrixRun, WorkerMessage } from './workerMessages.js';
 
 /** Result of one cell, as a worker reports it. */
@@ -18,19 +19,6 @@
 const CELL_TIMEOUT_MS = 30_000;
 const READY_TIMEOUT_MS = 60_000;
 
-/** Length of the end of the error output that is kept, in characters; a stack trace is shorter. */
-const STDERR_TAIL_LENGTH = 4_000;
-
-/** Keeps the end of what a worker writes to its error output, and passes everything on. */
-const followStderr = (child: ChildProcess): (() => string) => {
-  let tail = '';
-  child.stderr?.setEncoding('utf8').on('data', (text: string) => {
-    tail = `${tail}${text}`.slice(-STDERR_TAIL_LENGTH);
-    process.stderr.write(text);
-  });
-  return () => tail.trim();
-};
-
 /** Waits for the next message; rejects when the process ends or the limit passes. */
 const waitForMessage = async (
   child: ChildProcess,
