--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -144,7 +144,12 @@
   },
   {
     name: 'project/entry-points',
-    files: ['packages/*/src/main.ts', 'platform/src/main.ts', 'packages/ctl/src/**/*.ts', 'packages/bench/src/**/*.ts'],
+    files: [
+      'packages/*/src/main.ts',
+      'platform/src/*main.ts',
+      'packages/ctl/src/**/*.ts',
+      'packages/bench/src/**/*.ts',
+    ],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off' },
   },
   ...layerRules,
