--- a/packages/entry/src/claims/createOutcomeWait.test.ts
+++ b/packages/entry/src/claims/createOutcomeWait.test.ts
@@ -34,30 +34,35 @@
   return watched;
 };
 
-/** Two hosts; the second cannot reach the first, which runs a claimed call. */
-const start = async () => {
-  const { clock, logs } = startLogHosts(createMemoryStore().client, {
-    hosts: 2,
-    limits: {},
-    gate: () => Promise.resolve('answered'),
-  });
+/** Two hosts; the second cannot ask the first, which holds a claim. */
+const startHosts = (callClaimant: (clock: ManualClock) => PeerClient['call'], gate: () => PeerFate) => {
+  const store = createMemoryStore().client;
+  const { clock, logs } = startLogHosts(store, { hosts: 2, limits: {}, gate: () => Promise.resolve(gate()) });
   const [claimant, other] = logs;
   assert.ok(claimant !== undefined && other !== undefined);
-  const unreachable: PeerClient = { call: () => Promise.reject(new TransportError('not-connected', 'cut off')) };
   const host = { hostId: 'h0', address: '10.0.0.1', peersPort: 0, failureDomain: 'a', region: 'r' };
   const wait = createOutcomeWait({
     clock,
     logs: other,
     open: createOpenClaims(clock, other),
-    peers: unreachable,
+    peers: { call: callClaimant(clock) },
     directory: { liveHosts: () => [host] },
     processId: 'h1/p',
   });
   const finish = <Result>(promise: Promise<Result>): Promise<Result> => finishOn(clock, promise);
-  const first = makeRequest('c1', true);
-  const granted = claimant.submit(formatClaim(first, { processId: 'h0/p', wallMs: clock.wallMs() }), 1_000);
-  assert.deepEqual(await finish(granted), { type: 'done' });
-  return { clock, claimant, wait, finish };
+  const claim = (request: ClaimRequest) =>
+    finish(claimant.submit(formatClaim(request, { processId: 'h0/p', wallMs: clock.wallMs() }), 1_000));
+  return { clock, claimant, other, wait, finish, claim };
+};
+
+/** The first host runs a claimed call, and refuses the second one's connections. */
+const start = async () => {
+  const hosts = startHosts(
+    () => () => Promise.reject(new TransportError('not-connected', 'cut off')),
+    () => 'answered',
+  );
+  assert.deepEqual(await hosts.claim(makeRequest('c1', true)), { type: 'done' });
+  return hosts;
 };
 
 test('the answer of a host that was only unreachable reaches resends after ran was recorded for it', async () => {
@@ -90,40 +95,24 @@
 });
 
 test('an outcome in the log is found within a second when its host falls silent, whoever owns the shard', async () => {
+  const stayAway =
+    (clock: ManualClock): PeerClient['call'] =>
+    (_target, _method, _params, { timeoutMs = 1_000 }) =>
+      new Promise((_resolve, reject) => {
+        clock.schedule(timeoutMs, () => reject(new TransportError('aborted', 'no reply in time')));
+      });
   const findOutcome = async (idempotencyKey: string): Promise<number> => {
-    const net: { fate: PeerFate } = { fate: 'answered' };
-    const { clock, logs } = startLogHosts(createMemoryStore().client, {
-      hosts: 2,
-      limits: {},
-      gate: () => Promise.resolve(net.fate),
-    });
-    const [claimant, other] = logs;
-    assert.ok(claimant !== undefined && other !== undefined);
-    const silent: PeerClient = {
-      call: (_target, _method, _params, { timeoutMs = 1_000 }) =>
-        new Promise((_resolve, reject) => {
-          clock.schedule(timeoutMs, () => reject(new TransportError('aborted', 'no reply in time')));
-        }),
-    };
-    const host = { hostId: 'h0', address: '10.0.0.1', peersPort: 0, failureDomain: 'a', region: 'r' };
-    const wait = createOutcomeWait({
-      clock,
-      logs: other,
-      open: createOpenClaims(clock, other),
-      peers: silent,
-      directory: { liveHosts: () => [host] },
-      processId: 'h1/p',
-    });
+    let fate: PeerFate = 'answered';
+    const { clock, claimant, other, wait, finish, claim } = startHosts(stayAway, () => fate);
     const { queryStatus, ...first } = { ...makeRequest('c1', true), idempotencyKey };
-    const op = formatClaim(first, { processId: 'h0/p', wallMs: clock.wallMs() });
-    await finishOn(clock, claimant.submit(op, 1_000));
+    await claim(first);
     const waiting = wait({ ...first, requestId: 'c2', deadlineAtMs: clock.monotonicMs() + 2_000 });
-    await finishOn(clock, other.read(hashKey(first), { refresh: false, limitMs: 100 }));
+    await finish(other.read(hashKey(first), { refresh: false, limitMs: 100 }));
     const answer = { type: 'answered' as const, answer: '1' };
-    await finishOn(clock, claimant.persist(formatOutcome(hashKey(first), 'c1', answer, clock.wallMs())));
-    net.fate = 'reply-lost';
+    await finish(claimant.persist(formatOutcome(hashKey(first), 'c1', answer, clock.wallMs())));
+    fate = 'reply-lost';
     const cutAtMs = clock.monotonicMs();
-    const settled = await finishOn(clock, waiting);
+    const settled = await finish(waiting);
     assert.equal(settled.type === 'settled' && settled.result.type, 'answered');
     return clock.monotonicMs() - cutAtMs;
   };
--- a/packages/gateway/src/observe/describeStatus.ts
+++ b/packages/gateway/src/observe/describeStatus.ts
@@ -1,17 +1,9 @@
+import type { HostStatus } from '@bergamotcove/protocol';
 import type { StorePosition } from '../catalogue/comparePositions.js';
 import type { HostEntry } from '../hosts/createHostRegistry.js';
 
-/** What a gateway tells an operator of itself. */
-export interface GatewayStatus {
-  readonly hostId: string;
-  readonly failureDomain: string;
-  readonly region: string;
-  readonly ready: boolean;
-  readonly draining: boolean;
-  readonly inFlight: number;
-  readonly entryHosts: readonly string[];
-  /** The route table counts as one service. */
-  readonly services: readonly { readonly service: string; readonly version: number }[];
+/** What a gateway tells an operator of itself; the route table counts as one service. */
+export interface GatewayStatus extends HostStatus {
   /** Latest position of the store that it knows. */
   readonly store: StorePosition;
 }
