--- a/packages/decide/src/poison/_lib/ProcessTable.ts
+++ b/packages/decide/src/poison/_lib/ProcessTable.ts
@@ -1,5 +1,5 @@
 import { MAX_TRACKED_PROCESSES } from '../constants.js';
-import type { ServerProcess } from '../createCrashDetector.js';
+import type { ServerProcess } from '../processTypes.js';
 import { createRecord, type Attempt, type ProcessRecord } from './processRecord.js';
 
 const formatKey = ({ serverId, startId }: ServerProcess): string => `${serverId} ${startId}`;
--- a/packages/decide/src/poison/_lib/processRecord.ts
+++ b/packages/decide/src/poison/_lib/processRecord.ts
@@ -1,5 +1,5 @@
 import { LAST_ANSWERS_WINDOW_MS, LOSS_WINDOW_MS } from '../constants.js';
-import type { LossKind, ProcessCrash, ProcessEnd, RunningAttempt, ServerProcess } from '../createCrashDetector.js';
+import type { LossKind, ProcessCrash, ProcessEnd, RunningAttempt, ServerProcess } from '../processTypes.js';
 
 /** An attempt that lost its server. */
 export interface Loss {
--- a/packages/decide/src/poison/createCrashDetector.test.ts
+++ b/packages/decide/src/poison/createCrashDetector.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { STALE_LIST_LOSS_WINDOW_MS, LAST_ANSWERS_WINDOW_MS, LOSS_WINDOW_MS } from './constants.js';
-import createCrashDetector, { type CrashDetector, type ProcessEnd, type ServerProcess } from './createCrashDetector.js';
+import createCrashDetector, { type CrashDetector } from './createCrashDetector.js';
+import type { ProcessEnd, ServerProcess } from './processTypes.js';
 
 const PROCESS: ServerProcess = { serverId: 's1', startId: '1' };
 
--- a/packages/decide/src/poison/index.ts
+++ b/packages/decide/src/poison/index.ts
@@ -1,5 +1,6 @@
 /** Detection and blocking of poison requests, which crash the servers that run them. */
 export * from './constants.js';
+export * from './processTypes.js';
 export * from './types.js';
 export { default as advancePoison } from './advancePoison.js';
 export { default as countCrashes } from './countCrashes.js';
