Name the parts of the prompts in reports and log lines of crashes

Reports between hosts have two more fields, which earlier hosts ignore. Nothing is decided on them yet.

--- a/packages/decide/src/poison/_lib/processRecord.ts
+++ b/packages/decide/src/poison/_lib/processRecord.ts
@@ -1,5 +1,12 @@
-import { LAST_ANSWERS_WINDOW_MS, LOSS_WINDOW_MS } from '../constants.js';
-import type { LossKind, ProcessCrash, ProcessEnd, RunningAttempt, ServerProcess } from '../processTypes.js';
+import { LAST_ANSWERS_WINDOW_MS, LOSS_WINDOW_MS, MIN_SURVIVAL_MS } from '../constants.js';
+import type {
+  CrashedPrompt,
+  LossKind,
+  ProcessCrash,
+  ProcessEnd,
+  RunningAttempt,
+  ServerProcess,
+} from '../processTypes.js';
 
 /** An attempt that lost its server. */
 export interface Loss {
@@ -21,6 +28,8 @@
 interface Suspect {
   readonly attempt: Attempt;
   readonly isDoubtful: boolean;
+  /** Whether the request ended before the attempt. */
+  readonly isAbandoned: boolean;
 }
 
 /** State of one tracked process. */
@@ -40,11 +49,14 @@
   readonly record: ProcessRecord;
   /** Whether the server has begun to answer. */
   answering: boolean;
+  /** Monotonic time of the first output; undefined before it. */
+  outputAtMs: number | undefined;
 }
 
-export const createRecord = ({ serverId, startId }: ServerProcess, unlistedStarts: number): ProcessRecord => ({
+export const createRecord = ({ serverId, startId, pool }: ServerProcess, unlistedStarts: number): ProcessRecord => ({
   serverId,
   startId,
+  pool,
   unlistedStarts,
   running: new Set(),
   losses: [],
@@ -63,23 +75,34 @@
 export const toSuspect = ({ attempt, kind, answeredSince }: Omit<Loss, 'atMs' | 'windowMs'>): Suspect => ({
   attempt,
   isDoubtful: attempt.answering || kind !== 'reset' || answeredSince,
+  isAbandoned: kind === 'abandoned',
 });
 
+/** Prompts that may have caused the crash: the server did not survive their first output for long. */
+const listPrompts = (attempts: readonly Attempt[], crashedAtMs: number): readonly CrashedPrompt[] =>
+  attempts
+    .filter(({ parts, outputAtMs = Infinity }) => parts.length > 0 && crashedAtMs - outputAtMs < MIN_SURVIVAL_MS)
+    .flatMap(({ fingerprints, parts }) => fingerprints.map((fingerprint) => ({ fingerprint, parts })));
+
 export const describeCrash = (
-  { serverId, startId, unlistedStarts, crashedAtMs = 0 }: ProcessRecord,
+  { serverId, startId, pool, unlistedStarts, crashedAtMs = 0 }: ProcessRecord,
   suspects: readonly Suspect[],
   answered: readonly Attempt[] = [],
 ): ProcessCrash => {
   const listOf = (chosen: readonly Suspect[]): readonly string[] =>
     listFingerprints(chosen.map(({ attempt }) => attempt));
   const undoubted = new Set(listOf(suspects.filter(({ isDoubtful }) => !isDoubtful)));
+  const unended = suspects.filter(({ isAbandoned }) => !isAbandoned).map(({ attempt }) => attempt);
+  const prompts = listPrompts([...unended, ...answered], crashedAtMs);
   return {
     serverId,
     startId: unlistedStarts === 0 ? startId : `${startId}+${unlistedStarts}`,
+    ...(pool === undefined ? {} : { pool }),
     atMs: crashedAtMs,
     fingerprints: listOf(suspects),
     doubtful: listOf(suspects).filter((fingerprint) => !undoubted.has(fingerprint)),
     answered: listFingerprints(answered),
+    ...(prompts.length === 0 ? {} : { prompts }),
   };
 };
 
--- a/packages/decide/src/poison/createCrashDetector.ts
+++ b/packages/decide/src/poison/createCrashDetector.ts
@@ -17,9 +17,11 @@
  */
 export interface CrashDetector {
   /** Starts to track an attempt that is sent to a process. */
-  begin(process: ServerProcess, fingerprints: readonly string[]): RunningAttempt;
+  begin(process: ServerProcess, fingerprints: readonly string[], parts?: readonly string[]): RunningAttempt;
   /** Records that the server has begun to answer an attempt. */
   noteAnswering(attempt: RunningAttempt): void;
+  /** Records the first output of a server for an attempt. A server that survives it was not crashed by the prompt. */
+  noteOutput(attempt: RunningAttempt, nowMs: number): void;
   /**
    * Records the complete answer of an attempt. Another process may have taken the server's id by then, so that an
    * answer does not disprove an earlier loss.
@@ -48,20 +50,27 @@
   attempt.answering = true;
 };
 
+const markOutput = (running: RunningAttempt, nowMs: number): void => {
+  const attempt = running as Attempt;
+  attempt.outputAtMs ??= nowMs;
+};
+
 class AttemptTracker implements CrashDetector {
   private readonly processes = new ProcessTable();
 
   constructor(private readonly options: CrashDetectorOptions) {}
 
-  begin(process: ServerProcess, fingerprints: readonly string[]): RunningAttempt {
+  begin(process: ServerProcess, fingerprints: readonly string[], parts: readonly string[] = []): RunningAttempt {
     const record = this.processes.getOrCreate(process);
-    const attempt: Attempt = { record, fingerprints, answering: false };
+    const attempt: Attempt = { record, fingerprints, parts, answering: false, outputAtMs: undefined };
     record.running.add(attempt);
     return attempt;
   }
 
   readonly noteAnswering = markAnswering;
 
+  readonly noteOutput = markOutput;
+
   noteAnswered(running: RunningAttempt, nowMs: number): void {
     const attempt = running as Attempt;
     const { record } = attempt;
--- a/packages/decide/src/poison/processTypes.ts
+++ b/packages/decide/src/poison/processTypes.ts
@@ -3,6 +3,8 @@
   readonly serverId: string;
   /** Identifies the process of a server that keeps its id across restarts. */
   readonly startId: string;
+  /** Pool of the server; undefined when it is not known. */
+  readonly pool?: string | undefined;
 }
 
 /** How an attempt lost its server. */
@@ -27,6 +29,16 @@
 export interface RunningAttempt {
   /** Fingerprints of its requests; one call to a stage server can hold pieces of several requests. */
   readonly fingerprints: readonly string[];
+  /** Keys of the parts of its prompt that other requests may share; empty for an attempt without a prompt. */
+  readonly parts: readonly string[];
+}
+
+/** A prompt on a server that crashed before it had produced output for the prompt for some time. */
+export interface CrashedPrompt {
+  /** Fingerprint of the request. */
+  readonly fingerprint: string;
+  /** Keys of the parts that other requests may share. */
+  readonly parts: readonly string[];
 }
 
 /** Crash of a server process, with the requests that may have caused it. */
@@ -39,4 +51,6 @@
   readonly doubtful: readonly string[];
   /** Fingerprints of the requests that it answered last; one of them may still have caused the crash. */
   readonly answered: readonly string[];
+  /** Prompts of those requests, without the ones that are known to be harmless; undefined when there are none. */
+  readonly prompts?: readonly CrashedPrompt[];
 }
--- a/packages/gateway/src/crashes/createAttemptWatcher.ts
+++ b/packages/gateway/src/crashes/createAttemptWatcher.ts
@@ -35,6 +35,8 @@
 export interface AttemptWatch {
   /** Records that the server has begun to answer. */
   noteAnswering(): void;
+  /** Records that the server has produced output: an event of a stream, or a whole answer. */
+  noteOutput(): void;
   /** Records the end of the attempt; resolves when it is known whether its request may be sent again. */
   end(ending: AttemptEnding): Promise<void>;
 }
@@ -42,7 +44,7 @@
 /** Watches the attempts of this host for crashes of their servers. */
 export interface AttemptWatcher {
   /** Watches an attempt that sends requests to a server: one request, or those whose pieces a call contains. */
-  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
+  watch(server: KnownServer, fingerprints: readonly string[], parts?: readonly string[]): AttemptWatch;
   /** Counts the successful runs of a request since a monotonic time. */
   countRuns(fingerprint: string, sinceMs: number): number;
 }
@@ -71,14 +73,13 @@
     });
   }
 
-  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch {
+  watch(server: KnownServer, fingerprints: readonly string[], parts: readonly string[] = []): AttemptWatch {
     const { crashDetector } = this;
-    const attempt = crashDetector.begin(
-      { serverId: server.serverId, startId: String(server.startedAtMs) },
-      fingerprints,
-    );
+    const { serverId, startedAtMs, pool } = server;
+    const attempt = crashDetector.begin({ serverId, startId: String(startedAtMs), pool }, fingerprints, parts);
     return {
       noteAnswering: () => crashDetector.noteAnswering(attempt),
+      noteOutput: () => crashDetector.noteOutput(attempt, this.options.clock.monotonicMs()),
       end: (ending) => this.end(server, attempt, ending),
     };
   }
@@ -93,6 +94,7 @@
     switch (ending) {
       case 'succeeded':
         attempt.fingerprints.forEach((fingerprint) => this.history.note(fingerprint, server.serverId, nowMs));
+        crashDetector.noteOutput(attempt, nowMs);
         crashDetector.noteAnswered(attempt, nowMs);
         break;
       case 'answered':
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -34,8 +34,11 @@
   onAnyBlocked(run: (fingerprint: string) => void): void;
   /** Whether several servers crashed while they ran the request, without proof that it caused the crashes. */
   isSuspect(fingerprint: string): boolean;
-  /** Watches an attempt that sends requests to a server: one request, or those whose pieces a call contains. */
-  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch;
+  /**
+   * Watches an attempt that sends requests to a server: one request with the shared parts of its prompt, or those whose
+   * pieces a call contains.
+   */
+  watch(server: KnownServer, fingerprints: readonly string[], parts?: readonly string[]): AttemptWatch;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   /** Consumer of the blocks in the store. */
   readonly storedBlocks: StoredBlocks;
@@ -156,8 +159,8 @@
     return this.countCrashes(fingerprint) >= SUSPECT_CRASHES;
   }
 
-  watch(server: KnownServer, fingerprints: readonly string[]): AttemptWatch {
-    return this.attempts.watch(server, fingerprints);
+  watch(server: KnownServer, fingerprints: readonly string[], parts: readonly string[] = []): AttemptWatch {
+    return this.attempts.watch(server, fingerprints, parts);
   }
 
   /** Applies a crash that this host has observed, and reports it to the collectors. */
@@ -170,7 +173,9 @@
   /** Records a crash; resolves when the suspects that follow from it are evaluated. */
   private async applyReport(report: CrashReport, source: 'own' | 'peer'): Promise<void> {
     const { clock, logger } = this.options;
-    logger.event('serverCrashNoted', { ...report, source });
+    const { prompts = [], ...facts } = report;
+    const loggedPrompts = prompts.map(({ fingerprint, parts }) => [fingerprint, ...parts].join(' '));
+    logger.event('serverCrashNoted', { ...facts, prompts: loggedPrompts, source });
     const { state, suspects } = noteCrash(this.state, { type: 'crash', ...report }, clock.monotonicMs());
     this.state = state;
     const unblocked = suspects.filter(({ fingerprint }) => this.readBlockMs(fingerprint) === undefined);
--- a/packages/gateway/src/crashes/messages.ts
+++ b/packages/gateway/src/crashes/messages.ts
@@ -1,3 +1,5 @@
+import type { CrashedPrompt } from '@bergamotcove/decide';
+
 /** Method that reports a crash to a collector. */
 export const REPORT_CRASH = 'crashes.report';
 /** Method that announces a blocked request to a host. */
@@ -19,6 +21,10 @@
   readonly doubtful: readonly string[];
   /** Requests that the server answered last; undefined from hosts of earlier versions. */
   readonly answered?: readonly string[];
+  /** Pool of the server; undefined from hosts of earlier versions. */
+  readonly pool?: string;
+  /** Prompts on the server that may have caused the crash; undefined without any, and from earlier versions. */
+  readonly prompts?: readonly CrashedPrompt[];
 }
 
 /** Parameters of {@link COUNT_RUNS}. */
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -23,6 +23,13 @@
   readonly reservation: Reservation;
 }
 
+/** The attempt whose answer is read. */
+export interface ReadAttempt {
+  readonly idleTimeout: IdleTimeout;
+  /** Called when the server has produced output. */
+  readonly onOutput: () => void;
+}
+
 /** Dependencies of {@link AnswerReader}. */
 export interface ReaderPorts {
   readonly directory: BackendDirectory;
@@ -45,7 +52,7 @@
   ) {}
 
   /** Reads the answer to one attempt in full, or relays it when it is a stream. */
-  async read(server: ServerView, opened: OpenedAttempt, idleTimeout: IdleTimeout): Promise<AttemptResult> {
+  async read(server: ServerView, opened: OpenedAttempt, attempt: ReadAttempt): Promise<AttemptResult> {
     if (opened.type === 'failed') {
       const notRun = opened.failure.type === 'not-sent';
       if (opened.notice !== undefined) {
@@ -72,7 +79,7 @@
     this.run.record.noteFirstByte();
     this.run.reservation.noteFirstToken(facts.load?.slowness);
     if (this.run.request.route.kind === 'stream' && head.status < MIN_REDIRECT_STATUS) {
-      return this.relay(opened, idleTimeout);
+      return this.relay(opened, attempt);
     }
     const body = await readAnswerBody(response, this.ports.answerMemory);
     return body === undefined
@@ -82,7 +89,7 @@
 
   private async relay(
     { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
-    idleTimeout: IdleTimeout,
+    { idleTimeout, onOutput }: ReadAttempt,
   ): Promise<AttemptResult> {
     // The server fetches the results before it begins to generate.
     this.run.results.release();
@@ -97,6 +104,7 @@
     const end = await relayStream(response, this.run.exchange, {
       afterEventId: this.lastEventId,
       onEvents: (lastEventId) => {
+        onOutput();
         idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
         this.lastEventId = lastEventId ?? this.lastEventId;
       },
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -228,9 +228,9 @@
 
   private async sendAttempt(server: ServerView): Promise<AttemptResult> {
     const { pools, format, clock } = this.ports;
-    const { fingerprint } = this.request;
+    const { fingerprint, partKeys } = this.request;
     this.record.noteSend(server.serverId);
-    const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint }, this.ports);
+    const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
     const opened = await openAttempt(pools.clientOf(server.pool), format, {
       target: server,
@@ -250,7 +250,7 @@
     if (this.isAnswering) {
       tracked.noteAnswering();
     }
-    const result = await this.reader.read(server, opened, idleTimeout);
+    const result = await this.reader.read(server, opened, { idleTimeout, onOutput: tracked.noteOutput });
     idleTimeout.close();
     this.attemptInFlight = false;
     this.isAnswering = false;
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -13,6 +13,7 @@
 import readCallerBody from '../callers/readCallerBody.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import formatFingerprint from '../crashes/formatFingerprint.js';
+import listPartKeys from '../crashes/listPartKeys.js';
 import type { RequestFacts, RequestFormat } from '../ports.js';
 import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
@@ -135,6 +136,7 @@
     const forward: ForwardRequest = {
       requestId,
       fingerprint: formatFingerprint({ method, path, organisation: callerOrganisation?.name, body }),
+      partKeys: listPartKeys(facts.generation),
       method,
       path,
       headers: filterHeaders(request.rawHeaders, this.withheld),
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -5,7 +5,7 @@
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
-import type { AttemptResult } from './types.js';
+import type { AttemptResult, ForwardRequest } from './types.js';
 
 /** How an attempt ended, as recorded for its server. */
 export type TrackedEnd =
@@ -39,15 +39,16 @@
 }
 
 /** Work of an attempt, and the request that it is for. */
-export interface SentAttempt {
+export interface SentAttempt extends Pick<ForwardRequest, 'fingerprint' | 'partKeys'> {
   readonly tokens: number;
-  readonly fingerprint: string;
 }
 
 /** An attempt whose end is reported to the server directory and to the crash guard. */
 export interface TrackedAttempt {
   /** Call it when the server has begun to answer. */
   noteAnswering(): void;
+  /** Call it when the server has produced output. */
+  noteOutput(): void;
   /** Reports the end of the attempt. Resolves when it is known whether the server crashed. */
   end(end: TrackedEnd): Promise<void>;
 }
@@ -116,22 +117,23 @@
  * Records an attempt as outstanding work of its server until it ends.
  *
  * @param server - server that gets the attempt
- * @param attempt - work of the attempt and fingerprint of its request
+ * @param attempt - work of the attempt, and the keys of its request and prompt
  * @param ports - directory, queues and crash guard that are informed
  * @returns the attempt; call `end` exactly once
  */
 export default function trackAttempt(
   server: ServerView,
-  { tokens, fingerprint }: SentAttempt,
+  { tokens, fingerprint, partKeys }: SentAttempt,
   { clock, directory, queues, crashes }: TrackPorts,
 ): TrackedAttempt {
   const { serverId } = server;
   const startedAtMs = clock.monotonicMs();
   directory.note(serverId, { type: 'sent', tokens, long: false });
   const known = directory.find(serverId);
-  const watch = known === undefined ? undefined : crashes.watch(known, [fingerprint]);
+  const watch = known === undefined ? undefined : crashes.watch(known, [fingerprint], partKeys);
   return {
     noteAnswering: () => watch?.noteAnswering(),
+    noteOutput: () => watch?.noteOutput(),
     end: async (end) => {
       if (end === 'succeeded' || end === 'answered') {
         directory.note(serverId, { type: 'progress', tokens, elapsedMs: clock.monotonicMs() - startedAtMs });
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -33,6 +33,8 @@
   readonly requestId: string;
   /** Equal for identical requests, on every host. */
   readonly fingerprint: string;
+  /** Keys of the parts of its prompt that other requests may share; the same on every host. */
+  readonly partKeys: readonly string[];
   readonly method: string;
   readonly path: string;
   /** Headers to forward, as alternating names and values. */
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -38,7 +38,7 @@
   serverCrashNoted: {
     id: 2102,
     level: 'info',
-    text: 'A backend server ended while it ran requests; `source` says who saw it, `fingerprints` which requests.',
+    text: 'A backend server ended while it ran requests; `source` says who saw it, `fingerprints` which requests, `prompts` which parts of prompts.',
   },
   serverLossUnproved: {
     id: 2103,
