Block the parts of prompts that crash servers

Callers saw streams of sound requests break off again and again: requests with one part crashed server after server, each with up to 64 generations.

Cause: only whole requests were counted and blocked, and no two requests with the part are alike.

A part is now judged by the crashes it was in since a server last survived the first output for it, against the outputs and losses of all other prompts of the pool at the time. Output is counted on each host and asked for when a part was in crashes of two moments. A block of a part uses the paths of a block of a request: message, store, exchange, release. Crashes that a blocked part explains count against no request.

--- a/packages/decide/src/poison/_lib/mergeCrash.ts
+++ b/packages/decide/src/poison/_lib/mergeCrash.ts
@@ -40,6 +40,11 @@
     fingerprints: new Set([...(same?.fingerprints ?? []), ...event.fingerprints]),
     doubtful: mergeDoubtful([same ?? {}, event]),
     answered: new Set([...(same?.answered ?? []), ...(event.answered ?? [])]),
+    pool: event.pool ?? same?.pool,
+    prompts: new Map([
+      ...(same?.prompts ?? []),
+      ...(event.prompts ?? []).map(({ fingerprint, parts }): [string, readonly string[]] => [fingerprint, parts]),
+    ]),
   };
   return [...crashes.filter((crash) => crash !== same), merged].slice(-MAX_CRASHES);
 }
--- a/packages/decide/src/poison/advancePoison.ts
+++ b/packages/decide/src/poison/advancePoison.ts
@@ -1,5 +1,6 @@
 import { exhaustive } from '@bergamotcove/errors';
 import expireState from './_lib/expireState.js';
+import { hasPart } from './_lib/partCrashes.js';
 import { POISON_BLOCK_MS } from './constants.js';
 import noteCrash from './noteCrash.js';
 import type { PoisonEvent, PoisonState, PoisonStep } from './types.js';
@@ -13,10 +14,11 @@
 const without = (fingerprints: ReadonlySet<string>, removed: string): ReadonlySet<string> =>
   fingerprints.has(removed) ? new Set([...fingerprints].filter((each) => each !== removed)) : fingerprints;
 
-/** Removes a request from all known crashes. */
+/** Removes a request, or a part of prompts with the crashes that it explains, from all known crashes. */
 const forgetCrashes = (state: PoisonState, fingerprint: string): PoisonState => ({
   ...state,
   crashes: state.crashes
+    .filter((crash) => !hasPart(crash, fingerprint))
     .map((crash) => ({
       ...crash,
       fingerprints: without(crash.fingerprints, fingerprint),
--- a/packages/decide/src/poison/createCrashDetector.ts
+++ b/packages/decide/src/poison/createCrashDetector.ts
@@ -20,8 +20,11 @@
   begin(process: ServerProcess, fingerprints: readonly string[], parts?: readonly string[]): RunningAttempt;
   /** Records that the server has begun to answer an attempt. */
   noteAnswering(attempt: RunningAttempt): void;
-  /** Records the first output of a server for an attempt. A server that survives it was not crashed by the prompt. */
-  noteOutput(attempt: RunningAttempt, nowMs: number): void;
+  /**
+   * Records output of a server for an attempt; true for the first one. A server that survives it was not crashed by the
+   * prompt.
+   */
+  noteOutput(attempt: RunningAttempt, nowMs: number): boolean;
   /**
    * Records the complete answer of an attempt. Another process may have taken the server's id by then, so that an
    * answer does not disprove an earlier loss.
@@ -50,9 +53,11 @@
   attempt.answering = true;
 };
 
-const markOutput = (running: RunningAttempt, nowMs: number): void => {
+const markOutput = (running: RunningAttempt, nowMs: number): boolean => {
   const attempt = running as Attempt;
+  const isFirst = attempt.outputAtMs === undefined;
   attempt.outputAtMs ??= nowMs;
+  return isFirst;
 };
 
 class AttemptTracker implements CrashDetector {
--- a/packages/decide/src/poison/noteCrash.ts
+++ b/packages/decide/src/poison/noteCrash.ts
@@ -1,5 +1,6 @@
 import expireState from './_lib/expireState.js';
 import mergeCrash from './_lib/mergeCrash.js';
+import { isExplained } from './_lib/partCrashes.js';
 import { CLEARING_RUNS, CRASH_MERGE_MS, RUN_LOOKBACK_MS, RUN_RETENTION_MS, MIN_BLOCKING_CRASHES } from './constants.js';
 import type { PoisonSuspect, Crash, CrashEvent, CrashStep, PoisonState } from './types.js';
 
@@ -14,7 +15,7 @@
  * which the request is not doubtful and had not been answered.
  */
 const suspectAfterEnoughCrashes = (
-  { crashes }: PoisonState,
+  crashes: readonly Crash[],
   fingerprint: string,
   nowMs: number,
 ): readonly PoisonSuspect[] => {
@@ -53,7 +54,8 @@
  * that it has in common with the crash of another server. Two crashes of one server may be a fault of that server.
  * Several common requests leave open which of them caused the crashes. A request on a server that stopped responding,
  * or whose answer had begun, may have been harmless. A request that many callers send may run on several servers that
- * end for other reasons; its successful runs distinguish it from a request that crashes every server.
+ * end for other reasons; its successful runs distinguish it from a request that crashes every server. A crash that a
+ * blocked part of a prompt explains is recorded and leads to no suspicion of requests.
  *
  * @param state - state before the crash
  * @param event - the crash, or a further report of it
@@ -65,10 +67,14 @@
   const crashes = mergeCrash(current.crashes, event, nowMs);
   const next = { ...current, crashes };
   const latest = crashes.at(-1) as Crash;
+  if (isExplained(latest, current.blocks)) {
+    return { state: next, suspects: [] };
+  }
+  const unexplained = crashes.filter((crash) => !isExplained(crash, current.blocks));
   const suspects = new Set([...latest.fingerprints, ...latest.answered]);
-  const repeated = [...suspects].flatMap((fingerprint) => suspectAfterEnoughCrashes(next, fingerprint, nowMs));
+  const repeated = [...suspects].flatMap((fingerprint) => suspectAfterEnoughCrashes(unexplained, fingerprint, nowMs));
   const alreadySuspect = new Set(repeated.map(({ fingerprint }) => fingerprint));
-  const common = crashes
+  const common = unexplained
     .filter(({ serverId }) => serverId !== latest.serverId)
     .flatMap((earlier) => suspectOnlyCommon(earlier, latest, nowMs))
     .filter(({ fingerprint }) => !alreadySuspect.has(fingerprint));
--- a/packages/decide/src/poison/types.ts
+++ b/packages/decide/src/poison/types.ts
@@ -1,3 +1,5 @@
+import type { CrashedPrompt } from './processTypes.js';
+
 /** A crash of a backend server, with the requests that are known to have run on it. */
 export interface Crash {
   readonly serverId: string;
@@ -11,12 +13,39 @@
   readonly doubtful: ReadonlySet<string>;
   /** Fingerprints of the requests that the server answered last. */
   readonly answered: ReadonlySet<string>;
+  /** Pool of the server; undefined when it is not known. */
+  readonly pool: string | undefined;
+  /** Keys of the shared parts of the prompts that may have caused the crash, by fingerprint of the request. */
+  readonly prompts: ReadonlyMap<string, readonly string[]>;
+}
+
+/** A part of a prompt that was in several crashes. */
+export interface CrashingPart {
+  readonly part: string;
+  /** Crashes under prompts with the part since the last output for one. */
+  readonly crashes: number;
+  /** Different requests in these crashes that have the part. */
+  readonly requests: number;
+  /** Prompts of the pool that servers produced output for in the same time. */
+  readonly outputs: number;
+  /** Prompts without the part that were lost in crashes in the same time. */
+  readonly losses: number;
+  /** Probability of being in that many crashes, and never with output, for a part without influence. */
+  readonly chance: number;
+}
+
+/** Output of the servers of a pool around its crashes. */
+export interface PartEvidence {
+  /** Monotonic time of the latest output for a prompt with a part that the server survived; undefined without one. */
+  readonly lastOutputAtMs: (part: string) => number | undefined;
+  /** Prompts whose first output came between two crashes, given by their monotonic times. */
+  readonly countOutputs: (fromMs: number, toMs: number) => number;
 }
 
-/** Crashes and blocked fingerprints that one host knows. */
+/** Crashes that one host knows, and the blocked fingerprints and keys of parts of prompts. */
 export interface PoisonState {
   readonly crashes: readonly Crash[];
-  /** Monotonic time at which each block ends, by fingerprint. */
+  /** Monotonic time at which each block ends, by fingerprint or key of a part. */
   readonly blocks: ReadonlyMap<string, number>;
 }
 
@@ -34,6 +63,10 @@
   readonly doubtful?: readonly string[];
   /** Fingerprints of the requests that the server answered last. */
   readonly answered?: readonly string[];
+  /** Pool of the server, if it is known. */
+  readonly pool?: string;
+  /** Prompts that may have caused the crash. */
+  readonly prompts?: readonly CrashedPrompt[];
 }
 
 /** Event that changes which fingerprints are suspected or blocked. */
--- a/packages/gateway/src/crashes/createAttemptWatcher.ts
+++ b/packages/gateway/src/crashes/createAttemptWatcher.ts
@@ -1,9 +1,13 @@
 import type { Clock } from '@bergamotcove/clock';
 import {
   createCrashDetector,
+  createOutputHistory,
   createRunHistory,
   type CrashDetector,
   type LossKind,
+  type OutputHistory,
+  type OutputQuery,
+  type OutputSummary,
   type ProcessCrash,
   type RunHistory,
   type RunningAttempt,
@@ -47,6 +51,8 @@
   watch(server: KnownServer, fingerprints: readonly string[], parts?: readonly string[]): AttemptWatch;
   /** Counts the successful runs of a request since a monotonic time. */
   countRuns(fingerprint: string, sinceMs: number): number;
+  /** Summarises the output of servers that this host has seen. */
+  summariseOutputs(query: OutputQuery): OutputSummary;
 }
 
 /** Options of {@link createAttemptWatcher}. */
@@ -64,6 +70,8 @@
 
   private readonly history: RunHistory = createRunHistory();
 
+  private readonly outputs: OutputHistory = createOutputHistory();
+
   constructor(private readonly options: AttemptWatcherOptions) {
     const { clock, directory } = options;
     this.crashDetector = createCrashDetector({ isListStale: () => directory.storeLost });
@@ -79,7 +87,7 @@
     const attempt = crashDetector.begin({ serverId, startId: String(startedAtMs), pool }, fingerprints, parts);
     return {
       noteAnswering: () => crashDetector.noteAnswering(attempt),
-      noteOutput: () => crashDetector.noteOutput(attempt, this.options.clock.monotonicMs()),
+      noteOutput: () => this.noteOutput(server, attempt),
       end: (ending) => this.end(server, attempt, ending),
     };
   }
@@ -88,13 +96,26 @@
     return this.history.count(fingerprint, sinceMs, this.options.clock.monotonicMs());
   }
 
+  summariseOutputs(query: OutputQuery): OutputSummary {
+    return this.outputs.summarise(query, this.options.clock.monotonicMs());
+  }
+
+  private noteOutput({ serverId, pool }: KnownServer, attempt: RunningAttempt): void {
+    const { parts } = attempt;
+    const nowMs = this.options.clock.monotonicMs();
+    const isFirst = this.crashDetector.noteOutput(attempt, nowMs);
+    if (isFirst && parts.length > 0) {
+      this.outputs.note({ serverId, pool, parts }, nowMs);
+    }
+  }
+
   private async end(server: KnownServer, attempt: RunningAttempt, ending: AttemptEnding): Promise<void> {
     const { crashDetector } = this;
     const nowMs = this.options.clock.monotonicMs();
     switch (ending) {
       case 'succeeded':
         attempt.fingerprints.forEach((fingerprint) => this.history.note(fingerprint, server.serverId, nowMs));
-        crashDetector.noteOutput(attempt, nowMs);
+        this.noteOutput(server, attempt);
         crashDetector.noteAnswered(attempt, nowMs);
         break;
       case 'answered':
@@ -142,6 +163,7 @@
   private async handleCrash(crash: ProcessCrash | undefined): Promise<void> {
     if (crash !== undefined) {
       this.history.noteEnded(crash.serverId, crash.atMs);
+      this.outputs.noteEnded(crash.serverId, crash.atMs);
       await this.options.onCrash(crash);
     }
   }
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -22,15 +22,20 @@
 import createBlockSharing, { type BlockExchange, type BlockSharing, type StoredBlocks } from './createBlockSharing.js';
 import type { BlockPrefixes } from './createBlockStore.js';
 import createCrashReporter, { type CrashReporter } from './createCrashReporter.js';
+import createOutputTally, { type OutputTally } from './createOutputTally.js';
+import createPartJudge, { type PartJudge } from './createPartJudge.js';
 import createRunTally, { type RunTally } from './createRunTally.js';
+import { isPartKey } from './listPartKeys.js';
 import { REPORT_CRASH, type BlockNotice, type CrashReport } from './messages.js';
 
 /** Blocks requests that crash the servers which run them, on all hosts. */
 export interface CrashGuard {
   /** Remaining time for which a request is blocked because it crashed servers; undefined when it is not blocked. */
   readBlockMs(fingerprint: string): number | undefined;
-  /** Calls a listener when a request is blocked, until the returned function is called. */
-  onBlocked(fingerprint: string, run: () => void): () => void;
+  /** Finds the block of a request: its own, or that of a part of its prompt. */
+  findBlock(request: BlockedBy): FoundBlock | undefined;
+  /** Calls a listener when a request, or a part of its prompt, is blocked, until the returned function is called. */
+  onBlocked(request: BlockedBy, run: () => void): () => void;
   onAnyBlocked(run: (fingerprint: string) => void): void;
   /** Whether several servers crashed while they ran the request, without proof that it caused the crashes. */
   isSuspect(fingerprint: string): boolean;
@@ -49,6 +54,20 @@
   close(): void;
 }
 
+/** What a request can be blocked by. */
+export interface BlockedBy {
+  readonly fingerprint: string;
+  /** Keys of the shared parts of its prompt. */
+  readonly partKeys: readonly string[];
+}
+
+/** A block that is in force. */
+export interface FoundBlock {
+  /** Fingerprint of the request, or key of the part of its prompt. */
+  readonly key: string;
+  readonly remainingMs: number;
+}
+
 /** Options of {@link createCrashGuard}. */
 export interface CrashGuardOptions {
   readonly clock: Clock;
@@ -79,6 +98,10 @@
 
   private readonly tally: RunTally;
 
+  private readonly outputs: OutputTally;
+
+  private readonly parts: PartJudge;
+
   private readonly reporter: CrashReporter;
 
   private readonly sharing: BlockSharing;
@@ -97,6 +120,13 @@
       ...options,
       countRuns: (fingerprint, sinceMs) => this.attempts.countRuns(fingerprint, sinceMs),
     });
+    this.outputs = createOutputTally({ ...options, summarise: (query) => this.attempts.summariseOutputs(query) });
+    this.parts = createPartJudge({
+      ...options,
+      tally: this.outputs,
+      readState: () => this.state,
+      onBlamed: (part) => this.block(part, COLLECTOR_DELAY_MS),
+    });
     this.reporter = createCrashReporter(options);
     this.sharing = createBlockSharing({
       ...options,
@@ -107,6 +137,7 @@
     this.methods = {
       ...this.sharing.methods,
       ...this.tally.methods,
+      ...this.outputs.methods,
       [REPORT_CRASH]: (params) => {
         this.applyReport(params as CrashReport, 'peer').catch(() => undefined);
         return true;
@@ -128,27 +159,36 @@
     this.reporter.start(hosts);
     this.sharing.start(hosts);
     this.tally.start(hosts);
+    this.outputs.start(hosts);
   }
 
   close(): void {
     this.reporter.close();
     this.sharing.close();
+    this.parts.close();
   }
 
   readBlockMs(fingerprint: string): number | undefined {
     return readBlock(this.state, fingerprint, this.options.clock.monotonicMs());
   }
 
-  onBlocked(fingerprint: string, run: () => void): () => void {
-    const listeners = this.listeners.get(fingerprint) ?? new Set();
-    listeners.add(run);
-    this.listeners.set(fingerprint, listeners);
-    return () => {
-      listeners.delete(run);
-      if (listeners.size === 0) {
-        this.listeners.delete(fingerprint);
-      }
-    };
+  findBlock({ fingerprint, partKeys }: BlockedBy): FoundBlock | undefined {
+    return [fingerprint, ...partKeys]
+      .map((key) => ({ key, remainingMs: this.readBlockMs(key) ?? 0 }))
+      .find(({ remainingMs }) => remainingMs > 0);
+  }
+
+  onBlocked({ fingerprint, partKeys }: BlockedBy, run: () => void): () => void {
+    const keys = [fingerprint, ...partKeys];
+    keys.forEach((key) => this.listeners.set(key, (this.listeners.get(key) ?? new Set()).add(run)));
+    return () =>
+      keys.forEach((key) => {
+        const listeners = this.listeners.get(key);
+        listeners?.delete(run);
+        if (listeners?.size === 0) {
+          this.listeners.delete(key);
+        }
+      });
   }
 
   onAnyBlocked(run: (fingerprint: string) => void): void {
@@ -176,8 +216,19 @@
     const { prompts = [], ...facts } = report;
     const loggedPrompts = prompts.map(({ fingerprint, parts }) => [fingerprint, ...parts].join(' '));
     logger.event('serverCrashNoted', { ...facts, prompts: loggedPrompts, source });
-    const { state, suspects } = noteCrash(this.state, { type: 'crash', ...report }, clock.monotonicMs());
-    this.state = state;
+    const notedAtMs = clock.monotonicMs();
+    const note = (): readonly PoisonSuspect[] => {
+      const event = { type: 'crash', ...report, agoMs: report.agoMs + clock.monotonicMs() - notedAtMs } as const;
+      const { state, suspects } = noteCrash(this.state, event, clock.monotonicMs());
+      this.state = state;
+      return suspects;
+    };
+    let suspects = note();
+    if (report.pool !== undefined && prompts.length > 0) {
+      await this.parts.judge(report.pool);
+      // Requests are not suspected of crashes that a part of a prompt explains.
+      suspects = note();
+    }
     const unblocked = suspects.filter(({ fingerprint }) => this.readBlockMs(fingerprint) === undefined);
     await Promise.all(unblocked.map((suspect) => this.evaluate(suspect, source)));
   }
@@ -210,9 +261,7 @@
     const facts = { fingerprint, crashes: this.countCrashes(fingerprint), runs };
     if (runs < clearingRuns) {
       this.options.logger.event('requestPoisoned', facts);
-      this.advance({ type: 'block', fingerprint, remainingMs: POISON_BLOCK_MS });
-      const remainingMs = this.readBlockMs(fingerprint) ?? 0;
-      this.sharing.announce({ fingerprint, remainingMs }, { storeDelayMs: source === 'own' ? 0 : COLLECTOR_DELAY_MS });
+      this.block(fingerprint, source === 'own' ? 0 : COLLECTOR_DELAY_MS);
     } else if (isSpread) {
       this.options.logger.event('requestCleared', facts);
       this.advance({ type: 'cleared', fingerprint });
@@ -221,6 +270,12 @@
     }
   }
 
+  /** Blocks a request or a part of prompts on all hosts. */
+  private block(fingerprint: string, storeDelayMs: number): void {
+    this.advance({ type: 'block', fingerprint, remainingMs: POISON_BLOCK_MS });
+    this.sharing.announce({ fingerprint, remainingMs: this.readBlockMs(fingerprint) ?? 0 }, { storeDelayMs });
+  }
+
   private countCrashes(fingerprint: string): number {
     return countCrashes(this.state, fingerprint, this.options.clock.monotonicMs());
   }
@@ -231,7 +286,7 @@
     const { state, blocked } = advancePoison(this.state, event, clock.monotonicMs());
     this.state = state;
     blocked.forEach((fingerprint) => {
-      metrics.report('request.blocks', 1);
+      metrics.report(isPartKey(fingerprint) ? 'part.blocks' : 'request.blocks', 1);
       [...(this.listeners.get(fingerprint) ?? [])].forEach((run) => run());
       this.blockListeners.forEach((run) => run(fingerprint));
     });
@@ -264,7 +319,8 @@
 /**
  * Creates the guard against requests that crash servers. A request is blocked when two servers crashed while they ran
  * it, for this host or others, and no other request explains both crashes, or when it ran in three crashes; unless
- * servers have run it successfully often enough in the same period.
+ * servers have run it successfully often enough in the same period. A part of prompts is blocked when its crashes cannot
+ * be chance, see {@link createPartJudge}; then all requests with it are blocked.
  *
  * @param options - directory of the servers, store, and links to other hosts
  * @returns the guard
--- a/packages/gateway/src/crashes/createRunTally.ts
+++ b/packages/gateway/src/crashes/createRunTally.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { PoisonSuspect } from '@bergamotcove/decide';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
-import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import { COUNT_RUNS, type RunQuery } from './messages.js';
+import queryHosts from './queryHosts.js';
 
 /** Counts the successful runs of a request over all hosts. */
 export interface RunTally {
@@ -51,36 +52,13 @@
       return own;
     }
     const query: RunQuery = { fingerprint, sinceAgoMs: clock.monotonicMs() - sinceMs };
-    return this.ask(others, query, { own, enough: clearingRuns });
-  }
-
-  /** Queries the other hosts until the runs are enough, all have answered or the time limit has passed. */
-  private ask(
-    others: readonly HostEntry[],
-    query: RunQuery,
-    { own, enough }: { readonly own: number; readonly enough: number },
-  ): Promise<number> {
-    const { clock, links } = this.options;
-    return new Promise((resolve) => {
-      let runs = own;
-      let open = others.length;
-      const timer = clock.schedule(ANSWER_LIMIT_MS, () => resolve(runs));
-      const settle = (more: number): void => {
-        runs += more;
-        open -= 1;
-        if (runs >= enough || open === 0) {
-          timer.close();
-          resolve(runs);
-        }
-      };
-      others.forEach(({ target }) => {
-        links.call(target, COUNT_RUNS, query).then(
-          (answer) => settle(typeof answer === 'number' ? answer : 0),
-          // A host that cannot be reached, or does not know the method, counts as having observed no runs.
-          () => settle(0),
-        );
-      });
-    });
+    let runs = own;
+    const onAnswer = (answer: unknown): boolean => {
+      runs += typeof answer === 'number' ? answer : 0;
+      return runs >= clearingRuns;
+    };
+    await queryHosts(others, { method: COUNT_RUNS, params: query, limitMs: ANSWER_LIMIT_MS, onAnswer }, this.options);
+    return runs;
   }
 }
 
--- a/packages/gateway/src/crashes/listPartKeys.ts
+++ b/packages/gateway/src/crashes/listPartKeys.ts
@@ -11,6 +11,9 @@
   return `${KEY_PREFIX}${PLAIN_ID.test(id) ? id : createHash('sha256').update(id).digest('hex').slice(0, HASH_CHARS)}`;
 };
 
+/** Whether the key of a block is that of a part of prompts, and not the fingerprint of a request. */
+export const isPartKey = (key: string): boolean => key.startsWith(KEY_PREFIX);
+
 /**
  * Lists the keys of the parts of a prompt that other requests may share: all but the last one. The key of a part is the
  * same on every host, and never equals the fingerprint of a request.
--- a/packages/gateway/src/crashes/messages.ts
+++ b/packages/gateway/src/crashes/messages.ts
@@ -8,6 +8,26 @@
 /** Method that asks a host for the number of successful runs of a request that it has observed. */
 export const COUNT_RUNS = 'crashes.runs';
 
+/** Method that asks a host what output it has seen around some crashes. */
+export const SUMMARISE_OUTPUTS = 'crashes.outputs';
+
+/** Parameters of {@link SUMMARISE_OUTPUTS}. */
+export interface OutputParams {
+  readonly pool: string;
+  /** Keys of parts of prompts. */
+  readonly parts: readonly string[];
+  /** Ages of crashes in the pool, oldest first. */
+  readonly crashAgesMs: readonly number[];
+}
+
+/** Answer to {@link SUMMARISE_OUTPUTS}. */
+export interface OutputAnswer {
+  /** For each part, the age of the latest first output for a prompt with it; null without one. */
+  readonly lastOutputAgesMs: readonly (number | null)[];
+  /** Prompts whose first output came between each crash and the next one. */
+  readonly outputCounts: readonly number[];
+}
+
 /** Parameters of {@link REPORT_CRASH}: a crash of a server. */
 export interface CrashReport {
   readonly serverId: string;
@@ -34,8 +54,9 @@
   readonly sinceAgoMs: number;
 }
 
-/** A blocked request, which is not sent to servers. */
+/** A block: requests that match it are not sent to servers. */
 export interface BlockNotice {
+  /** Fingerprint of the blocked request, or key of the blocked part of prompts. */
   readonly fingerprint: string;
   readonly remainingMs: number;
   /** Latest release of the request that was known when it was blocked; undefined without one. */
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -119,7 +119,7 @@
     const { clock } = this.ports;
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
     this.exchange.onDisconnect(() => this.answer.end('caller-gone', 0, 'caller-gone'));
-    const stopListening = this.ports.crashes.onBlocked(this.request.fingerprint, () => this.refuseBlocked());
+    const stopListening = this.ports.crashes.onBlocked(this.request, () => this.refuseBlocked());
     try {
       await this.serve();
     } finally {
@@ -342,11 +342,12 @@
     this.answer.refuse(this.mayHaveRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
 
-  /** Refuses a request that is blocked because it crashes servers, unless its answer is already arriving. */
+  /** Refuses a request that is blocked because it, or a part of its prompt, crashes servers, unless its answer is already arriving. */
   private refuseBlocked(): void {
-    const blockMs = this.ports.crashes.readBlockMs(this.request.fingerprint);
-    if (blockMs !== undefined && !this.isAnswering) {
-      this.answer.refuse(this.mayHaveRun ? 502 : 503, 'poisoned', blockMs);
+    const block = this.ports.crashes.findBlock(this.request);
+    if (block !== undefined && !this.isAnswering && !this.answer.ended) {
+      this.record.noteBlock(block.key);
+      this.answer.refuse(this.mayHaveRun ? 502 : 503, 'poisoned', block.remainingMs);
     }
   }
 }
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -7,6 +7,8 @@
   readonly outcome: 'answered' | 'refused' | 'failed' | 'caller-gone';
   readonly status: number;
   readonly reason: string;
+  /** Block that ended the request: its fingerprint, or the key of a part of its prompt; undefined without one. */
+  readonly blockedBy: string | undefined;
   readonly sends: number;
   readonly runs: number;
   /** Servers that the request was sent to, in the order of sending. */
@@ -45,6 +47,8 @@
 
   private firstByteMs: number | undefined;
 
+  private blockedBy: string | undefined;
+
   private ending: Pick<ForwardEnd, 'outcome' | 'status' | 'reason'> = {
     outcome: 'failed',
     status: 0,
@@ -92,6 +96,10 @@
     this.firstByteMs ??= this.elapsedMs();
   }
 
+  noteBlock(key: string): void {
+    this.blockedBy = key;
+  }
+
   noteEnd(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
     this.ending = { outcome, status, reason };
   }
@@ -99,6 +107,7 @@
   finish(): ForwardEnd {
     return {
       ...this.ending,
+      blockedBy: this.blockedBy,
       sends: this.sends,
       runs: this.runs,
       serverIds: this.serverIds,
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -65,6 +65,16 @@
     level: 'warn',
     text: 'The value of the key of a blocked request cannot be parsed; another version or another program wrote it.',
   },
+  partPoisoned: {
+    id: 2110,
+    level: 'warn',
+    text: 'A part of prompts crashes servers; requests with it are blocked on all hosts until `bergamotctl release`.',
+  },
+  partSuspected: {
+    id: 2111,
+    level: 'info',
+    text: 'A part of prompts was in several crashes, which may be chance: see `chance`, `outputs` and `losses`.',
+  },
   requestCleared: {
     id: 2106,
     level: 'info',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -43,6 +43,12 @@
     tags: [],
     text: 'Requests that were blocked because servers crashed.',
   },
+  'part.blocks': {
+    type: 'counter',
+    unit: '1',
+    tags: [],
+    text: 'Parts of prompts that were blocked because servers crashed.',
+  },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a complete answer.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host accepts requests.' },
