--- a/packages/decide/src/poison/constants.ts
+++ b/packages/decide/src/poison/constants.ts
@@ -17,10 +17,13 @@
 export const MIN_BLOCKING_CRASHES = 3;
 
 /** Crashes of one pool within this time may have one cause and count as one. */
-export const CRASH_MOMENT_MS = 500;
+export const CRASH_MOMENT_MS = 100;
+
+/** Time between the first and the last crash with a part from which the part is judged; an outage is shorter. */
+export const MIN_CRASH_SPREAD_MS = 500;
 
 /** Probability of its losses, if a part of a prompt has no influence on them, below which the part is blamed. */
-export const MAX_CHANCE = 0.005;
+export const MAX_CHANCE = 0.01;
 
 /** Maximum number of crashes in the state; the loss of a failure domain can end all of its servers at once. */
 export const MAX_CRASHES = 512;
--- a/packages/decide/src/poison/findCrashingParts.ts
+++ b/packages/decide/src/poison/findCrashingParts.ts
@@ -1,5 +1,5 @@
 import { groupByPart, type PartCrashes } from './_lib/partCrashes.js';
-import { CRASH_MOMENT_MS, MAX_CHANCE } from './constants.js';
+import { CRASH_MOMENT_MS, MAX_CHANCE, MIN_BLOCKING_CRASHES } from './constants.js';
 import type { Crash, CrashingPart, PartEvidence } from './types.js';
 
 /** Parts that were judged by the crashes they were in. */
@@ -12,6 +12,7 @@
 
 interface Judged extends CrashingPart {
   readonly depth: number;
+  readonly moments: number;
 }
 
 /** Counts the moments of crashes; those of one moment may have one cause. Times ascend. */
@@ -35,7 +36,7 @@
   const requests = new Set(fingerprints).size;
   const timesMs = involved.map(({ crash }) => crash.atMs);
   const moments = countMoments(timesMs);
-  if (moments < 2 || requests < 2) {
+  if (requests < 2 || moments < 2) {
     return undefined;
   }
   const [firstMs, lastMs] = [timesMs[0] as number, timesMs.at(-1) as number];
@@ -45,10 +46,10 @@
   const losses = prompts - fingerprints.length;
   const outputs = evidence.countOutputs(firstMs, lastMs);
   const chance = ((losses + 1) / (losses + outputs + 1)) ** moments;
-  return { part, crashes: involved.length, requests, outputs, losses, chance, depth };
+  return { part, crashes: involved.length, requests, outputs, losses, chance, depth, moments };
 };
 
-const withoutDepth = ({ depth: _, ...part }: Judged): CrashingPart => part;
+const toCrashingPart = ({ depth: _depth, moments: _moments, ...part }: Judged): CrashingPart => part;
 
 /**
  * Finds the parts of prompts that crash servers. A part is blamed when servers crashed at several moments under different
@@ -70,10 +71,10 @@
   const groups = groupByPart(crashes).filter(({ part }) => isSuspect.has(part));
   const judged = groups.flatMap((group) => judge(group, crashes, evidence) ?? []);
   const [worst] = judged
-    .filter(({ chance }) => chance < MAX_CHANCE)
+    .filter(({ chance, moments }) => chance < MAX_CHANCE && moments >= MIN_BLOCKING_CRASHES)
     .sort((one, other) => other.crashes - one.crashes || other.depth - one.depth || one.chance - other.chance);
   if (worst === undefined) {
-    return { blamed: [], open: judged.map(withoutDepth) };
+    return { blamed: [], open: judged.map(toCrashingPart) };
   }
   const explained = new Set(groups.find(({ part }) => part === worst.part)?.crashes.map(({ crash }) => crash));
   const rest = findCrashingParts(
@@ -81,5 +82,5 @@
     suspects.filter((part) => part !== worst.part),
     evidence,
   );
-  return { blamed: [withoutDepth(worst), ...rest.blamed], open: rest.open };
+  return { blamed: [toCrashingPart(worst), ...rest.blamed], open: rest.open };
 }
--- a/packages/decide/src/poison/listPartSuspects.ts
+++ b/packages/decide/src/poison/listPartSuspects.ts
@@ -1,5 +1,5 @@
 import { groupByPart, isExplained } from './_lib/partCrashes.js';
-import { CRASH_MOMENT_MS, SAME_PROCESS_MERGE_MS } from './constants.js';
+import { MIN_CRASH_SPREAD_MS, SAME_PROCESS_MERGE_MS } from './constants.js';
 import type { Crash, PoisonState } from './types.js';
 
 /** Parts of prompts that may crash servers, with the crashes of their pool. */
@@ -13,7 +13,7 @@
 const isSpreadUntilNow = (crashes: readonly Crash[], nowMs: number): boolean => {
   const timesMs = crashes.map(({ atMs }) => atMs);
   const lastMs = Math.max(...timesMs);
-  return nowMs - lastMs < SAME_PROCESS_MERGE_MS && lastMs - Math.min(...timesMs) >= CRASH_MOMENT_MS;
+  return nowMs - lastMs < SAME_PROCESS_MERGE_MS && lastMs - Math.min(...timesMs) >= MIN_CRASH_SPREAD_MS;
 };
 
 /**
