Take a stream that ends inside an event for broken

Callers got the half of an event and then a regular end: an answer that broke off looked like a complete success, and was not resumed.

Cause: at the regular end of a server's stream the bytes after its last event were passed on as they were. An answer without length and chunks ends regularly whenever its server closes, also when it breaks off.

Such a stream is broken now: it is resumed where the route allows it, and otherwise ends visibly incomplete.

--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -5,7 +5,7 @@
 /** How the relay of a server's stream ended. */
 export type RelayEnd =
   | { readonly type: 'complete' }
-  /** The connection broke; the complete events before were relayed. */
+  /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
   | { readonly type: 'broken' }
   /** The stream did not continue with the event after the last one that was relayed. */
   | { readonly type: 'wrong-place' };
@@ -21,6 +21,17 @@
 const isNextEvent = (eventId: string | undefined, afterEventId: string | undefined): boolean =>
   afterEventId === undefined || Number(eventId) === Number(afterEventId) + 1;
 
+/** Ends the relay with the bytes after the last event. Line ends are passed on; others start an event that never ended. */
+const relayRest = (rest: Buffer, exchange: CallerExchange): RelayEnd => {
+  if (!/^[\r\n]*$/.test(rest.toString('latin1'))) {
+    return { type: 'broken' };
+  }
+  if (rest.length > 0) {
+    exchange.write(rest);
+  }
+  return { type: 'complete' };
+};
+
 /**
  * Relays the events of a server's stream to the caller as they arrive.
  *
@@ -66,11 +77,7 @@
     });
     response.on('end', () => {
       if (response.complete) {
-        const rest = splitter.rest();
-        if (rest.length > 0) {
-          exchange.write(rest);
-        }
-        resolve({ type: 'complete' });
+        resolve(relayRest(splitter.rest(), exchange));
       }
     });
     response.on('error', () => resolve({ type: 'broken' }));
