Continue a broken stream only with an event stream

A stream broke off, and the next server answered with a success of another type and without a body: the caller's stream ended as if it were complete. Whatever has a body was recognised by its missing event id before.

The answer that continues a stream has to be an event stream.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import type { ServerView } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -41,6 +42,11 @@
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
+/** Whether an answer has the type of an event stream; one of another type does not continue a stream. */
+const isEventStream = ({ headers }: IncomingMessage): boolean => EVENT_STREAM.test(headers['content-type'] ?? '');
+
 /** Reads the answers to the attempts of one request, and relays streams as they arrive. */
 export default class AnswerReader {
   /** Id of the last stream event that was sent to the caller. */
@@ -93,7 +99,8 @@
   ): Promise<AttemptResult> {
     // The server fetches the results before it begins to generate.
     this.run.results.release();
-    if (this.run.answer.ended) {
+    const isOther = this.run.exchange.headSent && !isEventStream(response);
+    if (this.run.answer.ended || isOther) {
       response.destroy();
       return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
     }
