End a server connection on which bytes arrive that nobody asked for

A server that wrote an earlier answer once more on a kept connection could have it taken for the answer to the next request there: by a stage call, whose answers carry no id, or by a request that had not left yet. Bytes on an idle connection were dropped and the connection was used again.

Cause: the agent did not look at idle connections, and a request that got a reused connection was written before the bytes that had arrived were read.

Bytes on an idle connection end it; a request on a reused one leaves a turn of the event loop later, and fails as not sent when an answer is there before. Both tests are red without the change.

--- a/packages/transport/src/_lib/createKeepAliveAgent.ts
+++ b/packages/transport/src/_lib/createKeepAliveAgent.ts
@@ -24,7 +24,12 @@
   return hint === undefined ? Infinity : Number(hint) * MS_PER_SECOND - CLOSE_MARGIN_MS;
 };
 
-/** Agent that closes idle connections before the server does. */
+/** Ends an idle connection at any byte: no request waits for an answer there. */
+function endAtData(this: Socket): void {
+  this.destroy();
+}
+
+/** Agent that closes idle connections before the server does, and those on which a server sends unasked. */
 class KeepAliveAgent extends http.Agent {
   constructor(
     maxSockets: number,
@@ -42,11 +47,13 @@
     socket.setKeepAlive(true, MS_PER_SECOND);
     socket.unref();
     socket.setTimeout(Number.isFinite(limitMs) ? limitMs : 0);
+    socket.on('data', endAtData);
     return true;
   }
 
   override reuseSocket(socket: Socket, request: http.ClientRequest): void {
     socket.setTimeout(0);
+    socket.off('data', endAtData);
     super.reuseSocket(socket, request);
   }
 }
--- a/packages/transport/src/createHttpClient.test.ts
+++ b/packages/transport/src/createHttpClient.test.ts
@@ -117,3 +117,70 @@
     assert.equal(sockets.size, method === 'HEAD' ? 3 : 1, 'connections');
   });
 });
+
+/** Starts a server that answers each request with the number of its connection, and gives access to its connections. */
+const startCountingServer = async (): Promise<{
+  readonly target: { readonly address: string; readonly port: number };
+  readonly sockets: readonly net.Socket[];
+  readonly close: () => void;
+}> => {
+  const sockets: net.Socket[] = [];
+  const server = net.createServer((socket) => {
+    const nth = sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${nth}`));
+  });
+  server.listen(0, LISTEN.address);
+  await once(server, 'listening');
+  return {
+    target: { address: LISTEN.address, port: (server.address() as net.AddressInfo).port },
+    sockets,
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+};
+
+const LATE_ANSWER = 'HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nlate';
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+test('bytes that arrive on an idle connection end it', async (context) => {
+  const { target, sockets, close } = await startCountingServer();
+  const client = createHttpClient();
+  context.after(() => {
+    client.close();
+    close();
+  });
+  assert.equal((await client.send(target, { method: 'GET', path: '/' })).body, '1');
+  await pause(20);
+  sockets[0]?.write(LATE_ANSWER.slice(0, 10));
+  await pause(50);
+  assert.equal((await client.send(target, { method: 'GET', path: '/' })).body, '2');
+  assert.equal((await client.send(target, { method: 'GET', path: '/' })).body, '2');
+});
+
+test('an answer that arrives before its request has left belongs to no request', async (context) => {
+  const { target, sockets, close } = await startCountingServer();
+  const client = createHttpClient();
+  context.after(() => {
+    client.close();
+    close();
+  });
+  await client.send(target, { method: 'GET', path: '/' });
+  let sent = false;
+  const second = pause(20).then(() => {
+    sockets[0]?.write(LATE_ANSWER);
+    const onSending = (): void => {
+      sent = true;
+    };
+    return client.send(target, { method: 'GET', path: '/', onSending });
+  });
+  await assert.rejects(second, { code: 'not-connected' });
+  assert.equal(sent, false);
+  assert.equal((await client.send(target, { method: 'GET', path: '/' })).body, '2');
+});
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -59,13 +59,16 @@
     : new TransportError('not-connected', 'no connection could be established', { cause });
 };
 
-/** Runs the callback once the request has a connection, new or reused. */
+/**
+ * Runs the callback once the request has a connection. On a reused one it waits for a turn of the event loop, so that
+ * bytes that had already arrived are read before the request is sent.
+ */
 const whenConnected = (outgoing: http.ClientRequest, run: () => void): void => {
   outgoing.on('socket', (socket) => {
     if (socket.connecting) {
       socket.once('connect', run);
     } else {
-      run();
+      setImmediate(run);
     }
   });
 };
@@ -206,6 +209,10 @@
     setConnectTimeout(outgoing, request.connectLimitMs);
     limitInformationalResponses(outgoing);
     outgoing.on('response', (response) => {
+      if (!sent) {
+        outgoing.destroy(new Error('an answer arrived before the request was sent'));
+        return;
+      }
       received = response;
       detectReset(request.method, response);
       // A response that is cancelled after it was read emits an error that nobody handles.
@@ -221,6 +228,9 @@
       }
     });
     const sendBody = (): void => {
+      if (outgoing.destroyed) {
+        return;
+      }
       if (request.signal?.aborted === true || request.maySend?.() === false) {
         outgoing.destroy(new Error('the request was cancelled before it was sent'));
         return;
