Send a request to a server again only on a connection of its own

A request that its only server had refused was sent there again on the same connection, under the same id. A refusal that the server repeats would then have been the answer to the second sending: 'not run' for a request that runs (REFUSED), or one that is sent to yet another server (TWICE).

The second sending has a fresh connection. The test is red without the change: the request came on the kept connection and got 504.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -229,6 +229,8 @@
   private async sendAttempt(server: ServerView): Promise<AttemptResult> {
     const { pools, format, clock } = this.ports;
     const { fingerprint, partKeys } = this.request;
+    // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
+    const freshConnection = this.record.hasSentTo(server.serverId);
     this.record.noteSend(server.serverId);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
@@ -240,6 +242,7 @@
       headers: this.formatHeaders(server),
       body: this.request.body,
       signal: AbortSignal.any([this.abort.signal, idleTimeout.signal]),
+      freshConnection,
       onSending: () => {
         this.attemptInFlight = true;
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -84,6 +84,10 @@
     this.placedMs = this.elapsedMs();
   }
 
+  hasSentTo(serverId: string): boolean {
+    return this.serverIds.includes(serverId);
+  }
+
   noteSend(serverId: string): void {
     this.serverIds.push(serverId);
   }
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -15,6 +15,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
   readonly signal: AbortSignal;
+  /** Whether the attempt needs a connection of its own. */
+  readonly freshConnection: boolean;
   /** Called when the request is written to the connection. */
   readonly onSending: () => void;
   /** Called just before sending; false cancels the attempt. */
@@ -92,6 +94,7 @@
       ...(call.body === undefined ? {} : { body: call.body }),
       signal: call.signal,
       connectLimitMs: CONNECT_TIMEOUT_MS,
+      freshConnection: call.freshConnection,
       maySend: call.maySend,
       onSending: () => {
         sent = true;
