--- a/packages/ctl/src/format/explainRequest.ts
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -33,7 +33,7 @@
   ['timed-out', 'its deadline or the time-out of its route passed, see the times reached'],
   ['attempts-exhausted', 'its attempts gave no answer and it could not be sent again, see attemptEnded'],
   ['stream-broken', 'its stream broke off and could not be resumed on another server'],
-  ['poisoned', 'it crashed two servers and is blocked'],
+  ['poisoned', 'it, or a part of its prompt, crashed servers and is blocked, see blockedBy'],
   ['no-route', 'no route of the table in force matches its host and path'],
   ['unknown-key', 'its key is not in the table in force'],
   ['no-route-table', 'the host knew no route table yet'],
