Pass an answer without events on a stream route on as it is

Its engine answers a stream route with a body of known length that holds no events; since such a body counted as an event that never ended.

Only a stream of events can end inside an event: one of that type, one that has had an event, or one that continues another. What continues a stream has to be of the type that it began with.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage } from 'node:http';
 import type { ServerView } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -42,16 +41,14 @@
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
-const EVENT_STREAM = /^text\/event-stream\b/i;
-
-/** Whether an answer has the type of an event stream; one of another type does not continue a stream. */
-const isEventStream = ({ headers }: IncomingMessage): boolean => EVENT_STREAM.test(headers['content-type'] ?? '');
-
 /** Reads the answers to the attempts of one request, and relays streams as they arrive. */
 export default class AnswerReader {
   /** Id of the last stream event that was sent to the caller. */
   lastEventId: string | undefined;
 
+  /** Content type of the stream that was begun. */
+  private contentType: string | undefined;
+
   constructor(
     private readonly run: AnsweredRun,
     private readonly ports: ReaderPorts,
@@ -99,12 +96,15 @@
   ): Promise<AttemptResult> {
     // The server fetches the results before it begins to generate.
     this.run.results.release();
-    const isOther = this.run.exchange.headSent && !isEventStream(response);
+    const contentType = response.headers['content-type'];
+    // An answer of another type does not continue the stream.
+    const isOther = this.run.exchange.headSent && contentType !== this.contentType;
     if (this.run.answer.ended || isOther) {
       response.destroy();
       return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
     }
     if (!this.run.exchange.headSent) {
+      this.contentType = contentType;
       this.run.exchange.sendHead(head);
     }
     idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -21,9 +21,15 @@
 const isNextEvent = (eventId: string | undefined, afterEventId: string | undefined): boolean =>
   afterEventId === undefined || Number(eventId) === Number(afterEventId) + 1;
 
-/** Ends the relay with the bytes after the last event. Line ends are passed on; others start an event that never ended. */
-const relayRest = (rest: Buffer, exchange: CallerExchange): RelayEnd => {
-  if (!/^[\r\n]*$/.test(rest.toString('latin1'))) {
+const isEventStream = ({ headers }: IncomingMessage): boolean =>
+  /^text\/event-stream\b/i.test(headers['content-type'] ?? '');
+
+/**
+ * Ends the relay with the bytes after the last event. In a stream of events, bytes other than line ends start an event
+ * that never ended; an answer without events is passed on as it is.
+ */
+const relayRest = (rest: Buffer, exchange: CallerExchange, hasEvents: boolean): RelayEnd => {
+  if (hasEvents && !/^[\r\n]*$/.test(rest.toString('latin1'))) {
     return { type: 'broken' };
   }
   if (rest.length > 0) {
@@ -47,6 +53,7 @@
 ): Promise<RelayEnd> {
   const splitter = createEventSplitter();
   let begun = false;
+  let hasEvents = options.afterEventId !== undefined;
   return new Promise((resolve) => {
     if (response.destroyed) {
       // The connection broke before the listeners were attached, so no event would follow.
@@ -69,6 +76,7 @@
         return;
       }
       begun = true;
+      hasEvents = true;
       options.onEvents(lastEventId);
       if (!exchange.write(bytes)) {
         response.pause();
@@ -77,7 +85,7 @@
     });
     response.on('end', () => {
       if (response.complete) {
-        resolve(relayRest(splitter.rest(), exchange));
+        resolve(relayRest(splitter.rest(), exchange, hasEvents || isEventStream(response)));
       }
     });
     response.on('error', () => resolve({ type: 'broken' }));
