--- a/packages/bench/src/crashes/runPartExperiment.ts
+++ b/packages/bench/src/crashes/runPartExperiment.ts
@@ -108,8 +108,8 @@
 };
 
 /**
- * Runs the model of crashing parts many times: outages without a crashing part, which must block none, and crashing parts
- * with and without outages.
+ * Runs the model of crashing parts many times: outages without a crashing part, which must block none, and
+ * crashing parts with and without outages.
  *
  * @param options - seed, runs of each case and number of servers
  * @returns the result of each case
--- a/packages/bench/src/crashes/runPartModel.ts
+++ b/packages/bench/src/crashes/runPartModel.ts
@@ -270,8 +270,8 @@
 
 /**
  * Runs the decision about crashing parts on a modelled pool: servers with a queue each, prompts with shared parts that
- * stay with a server, repeats by hosts and callers, outages, and parts that crash servers. All hosts know all crashes and
- * outputs at once; what is measured is the decision.
+ * stay with a server, repeats by hosts and callers, outages, and parts that crash servers. All hosts know all crashes
+ * and outputs at once; what is measured is the decision.
  *
  * @param model - pool, traffic, faults and seed
  * @returns crashes until each part was found, and parts that were blocked falsely
--- a/packages/decide/src/poison/findCrashingParts.ts
+++ b/packages/decide/src/poison/findCrashingParts.ts
@@ -52,10 +52,11 @@
 const toCrashingPart = ({ depth: _depth, moments: _moments, ...part }: Judged): CrashingPart => part;
 
 /**
- * Finds the parts of prompts that crash servers. A part is blamed when servers crashed at several moments under different
- * prompts with it, no server has produced output for one since, and a part without influence would hardly be that
- * unlucky, because other prompts of the time got output far more often than they were lost. A crash that a blamed part
- * explains counts against no other part. Of parts that were in the same crashes, only the most specific one is blamed.
+ * Finds the parts of prompts that crash servers. A part is blamed when servers crashed at several moments under
+ * different prompts with it, no server has produced output for one since, and a part without influence would hardly be
+ * that unlucky, because other prompts of the time got output far more often than they were lost. A crash that a blamed
+ * part explains counts against no other part. Of parts that were in the same crashes, only the most specific one is
+ * blamed.
  *
  * @param crashes - crashes of one pool that no blocked part explains, ascending by time
  * @param suspects - keys of the parts to judge
--- a/packages/decide/src/poison/listPartSuspects.ts
+++ b/packages/decide/src/poison/listPartSuspects.ts
@@ -17,8 +17,8 @@
 };
 
 /**
- * Lists the parts of prompts that were in a recent crash of a pool and in an earlier one too. Crashes of one moment may be
- * an outage and lead to no suspects.
+ * Lists the parts of prompts that were in a recent crash of a pool and in an earlier one too. Crashes of one moment may
+ * be an outage and lead to no suspects.
  *
  * @param state - crashes and blocks that the host knows
  * @param pool - pool of the servers
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -319,8 +319,8 @@
 /**
  * Creates the guard against requests that crash servers. A request is blocked when two servers crashed while they ran
  * it, for this host or others, and no other request explains both crashes, or when it ran in three crashes; unless
- * servers have run it successfully often enough in the same period. A part of prompts is blocked when its crashes cannot
- * be chance, see {@link createPartJudge}; then all requests with it are blocked.
+ * servers have run it successfully often enough in the same period. A part of prompts is blocked when its crashes
+ * cannot be chance, see {@link createPartJudge}; then all requests with it are blocked.
  *
  * @param options - directory of the servers, store, and links to other hosts
  * @returns the guard
--- a/packages/gateway/src/crashes/queryHosts.ts
+++ b/packages/gateway/src/crashes/queryHosts.ts
@@ -13,7 +13,7 @@
 }
 
 /**
- * Calls a method of several hosts at the same time. Hosts that cannot be reached or do not know the method give no answer.
+ * Calls a method of several hosts at once. Hosts that cannot be reached or do not know the method do not answer.
  *
  * @param hosts - hosts to call
  * @param query - method, parameters and receiver of the answers
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -345,7 +345,7 @@
     this.answer.refuse(this.mayHaveRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
 
-  /** Refuses a request that is blocked because it, or a part of its prompt, crashes servers, unless its answer is already arriving. */
+  /** Refuses a request that is blocked, or has a blocked part in its prompt, unless its answer is already arriving. */
   private refuseBlocked(): void {
     const block = this.ports.crashes.findBlock(this.request);
     if (block !== undefined && !this.isAnswering && !this.answer.ended) {
