Show which servers have stated a request limit

Nothing told whether a host had seen a limit that a server states in its answers (Server-Limit). Each host now reads it from answers of requests, stage calls and releases, keeps it for the process that stated it, logs when it learns, changes or drops one (events 5109 and 5110), and counts the limited servers of a pool in the metric pool.servers_limited. What is sent does not change.

serverLimits.test.ts and applyStatement.test.ts pass; the count of a pool is 1 while its server states a limit, and 0 after an answer without one.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -17,6 +17,7 @@
 export * from './convergence/index.js';
 export * from './hosts/index.js';
 export * from './lease/index.js';
+export * from './limits/index.js';
 export * from './load/index.js';
 export { default as createDomainTracker } from './routing/createDomainTracker.js';
 export type { DomainTracker } from './routing/createDomainTracker.js';
--- /dev/null
+++ b/packages/decide/src/limits/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js';
+export { default as applyStatement, isExpired } from './applyStatement.js';
+export { MAX_TRACKED_RATE, STATEMENT_LIFETIME_MS } from './constants.js';
--- a/packages/gateway/src/catalogue/BackendDirectory.ts
+++ b/packages/gateway/src/catalogue/BackendDirectory.ts
@@ -50,7 +50,7 @@
    * Applies what a server said about itself in an answer. A leaving process gets no new work from this host, whatever
    * its entry says; one that asks for a back-off gets no requests from this host until the back-off ends.
    */
-  applyNotice(serverId: string, notice: ServerNotice): void;
+  applyNotice(serverId: string, notice: Omit<ServerNotice, 'rateLimit'>): void;
   /** End of the back-off that a server asked for, monotonic time; -Infinity without one. */
   readBackoffEndMs(serverId: string): number;
   /** Time until the first back-off in a pool ends; undefined unless all of its servers are in back-off. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -104,7 +104,7 @@
     }
   }
 
-  applyNotice(serverId: string, { leaving, restMs }: ServerNotice): void {
+  applyNotice(serverId: string, { leaving, restMs }: Omit<ServerNotice, 'rateLimit'>): void {
     const server = this.find(serverId);
     if (server === undefined) {
       const startedAtMs = this.removed.find(serverId)?.startedAtMs;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -56,8 +56,18 @@
   readonly slowness: number | undefined;
 }
 
+/** What an answer says about the rate at which its server takes requests from all hosts together. */
+export type RateLimitNotice =
+  /** The limit holds until a later answer states another one, or none. */
+  | { readonly type: 'stated'; readonly requestsPerSecond: number }
+  /** The server takes requests without a limit. */
+  | { readonly type: 'none' }
+  /** The statement cannot be read; what was known before still holds. */
+  | { readonly type: 'invalid' };
+
 /** Status that a server may report about itself in any answer. */
 export interface ServerNotice {
+  readonly rateLimit: RateLimitNotice;
   /** Whether the server is leaving and must get no new work. */
   readonly leaving: boolean;
   /** Back-off: time for which this host must send the server no requests; undefined when it asks for none. */
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,6 +1,7 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
@@ -28,11 +29,14 @@
   readonly idleTimeout: IdleTimeout;
   /** Called when the server has produced output. */
   readonly onOutput: () => void;
+  /** Monotonic time at which the request was sent. */
+  readonly sentAtMs: number;
 }
 
 /** Dependencies of {@link AnswerReader}. */
 export interface ReaderPorts {
   readonly directory: BackendDirectory;
+  readonly limits: RateLimits;
   readonly pools: ServerPools;
   readonly answerMemory: AnswerMemory;
 }
@@ -70,6 +74,7 @@
     }
     if (!facts.otherServer) {
       this.ports.directory.applyNotice(server.serverId, facts);
+      this.ports.limits.noteAnswer(server.serverId, facts.rateLimit, attempt.sentAtMs);
     }
     if (facts.notRun) {
       response.resume();
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -13,6 +13,7 @@
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { RequestFormat, StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
@@ -38,6 +39,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly directory: BackendDirectory;
+  readonly limits: RateLimits;
   readonly pools: ServerPools;
   readonly queues: PoolQueues;
   readonly stages: StageClient;
@@ -234,6 +236,7 @@
     this.record.noteSend(server.serverId);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
+    let sentAtMs = clock.monotonicMs();
     const opened = await openAttempt(pools.clientOf(server.pool), format, {
       target: server,
       requestId: this.request.requestId,
@@ -245,6 +248,7 @@
       freshConnection,
       onSending: () => {
         this.attemptInFlight = true;
+        sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
       maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
@@ -253,7 +257,7 @@
     if (this.isAnswering) {
       tracked.noteAnswering();
     }
-    const result = await this.reader.read(server, opened, { idleTimeout, onOutput: tracked.noteOutput });
+    const result = await this.reader.read(server, opened, { idleTimeout, onOutput: tracked.noteOutput, sentAtMs });
     idleTimeout.close();
     this.attemptInFlight = false;
     this.isAnswering = false;
--- a/packages/gateway/src/stages/callStageServer.ts
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -16,6 +16,8 @@
   /** One answer for each piece, in order; undefined when the server accepted none. */
   readonly answers: readonly PieceAnswer[] | undefined;
   readonly notice: ServerNotice;
+  /** Monotonic time at which the call was sent. */
+  readonly sentAtMs: number;
   readonly totalMs: number;
 }
 
@@ -53,6 +55,7 @@
   return {
     status,
     notice: format.readNotice(status, response.headers),
+    sentAtMs,
     answers: answers?.length === items.length ? answers : undefined,
     totalMs: clock.monotonicMs() - sentAtMs,
   };
--- a/packages/gateway/src/stages/callWithCrashWatch.ts
+++ b/packages/gateway/src/stages/callWithCrashWatch.ts
@@ -2,12 +2,14 @@
 import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { PieceItem } from '../ports.js';
 import callStageServer, { type StageCallAnswer, type StageCallPorts } from './callStageServer.js';
 
 /** Dependencies of {@link callWithCrashWatch}. */
 export interface CrashWatchPorts extends StageCallPorts {
   readonly directory: BackendDirectory;
+  readonly limits: Pick<RateLimits, 'noteAnswer'>;
   readonly crashes: Pick<CrashGuard, 'watch'>;
 }
 
@@ -52,7 +54,7 @@
   { items, fingerprints, limitMs }: StageCall,
   ports: CrashWatchPorts,
 ): Promise<StageCallAnswer> {
-  const { directory, crashes } = ports;
+  const { directory, limits, crashes } = ports;
   const watch = crashes.watch(server, fingerprints);
   try {
     const answer = await callStageServer(server, items, ports, { limitMs });
@@ -61,6 +63,7 @@
       directory.noteReplaced(server.serverId);
     } else {
       directory.applyNotice(server.serverId, answer.notice);
+      limits.noteAnswer(server.serverId, answer.notice.rateLimit, answer.sentAtMs);
     }
     return answer;
   } catch (cause) {
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -1,61 +1,21 @@
-import type { BatchSpec } from '@bergamotcove/config';
-import type { Clock, Timer } from '@bergamotcove/clock';
+import type { Timer } from '@bergamotcove/clock';
 import {
   createBatchQueue,
-  type BatchPoolState,
   type BatchQueue,
   type CallOutcome,
   type JobResult,
   type PlannedCall,
 } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
-import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import type { HttpClient } from '@bergamotcove/transport';
-import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
-import type { CrashGuard } from '../crashes/createCrashGuard.js';
-import type { PieceAnswer, StageFormat } from '../ports.js';
+import type { PieceAnswer } from '../ports.js';
+import type { BatchOwner, BatchOwnerOptions } from './BatchOwner.js';
 import callWithCrashWatch from './callWithCrashWatch.js';
 import createResultRegistry from './createResultRegistry.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import createPieceItem from './createPieceItem.js';
 import locateInputs from './locateInputs.js';
-import type { StageInput, StageJob, StageJobResult } from './messages.js';
+import type { StageJob, StageJobResult } from './messages.js';
 import { reportCall, reportOutcome } from './reportCall.js';
 
-/** Batches the pieces of all hosts of a region into calls to the stage servers of one pool. */
-export interface BatchOwner {
-  run(job: StageJob): Promise<StageJobResult>;
-  cancel(jobId: string): void;
-  /** Fails the jobs of a request that crashes servers. */
-  block(fingerprint: string): void;
-  release(results: readonly string[]): void;
-  /** Lets results be evicted when their memory is needed. */
-  markEvictable(results: readonly string[]): void;
-  /** Call it when another host owns the pool: jobs of which no piece was sent fail with `moved`. */
-  handOver(): void;
-  /** Call it when the servers of the pool may have changed. */
-  refresh(): void;
-  close(): void;
-}
-
-/** Options of {@link createBatchOwner}. */
-export interface BatchOwnerOptions {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: ScrapedMetrics;
-  readonly http: HttpClient;
-  readonly format: StageFormat;
-  readonly directory: BackendDirectory;
-  readonly crashes: CrashGuard;
-  readonly pool: string;
-  readonly spec: BatchSpec;
-  readonly region: string;
-  /** Lets the owner of another pool evict the results that a job has used. */
-  readonly markInputsEvictable: (input: StageInput) => void;
-  /** Reports the speed of the servers to the scheduler of the region. */
-  readonly onState: (state: BatchPoolState) => void;
-}
-
 interface OpenJob {
   readonly job: StageJob;
   readonly expiresAtMs: number;
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -5,10 +5,12 @@
 import { createHttpClient, type HttpClient, type LinkMethod, type LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { StageFormat } from '../ports.js';
 import createPeerResults from './createPeerResults.js';
-import createBatchOwner, { type BatchOwner } from './createBatchOwner.js';
+import type { BatchOwner } from './BatchOwner.js';
+import createBatchOwner from './createBatchOwner.js';
 import {
   CANCEL_STAGE,
   RELEASE_RESULTS,
@@ -42,6 +44,7 @@
   readonly metrics: ScrapedMetrics;
   readonly format: StageFormat;
   readonly directory: BackendDirectory;
+  readonly limits: RateLimits;
   readonly crashes: CrashGuard;
   readonly tables: RouteTableHolder;
   readonly region: string;
--- a/packages/gateway/src/stages/createResultReleaser.ts
+++ b/packages/gateway/src/stages/createResultReleaser.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { StageFormat } from '../ports.js';
 
 /** Releases stage results at their servers. */
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly format: StageFormat;
   readonly directory: BackendDirectory;
+  readonly limits: Pick<RateLimits, 'noteAnswer'>;
 }
 
 const STATUS_MISDIRECTED = 421;
@@ -33,7 +35,7 @@
  * @returns the releaser
  */
 export default function createResultReleaser(options: ResultReleaserOptions): ResultReleaser {
-  const { clock, http, logger, format, directory } = options;
+  const { clock, http, logger, format, directory, limits } = options;
 
   /** Resolves when the back-off that the server asked for has ended. */
   const awaitBackOffEnd = (serverId: string): Promise<void> => {
@@ -53,6 +55,7 @@
       if (server === undefined || results.length === 0) {
         return;
       }
+      const sentAtMs = clock.monotonicMs();
       await http
         .send(server, {
           method: 'POST',
@@ -64,7 +67,9 @@
         })
         .then(({ status, headers }) => {
           if (status !== STATUS_MISDIRECTED) {
-            directory.applyNotice(serverId, format.readNotice(status, headers));
+            const notice = format.readNotice(status, headers);
+            directory.applyNotice(serverId, notice);
+            limits.noteAnswer(serverId, notice.rateLimit, sentAtMs);
           }
         })
         .catch((error: Error) => {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -29,6 +29,7 @@
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
 import listenForPeers from './hosts/listenForPeers.js';
+import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import type { GatewayFormats } from './ports.js';
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
@@ -80,6 +81,7 @@
   readonly eras: EraTracker;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly limits: RateLimits;
   readonly links: LinkClient;
   readonly owners: BatchOwners;
   readonly scheduler: RegionScheduler;
@@ -130,20 +132,21 @@
   });
   const tables = createRouteTableHolder({ clock, logger, format: formats.catalogue });
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
+  const limits = createRateLimits({ clock, logger, directory });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const metrics = createScrapedMetrics();
   const { blockPrefix, releasePrefix } = formats.catalogue;
   const prefixes = { blocks: blockPrefix, releases: releasePrefix };
   const { random } = Math;
   const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefixes, hostId, random });
-  const ownerOptions = { clock, logger, metrics, format: formats.stages, directory, crashes, tables, region };
+  const ownerOptions = { clock, logger, metrics, format: formats.stages, directory, limits, crashes, tables, region };
   const owners = createBatchOwners(ownerOptions);
   const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
   const queues = createPoolQueues(clock);
   directory.onChange(() => queues.drainAll());
   const liveSettings = createSettingsHolder(settings);
   const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
-  return { ...parts, store, eras, tables, directory, links, owners, scheduler, queues, crashes };
+  return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes };
 };
 
 interface Sources {
@@ -254,7 +257,7 @@
 }
 
 const startMetrics = (base: BaseParts, { callers, hosts, isReady }: SampledParts): Promise<MetricsServer> => {
-  const { metrics, tables, directory, settings } = base;
+  const { metrics, tables, directory, limits, settings } = base;
   const sample = (): void => {
     const index = tables.current();
     metrics.report('host.open_requests', callers.openRequests());
@@ -263,7 +266,9 @@
     metrics.report('table.version', index?.table.version ?? 0);
     metrics.report('store.era', base.eras.era);
     metrics.report('store.connected', directory.storeLost ? 0 : 1);
+    const limited = limits.list();
     index?.pools.forEach((_, pool) => {
+      metrics.report('pool.servers_limited', limited.filter((limit) => limit.pool === pool).length, { pool });
       metrics.report('pool.servers', directory.list(pool).length, { pool });
       metrics.report('pool.servers_shunned', directory.listExcluded(pool).length, { pool });
     });
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -191,6 +191,16 @@
     level: 'info',
     text: 'A relay is ahead of this host, which asks it for the missing changes.',
   },
+  serverLimited: {
+    id: 5109,
+    level: 'info',
+    text: 'A backend server stated how many requests a second it takes from all hosts; `learntFrom` says how this host knows.',
+  },
+  serverUnlimited: {
+    id: 5110,
+    level: 'info',
+    text: 'The limit that a backend server had stated has ended; `reason` says how this host knows.',
+  },
   hostListed: { id: 7101, level: 'info', text: 'Another host of the system registered itself.' },
   hostDropped: { id: 7102, level: 'info', text: 'The registration of another host ended.' },
   hostLeaseLost: { id: 7103, level: 'warn', text: 'The lease of this host may have expired; it registers again.' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -31,6 +31,12 @@
     tags: ['pool'],
     text: 'Listed servers that this host does not use, because they announced that they leave or asked for a pause.',
   },
+  'pool.servers_limited': {
+    type: 'gauge',
+    unit: '1',
+    tags: ['pool'],
+    text: 'Servers that have stated how many requests a second they take from all hosts.',
+  },
   'server.losses': {
     type: 'counter',
     unit: '1',
