Keep the sends of all hosts within the limit that a server states

Callers saw nothing, the servers did: a server in need that stated 1 request a second got 56 plain requests (94 generations) in 4 s from eight hosts, 11 are allowed; 74 at 5.5 a second, 38 allowed. No host acted on Server-Limit, and a host that did by itself would still send its own share beside seven others.

For each server with a limit one host of its region now hands out the sends: the batch owner of a stage pool, the scheduler of the region for all others, because these choose most servers anyway. The scheduler takes the send with the placement and a batch owner with the call, without a message. Other hosts ask before a send (limits.take), and take another server at once when it is denied; denied hosts are told times to ask again, about two for each send. When all servers of a pool have limits, a request gets a slot that is kept under its fingerprint, and waits for it or is refused with that Retry-After. Statements reach the host by limits.report, all hosts by limits.announce.

--- a/packages/decide/src/batches/_lib/pieceLoad.ts
+++ b/packages/decide/src/batches/_lib/pieceLoad.ts
@@ -24,8 +24,8 @@
     { pieces: 0, workMs: 0 },
   );
 
-/** Predicts the time in ms in which a number of idle servers together process a load in full calls. */
+/** Predicts the time in ms in which a number of idle servers together process a load in full calls; none count as one. */
 export const predictSpanMs = ({ pieces, workMs }: PieceLoad, spec: BatchSpec, servers: number): number => {
   const totalMs = Math.ceil(pieces / spec.maxPieces) * spec.callMs + workMs;
-  return Math.max(spec.callMs, totalMs / Math.max(1, servers * spec.parallelCalls));
+  return Math.max(spec.callMs, totalMs / (servers === 0 ? 1 : servers * spec.parallelCalls));
 };
--- a/packages/decide/src/batches/_lib/queuedJob.ts
+++ b/packages/decide/src/batches/_lib/queuedJob.ts
@@ -47,3 +47,16 @@
   );
   return waiting;
 };
+
+/** Makes a running piece wait for another call. */
+export const requeuePiece = (pieces: QueuedJob['pieces'] | undefined, piece: number): void => {
+  if (pieces?.[piece] === 'running') {
+    pieces.splice(piece, 1, 'waiting');
+  }
+};
+
+/** Makes a piece wait for another call, because the call that it was part of was not sent. */
+export const takeBackPiece = (entry: QueuedJob | undefined, piece: number): void => {
+  entry?.sends.splice(piece, 1, Math.max(0, (entry.sends[piece] ?? 0) - 1));
+  requeuePiece(entry?.pieces, piece);
+};
--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -11,7 +11,7 @@
 
 /** State of one stage server. */
 export interface ServerState {
-  readonly server: BatchServer;
+  server: BatchServer;
   /** Expected end times of the running calls, by call id. */
   readonly calls: Map<number, number>;
   /** Duration of calls relative to the usual duration. */
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -15,9 +15,19 @@
   type ServerState,
 } from './_lib/serverState.js';
 import pickServer from './_lib/pickServer.js';
+import { countServers, predictFirstFreeMs, readSpeed, usualCallMs } from './_lib/poolCapacity.js';
 import { addLoads, predictSpanMs, sumLoad } from './_lib/pieceLoad.js';
 import rankJobs, { type RankedJobs } from './_lib/rankJobs.js';
-import { createQueuedJob, isOpen, listPieces, mayBeSent, type QueuedJob, type WaitingPiece } from './_lib/queuedJob.js';
+import {
+  createQueuedJob,
+  isOpen,
+  listPieces,
+  mayBeSent,
+  requeuePiece,
+  takeBackPiece,
+  type QueuedJob,
+  type WaitingPiece,
+} from './_lib/queuedJob.js';
 import { readOverdueMs, type RunningCall } from './_lib/runningCall.js';
 import type {
   BatchJob,
@@ -127,6 +137,7 @@
     [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
     servers.forEach((server) => {
       const state = this.servers.get(server.serverId) ?? createServerState(server, nowMs);
+      state.server = server;
       state.backoffUntilMs = Math.max(state.backoffUntilMs, server.restsUntilMs ?? 0);
       this.servers.set(server.serverId, state);
     });
@@ -185,6 +196,11 @@
     }
     this.calls.delete(callId);
     call.state.calls.delete(callId);
+    if (outcome.type === 'limited') {
+      call.state.backoffUntilMs = Math.max(call.state.backoffUntilMs, outcome.untilMs);
+      call.pieces.forEach(({ job, piece }) => takeBackPiece(this.jobs.get(job.jobId), piece));
+      return [];
+    }
     if (outcome.type !== 'answered') {
       backOffServer(call.state, outcome.type, nowMs);
       return this.settle(call, () => 'failed');
@@ -211,7 +227,9 @@
     return late.flatMap((entry) => {
       const load = addLoads(ahead, sumLoad([entry], this.pieceTimes));
       const begun = entry.sends.some((sends) => sends > 0);
-      const waitMs = (freeInMs + predictSpanMs(load, this.spec, this.servers.size)) * CERTAIN_WAIT_SHARE;
+      const waitMs =
+        (freeInMs + predictSpanMs(load, this.spec, countServers([...this.servers.values()], this.spec))) *
+        CERTAIN_WAIT_SHARE;
       const { jobId, expiresAtMs, priority } = entry.job;
       const starves = priority > 0 && onTime.length > 0 && nowMs - entry.submittedAtMs > MAX_STARVED_WAIT_MS;
       if (begun || (nowMs + waitMs <= expiresAtMs && !starves) || !this.jobs.has(jobId)) {
@@ -248,37 +266,28 @@
   }
 
   view(nowMs: number): BatchQueueView {
+    const servers = [...this.servers.values()];
     const load = sumLoad([...this.jobs.values()], this.pieceTimes);
     return {
-      ...readShares([...this.servers.values()], this.spec, nowMs),
+      ...readShares(servers, this.spec, nowMs),
       waitingPieces: load.pieces,
       runningCalls: this.calls.size,
-      servers: this.servers.size,
-      waitMs: readFreeInMs([...this.servers.values()], nowMs) + predictSpanMs(load, this.spec, this.servers.size),
+      servers: servers.length,
+      waitMs: readFreeInMs(servers, nowMs) + predictSpanMs(load, this.spec, countServers(servers, this.spec)),
     };
   }
 
   readState(nowMs: number): BatchPoolState {
-    return { speed: this.speed(nowMs), pieceMs: this.pieceTimes.list() };
-  }
-
-  private speed(nowMs: number): number {
-    const usable = [...this.servers.values()].filter((state) => state.backoffUntilMs <= nowMs);
-    return usable.reduce((sum, state) => sum + 1 / readSlowness(state, nowMs), 0);
+    return { speed: readSpeed([...this.servers.values()], this.spec, nowMs), pieceMs: this.pieceTimes.list() };
   }
 
   private rank(entries: readonly QueuedJob[], nowMs: number): RankedJobs {
     const states = [...this.servers.values()];
-    const speed = this.speed(nowMs);
+    const speed = readSpeed(states, this.spec, nowMs);
     const callShareMs = this.spec.callMs / this.spec.maxPieces;
-    const callMs = this.spec.callMs + (this.spec.maxPieces * this.spec.pieceMs) / 2;
-    const count = Math.max(1, states.length);
-    const meanFreeAtMs = states.reduce((sum, state) => sum + Math.max(nowMs, ...state.calls.values()), 0) / count;
-    // Servers end their calls at different times, so the first one is free this much before the mean.
-    const spreadMs = (callMs * (count - 1)) / (2 * count);
     return rankJobs(entries.filter(isOpen), {
-      startMs: Math.max(nowMs, meanFreeAtMs - spreadMs),
-      callMs,
+      startMs: predictFirstFreeMs(states, this.spec, nowMs),
+      callMs: usualCallMs(this.spec),
       costMs: (entry) => {
         const { pieces, workMs } = sumLoad([entry], this.pieceTimes);
         return (pieces * callShareMs + workMs) / Math.max(speed, 1 / MAX_POOL_SLOWNESS);
@@ -317,17 +326,10 @@
         const overdueCall = call;
         overdueCall.overdue = true;
         learnSlowness(call.state, (nowMs - call.sentAtMs) / (call.expectedMs / readSlowness(call.state, nowMs)), nowMs);
-        call.pieces.forEach((piece) => this.requeue(piece));
+        call.pieces.forEach(({ job, piece }) => requeuePiece(this.jobs.get(job.jobId)?.pieces, piece));
       });
   }
 
-  private requeue({ job, piece }: WaitingPiece): void {
-    const entry = this.jobs.get(job.jobId);
-    if (entry !== undefined && entry.pieces[piece] === 'running') {
-      entry.pieces[piece] = 'waiting';
-    }
-  }
-
   /** Applies the outcome of each piece and returns the jobs that end. */
   private settle(call: RunningCall, outcomeOf: (index: number) => PieceOutcome): readonly JobResult[] {
     return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcomeOf(index)));
@@ -348,7 +350,7 @@
         return [this.endJob(jobId, outcome)];
       case 'no-room':
       case 'failed':
-        this.requeue(ref);
+        requeuePiece(entry.pieces, ref.piece);
         return (entry.sends[ref.piece] ?? 0) >= MAX_SENDS_PER_PIECE ? [this.endJob(jobId, 'failed')] : [];
       default:
         return exhaustive(outcome);
@@ -378,7 +380,7 @@
     return (
       nowMs +
       readFreeInMs([...this.servers.values()], nowMs) +
-      predictSpanMs(sumLoad(ahead, this.pieceTimes), this.spec, this.servers.size) -
+      predictSpanMs(sumLoad(ahead, this.pieceTimes), this.spec, countServers([...this.servers.values()], this.spec)) -
       entry.job.expiresAtMs
     );
   }
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -28,6 +28,8 @@
   readonly failureDomain: string;
   /** Monotonic time before which the server accepts no calls. */
   readonly restsUntilMs?: number;
+  /** Least time between two calls that its rate limit allows; undefined without a limit. */
+  readonly callIntervalMs?: number | undefined;
 }
 
 /** One piece of a job. */
@@ -70,6 +72,8 @@
   | { readonly type: 'answered'; readonly pieces: readonly PieceOutcome[]; readonly totalMs: number }
   /** The server did not accept the call. */
   | { readonly type: 'refused' }
+  /** The call was not sent, because the rate limit of the server allows no request before a later time. */
+  | { readonly type: 'limited'; readonly untilMs: number }
   /** The connection broke or could not be established. */
   | { readonly type: 'broken' };
 
--- a/packages/decide/src/limits/applyStatement.ts
+++ b/packages/decide/src/limits/applyStatement.ts
@@ -14,19 +14,22 @@
  * @param nowMs - monotonic time
  * @returns the limit in force; the same object when the statement changes nothing
  * @example
- * applyStatement(undefined, { requestsPerSecond: 2, startedAtMs: 1, sentAtMs: 90 }, 100);
+ * applyStatement(undefined, { requestsPerSecond: 2, startedAtMs: 1, atMs: 100 }, 100);
  */
 export default function applyStatement(
   known: StatedLimit | undefined,
-  { requestsPerSecond, startedAtMs, sentAtMs }: LimitStatement,
+  { requestsPerSecond, startedAtMs, atMs }: LimitStatement,
   nowMs: number,
 ): StatedLimit | undefined {
   if (known !== undefined && startedAtMs < known.startedAtMs) {
     return known;
   }
   const current = known?.startedAtMs === startedAtMs && !isExpired(known, nowMs) ? known : undefined;
+  if (current !== undefined && atMs <= current.statedAtMs) {
+    return current;
+  }
   if (requestsPerSecond === undefined || requestsPerSecond >= MAX_TRACKED_RATE) {
-    return current !== undefined && sentAtMs <= current.statedAtMs ? current : undefined;
+    return undefined;
   }
-  return { requestsPerSecond, startedAtMs, sinceMs: current?.sinceMs ?? nowMs, statedAtMs: nowMs };
+  return { requestsPerSecond, startedAtMs, sinceMs: current?.sinceMs ?? atMs, statedAtMs: atMs };
 }
--- /dev/null
+++ b/packages/decide/src/limits/createSendLimiter.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import createSendLimiter from './createSendLimiter.js';
+import type { SendNeed } from './types.js';
+
+const NEED: SendNeed = { queue: 'p', key: 'k', serverIds: ['s1'], mayWait: false };
+
+/** Times at which a server is handed out when it is asked for each millisecond. */
+const takeAll = (requestsPerSecond: number, durationMs: number): readonly number[] => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', requestsPerSecond, 0);
+  return Array.from({ length: durationMs }, (_, nowMs) => nowMs).filter(
+    (nowMs) => limiter.take(NEED, nowMs).type === 'granted',
+  );
+};
+
+test('a limit of a fraction, of 0 or of many requests is used in full and not exceeded', () => {
+  assert.equal(takeAll(0.5, 20_001).length, 10);
+  assert.equal(takeAll(5.5, 20_001).length, 110);
+  assert.equal(takeAll(200, 5_001).length, 1_000);
+  assert.deepEqual(takeAll(0, 20_001), [10_000, 20_000]);
+});
+
+test('a new limit hands out nothing for the first interval, and little is saved up without requests', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  assert.deepEqual(limiter.take(NEED, 400), { type: 'later', atMs: 500 });
+  assert.equal(limiter.take(NEED, 60_000).type, 'granted');
+  assert.equal(limiter.take(NEED, 60_000).type, 'later');
+});
+
+test('a limit that changes all the time never gives a burst', () => {
+  const limiter = createSendLimiter();
+  let sends = 0;
+  for (let nowMs = 0; nowMs <= 10_000; nowMs += 1) {
+    if (nowMs % 100 === 0) {
+      limiter.setLimit('s1', nowMs % 200 === 0 ? 1 : 3, nowMs);
+    }
+    sends += limiter.take(NEED, nowMs).type === 'granted' ? 1 : 0;
+  }
+  assert.ok(sends >= 18 && sends <= 21, `${sends} sends in 10 s at 2 a second on average`);
+});
+
+test('few of the hosts that are denied are told the same time', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 10, 0);
+  const times = Array.from({ length: 40 }, (_, host) => limiter.take({ ...NEED, key: `k${host}` }, 0)).map(
+    (decision) => (decision.type === 'later' ? decision.atMs : 0),
+  );
+  const within = (ms: number): number => times.filter((atMs) => atMs < ms).length;
+  assert.equal(within(200), 2);
+  assert.ok(within(1_100) <= 21);
+});
+
+test('the first of the servers that has room is handed out', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 1, 0);
+  limiter.setLimit('s2', 2, 0);
+  const need = { ...NEED, serverIds: ['s1', 's2'] };
+  assert.deepEqual(limiter.take(need, 500), { type: 'granted', serverId: 's2' });
+  assert.deepEqual(limiter.take(need, 1_000), { type: 'granted', serverId: 's1' });
+});
+
+test('a request that waits gets a slot that no later one takes, also when its caller sends it again', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  const wait = (key: string, nowMs: number) => limiter.take({ ...NEED, key, mayWait: true }, nowMs);
+  assert.deepEqual(wait('a', 0), { type: 'later', atMs: 500 });
+  assert.deepEqual(wait('b', 0), { type: 'later', atMs: 1_000 });
+  assert.deepEqual(wait('a', 100), { type: 'later', atMs: 500 });
+  assert.equal(limiter.take({ ...NEED, key: 'c' }, 500).type, 'later');
+  assert.equal(wait('a', 510).type, 'granted');
+  assert.equal(wait('b', 1_000).type, 'granted');
+});
+
+test('a slot that is not used is handed out again', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  limiter.take({ ...NEED, key: 'a', mayWait: true }, 0);
+  assert.equal(limiter.take({ ...NEED, key: 'b' }, 700).type, 'later');
+  assert.equal(limiter.take({ ...NEED, key: 'b' }, 801).type, 'granted');
+});
+
+test('no span of 4 s has more sends than 4 s of the highest rate and one burst', () => {
+  const step = fc.record({
+    elapsedMs: fc.integer({ min: 0, max: 400 }),
+    requestsPerSecond: fc.option(fc.double({ min: 0, max: 12, noNaN: true }), { freq: 8, nil: undefined }),
+    key: fc.constantFrom('a', 'b', 'c', 'd'),
+    mayWait: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 300 }), (steps) => {
+      const limiter = createSendLimiter();
+      const sends: number[] = [];
+      let nowMs = 0;
+      limiter.setLimit('s1', 12, 0);
+      steps.forEach(({ elapsedMs, requestsPerSecond, key, mayWait }) => {
+        nowMs += elapsedMs;
+        if (requestsPerSecond !== undefined) {
+          limiter.setLimit('s1', requestsPerSecond, nowMs);
+        }
+        if (limiter.take({ ...NEED, key, mayWait }, nowMs).type === 'granted') {
+          sends.push(nowMs);
+        }
+      });
+      return sends.every((atMs) => sends.filter((each) => each >= atMs && each <= atMs + 4_000).length <= 52);
+    }),
+  );
+});
--- a/packages/decide/src/limits/types.ts
+++ b/packages/decide/src/limits/types.ts
@@ -15,6 +15,24 @@
   readonly requestsPerSecond: number | undefined;
   /** Start of the process that answered. */
   readonly startedAtMs: number;
-  /** Monotonic time at which the answered request was sent. */
-  readonly sentAtMs: number;
+  /** Monotonic time of the answer. Without a limit, the time at which the answered request was sent. */
+  readonly atMs: number;
 }
+
+/** A request that needs permission to be sent to a server with a limit. */
+export interface SendNeed {
+  /** Requests of the same queue can use the same servers. */
+  readonly queue: string;
+  /** Identifies the request, also when its caller sends it again. */
+  readonly key: string;
+  /** Servers that it may be sent to, the preferred one first. */
+  readonly serverIds: readonly string[];
+  /** Whether no other server can serve it, so that it gets a slot. */
+  readonly mayWait: boolean;
+}
+
+/** Permission to send a request, or the time to ask again. */
+export type SendDecision =
+  | { readonly type: 'granted'; readonly serverId: string }
+  /** With `mayWait` the time is a slot that is kept for the request. */
+  | { readonly type: 'later'; readonly atMs: number };
--- a/packages/decide/src/scheduling/createEngineSelector.ts
+++ b/packages/decide/src/scheduling/createEngineSelector.ts
@@ -21,6 +21,8 @@
   /** Bytes of stage results, by the failure domain that holds them. */
   readonly resultBytes: ReadonlyMap<string, number>;
   readonly avoidServers: readonly string[];
+  /** Servers that must not get it, also when no other is left. */
+  readonly closedServers?: readonly string[];
   /** Monotonic time after which the caller no longer waits for the answer. */
   readonly deadlineAtMs: number;
 }
@@ -46,7 +48,7 @@
 /** Tracks the engines of one region and selects one for each generation. */
 export interface EngineSelector {
   setEngines(engines: readonly EngineDescription[]): void;
-  /** Returns the engine with the lowest cost, or undefined without engines; records nothing. */
+  /** Returns the engine with the lowest cost, or undefined when none may get the generation; records nothing. */
   choose(need: GenerationNeed, nowMs: number): EngineChoice | undefined;
   /** Records that the generation is sent to the chosen engine. */
   place(need: GenerationNeed, choice: EngineChoice, nowMs: number): void;
@@ -148,7 +150,10 @@
 
   choose(need: GenerationNeed, nowMs: number): EngineChoice | undefined {
     this.expire(nowMs);
-    const engines = [...this.engines.values()];
+    const { closedServers = [] } = need;
+    const engines = [...this.engines.values()].filter(
+      ({ description }) => !closedServers.includes(description.serverId),
+    );
     const available = engines.filter(({ backoffUntilMs }) => backoffUntilMs <= nowMs);
     const usable = available.length > 0 ? available : engines;
     const untried = usable.filter(({ description }) => !need.avoidServers.includes(description.serverId));
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -13,6 +13,8 @@
   | 'overloaded'
   | 'stopping'
   | 'no-server'
+  /** All servers have stated rate limits, and its turn comes too late. */
+  | 'limited'
   | 'deadline-passed'
   | 'overtaken'
   | 'poisoned'
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -18,7 +18,6 @@
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
 import type { ServerPools } from '../servers/createServerPools.js';
-import placeAttempt from '../servers/placeAttempt.js';
 import openAttempt from '../servers/openAttempt.js';
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
@@ -31,6 +30,7 @@
 import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
 import Reservation, { DEFAULT_ANSWER_MS } from './Reservation.js';
 import RunAnswer from './RunAnswer.js';
+import ServerFinder, { NO_SERVER_RETRY_AFTER_MS } from './ServerFinder.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
@@ -56,8 +56,6 @@
   readonly spendRetry: (pool: string) => boolean;
 }
 
-/** Retry-After when no server is left to try and the directory does not know when one will be back. */
-const NO_SERVER_RETRY_AFTER_MS = 300;
 const TIMED_OUT_RETRY_AFTER_MS = 100;
 /** Time after sending by which a server has fetched the stage results that the attempt names. */
 const RESULT_FETCH_MS = 80;
@@ -84,6 +82,8 @@
 
   private readonly reader: AnswerReader;
 
+  private readonly finder: ServerFinder;
+
   private stageRounds = 0;
 
   /** Time to the first token of the attempt, as predicted by the scheduler. */
@@ -112,7 +112,9 @@
     });
     this.pool = choosePool(request.route.pools, ports.random()) ?? '';
     this.reservation = new Reservation(request, this.pool, ports);
-    const { record, answer, results, reservation } = this;
+    const { record, answer, results, reservation, pool, work, avoidServers } = this;
+    const placed = { request, pool, work, avoidServers, record, answer, results, reservation };
+    this.finder = new ServerFinder({ ...placed, signal: this.abort.signal }, ports);
     this.reader = new AnswerReader({ request, exchange, record, answer, results, reservation }, ports);
   }
 
@@ -146,11 +148,13 @@
       if (!(await this.requestEntry()) || !(await this.ensureStageResults())) {
         return;
       }
-      const server = await this.findServer();
+      const found = await this.finder.find();
       this.refuseBlocked();
-      if (server === undefined || this.answer.ended) {
+      if (found === undefined || this.answer.ended) {
         return;
       }
+      const { server } = found;
+      this.expectedFirstTokenMs = found.expectedFirstTokenMs;
       const result = await this.sendAttempt(server);
       /* eslint-enable no-await-in-loop */
       if (result.type === 'delivered' || this.answer.ended) {
@@ -211,23 +215,6 @@
     return !this.answer.ended;
   }
 
-  /** Waits for a server with free capacity; undefined when the request ends first. */
-  private async findServer(): Promise<ServerView | undefined> {
-    const { serverId, firstTokenMs } = await this.reservation.place(this.results, this.avoidServers);
-    this.expectedFirstTokenMs = firstTokenMs;
-    const { request, pool, avoidServers, work, ports } = this;
-    const placement = { request, pool, serverId, avoidServers, ...work };
-    const placed = await placeAttempt(placement, { ...ports, isCancelled: () => this.answer.ended });
-    if (placed.type === 'placed') {
-      this.record.notePlaced();
-      return placed.server;
-    }
-    if (placed.type === 'no-server') {
-      this.answer.fail('no-server', ports.directory.readBackoffRemainingMs(pool) ?? NO_SERVER_RETRY_AFTER_MS);
-    }
-    return undefined;
-  }
-
   private async sendAttempt(server: ServerView): Promise<AttemptResult> {
     const { pools, format, clock } = this.ports;
     const { fingerprint, partKeys } = this.request;
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -1,6 +1,7 @@
 import type { EngineEvent } from '@bergamotcove/decide';
 import type { ForwardRequest } from './types.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { StageFormat } from '../ports.js';
 import type { GenerationRequest, PlaceAnswer } from '../scheduling/messages.js';
 import type { EntryResult, SchedulerClient } from '../scheduling/createSchedulerClient.js';
@@ -12,6 +13,7 @@
 export interface ReservationPorts {
   readonly scheduler: SchedulerClient;
   readonly directory: BackendDirectory;
+  readonly limits: Pick<RateLimits, 'closedUntilMs'>;
   readonly stageFormat: StageFormat;
   readonly clock: { monotonicMs(): number };
   readonly region: string;
@@ -100,14 +102,16 @@
     if (generation === undefined) {
       return Promise.resolve({});
     }
-    const { requestId, deadlineAtMs } = this.request;
-    const { clock, directory, stageFormat } = this.ports;
+    const { requestId, fingerprint, deadlineAtMs } = this.request;
+    const { clock, directory, limits, stageFormat } = this.ports;
     const findDomain = (result: string) => directory.findAt(stageFormat.readHolderAddress(result))?.failureDomain;
     const resultBytes = Object.fromEntries(sumBytesByDomain(results.listLast(), findDomain));
+    const nowMs = clock.monotonicMs();
+    const closed = directory.list(this.pool).filter(({ serverId }) => limits.closedUntilMs(serverId) > nowMs);
     // The scheduler does not know which servers this host avoids because of their answers to it.
-    const avoided = [...avoidServers, ...directory.listExcluded(this.pool)];
-    const deadlineInMs = deadlineAtMs - clock.monotonicMs();
-    const facts = { requestId, deadlineInMs, resultBytes, avoidServers: avoided };
+    const avoided = [...avoidServers, ...directory.listExcluded(this.pool), ...closed.map(({ serverId }) => serverId)];
+    const deadlineInMs = deadlineAtMs - nowMs;
+    const facts = { requestId, key: fingerprint, deadlineInMs, resultBytes, avoidServers: avoided };
     return this.ports.scheduler.place(this.region, { ...generation, ...facts });
   }
 
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -9,6 +9,8 @@
   readonly reason: string;
   /** Block that ended the request: its fingerprint, or the key of a part of its prompt; undefined without one. */
   readonly blockedBy: string | undefined;
+  /** Servers for which the request needed permission, because they have rate limits. */
+  readonly limitedServerIds: readonly string[];
   readonly sends: number;
   readonly runs: number;
   /** Servers that the request was sent to, in the order of sending. */
@@ -33,6 +35,8 @@
 
   private readonly serverIds: string[] = [];
 
+  private readonly limitedServerIds = new Set<string>();
+
   private region: string | undefined;
 
   private tier: string | undefined;
@@ -92,6 +96,10 @@
     this.serverIds.push(serverId);
   }
 
+  noteLimited(serverIds: readonly string[]): void {
+    serverIds.forEach((serverId) => this.limitedServerIds.add(serverId));
+  }
+
   noteRun(mayHaveRun: boolean): void {
     this.runs += mayHaveRun ? 1 : 0;
   }
@@ -112,6 +120,7 @@
     return {
       ...this.ending,
       blockedBy: this.blockedBy,
+      limitedServerIds: [...this.limitedServerIds],
       sends: this.sends,
       runs: this.runs,
       serverIds: this.serverIds,
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -19,7 +19,8 @@
     },
     region: 'r',
   } as unknown as RegionSchedulerOptions;
-  return createRegionScheduler(options);
+  const limits = { isOwned: () => false, closedUntilMs: () => -Infinity, takeOwned: () => assert.fail('no limit') };
+  return createRegionScheduler({ ...options, limits });
 };
 
 const createRequest = (requestId: string): EnterRequest => ({
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -18,9 +18,11 @@
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import placeGeneration from './placeGeneration.js';
 import createRegionLoads, { type RegionLoads } from './createRegionLoads.js';
 import { DEFAULT_ANSWER_MS } from '../requests/Reservation.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import createPeerMap from '../hosts/createPeerMap.js';
 import {
   ENTER,
@@ -61,6 +63,7 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly directory: BackendDirectory;
+  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'closedUntilMs'>;
   readonly tables: RouteTableHolder;
   readonly region: string;
 }
@@ -221,12 +224,20 @@
       avoidServers: request.avoidServers,
       deadlineAtMs: nowMs + (request.deadlineInMs ?? DEFAULT_DEADLINE_MS),
     };
-    const choice = selector.choose(need, nowMs);
-    if (choice === undefined) {
-      return {};
+    const placed = placeGeneration(need, {
+      selector,
+      limits: this.options.limits,
+      servers: this.options.directory.listNear(request.pool, this.options.region),
+      pool: request.pool,
+      key: request.key ?? request.requestId,
+      nowMs,
+    });
+    if (placed.type !== 'placed') {
+      return placed.type === 'later' ? { laterInMs: placed.atMs - nowMs } : {};
     }
+    const { choice, permitted } = placed;
     selector.place(need, choice, nowMs);
-    return { serverId: choice.serverId, firstTokenMs: choice.firstTokenMs };
+    return { serverId: choice.serverId, firstTokenMs: choice.firstTokenMs, ...(permitted ? { permitted } : {}) };
   }
 
   note(note: RequestNote): void {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -71,6 +71,8 @@
   /** Bytes of stage results by the failure domain that holds them. */
   readonly resultBytes: Readonly<Record<string, number>>;
   readonly avoidServers: readonly string[];
+  /** Identifies the request, also when its caller sends it again; hosts of an earlier version do not send it. */
+  readonly key?: string;
 }
 
 /** Answer to {@link PlaceRequest}. */
@@ -79,6 +81,10 @@
   readonly serverId?: string;
   /** Expected time to the first token. */
   readonly firstTokenMs?: number;
+  /** Whether the request may be sent to the engine without asking for permission, although it has a rate limit. */
+  readonly permitted?: boolean;
+  /** Time until the request is expected to get an engine, when all of them have rate limits; ask again then. */
+  readonly laterInMs?: number;
 }
 
 /** Progress of a request. */
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -5,6 +5,7 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { ServerLoadFacts } from '../ports.js';
 import type { ForwardRequest } from '../requests/types.js';
 
@@ -14,6 +15,8 @@
   readonly pool: string;
   /** Server that the scheduler assigned, if any. */
   readonly serverId?: string | undefined;
+  /** Whether the request may be sent there although the server has a rate limit. */
+  readonly permitted: boolean;
   /** Servers that failed this request and are avoided. */
   readonly avoidServers: readonly string[];
   /** Work of the attempt: tokens to generate, or 1 for other requests. */
@@ -37,6 +40,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly directory: BackendDirectory;
+  readonly limits: Pick<RateLimits, 'closedUntilMs'>;
   readonly tables: RouteTableHolder;
   readonly hosts: HostRegistry;
   readonly failureDomain: string;
@@ -54,6 +58,42 @@
   return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / hosts.list().length));
 };
 
+/** Chooses the assigned server, or one that may get the attempt now. */
+const choose = (placement: PlacementRequest, options: ServerPoolsOptions): Choice | undefined => {
+  const { clock, directory, limits, failureDomain, region } = options;
+  const { request, pool, serverId, permitted, avoidServers, tokens, prefillTokens } = placement;
+  const view = directory.view(pool);
+  const nowMs = clock.monotonicMs();
+  const isAssigned = (server: ServerView): boolean => server.serverId === serverId;
+  const isOpen = (server: ServerView): boolean =>
+    limits.closedUntilMs(server.serverId) <= nowMs || (permitted && isAssigned(server));
+  const open = view.servers.filter(isOpen);
+  const assigned = open.find(isAssigned);
+  if (assigned !== undefined && !avoidServers.includes(assigned.serverId)) {
+    return { type: 'send', server: assigned, predictedMs: 0, crossRegion: assigned.region !== region };
+  }
+  const limit = limitAttempts(pool, options);
+  const servers = open.filter((server: ServerView) => server.outstanding < limit);
+  if (servers.length === 0 && open.length > 0) {
+    return { type: 'wait' };
+  }
+  return chooseServer(
+    { ...view, servers },
+    {
+      tokens,
+      prefillTokens,
+      long: false,
+      remainingMs: request.deadlineAtMs - nowMs,
+      avoidServers,
+      failureDomain,
+      region,
+      crossRegionAllowed: true,
+      nowMs,
+    },
+    Math.random,
+  );
+};
+
 /**
  * Creates the server choice for attempts.
  *
@@ -61,41 +101,11 @@
  * @returns the pools; close them to close their connections
  */
 export default function createServerPools(options: ServerPoolsOptions): ServerPools {
-  const { clock, directory, hosts, failureDomain, region } = options;
+  const { clock, directory, hosts } = options;
   const clients = new Map<string, HttpClient>();
 
-  const choose = (placement: PlacementRequest): Choice | undefined => {
-    const { request, pool, serverId, avoidServers, tokens, prefillTokens } = placement;
-    const view = directory.view(pool);
-    const assigned = view.servers.find((server) => server.serverId === serverId);
-    if (assigned !== undefined && !avoidServers.includes(assigned.serverId)) {
-      return { type: 'send', server: assigned, predictedMs: 0, crossRegion: assigned.region !== region };
-    }
-    const limit = limitAttempts(pool, options);
-    const servers = view.servers.filter((server: ServerView) => server.outstanding < limit);
-    if (servers.length === 0 && view.servers.length > 0) {
-      return { type: 'wait' };
-    }
-    const nowMs = clock.monotonicMs();
-    return chooseServer(
-      { ...view, servers },
-      {
-        tokens,
-        prefillTokens,
-        long: false,
-        remainingMs: request.deadlineAtMs - nowMs,
-        avoidServers,
-        failureDomain,
-        region,
-        crossRegionAllowed: true,
-        nowMs,
-      },
-      Math.random,
-    );
-  };
-
   return {
-    choose,
+    choose: (placement) => choose(placement, options),
     clientOf: (pool) => {
       const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS });
       clients.set(pool, client);
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -5,6 +5,7 @@
   type CallOutcome,
   type JobResult,
   type PlannedCall,
+  type SendDecision,
 } from '@bergamotcove/decide';
 import type { PieceAnswer } from '../ports.js';
 import type { BatchOwner, BatchOwnerOptions } from './BatchOwner.js';
@@ -156,12 +157,13 @@
   }
 
   refresh(): void {
-    const { directory, pool, region, clock } = this.options;
-    const servers = directory.listNear(pool, region);
-    this.queue.setServers(
-      servers.map((server) => ({ ...server, restsUntilMs: directory.readBackoffEndMs(server.serverId) })),
-      clock.monotonicMs(),
-    );
+    const { directory, limits, pool, region, clock } = this.options;
+    const servers = directory.listNear(pool, region).map((server) => {
+      const { serverId } = server;
+      const restsUntilMs = Math.max(directory.readBackoffEndMs(serverId), limits.closedUntilMs(serverId));
+      return { ...server, restsUntilMs, callIntervalMs: limits.readIntervalMs(serverId) };
+    });
+    this.queue.setServers(servers, clock.monotonicMs());
     this.requestAdvance();
   }
 
@@ -221,10 +223,14 @@
       const { job, expiresAtMs } = this.jobs.get(jobId) as OpenJob;
       return createPieceItem(job, piece, expiresAtMs - sentAtMs);
     });
-    this.noteStarted(call);
     if (call.needsEviction) {
       await this.evictResults(call.serverId);
     }
+    const permission = await this.takeSend(call);
+    if (permission.type === 'later') {
+      return { type: 'limited', untilMs: permission.atMs };
+    }
+    this.noteStarted(call);
     const { status, answers, totalMs } = await callWithCrashWatch(
       server,
       { items, fingerprints: this.listFingerprints(call), limitMs: call.expectedMs * CALL_TIMEOUT_FACTOR },
@@ -239,6 +245,22 @@
     return { type: 'answered', pieces, totalMs };
   }
 
+  /** Asks for permission to send a call; a server without a rate limit needs none. */
+  private async takeSend({ serverId, callId }: PlannedCall): Promise<SendDecision> {
+    const { limits, pool } = this.options;
+    if (!limits.isLimited(serverId)) {
+      return { type: 'granted', serverId };
+    }
+    const decision = await limits.take({
+      queue: pool,
+      key: `call ${callId}`,
+      serverIds: [serverId],
+      mayWait: false,
+    });
+    this.refresh();
+    return decision;
+  }
+
   /**
    * Makes the inputs of a job evictable once the calls of all its pieces have started: a server fetches them at the
    * start of a call. They are kept while there is memory, because a piece that fails needs them again.
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -80,6 +80,7 @@
 
   constructor(private readonly options: BatchOwnersOptions) {
     options.directory.onChange(() => this.owners.forEach((owner) => owner.refresh()));
+    options.limits.onChange(() => this.owners.forEach((owner) => owner.refresh()));
     options.crashes.onAnyBlocked((fingerprint) => this.owners.forEach((owner) => owner.block(fingerprint)));
     this.methods = {
       [RUN_STAGE]: (params, peer) => this.runForPeer(peer, params as StageJob),
--- a/packages/gateway/src/stages/reportCall.ts
+++ b/packages/gateway/src/stages/reportCall.ts
@@ -59,6 +59,9 @@
 ): void => {
   const pieces = call.pieces.length;
   metrics.report('pool.calls', 1, { pool, result: outcome.type });
+  if (outcome.type === 'limited') {
+    return;
+  }
   metrics.report('pool.pieces', pieces, { pool });
   if (outcome.type === 'answered') {
     metrics.report('pool.call_duration', outcome.totalMs, { pool });
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -8,7 +8,7 @@
   type StoreDialect,
 } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
-import { createDrain, createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
+import { createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
 import { exhaustive } from '@bergamotcove/errors';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createScrapedMetrics, type ScrapedMetrics } from '@bergamotcove/telemetry';
@@ -38,6 +38,7 @@
 import createAnswerMemory from './servers/createAnswerMemory.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
+import createGatewayDrain, { type StopState } from './createGatewayDrain.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import type { GatewaySettings } from './settings.js';
 import describeStatus, { type GatewayStatus } from './observe/describeStatus.js';
@@ -91,14 +92,9 @@
 
 const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
 const STORE_TIMEOUT_MS = 1_000;
-/** The load balancer checks the health every second and stops sending new connections after two failures. */
-const BALANCER_LAG_MS = 2_200;
-/** Part of the grace period that is reserved for the shutdown of the process itself. */
-const STOP_RESERVE_MS = 500;
 const MAX_LOGGED_CHARS = 64;
 /** Method that returns the status of a host to an operator. */
 const OPERATOR_STATUS = 'operator.status';
-const IDLE_POLL_MS = 50;
 
 const logEraEvent = (event: EraEvent, logger: Logger): void => {
   switch (event.type) {
@@ -132,18 +128,21 @@
   });
   const tables = createRouteTableHolder({ clock, logger, format: formats.catalogue });
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
-  const limits = createRateLimits({ clock, logger, directory });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const metrics = createScrapedMetrics();
+  const dutyOf = (pool: string): string =>
+    tables.current()?.pools.get(pool)?.batch === undefined ? SCHEDULER_DUTY : pool;
+  const limits = createRateLimits({ clock, logger, metrics, links, directory, region, dutyOf });
   const { blockPrefix, releasePrefix } = formats.catalogue;
   const prefixes = { blocks: blockPrefix, releases: releasePrefix };
   const { random } = Math;
   const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefixes, hostId, random });
   const ownerOptions = { clock, logger, metrics, format: formats.stages, directory, limits, crashes, tables, region };
   const owners = createBatchOwners(ownerOptions);
-  const scheduler = createRegionScheduler({ clock, logger, links, directory, tables, region });
+  const scheduler = createRegionScheduler({ clock, logger, links, directory, limits, tables, region });
   const queues = createPoolQueues(clock);
   directory.onChange(() => queues.drainAll());
+  limits.onChange(() => queues.drainAll());
   const liveSettings = createSettingsHolder(settings);
   const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
   return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes };
@@ -238,18 +237,6 @@
   });
 };
 
-const awaitIdle = (clock: Clock, callers: CallerServer): Promise<void> =>
-  new Promise((resolve) => {
-    const poll = (): void => {
-      if (callers.openRequests() === 0) {
-        resolve();
-      } else {
-        clock.schedule(IDLE_POLL_MS, poll);
-      }
-    };
-    poll();
-  });
-
 interface SampledParts {
   readonly callers: CallerServer;
   readonly hosts: HostRegistry;
@@ -276,11 +263,6 @@
   return startMetricsServer({ ...settings.metrics, address: settings.host.address, metrics, sample });
 };
 
-/** State of the shutdown of this host; its times are set once it has begun. */
-interface StopState {
-  times: DrainTimes | undefined;
-}
-
 const readStatus = (base: BaseParts, { callers, hosts, isReady }: SampledParts, stop: StopState): GatewayStatus =>
   describeStatus({
     self: hosts.self,
@@ -292,40 +274,9 @@
     store: base.directory.position,
   });
 
-interface DrainedParts {
-  readonly callers: CallerServer;
-  readonly hosts: HostRegistry;
-  readonly stop: StopState;
-  readonly close: () => Promise<void>;
-}
-
-const createGatewayDrain = (base: BaseParts, { callers, hosts, stop, close }: DrainedParts): (() => Promise<void>) => {
-  const { clock, logger, owners, liveSettings } = base;
-  const { graceMs } = liveSettings.current().stop;
-  const state = stop;
-  return createDrain({
-    clock,
-    logger,
-    balancerLagMs: BALANCER_LAG_MS,
-    timeoutMs: graceMs - BALANCER_LAG_MS - STOP_RESERVE_MS,
-    onStart: () => {
-      const startedAtMs = clock.monotonicMs();
-      state.times = { startedAtMs, endsAtMs: startedAtMs + liveSettings.current().stop.graceMs - STOP_RESERVE_MS };
-      // If the entry cannot be removed, it expires with its lease.
-      hosts.leave().catch(() => undefined);
-      owners.leave();
-      callers.drain();
-    },
-    inFlight: () => callers.openRequests(),
-    idle: () => awaitIdle(clock, callers),
-    close,
-    abort: () => undefined,
-  });
-};
-
 /** Registers this host, and takes over and hands over duties whenever the list of hosts changes. */
 const startDuties = (base: BaseParts, hosts: HostRegistry, exchange: HostExchange): void => {
-  const { owners, scheduler, crashes } = base;
+  const { owners, scheduler, crashes, limits } = base;
   const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === hosts.self.hostId;
   hosts.onChange(() => {
     owners.updateOwnership(isOwner);
@@ -335,8 +286,44 @@
   exchange.start(hosts);
   scheduler.start(hosts);
   crashes.start(hosts);
+  limits.start(hosts);
 };
 
+/** Methods that other hosts and operators call. */
+const listMethods = (
+  { owners, scheduler, crashes, limits }: BaseParts,
+  { exchange, follower, readStatus: read }: Sources & { readonly readStatus: () => GatewayStatus | undefined },
+): Readonly<Record<string, LinkMethod>> => ({
+  [OPERATOR_STATUS]: read,
+  ...owners.methods,
+  ...scheduler.methods,
+  ...exchange.methods,
+  ...follower.methods,
+  ...crashes.methods,
+  ...limits.methods,
+});
+
+/** A part that is closed when the gateway stops. */
+interface Closeable {
+  close(): void;
+}
+
+interface ClosedParts {
+  readonly hosts: HostRegistry;
+  readonly pools: ServerPools;
+  readonly started: readonly Closeable[];
+}
+
+const createClose =
+  (base: BaseParts, { hosts, pools, started }: ClosedParts): (() => Promise<void>) =>
+  async () => {
+    const { scheduler, crashes, owners, limits, links, queues, directory, store } = base;
+    await hosts.leave();
+    [...started, scheduler, crashes, owners, limits, links, queues, pools, directory, store].forEach((part) =>
+      part.close(),
+    );
+  };
+
 /**
  * Builds and starts a gateway.
  *
@@ -346,14 +333,12 @@
  */
 export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
   const base = createBase(settings, options);
-  const { logger, tables, directory, links, owners, scheduler, queues, store } = base;
+  const { logger, tables, directory } = base;
   const { exchange, follower } = createSources(base);
-  const methodSets = [owners, scheduler, exchange, follower, base.crashes].map(({ methods }) => methods);
   const status = { read: (): GatewayStatus | undefined => undefined };
-  const operatorMethods = { [OPERATOR_STATUS]: () => status.read() };
   const linkServer = await startLinkServer(
     base,
-    Object.assign(operatorMethods, ...methodSets) as Record<string, LinkMethod>,
+    listMethods(base, { exchange, follower, readStatus: () => status.read() }),
   );
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
@@ -370,11 +355,8 @@
   const metricsServer = await startMetrics(base, sampledParts);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
-  const parts = [follower, exchange, scheduler, base.crashes, callers, health, metricsServer, owners, linkServer];
-  const close = async (): Promise<void> => {
-    await hosts.leave();
-    [...parts, links, queues, pools, directory, store].forEach((part) => part.close());
-  };
+  const started = [follower, exchange, callers, health, metricsServer, linkServer];
+  const close = createClose(base, { hosts, pools, started });
   const drainState = { running: undefined as Promise<void> | undefined };
   return {
     callersPort: callers.port,
@@ -386,7 +368,7 @@
       return base.liveSettings.apply(changed);
     },
     drain: () => {
-      drainState.running ??= createGatewayDrain(base, { callers, hosts, stop, close })();
+      drainState.running ??= createGatewayDrain({ ...base, callers, hosts, stop, close })();
       return drainState.running;
     },
     close,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -37,6 +37,12 @@
     tags: ['pool'],
     text: 'Servers that have stated how many requests a second they take from all hosts.',
   },
+  'limit.sends': {
+    type: 'counter',
+    unit: '1',
+    tags: ['pool', 'result'],
+    text: 'Requests for a send to a server with a rate limit that this host has decided, by result.',
+  },
   'server.losses': {
     type: 'counter',
     unit: '1',
