--- a/packages/decide/src/limits/constants.ts
+++ b/packages/decide/src/limits/constants.ts
@@ -12,7 +12,9 @@
 export const MIN_DENIAL_MS = 20;
 /** Longest time until a host may ask again; its other requests would never learn that a server has room. */
 export const MAX_DENIAL_MS = 5_000;
-/** Time after its slot for which a send is kept for the request that it was promised to. */
+/** Time after its slot for which a send is kept for a request that waits. */
 export const SLOT_GRACE_MS = 300;
-/** Slots are promised up to this time ahead. */
+/** Time within which a caller that was told when to come back is served ahead of others. */
+export const PROMISE_GRACE_MS = 1_000;
+/** Callers are told times up to this time ahead. */
 export const SLOT_HORIZON_MS = 10_000;
--- a/packages/decide/src/limits/createSendLimiter.test.ts
+++ b/packages/decide/src/limits/createSendLimiter.test.ts
@@ -4,7 +4,7 @@
 import createSendLimiter from './createSendLimiter.js';
 import type { SendNeed } from './types.js';
 
-const NEED: SendNeed = { queue: 'p', key: 'k', serverIds: ['s1'], mayWait: false };
+const NEED: SendNeed = { queue: 'p', key: 'k', serverIds: ['s1'] };
 
 /** Times at which a server is handed out when it is asked for each millisecond. */
 const takeAll = (requestsPerSecond: number, durationMs: number): readonly number[] => {
@@ -62,10 +62,10 @@
   assert.deepEqual(limiter.take(need, 1_000), { type: 'granted', serverId: 's1' });
 });
 
-test('a request that waits gets a slot that no later one takes, also when its caller sends it again', () => {
+test('a request that waits gets a slot that no later one takes', () => {
   const limiter = createSendLimiter();
   limiter.setLimit('s1', 2, 0);
-  const wait = (key: string, nowMs: number) => limiter.take({ ...NEED, key, mayWait: true }, nowMs);
+  const wait = (key: string, nowMs: number) => limiter.take({ ...NEED, key, maxWaitMs: 2_000 }, nowMs);
   assert.deepEqual(wait('a', 0), { type: 'later', atMs: 500 });
   assert.deepEqual(wait('b', 0), { type: 'later', atMs: 1_000 });
   assert.deepEqual(wait('a', 100), { type: 'later', atMs: 500 });
@@ -74,10 +74,25 @@
   assert.equal(wait('b', 1_000).type, 'granted');
 });
 
+test('a caller that comes back as told is served ahead of those that wait, and nothing idles for one that does not', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  const ask = (key: string, nowMs: number) => limiter.take({ ...NEED, key, maxWaitMs: 1_000 }, nowMs);
+  assert.deepEqual(ask('a', 0), { type: 'later', atMs: 500 });
+  assert.deepEqual(ask('b', 0), { type: 'later', atMs: 1_000 });
+  assert.deepEqual(ask('c', 0), { type: 'later', atMs: 1_500 });
+  assert.deepEqual(ask('d', 0), { type: 'later', atMs: 2_000 });
+  assert.equal(ask('a', 500).type, 'granted');
+  assert.equal(ask('b', 1_000).type, 'granted');
+  assert.deepEqual(ask('e', 1_100), { type: 'later', atMs: 2_000 });
+  assert.equal(ask('c', 1_500).type, 'granted');
+  assert.equal(ask('e', 2_000).type, 'granted');
+});
+
 test('a slot that is not used is handed out again', () => {
   const limiter = createSendLimiter();
   limiter.setLimit('s1', 2, 0);
-  limiter.take({ ...NEED, key: 'a', mayWait: true }, 0);
+  limiter.take({ ...NEED, key: 'a', maxWaitMs: 2_000 }, 0);
   assert.equal(limiter.take({ ...NEED, key: 'b' }, 700).type, 'later');
   assert.equal(limiter.take({ ...NEED, key: 'b' }, 801).type, 'granted');
 });
@@ -87,7 +102,7 @@
     elapsedMs: fc.integer({ min: 0, max: 400 }),
     requestsPerSecond: fc.option(fc.double({ min: 0, max: 12, noNaN: true }), { freq: 8, nil: undefined }),
     key: fc.constantFrom('a', 'b', 'c', 'd'),
-    mayWait: fc.boolean(),
+    maxWaitMs: fc.option(fc.integer({ min: 0, max: 1_000 }), { nil: undefined }),
   });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 300 }), (steps) => {
@@ -95,12 +110,14 @@
       const sends: number[] = [];
       let nowMs = 0;
       limiter.setLimit('s1', 12, 0);
-      steps.forEach(({ elapsedMs, requestsPerSecond, key, mayWait }) => {
+      steps.forEach(({ elapsedMs, requestsPerSecond, key, maxWaitMs }) => {
         nowMs += elapsedMs;
         if (requestsPerSecond !== undefined) {
           limiter.setLimit('s1', requestsPerSecond, nowMs);
         }
-        if (limiter.take({ ...NEED, key, mayWait }, nowMs).type === 'granted') {
+        if (
+          limiter.take({ ...NEED, key, ...(maxWaitMs === undefined ? {} : { maxWaitMs }) }, nowMs).type === 'granted'
+        ) {
           sends.push(nowMs);
         }
       });
--- a/packages/decide/src/limits/createSendLimiter.ts
+++ b/packages/decide/src/limits/createSendLimiter.ts
@@ -78,13 +78,15 @@
       Limiter.spend(open.server);
       return { type: 'granted', serverId: open.serverId };
     }
-    const earliestMs = nowMs + Math.min(...servers.map(({ server }) => waitMs(server)));
     if (slotMs !== undefined && slotMs > nowMs) {
       return { type: 'later', atMs: slotMs };
     }
-    if (need.mayWait) {
+    const earliestMs = nowMs + Math.min(...servers.map(({ server }) => waitMs(server)));
+    if (need.maxWaitMs !== undefined) {
       const rate = servers.reduce((sum, { server }) => sum + server.spec.ratePerSecond, 0);
-      return { type: 'later', atMs: queue.add(need.key, { earliestMs, intervalMs: MS_PER_SECOND / rate, nowMs }) };
+      const latestMs = nowMs + need.maxWaitMs;
+      const { atMs } = queue.add(need.key, { earliestMs, intervalMs: MS_PER_SECOND / rate, latestMs, nowMs });
+      return { type: 'later', atMs };
     }
     return { type: 'later', atMs: Limiter.deny(servers[0]?.server, { earliestMs, nowMs }) };
   }
@@ -140,7 +142,7 @@
  * @returns the limiter
  * @example
  * limiter.setLimit('s1', 2, nowMs);
- * limiter.take({ queue: 'pool', key: 'request', serverIds: ['s1'], mayWait: false }, nowMs + 500);
+ * limiter.take({ queue: 'pool', key: 'request', serverIds: ['s1'] }, nowMs + 500);
  */
 export default function createSendLimiter(): SendLimiter {
   return new Limiter();
--- a/packages/decide/src/limits/createSlotQueue.ts
+++ b/packages/decide/src/limits/createSlotQueue.ts
@@ -1,56 +1,118 @@
-import { SLOT_GRACE_MS, SLOT_HORIZON_MS } from './constants.js';
+import { PROMISE_GRACE_MS, SLOT_GRACE_MS, SLOT_HORIZON_MS } from './constants.js';
 
-/** Times at which waiting requests may be sent, one for each request. */
+/** When a request may be sent, and whether it waits until then. */
+export interface Slot {
+  readonly atMs: number;
+  /** False when the time is later than the request can wait; its caller may send it again then. */
+  readonly waits: boolean;
+}
+
+/** Conditions for a slot. */
+export interface SlotOptions {
+  /** Time from which there is a send again. */
+  readonly earliestMs: number;
+  /** Time between two sends. */
+  readonly intervalMs: number;
+  /** Time until which the request can wait. */
+  readonly latestMs: number;
+  readonly nowMs: number;
+}
+
+/** Requests that wait for a send, and callers that were told when to send theirs again. */
 export interface SlotQueue {
-  /** Slot of a request; undefined without one. */
+  /** Time of the slot of a request that waits; undefined without one. */
   find(key: string, nowMs: number): number | undefined;
-  /** Number of requests whose slot has come, without the given one. */
+  /** Number of waiting requests whose slot has come, without the given one. */
   countDue(exceptKey: string, nowMs: number): number;
-  /**
-   * Gives a request the first slot after all others.
-   *
-   * @returns the slot; it is not kept when it lies too far ahead
-   */
-  add(
-    key: string,
-    options: { readonly earliestMs: number; readonly intervalMs: number; readonly nowMs: number },
-  ): number;
+  /** Gives a request the first slot after those that wait, or ahead of them when its caller has come back as told. */
+  add(key: string, options: SlotOptions): Slot;
   delete(key: string): void;
 }
 
-/**
- * Creates an empty queue. A slot is kept until shortly after its time.
- *
- * @returns the queue
- */
-export default function createSlotQueue(): SlotQueue {
-  const slots = new Map<string, number>();
+/** Weight of a promise that was kept or not in the moving average of their share. */
+const SHARE_WEIGHT = 0.1;
+const INITIAL_RETURN_SHARE = 0.5;
+
+class Queue implements SlotQueue {
+  /** Slots of the requests that wait. */
+  private readonly waiting = new Map<string, number>();
+
+  /** Times that callers were told, in ascending order. */
+  private readonly promised = new Map<string, number>();
+
+  private lastPromiseMs = -Infinity;
+
+  /** Share of the callers that come back when they were told to. */
+  private returnShare = INITIAL_RETURN_SHARE;
+
+  find(key: string, nowMs: number): number | undefined {
+    this.dropLapsed(nowMs);
+    return this.waiting.get(key);
+  }
 
-  const dropLapsed = (nowMs: number): void =>
-    slots.forEach((slotMs, key) => {
+  countDue(exceptKey: string, nowMs: number): number {
+    this.dropLapsed(nowMs);
+    return [...this.waiting].filter(([key, slotMs]) => slotMs <= nowMs && key !== exceptKey).length;
+  }
+
+  add(key: string, { earliestMs, intervalMs, latestMs, nowMs }: SlotOptions): Slot {
+    this.dropLapsed(nowMs);
+    const promisedMs = this.promised.get(key);
+    if (promisedMs !== undefined && promisedMs <= nowMs + intervalMs) {
+      this.promised.delete(key);
+      this.learnReturn(1);
+      this.waiting.set(key, earliestMs);
+      return { atMs: earliestMs, waits: true };
+    }
+    const expectedReturns = [...this.promised.values()].filter((atMs) => atMs <= latestMs).length * this.returnShare;
+    const atMs = earliestMs + (this.waiting.size + expectedReturns) * intervalMs;
+    if (atMs <= latestMs) {
+      this.waiting.set(key, atMs);
+      return { atMs, waits: true };
+    }
+    return { atMs: promisedMs ?? this.promise(key, { earliestMs: atMs, intervalMs, nowMs }), waits: false };
+  }
+
+  delete(key: string): void {
+    this.waiting.delete(key);
+  }
+
+  /** Tells callers one after the other, as far apart as the sends. */
+  private promise(key: string, { earliestMs, intervalMs, nowMs }: Omit<SlotOptions, 'latestMs'>): number {
+    const atMs = Math.max(earliestMs, this.lastPromiseMs + intervalMs);
+    if (atMs > nowMs + SLOT_HORIZON_MS) {
+      return atMs;
+    }
+    this.promised.set(key, atMs);
+    this.lastPromiseMs = atMs;
+    return atMs;
+  }
+
+  private learnReturn(sample: number): void {
+    this.returnShare += (sample - this.returnShare) * SHARE_WEIGHT;
+  }
+
+  private dropLapsed(nowMs: number): void {
+    this.waiting.forEach((slotMs, key) => {
       if (slotMs + SLOT_GRACE_MS < nowMs) {
-        slots.delete(key);
+        this.waiting.delete(key);
       }
     });
-
-  return {
-    find: (key, nowMs) => {
-      dropLapsed(nowMs);
-      return slots.get(key);
-    },
-    countDue: (exceptKey, nowMs) => {
-      dropLapsed(nowMs);
-      return [...slots].filter(([key, slotMs]) => slotMs <= nowMs && key !== exceptKey).length;
-    },
-    add: (key, { earliestMs, intervalMs, nowMs }) => {
-      dropLapsed(nowMs);
-      const lastMs = Math.max(-Infinity, ...slots.values());
-      const slotMs = Math.max(earliestMs, lastMs + intervalMs);
-      if (slotMs <= nowMs + SLOT_HORIZON_MS) {
-        slots.set(key, slotMs);
+    this.promised.forEach((atMs, key) => {
+      if (atMs + PROMISE_GRACE_MS < nowMs) {
+        this.promised.delete(key);
+        this.learnReturn(0);
       }
-      return slotMs;
-    },
-    delete: (key) => slots.delete(key),
-  };
+    });
+  }
+}
+
+/**
+ * Creates an empty queue. A slot is kept for a request that waits; a caller that was told to come back is served ahead
+ * of those that wait, and no send is kept idle for it.
+ *
+ * @returns the queue
+ */
+export default function createSlotQueue(): SlotQueue {
+  return new Queue();
 }
--- a/packages/decide/src/limits/types.ts
+++ b/packages/decide/src/limits/types.ts
@@ -27,12 +27,12 @@
   readonly key: string;
   /** Servers that it may be sent to, the preferred one first. */
   readonly serverIds: readonly string[];
-  /** Whether no other server can serve it, so that it gets a slot. */
-  readonly mayWait: boolean;
+  /** Time that it can wait for its turn; undefined when other servers can serve it. */
+  readonly maxWaitMs?: number;
 }
 
 /** Permission to send a request, or the time to ask again. */
 export type SendDecision =
   | { readonly type: 'granted'; readonly serverId: string }
-  /** With `mayWait` the time is a slot that is kept for the request. */
+  /** With `maxWaitMs` a turn is kept for the request, or for the caller that sends it again then. */
   | { readonly type: 'later'; readonly atMs: number };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,3 +6,7 @@
 export type { SettingsFollower, SettingsFollowerOptions } from './followSettings.js';
 export { default as parseGatewaySettings } from './settings.js';
 export type { GatewaySettings } from './settings.js';
+export { default as createHostRegistry } from './hosts/createHostRegistry.js';
+export type { HostEntry, HostRegistry } from './hosts/createHostRegistry.js';
+export { default as createRateLimits } from './limits/createRateLimits.js';
+export type { RateLimits, RateLimitsOptions } from './limits/createRateLimits.js';
--- a/packages/gateway/src/limits/createRateLimits.ts
+++ b/packages/gateway/src/limits/createRateLimits.ts
@@ -167,7 +167,7 @@
     const serverIds = need.serverIds.filter((serverId) => this.duty.findOwner(serverId)?.hostId === owner?.hostId);
     const decision = await this.decide({ ...need, serverIds }, owner);
     const nowMs = this.options.clock.monotonicMs();
-    if (decision.type === 'later' && !need.mayWait) {
+    if (decision.type === 'later' && need.maxWaitMs === undefined) {
       serverIds.forEach((serverId) => this.denials.add(serverId, decision.atMs - nowMs));
     }
     return decision;
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import type { SendDecision, ServerView } from '@bergamotcove/decide';
+import type { ServerView } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import placeAttempt, { type PlacementPorts } from '../servers/placeAttempt.js';
@@ -76,45 +76,65 @@
 
   private async choose(assigned: PlaceAnswer): Promise<ServerView | undefined | 'again'> {
     const { request, pool, avoidServers, work, answer } = this.run;
-    const { limits, directory } = this.ports;
+    const { limits } = this.ports;
     const { serverId, permitted = false } = assigned;
     const placement = { request, pool, serverId, permitted, avoidServers, ...work };
     const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => answer.ended });
     if (placed.type === 'cancelled') {
       return undefined;
     }
-    if (placed.type === 'placed') {
-      const { server } = placed;
-      if ((permitted && server.serverId === serverId) || !limits.isLimited(server.serverId)) {
-        return server;
-      }
-      const decision = await this.take([server], false);
-      return decision.type === 'granted' && !answer.ended ? server : 'again';
+    const preferred = placed.type === 'placed' ? placed.server : undefined;
+    if (
+      preferred !== undefined &&
+      ((permitted && preferred.serverId === serverId) || !limits.isLimited(preferred.serverId))
+    ) {
+      return preferred;
     }
-    const limited = directory.view(pool).servers.filter((server) => limits.isLimited(server.serverId));
-    if (limited.length === 0) {
+    return this.takeLimited(preferred);
+  }
+
+  /**
+   * Gets permission to send to a server with a rate limit: the preferred one, or any of the pool when no server without
+   * a limit is left.
+   */
+  private async takeLimited(preferred: ServerView | undefined): Promise<ServerView | undefined | 'again'> {
+    const { request, pool, avoidServers, record, answer } = this.run;
+    const { limits, directory } = this.ports;
+    const { servers } = directory.view(pool);
+    const usable = servers.filter(({ serverId }) => !avoidServers.includes(serverId));
+    const others = usable.length > 0 ? usable : servers;
+    const mayWait = preferred === undefined || others.every(({ serverId }) => limits.isLimited(serverId));
+    const candidates = [
+      ...(preferred === undefined ? [] : [preferred]),
+      ...(mayWait ? others.filter((server) => server !== preferred && limits.isLimited(server.serverId)) : []),
+    ];
+    if (candidates.length === 0) {
       answer.fail('no-server', directory.readBackoffRemainingMs(pool) ?? NO_SERVER_RETRY_AFTER_MS);
       return undefined;
     }
-    const decision = await this.take(limited, true);
-    return decision.type === 'granted'
-      ? limited.find((server) => server.serverId === decision.serverId)
-      : this.awaitTurn(decision.atMs);
+    const serverIds = candidates.map(({ serverId }) => serverId);
+    record.noteLimited(serverIds);
+    const need = { queue: pool, key: request.fingerprint, serverIds };
+    const decision = await limits.take(mayWait ? { ...need, maxWaitMs: this.readMaxWaitMs() } : need);
+    if (decision.type === 'granted') {
+      return answer.ended ? undefined : candidates.find(({ serverId }) => serverId === decision.serverId);
+    }
+    return mayWait ? this.awaitTurn(decision.atMs) : 'again';
   }
 
-  private take(servers: readonly ServerView[], mayWait: boolean): Promise<SendDecision> {
-    const { request, pool, record } = this.run;
-    const serverIds = servers.map(({ serverId }) => serverId);
-    record.noteLimited(serverIds);
-    return this.ports.limits.take({ queue: pool, key: request.fingerprint, serverIds, mayWait });
+  /** Time for which the request can wait for a server and still be answered. */
+  private readMaxWaitMs(): number {
+    const { request, pool } = this.run;
+    const { clock, pools } = this.ports;
+    return Math.max(0, request.deadlineAtMs - pools.typicalUnitMs(pool) - clock.monotonicMs());
   }
 
   /** Waits for the turn of the request at servers with limits, or refuses it when its turn comes too late. */
   private async awaitTurn(atMs: number): Promise<'again' | undefined> {
-    const { request, pool, answer, signal } = this.run;
-    const { clock, pools } = this.ports;
+    const { answer, signal } = this.run;
+    const { clock } = this.ports;
     const waitMs = Math.max(0, atMs - clock.monotonicMs());
-    if (atMs + pools.typicalUnitMs(pool) >= request.deadlineAtMs) {
+    if (waitMs > this.readMaxWaitMs()) {
       answer.fail('limited', waitMs);
       return undefined;
     }
--- a/packages/gateway/src/scheduling/placeGeneration.ts
+++ b/packages/gateway/src/scheduling/placeGeneration.ts
@@ -40,7 +40,7 @@
     if (!owned.includes(choice.serverId)) {
       return { type: 'placed', choice, permitted: false };
     }
-    if (limits.takeOwned({ queue: pool, key, serverIds, mayWait: false }).type === 'granted') {
+    if (limits.takeOwned({ queue: pool, key, serverIds }).type === 'granted') {
       return { type: 'placed', choice, permitted: true };
     }
     closed.push(choice.serverId);
@@ -50,7 +50,7 @@
   }
   const untried = closed.filter((serverId) => !need.avoidServers.includes(serverId));
   const serverIds = untried.length > 0 ? untried : closed;
-  const decision = limits.takeOwned({ queue: pool, key, serverIds, mayWait: true });
+  const decision = limits.takeOwned({ queue: pool, key, serverIds, maxWaitMs: need.deadlineAtMs - nowMs });
   if (decision.type === 'later') {
     return decision;
   }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -255,7 +255,6 @@
       queue: pool,
       key: `call ${callId}`,
       serverIds: [serverId],
-      mayWait: false,
     });
     this.refresh();
     return decision;
