--- a/packages/ctl/src/commands/hosts.test.ts
+++ b/packages/ctl/src/commands/hosts.test.ts
@@ -83,6 +83,23 @@
   assert.equal((await release(A, B)).exitCode, 4);
 });
 
+test('limits lists a limit once, with the host that hands out its sends', async () => {
+  const limit = { serverId: 's1', pool: 'p', requestsPerSecond: 0.5, learntFrom: 'answer', statedAgoMs: 10 };
+  const { exitCode, text } = await run(
+    (url) =>
+      Promise.resolve([
+        url === A
+          ? { ...limit, sinceMs: 4_200, handsOut: false, sends: 0 }
+          : { ...limit, learntFrom: 'a', sinceMs: 4_100, handsOut: true, sends: 3 },
+      ]),
+    ...['limits', '--host', A, '--host', B],
+  );
+  assert.equal(exitCode, 0);
+  assert.match(text, new RegExp(`s1 +p +0.5 +5 s +answer +${B} +3`));
+  const none = await run(() => Promise.resolve([]), ...['limits', '--host', A]);
+  assert.equal(none.text, 'no server has stated a limit');
+});
+
 test('a drain order whose reply was lost ends with 4, one that never arrived with 1', async () => {
   const fail = (code: 'not-connected' | 'connection-lost') =>
     run(() => Promise.reject(new TransportError(code, 'broken')), 'drain', '--host', A);
--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -5,6 +5,7 @@
 import explain from './explain.js';
 import get from './get.js';
 import history from './history.js';
+import limits from './limits.js';
 import poison from './poison.js';
 import release from './release.js';
 import rollback from './rollback.js';
@@ -26,6 +27,7 @@
   explain,
   poison,
   release,
+  limits,
 ];
 
 export default COMMANDS;
--- a/packages/ctl/src/format/explainRequest.ts
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -29,6 +29,7 @@
   ['stopping', 'the host was stopping and would have cut it off'],
   ['no-server', 'no live server of its pool was known to the host'],
   ['deadline-passed', 'a stage was not done in time, see stageTimesMs'],
+  ['limited', 'all servers have rate limits and its turn comes too late, see limitedServerIds'],
   ['overtaken', 'it would have been late, and requests of higher priority kept its stage busy, see stageTimesMs'],
   ['timed-out', 'its deadline or the time-out of its route passed, see the times reached'],
   ['attempts-exhausted', 'its attempts gave no answer and it could not be sent again, see attemptEnded'],
--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -46,6 +46,18 @@
 
 export const poisonListSchema = z.array(z.looseObject({ fingerprint: z.string(), remainingMs: z.number() }));
 
+export const limitListSchema = z.array(
+  z.looseObject({
+    serverId: z.string(),
+    pool: z.string(),
+    requestsPerSecond: z.number(),
+    sinceMs: z.number(),
+    learntFrom: z.string(),
+    handsOut: z.boolean(),
+    sends: z.number(),
+  }),
+);
+
 export const releaseAnswerSchema = z.looseObject({ released: z.boolean() });
 
 export const drainAnswerSchema = z.looseObject({ draining: z.boolean() });
--- a/packages/decide/src/limits/createSendLimiter.ts
+++ b/packages/decide/src/limits/createSendLimiter.ts
@@ -14,6 +14,8 @@
   take(need: SendNeed, nowMs: number): SendDecision;
   /** Monotonic time from which a server may get its next request; -Infinity when it may get one now. */
   nextSendAtMs(serverId: string, nowMs: number): number;
+  /** Monotonic time at which a request would get its turn behind those that wait and a number of others. */
+  predictTurnMs(need: Pick<SendNeed, 'queue' | 'serverIds'>, others: number, nowMs: number): number;
   /** Sends that were handed out since the limit began; 0 without a limit. */
   countSends(serverId: string): number;
 }
@@ -26,6 +28,11 @@
   nextAskMs: number;
 }
 
+interface NamedServer {
+  readonly serverId: string;
+  readonly server: LimitedServer;
+}
+
 const MS_PER_SECOND = 1_000;
 /** Part of a send by which rounding may make a bucket fall short. */
 const ROUNDING = 1e-6;
@@ -65,10 +72,7 @@
 
   take(need: SendNeed, nowMs: number): SendDecision {
     const queue = this.findQueue(need.queue);
-    const servers = need.serverIds.flatMap((serverId) => {
-      const server = this.refill(serverId, nowMs);
-      return server === undefined ? [] : [{ serverId, server }];
-    });
+    const servers = this.findServers(need.serverIds, nowMs);
     const slotMs = queue.find(need.key, nowMs);
     const available = servers.reduce((sum, { server }) => sum + Math.floor(server.bucket.amount + ROUNDING), 0);
     const isTurn = slotMs === undefined ? available > queue.countDue(need.key, nowMs) : slotMs <= nowMs;
@@ -81,12 +85,10 @@
     if (slotMs !== undefined && slotMs > nowMs) {
       return { type: 'later', atMs: slotMs };
     }
-    const earliestMs = nowMs + Math.min(...servers.map(({ server }) => waitMs(server)));
+    const { earliestMs, intervalMs } = Limiter.readPace(servers, nowMs);
     if (need.maxWaitMs !== undefined) {
-      const rate = servers.reduce((sum, { server }) => sum + server.spec.ratePerSecond, 0);
       const latestMs = nowMs + need.maxWaitMs;
-      const { atMs } = queue.add(need.key, { earliestMs, intervalMs: MS_PER_SECOND / rate, latestMs, nowMs });
-      return { type: 'later', atMs };
+      return { type: 'later', atMs: queue.add(need.key, { earliestMs, intervalMs, latestMs, nowMs }).atMs };
     }
     return { type: 'later', atMs: Limiter.deny(servers[0]?.server, { earliestMs, nowMs }) };
   }
@@ -96,10 +98,22 @@
     return server === undefined || hasSend(server) ? -Infinity : nowMs + waitMs(server);
   }
 
+  predictTurnMs({ queue, serverIds }: Pick<SendNeed, 'queue' | 'serverIds'>, others: number, nowMs: number): number {
+    const { earliestMs, intervalMs } = Limiter.readPace(this.findServers(serverIds, nowMs), nowMs);
+    return earliestMs + (this.findQueue(queue).countAhead(Infinity, nowMs) + others) * intervalMs;
+  }
+
   countSends(serverId: string): number {
     return this.servers.get(serverId)?.sends ?? 0;
   }
 
+  private findServers(serverIds: readonly string[], nowMs: number): readonly NamedServer[] {
+    return serverIds.flatMap((serverId) => {
+      const server = this.refill(serverId, nowMs);
+      return server === undefined ? [] : [{ serverId, server }];
+    });
+  }
+
   private refill(serverId: string, nowMs: number): LimitedServer | undefined {
     const server = this.servers.get(serverId);
     if (server !== undefined) {
@@ -114,6 +128,16 @@
     return queue;
   }
 
+  /** Time of the first send at any of the servers, and the time between two. */
+  private static readPace(
+    servers: readonly NamedServer[],
+    nowMs: number,
+  ): { readonly earliestMs: number; readonly intervalMs: number } {
+    const rate = servers.reduce((sum, { server }) => sum + server.spec.ratePerSecond, 0);
+    const earliestMs = nowMs + Math.min(...servers.map(({ server }) => waitMs(server)));
+    return { earliestMs, intervalMs: MS_PER_SECOND / rate };
+  }
+
   private static spend(server: LimitedServer): void {
     const spent = server;
     spent.bucket = { ...server.bucket, amount: server.bucket.amount - 1 };
--- a/packages/decide/src/limits/createSlotQueue.ts
+++ b/packages/decide/src/limits/createSlotQueue.ts
@@ -24,6 +24,8 @@
   find(key: string, nowMs: number): number | undefined;
   /** Number of waiting requests whose slot has come, without the given one. */
   countDue(exceptKey: string, nowMs: number): number;
+  /** Number of requests that wait, and of callers that are expected to come back by a time. */
+  countAhead(latestMs: number, nowMs: number): number;
   /** Gives a request the first slot after those that wait, or ahead of them when its caller has come back as told. */
   add(key: string, options: SlotOptions): Slot;
   delete(key: string): void;
@@ -55,6 +57,12 @@
     return [...this.waiting].filter(([key, slotMs]) => slotMs <= nowMs && key !== exceptKey).length;
   }
 
+  countAhead(latestMs: number, nowMs: number): number {
+    this.dropLapsed(nowMs);
+    const returns = [...this.promised.values()].filter((atMs) => atMs <= latestMs).length;
+    return this.waiting.size + returns * this.returnShare;
+  }
+
   add(key: string, { earliestMs, intervalMs, latestMs, nowMs }: SlotOptions): Slot {
     this.dropLapsed(nowMs);
     const promisedMs = this.promised.get(key);
@@ -64,8 +72,7 @@
       this.waiting.set(key, earliestMs);
       return { atMs: earliestMs, waits: true };
     }
-    const expectedReturns = [...this.promised.values()].filter((atMs) => atMs <= latestMs).length * this.returnShare;
-    const atMs = earliestMs + (this.waiting.size + expectedReturns) * intervalMs;
+    const atMs = earliestMs + this.countAhead(latestMs, nowMs) * intervalMs;
     if (atMs <= latestMs) {
       this.waiting.set(key, atMs);
       return { atMs, waits: true };
--- a/packages/decide/src/scheduling/planPipeline.ts
+++ b/packages/decide/src/scheduling/planPipeline.ts
@@ -17,6 +17,8 @@
   readonly others: readonly RegionPools[];
   /** Time from the end of the last stage to the start of the answer. */
   readonly answerMs: number;
+  /** Monotonic time before which no engine takes the request; undefined when one takes it at once. */
+  readonly engineAtMs?: number | undefined;
 }
 
 /** Regions of the stages of a request, and the predicted start of its answer. */
@@ -55,7 +57,7 @@
   }
 
   plan(): PipelinePlan {
-    const { home, others, nowMs, answerMs } = this.outlook;
+    const { home, others, nowMs, answerMs, engineAtMs = nowMs } = this.outlook;
     this.need.stages.forEach((_, stage) => {
       const local = { region: home.region, endAtMs: this.predictEnd(stage, home) };
       const remotePlans = others.map((pools) => ({ region: pools.region, endAtMs: this.predictEnd(stage, pools) }));
@@ -69,7 +71,10 @@
     const ends = this.planned.map(({ region, endAtMs }, stage) =>
       region === home.region || !this.finalStages.has(stage) ? endAtMs : endAtMs + this.returnMs(stage),
     );
-    return { regions: this.planned.map(({ region }) => region), endAtMs: Math.max(nowMs, ...ends) + answerMs };
+    return {
+      regions: this.planned.map(({ region }) => region),
+      endAtMs: Math.max(engineAtMs, nowMs, ...ends) + answerMs,
+    };
   }
 
   /** Returns the time in ms to fetch the results of a stage from another region. */
--- a/packages/gateway/src/limits/createRateLimits.ts
+++ b/packages/gateway/src/limits/createRateLimits.ts
@@ -7,6 +7,7 @@
   type SendNeed,
 } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
+import { OPERATOR_LIST_LIMITS, type OperatorLimit } from '@bergamotcove/protocol';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import { TransportError, type LinkClient, type LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -44,10 +45,13 @@
   isOwned(serverId: string): boolean;
   /** Takes one send at servers whose sends this host hands out. */
   takeOwned(need: SendNeed): SendDecision;
+  /**
+   * Predicts when a request would get its turn at servers whose sends this host hands out, behind those that wait and a
+   * number of others.
+   */
+  predictTurnMs(need: Pick<SendNeed, 'queue' | 'serverIds'>, others: number): number;
   /** Asks for one send at servers with limits; a server without one is granted. Never rejects. */
   take(need: SendNeed): Promise<SendDecision>;
-  /** Number of sends that this host has handed out since the limit of a server began. */
-  countSends(serverId: string): number;
   /** Records what an answer says about the limit of its server, and when the answered request was sent. */
   noteAnswer(serverId: string, notice: RateLimitNotice, sentAtMs: number): void;
   /** Calls a listener when a limit begins, changes or ends, and when this host may ask for a server again. */
@@ -118,6 +122,7 @@
         this.table.learn(notices, hostId);
         return true;
       },
+      [OPERATOR_LIST_LIMITS]: () => this.listForOperators(),
       [ANNOUNCE_LIMITS]: (params) => {
         const { hostId, notices } = params as LimitAnnouncement;
         this.table.learn(notices, hostId);
@@ -158,6 +163,11 @@
     return decision;
   }
 
+  predictTurnMs(need: Pick<SendNeed, 'queue' | 'serverIds'>, others: number): number {
+    need.serverIds.forEach((serverId) => this.syncLimiter(serverId));
+    return this.limiter.predictTurnMs(need, others, this.options.clock.monotonicMs());
+  }
+
   async take(need: SendNeed): Promise<SendDecision> {
     const free = need.serverIds.find((serverId) => !this.isLimited(serverId));
     if (free !== undefined) {
@@ -173,10 +183,6 @@
     return decision;
   }
 
-  countSends(serverId: string): number {
-    return this.limiter.countSends(serverId);
-  }
-
   noteAnswer(serverId: string, notice: RateLimitNotice, sentAtMs: number): void {
     const { clock, directory } = this.options;
     const server = directory.find(serverId);
@@ -206,6 +212,20 @@
     this.denials.close();
   }
 
+  private listForOperators(): readonly OperatorLimit[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return this.list().map(({ serverId, pool, requestsPerSecond, sinceMs, statedAtMs, learntFrom }) => ({
+      serverId,
+      pool,
+      requestsPerSecond,
+      sinceMs: nowMs - sinceMs,
+      statedAgoMs: nowMs - statedAtMs,
+      learntFrom,
+      handsOut: this.isOwned(serverId),
+      sends: this.limiter.countSends(serverId),
+    }));
+  }
+
   private async decide(need: SendNeed, owner: HostEntry | undefined): Promise<SendDecision> {
     if (owner !== undefined && owner.hostId === this.hosts?.self.hostId) {
       return this.takeOwned(need);
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -19,7 +19,12 @@
     },
     region: 'r',
   } as unknown as RegionSchedulerOptions;
-  const limits = { isOwned: () => false, closedUntilMs: () => -Infinity, takeOwned: () => assert.fail('no limit') };
+  const limits = {
+    isOwned: () => false,
+    closedUntilMs: () => -Infinity,
+    takeOwned: () => assert.fail('no limit'),
+    predictTurnMs: () => assert.fail('no limit'),
+  };
   return createRegionScheduler({ ...options, limits });
 };
 
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -63,7 +63,7 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly directory: BackendDirectory;
-  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'closedUntilMs'>;
+  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'predictTurnMs' | 'closedUntilMs'>;
   readonly tables: RouteTableHolder;
   readonly region: string;
 }
@@ -106,7 +106,11 @@
   /** Open requests of other hosts. They are removed when the link to their host ends. */
   private readonly remoteRequests = createPeerMap<true>({
     maxEntries: MAX_REQUESTS_PER_PEER,
-    onGone: (requests) => requests.forEach((_, requestId) => this.ledger.remove(requestId)),
+    onGone: (requests) =>
+      requests.forEach((_, requestId) => {
+        this.unplaced.delete(requestId);
+        this.ledger.remove(requestId);
+      }),
   });
 
   /** Pools of placed generations of other hosts. A host that is lost does not report their ends. */
@@ -115,6 +119,9 @@
     onGone: (pools) => pools.forEach((pool, requestId) => this.endPlacement(pool, requestId)),
   });
 
+  /** Pools of the generations of admitted requests that have no engine yet. */
+  private readonly unplaced = new Map<string, string>();
+
   private lastEntryAtMs = -Infinity;
 
   private timer: Timer | undefined;
@@ -189,6 +196,7 @@
       home: this.loads.home(),
       others: this.loads.others(),
       answerMs: engine?.firstTokenMs ?? DEFAULT_ANSWER_MS,
+      engineAtMs: this.predictTurnMs(request.generation?.pool),
     };
     const decision = decideEntry(need, outlook);
     if (decision.type !== 'on-time' && !request.visiting) {
@@ -197,11 +205,14 @@
         return { type: 'elsewhere', region };
       }
     }
-    this.logDecision(request, decision, nowMs, outlook.answerMs);
+    this.logDecision(request, decision, outlook);
     if (decision.type === 'refused') {
       return { type: 'refused', retryAfterMs: decision.retryAfterMs };
     }
     const { type: tier, regions } = decision;
+    if (request.generation !== undefined) {
+      this.unplaced.set(request.requestId, request.generation.pool);
+    }
     this.ledger.add(tier === 'late' ? { ...need, value: need.value * LATE_VALUE } : need, regions);
     return {
       type: 'admitted',
@@ -216,6 +227,7 @@
   place(request: PlaceRequest): PlaceAnswer {
     const nowMs = this.options.clock.monotonicMs();
     const selector = this.findSelector(request.pool);
+    this.unplaced.delete(request.requestId);
     const need: GenerationNeed = {
       requestId: request.requestId,
       parts: request.parts,
@@ -246,6 +258,7 @@
         this.ledger.endStage(note.requestId, note.stage);
         break;
       case 'left':
+        this.unplaced.delete(note.requestId);
         this.ledger.remove(note.requestId);
         break;
       default:
@@ -266,6 +279,7 @@
   updateOwnership(isScheduler: boolean): void {
     if (!isScheduler) {
       this.ledger.clear();
+      this.unplaced.clear();
       this.engines.forEach((selector) => selector.clearPlacements());
     }
   }
@@ -306,6 +320,17 @@
     return this.findSelector(generation.pool).choose(need, nowMs);
   }
 
+  /** Predicts when a generation gets an engine when all engines have rate limits; undefined otherwise. */
+  private predictTurnMs(pool: string | undefined): number | undefined {
+    const { directory, limits, region } = this.options;
+    const serverIds = directory.listNear(pool ?? '', region).map(({ serverId }) => serverId);
+    if (pool === undefined || serverIds.length === 0 || !serverIds.every((serverId) => limits.isOwned(serverId))) {
+      return undefined;
+    }
+    const unplaced = [...this.unplaced.values()].filter((each) => each === pool).length;
+    return limits.predictTurnMs({ queue: pool, serverIds }, unplaced);
+  }
+
   private endPlacement(pool: string, requestId: string): void {
     this.engines.get(pool)?.recordEvent({ type: 'ended', requestId }, this.options.clock.monotonicMs());
   }
@@ -327,7 +352,11 @@
     selector.setEngines(servers.map((server) => ({ ...server, capacityTokens })));
   }
 
-  private logDecision(request: EnterRequest, decision: EntryDecision, nowMs: number, answerMs: number): void {
+  private logDecision(
+    request: EnterRequest,
+    decision: EntryDecision,
+    { nowMs, answerMs, engineAtMs = nowMs }: EntryOutlook,
+  ): void {
     const { requestId, value, dueInMs } = request;
     if (decision.type !== 'on-time') {
       this.options.logger.event('requestDelayed', {
@@ -337,6 +366,7 @@
         dueInMs: Math.round(dueInMs),
         expectedInMs: Math.round(decision.expectedAtMs - nowMs),
         answerMs: Math.round(answerMs),
+        engineInMs: Math.round(engineAtMs - nowMs),
         open: this.ledger.size,
         loadsMs: this.loads.listLoads(),
         ...(decision.type === 'refused' ? { retryAfterMs: Math.round(decision.retryAfterMs) } : {}),
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,6 +7,7 @@
 export { default as decodeMessage } from './control/decodeMessage.js';
 export { default as encodeMessage } from './control/encodeMessage.js';
 export * from './operator.js';
+export * from './operatorLimits.js';
 export * from './operatorPoison.js';
 export * from './config.js';
 export * from './claims.js';
