Log the software versions of servers, and the streams that requests take up

Two versions of a service may serve side by side, and no line told which version a request was sent to, nor that it took up a stream. Nothing is chosen by it yet.

--- a/packages/bench/src/limits/createModelHosts.ts
+++ b/packages/bench/src/limits/createModelHosts.ts
@@ -133,7 +133,7 @@
 
   private describe(serverId: string): ReturnType<Parameters<typeof createRateLimits>[0]['directory']['find']> {
     const server = this.servers.get(serverId);
-    const common = { pool: POOL, address: '', port: 0, state: 'live', startedAtMs: 1 } as const;
+    const common = { pool: POOL, address: '', port: 0, state: 'live', softwareVersion: '', startedAtMs: 1 } as const;
     return server === undefined ? undefined : { ...server, ...common, failureDomain: server.region };
   }
 
--- a/packages/decide/src/routing/types.ts
+++ b/packages/decide/src/routing/types.ts
@@ -10,6 +10,8 @@
   readonly failureDomain: string;
   readonly region: string;
   readonly state: 'live' | 'leaving';
+  /** Version of its software; empty or undefined when none is known. */
+  readonly softwareVersion?: string;
 }
 
 /** Load report of a backend server; it was made before it arrived. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -290,8 +290,17 @@
       this.options.logger.event('serverEntryIgnored', { serverId, revision });
       return;
     }
-    const { pool, failureDomain, state, address, port } = server;
-    this.options.logger.event('serverListed', { serverId, pool, failureDomain, state, address, port, revision });
+    const { pool, failureDomain, state, softwareVersion, address, port } = server;
+    this.options.logger.event('serverListed', {
+      serverId,
+      pool,
+      failureDomain,
+      state,
+      softwareVersion,
+      address,
+      port,
+      revision,
+    });
   }
 
   private markRemoved(serverId: string, revision: number): void {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -32,6 +32,10 @@
   /** Identifies the input of stages that take no results of other stages. */
   readonly pieceKey: string;
   readonly generation: GenerationFacts | undefined;
+  /** Id of the last event of a stream that the request continues; undefined for a new stream. */
+  readonly lastEventId: string | undefined;
+  /** Id of the caller's request that brought the first event of that stream; undefined when the caller names none. */
+  readonly resumesRequestId: string | undefined;
 }
 
 /** Contents of the headers of an attempt that is sent to a backend server. */
@@ -138,6 +142,8 @@
   readonly port: number;
   readonly failureDomain: string;
   readonly state: 'live' | 'leaving';
+  /** Version of its software, an opaque word; empty when its entry names none. */
+  readonly softwareVersion: string;
   /** Wall time of the server's start; another value means a new process without the state of the previous one. */
   readonly startedAtMs: number;
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -220,7 +220,7 @@
     const { fingerprint, partKeys } = this.request;
     // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
     const freshConnection = this.record.hasSentTo(server.serverId);
-    this.record.noteSend(server.serverId);
+    this.record.noteSend(server);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
     let sentAtMs = clock.monotonicMs();
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
+import type { ServerDescription } from '@bergamotcove/decide';
 import type { EntryResult } from '../scheduling/createSchedulerClient.js';
 import type { ForwardRequest } from './types.js';
 
@@ -15,6 +16,10 @@
   readonly runs: number;
   /** Servers that the request was sent to, in the order of sending. */
   readonly serverIds: readonly string[];
+  /** Software versions of these servers. */
+  readonly softwareVersions: readonly string[];
+  /** Id of the request whose stream it took up; undefined for others. */
+  readonly resumes: string | undefined;
   /** Region that served the request, and its tier (`on-time` or `late`); undefined without stages. */
   readonly region: string | undefined;
   readonly tier: string | undefined;
@@ -35,6 +40,8 @@
 
   private readonly serverIds: string[] = [];
 
+  private readonly softwareVersions: string[] = [];
+
   private readonly limitedServerIds = new Set<string>();
 
   private region: string | undefined;
@@ -92,8 +99,9 @@
     return this.serverIds.includes(serverId);
   }
 
-  noteSend(serverId: string): void {
+  noteSend({ serverId, softwareVersion = '' }: ServerDescription): void {
     this.serverIds.push(serverId);
+    this.softwareVersions.push(softwareVersion);
   }
 
   noteLimited(serverIds: readonly string[]): void {
@@ -124,6 +132,8 @@
       sends: this.sends,
       runs: this.runs,
       serverIds: this.serverIds,
+      softwareVersions: this.softwareVersions,
+      resumes: this.request.facts.resumesRequestId,
       region: this.region,
       tier: this.tier,
       expectedMs: this.expectedMs,
