--- /dev/null
+++ b/packages/log/src/eventTexts.ts
@@ -0,0 +1,105 @@
+import type { LogEventName } from './events.js';
+
+/**
+ * What happened with each event, and what an operator can do about it. The texts are not part of {@link LOG_EVENTS}, so
+ * that programs that only log do not contain them.
+ */
+const eventTexts: Readonly<Record<LogEventName, string>> = {
+  hostStarted: 'The entry host listens for callers and peers.',
+  hostReady: 'The entry host has its configuration and accepts requests.',
+  drainStarted: 'A planned stop began; readiness now answers 503.',
+  drainFinished: 'All requests in flight finished; the process exits.',
+  drainTimedOut: 'The drain timed out with requests still in flight.',
+  processFailed: 'An unexpected error reached the outermost error handler.',
+  logLinesDropped: 'More lines were logged in one second than the limit allows; `lines` were dropped.',
+  settingsApplied: 'Changed settings are in force; those in `needRestart` only after a restart.',
+  requestRefused: 'A request ended without an answer; see its outcome.',
+  requestRejected: 'A request had invalid input and was not started.',
+  attemptFailed: 'An attempt on a backend server failed.',
+  requestPoisoned:
+    'A request crashes servers and is blocked on all hosts; release it with releasePoison once the cause is known.',
+  serverCrashNoted:
+    'A backend server ended while it ran requests; `source` says who saw it, `fingerprints` which requests, `prompts` which parts of prompts.',
+  serverLossUnproved:
+    'An attempt lost its server, which is not known to have ended; `reason` says why this is not a crash.',
+  blockNotStored: 'A blocked request could not be written to the store; the write is retried.',
+  requestUnblocked: 'A blocked request may be sent again, because an operator released it.',
+  blockMissing: 'The key of a blocked request is missing in the store though nobody released it; it is written again.',
+  blockUnreadable:
+    'The value of the key of a blocked request cannot be parsed; another version or another program wrote it.',
+  partPoisoned:
+    'A part of prompts crashes servers; requests with it are blocked on all hosts until `bergamotctl release`.',
+  partSuspected: 'A part of prompts was in several crashes, which may be chance: see `chance`, `outputs` and `losses`.',
+  requestCleared:
+    'Earlier crashes under a request no longer count: servers have since run it successfully `runs` times.',
+  requestSuspected:
+    'Servers crashed under a request that is not blocked, because it also ran successfully; see `crashes` and `runs`.',
+  storeUnavailable: 'The configuration store does not answer.',
+  storeEraAdvanced:
+    'The store was restored from an older copy; this host reads it again in full and rewrites its own keys.',
+  storeEraIgnored:
+    'The era in an answer of the store is ignored; `problem` says why. Logged once until a valid era arrives.',
+  serverEntryOutdated:
+    'The restored store lists a server that has left or been removed since the copy; it is not used.',
+  storeRecovered: 'The configuration store answers again.',
+  configApplied: 'A newer version of a service document is in force.',
+  configInvalid: 'A service document in the store does not match the schema.',
+  configRegressed: 'An older version, or other content of the same version, was offered and is not applied.',
+  hostListUnavailable: 'The host list does not answer; the last list stays in use.',
+  hostListWentBack: 'The host list has shown only an older revision for some time; that revision is now used.',
+  peerCallRefused: 'A peer call had no valid signature; compare the peer keys.',
+  peerKeysChanged: 'The peer keys were reloaded and are in use.',
+  settingsUnreadable: 'The settings could not be reloaded; the old ones stay.',
+  peerMessageInvalid: 'A signed datagram is not a message; compare the versions.',
+  peerDatagramRefused: 'A datagram was dropped: size, signature or socket error.',
+  memberChanged: 'The state of another entry host changed as this host sees it.',
+  domainChanged: 'The state of another failure domain changed as this host sees it.',
+  hostPaused: 'This process was paused and checks the state of its peers again.',
+  configLearnt: 'The heads of all documents are known; the host becomes ready.',
+  configFindingCleared: 'The document in the store matches the one in force again.',
+  plannerStarted: 'This host now sends the orders to the engines of a pool.',
+  plannerStopped: 'This host no longer sends the orders to the engines of a pool.',
+  engineOrdered: 'An engine accepted an order.',
+  engineOrderFailed: 'An engine did not accept an order; the next round sends it again.',
+  requestEnded: 'A request of a route ended; see outcome, reason and times.',
+  attemptEnded: 'An attempt gave no answer to pass on; see the decision and the counts behind it.',
+  streamOriginUnknown:
+    'A caller takes up a stream, and it cannot be known at which software version it began; it is refused.',
+  streamVersionsRecorded: 'The software versions at which streams of a pool may begin were recorded in the store.',
+  streamVersionsNotStored:
+    'The software versions of a pool could not be recorded; streams do not begin at new ones until they are.',
+  streamVersionsUnreadable: 'The record of the software versions of a pool cannot be parsed; another program wrote it.',
+  streamOriginsNotStored: 'The origins of streams could not be logged in the store; the write is repeated.',
+  callerMessageInvalid: 'A message of a caller could not be parsed.',
+  stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
+  requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
+  schedulerLost: 'The scheduler of a region did not answer in time; the next host is asked.',
+  requestDenied:
+    'A request was refused before it was sent to a server; `reason` says what it lacks or why it is refused now.',
+  batchOwnerStarted: 'This host now fills the batches of a pool.',
+  batchEnded: 'A call to a stage server ended.',
+  batchFailed: 'A call to a stage server failed; its pieces wait for another call.',
+  releaseFailed: 'A stage server did not release results; they use its memory until they expire.',
+  routeTableApplied: 'A newer route table is in force.',
+  routeTableUnreadable: 'The route table in the store cannot be parsed.',
+  routeTableRegressed: 'An older route table was offered and is not applied.',
+  serverListed: 'A backend server registered itself or changed its entry.',
+  serverGone: 'A backend server gets no more work.',
+  serverEntryIgnored: 'An entry of the catalogue names no server that can be used.',
+  serversLearnt: 'Another host sent a newer list of servers.',
+  serverLeaving: 'A backend server announced in an answer that it is leaving; this host sends it no more work.',
+  serverRests: 'A backend server asked to get no requests for a time.',
+  catalogueSourceChanged:
+    'This host gets changes of the store from another source: the store itself, or relays of its failure domain.',
+  catalogueBehind: 'A relay is ahead of this host, which asks it for the missing changes.',
+  serverLimited:
+    'A backend server stated how many requests a second it takes from all hosts; `learntFrom` says how this host knows.',
+  serverUnlimited: 'The limit that a backend server had stated has ended; `reason` says how this host knows.',
+  hostListed: 'Another host of the system registered itself.',
+  hostDropped: 'The registration of another host ended.',
+  hostLeaseLost: 'The lease of this host may have expired; it registers again.',
+  peerSilent: 'Another host does not answer; it is assigned no duties for a while.',
+  plannerRoundFailed: 'The store or the engines did not answer a planning round.',
+};
+
+export default eventTexts;
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -2,6 +2,7 @@
 import debug from 'debug';
 
 export { LOG_EVENTS } from './events.js';
+export { default as eventTexts } from './eventTexts.js';
 export type { LogEventName, LogEventSpec, LogLevel } from './events.js';
 export { default as formatEventCatalogue } from './formatEventCatalogue.js';
 export { default as createLogger } from './createLogger.js';
--- a/packages/transport/src/links/createLinkClient.ts
+++ b/packages/transport/src/links/createLinkClient.ts
@@ -1,5 +1,5 @@
 import net, { type Socket } from 'node:net';
-import { JSONRPCClient } from 'json-rpc-2.0';
+import { JSONRPCClient } from 'json-rpc-2.0/dist/client.js';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
 import type { Target } from '../createHttpClient.js';
--- a/packages/transport/src/links/createLinkServer.ts
+++ b/packages/transport/src/links/createLinkServer.ts
@@ -1,5 +1,6 @@
 import net, { type AddressInfo, type Socket } from 'node:net';
-import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
+import type { JSONRPCRequest } from 'json-rpc-2.0';
+import { JSONRPCServer } from 'json-rpc-2.0/dist/server.js';
 import createLineReader from './createLineReader.js';
 
 /** Method of a link server; a rejection is sent as an error. `peer` is the same object for all calls of one link. */
--- a/tools/docs.mjs
+++ b/tools/docs.mjs
@@ -27,7 +27,7 @@
 async function listFiles() {
   const [config, log, telemetry] = await Promise.all(['config', 'log', 'telemetry'].map(importPackage));
   const files = [
-    ['docs/log-events.md', log.formatEventCatalogue(log.LOG_EVENTS)],
+    ['docs/log-events.md', log.formatEventCatalogue(log.LOG_EVENTS, log.eventTexts)],
     ['docs/metrics.md', telemetry.formatMetricCatalogue(telemetry.METRICS)],
     ...config.formatJsonSchemas().map(({ name, schema }) => [`schemas/${name}`, JSON.stringify(schema)]),
   ];
