--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -24,6 +24,13 @@
 
   waiting = new Set();
 
+  /** Newest revision that the history no longer has. */
+  dropped = 0;
+
+  constructor({ historyMs = 20_000 } = {}) {
+    this.historyMs = historyMs;
+  }
+
   async listen() {
     this.server = http.createServer((request, response) => {
       this.answer(request).then(
@@ -69,13 +76,26 @@
     const createRev = this.items.get(key)?.createRev ?? this.revision;
     const item = { key, value, revision: this.revision, createRev, lease };
     this.items.set(key, item);
-    this.history.push(item);
+    this.record(item);
+  }
+
+  record(event) {
+    this.history.push({ event, atMs: performance.now() });
+    this.forget();
+  }
+
+  /** Forgets the changes that are older than the history. */
+  forget() {
+    const oldestMs = performance.now() - this.historyMs;
+    while (this.history.length > 0 && this.history[0].atMs < oldestMs) {
+      this.dropped = this.history.shift().event.revision;
+    }
   }
 
   drop(key) {
     if (this.items.delete(key)) {
       this.revision += 1;
-      this.history.push({ key, revision: this.revision, tombstone: true });
+      this.record({ key, revision: this.revision, tombstone: true });
     }
   }
 
@@ -109,7 +129,12 @@
   async watch(query) {
     const prefix = query.get('prefix') ?? '';
     const after = Number(query.get('after'));
-    const find = () => this.history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+    this.forget();
+    if (after < this.dropped) {
+      return [410, {}];
+    }
+    const find = () =>
+      this.history.map(({ event }) => event).filter(({ key, revision }) => revision > after && key.startsWith(prefix));
     const endsAt = performance.now() + Number(query.get('waitMs') ?? 0);
     while (find().length === 0 && performance.now() < endsAt) {
       await new Promise((resolve) => {
