--- a/review/lib/hosts.mjs
+++ b/review/lib/hosts.mjs
@@ -8,6 +8,10 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 
+// The hosts end with this process, however it ends.
+process.setMaxListeners(0);
+['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 /** Finds a free port at an address. */
 const findPort = (address) =>
   new Promise((resolve, reject) => {
