Bind streams to the software version that began them

Cause: no choice of a server knew a version. The view of a server that all choices use even dropped it, so the log field softwareVersions was empty too. A stream that a caller took up was placed like a new one, and after a restart no host and no key of the store could tell where it began.

Change: one agreed origin (pool and version) a route in the store; a stream that begins elsewhere is recorded before its first event is passed on; a host that takes one up reads the record, else the agreed origin, and refuses with 503 when it cannot know. The agreed origin changes only when no stream of the one before can be alive. The scheduler, the choice at the host and retries obey the version (decision 0016).

--- a/packages/backends/src/store/followStore.ts
+++ b/packages/backends/src/store/followStore.ts
@@ -10,6 +10,8 @@
   readonly random: () => number;
   readonly store: Pick<StoreClient, 'range' | 'watch'>;
   readonly prefix: string;
+  /** Exclusive end of the entries that are read; the watch reports changes of all keys with the prefix. */
+  readonly rangeEnd?: string;
   /** Revision up to which the caller knows the entries; without it, the entries are read first. */
   readonly knownRevision?: string;
   /** Era to which the known revision belongs. */
@@ -105,7 +107,8 @@
 
   private read(): void {
     const { readNumber } = this;
-    this.options.store.range(this.options.prefix).then(
+    const { prefix, rangeEnd } = this.options;
+    this.options.store.range(prefix, rangeEnd === undefined ? {} : { rangeEnd }).then(
       ({ entries, revision, era }) => {
         if (readNumber === this.readNumber) {
           this.handleAnswer();
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -9,6 +9,7 @@
 export * from './relay/index.js';
 export * from './routes/index.js';
 export * from './scheduling/index.js';
+export * from './streams/index.js';
 export * from './routing/types.js';
 export { default as adaptWindow } from './routing/adaptWindow.js';
 export type { WindowInputs } from './routing/adaptWindow.js';
--- a/packages/decide/src/routing/createPoolTracker.ts
+++ b/packages/decide/src/routing/createPoolTracker.ts
@@ -69,6 +69,7 @@
   failureDomain: server.failureDomain,
   region: server.region,
   state: server.state,
+  ...(server.softwareVersion === undefined ? {} : { softwareVersion: server.softwareVersion }),
   outstanding: known.outstanding,
   outstandingTokens: known.outstandingTokens,
   longOutstanding: known.longOutstanding,
--- a/packages/decide/src/scheduling/createEngineSelector.ts
+++ b/packages/decide/src/scheduling/createEngineSelector.ts
@@ -11,6 +11,8 @@
   /** Identifies one start of the server. A restarted server has an empty cache. */
   readonly startedAtMs: number;
   readonly capacityTokens: number;
+  /** Version of its software; empty or undefined when none is known. */
+  readonly softwareVersion?: string;
 }
 
 /** A generation that needs an engine. */
@@ -23,6 +25,8 @@
   readonly avoidServers: readonly string[];
   /** Servers that must not get it, also when no other is left. */
   readonly closedServers?: readonly string[];
+  /** Version that the engine must have, for a stream that began there. */
+  readonly softwareVersion?: string | undefined;
   /** Monotonic time after which the caller no longer waits for the answer. */
   readonly deadlineAtMs: number;
 }
@@ -69,7 +73,7 @@
 }
 
 interface EngineState {
-  readonly description: EngineDescription;
+  description: EngineDescription;
   readonly hashSeed: number;
   readonly cache: PrefixCache;
   readonly placements: Map<string, Placement>;
@@ -132,7 +136,10 @@
       }
     });
     byServerId.forEach((description, serverId) => {
-      if (!this.engines.has(serverId)) {
+      const known = this.engines.get(serverId);
+      if (known !== undefined) {
+        known.description = description;
+      } else {
         this.engines.set(serverId, {
           description,
           hashSeed: h32(serverId),
@@ -150,9 +157,11 @@
 
   choose(need: GenerationNeed, nowMs: number): EngineChoice | undefined {
     this.expire(nowMs);
-    const { closedServers = [] } = need;
+    const { closedServers = [], softwareVersion } = need;
     const engines = [...this.engines.values()].filter(
-      ({ description }) => !closedServers.includes(description.serverId),
+      ({ description }) =>
+        !closedServers.includes(description.serverId) &&
+        (softwareVersion === undefined || (description.softwareVersion ?? '') === softwareVersion),
     );
     const available = engines.filter(({ backoffUntilMs }) => backoffUntilMs <= nowMs);
     const usable = available.length > 0 ? available : engines;
--- /dev/null
+++ b/packages/decide/src/streams/planAgreement.ts
@@ -0,0 +1,78 @@
+import isSameOrigin from './isSameOrigin.js';
+import type { AgreedOrigins, ResumableRoute, StreamOrigin } from './types.js';
+
+/** State of {@link planAgreement}: since when the agreed origin of a route has had no servers. */
+export type UnservedSinceMs = ReadonlyMap<string, number>;
+
+/** Inputs of {@link planAgreement}. */
+export interface AgreementView {
+  /** Agreed origins as the store holds them. */
+  readonly agreed: AgreedOrigins;
+  readonly routes: readonly ResumableRoute[];
+  /** Versions of the live servers of a pool, one for each server. */
+  readonly versionsOf: (pool: string) => readonly string[];
+  readonly unservedSinceMs: UnservedSinceMs;
+  /** Longest time from the start of a stream to the last time at which its caller takes it up. */
+  readonly streamLifeMs: number;
+  readonly nowMs: number;
+}
+
+/** Result of {@link planAgreement}. */
+export interface AgreementPlan {
+  /** Agreed origins to be written; the same object as before when nothing changes. */
+  readonly agreed: AgreedOrigins;
+  readonly unservedSinceMs: UnservedSinceMs;
+}
+
+/** Lists the origins at which streams of a route can begin, those with the most servers first. */
+const listOrigins = (route: ResumableRoute, versionsOf: AgreementView['versionsOf']): readonly StreamOrigin[] =>
+  route.pools
+    .flatMap((pool) => {
+      const versions = versionsOf(pool);
+      return [...new Set(versions)].sort().map((softwareVersion) => ({
+        origin: { pool, softwareVersion },
+        servers: versions.filter((version) => version === softwareVersion).length,
+      }));
+    })
+    .sort((a, b) => b.servers - a.servers)
+    .map(({ origin }) => origin);
+
+/**
+ * Plans the agreed origins of all routes. A route without one gets the origin with the most servers: all of its streams
+ * were recorded until then. An agreed origin is replaced, or dropped with its route, once no stream can have begun there
+ * for the life of a stream; otherwise a stream without a record would be taken for one of the new origin.
+ *
+ * @param view - agreed origins, routes, servers and state
+ * @returns the next agreed origins and state
+ */
+export default function planAgreement(view: AgreementView): AgreementPlan {
+  const { agreed, routes, versionsOf, streamLifeMs, nowMs } = view;
+  const unservedSinceMs = new Map<string, number>();
+  const originsByRoute = new Map(routes.map((route) => [route.name, listOrigins(route, versionsOf)]));
+  const isDue = (name: string): boolean => {
+    const sinceMs = view.unservedSinceMs.get(name) ?? nowMs;
+    unservedSinceMs.set(name, sinceMs);
+    return nowMs - sinceMs >= streamLifeMs;
+  };
+  let hasChanged = false;
+  const next = new Map<string, StreamOrigin>();
+  new Set([...agreed.keys(), ...originsByRoute.keys()]).forEach((name) => {
+    const known = agreed.get(name);
+    const origins = originsByRoute.get(name) ?? [];
+    const isServed = known !== undefined && origins.some((origin) => isSameOrigin(origin, known));
+    if (known === undefined || (!isServed && isDue(name))) {
+      const [replacement] = origins;
+      if (replacement !== undefined) {
+        next.set(name, replacement);
+        hasChanged = true;
+      } else if (known !== undefined && originsByRoute.has(name)) {
+        next.set(name, known);
+      } else {
+        hasChanged ||= known !== undefined;
+      }
+    } else {
+      next.set(name, known);
+    }
+  });
+  return { agreed: hasChanged ? next : agreed, unservedSinceMs };
+}
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -19,7 +19,12 @@
   | 'overtaken'
   | 'poisoned'
   | 'attempts-exhausted'
-  | 'timed-out';
+  | 'timed-out'
+  /** It takes up a stream, and where that began is not known or has no server. */
+  | 'origin-unknown'
+  | 'origin-gone'
+  /** The origin of a new stream could not be recorded, so nothing of it was passed on. */
+  | 'origin-unrecorded';
 
 /** An answer that this host generates itself. */
 export interface Refusal {
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -3,6 +3,7 @@
 import type { CatalogueFormat } from '../ports.js';
 import type { BackendDirectory, StoredServer } from './BackendDirectory.js';
 import type { CatalogueChange, CatalogueEntry, CatalogueSink } from './createCatalogueLog.js';
+import type { StreamOrigins } from '../streams/createStreamOrigins.js';
 import type { RouteTableHolder } from './createRouteTableHolder.js';
 
 /** Consumers of the entries of the store, and the format of its keys. */
@@ -11,6 +12,7 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly blocks: StoredBlocks;
+  readonly origins: Pick<StreamOrigins, 'putAgreed'>;
 }
 
 const toText = ({ key, value }: CatalogueEntry, prefix: string): StoredText => ({
@@ -29,7 +31,8 @@
 
   readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision, era }, isNewEra) => {
     const { format, directory, blocks } = this.consumers;
-    entries.filter(({ key }) => key === format.routeTableKey).forEach((entry) => this.put(entry, era));
+    const ownKeys = [format.routeTableKey, format.agreedOriginsKey];
+    entries.filter(({ key }) => ownKeys.includes(key)).forEach((entry) => this.put(entry, era));
     const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
     directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision, era });
     const hostEntries = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
@@ -66,10 +69,12 @@
   }
 
   private put(entry: CatalogueEntry, era: number): void {
-    const { format, tables, directory, blocks } = this.consumers;
+    const { format, tables, directory, blocks, origins } = this.consumers;
     const { key, value, revision } = entry;
     if (key === format.routeTableKey) {
       tables.offer({ text: value, revision }, 'store');
+    } else if (key === format.agreedOriginsKey) {
+      origins.putAgreed(value);
     } else if (key.startsWith(format.serverPrefix)) {
       directory.put(this.toServer(entry), era);
     } else if (key.startsWith(format.blockPrefix)) {
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -10,6 +10,7 @@
 import { chooseSource, MAX_DIRECT_HOSTS, RELAY_TIMEOUT_MS, RELAYS, type CatalogueSource } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
+import type { StreamOrigins } from '../streams/createStreamOrigins.js';
 import type { StoredBlocks } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
@@ -31,6 +32,7 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly blocks: StoredBlocks;
+  readonly origins: Pick<StreamOrigins, 'putAgreed'>;
   readonly random: () => number;
 }
 
@@ -234,7 +236,9 @@
   }
 
   private openStore(): void {
-    const { clock, random, store } = this.options;
+    const { clock, random, store, format } = this.options;
+    // The origins of single streams are many, and are read one by one when they are needed.
+    const isFollowed = (key: string): boolean => !key.startsWith(format.streamPrefix);
     const { isFilled, position } = this.log;
     let { era, revision: fromRevision } = position;
     let changes: CatalogueChange[] = [];
@@ -243,6 +247,7 @@
       random,
       store,
       prefix: ALL_KEYS,
+      rangeEnd: format.streamPrefix,
       ...(isFilled ? { knownRevision: String(fromRevision), knownEra: era } : {}),
       limits: () => (this.relay.isActive ? { quietMs: RELAY_QUIET_MS } : {}),
       onSnapshot: (entries, read, readEra) => {
@@ -251,8 +256,16 @@
         changes = [];
         this.applySnapshot(entries, { era, revision: fromRevision });
       },
-      onPut: ({ key, value, modRevision }) => changes.push({ key, value, revision: Number(modRevision) }),
-      onDelete: (key, deleted) => changes.push({ key, revision: Number(deleted) }),
+      onPut: ({ key, value, modRevision }) => {
+        if (isFollowed(key)) {
+          changes.push({ key, value, revision: Number(modRevision) });
+        }
+      },
+      onDelete: (key, deleted) => {
+        if (isFollowed(key)) {
+          changes.push({ key, revision: Number(deleted) });
+        }
+      },
       onReached: (reached) => {
         const batch = { era, fromRevision, toRevision: Number(reached), changes };
         fromRevision = batch.toRevision;
--- a/packages/gateway/src/catalogue/storeSchedules.test.ts
+++ b/packages/gateway/src/catalogue/storeSchedules.test.ts
@@ -89,7 +89,10 @@
     removeRelease: () => undefined,
     replace: () => undefined,
   };
-  const log = createCatalogueLog(createCatalogueSink({ format: FORMAT, tables, directory, blocks }, () => undefined));
+  const origins = { putAgreed: () => undefined };
+  const log = createCatalogueLog(
+    createCatalogueSink({ format: FORMAT, tables, directory, blocks, origins }, () => undefined),
+  );
   return { clock, directory, tables, log };
 };
 
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -6,6 +6,7 @@
 import type { BackendDirectory, ServerSnapshot } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
+import type { StreamOrigins } from '../streams/createStreamOrigins.js';
 import type { BlockExchange } from '../crashes/createBlockSharing.js';
 import type { BlockNotice } from '../crashes/messages.js';
 import type { HostEntry, HostRecord, HostRegistry } from './createHostRegistry.js';
@@ -25,6 +26,7 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly blocks: BlockExchange;
+  readonly origins: Pick<StreamOrigins, 'agreedText' | 'putAgreed'>;
   readonly eras: EraTracker;
   readonly random: () => number;
 }
@@ -49,6 +51,8 @@
 interface SyncResponse {
   readonly table?: StoredTable;
   readonly servers?: ServerSnapshot;
+  /** Agreed origins of streams, with newer servers; a host must not learn of servers without them. */
+  readonly agreedOrigins?: string;
   readonly hosts?: readonly HostRecord[];
   readonly blocks?: readonly BlockNotice[];
 }
@@ -68,6 +72,9 @@
     ? own.tableRevision - other.tableRevision
     : own.tableVersion - other.tableVersion;
 
+const readAgreed = ({ agreedText }: Pick<StreamOrigins, 'agreedText'>): Pick<SyncResponse, 'agreedOrigins'> =>
+  agreedText === undefined ? {} : { agreedOrigins: agreedText };
+
 const listOthers = (hosts: HostRegistry): readonly HostEntry[] =>
   hosts.list().filter(({ hostId }) => hostId !== hosts.self.hostId);
 
@@ -121,7 +128,7 @@
       return {};
     }
     const table = this.options.tables.stored();
-    const { directory, blocks } = this.options;
+    const { directory, blocks, origins } = this.options;
     const own = this.describeState(hosts);
     const isTableNewer = compareTables(own, request);
     const areServersNewer = comparePositions(directory.position, {
@@ -133,7 +140,7 @@
     }
     return {
       ...(table !== undefined && isTableNewer > 0 ? { table } : {}),
-      ...(areServersNewer > 0 ? { servers: directory.snapshot() } : {}),
+      ...(areServersNewer > 0 ? { servers: directory.snapshot(), ...readAgreed(origins) } : {}),
       ...(request.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
       ...(request.blocks !== own.blocks ? { blocks: blocks.list() } : {}),
     };
@@ -157,11 +164,11 @@
   }
 
   private apply(
-    { table, servers, hosts: listed, blocks: notices = [] }: SyncResponse,
+    { table, servers, agreedOrigins, hosts: listed, blocks: notices = [] }: SyncResponse,
     target: Target,
     hosts: HostRegistry,
   ): void {
-    const { tables, directory, blocks, eras, logger } = this.options;
+    const { tables, directory, blocks, origins, eras, logger } = this.options;
     const peer = `${target.address}:${target.port}`;
     if (table !== undefined) {
       tables.offer(table, peer);
@@ -169,6 +176,9 @@
     if (servers !== undefined) {
       logger.event('serversLearnt', { peer, era: servers.era, revision: servers.revision });
       eras.observe(servers.era ?? directory.position.era);
+      if (agreedOrigins !== undefined) {
+        origins.putAgreed(agreedOrigins);
+      }
       directory.replace(servers);
     }
     if (listed !== undefined && listOthers(hosts).length === 0) {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -156,6 +156,10 @@
   readonly hostPrefix: string;
   /** Prefix of the keys of requests that are blocked because they crash servers; this system writes them too. */
   readonly blockPrefix: string;
+  /** Key of the agreed origins of streams, which this system writes. */
+  readonly agreedOriginsKey: string;
+  /** Prefix of the keys of the origins of single streams; it sorts after all other keys, which hosts follow. */
+  readonly streamPrefix: string;
   /** Prefix of the keys of releases, by which operators end the block of a request. */
   readonly releasePrefix: string;
   /** Parses a route table; undefined when it is invalid. */
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -11,6 +11,7 @@
 import type Reservation from './Reservation.js';
 import type RunAnswer from './RunAnswer.js';
 import type RunRecord from './RunRecord.js';
+import type StreamBinding from './StreamBinding.js';
 import type { AttemptResult, ForwardRequest } from './types.js';
 import type { IdleTimeout } from './startIdleTimeout.js';
 
@@ -22,6 +23,7 @@
   readonly answer: RunAnswer;
   readonly results: HeldResults;
   readonly reservation: Reservation;
+  readonly binding: StreamBinding;
 }
 
 /** The attempt whose answer is read. */
@@ -108,15 +110,23 @@
       response.destroy();
       return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
     }
-    if (!this.run.exchange.headSent) {
-      this.contentType = contentType;
-      this.run.exchange.sendHead(head);
+    const sendHead = (): void => {
+      if (!this.run.exchange.headSent) {
+        this.contentType = contentType;
+        this.run.exchange.sendHead(head);
+      }
+    };
+    if (!this.run.binding.isUnrecorded) {
+      sendHead();
     }
     idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
     const end = await relayStream(response, this.run.exchange, {
       afterEventId: this.lastEventId,
+      confirm: async () => (await this.run.binding.confirm()) && !this.run.answer.ended,
+      onStart: sendHead,
       onEvents: (lastEventId) => {
         onOutput();
+        this.run.binding.noteEvents();
         idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
         this.lastEventId = lastEventId ?? this.lastEventId;
       },
@@ -126,6 +136,6 @@
       this.run.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
     }
-    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
+    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
   }
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -30,6 +30,7 @@
 import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
 import Reservation, { DEFAULT_ANSWER_MS } from './Reservation.js';
 import RunAnswer from './RunAnswer.js';
+import StreamBinding, { type BindingPorts } from './StreamBinding.js';
 import ServerFinder, { NO_SERVER_RETRY_AFTER_MS } from './ServerFinder.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
@@ -52,6 +53,7 @@
   readonly metrics: ScrapedMetrics;
   readonly crashes: CrashGuard;
   readonly answerMemory: AnswerMemory;
+  readonly origins: BindingPorts['origins'];
   /** Spends one retry of the budget of a pool; false when the budget is exhausted. */
   readonly spendRetry: (pool: string) => boolean;
 }
@@ -84,6 +86,8 @@
 
   private readonly finder: ServerFinder;
 
+  private readonly binding: StreamBinding;
+
   private stageRounds = 0;
 
   /** Time to the first token of the attempt, as predicted by the scheduler. */
@@ -110,12 +114,13 @@
       this.abort.abort();
       this.results.release();
     });
-    this.pool = choosePool(request.route.pools, ports.random()) ?? '';
+    this.pool = request.origin?.pool ?? choosePool(request.route.pools, ports.random()) ?? '';
+    this.binding = new StreamBinding(request, this.pool, ports);
     this.reservation = new Reservation(request, this.pool, ports);
-    const { record, answer, results, reservation, pool, work, avoidServers } = this;
-    const placed = { request, pool, work, avoidServers, record, answer, results, reservation };
+    const { record, answer, results, reservation, binding, pool, work, avoidServers } = this;
+    const placed = { request, pool, work, avoidServers, record, answer, results, reservation, binding };
     this.finder = new ServerFinder({ ...placed, signal: this.abort.signal }, ports);
-    this.reader = new AnswerReader({ request, exchange, record, answer, results, reservation }, ports);
+    this.reader = new AnswerReader({ request, exchange, record, answer, results, reservation, binding }, ports);
   }
 
   /** Serves the request until it is answered or has failed; never rejects. */
@@ -221,6 +226,7 @@
     // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
     const freshConnection = this.record.hasSentTo(server.serverId);
     this.record.noteSend(server);
+    this.binding.prepare(server);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
     let sentAtMs = clock.monotonicMs();
@@ -287,6 +293,10 @@
   /** Decides what follows an attempt that did not deliver and applies it; true when the request is sent again. */
   private handleAttemptEnd(server: ServerView, result: EndedAttempt): boolean {
     const { clock, pools, spendRetry } = this.ports;
+    if (result.unrecorded === true) {
+      this.answer.fail('origin-unrecorded', NO_SERVER_RETRY_AFTER_MS);
+      return false;
+    }
     const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
     const { runs, sends } = this.record;
     const preferred = decideRetry({
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -22,6 +22,14 @@
 /** Assumed time from the last stage to the first token when nothing is known about the engines. */
 export const DEFAULT_ANSWER_MS = 150;
 
+/** Which engines may get an attempt. */
+export interface EngineConstraints {
+  /** Servers that failed this request and are avoided. */
+  readonly avoidServers: readonly string[];
+  /** Version that the engine must have; undefined when any will do. */
+  readonly softwareVersion: string | undefined;
+}
+
 /** The entry of one request in the schedule of a region. */
 export default class Reservation {
   /** Region whose servers serve the request. */
@@ -97,7 +105,7 @@
   }
 
   /** Asks for an engine for the generation. Empty for other requests, and when the scheduler names none. */
-  place(results: HeldResults, avoidServers: readonly string[]): Promise<PlaceAnswer> {
+  place(results: HeldResults, { avoidServers, softwareVersion }: EngineConstraints): Promise<PlaceAnswer> {
     const generation = this.describeGeneration();
     if (generation === undefined) {
       return Promise.resolve({});
@@ -111,7 +119,8 @@
     // The scheduler does not know which servers this host avoids because of their answers to it.
     const avoided = [...avoidServers, ...directory.listExcluded(this.pool), ...closed.map(({ serverId }) => serverId)];
     const deadlineInMs = deadlineAtMs - nowMs;
-    const facts = { requestId, key: fingerprint, deadlineInMs, resultBytes, avoidServers: avoided };
+    const version = softwareVersion === undefined ? {} : { softwareVersion };
+    const facts = { requestId, key: fingerprint, deadlineInMs, resultBytes, avoidServers: avoided, ...version };
     return this.ports.scheduler.place(this.region, { ...generation, ...facts });
   }
 
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import type { ServerView } from '@bergamotcove/decide';
+import { findContinuers, type ServerView } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import placeAttempt, { type PlacementPorts } from '../servers/placeAttempt.js';
@@ -10,6 +10,7 @@
 import type Reservation from './Reservation.js';
 import type RunAnswer from './RunAnswer.js';
 import type RunRecord from './RunRecord.js';
+import type StreamBinding from './StreamBinding.js';
 import type { ForwardRequest } from './types.js';
 
 /** The request that needs a server, with its state. */
@@ -23,6 +24,7 @@
   readonly answer: RunAnswer;
   readonly results: HeldResults;
   readonly reservation: Reservation;
+  readonly binding: StreamBinding;
   /** Aborted when the request has ended. */
   readonly signal: AbortSignal;
 }
@@ -54,11 +56,11 @@
 
   /** Waits until a server may get the request; undefined when the request ends first. */
   async find(): Promise<FoundServer | undefined> {
-    const { answer, record, reservation, results, avoidServers } = this.run;
+    const { answer, record, reservation, results, avoidServers, binding } = this.run;
     while (!answer.ended) {
       // Each step depends on the previous one.
       /* eslint-disable no-await-in-loop */
-      const assigned = await reservation.place(results, avoidServers);
+      const assigned = await reservation.place(results, { avoidServers, softwareVersion: binding.requiredVersion });
       const server =
         assigned.laterInMs === undefined
           ? await this.choose(assigned)
@@ -75,10 +77,11 @@
   }
 
   private async choose(assigned: PlaceAnswer): Promise<ServerView | undefined | 'again'> {
-    const { request, pool, avoidServers, work, answer } = this.run;
+    const { request, pool, avoidServers, work, answer, binding } = this.run;
     const { limits } = this.ports;
     const { serverId, permitted = false } = assigned;
-    const placement = { request, pool, serverId, permitted, avoidServers, ...work };
+    const softwareVersion = binding.requiredVersion;
+    const placement = { request, pool, serverId, permitted, avoidServers, softwareVersion, ...work };
     const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => answer.ended });
     if (placed.type === 'cancelled') {
       return undefined;
@@ -98,9 +101,11 @@
    * a limit is left.
    */
   private async takeLimited(preferred: ServerView | undefined): Promise<ServerView | undefined | 'again'> {
-    const { request, pool, avoidServers, record, answer } = this.run;
+    const { request, pool, avoidServers, record, answer, binding } = this.run;
     const { limits, directory } = this.ports;
-    const { servers } = directory.view(pool);
+    const listed = directory.view(pool).servers;
+    const softwareVersion = binding.requiredVersion;
+    const servers = softwareVersion === undefined ? listed : findContinuers(listed, { pool, softwareVersion });
     const usable = servers.filter(({ serverId }) => !avoidServers.includes(serverId));
     const others = usable.length > 0 ? usable : servers;
     const mayWait = preferred === undefined || others.every(({ serverId }) => limits.isLimited(serverId));
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -1,12 +1,14 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
 import {
   createSizeAverages,
+  findContinuers,
   matchRoute,
   rankRequest,
   acceptsWhileDraining,
   valueRequest,
   type DrainTimes,
   type RouteIndex,
+  type StreamOrigin,
 } from '@bergamotcove/decide';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
@@ -19,6 +21,7 @@
 import type { ForwardEnd } from './RunRecord.js';
 import filterHeaders from './filterHeaders.js';
 import type { ForwardRequest } from './types.js';
+import { isResumable } from '../streams/createStreamOrigins.js';
 
 /** Options of {@link createRequestHandler}. */
 export interface RequestHandlerOptions extends ForwardPorts {
@@ -31,8 +34,6 @@
 }
 
 const NO_TABLE_RETRY_AFTER_MS = 500;
-/** The retry is short because another host can take the request at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 
 /** Time to generate one token, as a multiple of the time to read one prompt token. */
 const OUTPUT_WEIGHT = 10;
@@ -41,6 +42,13 @@
 const measureSize = ({ generation }: RequestFacts): number =>
   generation === undefined ? 1 : generation.promptTokens + OUTPUT_WEIGHT * generation.maxOutputTokens;
 
+/** The retry is short because another host can take the request at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
+/** Retry-After of a request that takes up a stream whose origin cannot be found now. */
+const ORIGIN_UNKNOWN_RETRY_AFTER_MS = 300;
+/** Retry-After when no server of that origin is known; one may be about to register. */
+const ORIGIN_GONE_RETRY_AFTER_MS = 1_000;
+
 /** Headers that are not forwarded. The content length is set again when the body is sent. */
 const listWithheld = (format: RequestFormat): ReadonlySet<string> => new Set([...format.withheld, 'content-length']);
 
@@ -49,6 +57,11 @@
   | { readonly type: 'matched'; readonly route: Route; readonly organisation: RouteOrganisation | undefined }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
+/** Where the stream began that a request takes up, if it does, or why it cannot be taken up. */
+type TakenUp =
+  | { readonly type: 'ready'; readonly origin: StreamOrigin | undefined }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
 /** A request that was read in full. */
 interface ReadRequest {
   readonly facts: RequestFacts;
@@ -129,6 +142,14 @@
     const { request, arrivedAtMs } = exchange;
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
+    const takenUp = await this.findTakenUp(route, facts);
+    if (takenUp.type === 'refused') {
+      this.reject(exchange, facts, takenUp.refusal);
+      return;
+    }
+    if (exchange.closed) {
+      return;
+    }
     const sizeTokens = measureSize(facts);
     const method = request.method ?? 'GET';
     const path = request.url ?? '/';
@@ -143,6 +164,7 @@
       body: body.length > 0 || request.headers['content-length'] !== undefined ? body : undefined,
       facts,
       route,
+      origin: takenUp.origin,
       organisation: callerOrganisation,
       priority: rankRequest(route.priority, organisation?.priority),
       value: valueRequest({
@@ -165,6 +187,31 @@
     this.options.onEnded(forward, end);
   }
 
+  /** Finds the servers that may go on with the stream that a request takes up. It is refused unless there are some. */
+  private async findTakenUp(route: Route, facts: RequestFacts): Promise<TakenUp> {
+    const { origins, directory } = this.options;
+    if (facts.lastEventId === undefined || !isResumable(route)) {
+      return { type: 'ready', origin: undefined };
+    }
+    const found = await origins.find(route, facts.resumesRequestId);
+    if (found.type === 'unknown') {
+      this.options.logger.event('streamOriginUnknown', {
+        requestId: facts.requestId,
+        resumes: facts.resumesRequestId,
+        reason: found.reason,
+      });
+      const retryAfterMs = ORIGIN_UNKNOWN_RETRY_AFTER_MS;
+      return { type: 'refused', refusal: { status: 503, reason: 'origin-unknown', retryAfterMs } };
+    }
+    const { origin } = found;
+    const isRouted = route.pools.some(({ pool }) => pool === origin.pool);
+    if (!isRouted || findContinuers(directory.list(origin.pool), origin).length === 0) {
+      const retryAfterMs = ORIGIN_GONE_RETRY_AFTER_MS;
+      return { type: 'refused', refusal: { status: 503, reason: 'origin-gone', retryAfterMs } };
+    }
+    return { type: 'ready', origin };
+  }
+
   private reject(exchange: CallerExchange, facts: RequestFacts, refusal: Refusal): void {
     const { logger, metrics, tables } = this.options;
     metrics.report('request.rejected', 1, { reason: refusal.reason });
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -8,12 +8,18 @@
   /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
   | { readonly type: 'broken' }
   /** The stream did not continue with the event after the last one that was relayed. */
-  | { readonly type: 'wrong-place' };
+  | { readonly type: 'wrong-place' }
+  /** Its events must not be passed on; none was. */
+  | { readonly type: 'refused' };
 
 /** Options of {@link relayStream}. */
 export interface RelayOptions {
   /** Id of the last event that the caller already has from another server; undefined at the start of a stream. */
   readonly afterEventId: string | undefined;
+  /** Asked once, when the stream has its first events; they are held until it resolves to true. */
+  readonly confirm: () => Promise<boolean>;
+  /** Called once, before the first bytes are relayed. */
+  readonly onStart: () => void;
   /** Called before each batch of events is relayed, with the id of its last event. */
   readonly onEvents: (lastEventId: string | undefined) => void;
 }
@@ -24,26 +30,169 @@
 const isEventStream = ({ headers }: IncomingMessage): boolean =>
   /^text\/event-stream\b/i.test(headers['content-type'] ?? '');
 
-/**
- * Ends the relay with the bytes after the last event. In a stream of events, bytes other than line ends start an event
- * that never ended; an answer without events is passed on as it is.
- */
-const relayRest = (rest: Buffer, exchange: CallerExchange, hasEvents: boolean): RelayEnd => {
-  if (hasEvents && !/^[\r\n]*$/.test(rest.toString('latin1'))) {
-    return { type: 'broken' };
+/** More events are not read before the first ones may be passed on. */
+const MAX_HELD_BYTES = 65_536;
+
+/** Events that arrived before they may be passed on. */
+interface HeldBatch {
+  readonly bytes: Uint8Array;
+  readonly lastEventId: string | undefined;
+}
+
+class Relay {
+  private readonly splitter = createEventSplitter();
+
+  private state: 'new' | 'confirming' | 'open' | 'ended' = 'new';
+
+  private readonly held: HeldBatch[] = [];
+
+  private heldBytes = 0;
+
+  /** How the stream ended while its first events were held. */
+  private heldEnd: (() => RelayEnd) | undefined;
+
+  private hasEvents: boolean;
+
+  constructor(
+    private readonly response: IncomingMessage,
+    private readonly exchange: CallerExchange,
+    private readonly options: RelayOptions,
+    private readonly resolve: (end: RelayEnd) => void,
+  ) {
+    this.hasEvents = options.afterEventId !== undefined;
+  }
+
+  start(): void {
+    const { response } = this;
+    if (response.destroyed) {
+      // The connection broke before the listeners were attached, so no event would follow.
+      this.end(() => ({ type: 'broken' }));
+      return;
+    }
+    response.on('data', (chunk: Buffer) => this.receive(chunk));
+    response.on('end', () => {
+      if (response.complete) {
+        this.end(() => this.relayRest());
+      }
+    });
+    response.on('error', () => this.end(() => ({ type: 'broken' })));
+    response.on('close', () => this.end(() => ({ type: 'broken' })));
+  }
+
+  private receive(chunk: Buffer): void {
+    const batch = this.splitter.push(chunk);
+    if (batch === undefined) {
+      this.response.destroy();
+      return;
+    }
+    const { bytes, firstEventId, lastEventId } = batch;
+    if (bytes === undefined || this.exchange.closed || this.state === 'ended') {
+      return;
+    }
+    if (!this.hasBegun && !isNextEvent(firstEventId, this.options.afterEventId)) {
+      this.finish({ type: 'wrong-place' });
+      this.response.destroy();
+      return;
+    }
+    this.hasEvents = true;
+    switch (this.state) {
+      case 'new':
+        this.hold({ bytes, lastEventId });
+        this.confirm();
+        break;
+      case 'confirming':
+        this.hold({ bytes, lastEventId });
+        break;
+      default:
+        this.pass({ bytes, lastEventId });
+    }
+  }
+
+  private get hasBegun(): boolean {
+    return this.state !== 'new';
+  }
+
+  private hold(batch: HeldBatch): void {
+    this.held.push(batch);
+    this.heldBytes += batch.bytes.length;
+    if (this.heldBytes > MAX_HELD_BYTES) {
+      this.response.pause();
+    }
   }
-  if (rest.length > 0) {
-    exchange.write(rest);
+
+  private confirm(): void {
+    this.state = 'confirming';
+    this.options.confirm().then(
+      (confirmed) => this.open(confirmed),
+      () => this.open(false),
+    );
+  }
+
+  private open(confirmed: boolean): void {
+    if (this.state !== 'confirming') {
+      return;
+    }
+    if (!confirmed) {
+      this.finish({ type: 'refused' });
+      this.response.destroy();
+      return;
+    }
+    this.state = 'open';
+    this.options.onStart();
+    this.response.resume();
+    this.held.splice(0).forEach((batch) => this.pass(batch));
+    if (this.heldEnd !== undefined) {
+      this.finish(this.heldEnd());
+    }
+  }
+
+  private pass({ bytes, lastEventId }: HeldBatch): void {
+    const { response, exchange } = this;
+    this.options.onEvents(lastEventId);
+    if (!exchange.write(bytes)) {
+      response.pause();
+      exchange.onDrain(() => response.resume());
+    }
   }
-  return { type: 'complete' };
-};
+
+  /**
+   * Ends the relay with the bytes after the last event. In a stream of events, bytes other than line ends start an event
+   * that never ended; an answer without events is passed on as it is.
+   */
+  private relayRest(): RelayEnd {
+    const rest = this.splitter.rest();
+    if ((this.hasEvents || isEventStream(this.response)) && !/^[\r\n]*$/.test(rest.toString('latin1'))) {
+      return { type: 'broken' };
+    }
+    if (this.state === 'new') {
+      this.options.onStart();
+    }
+    if (rest.length > 0) {
+      this.exchange.write(rest);
+    }
+    return { type: 'complete' };
+  }
+
+  private end(readEnd: () => RelayEnd): void {
+    if (this.state === 'confirming') {
+      this.heldEnd ??= readEnd;
+    } else if (this.state !== 'ended') {
+      this.finish(readEnd());
+    }
+  }
+
+  private finish(end: RelayEnd): void {
+    this.state = 'ended';
+    this.resolve(end);
+  }
+}
 
 /**
  * Relays the events of a server's stream to the caller as they arrive.
  *
  * @param response - stream of the server, not read yet
- * @param exchange - exchange with the caller, with the head of the answer sent
- * @param options - position in the stream and progress callback
+ * @param exchange - exchange with the caller
+ * @param options - position in the stream and progress callbacks
  * @returns how the relay ended
  */
 export default function relayStream(
@@ -51,44 +200,7 @@
   exchange: CallerExchange,
   options: RelayOptions,
 ): Promise<RelayEnd> {
-  const splitter = createEventSplitter();
-  let begun = false;
-  let hasEvents = options.afterEventId !== undefined;
   return new Promise((resolve) => {
-    if (response.destroyed) {
-      // The connection broke before the listeners were attached, so no event would follow.
-      resolve({ type: 'broken' });
-      return;
-    }
-    response.on('data', (chunk: Buffer) => {
-      const batch = splitter.push(chunk);
-      if (batch === undefined) {
-        response.destroy();
-        return;
-      }
-      const { bytes, firstEventId, lastEventId } = batch;
-      if (bytes === undefined || exchange.closed) {
-        return;
-      }
-      if (!begun && !isNextEvent(firstEventId, options.afterEventId)) {
-        resolve({ type: 'wrong-place' });
-        response.destroy();
-        return;
-      }
-      begun = true;
-      hasEvents = true;
-      options.onEvents(lastEventId);
-      if (!exchange.write(bytes)) {
-        response.pause();
-        exchange.onDrain(() => response.resume());
-      }
-    });
-    response.on('end', () => {
-      if (response.complete) {
-        resolve(relayRest(splitter.rest(), exchange, hasEvents || isEventStream(response)));
-      }
-    });
-    response.on('error', () => resolve({ type: 'broken' }));
-    response.on('close', () => resolve({ type: 'broken' }));
+    new Relay(response, exchange, options, resolve).start();
   });
 }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,5 +1,5 @@
 import type { Route, RouteOrganisation } from '@bergamotcove/config';
-import type { AttemptEnd } from '@bergamotcove/decide';
+import type { AttemptEnd, StreamOrigin } from '@bergamotcove/decide';
 import type { RequestFacts } from '../ports.js';
 
 /** Status and headers of an answer. The headers are a flat list of alternating names and values. */
@@ -21,6 +21,8 @@
   readonly answer?: WholeAnswer;
   /** Whether stage results that the attempt needed no longer exist. */
   readonly resultsGone: boolean;
+  /** Whether nothing was passed on because the origin of the stream could not be recorded. */
+  readonly unrecorded?: boolean;
   /** Whether the retry is already charged to the budget. */
   readonly retryReserved?: boolean;
 }
@@ -42,6 +44,8 @@
   readonly body: Buffer | undefined;
   readonly facts: RequestFacts;
   readonly route: Route;
+  /** Where the stream began that the request takes up; undefined for others. */
+  readonly origin: StreamOrigin | undefined;
   readonly organisation: RouteOrganisation | undefined;
   readonly priority: number;
   /** Value of an answer on time, relative to other requests. */
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -3,6 +3,7 @@
   createEngineSelector,
   createWorkLedger,
   decideEntry,
+  findContinuers,
   LATE_VALUE,
   planPipeline,
   REGION_HOP_MS,
@@ -234,13 +235,16 @@
       promptTokens: request.promptTokens,
       resultBytes: new Map(Object.entries(request.resultBytes)),
       avoidServers: request.avoidServers,
+      softwareVersion: request.softwareVersion,
       deadlineAtMs: nowMs + (request.deadlineInMs ?? DEFAULT_DEADLINE_MS),
     };
+    const { pool, softwareVersion } = request;
+    const engines = this.options.directory.listNear(pool, this.options.region);
     const placed = placeGeneration(need, {
       selector,
       limits: this.options.limits,
-      servers: this.options.directory.listNear(request.pool, this.options.region),
-      pool: request.pool,
+      servers: softwareVersion === undefined ? engines : findContinuers(engines, { pool, softwareVersion }),
+      pool,
       key: request.key ?? request.requestId,
       nowMs,
     });
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -71,6 +71,8 @@
   /** Bytes of stage results by the failure domain that holds them. */
   readonly resultBytes: Readonly<Record<string, number>>;
   readonly avoidServers: readonly string[];
+  /** Version that the engine must have, for a stream that began there; hosts of an earlier version ignore it. */
+  readonly softwareVersion?: string;
   /** Identifies the request, also when its caller sends it again; hosts of an earlier version do not send it. */
   readonly key?: string;
 }
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { chooseServer, type Choice, type ServerView } from '@bergamotcove/decide';
+import { chooseServer, findContinuers, type Choice, type ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -19,6 +19,8 @@
   readonly permitted: boolean;
   /** Servers that failed this request and are avoided. */
   readonly avoidServers: readonly string[];
+  /** Version that the server must have; undefined when any will do. */
+  readonly softwareVersion?: string | undefined;
   /** Work of the attempt: tokens to generate, or 1 for other requests. */
   readonly tokens: number;
   readonly prefillTokens: number;
@@ -61,13 +63,14 @@
 /** Chooses the assigned server, or one that may get the attempt now. */
 const choose = (placement: PlacementRequest, options: ServerPoolsOptions): Choice | undefined => {
   const { clock, directory, limits, failureDomain, region } = options;
-  const { request, pool, serverId, permitted, avoidServers, tokens, prefillTokens } = placement;
+  const { request, pool, serverId, permitted, avoidServers, softwareVersion, tokens, prefillTokens } = placement;
   const view = directory.view(pool);
+  const usable = softwareVersion === undefined ? view.servers : findContinuers(view.servers, { pool, softwareVersion });
   const nowMs = clock.monotonicMs();
   const isAssigned = (server: ServerView): boolean => server.serverId === serverId;
   const isOpen = (server: ServerView): boolean =>
     limits.closedUntilMs(server.serverId) <= nowMs || (permitted && isAssigned(server));
-  const open = view.servers.filter(isOpen);
+  const open = usable.filter(isOpen);
   const assigned = open.find(isAssigned);
   if (assigned !== undefined && !avoidServers.includes(assigned.serverId)) {
     return { type: 'send', server: assigned, predictedMs: 0, crossRegion: assigned.region !== region };
--- a/packages/gateway/src/testing/createCatalogueFleet.ts
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -125,6 +125,7 @@
       removeRelease: () => undefined,
       replace: () => undefined,
     },
+    origins: { putAgreed: () => undefined },
     links: createLinks(context, self),
     store,
     eras,
--- a/packages/gateway/src/testing/sampleFormat.ts
+++ b/packages/gateway/src/testing/sampleFormat.ts
@@ -7,6 +7,8 @@
   hostPrefix: 'hosts/',
   blockPrefix: 'blocks/',
   releasePrefix: 'releases/',
+  agreedOriginsKey: 'agreed-origins',
+  streamPrefix: 'zz-streams/',
   readRouteTable: () => undefined,
   readServer: (serverId, text) =>
     text === '' ? undefined : { serverId, ...(JSON.parse(text) as Omit<ServerEntry, 'serverId'>) },
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -42,6 +42,7 @@
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import type { GatewaySettings } from './settings.js';
 import describeStatus, { type GatewayStatus } from './observe/describeStatus.js';
+import createStreamOrigins, { type StreamOrigins } from './streams/createStreamOrigins.js';
 import startMetricsServer, { type MetricsServer } from './observe/startMetricsServer.js';
 import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
 import createStageClient from './stages/createStageClient.js';
@@ -88,6 +89,7 @@
   readonly scheduler: RegionScheduler;
   readonly queues: PoolQueues;
   readonly crashes: CrashGuard;
+  readonly origins: StreamOrigins;
 }
 
 const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
@@ -143,9 +145,19 @@
   const queues = createPoolQueues(clock);
   directory.onChange(() => queues.drainAll());
   limits.onChange(() => queues.drainAll());
+  const origins = createStreamOrigins({
+    clock,
+    logger,
+    metrics,
+    store,
+    eras,
+    directory,
+    tables,
+    format: formats.catalogue,
+  });
   const liveSettings = createSettingsHolder(settings);
   const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
-  return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes };
+  return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes, origins };
 };
 
 interface Sources {
@@ -276,7 +288,7 @@
 
 /** Registers this host, and takes over and hands over duties whenever the list of hosts changes. */
 const startDuties = (base: BaseParts, hosts: HostRegistry, exchange: HostExchange): void => {
-  const { owners, scheduler, crashes, limits } = base;
+  const { owners, scheduler, crashes, limits, origins } = base;
   const isOwner = (duty: string): boolean => hosts.rankOwners(duty)[0]?.hostId === hosts.self.hostId;
   hosts.onChange(() => {
     owners.updateOwnership(isOwner);
@@ -287,6 +299,7 @@
   scheduler.start(hosts);
   crashes.start(hosts);
   limits.start(hosts);
+  origins.start(hosts);
 };
 
 /** Methods that other hosts and operators call. */
@@ -317,9 +330,9 @@
 const createClose =
   (base: BaseParts, { hosts, pools, started }: ClosedParts): (() => Promise<void>) =>
   async () => {
-    const { scheduler, crashes, owners, limits, links, queues, directory, store } = base;
+    const { scheduler, crashes, owners, limits, origins, links, queues, directory, store } = base;
     await hosts.leave();
-    [...started, scheduler, crashes, owners, limits, links, queues, pools, directory, store].forEach((part) =>
+    [...started, scheduler, crashes, owners, limits, origins, links, queues, pools, directory, store].forEach((part) =>
       part.close(),
     );
   };
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -65,11 +65,11 @@
   attemptEnded: 'An attempt gave no answer to pass on; see the decision and the counts behind it.',
   streamOriginUnknown:
     'A caller takes up a stream, and it cannot be known at which software version it began; it is refused.',
-  streamVersionsRecorded: 'The software versions at which streams of a pool may begin were recorded in the store.',
-  streamVersionsNotStored:
-    'The software versions of a pool could not be recorded; streams do not begin at new ones until they are.',
-  streamVersionsUnreadable: 'The record of the software versions of a pool cannot be parsed; another program wrote it.',
-  streamOriginsNotStored: 'The origins of streams could not be logged in the store; the write is repeated.',
+  streamOriginsNotStored:
+    'The origins of streams could not be written to the store; the write is repeated, and streams begin at agreed origins.',
+  streamOriginsStored: 'The origins of streams can be written to the store again.',
+  streamOriginsUnreadable: 'The agreed origins cannot be parsed; another program wrote them.',
+  streamOriginAgreed: 'Streams of a route that are not recorded began at this pool and software version from now on.',
   callerMessageInvalid: 'A message of a caller could not be parsed.',
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
   requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -37,6 +37,18 @@
     tags: ['pool'],
     text: 'Servers that have stated how many requests a second they take from all hosts.',
   },
+  'streams.origin_writes': {
+    type: 'counter',
+    unit: '1',
+    tags: ['result'],
+    text: 'Writes of the origins of streams to the store; one may hold many origins.',
+  },
+  'streams.taken_up': {
+    type: 'counter',
+    unit: '1',
+    tags: ['result'],
+    text: 'Requests that take a stream up, by where its origin was found, or why it was not.',
+  },
   'limit.sends': {
     type: 'counter',
     unit: '1',
