Answer every open request before a stopping host closes

Cause: a stop waited for open requests and then closed their connections; nothing told the requests. Only their own deadlines could have ended them, and those came later.

Change: each open request is told of three steps of the stop, wherever it waits. At SIGTERM, one that its scheduler expects after the end is refused; 2 s before the end, one that no server has; at the end every other one is answered: 503 if no server had it, 504 if it may have run, and a stream is broken off so that its caller takes it up. Requests that enter a stopping host are refused when they are expected after its end.

--- a/packages/entry/src/drain/createDrain.ts
+++ b/packages/entry/src/drain/createDrain.ts
@@ -14,6 +14,8 @@
   readonly inFlight: () => number;
   /** Resolves when no request is in flight. */
   readonly idle: () => Promise<void>;
+  /** Answers the requests that are still open when the time limit passes; resolves when the answers are sent. */
+  readonly endOpen?: () => Promise<void>;
   /**
    * Makes the outcomes durable or hands them to other hosts; resolves to the number that is left. Undefined for a host
    * that keeps no outcomes; no time is reserved then.
@@ -47,6 +49,9 @@
     const endsAtMs = clock.monotonicMs() + timeoutMs;
     const reserveMs = flush === undefined ? 0 : Math.min(MAX_FLUSH_MS, timeoutMs * FLUSH_RESERVE_RATIO);
     const idle = await this.withTimeout(timeoutMs - reserveMs, this.options.idle());
+    if (idle === undefined) {
+      await this.options.endOpen?.();
+    }
     const flushLimitMs = Math.min(MAX_FLUSH_MS, Math.max(0, endsAtMs - clock.monotonicMs()));
     const unsettled = flush === undefined ? 0 : await this.withTimeout(flushLimitMs, flush(flushLimitMs));
     const clean = idle !== undefined && unsettled === 0;
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -34,6 +34,18 @@
   readonly retryAfterMs?: number;
 }
 
+/** Step of the stop of this host that concerns a request that is still open. */
+export type StopPhase =
+  /** What is expected to reach a server only after the end is refused. */
+  | 'begin'
+  /** What has not been sent to a server is refused, because it could not end here in time. */
+  | 'refuse-unsent'
+  /** Every request is answered now, because the connections are about to be closed. */
+  | 'end';
+
+/** The retry is short because another host can take the request at once. */
+export const STOPPING_RETRY_AFTER_MS = 50;
+
 const MS_PER_SECOND = 1_000;
 
 /** One request of a caller and its answer. */
@@ -43,6 +55,8 @@
 
   private readonly disconnectListeners: (() => void)[] = [];
 
+  private stopListener: ((phase: StopPhase) => void) | undefined;
+
   constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
@@ -61,6 +75,23 @@
     this.disconnectListeners.push(run);
   }
 
+  /** Registers what answers the request when this host stops; a request without it is refused at the end. */
+  onStop(run: (phase: StopPhase) => void): void {
+    this.stopListener = run;
+  }
+
+  /** Tells an open request that this host stops; one whose answer is complete is left to be sent. */
+  stop(phase: StopPhase): void {
+    if (this.closed || this.response.writableEnded) {
+      return;
+    }
+    if (this.stopListener !== undefined) {
+      this.stopListener(phase);
+    } else if (phase === 'end') {
+      this.refuse({ status: 503, reason: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS });
+    }
+  }
+
   /** Whether the head of the answer was sent. */
   get headSent(): boolean {
     return this.response.headersSent;
--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -3,7 +3,7 @@
 import type { CallerLimits } from '@bergamotcove/config';
 import type { Clock } from '@bergamotcove/clock';
 import type { Target } from '@bergamotcove/transport';
-import CallerExchange from './CallerExchange.js';
+import CallerExchange, { type StopPhase } from './CallerExchange.js';
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions extends Target {
@@ -19,6 +19,8 @@
   setLimits(limits: CallerLimits): void;
   /** Closes idle connections now, and every other one after its answer. */
   drain(): void;
+  /** Tells every open request about a step of the stop of this host. */
+  stopOpen(phase: StopPhase): void;
   /** Stops listening and closes every connection at once. */
   close(): void;
   openRequests(): number;
@@ -39,7 +41,7 @@
 
   private draining = false;
 
-  private openCount = 0;
+  private readonly open = new Set<CallerExchange>();
 
   private maxHeaderBytes = MAX_HEADER_BYTES;
 
@@ -81,21 +83,23 @@
     this.server.closeIdleConnections();
   }
 
+  stopOpen(phase: StopPhase): void {
+    [...this.open].forEach((exchange) => exchange.stop(phase));
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
   }
 
   openRequests(): number {
-    return this.openCount;
+    return this.open.size;
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.openCount += 1;
-    response.once('close', () => {
-      this.openCount -= 1;
-    });
     const exchange = new CallerExchange(request, response, this.options.clock.monotonicMs(), () => this.draining);
+    this.open.add(exchange);
+    response.once('close', () => this.open.delete(exchange));
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? '').length);
     if (headerBytes > this.maxHeaderBytes) {
       exchange.refuse({ status: 431, reason: 'headers-too-large' });
--- a/packages/gateway/src/createGatewayDrain.ts
+++ b/packages/gateway/src/createGatewayDrain.ts
@@ -26,6 +26,10 @@
 
 /** The load balancer checks the health every second and stops sending new connections after two failures. */
 const BALANCER_LAG_MS = 2_200;
+/** Time before the end of the drain at which requests that have not been sent to a server are refused. */
+const UNSENT_RESERVE_MS = 2_000;
+/** Time for the last answers to leave this host. */
+const LAST_ANSWERS_MS = 150;
 /** Part of the grace period that is reserved for the shutdown of the process itself. */
 const STOP_RESERVE_MS = 500;
 const IDLE_POLL_MS = 50;
@@ -64,9 +68,18 @@
       hosts.leave().catch(() => undefined);
       owners.leave();
       callers.drain();
+      callers.stopOpen('begin');
+      const unsentInMs = state.times.endsAtMs - UNSENT_RESERVE_MS - startedAtMs;
+      clock.schedule(Math.max(0, unsentInMs), () => callers.stopOpen('refuse-unsent'));
     },
     inFlight: () => callers.openRequests(),
     idle: () => awaitIdle(clock, callers),
+    endOpen: () => {
+      callers.stopOpen('end');
+      return new Promise((resolve) => {
+        clock.schedule(LAST_ANSWERS_MS, resolve);
+      });
+    },
     close,
     abort: () => undefined,
   });
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import {
   choosePool,
+  type DrainTimes,
   decideRetry,
   computeIdleTimeoutMs,
   type RetryDecision,
@@ -10,7 +11,7 @@
 import type { PoolQueues } from '@bergamotcove/entry';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import type CallerExchange from '../callers/CallerExchange.js';
+import { STOPPING_RETRY_AFTER_MS, type default as CallerExchange, type StopPhase } from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
@@ -54,6 +55,8 @@
   readonly crashes: CrashGuard;
   readonly answerMemory: AnswerMemory;
   readonly origins: BindingPorts['origins'];
+  /** Start and end of the drain of this host; undefined before it begins. */
+  readonly drain: () => DrainTimes | undefined;
   /** Spends one retry of the budget of a pool; false when the budget is exhausted. */
   readonly spendRetry: (pool: string) => boolean;
 }
@@ -95,6 +98,9 @@
 
   private entryRequested = false;
 
+  /** Monotonic time at which the scheduler expects the answer to begin. */
+  private expectedAtMs = -Infinity;
+
   /** Whether an attempt has been sent and has not ended; it may have run. */
   private attemptInFlight = false;
 
@@ -128,6 +134,7 @@
     const { clock } = this.ports;
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
     this.exchange.onDisconnect(() => this.answer.end('caller-gone', 0, 'caller-gone'));
+    this.exchange.onStop((phase) => this.stop(phase));
     const stopListening = this.ports.crashes.onBlocked(this.request, () => this.refuseBlocked());
     try {
       await this.serve();
@@ -182,10 +189,23 @@
       this.answer.refuse(503, 'overloaded', entry.retryAfterMs);
     } else {
       this.record.noteEntry(entry);
+      this.expectedAtMs = this.ports.clock.monotonicMs() + (entry.expectedInMs ?? 0);
+      this.refuseBeyondDrain();
     }
     return !this.answer.ended;
   }
 
+  /** Refuses a request that is expected to reach a server only when this host has stopped. */
+  private refuseBeyondDrain(): void {
+    if (!this.mayHaveRun && this.expectedAtMs > (this.ports.drain()?.endsAtMs ?? Infinity)) {
+      this.refuseStopping();
+    }
+  }
+
+  private refuseStopping(): void {
+    this.answer.refuse(this.mayHaveRun ? 504 : 503, 'stopping', STOPPING_RETRY_AFTER_MS);
+  }
+
   /** Runs the stages unless their results exist. False when the request has ended. */
   private async ensureStageResults(): Promise<boolean> {
     if (this.results.complete) {
@@ -342,6 +362,27 @@
     return this.attemptInFlight || this.record.runs > 0;
   }
 
+  /**
+   * Answers the request because this host stops. One that ends by its own deadline is left until the end; a stream that
+   * waits for a server is broken off, so that its caller takes it up at another host.
+   */
+  private stop(phase: StopPhase): void {
+    const endsAtMs = this.ports.drain()?.endsAtMs ?? Infinity;
+    const isWaiting = !this.attemptInFlight && this.request.deadlineAtMs > endsAtMs;
+    switch (phase) {
+      case 'begin':
+        this.refuseBeyondDrain();
+        break;
+      case 'refuse-unsent':
+        if (isWaiting && (this.record.runs === 0 || this.exchange.headSent)) {
+          this.refuseStopping();
+        }
+        break;
+      default:
+        this.refuseStopping();
+    }
+  }
+
   private expire(): void {
     this.answer.refuse(this.mayHaveRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -10,8 +10,7 @@
   type RouteIndex,
   type StreamOrigin,
 } from '@bergamotcove/decide';
-import type CallerExchange from '../callers/CallerExchange.js';
-import type { Refusal } from '../callers/CallerExchange.js';
+import { STOPPING_RETRY_AFTER_MS, type default as CallerExchange, type Refusal } from '../callers/CallerExchange.js';
 import readCallerBody from '../callers/readCallerBody.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import formatFingerprint from '../crashes/formatFingerprint.js';
@@ -42,8 +41,6 @@
 const measureSize = ({ generation }: RequestFacts): number =>
   generation === undefined ? 1 : generation.promptTokens + OUTPUT_WEIGHT * generation.maxOutputTokens;
 
-/** The retry is short because another host can take the request at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 /** Retry-After of a request that takes up a stream whose origin cannot be found now. */
 const ORIGIN_UNKNOWN_RETRY_AFTER_MS = 300;
 /** Retry-After when no server of that origin is known; one may be about to register. */
