Copy the chunks of bodies, and abandon answers in far too many of them

What operators saw: one faulty server that sent bodies in one-byte chunks took a host to 187 to 283 MB with 60 to 400 requests (73 MB otherwise); two such servers could end a host of 250 MB and all requests on it (LOST).

Cause: each chunk was kept as it came. The budget of answers counted its bytes, but not the buffer object of each, nor the buffer of the socket read that a part of it keeps alive.

Change: bodies and incomplete events are collected in one growing buffer, whose size counts for the budget: answers, calls to stage servers and to the store, callers' bodies, and events. An answer of more than 4,096 chunks with under 64 bytes each on average is abandoned, because it takes the processor of the host for nothing.

The checks of readAnswerBody.test.ts name the reason of a missing body now, and are as strict as before.

--- a/packages/gateway/src/callers/readCallerBody.ts
+++ b/packages/gateway/src/callers/readCallerBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock, Timer } from '@bergamotcove/clock';
+import { createByteCollector } from '@bergamotcove/transport';
 
 /** Result of reading the body of a request. */
 export type CallerBody =
@@ -35,8 +36,7 @@
     return Promise.resolve({ type: 'too-large' });
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const collected = createByteCollector();
     let idleTimer: Timer | undefined;
     let totalTimer: Timer | undefined;
     const settle = (body: CallerBody): void => {
@@ -55,15 +55,14 @@
     totalTimer = clock.schedule(Math.max(0, totalMs), () => stopReading('too-slow'));
     restartIdleTimer();
     request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) {
+      if (collected.sizeBytes + chunk.length > maxBytes) {
         stopReading('too-large');
         return;
       }
-      chunks.push(chunk);
+      collected.push(chunk);
       restartIdleTimer();
     });
-    request.on('end', () => settle({ type: 'whole', body: Buffer.concat(chunks) }));
+    request.on('end', () => settle({ type: 'whole', body: collected.read() }));
     request.on('error', () => settle({ type: 'broken' }));
     request.on('close', () => settle({ type: 'broken' }));
   });
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -91,10 +91,15 @@
     if (this.run.request.route.kind === 'stream' && head.status < MIN_REDIRECT_STATUS) {
       return this.relay(opened, attempt);
     }
-    const body = await readAnswerBody(response, this.ports.answerMemory);
-    return body === undefined
-      ? { type: 'ended', end: { type: 'unknown' }, resultsGone: false }
-      : { type: 'ended', end: { type: 'answered', status: head.status }, answer: { head, body }, resultsGone: false };
+    const read = await readAnswerBody(response, this.ports.answerMemory);
+    return read.type === 'whole'
+      ? {
+          type: 'ended',
+          end: { type: 'answered', status: head.status },
+          answer: { head, body: read.body },
+          resultsGone: false,
+        }
+      : { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
   }
 
   private async relay(
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -1,3 +1,5 @@
+import { createByteCollector } from '@bergamotcove/transport';
+
 /** Complete events that a chunk has completed. */
 export interface EventBatch {
   /** Bytes of the complete events, unchanged; undefined when there are none. */
@@ -42,35 +44,25 @@
  * @returns the splitter
  */
 export default function createEventSplitter(): EventSplitter {
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = createByteCollector();
   /** Last pending bytes, which can hold the start of a delimiter. */
-  let tail: Buffer = Buffer.alloc(0);
-
-  const keep = (bytes: Buffer): void => {
-    pending.push(bytes);
-    pendingBytes += bytes.length;
-    tail = Buffer.concat([tail, bytes.subarray(-MAX_DELIMITER_PREFIX_BYTES)]).subarray(-MAX_DELIMITER_PREFIX_BYTES);
-  };
-
-  const clear = (): void => {
-    pending = [];
-    pendingBytes = 0;
-    tail = Buffer.alloc(0);
-  };
+  const readTail = (): Buffer => pending.read().subarray(-MAX_DELIMITER_PREFIX_BYTES);
 
   return {
     push: (chunk) => {
+      const tail = readTail();
       const end = findLastEventEnd(tail.length === 0 ? chunk : Buffer.concat([tail, chunk])) - tail.length;
       if (end <= 0) {
-        keep(chunk);
-        return pendingBytes > MAX_EVENT_BYTES ? undefined : NO_EVENTS;
+        pending.push(chunk);
+        return pending.sizeBytes > MAX_EVENT_BYTES ? undefined : NO_EVENTS;
+      }
+      const bytes = Buffer.concat([pending.read(), chunk.subarray(0, end)]);
+      pending.clear();
+      if (end < chunk.length) {
+        pending.push(chunk.subarray(end));
       }
-      const bytes = Buffer.concat([...pending, chunk.subarray(0, end)]);
-      clear();
-      keep(chunk.subarray(end));
       return { bytes, ...readIds(bytes) };
     },
-    rest: () => Buffer.concat(pending),
+    rest: () => pending.read(),
   };
 }
--- a/packages/gateway/src/servers/readAnswerBody.test.ts
+++ b/packages/gateway/src/servers/readAnswerBody.test.ts
@@ -24,7 +24,7 @@
   for (let sentBytes = 0; sentBytes <= MAX_ANSWER_BYTES; sentBytes += CHUNK.length) {
     answer.write(CHUNK);
   }
-  assert.equal(await body, undefined);
+  assert.deepEqual(await body, { type: 'excessive' });
   assert.ok(answer.destroyed);
 });
 
@@ -42,12 +42,25 @@
   const small = createAnswer();
   const body = readAnswerBody(small, memory);
   small.end('done');
-  assert.equal((await body)?.toString(), 'done');
+  assert.deepEqual(await body, { type: 'whole', body: Buffer.from('done') });
 });
 
 test('an answer whose connection broke before it was read resolves to undefined at once', async () => {
   const answer = createAnswer();
   answer.destroy();
   await settle();
-  assert.equal(await readAnswerBody(answer, createAnswerMemory()), undefined);
+  assert.deepEqual(await readAnswerBody(answer, createAnswerMemory()), { type: 'broken' });
+});
+
+// Guards against a host that runs out of memory because a server sends its body in one-byte chunks.
+test('a body in one-byte chunks without end is abandoned after a few thousand chunks', async () => {
+  const answer = createAnswer();
+  const body = readAnswerBody(answer, createAnswerMemory());
+  let sent = 0;
+  while (!answer.destroyed && sent < 20_000) {
+    answer.emit('data', Buffer.from('x'));
+    sent += 1;
+  }
+  assert.deepEqual(await body, { type: 'excessive' });
+  assert.ok(sent < 5_000, `${sent} chunks were read`);
 });
--- a/packages/gateway/src/servers/readAnswerBody.ts
+++ b/packages/gateway/src/servers/readAnswerBody.ts
@@ -1,39 +1,57 @@
 import type { IncomingMessage } from 'node:http';
+import { createByteCollector } from '@bergamotcove/transport';
 import type { AnswerMemory } from './createAnswerMemory.js';
 
 /** Size limit of an answer that is buffered before it is sent to the caller. */
 export const MAX_ANSWER_BYTES = 4 * 1_048_576;
 
+/** Body of an answer, or why there is none. */
+export type ReadAnswer =
+  | { readonly type: 'whole'; readonly body: Buffer }
+  /** The connection broke. */
+  | { readonly type: 'broken' }
+  /** It exceeded the memory for it, or came in far too many chunks. */
+  | { readonly type: 'excessive' };
+
 /**
- * Reads the body of an answer. Destroys the response when the body is too large.
+ * Reads the body of an answer. Destroys the response when the body is excessive.
  *
  * @param response - answer whose body is not read yet
  * @param memory - memory budget of the host's answers
- * @returns the body, or undefined when the connection broke or the body is too large
+ * @returns the body, or why there is none; never rejects
  */
-export default function readAnswerBody(response: IncomingMessage, memory: AnswerMemory): Promise<Buffer | undefined> {
+export default function readAnswerBody(response: IncomingMessage, memory: AnswerMemory): Promise<ReadAnswer> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collected = createByteCollector();
     const share = memory.open();
-    const settle = (body: Buffer | undefined): void => {
+    let isSettled = false;
+    const settle = (answer: ReadAnswer): void => {
+      isSettled = true;
       share.close();
-      resolve(body);
+      resolve(answer);
     };
     if (response.destroyed) {
       // The connection broke before the listeners were attached, so no event would follow.
-      settle(undefined);
+      settle({ type: 'broken' });
       return;
     }
     response.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      if (!share.reserve(chunk.length) || share.sizeBytes > MAX_ANSWER_BYTES) {
-        chunks.length = 0;
+      if (isSettled) {
+        return;
+      }
+      const { heldBytes } = collected;
+      collected.push(chunk);
+      const isWithinBudget = share.reserve(collected.heldBytes - heldBytes);
+      if (!isWithinBudget || collected.sizeBytes > MAX_ANSWER_BYTES || collected.isFragmented) {
+        collected.clear();
         response.destroy();
-        settle(undefined);
+        settle({ type: 'excessive' });
       }
     });
-    response.on('end', () => settle(response.complete ? Buffer.concat(chunks) : undefined));
-    response.on('error', () => settle(undefined));
-    response.on('close', () => settle(undefined));
+    response.on('end', () =>
+      settle(response.complete ? { type: 'whole', body: collected.read() } : { type: 'broken' }),
+    );
+    response.on('error', () => settle({ type: 'broken' }));
+    response.on('close', () => settle({ type: 'broken' }));
   });
 }
--- a/packages/transport/src/TransportError.ts
+++ b/packages/transport/src/TransportError.ts
@@ -12,6 +12,8 @@
   | 'invalid-message'
   /** A message is larger than its limit. */
   | 'too-large'
+  /** A body came in far more chunks than its size needs. */
+  | 'fragmented'
   /** A message has no valid signature, or its signature is too old or was used before. */
   | 'unauthenticated';
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,6 +8,8 @@
 export { default as formatStreamEvent } from './formatStreamEvent.js';
 export { default as readEventStream } from './readEventStream.js';
 export type { StreamEvent } from './readEventStream.js';
+export { default as createByteCollector } from './createByteCollector.js';
+export type { ByteCollector } from './createByteCollector.js';
 export { default as readBody, MAX_BODY_BYTES } from './readBody.js';
 export { default as createPeerClient } from './peers/createPeerClient.js';
 export type { PeerCallOptions, PeerClient, PeerClientOptions } from './peers/createPeerClient.js';
--- a/packages/transport/src/readBody.ts
+++ b/packages/transport/src/readBody.ts
@@ -1,4 +1,5 @@
 import type { Readable } from 'node:stream';
+import createByteCollector from './createByteCollector.js';
 import TransportError from './TransportError.js';
 
 /** Default size limit of a request or response body. */
@@ -10,7 +11,8 @@
  * @param stream - request or response
  * @param options - size limit
  * @returns the text
- * @throws TransportError `too-large` over the limit, `connection-lost` when the stream breaks
+ * @throws TransportError `too-large` over the limit, `fragmented` when it comes in far too many chunks,
+ *   `connection-lost` when the stream breaks
  */
 export default function readBody(
   stream: Readable,
@@ -18,8 +20,7 @@
 ): Promise<string> {
   // Listeners are cheaper than an async iterator, and every request and response is read here.
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const body = createByteCollector();
     let settled = false;
     const endEarly = (cause?: Error): void => {
       if (settled) {
@@ -34,18 +35,24 @@
       return;
     }
     stream.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > options.maxBytes) {
+      if (settled) {
+        return;
+      }
+      body.push(chunk);
+      if (body.sizeBytes > options.maxBytes || body.isFragmented) {
         settled = true;
-        reject(new TransportError('too-large', `body exceeds ${options.maxBytes} bytes`));
+        reject(
+          body.isFragmented
+            ? new TransportError('fragmented', `body of ${body.sizeBytes} bytes came in too many chunks`)
+            : new TransportError('too-large', `body exceeds ${options.maxBytes} bytes`),
+        );
+        body.clear();
         stream.destroy();
-        return;
       }
-      chunks.push(chunk);
     });
     stream.on('end', () => {
       settled = true;
-      resolve(Buffer.concat(chunks).toString('utf8'));
+      resolve(body.read().toString('utf8'));
     });
     stream.on('error', endEarly);
     stream.on('close', endEarly);
