Send nothing for a time to a server that floods a host with useless bytes

What callers saw: with a server that sent informational (1xx) responses without end, 19 of 60 callers had no answer 0.3 s after their deadlines, and the loop of the host was held for up to 0.4 s; with one-byte chunks 36 to 38 of 113.

Cause: an attempt that was abandoned because of such bytes was followed by the next one to the same server, whose first bytes took the processor again.

Change: an attempt that ends for too many informational responses, or for a body in far too many chunks, puts its server into a back-off of 2 s on this host, as one that the server asks for. It is logged as serverSuspended. Stage servers are treated the same way.

The users' measurement with 60 callers and a host of its own was not repeated.

--- a/packages/gateway/src/catalogue/BackendDirectory.ts
+++ b/packages/gateway/src/catalogue/BackendDirectory.ts
@@ -51,6 +51,8 @@
    * its entry says; one that asks for a back-off gets no requests from this host until the back-off ends.
    */
   applyNotice(serverId: string, notice: Omit<ServerNotice, 'rateLimit'>): void;
+  /** Sends a server nothing for some time, because it sent bytes that lead to no answer until it was abandoned. */
+  suspendFlooding(serverId: string): void;
   /** End of the back-off that a server asked for, monotonic time; -Infinity without one. */
   readBackoffEndMs(serverId: string): number;
   /** Time until the first back-off in a pool ends; undefined unless all of its servers are in back-off. */
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -30,6 +30,8 @@
   lapsedAtRevision?: number;
 }
 
+/** Back-off of a server that sent bytes that lead to no answer. */
+const FLOODING_BACKOFF_MS = 2_000;
 /** Live servers register again within this time after an outage of the store. */
 const REREGISTER_MS = 2_000;
 
@@ -125,6 +127,15 @@
     }
   }
 
+  suspendFlooding(serverId: string): void {
+    const server = this.find(serverId);
+    if (server !== undefined && !this.backoffs.has(serverId)) {
+      this.options.logger.event('serverSuspended', { serverId, pool: server.pool, forMs: FLOODING_BACKOFF_MS });
+      this.backoffs.add(serverId, FLOODING_BACKOFF_MS);
+      this.notifyListeners();
+    }
+  }
+
   readBackoffEndMs(serverId: string): number {
     return this.backoffs.endMs(serverId);
   }
--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -64,6 +64,9 @@
   async read(server: ServerView, opened: OpenedAttempt, attempt: ReadAttempt): Promise<AttemptResult> {
     if (opened.type === 'failed') {
       const notRun = opened.failure.type === 'not-sent';
+      if (opened.isFlooding === true) {
+        this.ports.directory.suspendFlooding(server.serverId);
+      }
       if (opened.notice !== undefined) {
         this.ports.directory.applyNotice(server.serverId, opened.notice);
       }
@@ -92,6 +95,9 @@
       return this.relay(opened, attempt);
     }
     const read = await readAnswerBody(response, this.ports.answerMemory);
+    if (read.type === 'fragmented') {
+      this.ports.directory.suspendFlooding(server.serverId);
+    }
     return read.type === 'whole'
       ? {
           type: 'ended',
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { AttemptFailure } from '@bergamotcove/decide';
-import { TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
+import { isFlooding, TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
 import filterHeaders from '../requests/filterHeaders.js';
 import type { AnswerHead } from '../requests/types.js';
 import type { AnswerFacts, RequestFormat, ServerNotice } from '../ports.js';
@@ -36,6 +36,8 @@
       readonly failure: AttemptFailure;
       /** Whether the server refused the connection (ECONNREFUSED). */
       readonly refused: boolean;
+      /** Whether the server sent bytes that lead to no answer, until the attempt was abandoned. */
+      readonly isFlooding?: boolean;
       /** Notice about the server itself, from an answer that does not belong to the attempt. */
       readonly notice?: ServerNotice;
     };
@@ -111,6 +113,11 @@
     const head = { status: response.statusCode ?? 0, headers: filterHeaders(response.rawHeaders, NONE_WITHHELD) };
     return { type: 'head', head, facts, response };
   } catch (cause) {
-    return { type: 'failed', failure: sent ? toFailure(cause) : { type: 'not-sent' }, refused: isRefused(cause) };
+    return {
+      type: 'failed',
+      failure: sent ? toFailure(cause) : { type: 'not-sent' },
+      refused: isRefused(cause),
+      isFlooding: isFlooding(cause),
+    };
   }
 }
--- a/packages/gateway/src/servers/readAnswerBody.test.ts
+++ b/packages/gateway/src/servers/readAnswerBody.test.ts
@@ -61,6 +61,6 @@
     answer.emit('data', Buffer.from('x'));
     sent += 1;
   }
-  assert.deepEqual(await body, { type: 'excessive' });
+  assert.deepEqual(await body, { type: 'fragmented' });
   assert.ok(sent < 5_000, `${sent} chunks were read`);
 });
--- a/packages/gateway/src/servers/readAnswerBody.ts
+++ b/packages/gateway/src/servers/readAnswerBody.ts
@@ -10,8 +10,10 @@
   | { readonly type: 'whole'; readonly body: Buffer }
   /** The connection broke. */
   | { readonly type: 'broken' }
-  /** It exceeded the memory for it, or came in far too many chunks. */
-  | { readonly type: 'excessive' };
+  /** It exceeded the memory for it. */
+  | { readonly type: 'excessive' }
+  /** It came in far too many chunks. */
+  | { readonly type: 'fragmented' };
 
 /**
  * Reads the body of an answer. Destroys the response when the body is excessive.
@@ -43,9 +45,10 @@
       collected.push(chunk);
       const isWithinBudget = share.reserve(collected.heldBytes - heldBytes);
       if (!isWithinBudget || collected.sizeBytes > MAX_ANSWER_BYTES || collected.isFragmented) {
+        const type = collected.isFragmented ? 'fragmented' : 'excessive';
         collected.clear();
         response.destroy();
-        settle({ type: 'excessive' });
+        settle({ type });
       }
     });
     response.on('end', () =>
--- a/packages/gateway/src/stages/callWithCrashWatch.ts
+++ b/packages/gateway/src/stages/callWithCrashWatch.ts
@@ -1,4 +1,4 @@
-import { TransportError } from '@bergamotcove/transport';
+import { isFlooding, TransportError } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
@@ -67,6 +67,9 @@
     }
     return answer;
   } catch (cause) {
+    if (isFlooding(cause)) {
+      directory.suspendFlooding(server.serverId);
+    }
     await watch.end(classifyError(cause));
     throw cause;
   }
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -95,6 +95,8 @@
   serverLimited:
     'A backend server stated how many requests a second it takes from all hosts; `learntFrom` says how this host knows.',
   serverUnlimited: 'The limit that a backend server had stated has ended; `reason` says how this host knows.',
+  serverSuspended:
+    'A server sent bytes that lead to no answer until it was abandoned; this host sends it nothing for `forMs`.',
   hostListed: 'Another host of the system registered itself.',
   hostDropped: 'The registration of another host ended.',
   hostLeaseLost: 'The lease of this host may have expired; it registers again.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -84,6 +84,7 @@
   catalogueBehind: { id: 5108, level: 'info' },
   serverLimited: { id: 5109, level: 'info' },
   serverUnlimited: { id: 5110, level: 'info' },
+  serverSuspended: { id: 5111, level: 'warn' },
   hostListed: { id: 7101, level: 'info' },
   hostDropped: { id: 7102, level: 'info' },
   hostLeaseLost: { id: 7103, level: 'warn' },
--- a/packages/transport/src/TransportError.ts
+++ b/packages/transport/src/TransportError.ts
@@ -14,6 +14,8 @@
   | 'too-large'
   /** A body came in far more chunks than its size needs. */
   | 'fragmented'
+  /** Too many informational (1xx) responses came before the final one. */
+  | 'too-many-interim'
   /** A message has no valid signature, or its signature is too old or was used before. */
   | 'unauthenticated';
 
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -192,7 +192,7 @@
   const count = (): void => {
     responses += 1;
     if (responses > MAX_INFORMATIONAL_RESPONSES) {
-      outgoing.destroy(new Error('the server sent too many informational responses'));
+      outgoing.destroy(new TransportError('too-many-interim', 'the server sent too many informational responses'));
     }
   };
   outgoing.on('information', count);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,6 +10,7 @@
 export type { StreamEvent } from './readEventStream.js';
 export { default as createByteCollector } from './createByteCollector.js';
 export type { ByteCollector } from './createByteCollector.js';
+export { default as isFlooding } from './isFlooding.js';
 export { default as readBody, MAX_BODY_BYTES } from './readBody.js';
 export { default as createPeerClient } from './peers/createPeerClient.js';
 export type { PeerCallOptions, PeerClient, PeerClientOptions } from './peers/createPeerClient.js';
--- /dev/null
+++ b/packages/transport/src/isFlooding.ts
@@ -0,0 +1,13 @@
+import TransportError, { type TransportErrorCode } from './TransportError.js';
+
+const FLOODING_CODES: ReadonlySet<TransportErrorCode> = new Set(['fragmented', 'too-many-interim']);
+
+/**
+ * Tells whether a request failed because its server sent bytes that lead to no answer until it was abandoned.
+ *
+ * @param error - failure of a request
+ * @returns whether the failure, or what caused it, is of that kind
+ */
+export default function isFlooding(error: unknown): boolean {
+  return error instanceof TransportError && (FLOODING_CODES.has(error.code) || isFlooding(error.cause()));
+}
