Tell the answer to a stage call from a late second answer to another one

Cause: answers to stage calls bear no request id. Any 200 with as many items as the call had pieces was taken for its answer, and the connection was used again, so that one extra answer could shift several calls.

Change: a connection remembers the piece of each handle. An answer that names the handle of another piece fails its call, whose pieces are made again. A connection is used again only after an answer with a new result.

--- a/packages/gateway/src/stages/callStageServer.ts
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
-import { readBody, type HttpClient } from '@bergamotcove/transport';
+import { readBody, TransportError, type HttpClient } from '@bergamotcove/transport';
 import type { KnownServer } from '../catalogue/BackendDirectory.js';
+import noteResults from './noteResults.js';
 import type { PieceAnswer, PieceItem, ServerNotice, StageFormat } from '../ports.js';
 
 /** Dependencies of {@link callStageServer}. */
@@ -49,14 +50,26 @@
     connectLimitMs: CONNECT_TIMEOUT_MS,
     signal: AbortSignal.timeout(Math.ceil(options.limitMs)),
   });
+  // The response has no socket any more once it was read.
+  const { socket } = response;
   const body = await readBody(response);
   const status = response.statusCode ?? 0;
-  const answers = status === STATUS_OK ? format.readRun(body) : undefined;
+  const read = status === STATUS_OK ? format.readRun(body) : undefined;
+  const answers = read?.length === items.length ? read : undefined;
+  const isForeign = answers !== undefined && !noteResults(socket, items, answers);
+  if (isForeign || answers?.some(({ type }) => type === 'done') !== true) {
+    // Only new results show that the answer is to this call. Another one may still come, and would be taken for the
+    // answer to the next call.
+    socket.destroy();
+  }
+  if (isForeign) {
+    throw new TransportError('connection-lost', 'the answer belongs to another call');
+  }
   return {
     status,
     notice: format.readNotice(status, response.headers),
     sentAtMs,
-    answers: answers?.length === items.length ? answers : undefined,
+    answers,
     totalMs: clock.monotonicMs() - sentAtMs,
   };
 }
