Give the bodies of callers' requests a memory budget

Cause: the bodies of open requests had no budget together, and each was held two to three times.

Change: a body is collected in one buffer of its stated length. All bodies share 48 MB; a request that finds no room is refused with 503 before its body is read.

--- a/packages/gateway/src/callers/readCallerBody.ts
+++ b/packages/gateway/src/callers/readCallerBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { createByteCollector } from '@bergamotcove/transport';
+import type { AnswerMemoryShare } from '../servers/createAnswerMemory.js';
 
 /** Result of reading the body of a request. */
 export type CallerBody =
@@ -8,6 +9,8 @@
   | { readonly type: 'too-large' }
   /** No data arrived within the idle limit, or the body was not complete in time. */
   | { readonly type: 'too-slow' }
+  /** The memory for the bodies of all requests is used up. */
+  | { readonly type: 'no-memory' }
   /** The caller disconnected before the body was complete. */
   | { readonly type: 'broken' };
 
@@ -19,6 +22,8 @@
   readonly idleMs: number;
   /** Limit of the time for the whole body. */
   readonly totalMs: number;
+  /** Memory of the request, which is held until the request has ended. */
+  readonly memory: AnswerMemoryShare;
 }
 
 /**
@@ -30,13 +35,17 @@
  */
 export default function readCallerBody(
   request: IncomingMessage,
-  { clock, maxBytes, idleMs, totalMs }: CallerBodyLimits,
+  { clock, maxBytes, idleMs, totalMs, memory }: CallerBodyLimits,
 ): Promise<CallerBody> {
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+  const statedBytes = Number(request.headers['content-length'] ?? 0);
+  if (statedBytes > maxBytes) {
     return Promise.resolve({ type: 'too-large' });
   }
+  if (!memory.reserve(statedBytes)) {
+    return Promise.resolve({ type: 'no-memory' });
+  }
   return new Promise((resolve) => {
-    const collected = createByteCollector();
+    const collected = createByteCollector(statedBytes > 0 ? { expectedBytes: statedBytes } : {});
     let idleTimer: Timer | undefined;
     let totalTimer: Timer | undefined;
     const settle = (body: CallerBody): void => {
@@ -44,7 +53,7 @@
       totalTimer?.close();
       resolve(body);
     };
-    const stopReading = (type: 'too-large' | 'too-slow'): void => {
+    const stopReading = (type: 'too-large' | 'too-slow' | 'no-memory'): void => {
       request.pause();
       settle({ type });
     };
@@ -60,6 +69,10 @@
         return;
       }
       collected.push(chunk);
+      if (!memory.reserve(Math.max(0, collected.heldBytes - memory.sizeBytes))) {
+        stopReading('no-memory');
+        return;
+      }
       restartIdleTimer();
     });
     request.on('end', () => settle({ type: 'whole', body: collected.read() }));
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -16,6 +16,7 @@
 import formatFingerprint from '../crashes/formatFingerprint.js';
 import listPartKeys from '../crashes/listPartKeys.js';
 import type { RequestFacts, RequestFormat } from '../ports.js';
+import type { AnswerMemory, AnswerMemoryShare } from '../servers/createAnswerMemory.js';
 import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
 import filterHeaders from './filterHeaders.js';
@@ -25,6 +26,8 @@
 /** Options of {@link createRequestHandler}. */
 export interface RequestHandlerOptions extends ForwardPorts {
   readonly tables: RouteTableHolder;
+  /** Memory for the bodies of callers' requests. */
+  readonly callerMemory: AnswerMemory;
   /** Start and end of the drain of this host; undefined before it begins. */
   readonly drain: () => DrainTimes | undefined;
   /** Called when a request was matched to a route and read in full. */
@@ -33,6 +36,7 @@
 }
 
 const NO_TABLE_RETRY_AFTER_MS = 500;
+const NO_MEMORY_RETRY_AFTER_MS = 500;
 
 /** Time to generate one token, as a multiple of the time to read one prompt token. */
 const OUTPUT_WEIGHT = 10;
@@ -95,6 +99,15 @@
   }
 
   async handle(exchange: CallerExchange): Promise<void> {
+    const memory = this.options.callerMemory.open();
+    try {
+      await this.serve(exchange, memory);
+    } finally {
+      memory.close();
+    }
+  }
+
+  private async serve(exchange: CallerExchange, memory: AnswerMemoryShare): Promise<void> {
     const { tables, format } = this.options;
     const facts = format.readRequest(exchange.request.headers);
     const index = tables.current();
@@ -116,7 +129,12 @@
       maxBytes: maxBodyBytes,
       idleMs: idleTimeoutMs,
       totalMs,
+      memory,
     });
+    if (read.type === 'no-memory') {
+      this.reject(exchange, facts, { status: 503, reason: 'overloaded', retryAfterMs: NO_MEMORY_RETRY_AFTER_MS });
+      return;
+    }
     if (read.type === 'too-large') {
       this.reject(exchange, facts, { status: 413, reason: 'body-too-large' });
       return;
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -94,6 +94,8 @@
 
 const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
 const STORE_TIMEOUT_MS = 1_000;
+/** Budget of the bodies of callers' requests that are open at the same time. */
+const CALLER_BODIES_BYTES = 48 * 1_048_576;
 const MAX_LOGGED_CHARS = 64;
 /** Method that returns the status of a host to an operator. */
 const OPERATOR_STATUS = 'operator.status';
@@ -233,6 +235,7 @@
     format: base.formats.requests,
     random: Math.random,
     answerMemory: createAnswerMemory(),
+    callerMemory: createAnswerMemory({ totalBytes: CALLER_BODIES_BYTES }),
     spendRetry: (pool) => budgets.spend(pool),
     onAccepted: ({ route }) => route.pools.forEach(({ pool }) => budgets.noteRequest(pool)),
     onEnded: ({ requestId, fingerprint, route, version, organisation }, end) => {
--- a/packages/transport/src/createByteCollector.ts
+++ b/packages/transport/src/createByteCollector.ts
@@ -23,6 +23,8 @@
 
   private buffer = Buffer.alloc(0);
 
+  constructor(private readonly expectedBytes: number) {}
+
   private chunks = 0;
 
   get heldBytes(): number {
@@ -36,7 +38,7 @@
   push(chunk: Uint8Array): void {
     const neededBytes = this.sizeBytes + chunk.length;
     if (neededBytes > this.buffer.length) {
-      const grown = Buffer.allocUnsafeSlow(Math.max(INITIAL_BYTES, neededBytes, 2 * this.buffer.length));
+      const grown = Buffer.allocUnsafeSlow(Math.max(this.expectedBytes, neededBytes, 2 * this.buffer.length));
       this.buffer.copy(grown, 0, 0, this.sizeBytes);
       this.buffer = grown;
     }
@@ -60,10 +62,11 @@
  * Creates a collector. It copies each chunk, because a chunk that is kept as it is costs an object of its own and keeps
  * the whole buffer of the socket read that it is a part of.
  *
+ * @param options - expected size of the body, for which memory is allocated with the first chunk
  * @returns the collector, empty
  * @example
  * stream.on('data', (chunk) => collector.push(chunk));
  */
-export default function createByteCollector(): ByteCollector {
-  return new Collector();
+export default function createByteCollector({ expectedBytes = INITIAL_BYTES } = {}): ByteCollector {
+  return new Collector(expectedBytes);
 }
