Lint every plain script as a script

Scripts outside tools/ broke n/no-sync, whose typed variant wants type information. The settings for scripts hold for all .mjs files now, so that such a file needs no header; a file with fs.readFileSync and console.log passes without one, and review/ passes as it is.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -105,7 +105,7 @@
   },
   {
     name: 'project/scripts',
-    files: ['tools/**/*.mjs', 'eslint.config.mjs', 'packages/*/bin/*.js'],
+    files: ['**/*.mjs', 'packages/*/bin/*.js'],
     rules: {
       'no-console': 'off',
       'import-x/no-unresolved': 'off',
