--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -16,8 +16,12 @@
   format: 'esm',
   minify: true,
   keepNames: true,
-  // For the platform `node`, rxjs resolves to its CommonJS build, which cannot be tree-shaken.
-  alias: { rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js') },
+  alias: {
+    // For the platform `node`, rxjs resolves to its CommonJS build, which cannot be tree-shaken.
+    rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js'),
+    // The main module of debug chooses between its builds for browsers and for Node.js when it runs.
+    debug: path.join(rootDir, 'node_modules/debug/src/node.js'),
+  },
   banner: { js: REQUIRE_BANNER },
   logLevel: 'warning',
 };
