--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -21,6 +21,8 @@
     rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js'),
     // The main module of debug chooses between its builds for browsers and for Node.js when it runs.
     debug: path.join(rootDir, 'node_modules/debug/src/node.js'),
+    // pino starts threads only for transports, which the program does not use.
+    'thread-stream': path.join(rootDir, 'tools/unusedModule.mjs'),
   },
   banner: { js: REQUIRE_BANNER },
   logLevel: 'warning',
--- /dev/null
+++ b/tools/unusedModule.mjs
@@ -0,0 +1,2 @@
+/** Stands for a module that the program loads and never calls. */
+export {};
