Pass on only events that follow the last one that the caller has

Cause: the relay compared the first event after a change of server with the last one, and nothing after it. It knew nothing of a caller's take-up, so the first answer to one could begin anywhere. A stream whose events have no ids was begun again after a break, and a byte order mark or blank lines of mixed line ends hid ids and ends of events.

StreamPosition is the one place that knows the last event that the caller has, from the take-up on. The first event that does not follow ends the attempt: the stream goes on at another server or ends incomplete, with the log event streamEventMisplaced and the counter streams.misplaced_events. The head of a stream is sent with its first bytes, so a take-up without any gets an honest failure in place of a cut answer. The unit tests of the splitter compare each event with its offset in place of the first and the last id only.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,4 +1,6 @@
 import type { ServerView } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
@@ -6,14 +8,17 @@
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
 import readAnswerBody from '../servers/readAnswerBody.js';
+import type { StreamEvent } from './createEventSplitter.js';
 import type HeldResults from './HeldResults.js';
 import relayStream from './relayStream.js';
 import type Reservation from './Reservation.js';
 import type RunAnswer from './RunAnswer.js';
 import type RunRecord from './RunRecord.js';
 import type StreamBinding from './StreamBinding.js';
+import StreamPosition from './StreamPosition.js';
 import type { AttemptResult, ForwardRequest } from './types.js';
 import type { IdleTimeout } from './startIdleTimeout.js';
+import { isResumable } from '../streams/createStreamOrigins.js';
 
 /** The request whose answers are read, with its state. */
 export interface AnsweredRun {
@@ -37,6 +42,8 @@
 
 /** Dependencies of {@link AnswerReader}. */
 export interface ReaderPorts {
+  readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
   readonly directory: BackendDirectory;
   readonly limits: RateLimits;
   readonly pools: ServerPools;
@@ -49,8 +56,8 @@
 
 /** Reads the answers to the attempts of one request, and relays streams as they arrive. */
 export default class AnswerReader {
-  /** Id of the last stream event that was sent to the caller. */
-  lastEventId: string | undefined;
+  /** What the caller has of the stream. */
+  readonly position: StreamPosition;
 
   /** Content type of the stream that was begun. */
   private contentType: string | undefined;
@@ -58,7 +65,10 @@
   constructor(
     private readonly run: AnsweredRun,
     private readonly ports: ReaderPorts,
-  ) {}
+  ) {
+    const { route, facts } = run.request;
+    this.position = new StreamPosition(isResumable(route) ? facts.lastEventId : undefined);
+  }
 
   /** Reads the answer to one attempt in full, or relays it when it is a stream. */
   async read(server: ServerView, opened: OpenedAttempt, attempt: ReadAttempt): Promise<AttemptResult> {
@@ -92,7 +102,7 @@
     this.run.record.noteFirstByte();
     this.run.reservation.noteFirstToken(facts.load?.slowness);
     if (this.run.request.route.kind === 'stream' && head.status < MIN_REDIRECT_STATUS) {
-      return this.relay(opened, attempt);
+      return this.relay(server, opened, attempt);
     }
     const read = await readAnswerBody(response, this.ports.answerMemory);
     if (read.type === 'fragmented') {
@@ -109,6 +119,7 @@
   }
 
   private async relay(
+    server: ServerView,
     { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
     { idleTimeout, onOutput }: ReadAttempt,
   ): Promise<AttemptResult> {
@@ -127,19 +138,15 @@
         this.run.exchange.sendHead(head);
       }
     };
-    if (!this.run.binding.isUnrecorded) {
-      sendHead();
-    }
     idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
     const end = await relayStream(response, this.run.exchange, {
-      afterEventId: this.lastEventId,
+      position: this.position,
       confirm: async () => (await this.run.binding.confirm()) && !this.run.answer.ended,
-      onStart: sendHead,
-      onEvents: (lastEventId) => {
+      onBytes: sendHead,
+      onEvents: () => {
         onOutput();
         this.run.binding.noteEvents();
         idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
-        this.lastEventId = lastEventId ?? this.lastEventId;
       },
     });
     if (end.type === 'complete' && !this.run.answer.ended) {
@@ -147,6 +154,21 @@
       this.run.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
     }
+    if (end.type === 'misplaced') {
+      this.reportMisplaced(server, end.event);
+    }
     return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
   }
+
+  private reportMisplaced({ serverId, pool }: ServerView, event: StreamEvent): void {
+    const { logger, metrics } = this.ports;
+    const { requestId } = this.run.request;
+    metrics.report('streams.misplaced_events', 1, { pool });
+    logger.event('streamEventMisplaced', {
+      requestId,
+      serverId,
+      eventId: event.id,
+      lastEventId: this.position.lastEventId,
+    });
+  }
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -149,7 +149,7 @@
 
   private get repeatable(): boolean {
     const { kind, resumable } = this.request.route;
-    return kind === 'idempotent' || (kind === 'stream' && resumable);
+    return kind === 'idempotent' || (kind === 'stream' && resumable && this.reader.position.canContinue);
   }
 
   private async serve(): Promise<void> {
@@ -303,7 +303,7 @@
         remainingMs: request.deadlineAtMs - this.ports.clock.monotonicMs(),
         organisation: request.organisation?.name,
         results: this.results.last,
-        lastEventId: this.reader.lastEventId,
+        lastEventId: this.reader.position.lastEventId,
         priority: request.priority,
       },
       this.ports.format,
--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -65,11 +65,6 @@
     }
   }
 
-  /** Whether the stream has not begun yet and is recorded first. */
-  get isUnrecorded(): boolean {
-    return this.origin === undefined && this.records.length > 0;
-  }
-
   /**
    * Resolves to whether the events of the current attempt may be passed on: every host can find out where the stream
    * began, or no server could join another version to it.
--- a/packages/gateway/src/requests/createEventSplitter.test.ts
+++ b/packages/gateway/src/requests/createEventSplitter.test.ts
@@ -8,14 +8,17 @@
   assert.equal(splitter.push(Buffer.from('id: 4\nda'))?.bytes, undefined);
   const batch = splitter.push(Buffer.from('ta: x\n\nid: 5\ndata: y\n\nid: 6\n'));
   assert.equal(batch?.bytes?.toString(), 'id: 4\ndata: x\n\nid: 5\ndata: y\n\n');
-  assert.deepEqual([batch?.firstEventId, batch?.lastEventId], ['4', '5']);
+  assert.deepEqual(batch?.events, [
+    { id: '4', startBytes: 0 },
+    { id: '5', startBytes: 15 },
+  ]);
   assert.equal(splitter.rest().toString(), 'id: 6\n');
 });
 
 test('splits events whose lines end in CR LF', () => {
   const batch = createEventSplitter().push(Buffer.from('id: 1\r\ndata: x\r\n\r\nid: 2\r\n'));
   assert.equal(batch?.bytes?.toString(), 'id: 1\r\ndata: x\r\n\r\n');
-  assert.equal(batch?.lastEventId, '1');
+  assert.deepEqual(batch?.events, [{ id: '1', startBytes: 0 }]);
 });
 
 test('neither loses nor repeats a byte, wherever the stream is cut into chunks', () => {
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -1,13 +1,19 @@
 import { createByteCollector } from '@bergamotcove/transport';
 
+/** An event, or another block of fields that ends with a blank line. */
+export interface StreamEvent {
+  /** Undefined when it has none. */
+  readonly id: string | undefined;
+  /** Offset of its first byte in its batch. */
+  readonly startBytes: number;
+}
+
 /** Complete events that a chunk has completed. */
 export interface EventBatch {
   /** Bytes of the complete events, unchanged; undefined when there are none. */
   readonly bytes: Buffer | undefined;
-  /** First event id among them. */
-  readonly firstEventId: string | undefined;
-  /** Last event id among them. */
-  readonly lastEventId: string | undefined;
+  /** The events in order, without comments. */
+  readonly events: readonly StreamEvent[];
 }
 
 /** Splits the bytes of an event stream at the ends of events. */
@@ -18,50 +24,61 @@
   rest(): Buffer;
 }
 
-const NO_EVENTS: EventBatch = { bytes: undefined, firstEventId: undefined, lastEventId: undefined };
+const NO_EVENTS: EventBatch = { bytes: undefined, events: [] };
 
 /** Size limit of an event; typical events have a few hundred bytes. */
 export const MAX_EVENT_BYTES = 262_144;
 /** Bytes of an event delimiter that can be at the end of the previous chunk: all but one of `\r\n\r\n`. */
 const MAX_DELIMITER_PREFIX_BYTES = 3;
 
-/** Offset after the last blank line, or -1. */
-const findLastEventEnd = (bytes: Buffer): number => {
-  const lineFeeds = bytes.lastIndexOf('\n\n');
-  const pairs = bytes.lastIndexOf('\r\n\r\n');
-  return Math.max(lineFeeds === -1 ? -1 : lineFeeds + 2, pairs === -1 ? -1 : pairs + 4);
-};
+/** Ends of two lines, in any of the three forms; a CR at the end may be the first half of a CR LF. */
+const BLANK_LINE = /(?:\r\n|\n|\r(?=[^\n])){2}|\r\r/g;
+const BYTE_ORDER_MARK = '\xef\xbb\xbf';
+
+/** Offsets after the blank lines. */
+const findEventEnds = (text: string): readonly number[] =>
+  [...text.matchAll(BLANK_LINE)].map(({ index, 0: { length } }) => index + length);
 
-const readIds = (bytes: Buffer): Pick<EventBatch, 'firstEventId' | 'lastEventId'> => {
-  const ids = [...bytes.toString('latin1').matchAll(/^id:(.*)$/gm)];
-  return { firstEventId: ids[0]?.[1]?.trim(), lastEventId: ids.at(-1)?.[1]?.trim() };
+const readEvents = (bytes: Buffer): readonly StreamEvent[] => {
+  const text = bytes.toString('latin1');
+  return [0, ...findEventEnds(text)].flatMap((startBytes, nth, starts) => {
+    const block = text.slice(startBytes, starts[nth + 1]);
+    const id = /^(?:\xef\xbb\xbf)?id:(.*)$/m.exec(block)?.[1]?.trim();
+    return /^[^:\r\n]/m.test(block) ? [{ id: id || undefined, startBytes }] : [];
+  });
 };
 
 /**
  * Creates a splitter of an event stream. It holds an event back until it is complete, so that a stream that breaks
  * inside an event can be resumed at another server.
  *
+ * @param options - `isContinuation` drops a byte order mark, which is valid only at the start of a stream
  * @returns the splitter
  */
-export default function createEventSplitter(): EventSplitter {
+export default function createEventSplitter({ isContinuation = false } = {}): EventSplitter {
   const pending = createByteCollector();
+  let isStart = isContinuation;
   /** Last pending bytes, which can hold the start of a delimiter. */
   const readTail = (): Buffer => pending.read().subarray(-MAX_DELIMITER_PREFIX_BYTES);
 
   return {
     push: (chunk) => {
       const tail = readTail();
-      const end = findLastEventEnd(tail.length === 0 ? chunk : Buffer.concat([tail, chunk])) - tail.length;
+      const text = (tail.length === 0 ? chunk : Buffer.concat([tail, chunk])).toString('latin1');
+      const end = (findEventEnds(text).at(-1) ?? 0) - tail.length;
       if (end <= 0) {
         pending.push(chunk);
         return pending.sizeBytes > MAX_EVENT_BYTES ? undefined : NO_EVENTS;
       }
-      const bytes = Buffer.concat([pending.read(), chunk.subarray(0, end)]);
+      const whole = Buffer.concat([pending.read(), chunk.subarray(0, end)]);
+      const hasMark = isStart && whole.toString('latin1', 0, BYTE_ORDER_MARK.length) === BYTE_ORDER_MARK;
+      const bytes = hasMark ? whole.subarray(BYTE_ORDER_MARK.length) : whole;
+      isStart = false;
       pending.clear();
       if (end < chunk.length) {
         pending.push(chunk.subarray(end));
       }
-      return { bytes, ...readIds(bytes) };
+      return { bytes, events: readEvents(bytes) };
     },
     rest: () => pending.read(),
   };
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -1,32 +1,30 @@
 import type { IncomingMessage } from 'node:http';
 import type CallerExchange from '../callers/CallerExchange.js';
-import createEventSplitter from './createEventSplitter.js';
+import createEventSplitter, { type StreamEvent } from './createEventSplitter.js';
+import type StreamPosition from './StreamPosition.js';
 
 /** How the relay of a server's stream ended. */
 export type RelayEnd =
   | { readonly type: 'complete' }
   /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
   | { readonly type: 'broken' }
-  /** The stream did not continue with the event after the last one that was relayed. */
-  | { readonly type: 'wrong-place' }
+  /** An event did not follow the last one that the caller has; neither it nor anything after it was relayed. */
+  | { readonly type: 'misplaced'; readonly event: StreamEvent }
   /** Its events must not be passed on; none was. */
   | { readonly type: 'refused' };
 
 /** Options of {@link relayStream}. */
 export interface RelayOptions {
-  /** Id of the last event that the caller already has from another server; undefined at the start of a stream. */
-  readonly afterEventId: string | undefined;
+  /** Position of the caller, which the relayed events advance. */
+  readonly position: StreamPosition;
   /** Asked once, when the stream has its first events; they are held until it resolves to true. */
   readonly confirm: () => Promise<boolean>;
-  /** Called once, before the first bytes are relayed. */
-  readonly onStart: () => void;
-  /** Called before each batch of events is relayed, with the id of its last event. */
-  readonly onEvents: (lastEventId: string | undefined) => void;
+  /** Called before bytes are relayed. */
+  readonly onBytes: () => void;
+  /** Called before each batch of events is relayed. */
+  readonly onEvents: () => void;
 }
 
-const isNextEvent = (eventId: string | undefined, afterEventId: string | undefined): boolean =>
-  afterEventId === undefined || Number(eventId) === Number(afterEventId) + 1;
-
 const isEventStream = ({ headers }: IncomingMessage): boolean =>
   /^text\/event-stream\b/i.test(headers['content-type'] ?? '');
 
@@ -36,11 +34,11 @@
 /** Events that arrived before they may be passed on. */
 interface HeldBatch {
   readonly bytes: Uint8Array;
-  readonly lastEventId: string | undefined;
+  readonly events: readonly StreamEvent[];
 }
 
 class Relay {
-  private readonly splitter = createEventSplitter();
+  private readonly splitter;
 
   private state: 'new' | 'confirming' | 'open' | 'ended' = 'new';
 
@@ -59,7 +57,10 @@
     private readonly options: RelayOptions,
     private readonly resolve: (end: RelayEnd) => void,
   ) {
-    this.hasEvents = options.afterEventId !== undefined;
+    const isContinuation = options.position.lastEventId !== undefined;
+    this.hasEvents = isContinuation;
+    this.splitter = createEventSplitter({ isContinuation });
+    options.position.beginAnswer();
   }
 
   start(): void {
@@ -85,33 +86,24 @@
       this.response.destroy();
       return;
     }
-    const { bytes, firstEventId, lastEventId } = batch;
+    const { bytes, events } = batch;
     if (bytes === undefined || this.exchange.closed || this.state === 'ended') {
       return;
     }
-    if (!this.hasBegun && !isNextEvent(firstEventId, this.options.afterEventId)) {
-      this.finish({ type: 'wrong-place' });
-      this.response.destroy();
-      return;
-    }
     this.hasEvents = true;
     switch (this.state) {
       case 'new':
-        this.hold({ bytes, lastEventId });
+        this.hold({ bytes, events });
         this.confirm();
         break;
       case 'confirming':
-        this.hold({ bytes, lastEventId });
+        this.hold({ bytes, events });
         break;
       default:
-        this.pass({ bytes, lastEventId });
+        this.pass({ bytes, events });
     }
   }
 
-  private get hasBegun(): boolean {
-    return this.state !== 'new';
-  }
-
   private hold(batch: HeldBatch): void {
     this.held.push(batch);
     this.heldBytes += batch.bytes.length;
@@ -138,20 +130,31 @@
       return;
     }
     this.state = 'open';
-    this.options.onStart();
     this.response.resume();
     this.held.splice(0).forEach((batch) => this.pass(batch));
     if (this.heldEnd !== undefined) {
-      this.finish(this.heldEnd());
+      this.end(this.heldEnd);
     }
   }
 
-  private pass({ bytes, lastEventId }: HeldBatch): void {
-    const { response, exchange } = this;
-    this.options.onEvents(lastEventId);
-    if (!exchange.write(bytes)) {
-      response.pause();
-      exchange.onDrain(() => response.resume());
+  private pass({ bytes, events }: HeldBatch): void {
+    const { response, exchange, options } = this;
+    if (this.state === 'ended') {
+      return;
+    }
+    const misplaced = options.position.advance(events);
+    const following = bytes.subarray(0, misplaced?.startBytes);
+    if (misplaced === undefined || misplaced !== events[0]) {
+      options.onBytes();
+      options.onEvents();
+      if (!exchange.write(following)) {
+        response.pause();
+        exchange.onDrain(() => response.resume());
+      }
+    }
+    if (misplaced !== undefined) {
+      this.finish({ type: 'misplaced', event: misplaced });
+      response.destroy();
     }
   }
 
@@ -164,9 +167,7 @@
     if ((this.hasEvents || isEventStream(this.response)) && !/^[\r\n]*$/.test(rest.toString('latin1'))) {
       return { type: 'broken' };
     }
-    if (this.state === 'new') {
-      this.options.onStart();
-    }
+    this.options.onBytes();
     if (rest.length > 0) {
       this.exchange.write(rest);
     }
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -69,6 +69,8 @@
     'The origins of streams could not be written to the store; the write is repeated, and streams begin at agreed origins.',
   streamOriginsStored: 'The origins of streams can be written to the store again.',
   streamOriginsUnreadable: 'The agreed origins cannot be parsed; another program wrote them.',
+  streamEventMisplaced:
+    'An event of a server does not follow the last one that the caller has; it is not passed on, and the attempt ends.',
   streamOriginAgreed: 'Streams of a route that are not recorded began at this pool and software version from now on.',
   callerMessageInvalid: 'A message of a caller could not be parsed.',
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -43,6 +43,12 @@
     tags: ['result'],
     text: 'Writes of the origins of streams to the store; one may hold many origins.',
   },
+  'streams.misplaced_events': {
+    type: 'counter',
+    unit: '1',
+    tags: ['pool'],
+    text: 'Streams of servers that ended early because an event did not follow the last one that the caller has.',
+  },
   'streams.taken_up': {
     type: 'counter',
     unit: '1',
