Take the end of an unframed answer for a break when its server has crashed

An answer with neither a length nor chunks ends with its connection. When the process of its server is killed, the operating system closes the connection in order, as at the end of a whole answer, and callers got the part as complete: streams that end before their last event, and bodies that are cut off.

The end of an unframed answer now counts only unless a connection to its server is refused while the server is listed as live. A server that is leaving may end right after its last answer; that one stays complete, and so does an answer that a living server ends, which the protocol allows. Answers with a length or chunks cost nothing more.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -1,8 +1,10 @@
+import type { IncomingMessage } from 'node:http';
 import type { ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
+import checkConnection from '../crashes/checkConnection.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
@@ -51,6 +53,8 @@
 }
 
 const MIN_REDIRECT_STATUS = 300;
+/** Statuses of answers that have no body, whatever their headers say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
@@ -104,7 +108,10 @@
     if (this.run.request.route.kind === 'stream' && head.status < MIN_REDIRECT_STATUS) {
       return this.relay(server, opened, attempt);
     }
-    const read = await readAnswerBody(response, this.ports.answerMemory);
+    let read = await readAnswerBody(response, this.ports.answerMemory);
+    if (read.type === 'whole' && (await this.endedInCrash(server, response))) {
+      read = { type: 'broken' };
+    }
     if (read.type === 'fragmented') {
       this.ports.directory.suspendFlooding(server.serverId);
     }
@@ -149,7 +156,7 @@
         idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
       },
     });
-    if (end.type === 'complete' && !this.run.answer.ended) {
+    if (end.type === 'complete' && !(await this.endedInCrash(server, response)) && !this.run.answer.ended) {
       this.run.exchange.finish();
       this.run.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
@@ -160,6 +167,23 @@
     return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
   }
 
+  /**
+   * Whether the end of an answer without framing is that of its server's process, whose connections the operating system
+   * ends in order. A server that is leaving may end after its last answer.
+   */
+  private async endedInCrash(
+    { serverId, pool, address, port }: ServerView,
+    response: IncomingMessage,
+  ): Promise<boolean> {
+    const { headers, statusCode = 0 } = response;
+    const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (isFramed || BODILESS_STATUSES.has(statusCode)) {
+      return false;
+    }
+    const isRefused = (await checkConnection({ address, port })) === 'refused';
+    return isRefused && this.ports.directory.list(pool).some((server) => server.serverId === serverId);
+  }
+
   private reportMisplaced({ serverId, pool }: ServerView, event: StreamEvent): void {
     const { logger, metrics } = this.ports;
     const { requestId } = this.run.request;
