Read the entries afresh when the history that a host missed is too large

Its watch resumed at the last known revision, the answer held all configurations in between and exceeded the 8 MiB that an answer may have, and the same poll was repeated until the store had forgotten the first change.

A watch whose answer exceeds that size now fails as compacted, like one whose history the store no longer has, and all entries are read, which is a small answer. The test of pollStore fails before with the code unavailable.

--- a/packages/backends/src/store/pollStore.test.ts
+++ b/packages/backends/src/store/pollStore.test.ts
@@ -122,3 +122,16 @@
   );
   client.close();
 });
+
+test('history that exceeds the size of an answer fails as compacted, so that the entries are read afresh', async () => {
+  const client = createHttpClient();
+  await withStore(
+    (_, response) => {
+      response.end('x'.repeat(8 * 1_048_576 + 1));
+    },
+    async (port) => {
+      await assert.rejects(firstValueFrom(watch(port, client)), { code: 'compacted' });
+    },
+  );
+  client.close();
+});
--- a/packages/backends/src/store/pollStore.ts
+++ b/packages/backends/src/store/pollStore.ts
@@ -1,8 +1,9 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Observable } from 'rxjs';
 import { createSystemClock } from '@bergamotcove/clock';
+import { toError } from '@bergamotcove/errors';
 import { reserveFromBucket, type Bucket } from '@bergamotcove/decide';
-import type { HttpClient, Target } from '@bergamotcove/transport';
+import { TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
 import fetchAnswer, { type AnswerLimits } from './_lib/fetchAnswer.js';
 import type { StoreCall, WatchOptions } from './dialect.js';
@@ -32,6 +33,16 @@
  */
 const CALL_RATE = { ratePerSecond: 2, capacity: 3 };
 
+/** Classifies the failure of a poll. History that exceeds the size of an answer would exceed it on each further poll. */
+const toBackendError = (cause: unknown): BackendError => {
+  if (cause instanceof BackendError) {
+    return cause;
+  }
+  return cause instanceof TransportError && cause.code === 'too-large'
+    ? new BackendError('compacted', 'the history is too large to be read', { cause })
+    : new BackendError('unavailable', 'the watch broke', { cause: toError(cause) });
+};
+
 const poll = async (
   http: HttpClient,
   target: Target,
@@ -53,7 +64,8 @@
  * @param http - HTTP client
  * @param target - address of the store
  * @param options - prefix, first revision and format of a call
- * @returns the changes, and the revision that each answer reaches; fails with BackendError when a call fails
+ * @returns the changes, and the revision that each answer reaches; fails with BackendError when a call fails,
+ *   `compacted` when the changes since the last revision cannot be read
  */
 export default function pollStore(http: HttpClient, target: Target, options: PollOptions): Observable<WatchEvent> {
   const clock = createSystemClock();
@@ -82,11 +94,7 @@
         subscriber.next({ type: 'started', revision });
       }
     };
-    run().catch((cause: unknown) =>
-      subscriber.error(
-        cause instanceof BackendError ? cause : new BackendError('unavailable', 'the watch broke', { cause }),
-      ),
-    );
+    run().catch((cause: unknown) => subscriber.error(toBackendError(cause)));
     return () => {
       closed = true;
       abort.abort();
