Write the rest of an unframed answer only when its end is sure

An answer of a stream route that holds no events is passed on as it is. When its server crashed at the end of an unframed one, callers got its part joined to the whole answer of the next server, as complete.

The relay wrote the bytes after the last event before it was known whether the answer had ended. The reader of the answer writes them now, after that check. The two tests got '{"a":{"a":1}' before.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -157,7 +157,8 @@
       },
     });
     if (end.type === 'complete' && !(await this.endedInCrash(server, response)) && !this.run.answer.ended) {
-      this.run.exchange.finish();
+      sendHead();
+      this.run.exchange.finish(end.rest);
       this.run.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
     }
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -5,7 +5,8 @@
 
 /** How the relay of a server's stream ended. */
 export type RelayEnd =
-  | { readonly type: 'complete' }
+  /** The rest is what follows the last event; it was not relayed. */
+  | { readonly type: 'complete'; readonly rest: Buffer }
   /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
   | { readonly type: 'broken' }
   /** An event did not follow the last one that the caller has; neither it nor anything after it was relayed. */
@@ -167,11 +168,7 @@
     if ((this.hasEvents || isEventStream(this.response)) && !/^[\r\n]*$/.test(rest.toString('latin1'))) {
       return { type: 'broken' };
     }
-    this.options.onBytes();
-    if (rest.length > 0) {
-      this.exchange.write(rest);
-    }
-    return { type: 'complete' };
+    return { type: 'complete', rest };
   }
 
   private end(readEnd: () => RelayEnd): void {
