Frame a stream anew that another server may go on with

A stream that began with a length and went on at another server kept the length of its first server. Callers got a complete answer that ended inside an event, waited for bytes that never came, or read the rest as the next answer on their connection. The soak of streams showed it too (complete answers that end too soon).

The length of the first server's whole answer was sent with its head and holds only while that server sends all of it. On routes whose streams may be resumed the head now goes without a length, and the answer is sent in chunks.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -11,6 +11,7 @@
 import type { OpenedAttempt } from '../servers/openAttempt.js';
 import readAnswerBody from '../servers/readAnswerBody.js';
 import type { StreamEvent } from './createEventSplitter.js';
+import filterHeaders from './filterHeaders.js';
 import type HeldResults from './HeldResults.js';
 import relayStream from './relayStream.js';
 import type Reservation from './Reservation.js';
@@ -55,6 +56,7 @@
 const MIN_REDIRECT_STATUS = 300;
 /** Statuses of answers that have no body, whatever their headers say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
@@ -142,7 +144,11 @@
     const sendHead = (): void => {
       if (!this.run.exchange.headSent) {
         this.contentType = contentType;
-        this.run.exchange.sendHead(head);
+        // Another server may go on with the stream, whose length is not known then.
+        const headers = isResumable(this.run.request.route)
+          ? filterHeaders(head.headers, LENGTH_HEADERS)
+          : head.headers;
+        this.run.exchange.sendHead({ ...head, headers });
       }
     };
     idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
