Abandon a stream whose event comes in far too many chunks

A faulty server that sent a stream in one-byte chunks, or an event of short lines without end, took the processor of a host: with 111 callers at once, many had no answer 0.3 s after their deadlines.

The limit on tiny chunks held for whole answers only. A stream's incomplete event was read up to 262,144 bytes, one chunk at a time, in each of up to three attempts, and its server was never suspended.

The limit now holds for each event too, and suspends the server, as for whole answers. Chunks that the parser still emits from the same socket read after the response is destroyed are ignored.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -92,7 +92,7 @@
     this.run.record.noteFirstByte();
     this.run.reservation.noteFirstToken(facts.load?.slowness);
     if (this.run.request.route.kind === 'stream' && head.status < MIN_REDIRECT_STATUS) {
-      return this.relay(opened, attempt);
+      return this.relay(server, opened, attempt);
     }
     const read = await readAnswerBody(response, this.ports.answerMemory);
     if (read.type === 'fragmented') {
@@ -109,6 +109,7 @@
   }
 
   private async relay(
+    { serverId }: ServerView,
     { head, response }: Extract<OpenedAttempt, { type: 'head' }>,
     { idleTimeout, onOutput }: ReadAttempt,
   ): Promise<AttemptResult> {
@@ -147,6 +148,9 @@
       this.run.answer.end('answered', head.status, 'streamed');
       return { type: 'delivered' };
     }
+    if (end.type === 'fragmented') {
+      this.ports.directory.suspendFlooding(serverId);
+    }
     return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
   }
 }
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -12,6 +12,8 @@
 
 /** Splits the bytes of an event stream at the ends of events. */
 export interface EventSplitter {
+  /** Whether the event that is not complete yet came in far too many chunks. */
+  readonly isFragmented: boolean;
   /** Adds a chunk. Undefined when an event exceeds {@link MAX_EVENT_BYTES}; do not push again after that. */
   push(chunk: Buffer): EventBatch | undefined;
   /** Bytes after the last complete event. */
@@ -49,6 +51,9 @@
   const readTail = (): Buffer => pending.read().subarray(-MAX_DELIMITER_PREFIX_BYTES);
 
   return {
+    get isFragmented() {
+      return pending.isFragmented;
+    },
     push: (chunk) => {
       const tail = readTail();
       const end = findLastEventEnd(tail.length === 0 ? chunk : Buffer.concat([tail, chunk])) - tail.length;
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -7,6 +7,8 @@
   | { readonly type: 'complete' }
   /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
   | { readonly type: 'broken' }
+  /** An event came in far too many chunks. */
+  | { readonly type: 'fragmented' }
   /** The stream did not continue with the event after the last one that was relayed. */
   | { readonly type: 'wrong-place' }
   /** Its events must not be passed on; none was. */
@@ -80,13 +82,20 @@
   }
 
   private receive(chunk: Buffer): void {
+    // The parser emits the rest of a socket read even after the response is destroyed.
+    if (this.state === 'ended' || this.heldEnd) {
+      return;
+    }
     const batch = this.splitter.push(chunk);
-    if (batch === undefined) {
+    const { isFragmented } = this.splitter;
+    if (batch === undefined || isFragmented) {
+      const type = isFragmented ? 'fragmented' : 'broken';
+      this.end(() => ({ type }));
       this.response.destroy();
       return;
     }
     const { bytes, firstEventId, lastEventId } = batch;
-    if (bytes === undefined || this.exchange.closed || this.state === 'ended') {
+    if (bytes === undefined || this.exchange.closed) {
       return;
     }
     if (!this.hasBegun && !isNextEvent(firstEventId, this.options.afterEventId)) {
