Read the beginning of a transfer in small pieces

A host whose servers sent informational responses without end answered callers seconds after their deadlines, although each attempt was abandoned at the 17th such response.

A socket read has up to 65,536 bytes, and the parser can't be stopped within one. It made some 2,400 response objects from the first read of each connection, and went on through all of them after the request was destroyed.

The first eight full reads of a transfer now have 4,096 bytes each; a read that doesn't fill the buffer starts over. Later reads have 65,536 bytes, so that large answers need no more processor time.

--- a/packages/transport/src/_lib/createKeepAliveAgent.ts
+++ b/packages/transport/src/_lib/createKeepAliveAgent.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import createBoundedConnection from './createBoundedConnection.js';
 
 /** Options of {@link createKeepAliveAgent}. */
 export interface KeepAliveAgentOptions {
@@ -38,6 +39,8 @@
     super({ keepAlive: true, maxSockets, scheduling: 'lifo' });
   }
 
+  override createConnection = createBoundedConnection;
+
   /** Called by the base class after a response was read; false closes the connection. */
   override keepSocketAlive(socket: AgentSocket): boolean {
     const limitMs = Math.min(this.idleLimitMs, readServerIdleTimeoutMs(socket));
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,4 +1,5 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import createBoundedConnection from './_lib/createBoundedConnection.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
@@ -259,7 +260,7 @@
  */
 export default function createHttpClient(options: Partial<KeepAliveAgentOptions> = {}): HttpClient {
   const agent = createKeepAliveAgent({ ...options, maxSockets: options.maxSockets ?? Infinity });
-  const freshAgent = new http.Agent({ keepAlive: false });
+  const freshAgent = Object.assign(new http.Agent({ keepAlive: false }), { createConnection: createBoundedConnection });
   let closed = false;
 
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
