--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -170,6 +170,8 @@
     }
     if (end.type === 'misplaced') {
       this.reportMisplaced(server, end.event);
+    } else if (end.type === 'fragmented') {
+      this.ports.directory.suspendFlooding(server.serverId);
     }
     return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
   }
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'broken' }
   /** An event did not follow the last one that the caller has; neither it nor anything after it was relayed. */
   | { readonly type: 'misplaced'; readonly event: StreamEvent }
+  /** An event came in far too many chunks. */
+  | { readonly type: 'fragmented' }
   /** Its events must not be passed on; none was. */
   | { readonly type: 'refused' };
 
@@ -82,13 +84,20 @@
   }
 
   private receive(chunk: Buffer): void {
+    // The parser emits the rest of a socket read even after the response is destroyed.
+    if (this.state === 'ended' || this.heldEnd) {
+      return;
+    }
     const batch = this.splitter.push(chunk);
-    if (batch === undefined) {
+    const { isFragmented } = this.splitter;
+    if (batch === undefined || isFragmented) {
+      const type = isFragmented ? 'fragmented' : 'broken';
+      this.end(() => ({ type }));
       this.response.destroy();
       return;
     }
     const { bytes, events } = batch;
-    if (bytes === undefined || this.exchange.closed || this.state === 'ended') {
+    if (bytes === undefined || this.exchange.closed) {
       return;
     }
     this.hasEvents = true;
