Join no stream at a server that starts again with other software

Take-ups, and streams that go on within one answer, were joined from two versions when the server that they were sent to started again under its id with other software before its first event, although its new entry was known by then. A stream that began was recorded under a version that its server no longer had when only the version of its entry changed.

The check that the process and version of the server are those that were chosen was made only for the beginning of a stream, and compared the start of the process only. It is made for every attempt now, and compares the version too.

The three tests of streamRestarts.test.ts are red before and green now. An entry that comes after the first event is not covered.

--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -54,12 +54,15 @@
 
   /** Starts to record the origin of the stream, if it has to be, while the server prepares its first event. */
   prepare(server: ServerDescription): void {
-    if (this.origin !== undefined || !isResumable(this.request.route)) {
+    if (!isResumable(this.request.route)) {
       return;
     }
     const { origins, directory } = this.ports;
     const origin = { pool: this.pool, softwareVersion: server.softwareVersion ?? '' };
     this.candidate = { server, origin, startedAtMs: directory.find(server.serverId)?.startedAtMs };
+    if (this.origin !== undefined) {
+      return;
+    }
     if (this.records.length > 0 || !isSameOrigin(origin, origins.agreedFor(this.request.route.name))) {
       this.records.push(origins.record(this.request.requestId, origin));
     }
@@ -70,9 +73,12 @@
    * began, or no server could join another version to it.
    */
   async confirm(): Promise<boolean> {
-    if (this.candidate === undefined || this.origin !== undefined) {
+    if (this.candidate === undefined) {
       return true;
     }
+    if (this.origin !== undefined) {
+      return this.isSameProcess(this.candidate);
+    }
     const isRecorded = this.records.length === 0 || (await this.awaitRecords());
     return this.isSameProcess(this.candidate) && (isRecorded || this.findAgreedWithServers() === undefined);
   }
@@ -96,9 +102,9 @@
   }
 
   /** A server may start again with other software under its id; which of the two wrote the events is not known then. */
-  private isSameProcess({ server, startedAtMs }: Candidate): boolean {
+  private isSameProcess({ server, origin, startedAtMs }: Candidate): boolean {
     const known = this.ports.directory.find(server.serverId);
-    return known === undefined || known.startedAtMs === startedAtMs;
+    return known === undefined || (known.startedAtMs === startedAtMs && known.softwareVersion === origin.softwareVersion);
   }
 
   private findAgreedWithServers(): StreamOrigin | undefined {
