Take a block without data for no event, and the last id of an event

A take-up whose server begins with a block like 'retry: 1000' got a failure in place of its stream, and a new stream that broke off after one was not gone on with: the block counted as an event without id. Of two ids in one event the first one counted, though the last one is the event's. An id that is no safe integer came twice, because such a number equals its successor.

Blocks of fields that carry no data are no events now, the last id of an event counts, and equal ids never follow each other.

--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -104,7 +104,9 @@
   /** A server may start again with other software under its id; which of the two wrote the events is not known then. */
   private isSameProcess({ server, origin, startedAtMs }: Candidate): boolean {
     const known = this.ports.directory.find(server.serverId);
-    return known === undefined || (known.startedAtMs === startedAtMs && known.softwareVersion === origin.softwareVersion);
+    return (
+      known === undefined || (known.startedAtMs === startedAtMs && known.softwareVersion === origin.softwareVersion)
+    );
   }
 
   private findAgreedWithServers(): StreamOrigin | undefined {
--- a/packages/gateway/src/requests/StreamPosition.ts
+++ b/packages/gateway/src/requests/StreamPosition.ts
@@ -44,9 +44,13 @@
 
   private follows(id: string | undefined): boolean {
     const { last } = this;
-    if (this.isNewAnswer) {
-      return last === undefined ? !this.isUnnumbered : Number(id) === Number(last) + 1;
+    if (this.isNewAnswer && last === undefined) {
+      return !this.isUnnumbered;
     }
-    return id === undefined || (id !== last && !(Number(id) <= Number(last)));
+    // Numbers beyond the safe integers equal their successors.
+    const isOther = id !== last;
+    return this.isNewAnswer
+      ? isOther && Number(id) === Number(last) + 1
+      : id === undefined || (isOther && !(Number(id) < Number(last)));
   }
 }
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -12,7 +12,7 @@
 export interface EventBatch {
   /** Bytes of the complete events, unchanged; undefined when there are none. */
   readonly bytes: Buffer | undefined;
-  /** The events in order, without comments. */
+  /** The events in order, without comments and blocks that carry no data. */
   readonly events: readonly StreamEvent[];
 }
 
@@ -45,8 +45,8 @@
   const text = bytes.toString('latin1');
   return [0, ...findEventEnds(text)].flatMap((startBytes, nth, starts) => {
     const block = text.slice(startBytes, starts[nth + 1]);
-    const id = /^(?:\xef\xbb\xbf)?id:(.*)$/m.exec(block)?.[1]?.trim();
-    return /^[^:\r\n]/m.test(block) ? [{ id: id || undefined, startBytes }] : [];
+    const id = [...block.matchAll(/^(?:\xef\xbb\xbf)?id:(.*)$/gm)].at(-1)?.[1]?.trim();
+    return /^(?!retry:|event:)[^:\r\n]/m.test(block) ? [{ id: id || undefined, startBytes }] : [];
   });
 };
 
