Agree for a new route on what another route of its pool has agreed on

A stream that its caller took up after its route was split or renamed was joined from two versions. Origins are agreed on by the name of a route. The new name got the version with the most servers, but the stream began under the old name, at its agreed origin and so without a record.

A route without an agreed origin first takes one that another route has agreed on for its pool. Two routes of one pool that agree on different versions are not covered: their streams cannot be told apart by the new name.

streamRoutes.test.ts is red before and green now; the model of the agreement holds.

--- a/packages/decide/src/streams/planAgreement.ts
+++ b/packages/decide/src/streams/planAgreement.ts
@@ -61,7 +61,9 @@
     const origins = originsByRoute.get(name) ?? [];
     const isServed = known !== undefined && origins.some((origin) => isSameOrigin(origin, known));
     if (known === undefined || (!isServed && isDue(name))) {
-      const [replacement] = origins;
+      // Streams of another route that this one now matches began without a record at the agreed origin of that route.
+      const shared = known === undefined ? [...agreed.values()] : [];
+      const replacement = origins.find((origin) => shared.some((each) => isSameOrigin(origin, each))) ?? origins[0];
       if (replacement !== undefined) {
         next.set(name, replacement);
         hasChanged = true;
