Keep the record of a stream for the life of streams as it is now

After the timeout of a route was raised, the record of a stream lasted 15 of 130 s: its lease had been granted for the life of streams before, and was used again until half of that had passed. A take-up after its end was taken for one of a stream that began at the agreed version.

A lease is used again only while it lasts longer than the life of streams as the routes state it now.

--- a/packages/gateway/src/streams/createOriginWriter.ts
+++ b/packages/gateway/src/streams/createOriginWriter.ts
@@ -46,7 +46,7 @@
 
   private isWriting = false;
 
-  private lease: { readonly leaseId: string; readonly usableUntilMs: number } | undefined;
+  private lease: { readonly leaseId: string; readonly endsAtMs: number } | undefined;
 
   private timer: Timer | undefined;
 
@@ -99,12 +99,12 @@
     const { clock, store, streamLifeMs } = this.options;
     const { lease } = this;
     const nowMs = clock.monotonicMs();
-    if (lease !== undefined && lease.usableUntilMs > nowMs) {
+    const lifeMs = streamLifeMs();
+    if (lease !== undefined && lease.endsAtMs - nowMs > lifeMs) {
       return lease.leaseId;
     }
-    const lifeMs = streamLifeMs();
     const leaseId = await store.grantLease(2 * lifeMs);
-    this.lease = { leaseId, usableUntilMs: nowMs + lifeMs };
+    this.lease = { leaseId, endsAtMs: nowMs + 2 * lifeMs };
     return leaseId;
   }
 
