Replace no agreed origin by what a paused host has not seen

A host that was paused, or lost the store, counted that time as one without servers of the agreed version, although servers may have come and left meanwhile. It replaced the agreed origin while streams that began there without a record still lived, and their take-ups were joined.

The time without servers starts anew after a gap of more than 3 s between two reviews, and while the store is lost.

--- a/packages/gateway/src/streams/createStreamOrigins.ts
+++ b/packages/gateway/src/streams/createStreamOrigins.ts
@@ -50,7 +50,7 @@
   readonly metrics: ScrapedMetrics;
   readonly store: Pick<StoreClient, 'get' | 'range' | 'txn' | 'grantLease'>;
   readonly eras: EraTracker;
-  readonly directory: Pick<BackendDirectory, 'list'>;
+  readonly directory: Pick<BackendDirectory, 'list' | 'storeLost'>;
   readonly tables: RouteTableHolder;
   readonly format: CatalogueFormat;
 }
@@ -58,6 +58,8 @@
 /** Name by which the hosts of a region are ranked to choose the one that updates the agreed origins. */
 const AGREEMENT_DUTY = 'stream-origins';
 const REVIEW_MS = 1_000;
+/** A host whose reviews are further apart was paused, and may have missed servers. */
+const MAX_REVIEW_GAP_MS = 3_000;
 /** Callers take a stream up within the deadline of their first request, which may exceed the timeout of a route. */
 const LIFE_TIMEOUTS = 2;
 const LIFE_SLACK_MS = 10_000;
@@ -95,6 +97,8 @@
 
   private isReviewing = false;
 
+  private reviewedAtMs = -Infinity;
+
   constructor(private readonly options: StreamOriginsOptions) {
     const { clock, eras, format } = options;
     this.writer = createOriginWriter({
@@ -250,6 +254,11 @@
     if (tables.current() === undefined) {
       return;
     }
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - this.reviewedAtMs > MAX_REVIEW_GAP_MS || directory.storeLost) {
+      this.unservedSinceMs = new Map();
+    }
+    this.reviewedAtMs = nowMs;
     const known = this.agreed ?? new Map();
     const expected = this.plan(known, (pool) => directory.list(pool).map(({ softwareVersion }) => softwareVersion));
     this.unservedSinceMs = expected.unservedSinceMs;
