Keep agreed origins for streams that began under longer timeouts

After the timeout of a route was lowered from 60 s to 2 s and the servers of the agreed version left, the agreed origin was replaced within 20 s, while streams that began there without a record still lived.

The life of streams is the longest of the route tables until it has passed. A host that starts after the change does not know the longer one.

--- a/packages/gateway/src/streams/createStreamOrigins.ts
+++ b/packages/gateway/src/streams/createStreamOrigins.ts
@@ -97,6 +97,8 @@
 
   private isReviewing = false;
 
+  private longestLife = { lifeMs: 0, untilMs: 0 };
+
   private reviewedAtMs = -Infinity;
 
   constructor(private readonly options: StreamOriginsOptions) {
@@ -234,7 +236,13 @@
   private streamLifeMs(): number {
     const routes = this.options.tables.current()?.table.routes ?? [];
     const longestMs = Math.max(0, ...routes.filter(isResumable).map(({ timeoutMs }) => timeoutMs));
-    return Math.min(MAX_LIFE_MS, LIFE_TIMEOUTS * longestMs + LIFE_SLACK_MS);
+    const nowMs = this.options.clock.monotonicMs();
+    const lifeMs = Math.min(MAX_LIFE_MS, LIFE_TIMEOUTS * longestMs + LIFE_SLACK_MS);
+    // Streams that began under longer timeouts are still alive for a time.
+    if (lifeMs >= this.longestLife.lifeMs || nowMs > this.longestLife.untilMs) {
+      this.longestLife = { lifeMs, untilMs: nowMs + lifeMs };
+    }
+    return this.longestLife.lifeMs;
   }
 
   private plan(agreed: AgreedOrigins, versionsOf: (pool: string) => readonly string[]) {
