Find the origin of a stream also by the id of a request that took it up

Nothing was recorded under the id of a take-up, so its stream counted as one that began at the agreed version.

The origin is known under that id too, at the host at once and in the store for an origin that is not agreed on. The take-up does not wait for that write.

--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -29,6 +29,8 @@
 
   private candidate: Candidate | undefined;
 
+  private isTakeUpNoted = false;
+
   /** Records of the attempts so far; all of them are awaited, because an earlier one could overwrite a later one. */
   private readonly records: Promise<boolean>[] = [];
 
@@ -61,6 +63,7 @@
     const origin = { pool: this.pool, softwareVersion: server.softwareVersion ?? '' };
     this.candidate = { server, origin, startedAtMs: directory.find(server.serverId)?.startedAtMs };
     if (this.origin !== undefined) {
+      this.noteTakeUp();
       return;
     }
     if (this.records.length > 0 || !isSameOrigin(origin, origins.agreedFor(this.request.route.name))) {
@@ -91,6 +94,19 @@
     }
   }
 
+  /** Makes the origin of a stream that is taken up known under the id of this request, by which it may be named next. */
+  private noteTakeUp(): void {
+    const { origin, requestId, route } = this.request;
+    if (origin !== undefined && !this.isTakeUpNoted) {
+      this.isTakeUpNoted = true;
+      const { origins } = this.ports;
+      origins.noteBegun(requestId, origin);
+      if (!isSameOrigin(origin, origins.agreedFor(route.name))) {
+        origins.record(requestId, origin).catch(() => undefined);
+      }
+    }
+  }
+
   private awaitRecords(): Promise<boolean> {
     return new Promise((resolve) => {
       const timer = this.ports.clock.schedule(RECORD_LIMIT_MS, () => resolve(false));
