Leave worker transports of pino and terminal colours out of the program

It held thread-stream, which only transports in worker threads use, and supports-color, which is no dependency of ours but of the linter; both are now an empty module in the bundle.

--- /dev/null
+++ b/tools/emptyModule.cjs
@@ -0,0 +1,2 @@
+/** Stands for modules that the program never calls. */
+module.exports = {};
