Wait for a port that is still held when a host starts

Operators saw a host that did not start: its port was held for a moment by the process before it, or by an outgoing connection. The start failed with EADDRINUSE at the first try and the process ended with code 1. The listener that rejected the start also stayed on the servers for callers, health and metrics: it took the first error of a connection that could not be accepted (ENFILE, ENOBUFS), and the second one ended the process.

EADDRINUSE and EADDRNOTAVAIL are tried again every 100 ms for 20 s, with one line (portAwaited) that names address and port; other errors fail at once. The range of ports for peers is tried in full before each wait. Errors after that are logged (portFailed) and counted, and the server listens on.

The health port comes first and answers 503 meanwhile. The port for callers comes before that for peers, since other hosts take a host that answers for one that serves; calls before the host has its parts get 503. Metrics never delay a host: their server goes on trying on its own.

--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -1,12 +1,12 @@
 import http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { CallerLimits } from '@bergamotcove/config';
 import type { Clock } from '@bergamotcove/clock';
-import type { Target } from '@bergamotcove/transport';
+import { listenOnPort, type ListenOptions } from '@bergamotcove/transport';
 import CallerExchange, { type StopPhase } from './CallerExchange.js';
 
 /** Options of {@link createCallerServer}. */
-export interface CallerServerOptions extends Target {
+export interface CallerServerOptions extends ListenOptions {
   readonly clock: Clock;
   readonly onRequest: (exchange: CallerExchange) => void;
   /** Called when a message cannot be parsed; it is answered or its connection dropped. */
@@ -62,14 +62,9 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuse(error, socket as Socket));
   }
 
-  listen(): Promise<this> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ port: this.options.port, host: this.options.address, backlog: 511 }, () => {
-        this.port = (this.server.address() as AddressInfo).port;
-        resolve(this);
-      });
-    });
+  async listen(): Promise<this> {
+    this.port = await listenOnPort(this.server, this.options);
+    return this;
   }
 
   setLimits(limits: CallerLimits): void {
--- a/packages/gateway/src/observe/startMetricsServer.ts
+++ b/packages/gateway/src/observe/startMetricsServer.ts
@@ -1,17 +1,16 @@
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
+import { listenOnPort, type ListenOptions } from '@bergamotcove/transport';
 
 /** HTTP server for the metrics of this host. */
 export interface MetricsServer {
+  /** Zero while the server does not listen. */
   readonly port: number;
   close(): void;
 }
 
 /** Options of {@link startMetricsServer}. */
-export interface MetricsServerOptions {
-  readonly address: string;
-  readonly port: number;
+export interface MetricsServerOptions extends ListenOptions {
   readonly path: string;
   readonly metrics: ScrapedMetrics;
   /** Updates the gauges before each read. */
@@ -19,13 +18,14 @@
 }
 
 /**
- * Starts the HTTP server from which monitoring systems read the metrics.
+ * Starts the HTTP server from which monitoring systems read the metrics. A host serves without it: when the port cannot
+ * be used, the server goes on trying on its own, and the failure to get the port is an error of the server.
  *
  * @param options - address, port, path and metrics
- * @returns the server, once it listens; rejects when the port cannot be used
+ * @returns the server, once it listens or has failed to for the first time
  */
 export default function startMetricsServer(options: MetricsServerOptions): Promise<MetricsServer> {
-  const { address, port, path, metrics, sample } = options;
+  const { onWait, onError, path, metrics, sample } = options;
   const server = http.createServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404, { 'Content-Length': 0 });
@@ -41,16 +41,29 @@
       () => response.destroy(),
     );
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, address, () => {
-      resolve({
-        port: (server.address() as AddressInfo).port,
-        close: () => {
-          server.close();
-          server.closeAllConnections();
+  const started = {
+    port: 0,
+    close: () => {
+      server.close().closeAllConnections();
+      // A try that is still to come may succeed.
+      server.on('listening', () => server.close());
+    },
+  };
+  return new Promise((resolve) => {
+    const done = (): void => resolve(started);
+    listenOnPort(server, {
+      ...options,
+      onWait: (error) => {
+        onWait(error);
+        done();
+      },
+    })
+      .then(
+        (port) => {
+          started.port = port;
         },
-      });
-    });
+        (error: Error) => onError(error, options.port),
+      )
+      .finally(done);
   });
 }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -2,14 +2,12 @@
 import {
   createEraTracker,
   createStoreClient,
-  type EraEvent,
   type EraTracker,
   type StoreClient,
   type StoreDialect,
 } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
-import { exhaustive } from '@bergamotcove/errors';
 import { createLogger, type Logger } from '@bergamotcove/log';
 import { createScrapedMetrics, type ScrapedMetrics } from '@bergamotcove/telemetry';
 import {
@@ -18,23 +16,25 @@
   type LinkClient,
   type LinkMethod,
   type LinkServer,
+  type PortWatch,
 } from '@bergamotcove/transport';
+import type CallerExchange from './callers/CallerExchange.js';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
 import startHealthServer from './callers/startHealthServer.js';
 import type { BackendDirectory } from './catalogue/BackendDirectory.js';
 import createBackendDirectory from './catalogue/createBackendDirectory.js';
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from './catalogue/followCatalogue.js';
+import logEraEvent from './catalogue/logEraEvent.js';
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
-import listenForPeers from './hosts/listenForPeers.js';
 import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import type { GatewayFormats } from './ports.js';
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
-import type { ForwardEnd } from './requests/RunRecord.js';
+import reportEnd from './requests/reportEnd.js';
 import createAnswerMemory from './servers/createAnswerMemory.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
@@ -43,6 +43,7 @@
 import type { GatewaySettings } from './settings.js';
 import describeStatus, { type GatewayStatus } from './observe/describeStatus.js';
 import createStreamOrigins, { type StreamOrigins } from './streams/createStreamOrigins.js';
+import watchPorts from './observe/watchPorts.js';
 import startMetricsServer, { type MetricsServer } from './observe/startMetricsServer.js';
 import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
 import createStageClient from './stages/createStageClient.js';
@@ -77,6 +78,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: ScrapedMetrics;
+  /** Watches the ports of this host. */
+  readonly watch: PortWatch;
   readonly failureDomain: string;
   readonly region: string;
   readonly store: StoreClient;
@@ -96,25 +99,11 @@
 const STORE_TIMEOUT_MS = 1_000;
 /** Budget of the bodies of callers' requests that are open at the same time. */
 const CALLER_BODIES_BYTES = 48 * 1_048_576;
-const MAX_LOGGED_CHARS = 64;
 /** Method that returns the status of a host to an operator. */
 const OPERATOR_STATUS = 'operator.status';
 
-const logEraEvent = (event: EraEvent, logger: Logger): void => {
-  switch (event.type) {
-    case 'advanced':
-      logger.event('storeEraAdvanced', { era: event.era, before: event.before });
-      break;
-    case 'ignored':
-      logger.event('storeEraIgnored', {
-        problem: event.problem,
-        header: String(event.text).slice(0, MAX_LOGGED_CHARS),
-      });
-      break;
-    default:
-      exhaustive(event);
-  }
-};
+/** Refusal of the requests that arrive while this host starts. */
+const STARTING = { status: 503, reason: 'no-route-table', retryAfterMs: 500 } as const;
 
 const createBase = (settings: GatewaySettings, options: GatewayOptions): BaseParts => {
   const clock = options.clock ?? createSystemClock();
@@ -134,6 +123,7 @@
   const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
   const links = createLinkClient({ clock, ...LINK_LIMITS });
   const metrics = createScrapedMetrics();
+  const watch = watchPorts(logger, metrics);
   const dutyOf = (pool: string): string =>
     tables.current()?.pools.get(pool)?.batch === undefined ? SCHEDULER_DUTY : pool;
   const limits = createRateLimits({ clock, logger, metrics, links, directory, region, dutyOf });
@@ -158,7 +148,7 @@
     format: formats.catalogue,
   });
   const liveSettings = createSettingsHolder(settings);
-  const parts = { settings, liveSettings, formats, clock, logger, metrics, failureDomain, region };
+  const parts = { settings, liveSettings, formats, clock, logger, metrics, watch, failureDomain, region };
   return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes, origins };
 };
 
@@ -181,15 +171,20 @@
   };
 };
 
-const startLinkServer = (base: BaseParts, methods: Readonly<Record<string, LinkMethod>>): Promise<LinkServer> =>
-  listenForPeers(base.settings.peerPorts, (port) =>
-    createLinkServer({
-      address: base.settings.host.address,
-      port,
-      methods,
-      onError: (error) => base.logger.event('peerMessageInvalid', { error: error.message }),
-    }),
-  );
+const startLinkServer = (
+  { settings, logger, watch }: BaseParts,
+  methods: Readonly<Record<string, LinkMethod>>,
+): Promise<LinkServer> => {
+  const [port, lastPort] = settings.peerPorts;
+  return createLinkServer({
+    address: settings.host.address,
+    port,
+    lastPort,
+    methods,
+    onError: (error) => logger.event('peerMessageInvalid', { error: error.message }),
+    watch,
+  });
+};
 
 const createRegistry = (base: BaseParts, peersPort: number): HostRegistry => {
   const { clock, logger, store, eras, failureDomain, region, formats, settings } = base;
@@ -200,13 +195,7 @@
   return createHostRegistry({ clock, logger, store, eras, prefix: formats.catalogue.hostPrefix, self });
 };
 
-const reportEnd = (metrics: ScrapedMetrics, route: string, { outcome, totalMs, firstByteMs }: ForwardEnd): void => {
-  metrics.report('route.requests', 1, { route, result: outcome });
-  metrics.report('route.duration', totalMs, { route, result: outcome });
-  if (firstByteMs !== undefined) {
-    metrics.report('route.first_byte', firstByteMs, { route });
-  }
-};
+type HandleRequest = (exchange: CallerExchange) => void;
 
 interface CallerParts {
   readonly hosts: HostRegistry;
@@ -214,8 +203,8 @@
   readonly drain: () => DrainTimes | undefined;
 }
 
-const startCallers = (base: BaseParts, { hosts, pools, drain }: CallerParts): Promise<CallerServer> => {
-  const { clock, logger, links, owners, settings, region } = base;
+const createHandler = (base: BaseParts, { hosts, pools, drain }: CallerParts): HandleRequest => {
+  const { clock, logger, links, owners, region } = base;
   const scheduler = createSchedulerClient({ clock, logger, hosts, links, local: base.scheduler, region });
   owners.onState((pool, state) => scheduler.reportPool({ pool, ...state }));
   const stages = createStageClient({ clock, logger, hosts, links, local: owners });
@@ -225,7 +214,7 @@
     limits: () => base.liveSettings.current().retries,
     hosts: () => hosts.list().length,
   });
-  const handler = createRequestHandler({
+  return createRequestHandler({
     ...base,
     pools,
     scheduler,
@@ -244,13 +233,19 @@
       logger.event('requestEnded', { ...facts, ...end });
     },
   });
-  return createCallerServer({
+};
+
+const startCallers = (
+  { settings, watch, clock, logger }: BaseParts,
+  state: { readonly handle: HandleRequest },
+): Promise<CallerServer> =>
+  createCallerServer({
     ...settings.callers,
+    ...watch,
     clock,
-    onRequest: handler,
+    onRequest: (exchange) => state.handle(exchange),
     onInvalid: (reason) => logger.event('callerMessageInvalid', { reason }),
   });
-};
 
 interface SampledParts {
   readonly callers: CallerServer;
@@ -275,7 +270,7 @@
       metrics.report('pool.servers_shunned', directory.listExcluded(pool).length, { pool });
     });
   };
-  return startMetricsServer({ ...settings.metrics, address: settings.host.address, metrics, sample });
+  return startMetricsServer({ ...settings.metrics, ...base.watch, address: settings.host.address, metrics, sample });
 };
 
 const readStatus = (base: BaseParts, { callers, hosts, isReady }: SampledParts, stop: StopState): GatewayStatus =>
@@ -352,33 +347,40 @@
   const { logger, tables, directory } = base;
   const { exchange, follower } = createSources(base);
   const status = { read: (): GatewayStatus | undefined => undefined };
+  const stop: StopState = { times: undefined };
+  let started: readonly Closeable[] = [];
+  const isReady = (): boolean => started.length > 0 && stop.times === undefined && tables.current() !== undefined;
+  // The health check answers 503 while the start waits for the other ports. Other hosts reach this one last, because they
+  // take a host that answers for one that serves.
+  const health = await startHealthServer({ ...settings.health, ...base.watch }, isReady);
+  const requests = { handle: (request: CallerExchange): void => request.refuse(STARTING) };
+  const callers = await startCallers(base, requests);
+  tables.onChange(({ table }) => callers.setLimits(table.limits));
   const linkServer = await startLinkServer(
     base,
     listMethods(base, { exchange, follower, readStatus: () => status.read() }),
   );
   const hosts = createRegistry(base, linkServer.port);
   const pools = createServerPools({ ...base, hosts });
-  const stop: StopState = { times: undefined };
-  const callers = await startCallers(base, { hosts, pools, drain: () => stop.times });
-  tables.onChange(({ table }) => callers.setLimits(table.limits));
+  requests.handle = createHandler(base, { hosts, pools, drain: () => stop.times });
   follower.start(hosts);
   hosts.onStoreFailed(() => follower.probe());
   startDuties(base, hosts, exchange);
-  const isReady = (): boolean => stop.times === undefined && tables.current() !== undefined;
   const sampledParts = { callers, hosts, isReady };
   status.read = () => readStatus(base, sampledParts, stop);
-  const health = await startHealthServer(settings.health, isReady);
   const metricsServer = await startMetrics(base, sampledParts);
   logger.event('hostStarted', { callersPort: callers.port, peersPort: linkServer.port });
 
-  const started = [follower, exchange, callers, health, metricsServer, linkServer];
+  started = [follower, exchange, callers, health, metricsServer, linkServer];
   const close = createClose(base, { hosts, pools, started });
   const drainState = { running: undefined as Promise<void> | undefined };
   return {
     callersPort: callers.port,
     healthPort: health.port,
     peersPort: linkServer.port,
-    metricsPort: metricsServer.port,
+    get metricsPort() {
+      return metricsServer.port;
+    },
     apply: (changed) => {
       directory.setRegions(changed.host.regions);
       return base.liveSettings.apply(changed);
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -13,6 +13,9 @@
   processFailed: 'An unexpected error reached the outermost error handler.',
   logLinesDropped: 'More lines were logged in one second than the limit allows; `lines` were dropped.',
   settingsApplied: 'Changed settings are in force; those in `needRestart` only after a restart.',
+  portAwaited:
+    'A port or an address of this host cannot be used yet; it is tried again for 20 s. Look for what holds the port.',
+  portFailed: 'A server of this host could not accept a connection or gave up its port; the host goes on without.',
   requestRefused: 'A request ended without an answer; see its outcome.',
   requestRejected: 'A request had invalid input and was not started.',
   attemptFailed: 'An attempt on a backend server failed.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -17,6 +17,8 @@
   processFailed: { id: 1006, level: 'error' },
   logLinesDropped: { id: 1007, level: 'warn' },
   settingsApplied: { id: 1008, level: 'info' },
+  portAwaited: { id: 1009, level: 'warn' },
+  portFailed: { id: 1010, level: 'warn' },
   requestRefused: { id: 2001, level: 'info' },
   requestRejected: { id: 2002, level: 'debug' },
   attemptFailed: { id: 2003, level: 'debug' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -76,6 +76,12 @@
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a complete answer.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host accepts requests.' },
+  'host.port_errors': {
+    type: 'counter',
+    unit: '1',
+    tags: [],
+    text: 'Connections or ports that a server could not get.',
+  },
   'table.version': { type: 'gauge', unit: '1', tags: [], text: 'Version of the route table in force.' },
   'store.era': { type: 'gauge', unit: '1', tags: [], text: 'Era of the store; grows when it is restored from a copy.' },
   'store.connected': { type: 'gauge', unit: '1', tags: [], text: '1 while the store answers.' },
--- a/packages/transport/src/links/createLinkServer.ts
+++ b/packages/transport/src/links/createLinkServer.ts
@@ -1,6 +1,7 @@
-import net, { type AddressInfo, type Socket } from 'node:net';
+import net, { type Socket } from 'node:net';
 import type { JSONRPCRequest } from 'json-rpc-2.0';
 import { JSONRPCServer } from 'json-rpc-2.0/dist/server.js';
+import listenOnPort, { type PortWatch } from '../listenOnPort.js';
 import createLineReader from './createLineReader.js';
 
 /** Method of a link server; a rejection is sent as an error. `peer` is the same object for all calls of one link. */
@@ -21,8 +22,12 @@
   readonly address: string;
   /** Zero selects a free port. */
   readonly port: number;
+  /** Last port of the range that begins with `port`; its first free port is used. */
+  readonly lastPort?: number;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   readonly onError: (error: Error) => void;
+  /** By default, errors of the server go to `onError`. */
+  readonly watch?: PortWatch;
 }
 
 /** Accepts links of other hosts. */
@@ -81,25 +86,19 @@
  * @example
  * const server = await createLinkServer({ address: '127.0.0.1', port: 0, methods: { echo: (params) => params }, onError });
  */
-export default function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
+export default async function createLinkServer(options: LinkServerOptions): Promise<LinkServer> {
   const sockets = new Set<Socket>();
   const server = net.createServer({ noDelay: true }, (socket) => {
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
     serveLink(socket, options);
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.address, () => {
-      server.off('error', reject);
-      server.on('error', options.onError);
-      resolve({
-        port: (server.address() as AddressInfo).port,
-        close: () => {
-          server.close();
-          sockets.forEach((socket) => socket.destroy());
-        },
-      });
-    });
-  });
+  const { onError, watch = { onWait: () => undefined, onError } } = options;
+  return {
+    port: await listenOnPort(server, { ...options, ...watch }),
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
 }
