Wait for a settings file that is not there yet when a host starts

Operators saw a host that did not start: it read its settings once, and a file that was missing or half written at that moment ended the process with code 1.

The file is now read again every 100 ms for 20 s until it is valid, with one line (settingsAwaited) that names the file and the error. After that the start fails as before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,8 @@
 export type { Gateway, GatewayOptions } from './wireGateway.js';
 export { default as followSettings } from './followSettings.js';
 export type { SettingsFollower, SettingsFollowerOptions } from './followSettings.js';
+export { default as readSettings } from './readSettings.js';
+export type { SettingsText } from './readSettings.js';
 export { default as parseGatewaySettings } from './settings.js';
 export type { GatewaySettings } from './settings.js';
 export { default as createHostRegistry } from './hosts/createHostRegistry.js';
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -16,6 +16,7 @@
   portAwaited:
     'A port or an address of this host cannot be used yet; it is tried again for 20 s. Look for what holds the port.',
   portFailed: 'A server of this host could not accept a connection or gave up its port; the host goes on without.',
+  settingsAwaited: 'The settings file is missing or not valid at the start; it is read again for 20 s.',
   requestRefused: 'A request ended without an answer; see its outcome.',
   requestRejected: 'A request had invalid input and was not started.',
   attemptFailed: 'An attempt on a backend server failed.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -19,6 +19,7 @@
   settingsApplied: { id: 1008, level: 'info' },
   portAwaited: { id: 1009, level: 'warn' },
   portFailed: { id: 1010, level: 'warn' },
+  settingsAwaited: { id: 1011, level: 'warn' },
   requestRefused: { id: 2001, level: 'info' },
   requestRejected: { id: 2002, level: 'debug' },
   attemptFailed: { id: 2003, level: 'debug' },
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -21,6 +21,7 @@
 export type { PeerKey } from './peers/createKeyring.js';
 export { default as createDatagramSocket } from './datagrams/createDatagramSocket.js';
 export type { DatagramHandler, DatagramSocket, DatagramSocketOptions } from './datagrams/createDatagramSocket.js';
+export { default as retryStart } from './retryStart.js';
 export { default as listenOnPort } from './listenOnPort.js';
 export type { ListenOptions, PortWatch } from './listenOnPort.js';
 export { default as createLinkClient } from './links/createLinkClient.js';
