Log how each process starts and ends, and show its memory

Operators could not tell a host that did not start from one that ended by itself or was killed for its memory: an uncaught error left no line in the log, a failed start left a message without its stack, and neither the program nor an ordered end was named.

--- a/packages/gateway/src/observe/startMetricsServer.ts
+++ b/packages/gateway/src/observe/startMetricsServer.ts
@@ -26,14 +26,18 @@
  */
 export default function startMetricsServer(options: MetricsServerOptions): Promise<MetricsServer> {
   const { onWait, onError, path, metrics, sample } = options;
+  // A gauge that cannot be read fails this answer only.
+  const render = async (): Promise<string> => {
+    sample();
+    return metrics.render();
+  };
   const server = http.createServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404, { 'Content-Length': 0 });
       response.end();
       return;
     }
-    sample();
-    metrics.render().then(
+    render().then(
       (text) => {
         response.writeHead(200, { 'Content-Type': metrics.contentType });
         response.end(text);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -258,6 +258,7 @@
   const sample = (): void => {
     const index = tables.current();
     metrics.report('host.open_requests', callers.openRequests());
+    metrics.report('host.memory_bytes', process.memoryUsage.rss());
     metrics.report('host.peers', hosts.list().length);
     metrics.report('host.ready', isReady() ? 1 : 0);
     metrics.report('table.version', index?.table.version ?? 0);
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -10,13 +10,17 @@
   drainStarted: 'A planned stop began; readiness now answers 503.',
   drainFinished: 'All requests in flight finished; the process exits.',
   drainTimedOut: 'The drain timed out with requests still in flight.',
-  processFailed: 'An unexpected error reached the outermost error handler.',
+  processFailed:
+    'An unexpected error reached the outermost error handler; with `origin`, the process ends with code 1 because of it.',
   logLinesDropped: 'More lines were logged in one second than the limit allows; `lines` were dropped.',
   settingsApplied: 'Changed settings are in force; those in `needRestart` only after a restart.',
   portAwaited:
     'A port or an address of this host cannot be used yet; it is tried again for 20 s. Look for what holds the port.',
   portFailed: 'A server of this host could not accept a connection or gave up its port; the host goes on without.',
   settingsAwaited: 'The settings file is missing or not valid at the start; it is read again for 20 s.',
+  processStarted: 'The process runs; `build` identifies the program, `memoryBytes` is the memory of the machine.',
+  processStopped:
+    'The process ends as ordered by the signal in `reason`; see drainFinished or drainTimedOut before it.',
   requestRefused: 'A request ended without an answer; see its outcome.',
   requestRejected: 'A request had invalid input and was not started.',
   attemptFailed: 'An attempt on a backend server failed.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -20,6 +20,8 @@
   portAwaited: { id: 1009, level: 'warn' },
   portFailed: { id: 1010, level: 'warn' },
   settingsAwaited: { id: 1011, level: 'warn' },
+  processStarted: { id: 1012, level: 'info' },
+  processStopped: { id: 1013, level: 'info' },
   requestRefused: { id: 2001, level: 'info' },
   requestRejected: { id: 2002, level: 'debug' },
   attemptFailed: { id: 2003, level: 'debug' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -74,6 +74,7 @@
     text: 'Parts of prompts that were blocked because servers crashed.',
   },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a complete answer.' },
+  'host.memory_bytes': { type: 'gauge', unit: 'B', tags: [], text: 'Resident memory of the process.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
   'host.ready': { type: 'gauge', unit: '1', tags: [], text: '1 while the host accepts requests.' },
   'host.port_errors': {
--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -1,4 +1,6 @@
 /** Bundling of the program that runs on the platform. */
+import { createHash } from 'node:crypto';
+import { readFileSync, readdirSync } from 'node:fs';
 import path from 'node:path';
 import { rootDir } from './install.mjs';
 
@@ -6,6 +8,19 @@
 const REQUIRE_BANNER =
   "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);";
 
+/** Identifies the program by its sources and dependencies. */
+const hashSources = () => {
+  const sources = ['packages', 'platform']
+    .flatMap((folder) =>
+      readdirSync(path.join(rootDir, folder), { recursive: true }).map((file) => `${folder}/${file}`),
+    )
+    .filter((file) => /\/src\/.*(?<!\.test)\.ts$/.test(file) && !file.includes('node_modules'));
+  return [...sources.sort(), 'package-lock.json']
+    .reduce((hash, file) => hash.update(readFileSync(path.join(rootDir, file))), createHash('sha256'))
+    .digest('hex')
+    .slice(0, 12);
+};
+
 /** Options of esbuild. */
 const bundleOptions = {
   entryPoints: [path.join(rootDir, 'platform/dist/main.js')],
@@ -14,6 +29,7 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
+  define: { 'process.env.BERGAMOTCOVE_BUILD': JSON.stringify(hashSources()) },
   minify: true,
   keepNames: true,
   alias: {
