--- a/tools/unusedModule.mjs
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Stands for a module that the program loads and never calls. */
-export {};
