Wait for a port for longer than a closed connection holds it

A closed outgoing connection holds its port for a minute; a start that needed that port ended with EADDRINUSE on every try in that time (seen with callers, health, metrics and peers ports on all programs played). The wait of 20 s for a port becomes 90 s; the one for a settings file stays.

--- a/packages/transport/src/listenOnPort.ts
+++ b/packages/transport/src/listenOnPort.ts
@@ -20,6 +20,8 @@
   readonly limitMs?: number;
 }
 
+/** A closed outgoing connection holds its port for a minute. */
+const PORT_LIMIT_MS = 90_000;
 const TEMPORARY_CODES = new Set<unknown>(['EADDRINUSE', 'EADDRNOTAVAIL']);
 
 /**
@@ -32,7 +34,7 @@
  * @throws the error of the last port
  */
 export default function listenOnPort(server: Server, options: ListenOptions): Promise<number> {
-  const { address, port: firstPort, lastPort = firstPort, onError } = options;
+  const { address, port: firstPort, lastPort = firstPort, limitMs = PORT_LIMIT_MS, onError } = options;
   const listen = async (port: number): Promise<number> => {
     try {
       server.listen({ port, host: address, backlog: 511 });
@@ -49,6 +51,7 @@
   };
   return retryStart(() => listen(firstPort), {
     ...options,
+    limitMs,
     isTemporary: (error) => TEMPORARY_CODES.has((error as NodeJS.ErrnoException).code),
   });
 }
