Ask another server when the one of a stream has started again

A take-up, or a stream that goes on, was given up with a failure when the entry of its server changed before its first event, although other servers of its version could go on with it. The answer of a process that was replaced was treated like an origin that could not be recorded, after which no other server may be asked.

Only the latter ends the request now. The test of a take-up is red before and green now; those that nothing is joined hold.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -56,7 +56,7 @@
 const MIN_REDIRECT_STATUS = 300;
 /** Statuses of answers that have no body, whatever their headers say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
@@ -144,9 +144,9 @@
     const sendHead = (): void => {
       if (!this.run.exchange.headSent) {
         this.contentType = contentType;
-        // Another server may go on with the stream, whose length is not known then.
+        // Another server may go on with the stream, so its length is not known.
         const headers = isResumable(this.run.request.route)
-          ? filterHeaders(head.headers, LENGTH_HEADERS)
+          ? filterHeaders(head.headers, CONTENT_LENGTH)
           : head.headers;
         this.run.exchange.sendHead({ ...head, headers });
       }
@@ -173,12 +173,13 @@
     } else if (end.type === 'fragmented') {
       this.ports.directory.suspendFlooding(server.serverId);
     }
-    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded: end.type === 'refused' };
+    const unrecorded = end.type === 'refused' && !this.run.binding.mayTryOthers;
+    return { type: 'ended', end: { type: 'unknown' }, resultsGone: false, unrecorded };
   }
 
   /**
-   * Whether the end of an answer without framing is that of its server's process, whose connections the operating system
-   * ends in order. A server that is leaving may end after its last answer.
+   * Whether an unframed answer ended because its server crashed: the operating system then closes the connection as
+   * after a whole answer. A server that is leaving may end after its last answer.
    */
   private async endedInCrash(
     { serverId, pool, address, port }: ServerView,
--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -31,6 +31,9 @@
 
   private isTakeUpNoted = false;
 
+  /** Whether the server of the last attempt that was to be confirmed has started again, or has another version. */
+  private isReplaced = false;
+
   /** Records of the attempts so far; all of them are awaited, because an earlier one could overwrite a later one. */
   private readonly records: Promise<boolean>[] = [];
 
@@ -79,11 +82,14 @@
     if (this.candidate === undefined) {
       return true;
     }
-    if (this.origin !== undefined) {
-      return this.isSameProcess(this.candidate);
-    }
-    const isRecorded = this.records.length === 0 || (await this.awaitRecords());
-    return this.isSameProcess(this.candidate) && (isRecorded || this.findAgreedWithServers() === undefined);
+    const isRecorded = this.origin !== undefined || this.records.length === 0 || (await this.awaitRecords());
+    this.isReplaced = !this.isSameProcess(this.candidate);
+    return !this.isReplaced && (isRecorded || this.findAgreedWithServers() === undefined);
+  }
+
+  /** Whether another server may be asked after an attempt that was not confirmed. */
+  get mayTryOthers(): boolean {
+    return this.isReplaced;
   }
 
   /** Binds the stream to the server of the current attempt, whose first event is passed on now. */
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -21,7 +21,7 @@
   readonly answer?: WholeAnswer;
   /** Whether stage results that the attempt needed no longer exist. */
   readonly resultsGone: boolean;
-  /** Whether nothing was passed on because the origin of the stream could not be recorded. */
+  /** Whether nothing was passed on because the origin of the stream could not be recorded; no other server is tried. */
   readonly unrecorded?: boolean;
   /** Whether the retry is already charged to the budget. */
   readonly retryReserved?: boolean;
