Learn the timeouts of routes on every host for the life of agreed origins

A host that took over the agreement on origins knew only the present timeouts of routes, unless it had carried streams itself, and replaced an agreed origin too soon after a timeout was lowered. Of two lowered timeouts it kept the first only.

--- a/packages/gateway/src/streams/createStreamOrigins.ts
+++ b/packages/gateway/src/streams/createStreamOrigins.ts
@@ -33,9 +33,9 @@
   readonly isWritable: boolean;
   /** Records the origin of a stream; resolves to whether every host can find it. */
   record(requestId: string, origin: StreamOrigin): Promise<boolean>;
-  /** Remembers a stream whose first event this host has passed on. */
+  /** Remembers the origin of a stream that this host begins or takes up. */
   noteBegun(requestId: string, origin: StreamOrigin): void;
-  /** Finds where a stream began by the id of the request that brought its first event. */
+  /** Finds where a stream began by the id of a request that began it or took it up. */
   find(route: Route, requestId: string | undefined): Promise<FoundOrigin>;
   /** Applies the agreed origins as they stand in the store. */
   putAgreed(text: string): void;
@@ -97,7 +97,8 @@
 
   private isReviewing = false;
 
-  private longestLife = { lifeMs: 0, untilMs: 0 };
+  /** Lives of the streams that may still be alive; longer ones under earlier route tables come first. */
+  private lives: readonly { readonly lifeMs: number; readonly untilMs: number }[] = [];
 
   private reviewedAtMs = -Infinity;
 
@@ -106,11 +107,11 @@
     this.writer = createOriginWriter({
       ...options,
       prefix: format.streamPrefix,
-      streamLifeMs: () => this.streamLifeMs(),
+      streamLifeMs: () => this.noteStreamLifeMs(),
     });
     eras.onEvent(({ type }) => {
       if (type === 'advanced') {
-        this.incompleteUntilMs = clock.monotonicMs() + this.streamLifeMs();
+        this.incompleteUntilMs = clock.monotonicMs() + this.noteStreamLifeMs();
       }
     });
   }
@@ -129,7 +130,7 @@
 
   noteBegun(requestId: string, origin: StreamOrigin): void {
     const nowMs = this.options.clock.monotonicMs();
-    this.begun.set(requestId, { origin, endsAtMs: nowMs + this.streamLifeMs() });
+    this.begun.set(requestId, { origin, endsAtMs: nowMs + this.noteStreamLifeMs() });
     // Entries are in the order of their ends.
     [...this.begun.keys()].slice(0, Math.max(0, this.begun.size - MAX_REMEMBERED)).forEach((id) => {
       this.begun.delete(id);
@@ -166,6 +167,8 @@
   start(hosts: HostRegistry): void {
     this.timer = this.options.clock.schedule(REVIEW_MS, () => {
       this.start(hosts);
+      // Any host may become the owner, and must know the longer timeouts of before then.
+      this.noteStreamLifeMs();
       const isOwner = hosts.rankOwners(AGREEMENT_DUTY)[0]?.hostId === hosts.self.hostId;
       if (isOwner && !this.isReviewing) {
         this.isReviewing = true;
@@ -233,16 +236,15 @@
     return routes.filter(isResumable).map(({ name, pools }) => ({ name, pools: pools.map(({ pool }) => pool) }));
   }
 
-  private streamLifeMs(): number {
+  /** Records the life of streams under the present route table; returns the longest life of streams that may be alive. */
+  private noteStreamLifeMs(): number {
     const routes = this.options.tables.current()?.table.routes ?? [];
     const longestMs = Math.max(0, ...routes.filter(isResumable).map(({ timeoutMs }) => timeoutMs));
     const nowMs = this.options.clock.monotonicMs();
     const lifeMs = Math.min(MAX_LIFE_MS, LIFE_TIMEOUTS * longestMs + LIFE_SLACK_MS);
-    // Streams that began under longer timeouts are still alive for a time.
-    if (lifeMs >= this.longestLife.lifeMs || nowMs > this.longestLife.untilMs) {
-      this.longestLife = { lifeMs, untilMs: nowMs + lifeMs };
-    }
-    return this.longestLife.lifeMs;
+    const longer = this.lives.filter((life) => life.lifeMs > lifeMs && life.untilMs > nowMs);
+    this.lives = [...longer, { lifeMs, untilMs: nowMs + lifeMs }];
+    return this.lives[0]?.lifeMs ?? lifeMs;
   }
 
   private plan(agreed: AgreedOrigins, versionsOf: (pool: string) => readonly string[]) {
@@ -251,7 +253,7 @@
       routes: this.listRoutes(),
       versionsOf,
       unservedSinceMs: this.unservedSinceMs,
-      streamLifeMs: this.streamLifeMs(),
+      streamLifeMs: this.noteStreamLifeMs(),
       nowMs: this.options.clock.monotonicMs(),
     });
   }
