Continue no stream after an event without id, and judge answers by what was sent

An event without id after one with an id was lost or came twice when the stream broke off right after it. An answer to a take-up that is no event stream counted as broken.

--- a/packages/gateway/src/requests/StreamPosition.ts
+++ b/packages/gateway/src/requests/StreamPosition.ts
@@ -8,7 +8,7 @@
   /** Whether no event of the current answer was passed on. */
   private isNewAnswer = true;
 
-  /** Whether the caller has events, but no id of one. */
+  /** Whether the last event that the caller has bears no id. */
   private isUnnumbered = false;
 
   /** @param last - id of the last event that the caller already has; undefined for a new stream */
@@ -35,7 +35,7 @@
       const follows = this.follows(id);
       if (follows) {
         this.last = id ?? this.last;
-        this.isUnnumbered = this.last === undefined;
+        this.isUnnumbered = id === undefined;
         this.isNewAnswer = false;
       }
       return !follows;
@@ -44,13 +44,11 @@
 
   private follows(id: string | undefined): boolean {
     const { last } = this;
-    if (this.isNewAnswer && last === undefined) {
-      return !this.isUnnumbered;
-    }
-    // Numbers beyond the safe integers equal their successors.
+    // Ids are compared as text too: beyond 2^53, consecutive ids convert to the same number.
     const isOther = id !== last;
-    return this.isNewAnswer
-      ? isOther && Number(id) === Number(last) + 1
-      : id === undefined || (isOther && !(Number(id) < Number(last)));
+    if (this.isNewAnswer) {
+      return !this.isUnnumbered && (last === undefined || (isOther && Number(id) === Number(last) + 1));
+    }
+    return id === undefined || (isOther && !(Number(id) < Number(last)));
   }
 }
--- a/packages/gateway/src/requests/createEventSplitter.ts
+++ b/packages/gateway/src/requests/createEventSplitter.ts
@@ -1,6 +1,6 @@
 import { createByteCollector } from '@bergamotcove/transport';
 
-/** An event, or another block of fields that ends with a blank line. */
+/** An event, which ends with a blank line. */
 export interface StreamEvent {
   /** Undefined when it has none. */
   readonly id: string | undefined;
@@ -10,9 +10,9 @@
 
 /** Complete events that a chunk has completed. */
 export interface EventBatch {
-  /** Bytes of the complete events, unchanged; undefined when there are none. */
+  /** Bytes of the complete events, unchanged but for a byte order mark; undefined when there are none. */
   readonly bytes: Buffer | undefined;
-  /** The events in order, without comments and blocks that carry no data. */
+  /** The events in order; comments and blocks of other fields are none. */
   readonly events: readonly StreamEvent[];
 }
 
@@ -33,7 +33,7 @@
 /** Bytes of an event delimiter that can be at the end of the previous chunk: all but one of `\r\n\r\n`. */
 const MAX_DELIMITER_PREFIX_BYTES = 3;
 
-/** Ends of two lines, in any of the three forms; a CR at the end may be the first half of a CR LF. */
+/** Two consecutive line ends: CR LF, LF or CR. A CR at the end of the text is left open unless it follows a CR: an LF may follow. */
 const BLANK_LINE = /(?:\r\n|\n|\r(?=[^\n])){2}|\r\r/g;
 const BYTE_ORDER_MARK = '\xef\xbb\xbf';
 
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -7,7 +7,7 @@
 export type RelayEnd =
   /** The rest is what follows the last event; it was not relayed. */
   | { readonly type: 'complete'; readonly rest: Buffer }
-  /** The connection broke, or the stream ended inside an event; the complete events before were relayed. */
+  /** The connection broke, or the stream ended inside an event or in a too large one; the events before were relayed. */
   | { readonly type: 'broken' }
   /** An event did not follow the last one that the caller has; neither it nor anything after it was relayed. */
   | { readonly type: 'misplaced'; readonly event: StreamEvent }
@@ -61,7 +61,7 @@
     private readonly resolve: (end: RelayEnd) => void,
   ) {
     const isContinuation = options.position.lastEventId !== undefined;
-    this.hasEvents = isContinuation;
+    this.hasEvents = exchange.headSent;
     this.splitter = createEventSplitter({ isContinuation });
     options.position.beginAnswer();
   }
