--- a/packages/decide/src/streams/planAgreement.ts
+++ b/packages/decide/src/streams/planAgreement.ts
@@ -38,8 +38,8 @@
     .map(({ origin }) => origin);
 
 /**
- * Plans the agreed origins of all routes. A route without one gets the origin with the most servers: all of its streams
- * were recorded until then. An agreed origin is replaced, or dropped with its route, once no stream can have begun there
+ * Plans the agreed origins of all routes. A route without one gets an origin that another route has agreed on, else
+ * the one with the most servers: all of its streams were recorded until then. An agreed origin is replaced, or dropped with its route, once no stream can have begun there
  * for the life of a stream; otherwise a stream without a record would be taken for one of the new origin.
  *
  * @param view - agreed origins, routes, servers and state
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -15,7 +15,7 @@
   logLinesDropped: 'More lines were logged in one second than the limit allows; `lines` were dropped.',
   settingsApplied: 'Changed settings are in force; those in `needRestart` only after a restart.',
   portAwaited:
-    'A port or an address of this host cannot be used yet; it is tried again for 20 s. Look for what holds the port.',
+    'A port or an address of this host cannot be used yet; it is tried again for 90 s. Look for what holds the port.',
   portFailed: 'A server of this host could not accept a connection or gave up its port; the host goes on without.',
   settingsAwaited: 'The settings file is missing or not valid at the start; it is read again for 20 s.',
   processStarted: 'The process runs; `build` identifies the program, `memoryBytes` is the memory of the machine.',
--- a/packages/transport/src/_lib/createKeepAliveAgent.ts
+++ b/packages/transport/src/_lib/createKeepAliveAgent.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
-import createBoundedConnection from './createBoundedConnection.js';
+import createSmallReadConnection from './createSmallReadConnection.js';
 
 /** Options of {@link createKeepAliveAgent}. */
 export interface KeepAliveAgentOptions {
@@ -39,7 +39,7 @@
     super({ keepAlive: true, maxSockets, scheduling: 'lifo' });
   }
 
-  override createConnection = createBoundedConnection;
+  override createConnection = createSmallReadConnection;
 
   /** Called by the base class after a response was read; false closes the connection. */
   override keepSocketAlive(socket: AgentSocket): boolean {
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,5 +1,5 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
-import createBoundedConnection from './_lib/createBoundedConnection.js';
+import createSmallReadConnection from './_lib/createSmallReadConnection.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
@@ -260,7 +260,9 @@
  */
 export default function createHttpClient(options: Partial<KeepAliveAgentOptions> = {}): HttpClient {
   const agent = createKeepAliveAgent({ ...options, maxSockets: options.maxSockets ?? Infinity });
-  const freshAgent = Object.assign(new http.Agent({ keepAlive: false }), { createConnection: createBoundedConnection });
+  const freshAgent = Object.assign(new http.Agent({ keepAlive: false }), {
+    createConnection: createSmallReadConnection,
+  });
   let closed = false;
 
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
--- a/packages/transport/src/listenOnPort.ts
+++ b/packages/transport/src/listenOnPort.ts
@@ -6,7 +6,7 @@
 export interface PortWatch {
   /** Called once when the port or the address cannot be used yet; the error names them. */
   readonly onWait: (error: Error) => void;
-  /** Called for each error of a server that listens, such as a connection that it cannot accept. */
+  /** Called for each error of a server that listens, such as a connection that it cannot accept, or that got no port. */
   readonly onError: (error: Error, port: number) => void;
 }
 
@@ -31,7 +31,7 @@
  * @param server - the server, which does not listen yet
  * @param options - address, ports and callbacks
  * @returns the port, once the server listens
- * @throws the error of the last port
+ * @throws the error of the last try
  */
 export default function listenOnPort(server: Server, options: ListenOptions): Promise<number> {
   const { address, port: firstPort, lastPort = firstPort, limitMs = PORT_LIMIT_MS, onError } = options;
