Answer 502 when a server refuses without stating that nothing ran

Callers of requests that may run once got 503, 429 or 408 from a server that had run the request: its answer was passed on as it is, and these statuses promise that the request has not run.

A request of a `non_idempotent` route, or of a stream that may not be resumed, now gets a 502 of this host, `refusal-unproved`, without the server's signature and without Retry-After. Requests that may be repeated get the server's answer unchanged, as before. The log event refusalUnproved and the counter pool.refusals_unproved name the server and its status.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -20,6 +20,8 @@
   | 'poisoned'
   | 'attempts-exhausted'
   | 'timed-out'
+  /** A server refused a request that may run once, without stating that it did not run it. */
+  | 'refusal-unproved'
   /** It takes up a stream, and where that began is not known or has no server. */
   | 'origin-unknown'
   | 'origin-gone'
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -26,6 +26,7 @@
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
+import isRepeatable from './isRepeatable.js';
 import reportAttempt from './reportAttempt.js';
 import trackAttempt, { classifyEnd } from './trackAttempt.js';
 import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
@@ -116,7 +117,7 @@
     this.record = new RunRecord(ports.clock, request);
     this.work = estimateWork(request);
     this.results = new HeldResults(request, ports.stages);
-    this.answer = new RunAnswer(exchange, this.record, () => {
+    this.answer = new RunAnswer({ request, exchange, record: this.record }, ports, () => {
       this.abort.abort();
       this.results.release();
     });
@@ -148,8 +149,8 @@
   }
 
   private get repeatable(): boolean {
-    const { kind, resumable } = this.request.route;
-    return kind === 'idempotent' || (kind === 'stream' && resumable && this.reader.position.canContinue);
+    const { route } = this.request;
+    return isRepeatable(route) && (route.kind !== 'stream' || this.reader.position.canContinue);
   }
 
   private async serve(): Promise<void> {
@@ -349,7 +350,7 @@
         }
         return true;
       case 'pass-on':
-        this.answer.deliver(result.answer as WholeAnswer);
+        this.answer.deliver(server, result.answer as WholeAnswer);
         return false;
       default:
         this.answer.fail('attempts-exhausted', NO_SERVER_RETRY_AFTER_MS);
--- a/packages/gateway/src/requests/RunAnswer.ts
+++ b/packages/gateway/src/requests/RunAnswer.ts
@@ -1,9 +1,30 @@
+import type { ServerDescription } from '@bergamotcove/decide';
+import type { Logger } from '@bergamotcove/log';
+import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { Refusal } from '../callers/CallerExchange.js';
 import type { StagesOutcome } from '../stages/runStages.js';
+import isRepeatable from './isRepeatable.js';
 import type RunRecord from './RunRecord.js';
 import type { ForwardEnd } from './RunRecord.js';
-import type { WholeAnswer } from './types.js';
+import type { ForwardRequest, WholeAnswer } from './types.js';
+
+/** The request that is answered, with its state. */
+export interface OpenRun {
+  readonly request: ForwardRequest;
+  readonly exchange: CallerExchange;
+  readonly record: RunRecord;
+}
+
+/** Dependencies of {@link RunAnswer}. */
+export interface AnswerPorts {
+  readonly logger: Logger;
+  readonly metrics: ScrapedMetrics;
+}
+
+/** Statuses by which a caller knows that a request that may run once has not run and will not run. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const BAD_GATEWAY = 502;
 
 /** Refusal reasons by the reason of a stage failure. Others mean servers without capacity: `overloaded`. */
 const REFUSAL_REASONS: Readonly<Partial<Record<string, Refusal['reason']>>> = {
@@ -16,20 +37,35 @@
 export default class RunAnswer {
   ended = false;
 
+  private readonly exchange: CallerExchange;
+
+  private readonly record: RunRecord;
+
   constructor(
-    private readonly exchange: CallerExchange,
-    private readonly record: RunRecord,
+    private readonly run: OpenRun,
+    private readonly ports: AnswerPorts,
     /** Called once, when the request has ended. */
     private readonly onEnded: () => void,
-  ) {}
+  ) {
+    this.exchange = run.exchange;
+    this.record = run.record;
+  }
 
-  /** Sends a complete answer of a server to the caller. */
-  deliver({ head, body }: WholeAnswer): void {
+  /**
+   * Sends a complete answer of a server to the caller. One that promises that the request has not run, while the server
+   * did not state so, is replaced by a failure.
+   */
+  deliver(server: ServerDescription, { head, body }: WholeAnswer): void {
     if (this.exchange.headSent) {
       this.exchange.abort();
       this.end('failed', head.status, 'stream-broken');
       return;
     }
+    if (PROMISE_STATUSES.has(head.status) && !isRepeatable(this.run.request.route)) {
+      this.reportUnproved(server, head.status);
+      this.refuse(BAD_GATEWAY, 'refusal-unproved', 0);
+      return;
+    }
     this.exchange.sendHead(head);
     this.exchange.finish(body);
     this.end('answered', head.status, 'answered');
@@ -61,4 +97,10 @@
       this.onEnded();
     }
   }
+
+  private reportUnproved({ serverId, pool }: ServerDescription, status: number): void {
+    const { logger, metrics } = this.ports;
+    metrics.report('pool.refusals_unproved', 1, { pool, status: String(status) });
+    logger.event('refusalUnproved', { requestId: this.run.request.requestId, serverId, status });
+  }
 }
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -84,6 +84,8 @@
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
   requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
   schedulerLost: 'The scheduler of a region did not answer in time; the next host is asked.',
+  refusalUnproved:
+    'A server answered `status` without stating that it did not run the request, which may run once; the caller gets 502.',
   requestDenied:
     'A request was refused before it was sent to a server; `reason` says what it lacks or why it is refused now.',
   batchOwnerStarted: 'This host now fills the batches of a pool.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -72,6 +72,7 @@
   stageOwnerLost: { id: 2204, level: 'warn' },
   requestDelayed: { id: 2205, level: 'info' },
   schedulerLost: { id: 2206, level: 'warn' },
+  refusalUnproved: { id: 2219, level: 'warn' },
   requestDenied: { id: 2207, level: 'info' },
   batchOwnerStarted: { id: 2301, level: 'info' },
   batchEnded: { id: 2302, level: 'info' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -21,6 +21,12 @@
   'request.rejected': { type: 'counter', unit: '1', tags: ['reason'], text: 'Requests that reached no route.' },
   'pool.attempts': { type: 'counter', unit: '1', tags: ['pool', 'result'], text: 'Attempts on servers of a pool.' },
   'pool.retries_denied': { type: 'counter', unit: '1', tags: ['pool'], text: 'Retries denied by the retry budget.' },
+  'pool.refusals_unproved': {
+    type: 'counter',
+    unit: '1',
+    tags: ['pool', 'status'],
+    text: 'Refusals of servers without the statement that nothing was run; their callers got 502.',
+  },
   'pool.calls': { type: 'counter', unit: '1', tags: ['pool', 'result'], text: 'Calls to stage servers.' },
   'pool.call_duration': { type: 'timing', unit: 'ms', tags: ['pool'], text: 'Time of one call to a stage server.' },
   'pool.pieces': { type: 'counter', unit: '1', tags: ['pool'], text: 'Pieces sent to stage servers.' },
