Refuse a connection only with nothing owed on it, and read no request after it

Callers got 408 for requests that ran: the timer for heads and the parser's errors were answered on the socket, whatever the connection carried, and only the writing side was closed. So a request that came later on a refused connection was forwarded, and an answer meant for half a next request took the place of the answer to the request in flight. After a standstill of the process the timer ran before the sockets were read and refused requests that had come in time. At a drain, an answer with "Connection: close" cut the pipelined request behind it.

A guard now tracks the requests of each connection. An error closes a connection with open requests after their own answers; without any, it is answered, and what comes afterwards is discarded before the parser. Invalid bytes in a body end that request with 400 through its exchange. Only the newest request may close its connection. The limits for heads and idle connections count time in which the process ran, and are judged after the sockets are read. A connection on which nothing has come is idle and is closed without an answer.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -61,8 +61,6 @@
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     readonly arrivedAtMs: number,
-    /** Whether the connection has to be closed after the answer. */
-    private readonly endsConnection: () => boolean,
   ) {
     response.sendDate = false;
     response.on('close', () => this.close());
@@ -142,8 +140,7 @@
 
   private setConnectionHeader(): void {
     // The unread rest of a body would be parsed as the next request.
-    if (this.endsConnection() || !this.request.complete) {
-      this.response.setHeader('Connection', 'close');
+    if (!this.request.complete) {
       this.response.shouldKeepAlive = false;
     }
   }
--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -1,16 +1,23 @@
 import http from 'node:http';
-import type { Socket } from 'node:net';
 import type { CallerLimits } from '@bergamotcove/config';
 import type { Clock } from '@bergamotcove/clock';
-import { listenOnPort, type ListenOptions } from '@bergamotcove/transport';
+import {
+  createConnectionGuard,
+  listenOnPort,
+  type ConnectionGuard,
+  type ConnectionRefusal,
+  type ListenOptions,
+} from '@bergamotcove/transport';
 import CallerExchange, { type StopPhase } from './CallerExchange.js';
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions extends ListenOptions {
   readonly clock: Clock;
   readonly onRequest: (exchange: CallerExchange) => void;
-  /** Called when a message cannot be parsed; it is answered or its connection dropped. */
-  readonly onInvalid: (reason: string) => void;
+  /** Called when a connection is refused as a whole or gets no further request. */
+  readonly onRefused: (refusal: ConnectionRefusal) => void;
+  /** Called when a request comes on a connection that is about to be closed; it is neither run nor answered. */
+  readonly onNotAdmitted: (requests: number, openRequests: number) => void;
 }
 
 /** HTTP server for callers. */
@@ -28,38 +35,27 @@
 
 /** Header limit of the parser. The limit of the route table is checked after parsing. */
 const MAX_HEADER_BYTES = 65_536;
-/** Interval of the check for connections that exceed the header timeout. */
-const TIMEOUT_CHECK_INTERVAL_MS = 500;
-
-const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
+/** Limits until the first route table is known. */
+const FIRST_LIMITS = { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 
 class Server implements CallerServer {
   port = 0;
 
-  private draining = false;
-
   private readonly open = new Set<CallerExchange>();
 
   private maxHeaderBytes = MAX_HEADER_BYTES;
 
   private readonly server: http.Server;
 
+  private readonly guard: ConnectionGuard;
+
   constructor(private readonly options: CallerServerOptions) {
-    this.server = http.createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-        requestTimeout: 0,
-        noDelay: true,
-        keepAliveTimeout: 15_000,
-        headersTimeout: 3_000,
-      },
-      (request, response) => this.accept(request, response),
-    );
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuse(error, socket as Socket));
+    this.server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true });
+    this.guard = createConnectionGuard(this.server, {
+      ...options,
+      limits: FIRST_LIMITS,
+      onRequest: (request, response) => this.accept(request, response),
+    });
   }
 
   async listen(): Promise<this> {
@@ -68,14 +64,12 @@
   }
 
   setLimits(limits: CallerLimits): void {
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
-    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.guard.setLimits(limits);
     this.maxHeaderBytes = limits.maxHeaderBytes;
   }
 
   drain(): void {
-    this.draining = true;
-    this.server.closeIdleConnections();
+    this.guard.drain();
   }
 
   stopOpen(phase: StopPhase): void {
@@ -92,7 +86,7 @@
   }
 
   private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = new CallerExchange(request, response, this.options.clock.monotonicMs(), () => this.draining);
+    const exchange = new CallerExchange(request, response, this.options.clock.monotonicMs());
     this.open.add(exchange);
     response.once('close', () => this.open.delete(exchange));
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? '').length);
@@ -102,16 +96,6 @@
     }
     this.options.onRequest(exchange);
   }
-
-  private refuse(error: NodeJS.ErrnoException, socket: Socket): void {
-    this.options.onInvalid(error.code ?? error.message);
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const status = STATUS_OF_ERROR[error.code ?? ''] ?? '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-  }
 }
 
 /**
--- a/packages/gateway/src/callers/readCallerBody.ts
+++ b/packages/gateway/src/callers/readCallerBody.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'too-slow' }
   /** The memory for the bodies of all requests is used up. */
   | { readonly type: 'no-memory' }
+  /** The rest of the body cannot be parsed. */
+  | { readonly type: 'invalid' }
   /** The caller disconnected before the body was complete. */
   | { readonly type: 'broken' };
 
@@ -26,6 +28,9 @@
   readonly memory: AnswerMemoryShare;
 }
 
+/** Prefix of the codes of errors of the HTTP parser. */
+const PARSER_CODE_PREFIX = 'HPE_';
+
 /**
  * Reads the body of a caller's request.
  *
@@ -76,7 +81,9 @@
       restartIdleTimer();
     });
     request.on('end', () => settle({ type: 'whole', body: collected.read() }));
-    request.on('error', () => settle({ type: 'broken' }));
+    request.on('error', ({ code }: NodeJS.ErrnoException) =>
+      settle({ type: code?.startsWith(PARSER_CODE_PREFIX) === true ? 'invalid' : 'broken' }),
+    );
     request.on('close', () => settle({ type: 'broken' }));
   });
 }
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -146,7 +146,7 @@
     if (read.type === 'broken' || exchange.closed) {
       return;
     }
-    if (facts.requestId === undefined) {
+    if (read.type === 'invalid' || facts.requestId === undefined) {
       this.reject(exchange, facts, { status: 400, reason: 'bad-request' });
       return;
     }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -236,7 +236,7 @@
 };
 
 const startCallers = (
-  { settings, watch, clock, logger }: BaseParts,
+  { settings, watch, clock, logger, metrics }: BaseParts,
   state: { readonly handle: HandleRequest },
 ): Promise<CallerServer> =>
   createCallerServer({
@@ -244,7 +244,12 @@
     ...watch,
     clock,
     onRequest: (exchange) => state.handle(exchange),
-    onInvalid: (reason) => logger.event('callerMessageInvalid', { reason }),
+    onRefused: (refusal) => {
+      const { reason, carried } = refusal;
+      metrics.report('connections.refused', 1, { reason, carried });
+      logger.event('connectionRefused', { ...refusal });
+    },
+    onNotAdmitted: (requests, openRequests) => logger.event('requestNotAdmitted', { requests, openRequests }),
   });
 
 interface SampledParts {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -79,6 +79,12 @@
     tags: [],
     text: 'Parts of prompts that were blocked because servers crashed.',
   },
+  'connections.refused': {
+    type: 'counter',
+    unit: '1',
+    tags: ['reason', 'carried'],
+    text: 'Connections of callers that get no further request, by reason and by what they carried then.',
+  },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a complete answer.' },
   'host.memory_bytes': { type: 'gauge', unit: 'B', tags: [], text: 'Resident memory of the process.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
--- /dev/null
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -0,0 +1,351 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock } from '@bergamotcove/clock';
+
+/** Time limits of a connection that has no request. */
+export interface ConnectionLimits {
+  /** Limit from the first byte of a head to its end. */
+  readonly headerTimeoutMs: number;
+  /** Limit of the time without a byte before the first request and between two requests. */
+  readonly idleTimeoutMs: number;
+}
+
+/** What a connection held when it was refused. */
+export type ConnectionLoad = 'nothing' | 'part-of-head' | 'request';
+
+/** A connection that was refused as a whole, or that gets no further request. */
+export interface ConnectionRefusal {
+  /** Limit that has passed, or the code of the parser. */
+  readonly reason: string;
+  /** Status that was written; none if the open requests are answered instead. */
+  readonly status: number | undefined;
+  readonly carried: ConnectionLoad;
+  readonly requests: number;
+  readonly openRequests: number;
+  /** Bytes since the last request, which are the unfinished head. */
+  readonly headBytes: number;
+  readonly waitedMs: number;
+  /** Whether the process stood still while it waited. */
+  readonly stoodStill: boolean;
+}
+
+/** Options of {@link createConnectionGuard}. */
+export interface ConnectionGuardOptions {
+  readonly clock: Clock;
+  readonly limits: ConnectionLimits;
+  readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly onRefused?: (refusal: ConnectionRefusal) => void;
+  /** Called when a request comes on a connection that is about to be closed; it is neither run nor answered. */
+  readonly onNotAdmitted?: (requests: number, openRequests: number) => void;
+}
+
+/** Decides which requests of a connection are admitted, and when the connection is closed. */
+export interface ConnectionGuard {
+  setLimits(limits: ConnectionLimits): void;
+  /** Closes idle connections once what has come on them is read, and every other one after its last answer. */
+  drain(): void;
+}
+
+type Phase = 'idle' | 'head' | 'request' | 'ending';
+
+interface Connection {
+  readonly socket: Socket;
+  readonly open: Set<ServerResponse>;
+  requests: number;
+  /** Answer to the newest request, until it is sent. */
+  newest: ServerResponse | undefined;
+  /** Bytes up to the end of the newest request, as far as they had come then. */
+  requestBytes: number;
+  /** Whether no further request is admitted. */
+  closing: boolean;
+  phase: Phase | undefined;
+  phaseBeganMs: number;
+}
+
+const MIN_INTERVAL_MS = 25;
+const MAX_INTERVAL_MS = 500;
+const INTERVALS_PER_LIMIT = 4;
+/** An answer is lost if its connection is closed while bytes of the client arrive. */
+const LINGER_MS = 500;
+/** Clients may send an empty line after a request. */
+const EMPTY_LINE_BYTES = 2;
+
+const BAD_REQUEST = '400 Bad Request';
+const HEAD_TIMEOUT = '408 Request Timeout';
+const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: HEAD_TIMEOUT,
+};
+
+const headBytesOf = ({ socket, requestBytes }: Connection): number => Math.max(0, socket.bytesRead - requestBytes);
+
+const findPhase = (connection: Connection): Phase => {
+  const { socket, open, newest, closing } = connection;
+  if (closing) {
+    return open.size > 0 ? 'request' : 'ending';
+  }
+  // A head cannot arrive while the socket is paused because answers wait to be sent.
+  if (newest?.req.complete === false || socket.isPaused()) {
+    return 'request';
+  }
+  if (headBytesOf(connection) > EMPTY_LINE_BYTES) {
+    return 'head';
+  }
+  return open.size > 0 ? 'request' : 'idle';
+};
+
+/** Has an answer close its connection, unless another request of the connection comes before its head is sent. */
+const endAfter = (response: ServerResponse | undefined): void => {
+  if (response?.headersSent === false) {
+    response.shouldKeepAlive = false;
+  }
+};
+
+/** Reads and ignores what still arrives, so that it reaches neither the parser nor the client as a reset. */
+const discardInput = (socket: Socket): void => {
+  socket.removeAllListeners('data');
+  socket.on('data', () => undefined);
+  socket.resume();
+};
+
+class Guard implements ConnectionGuard {
+  private readonly connections = new Map<Socket, Connection>();
+
+  private limits: ConnectionLimits;
+
+  private draining = false;
+
+  /** Time for which the process ran, as of the last tick; a standstill counts as one interval. */
+  private ranMs = 0;
+
+  private tickedAtMs = 0;
+
+  private ticking = false;
+
+  private tickIsLate = false;
+
+  /** Value of `ranMs` at the end of the last standstill. */
+  private stoodStillMs = -1;
+
+  constructor(
+    private readonly server: Server,
+    private readonly options: ConnectionGuardOptions,
+  ) {
+    this.limits = options.limits;
+    const { onRequest } = options;
+    server.on('connection', (socket: Socket) => this.add(socket));
+    server.on('request', (request, response) => this.admit(request, response, onRequest));
+    server.on('checkContinue', (request, response) =>
+      this.admit(request, response, () => {
+        response.writeContinue();
+        onRequest(request, response);
+      }),
+    );
+    server.on('checkExpectation', (request, response) =>
+      this.admit(request, response, () => response.writeHead(417).end()),
+    );
+    server.on('clientError', (error, socket) => this.handleError(error, socket as Socket));
+    // Without a listener, the server destroys connections at its keep-alive timeout.
+    server.on('timeout', () => undefined);
+    this.setLimits(options.limits);
+  }
+
+  setLimits(limits: ConnectionLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = 0;
+  }
+
+  drain(): void {
+    this.draining = true;
+    this.connections.forEach(({ newest }) => endAfter(newest));
+    // A request may wait unread, so the sockets are read first.
+    setImmediate(() => this.server.closeIdleConnections());
+  }
+
+  private get intervalMs(): number {
+    const { headerTimeoutMs, idleTimeoutMs } = this.limits;
+    const wantedMs = Math.min(headerTimeoutMs, idleTimeoutMs) / INTERVALS_PER_LIMIT;
+    return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, wantedMs));
+  }
+
+  private add(socket: Socket): void {
+    const connection: Connection = {
+      socket,
+      open: new Set(),
+      requests: 0,
+      newest: undefined,
+      requestBytes: 0,
+      closing: false,
+      phase: undefined,
+      phaseBeganMs: 0,
+    };
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
+    if (!this.ticking) {
+      this.ticking = true;
+      this.tickedAtMs = this.options.clock.monotonicMs();
+      this.scheduleTick();
+    }
+  }
+
+  private admit(request: IncomingMessage, response: ServerResponse, run: ConnectionGuardOptions['onRequest']): void {
+    const connection = this.connections.get(request.socket);
+    if (connection === undefined) {
+      return;
+    }
+    const { newest, open } = connection;
+    if (connection.closing || (newest?.headersSent === true && !newest.shouldKeepAlive)) {
+      connection.closing = true;
+      request.resume();
+      this.options.onNotAdmitted?.(connection.requests, open.size);
+      return;
+    }
+    if (newest?.headersSent === false) {
+      // Only the answer to the last request may close the connection.
+      newest.shouldKeepAlive = true;
+    }
+    connection.requests += 1;
+    connection.newest = response;
+    connection.requestBytes = request.socket.bytesRead;
+    connection.phase = undefined;
+    open.add(response);
+    request.once('end', () => {
+      if (connection.newest === response) {
+        connection.requestBytes = request.socket.bytesRead;
+      }
+    });
+    response.once('close', () => this.release(connection, response));
+    if (this.draining) {
+      endAfter(response);
+    }
+    run(request, response);
+  }
+
+  private release(connection: Connection, response: ServerResponse): void {
+    const one = connection;
+    one.open.delete(response);
+    if (one.newest === response) {
+      one.newest = undefined;
+    }
+    if (one.open.size === 0 && (this.draining || one.closing)) {
+      one.closing = true;
+      one.socket.end();
+      discardInput(one.socket);
+    }
+  }
+
+  private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || error.code === 'ECONNRESET' || socket.destroyed) {
+      socket.destroy();
+    } else if (!connection.closing && socket.writable) {
+      this.refuse(connection, error.code ?? error.message, STATUS_OF_ERROR[error.code ?? ''] ?? BAD_REQUEST);
+      const { newest } = connection;
+      if (newest?.req.complete === false && newest.req.listenerCount('error') > 0) {
+        newest.req.emit('error', error);
+      }
+    }
+  }
+
+  /** Admits no further request, and writes an answer only if no other one is owed on the connection. */
+  private refuse(connection: Connection, reason: string, answer: string): void {
+    const { socket, open, newest } = connection;
+    const isOwned = open.size > 0;
+    this.report(connection, reason, isOwned ? undefined : Number.parseInt(answer, 10));
+    Object.assign(connection, { closing: true });
+    if (isOwned) {
+      endAfter(newest);
+    } else {
+      socket.end(`HTTP/1.1 ${answer}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+    discardInput(socket);
+  }
+
+  private report(connection: Connection, reason: string, status: number | undefined): void {
+    const { open, newest, requests, phase, phaseBeganMs } = connection;
+    const headBytes = newest?.req.complete === false ? 0 : headBytesOf(connection);
+    const partial = headBytes > 0 ? 'part-of-head' : 'nothing';
+    this.options.onRefused?.({
+      reason,
+      status,
+      carried: open.size > 0 ? 'request' : partial,
+      requests,
+      openRequests: open.size,
+      headBytes,
+      waitedMs: phase === undefined ? 0 : Math.round(this.ranMs - phaseBeganMs),
+      stoodStill: phase !== undefined && this.stoodStillMs > phaseBeganMs,
+    });
+  }
+
+  private scheduleTick(): void {
+    const { intervalMs } = this;
+    this.options.clock.schedule(intervalMs, () => this.tick(intervalMs));
+  }
+
+  private tick(intervalMs: number): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const elapsedMs = nowMs - this.tickedAtMs;
+    const wasLate = this.tickIsLate;
+    this.tickedAtMs = nowMs;
+    this.ranMs += Math.min(elapsedMs, intervalMs);
+    this.tickIsLate = elapsedMs >= 2 * intervalMs;
+    if (this.tickIsLate) {
+      this.stoodStillMs = this.ranMs;
+    }
+    const over = [...this.connections.values()].filter((connection) => this.isOver(connection));
+    if (!this.tickIsLate || wasLate) {
+      // Timers run before sockets are read, so a request that has come in time may not be parsed yet.
+      setImmediate(() => over.filter((connection) => this.isOver(connection)).forEach((one) => this.end(one)));
+    }
+    this.ticking = this.connections.size > 0;
+    if (this.ticking) {
+      this.scheduleTick();
+    }
+  }
+
+  /** Updates the phase of a connection and tells whether it has exceeded its limit. */
+  private isOver(connection: Connection): boolean {
+    const one = connection;
+    const phase = findPhase(one);
+    if (one.phase !== phase) {
+      one.phase = phase;
+      one.phaseBeganMs = this.ranMs;
+    }
+    const limitsMs: Readonly<Record<Phase, number>> = {
+      idle: this.limits.idleTimeoutMs,
+      head: this.limits.headerTimeoutMs,
+      request: Infinity,
+      ending: LINGER_MS,
+    };
+    return this.ranMs - one.phaseBeganMs >= limitsMs[phase];
+  }
+
+  private end(connection: Connection): void {
+    const { socket, phase, requests } = connection;
+    if (socket.destroyed) {
+      return;
+    }
+    if (phase === 'head') {
+      this.refuse(connection, 'head-timeout', HEAD_TIMEOUT);
+      return;
+    }
+    if (phase === 'idle' && requests === 0) {
+      this.report(connection, 'no-request', undefined);
+    }
+    socket.destroy();
+  }
+}
+
+/**
+ * Guards the connections of an HTTP server, whose listeners for requests and client errors it replaces. A connection
+ * with an open request gets no other answer than the ones to its requests, and on one that was refused as a whole no
+ * request is read. Time in which the process stood still counts towards no limit.
+ *
+ * @param server - server without listeners of its own
+ * @param options - clock, limits and callbacks
+ * @returns the guard, which needs no close: its timer ends with the last connection
+ */
+export default function createConnectionGuard(server: Server, options: ConnectionGuardOptions): ConnectionGuard {
+  return new Guard(server, options);
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -3,6 +3,8 @@
 export type { TransportErrorCode } from './TransportError.js';
 export { default as createHttpClient } from './createHttpClient.js';
 export type { HttpClient, HttpRequest, HttpResponse, Target } from './createHttpClient.js';
+export { default as createConnectionGuard } from './createConnectionGuard.js';
+export type { ConnectionGuard, ConnectionLimits, ConnectionRefusal } from './createConnectionGuard.js';
 export { default as createHttpServer, sendJson } from './createHttpServer.js';
 export type { HttpExchange, HttpHandler, HttpServer, HttpServerOptions } from './createHttpServer.js';
 export { default as formatStreamEvent } from './formatStreamEvent.js';
