Forward no request that the end of a stop has refused

A request whose body or stream record is awaited when a stop ends is refused with 503. Its exchange counted as open until the response's close event, which comes long after when the answer waits behind an earlier pipelined one. The handler went on when the wait ended, and forwarded the request: it ran after the promise that it never would, if the stop ended within 2.8 s (a grace period of 3.2 s or less). Otherwise it was refused a second time, which destroyed the connection and with it the answers before.

`isOpen` now becomes false with the answer itself: in refuse, finish and abort. The handler checks it after each wait, and an attempt before it is sent. A second answer on the same exchange does nothing.

The tests were red before: with a grace period of 3 s a server got the third of three pipelined requests ('r1', 'r2', 'r3' seen) after its refusal; requests whose body, or whose record, came after the end of the stop were accepted.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -52,8 +52,11 @@
 
 /** One request of a caller and its answer. */
 export default class CallerExchange {
-  /** Whether the connection was closed, or the answer was sent or aborted. */
-  closed = false;
+  /**
+   * Whether the request still needs an answer. False as soon as the answer is complete, although its connection may stay
+   * open for long behind an earlier answer, and once it was aborted or the connection closed.
+   */
+  isOpen = true;
 
   private readonly disconnectListeners: (() => void)[] = [];
 
@@ -84,7 +87,7 @@
 
   /** Tells an open request that this host stops; one whose answer is complete is left to be sent. */
   stop(phase: StopPhase): void {
-    if (this.closed || this.response.writableEnded) {
+    if (!this.isOpen) {
       return;
     }
     if (this.stopListener !== undefined) {
@@ -100,8 +103,10 @@
   }
 
   sendHead(head: AnswerHead): void {
-    this.setConnectionHeader();
-    this.response.writeHead(head.status, [...head.headers]);
+    if (this.isOpen) {
+      this.setConnectionHeader();
+      this.response.writeHead(head.status, [...head.headers]);
+    }
   }
 
   /** Sends a chunk of the body. False when the write buffer is full; then wait for the drain event. */
@@ -114,19 +119,25 @@
   }
 
   finish(chunk?: Uint8Array): void {
-    this.disconnectListeners.length = 0;
-    this.response.end(chunk);
+    if (this.isOpen) {
+      this.isOpen = false;
+      this.disconnectListeners.length = 0;
+      this.response.end(chunk);
+    }
   }
 
-  /** Destroys the connection, so that the caller cannot take the answer for complete. */
+  /** Destroys the connection, so that the caller cannot take an answer that is not complete for complete. */
   abort(): void {
-    this.disconnectListeners.length = 0;
-    this.closed = true;
-    this.response.destroy();
+    if (this.isOpen) {
+      this.isOpen = false;
+      this.disconnectListeners.length = 0;
+      this.response.destroy();
+    }
   }
 
+  /** Answers the request unless it was answered; breaks off an answer that has begun. */
   refuse(refusal: Refusal): void {
-    if (this.closed || this.headSent) {
+    if (!this.isOpen || this.headSent) {
       this.abort();
       return;
     }
@@ -151,7 +162,7 @@
   }
 
   private close(): void {
-    this.closed = true;
+    this.isOpen = false;
     this.disconnectListeners.splice(0).forEach((run) => run());
   }
 }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -265,7 +265,7 @@
         sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
-      maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
+      maySend: () => this.exchange.isOpen && !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
     });
     this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
     if (this.isAnswering) {
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -131,6 +131,10 @@
       totalMs,
       memory,
     });
+    // The end of a stop refuses a request whose body is still awaited.
+    if (read.type === 'broken' || !exchange.isOpen) {
+      return;
+    }
     if (read.type === 'no-memory') {
       this.reject(exchange, facts, { status: 503, reason: 'overloaded', retryAfterMs: NO_MEMORY_RETRY_AFTER_MS });
       return;
@@ -143,9 +147,6 @@
       this.reject(exchange, facts, { status: 408, reason: 'body-too-slow' });
       return;
     }
-    if (read.type === 'broken' || exchange.closed) {
-      return;
-    }
     if (facts.requestId === undefined) {
       this.reject(exchange, facts, { status: 400, reason: 'bad-request' });
       return;
@@ -158,11 +159,11 @@
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
     const takenUp = await this.findTakenUp(route, facts);
-    if (takenUp.type === 'refused') {
-      this.reject(exchange, facts, takenUp.refusal);
+    if (!exchange.isOpen) {
       return;
     }
-    if (exchange.closed) {
+    if (takenUp.type === 'refused') {
+      this.reject(exchange, facts, takenUp.refusal);
       return;
     }
     const sizeTokens = measureSize(facts);
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -97,7 +97,7 @@
       return;
     }
     const { bytes, events } = batch;
-    if (bytes === undefined || this.exchange.closed) {
+    if (bytes === undefined || !this.exchange.isOpen) {
       return;
     }
     this.hasEvents = true;
