Let RunAnswer alone choose between the promise and a failure

The status of a refusal was chosen by its callers, each from another condition: the runs, the attempt in flight, both, or none. No path was found by which one of them promised wrongly, but each new caller could.

RunRecord now knows whether the request may have run: an attempt in flight, or a run noted. RunAnswer.refuse writes 503 only if it may not, otherwise 504 for timeouts and the stop of the host and 502 for all else, as before.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -102,9 +102,6 @@
   /** Monotonic time at which the scheduler expects the answer to begin. */
   private expectedAtMs = -Infinity;
 
-  /** Whether an attempt has been sent and has not ended; it may have run. */
-  private attemptInFlight = false;
-
   /** Whether the server has begun to answer the current attempt. */
   private isAnswering = false;
 
@@ -187,7 +184,7 @@
     this.entryRequested = true;
     const entry = await this.reservation.enter();
     if (entry.type === 'refused') {
-      this.answer.refuse(503, 'overloaded', entry.retryAfterMs);
+      this.answer.refuse('overloaded', entry.retryAfterMs);
     } else {
       this.record.noteEntry(entry);
       this.expectedAtMs = this.ports.clock.monotonicMs() + (entry.expectedInMs ?? 0);
@@ -198,13 +195,13 @@
 
   /** Refuses a request that is expected to reach a server only when this host has stopped. */
   private refuseBeyondDrain(): void {
-    if (!this.mayHaveRun && this.expectedAtMs > (this.ports.drain()?.endsAtMs ?? Infinity)) {
+    if (!this.record.mayHaveRun && this.expectedAtMs > (this.ports.drain()?.endsAtMs ?? Infinity)) {
       this.refuseStopping();
     }
   }
 
   private refuseStopping(): void {
-    this.answer.refuse(this.mayHaveRun ? 504 : 503, 'stopping', STOPPING_RETRY_AFTER_MS);
+    this.answer.refuse('stopping', STOPPING_RETRY_AFTER_MS);
   }
 
   /** Runs the stages unless their results exist. False when the request has ended. */
@@ -261,7 +258,7 @@
       signal: AbortSignal.any([this.abort.signal, idleTimeout.signal]),
       freshConnection,
       onSending: () => {
-        this.attemptInFlight = true;
+        this.record.noteSending();
         sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
@@ -273,7 +270,7 @@
     }
     const result = await this.reader.read(server, opened, { idleTimeout, onOutput: tracked.noteOutput, sentAtMs });
     idleTimeout.close();
-    this.attemptInFlight = false;
+    this.record.noteAttemptEnd();
     this.isAnswering = false;
     this.reservation.noteAttemptEnd(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
     const timedOut = idleTimeout.expired;
@@ -315,7 +312,7 @@
   private handleAttemptEnd(server: ServerView, result: EndedAttempt): boolean {
     const { clock, pools, spendRetry } = this.ports;
     if (result.unrecorded === true) {
-      this.answer.fail('origin-unrecorded', NO_SERVER_RETRY_AFTER_MS);
+      this.answer.refuse('origin-unrecorded', NO_SERVER_RETRY_AFTER_MS);
       return false;
     }
     const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
@@ -353,23 +350,18 @@
         this.answer.deliver(server, result.answer as WholeAnswer);
         return false;
       default:
-        this.answer.fail('attempts-exhausted', NO_SERVER_RETRY_AFTER_MS);
+        this.answer.refuse('attempts-exhausted', NO_SERVER_RETRY_AFTER_MS);
         return false;
     }
   }
 
-  /** Whether a server may have begun to run the request. */
-  private get mayHaveRun(): boolean {
-    return this.attemptInFlight || this.record.runs > 0;
-  }
-
   /**
    * Answers the request because this host stops. One that ends by its own deadline is left until the end; a stream that
    * waits for a server is broken off, so that its caller takes it up at another host.
    */
   private stop(phase: StopPhase): void {
     const endsAtMs = this.ports.drain()?.endsAtMs ?? Infinity;
-    const isWaiting = !this.attemptInFlight && this.request.deadlineAtMs > endsAtMs;
+    const isWaiting = !this.record.isInFlight && this.request.deadlineAtMs > endsAtMs;
     switch (phase) {
       case 'begin':
         this.refuseBeyondDrain();
@@ -385,7 +377,7 @@
   }
 
   private expire(): void {
-    this.answer.refuse(this.mayHaveRun ? 504 : 503, 'timed-out', TIMED_OUT_RETRY_AFTER_MS);
+    this.answer.refuse('timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
 
   /** Refuses a request that is blocked, or has a blocked part in its prompt, unless its answer is already arriving. */
@@ -393,7 +385,7 @@
     const block = this.ports.crashes.findBlock(this.request);
     if (block !== undefined && !this.isAnswering && !this.answer.ended) {
       this.record.noteBlock(block.key);
-      this.answer.refuse(this.mayHaveRun ? 502 : 503, 'poisoned', block.remainingMs);
+      this.answer.refuse('poisoned', block.remainingMs);
     }
   }
 }
--- a/packages/gateway/src/requests/RunAnswer.ts
+++ b/packages/gateway/src/requests/RunAnswer.ts
@@ -24,7 +24,12 @@
 
 /** Statuses by which a caller knows that a request that may run once has not run and will not run. */
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Promises that the request has not run. Nothing but {@link RunAnswer.refuse} writes it once a request is forwarded. */
+const UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
+const GATEWAY_TIMEOUT = 504;
+
+const TIMEOUT_REASONS: ReadonlySet<Refusal['reason']> = new Set(['timed-out', 'stopping']);
 
 /** Refusal reasons by the reason of a stage failure. Others mean servers without capacity: `overloaded`. */
 const REFUSAL_REASONS: Readonly<Partial<Record<string, Refusal['reason']>>> = {
@@ -63,7 +68,7 @@
     }
     if (PROMISE_STATUSES.has(head.status) && !isRepeatable(this.run.request.route)) {
       this.reportUnproved(server, head.status);
-      this.refuse(BAD_GATEWAY, 'refusal-unproved', 0);
+      this.refuse('refusal-unproved', 0);
       return;
     }
     this.exchange.sendHead(head);
@@ -71,23 +76,24 @@
     this.end('answered', head.status, 'answered');
   }
 
-  /** Ends a request that got no answer from a server: status 502 when it may have run, otherwise 503. */
-  fail(reason: Refusal['reason'], retryAfterMs: number): void {
-    this.refuse(this.record.runs > 0 ? 502 : 503, reason, retryAfterMs);
-  }
-
   /** Ends a request whose stages failed. */
   failStages({ reason, retryAfterMs }: Extract<StagesOutcome, { type: 'failed' }>): void {
-    this.fail(REFUSAL_REASONS[reason] ?? 'overloaded', retryAfterMs);
+    this.refuse(REFUSAL_REASONS[reason] ?? 'overloaded', retryAfterMs);
   }
 
-  refuse(status: number, reason: Refusal['reason'], retryAfterMs: number): void {
+  /**
+   * Ends a request that gets no answer of a server: with status 503 when no server can have run it, and none will, or
+   * with 502 or 504.
+   */
+  refuse(reason: Refusal['reason'], retryAfterMs: number): void {
     if (this.ended) {
       return;
     }
     const { headSent } = this.exchange;
-    this.exchange.refuse({ status, reason, ...(status === 503 ? { retryAfterMs } : {}) });
-    this.end(headSent || status !== 503 ? 'failed' : 'refused', status, reason);
+    const failure = TIMEOUT_REASONS.has(reason) ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    const status = this.record.mayHaveRun ? failure : UNAVAILABLE;
+    this.exchange.refuse({ status, reason, ...(status === UNAVAILABLE ? { retryAfterMs } : {}) });
+    this.end(headSent || status !== UNAVAILABLE ? 'failed' : 'refused', status, reason);
   }
 
   end(outcome: ForwardEnd['outcome'], status: number, reason: string): void {
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -38,6 +38,9 @@
 export default class RunRecord {
   runs = 0;
 
+  /** Whether an attempt has been sent and has not ended. */
+  isInFlight = false;
+
   private readonly serverIds: string[] = [];
 
   private readonly softwareVersions: string[] = [];
@@ -108,10 +111,24 @@
     serverIds.forEach((serverId) => this.limitedServerIds.add(serverId));
   }
 
+  /** Whether a server may have begun to run the request. */
+  get mayHaveRun(): boolean {
+    return this.isInFlight || this.runs > 0;
+  }
+
+  noteSending(): void {
+    this.isInFlight = true;
+  }
+
   noteRun(mayHaveRun: boolean): void {
     this.runs += mayHaveRun ? 1 : 0;
   }
 
+  /** Ends the attempt in flight; whether it may have run is noted before. */
+  noteAttemptEnd(): void {
+    this.isInFlight = false;
+  }
+
   noteFirstByte(): void {
     this.firstByteMs ??= this.elapsedMs();
   }
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -114,7 +114,7 @@
       ...(mayWait ? others.filter((server) => server !== preferred && limits.isLimited(server.serverId)) : []),
     ];
     if (candidates.length === 0) {
-      answer.fail('no-server', directory.readBackoffRemainingMs(pool) ?? NO_SERVER_RETRY_AFTER_MS);
+      answer.refuse('no-server', directory.readBackoffRemainingMs(pool) ?? NO_SERVER_RETRY_AFTER_MS);
       return undefined;
     }
     const serverIds = candidates.map(({ serverId }) => serverId);
@@ -140,7 +140,7 @@
     const { clock } = this.ports;
     const waitMs = Math.max(0, atMs - clock.monotonicMs());
     if (waitMs > this.readMaxWaitMs()) {
-      answer.fail('limited', waitMs);
+      answer.refuse('limited', waitMs);
       return undefined;
     }
     await new Promise<void>((resolve) => {
