End pipelined requests whose turn has not come when their caller leaves

Node reports the close of a connection only to the response that is being sent. The exchanges of requests behind it stayed open for ever: they kept running, counted in host.open_requests and held up the drain until its end. The guard now reports the close to every open response of the connection.

Evidence: the test failed before with 1 open request after the caller of two had left.

--- a/packages/gateway/src/callers/connectionGuard.test.ts
+++ b/packages/gateway/src/callers/connectionGuard.test.ts
@@ -243,3 +243,13 @@
     await wait(100);
     assert.match(client.received(), /^[^]*\/aHTTP\/1\.1 200 [^]*Connection: close[^]*\/b$/);
   }));
+
+test('a client that leaves ends all its pipelined requests, also the ones whose turn to be answered has not come', () =>
+  withServer(async ({ connect, server }) => {
+    const client = await connect();
+    client.socket.write(get('/late/1') + get('/late/2'));
+    await wait(100);
+    client.socket.destroy();
+    await wait(100);
+    assert.equal(server.openRequests(), 0);
+  }));
--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -181,7 +181,11 @@
       phaseBeganMs: 0,
     };
     this.connections.set(socket, connection);
-    socket.once('close', () => this.connections.delete(socket));
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      // The server reports this only to the answer that is being sent, not to the ones that wait behind it.
+      process.nextTick(() => [...connection.open].forEach((response) => response.emit('close')));
+    });
     if (!this.ticking) {
       this.ticking = true;
       this.tickedAtMs = this.options.clock.monotonicMs();
