Guard the connections of hosts' own HTTP servers as those for callers

Callers and peers of an entry host got the 400 or 408 of Node's default error handling in place of the answer to their request in flight, and a request that waited unread when the server closed lost its connection. createHttpServer now uses the connection guard with Node's default limits; invalid bytes in a body are answered with 400 behind the answers that are owed before.

Evidence: the three tests fail on the code before, with "400 Bad Request" as the only bytes received in two, and one answer instead of two at the close.

--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -249,6 +249,7 @@
     address: base.settings.host.address,
     port,
     onError: (error) => base.logger.event('processFailed', { error: error.message }),
+    onRefused: (refusal) => base.logger.event('connectionRefused', { ...refusal, port }),
   });
 
 interface StopParts {
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -81,7 +81,7 @@
     'An event of a server does not follow the last one that the caller has; it is not passed on, and the attempt ends.',
   streamOriginAgreed: 'Streams of a route that are not recorded began at this pool and software version from now on.',
   connectionRefused:
-    'A connection of a caller gets no further request; `status` was written to it, or its open requests are answered.',
+    'A connection gets no further request; `status` was written to it, or its open requests are answered.',
   requestNotAdmitted: 'A request came on a connection that is about to be closed; it is neither run nor answered.',
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
   requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
--- a/packages/transport/src/createHttpServer.ts
+++ b/packages/transport/src/createHttpServer.ts
@@ -1,6 +1,9 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { createSystemClock } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
+import createConnectionGuard, { type ConnectionRefusal } from './createConnectionGuard.js';
+import TransportError from './TransportError.js';
 
 /** One request and its response, with the parsed path and query. */
 export interface HttpExchange {
@@ -19,6 +22,7 @@
   /** Zero selects a free port. */
   readonly port: number;
   readonly onError: (error: Error) => void;
+  readonly onRefused?: (refusal: ConnectionRefusal) => void;
 }
 
 /** A listening HTTP server. */
@@ -30,6 +34,8 @@
   abort(): void;
 }
 
+const LIMITS = { headerTimeoutMs: 60_000, idleTimeoutMs: 5_000 };
+
 /** Sends a response with a JSON body. */
 export const sendJson = (
   response: ServerResponse,
@@ -56,21 +62,26 @@
  * const server = await createHttpServer(handle, { address: '127.0.0.1', port: 0, onError });
  */
 export default function createHttpServer(handler: HttpHandler, options: HttpServerOptions): Promise<HttpServer> {
-  const server = http.createServer((request, response) => {
+  const server = http.createServer();
+  const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
     const url = new URL(request.url ?? '/', 'http://host');
     handler({ request, response, path: url.pathname, query: url.searchParams }).catch((cause: unknown) => {
       options.onError(toError(cause));
-      if (!response.headersSent) {
-        sendJson(response, 500, { error: 'internal error' });
-      } else {
+      if (response.headersSent) {
         response.destroy();
+      } else if (!request.complete && cause instanceof TransportError && cause.code === 'connection-lost') {
+        sendJson(response, 400, { error: 'invalid body' });
+      } else {
+        sendJson(response, 500, { error: 'internal error' });
       }
     });
-  });
+  };
+  const guard = createConnectionGuard(server, { ...options, clock: createSystemClock(), limits: LIMITS, onRequest });
   const close = (): Promise<void> =>
     new Promise((resolve) => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
+      guard.drain();
+      // The server closes idle connections at once, so it is closed after the sockets are read.
+      setImmediate(() => server.close(() => resolve()));
     });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
