Judge the pause of a body only after what has come is read

A caller whose body had come in time got 408 after a standstill of the process over the idle limit, because the timer ran before the socket was read. The timer is now judged after the sockets are read; the deadline of the request stays hard.

--- a/packages/gateway/src/callers/connectionGuard.test.ts
+++ b/packages/gateway/src/callers/connectionGuard.test.ts
@@ -125,6 +125,17 @@
     assert.deepEqual(statusesOf(client), ['200']);
   }));
 
+test('a body whose rest waits unread after a standstill over its idle limit is read', () =>
+  withServer(async ({ connect, run }) => {
+    const client = await connect();
+    client.socket.write(`${get('/a', 'Content-Length: 2\r\n').replace('GET', 'POST')}x`);
+    await wait(100);
+    client.socket.write('x');
+    standStill(1_800);
+    await wait(300);
+    assert.deepEqual([statusesOf(client), run], [['200'], ['/a']]);
+  }));
+
 test('a connection that is silent for longer than the limit for heads is served, and closed at the idle limit', () =>
   withServer(async ({ connect, refusals }) => {
     const [client, silent] = [await connect(), await connect()];
--- a/packages/gateway/src/callers/readCallerBody.ts
+++ b/packages/gateway/src/callers/readCallerBody.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock, Timer } from '@bergamotcove/clock';
-import { createByteCollector } from '@bergamotcove/transport';
+import { createByteCollector, scheduleAfterReading } from '@bergamotcove/transport';
 import type { AnswerMemoryShare } from '../servers/createAnswerMemory.js';
 
 /** Result of reading the body of a request. */
@@ -64,7 +64,7 @@
     };
     const restartIdleTimer = (): void => {
       idleTimer?.close();
-      idleTimer = clock.schedule(idleMs, () => stopReading('too-slow'));
+      idleTimer = scheduleAfterReading(clock, idleMs, () => stopReading('too-slow'));
     };
     totalTimer = clock.schedule(Math.max(0, totalMs), () => stopReading('too-slow'));
     restartIdleTimer();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -23,6 +23,7 @@
 export type { PeerKey } from './peers/createKeyring.js';
 export { default as createDatagramSocket } from './datagrams/createDatagramSocket.js';
 export type { DatagramHandler, DatagramSocket, DatagramSocketOptions } from './datagrams/createDatagramSocket.js';
+export { default as scheduleAfterReading } from './scheduleAfterReading.js';
 export { default as retryStart } from './retryStart.js';
 export { default as listenOnPort } from './listenOnPort.js';
 export type { ListenOptions, PortWatch } from './listenOnPort.js';
