Take no stream up at the agreed origin that began before it could be resumed

A stream of a route that may not be resumed is not recorded. When the route became resumable, hosts agreed at once on the version with the most servers, and took such a stream for one of that version: its caller got v1,v1,v2,v2.

A route of streams that may not be resumed now has an empty agreed origin in the store, written when the routes change. When the route becomes resumable, the empty origin is replaced like one without servers: after the life of a stream. Until then all streams of the route that begin are recorded, and those without a record are refused when they are taken up. Hosts of earlier versions match no server with the empty origin, so they record and refuse too. The life of a stream counts the timeouts of all routes of streams.

--- a/packages/decide/src/streams/planAgreement.test.ts
+++ b/packages/decide/src/streams/planAgreement.test.ts
@@ -60,3 +60,14 @@
   const later = { agreed, routes: [], unservedSinceMs: first.unservedSinceMs, nowMs: LIFE_MS };
   assert.equal(planAgreement(viewOf(['v1'], later)).agreed.size, 0);
 });
+
+test('a route whose streams could not be resumed agrees on an origin only after the life of a stream', () => {
+  const before = planAgreement(viewOf(['v1'], { agreed: new Map([['chat', V1]]), unresumableRoutes: ['chat'] }));
+  assert.notDeepEqual(before.agreed.get('chat'), V1);
+  const { agreed } = before;
+  assert.equal(planAgreement(viewOf(['v1'], { agreed, unresumableRoutes: ['chat'], nowMs: LIFE_MS })).agreed, agreed);
+  const first = planAgreement(viewOf(['v2'], { agreed }));
+  assert.equal(first.agreed, agreed);
+  const later = { agreed, unservedSinceMs: first.unservedSinceMs, nowMs: LIFE_MS };
+  assert.deepEqual(planAgreement(viewOf(['v2'], later)).agreed.get('chat'), V2);
+});
--- a/packages/decide/src/streams/planAgreement.ts
+++ b/packages/decide/src/streams/planAgreement.ts
@@ -9,6 +9,8 @@
   /** Agreed origins as the store holds them. */
   readonly agreed: AgreedOrigins;
   readonly routes: readonly ResumableRoute[];
+  /** Routes of streams that may not be resumed now; none of those streams is recorded. */
+  readonly unresumableRoutes?: readonly string[];
   /** Versions of the live servers of a pool, one for each server. */
   readonly versionsOf: (pool: string) => readonly string[];
   readonly unservedSinceMs: UnservedSinceMs;
@@ -24,6 +26,9 @@
   readonly unservedSinceMs: UnservedSinceMs;
 }
 
+/** Agreed origin of a route whose streams without a record may have begun anywhere. */
+const NO_ORIGIN: StreamOrigin = { pool: '', softwareVersion: '' };
+
 /** Lists the origins at which streams of a route can begin, those with the most servers first. */
 const listOrigins = (route: ResumableRoute, versionsOf: AgreementView['versionsOf']): readonly StreamOrigin[] =>
   route.pools
@@ -39,14 +44,16 @@
 
 /**
  * Plans the agreed origins of all routes. A route without one gets an origin that another route has agreed on, else
- * the one with the most servers: all of its streams were recorded until then. An agreed origin is replaced, or dropped with its route, once no stream can have begun there
- * for the life of a stream; otherwise a stream without a record would be taken for one of the new origin.
+ * the one with the most servers: all of its streams were recorded until then. An agreed origin is replaced, or dropped
+ * with its route, once no stream can have begun there for the life of a stream; otherwise a stream without a record would
+ * be taken for one of the new origin. A route whose streams may not be resumed has an empty agreed origin, which is
+ * replaced in the same way when they may be.
  *
  * @param view - agreed origins, routes, servers and state
  * @returns the next agreed origins and state
  */
 export default function planAgreement(view: AgreementView): AgreementPlan {
-  const { agreed, routes, versionsOf, streamLifeMs, nowMs } = view;
+  const { agreed, routes, unresumableRoutes = [], versionsOf, streamLifeMs, nowMs } = view;
   const unservedSinceMs = new Map<string, number>();
   const originsByRoute = new Map(routes.map((route) => [route.name, listOrigins(route, versionsOf)]));
   const isDue = (name: string): boolean => {
@@ -56,8 +63,13 @@
   };
   let hasChanged = false;
   const next = new Map<string, StreamOrigin>();
-  new Set([...agreed.keys(), ...originsByRoute.keys()]).forEach((name) => {
+  new Set([...agreed.keys(), ...originsByRoute.keys(), ...unresumableRoutes]).forEach((name) => {
     const known = agreed.get(name);
+    if (unresumableRoutes.includes(name)) {
+      next.set(name, NO_ORIGIN);
+      hasChanged ||= !isSameOrigin(NO_ORIGIN, known);
+      return;
+    }
     const origins = originsByRoute.get(name) ?? [];
     const isServed = known !== undefined && origins.some((origin) => isSameOrigin(origin, known));
     if (known === undefined || (!isServed && isDue(name))) {
--- a/packages/gateway/src/streams/createStreamOrigins.ts
+++ b/packages/gateway/src/streams/createStreamOrigins.ts
@@ -5,7 +5,6 @@
   isSameOrigin,
   planAgreement,
   type AgreedOrigins,
-  type ResumableRoute,
   type StreamOrigin,
   type UnservedSinceMs,
 } from '@bergamotcove/decide';
@@ -40,6 +39,8 @@
   /** Applies the agreed origins as they stand in the store. */
   putAgreed(text: string): void;
   start(hosts: HostRegistry): void;
+  /** Drops the agreed origins of routes whose streams may no longer be resumed, after a change of the routes. */
+  noteRoutes(): void;
   close(): void;
 }
 
@@ -102,6 +103,8 @@
 
   private reviewedAtMs = -Infinity;
 
+  private hosts: HostRegistry | undefined;
+
   constructor(private readonly options: StreamOriginsOptions) {
     const { clock, eras, format } = options;
     this.writer = createOriginWriter({
@@ -165,24 +168,20 @@
   }
 
   start(hosts: HostRegistry): void {
+    this.hosts = hosts;
     this.timer = this.options.clock.schedule(REVIEW_MS, () => {
       this.start(hosts);
-      // Any host may become the owner, and must know the longer timeouts of before then.
-      this.noteStreamLifeMs();
-      const isOwner = hosts.rankOwners(AGREEMENT_DUTY)[0]?.hostId === hosts.self.hostId;
-      if (isOwner && !this.isReviewing) {
-        this.isReviewing = true;
-        this.review()
-          .catch(() => undefined)
-          .finally(() => {
-            this.isReviewing = false;
-          });
-      } else if (!isOwner) {
-        this.unservedSinceMs = new Map();
-      }
+      this.reviewAsOwner();
     });
   }
 
+  noteRoutes(): void {
+    // Streams of such a route begin anywhere from now on; the other changes can wait for the next review.
+    if (this.listStreamRoutes().some((route) => !isResumable(route) && this.agreedFor(route.name)?.pool !== '')) {
+      this.reviewAsOwner();
+    }
+  }
+
   close(): void {
     this.timer?.close();
     this.writer.close();
@@ -226,20 +225,37 @@
     }
     const stored = await store.get(format.agreedOriginsKey);
     const agreed = parseAgreed(stored?.value ?? '')?.get(route);
-    return agreed === undefined
+    // An empty pool: streams of the route that could not be resumed yet may be alive.
+    return agreed === undefined || agreed.pool === ''
       ? { type: 'unknown', reason: 'not-agreed' }
       : { type: 'known', origin: agreed, source: 'agreed' };
   }
 
-  private listRoutes(): readonly ResumableRoute[] {
+  private reviewAsOwner(): void {
+    const { hosts } = this;
+    // Any host may become the owner, and must know the longer timeouts of before then.
+    this.noteStreamLifeMs();
+    const isOwner = hosts?.rankOwners(AGREEMENT_DUTY)[0]?.hostId === hosts?.self.hostId;
+    if (isOwner && !this.isReviewing) {
+      this.isReviewing = true;
+      this.review()
+        .catch(() => undefined)
+        .finally(() => {
+          this.isReviewing = false;
+        });
+    } else if (!isOwner) {
+      this.unservedSinceMs = new Map();
+    }
+  }
+
+  private listStreamRoutes(): readonly Route[] {
     const routes = this.options.tables.current()?.table.routes ?? [];
-    return routes.filter(isResumable).map(({ name, pools }) => ({ name, pools: pools.map(({ pool }) => pool) }));
+    return routes.filter(({ kind }) => kind === 'stream');
   }
 
   /** Records the life of streams under the present route table; returns the longest life of streams that may be alive. */
   private noteStreamLifeMs(): number {
-    const routes = this.options.tables.current()?.table.routes ?? [];
-    const longestMs = Math.max(0, ...routes.filter(isResumable).map(({ timeoutMs }) => timeoutMs));
+    const longestMs = Math.max(0, ...this.listStreamRoutes().map(({ timeoutMs }) => timeoutMs));
     const nowMs = this.options.clock.monotonicMs();
     const lifeMs = Math.min(MAX_LIFE_MS, LIFE_TIMEOUTS * longestMs + LIFE_SLACK_MS);
     const longer = this.lives.filter((life) => life.lifeMs > lifeMs && life.untilMs > nowMs);
@@ -248,9 +264,11 @@
   }
 
   private plan(agreed: AgreedOrigins, versionsOf: (pool: string) => readonly string[]) {
+    const routes = this.listStreamRoutes();
     return planAgreement({
       agreed,
-      routes: this.listRoutes(),
+      routes: routes.filter(isResumable).map(({ name, pools }) => ({ name, pools: pools.map(({ pool }) => pool) })),
+      unresumableRoutes: routes.filter((route) => !isResumable(route)).map(({ name }) => name),
       versionsOf,
       unservedSinceMs: this.unservedSinceMs,
       streamLifeMs: this.noteStreamLifeMs(),
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -299,6 +299,7 @@
   crashes.start(hosts);
   limits.start(hosts);
   origins.start(hosts);
+  base.tables.onChange(() => origins.noteRoutes());
 };
 
 /** Methods that other hosts and operators call. */
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -79,7 +79,8 @@
   streamOriginsUnreadable: 'The agreed origins cannot be parsed; another program wrote them.',
   streamEventMisplaced:
     'An event of a server does not follow the last one that the caller has; it is not passed on, and the attempt ends.',
-  streamOriginAgreed: 'Streams of a route that are not recorded began at this pool and software version from now on.',
+  streamOriginAgreed:
+    'Streams of a route that are not recorded began at this pool and software version from now on; with an empty pool, they may have begun anywhere.',
   callerMessageInvalid: 'A message of a caller could not be parsed.',
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
   requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
