Begin a new stream for a caller that has no event

A request with Last-Event-Id 0 that names no request was refused with 503 (origin-unknown) while servers of two versions were there: it counted as one that takes a stream up. Its caller has no event, so it begins a stream at any version. A request that states 0 and names another one is still a take-up.

--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -89,6 +89,10 @@
 const findDeadline = ({ arrivedAtMs }: CallerExchange, { deadlineMs = Infinity }: RequestFacts, route: Route): number =>
   arrivedAtMs + Math.min(deadlineMs, route.timeoutMs);
 
+/** Whether a request goes on with a stream. A caller that states 0 and names no request has no event. */
+const takesUp = ({ lastEventId, resumesRequestId }: RequestFacts): boolean =>
+  lastEventId !== undefined && (Number(lastEventId) !== 0 || resumesRequestId !== undefined);
+
 class Handler {
   private readonly withheld: ReadonlySet<string>;
 
@@ -205,7 +209,7 @@
   /** Finds the servers that may go on with the stream that a request takes up. It is refused unless there are some. */
   private async findTakenUp(route: Route, facts: RequestFacts): Promise<TakenUp> {
     const { origins, directory } = this.options;
-    if (facts.lastEventId === undefined || !isResumable(route)) {
+    if (!takesUp(facts) || !isResumable(route)) {
       return { type: 'ready', origin: undefined };
     }
     const found = await origins.find(route, facts.resumesRequestId);
