--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -79,7 +79,8 @@
   streamOriginsUnreadable: 'The agreed origins cannot be parsed; another program wrote them.',
   streamEventMisplaced:
     'An event of a server does not follow the last one that the caller has; it is not passed on, and the attempt ends.',
-  streamOriginAgreed: 'Streams of a route that are not recorded began at this pool and software version from now on.',
+  streamOriginAgreed:
+    'Streams of a route that are not recorded began at this pool and software version from now on; with an empty pool, they may have begun anywhere.',
   connectionRefused:
     'A connection gets no further request; `status` was written to it, or its open requests are answered.',
   requestNotAdmitted: 'A request came on a connection that is about to be closed; it is neither run nor answered.',
