Answer unknown when a resumed stream of a non-idempotent request is refused

A caller whose stream broke and that resumed it with Last-Event-ID on another host got 409 with the outcome not-run, while the stream's own host was still before the claim and ran the call afterwards. The host that refuses saw only that the key was not claimed; the header itself shows that an earlier request under the key exists. A refusal of the admission control had the same outcome.

Last-Event-ID now counts as an earlier request that may have run.

--- a/packages/bench/src/claims/stops.test.ts
+++ b/packages/bench/src/claims/stops.test.ts
@@ -111,6 +111,17 @@
   assert.deepEqual([elsewhere.status, elsewhere.outcome], [409, 'not-run']);
 });
 
+test('a stream that cannot be resumed on another host is not refused as not-run while its own host may still run it', async (t) => {
+  const hosts = await start(t, { hosts: 2, deadlineMs: 10_000 });
+  hosts.encoders.forEach((server) => server.setFaults([{ type: 'slow', delayMs: 400 }]));
+  const running = hosts.post(0, { key: 'k', stream: true });
+  await pause(100);
+  const elsewhere = parseAnswer(await hosts.post(1, { key: 'k', stream: true, lastEventId: 1 }));
+  const [final] = readEvents(await running);
+  assert.deepEqual([final?.event, hosts.ledger.executions.get('k')], ['final', 1]);
+  assert.deepEqual([elsewhere.status, elsewhere.outcome], [409, 'unknown']);
+});
+
 test('a once request resumed on another host gets its recorded result as the final event', async (t) => {
   const hosts = await start(t, { hosts: 2 });
   const request = { key: 'k', stream: true };
--- a/packages/entry/src/requests/createRequestService.ts
+++ b/packages/entry/src/requests/createRequestService.ts
@@ -2,7 +2,7 @@
 import { of } from 'rxjs';
 import type { Clock } from '@bergamotcove/clock';
 import type { AcceptedDocument, ServiceDocument } from '@bergamotcove/config';
-import { planRequest, type RequestPlan, type RequestResult } from '@bergamotcove/decide';
+import { planRequest, type Outcome, type RequestPlan, type RequestResult } from '@bergamotcove/decide';
 import type { Span, Tracer } from '@bergamotcove/telemetry';
 import type { GateDecision } from '../admission/createAdmissionGate.js';
 import CallerError from '../callers/CallerError.js';
@@ -63,7 +63,8 @@
   code: 'wrong-input' | 'not-found' | 'conflict' | 'not-ready',
   status: number,
   title: string,
-): CallerError => new CallerError(code, { type: 'about:blank', title, status, outcome: 'not-run' });
+  outcome: Outcome = 'not-run',
+): CallerError => new CallerError(code, { type: 'about:blank', title, status, outcome });
 
 const createKeyReusedError = (): CallerError =>
   createCallerError('conflict', STATUS_UNPROCESSABLE, 'the Idempotency-Key was used with another body');
@@ -86,12 +87,13 @@
  * Refuses to resume a stream that this host did not start. Events are numbered by the host that runs the request; another
  * host cannot continue the numbers, and its tokens could differ. Callers of this function check for a known result first.
  */
-const rejectStreamResume = (request: CallerRequest): void => {
+const rejectStreamResume = (request: CallerRequest, outcome: Outcome): void => {
   if (request.lastEventId !== undefined) {
     throw createCallerError(
       'conflict',
       STATUS_CONFLICT,
       'this host does not have the stream; send the request without it',
+      outcome,
     );
   }
 };
@@ -141,7 +143,7 @@
     const accepted = this.findDocument(request);
     const plan = this.createPlan(accepted, request);
     if (request.idempotencyKey === undefined) {
-      rejectStreamResume(request);
+      rejectStreamResume(request, 'not-run');
       await this.admit(plan, accepted.document);
       return this.run(plan, request, undefined);
     }
@@ -150,7 +152,7 @@
       return joined;
     }
     if (plan.operation.idempotent) {
-      rejectStreamResume(request);
+      rejectStreamResume(request, 'not-run');
       await this.admit(plan, accepted.document);
       return this.joinRun(request) ?? this.run(plan, request, undefined);
     }
@@ -248,14 +250,16 @@
     if (found.type === 'finished') {
       return { type: 'known', run: toFinishedRun(plan, found.result, request) };
     }
+    // The host of the stream may not have claimed the key yet, and may still run the request.
+    const isResumed = request.lastEventId !== undefined;
     if (found.type === 'claimed') {
       const awaited = await this.options.claims.awaitOutcome(claim);
       return awaited.type === 'settled'
         ? { type: 'known', run: toFinishedRun(plan, awaited.result, request) }
-        : { type: 'none', earlierMayHaveRun: awaited.type === 'server-decides' };
+        : { type: 'none', earlierMayHaveRun: isResumed || awaited.type === 'server-decides' };
     }
     // While the store is unavailable, the repeatable stages run and the claim waits, at most until the deadline.
-    return { type: 'none', earlierMayHaveRun: found.type === 'unavailable' };
+    return { type: 'none', earlierMayHaveRun: isResumed || found.type === 'unavailable' };
   }
 
   private startOnce(plan: RequestPlan, request: CallerRequest, claim: ClaimRequest): RequestRun {
@@ -263,7 +267,7 @@
     if (joined !== undefined) {
       return joined;
     }
-    rejectStreamResume(request);
+    rejectStreamResume(request, plan.earlierMayHaveRun === true ? 'unknown' : 'not-run');
     return this.run(plan, request, claim);
   }
 
