Release a claim that an unreachable shard owner may still apply

A claim whose owner did not reply and whose next owner refused it because the shard was full was reported as full, and the registry dropped it without a release.

A refusal by a full shard is now final only if no earlier call may still apply the operation; otherwise the claim is released like any other that timed out.

--- a/packages/entry/src/claims/createClaimLogs.ts
+++ b/packages/entry/src/claims/createClaimLogs.ts
@@ -78,6 +78,10 @@
 /** Back-off for a host that did not answer, so that not every request waits for it. */
 const OWNER_BACKOFF_MS = 1_000;
 
+/** A refusal by a full shard proves nothing while an earlier call may still apply the operation. */
+const discountFull = <Result extends OwnerResult | undefined>(result: Result, mayApply: boolean) =>
+  result?.type === 'full' && mayApply ? { type: 'unavailable' as const, mayApply, busy: false, queueMs: 0 } : result;
+
 class ShardClaimLogs implements ClaimLogs {
   private readonly logs = new Map<number, ShardLog>();
 
@@ -100,7 +104,7 @@
     if (remote !== undefined && (remote.type !== 'unavailable' || this.remainingMs(endsAtMs) === 0)) {
       return remote;
     }
-    const result = await this.submitHere(op, this.remainingMs(endsAtMs));
+    const result = discountFull(await this.submitHere(op, this.remainingMs(endsAtMs)), remote?.mayApply === true);
     if (result.type !== 'unavailable') {
       return result;
     }
@@ -209,7 +213,8 @@
       const waitMs = Math.min(limitMs, this.remainingMs(endsAtMs));
       // Attempts are sequential: each depends on the result of the one before.
       // eslint-disable-next-line no-await-in-loop
-      const result = await this.submitToOwner(op, unresponsive, { waitMs, remainingMs: this.remainingMs(endsAtMs) });
+      const answer = await this.submitToOwner(op, unresponsive, { waitMs, remainingMs: this.remainingMs(endsAtMs) });
+      const result: OwnerResult | undefined = discountFull(answer, mayApply);
       if (result !== undefined && result.type !== 'unavailable' && result.type !== 'unreachable') {
         return result;
       }
