--- a/packages/gateway/src/requests/createRequestHandler.test.ts
+++ b/packages/gateway/src/requests/createRequestHandler.test.ts
@@ -26,7 +26,7 @@
   const fields = { headers, rawHeaders: [], method: 'POST', url: '/1', complete: false };
   const request = Object.assign(body, fields) as unknown as IncomingMessage;
   const response = new ServerResponse(request);
-  const exchange = new CallerExchange(request, response, 0, () => true);
+  const exchange = new CallerExchange(request, response, 0);
   const options = {
     clock: createManualClock(),
     logger: { event: () => undefined },
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -34,6 +34,7 @@
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
+import reportRefusedConnection from './observe/reportRefusedConnection.js';
 import reportEnd from './requests/reportEnd.js';
 import createAnswerMemory from './servers/createAnswerMemory.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
@@ -244,11 +245,7 @@
     ...watch,
     clock,
     onRequest: (exchange) => state.handle(exchange),
-    onRefused: (refusal) => {
-      const { reason, carried } = refusal;
-      metrics.report('connections.refused', 1, { reason, carried });
-      logger.event('connectionRefused', { ...refusal });
-    },
+    onRefused: (refusal) => reportRefusedConnection(refusal, { logger, metrics }),
     onNotAdmitted: (requests, openRequests) => logger.event('requestNotAdmitted', { requests, openRequests }),
   });
 
