Test that a drain after a standstill serves a head of which a part waits unread

The limit of a phase is found by an exhaustive switch instead of a table that was built for each connection and tick, and only a socket that is paused for open answers keeps its limit from running.

--- a/packages/gateway/src/callers/connectionGuard.test.ts
+++ b/packages/gateway/src/callers/connectionGuard.test.ts
@@ -255,6 +255,20 @@
     assert.match(client.received(), /^[^]*\/aHTTP\/1\.1 200 [^]*Connection: close[^]*\/b$/);
   }));
 
+test('at a drain after a standstill, a head of which a part waits unread is served, and its connection closed', () =>
+  withServer(async ({ connect, server }) => {
+    const client = await connect();
+    client.socket.write(get('/a'));
+    await wait(100);
+    client.socket.write(get('/b').slice(0, 9));
+    standStill(100);
+    server.drain();
+    await wait(50);
+    client.socket.write(get('/b').slice(9));
+    await wait(100);
+    assert.match(client.received(), /^[^]*\/aHTTP\/1\.1 200 [^]*Connection: close[^]*\/b$/);
+  }));
+
 test('a client that leaves ends all its pipelined requests, also the ones whose turn to be answered has not come', () =>
   withServer(async ({ connect, server }) => {
     const client = await connect();
--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -85,7 +85,7 @@
     return open.size > 0 ? 'request' : 'ending';
   }
   // A head cannot arrive while the socket is paused because answers wait to be sent.
-  if (newest?.req.complete === false || socket.isPaused()) {
+  if (newest?.req.complete === false || (open.size > 0 && socket.isPaused())) {
     return 'request';
   }
   if (headBytesOf(connection) > EMPTY_LINE_BYTES) {
@@ -316,13 +316,22 @@
       one.phase = phase;
       one.phaseBeganMs = this.ranMs;
     }
-    const limitsMs: Readonly<Record<Phase, number>> = {
-      idle: this.limits.idleTimeoutMs,
-      head: this.limits.headerTimeoutMs,
-      request: Infinity,
-      ending: LINGER_MS,
-    };
-    return this.ranMs - one.phaseBeganMs >= limitsMs[phase];
+    return this.ranMs - one.phaseBeganMs >= this.findLimitMs(phase);
+  }
+
+  private findLimitMs(phase: Phase): number {
+    switch (phase) {
+      case 'idle':
+        return this.limits.idleTimeoutMs;
+      case 'head':
+        return this.limits.headerTimeoutMs;
+      case 'request':
+        return Infinity;
+      case 'ending':
+        return LINGER_MS;
+      default:
+        return phase satisfies never;
+    }
   }
 
   private end(connection: Connection): void {
