End pipelined requests when their caller leaves

When a connection closes, Node emits the close event only for the response that it is sending. A request behind it stayed open for good: nothing cancelled it, and the stop of the host waited for it until its end.

The exchange now follows its connection too.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -73,6 +73,7 @@
     response.on('close', () => this.close());
     response.on('error', () => this.close());
     request.on('error', () => undefined);
+    this.closeWithConnection();
   }
 
   /** Registers a callback for the case that the caller disconnects before its answer is complete. */
@@ -161,6 +162,19 @@
     }
   }
 
+  /** Node emits no close event for a response that still waits behind an earlier one when its connection closes. */
+  private closeWithConnection(): void {
+    const { request, response } = this;
+    const closeWaiting = (): void => {
+      if (response.socket === null) {
+        response.emit('close');
+      }
+    };
+    // One listener for each pipelined request.
+    request.socket.setMaxListeners(0).once('close', closeWaiting);
+    response.once('close', () => request.socket.off('close', closeWaiting));
+  }
+
   private close(): void {
     this.isOpen = false;
     this.disconnectListeners.splice(0).forEach((run) => run());
--- a/packages/gateway/src/requests/createRequestHandler.test.ts
+++ b/packages/gateway/src/requests/createRequestHandler.test.ts
@@ -23,7 +23,7 @@
   let answerRead: ((found: FoundOrigin) => void) | undefined;
   const body = new PassThrough();
   const headers = { host: 'site.example' };
-  const fields = { headers, rawHeaders: [], method: 'POST', url: '/1', complete: false };
+  const fields = { headers, socket: new PassThrough(), rawHeaders: [], method: 'POST', url: '/1', complete: false };
   const request = Object.assign(body, fields) as unknown as IncomingMessage;
   const response = new ServerResponse(request);
   const exchange = new CallerExchange(request, response, 0, () => true);
