Send no request after it failed because its connection ended

A kept connection may end after a request was given to it and before it is sent, one turn of the event loop later. The request failed as `not-connected`, but only the connection was destroyed at once, so the request was still "sent" in that turn: no byte left, but onSending told its caller that one was. A host then took a request that had not run for one in flight, and answered 504 or 502 in place of 503 when no other server could run it.

The tests were red before, for a reset and for an orderly end: onSending was called after the request had been rejected as not connected.

--- a/packages/transport/src/createHttpClient.test.ts
+++ b/packages/transport/src/createHttpClient.test.ts
@@ -184,3 +184,24 @@
   assert.equal(sent, false);
   assert.equal((await client.send(target, { method: 'GET', path: '/' })).body, '2');
 });
+
+// Guards against a request that counts as sent, or is sent, after its caller was told that it was not.
+(['resetAndDestroy', 'end'] as const).forEach((end) =>
+  test(`a request that failed as not connected is not sent any more (${end})`, async (context) => {
+    const { target, sockets, close } = await startCountingServer();
+    const client = createHttpClient();
+    context.after(() => {
+      client.close();
+      close();
+    });
+    await client.send(target, { method: 'GET', path: '/' });
+    const sends: string[] = [];
+    const second = pause(20).then(() => {
+      sockets[0]?.[end]();
+      return client.send(target, { method: 'GET', path: '/', onSending: () => sends.push('late') });
+    });
+    await assert.rejects(second, { code: 'not-connected' });
+    await pause(20);
+    assert.deepEqual(sends, []);
+  }),
+);
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -204,6 +204,7 @@
 const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
     let sent = false;
+    let failed = false;
     let received: IncomingMessage | undefined;
     const outgoing = http.request(formatOptions(target, request, agent));
     destroyOnAbort(outgoing, request.signal);
@@ -221,6 +222,7 @@
       resolve(response);
     });
     outgoing.on('error', (cause) => {
+      failed = true;
       reject(toTransportError(cause, request.signal?.aborted === true, sent));
       // The parser takes a reset for the end of a response without a length. A complete response with a length stays
       // valid, whatever happens to the connection afterwards.
@@ -229,7 +231,8 @@
       }
     });
     const sendBody = (): void => {
-      if (outgoing.destroyed) {
+      // A connection that ends before the request is sent fails the request, which is destroyed only later.
+      if (outgoing.destroyed || failed) {
         return;
       }
       if (request.signal?.aborted === true || request.maySend?.() === false) {
