Open a new connection for a request that its address has already refused

A process can take over the address of another server while both ids are listed. It answers 421 under the old id, and the request is sent again under the new one, on the kept connection if that is free by then. A refusal that the process repeats there bears the id of the same request, and was taken for the answer of the second attempt: a caller got 503 for a request that ran.

A new connection was opened only for a server id that had the request before. It is now opened for an address that had it.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -242,7 +242,7 @@
     const { pools, format, clock } = this.ports;
     const { fingerprint, partKeys } = this.request;
     // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
-    const freshConnection = this.record.hasSentTo(server.serverId);
+    const freshConnection = this.record.hasSentTo(server);
     this.record.noteSend(server);
     this.binding.prepare(server);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -43,6 +43,8 @@
 
   private readonly serverIds: string[] = [];
 
+  private readonly addresses = new Set<string>();
+
   private readonly softwareVersions: string[] = [];
 
   private readonly limitedServerIds = new Set<string>();
@@ -98,11 +100,13 @@
     this.placedMs = this.elapsedMs();
   }
 
-  hasSentTo(serverId: string): boolean {
-    return this.serverIds.includes(serverId);
+  /** Whether an attempt was sent to the address of a server, under this server's id or another one. */
+  hasSentTo({ address, port }: ServerDescription): boolean {
+    return this.addresses.has(`${address}:${port}`);
   }
 
-  noteSend({ serverId, softwareVersion = '' }: ServerDescription): void {
+  noteSend({ serverId, address, port, softwareVersion = '' }: ServerDescription): void {
+    this.addresses.add(`${address}:${port}`);
     this.serverIds.push(serverId);
     this.softwareVersions.push(softwareVersion);
   }
