Ask for the body of a pipelined request only when its turn has come

A caller that sent a request with "Expect: 100-continue" behind another one got the interim answer between the head and the body of the final one, so the body began with "HTTP/1.1 100 " and the rest belonged to nothing. Node buffers both for a response that waits for its turn, and puts the head first.

The guard now writes the interim answer when the response gets its connection, unless it is answered by then.

--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -101,6 +101,22 @@
   }
 };
 
+/**
+ * Sends `100 Continue` once the answers before are sent. Node would write it between the head and the body of an answer
+ * that is ready by then.
+ */
+const askForBody = (response: ServerResponse): void => {
+  if (response.socket !== null) {
+    response.writeContinue();
+    return;
+  }
+  response.once('socket', () => {
+    if (!response.headersSent) {
+      response.writeContinue();
+    }
+  });
+};
+
 /** Reads and ignores what still arrives, so that it reaches neither the parser nor the client as a reset. */
 const discardInput = (socket: Socket): void => {
   socket.removeAllListeners('data');
@@ -137,7 +153,7 @@
     server.on('request', (request, response) => this.admit(request, response, onRequest));
     server.on('checkContinue', (request, response) =>
       this.admit(request, response, () => {
-        response.writeContinue();
+        askForBody(response);
         onRequest(request, response);
       }),
     );
