Handle a request that waits to send its body only when its turn has come

An answer without "100 Continue" before it closes its connection, so a pipelined request that was answered before its turn cut those behind it, although they had run (seen in a soak of connections, where the interim answer was left out).

The request is now handed to its handler together with the interim answer.

--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -102,19 +102,15 @@
 };
 
 /**
- * Sends `100 Continue` once the answers before are sent. Node would write it between the head and the body of an answer
- * that is ready by then.
+ * Runs the callback when the answers before a response are sent. Until then, Node buffers an interim answer and writes it
+ * between the head and the body of the final one.
  */
-const askForBody = (response: ServerResponse): void => {
-  if (response.socket !== null) {
-    response.writeContinue();
-    return;
+const whenInTurn = (response: ServerResponse, run: () => void): void => {
+  if (response.socket === null) {
+    response.once('socket', run);
+  } else {
+    run();
   }
-  response.once('socket', () => {
-    if (!response.headersSent) {
-      response.writeContinue();
-    }
-  });
 };
 
 /** Reads and ignores what still arrives, so that it reaches neither the parser nor the client as a reset. */
@@ -152,10 +148,12 @@
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('request', (request, response) => this.admit(request, response, onRequest));
     server.on('checkContinue', (request, response) =>
-      this.admit(request, response, () => {
-        askForBody(response);
-        onRequest(request, response);
-      }),
+      this.admit(request, response, () =>
+        whenInTurn(response, () => {
+          response.writeContinue();
+          onRequest(request, response);
+        }),
+      ),
     );
     server.on('checkExpectation', (request, response) =>
       this.admit(request, response, () => response.writeHead(417).end()),
