Keep the turn of a request whose send is gone when it asks

A request that waited for its turn at a server with a limit was put behind all others when its send had gone to another by the time it asked, and was then refused after its wait.

Such a request now gets the next send. While one whose caller came back as told is due, the send is kept for it. Both new tests were red before: the send went to the other, and the next slot was 3,000 in place of 2,000 ms.

--- a/packages/decide/src/limits/createSendLimiter.test.ts
+++ b/packages/decide/src/limits/createSendLimiter.test.ts
@@ -89,6 +89,32 @@
   assert.equal(ask('e', 2_000).type, 'granted');
 });
 
+test('a caller that came back as told does not lose its send to a request that asks first, which gets the next one', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  const ask = (key: string, nowMs: number) => limiter.take({ ...NEED, key, maxWaitMs: 1_000 }, nowMs);
+  ['a', 'b', 'back'].forEach((key) => ask(key, 0));
+  assert.deepEqual([ask('a', 500).type, ask('b', 1_000).type], ['granted', 'granted']);
+  assert.deepEqual(ask('other', 1_100), { type: 'later', atMs: 1_750 });
+  assert.deepEqual(ask('back', 1_400), { type: 'later', atMs: 1_500 });
+  assert.deepEqual(ask('other', 1_750), { type: 'later', atMs: 2_250 });
+  assert.equal(ask('back', 1_760).type, 'granted');
+  assert.equal(ask('other', 2_250).type, 'granted');
+});
+
+test('a request whose send is gone when its slot comes gets the next one, not a slot behind all others', () => {
+  const limiter = createSendLimiter();
+  limiter.setLimit('s1', 2, 0);
+  const ask = (key: string, nowMs: number) => limiter.take({ ...NEED, key, maxWaitMs: 1_000 }, nowMs);
+  ['a', 'b', 'told'].forEach((key) => ask(key, 0));
+  assert.deepEqual([ask('a', 500).type, ask('b', 1_000).type], ['granted', 'granted']);
+  assert.deepEqual(ask('c', 1_100), { type: 'later', atMs: 1_750 });
+  assert.deepEqual(ask('d', 1_110), { type: 'later', atMs: 2_250 });
+  assert.equal(ask('newcomer', 1_500).type, 'granted');
+  assert.deepEqual(ask('c', 1_750), { type: 'later', atMs: 2_000 });
+  assert.equal(ask('c', 2_000).type, 'granted');
+});
+
 test('a slot that is not used is handed out again', () => {
   const limiter = createSendLimiter();
   limiter.setLimit('s1', 2, 0);
--- a/packages/decide/src/limits/createSendLimiter.ts
+++ b/packages/decide/src/limits/createSendLimiter.ts
@@ -75,7 +75,8 @@
     const servers = this.findServers(need.serverIds, nowMs);
     const slotMs = queue.find(need.key, nowMs);
     const available = servers.reduce((sum, { server }) => sum + Math.floor(server.bucket.amount + ROUNDING), 0);
-    const isTurn = slotMs === undefined ? available > queue.countDue(need.key, nowMs) : slotMs <= nowMs;
+    const ahead = slotMs === undefined ? queue.countDue(need.key, nowMs) : queue.countReturned(need.key, nowMs);
+    const isTurn = available > ahead && (slotMs ?? nowMs) <= nowMs;
     const open = servers.find(({ server }) => hasSend(server));
     if (isTurn && open !== undefined) {
       queue.delete(need.key);
@@ -88,7 +89,9 @@
     const { earliestMs, intervalMs } = Limiter.readPace(servers, nowMs);
     if (need.maxWaitMs !== undefined) {
       const latestMs = nowMs + need.maxWaitMs;
-      return { type: 'later', atMs: queue.add(need.key, { earliestMs, intervalMs, latestMs, nowMs }).atMs };
+      // A send that is left for others is not the next one of this request.
+      const nextMs = open === undefined || slotMs === undefined ? earliestMs : nowMs + intervalMs;
+      return { type: 'later', atMs: queue.add(need.key, { earliestMs: nextMs, intervalMs, latestMs, nowMs }).atMs };
     }
     return { type: 'later', atMs: Limiter.deny(servers[0]?.server, { earliestMs, nowMs }) };
   }
--- a/packages/decide/src/limits/createSlotQueue.ts
+++ b/packages/decide/src/limits/createSlotQueue.ts
@@ -24,6 +24,8 @@
   find(key: string, nowMs: number): number | undefined;
   /** Number of waiting requests whose slot has come, without the given one. */
   countDue(exceptKey: string, nowMs: number): number;
+  /** Like `countDue`, of the requests whose callers came back as told; none for such a request. */
+  countReturned(exceptKey: string, nowMs: number): number;
   /** Number of requests that wait, and of callers that are expected to come back by a time. */
   countAhead(latestMs: number, nowMs: number): number;
   /** Gives a request the first slot after those that wait, or ahead of them when its caller has come back as told. */
@@ -42,6 +44,9 @@
   /** Times that callers were told, in ascending order. */
   private readonly promised = new Map<string, number>();
 
+  /** Waiting requests whose callers came back as told. */
+  private readonly returned = new Set<string>();
+
   private lastPromiseMs = -Infinity;
 
   /** Share of the callers that come back when they were told to. */
@@ -57,6 +62,12 @@
     return [...this.waiting].filter(([key, slotMs]) => slotMs <= nowMs && key !== exceptKey).length;
   }
 
+  countReturned(exceptKey: string, nowMs: number): number {
+    this.dropLapsed(nowMs);
+    const isDue = (key: string): boolean => (this.waiting.get(key) ?? Infinity) <= nowMs;
+    return this.returned.has(exceptKey) ? 0 : [...this.returned].filter(isDue).length;
+  }
+
   countAhead(latestMs: number, nowMs: number): number {
     this.dropLapsed(nowMs);
     const returns = [...this.promised.values()].filter((atMs) => atMs <= latestMs).length;
@@ -69,6 +80,12 @@
     if (promisedMs !== undefined && promisedMs <= nowMs + intervalMs) {
       this.promised.delete(key);
       this.learnReturn(1);
+      this.returned.add(key);
+      this.waiting.set(key, earliestMs);
+      return { atMs: earliestMs, waits: true };
+    }
+    // The send of a slot may be gone when its request asks for it; then it gets the next one, ahead of later requests.
+    if (this.waiting.has(key) && earliestMs <= latestMs) {
       this.waiting.set(key, earliestMs);
       return { atMs: earliestMs, waits: true };
     }
@@ -82,6 +99,7 @@
 
   delete(key: string): void {
     this.waiting.delete(key);
+    this.returned.delete(key);
   }
 
   /** Tells callers one after the other, as far apart as the sends. */
@@ -102,7 +120,7 @@
   private dropLapsed(nowMs: number): void {
     this.waiting.forEach((slotMs, key) => {
       if (slotMs + SLOT_GRACE_MS < nowMs) {
-        this.waiting.delete(key);
+        this.delete(key);
       }
     });
     this.promised.forEach((atMs, key) => {
