Read a 100 Continue that arrived while the process was paused

A call that must not be repeated is given up when its server has not answered 100 Continue in time. After a pause of the process that is longer than the limit, the timer runs before the sockets are read, so an answer that had arrived did not count and the attempt was spent. Found by reading, after callers got 502 attempts-exhausted beside load; those were not traced to it.

When the timer has expired, the sockets are now read once before the call is given up.

--- a/packages/transport/src/createHttpClient.test.ts
+++ b/packages/transport/src/createHttpClient.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import http from 'node:http';
 import net from 'node:net';
 import { test } from 'node:test';
 import createHttpClient from './createHttpClient.js';
@@ -210,3 +211,23 @@
     Array.from({ length: 2 }, () => `${target.address}:${target.port}`),
   );
 });
+
+test('a 100 Continue that arrived while this process was paused beyond the limit is read, and the request is sent', async (context) => {
+  const LIMIT_MS = 100;
+  const server = http.createServer();
+  server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
+    response.writeContinue();
+    for (const endsAtMs = performance.now() + 2 * LIMIT_MS; performance.now() < endsAtMs;);
+    request.resume().on('end', () => response.end('run'));
+  });
+  server.listen(0, LISTEN.address);
+  await once(server, 'listening');
+  const client = createHttpClient();
+  context.after(() => {
+    client.close();
+    server.close();
+  });
+  const target = { address: LISTEN.address, port: (server.address() as net.AddressInfo).port };
+  const call = { method: 'POST', path: '/', body: 'x', freshConnection: true, expectContinueMs: LIMIT_MS };
+  assert.equal((await client.send(target, call)).body, 'run');
+});
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -142,11 +142,18 @@
 
 /** Runs the callback when the server answers `100 Continue`; cancels the request when it does not answer in time. */
 const whenContinued = (outgoing: ClientRequest, limitMs: number, run: () => void): void => {
-  const timer = setTimeout(
-    () => outgoing.destroy(new Error('the server did not answer 100 Continue in time')),
-    limitMs,
-  );
-  const stop = (): void => clearTimeout(timer);
+  let stopped = false;
+  const expire = (): void => {
+    if (!stopped) {
+      outgoing.destroy(new Error('the server did not answer 100 Continue in time'));
+    }
+  };
+  // After a pause of the process, timers run before the sockets are read; an answer that has arrived still counts.
+  const timer = setTimeout(() => setImmediate(expire), limitMs);
+  const stop = (): void => {
+    stopped = true;
+    clearTimeout(timer);
+  };
   outgoing.once('response', stop);
   outgoing.once('close', stop);
   outgoing.once('continue', () => {
