Send no stream to a server that has started again unlisted

A server that starts again under its id with other software takes requests before its new entry reaches the hosts.

A restart ends all connections. So before the first stream that may be resumed on a connection, the server is asked on that connection for the time of its start, which it states in its report. A process that states another start than its entry gets no such stream, and the retry costs no budget. A stream that has events or is taken up is not sent to a server that does not answer within 0.5 s; new streams begin there. Servers that state no start are used as before.

The store is not asked: a server cannot register while the store is away, and a read for each connection would be up to 4,600 a second at 410 hosts.

The two new tests of streamRestarts.test.ts are red without the question. Stand-ins of servers answer 404 when they are asked for their report, unless a test sets one; it is no request of a caller, so it is not counted among those that a stand-in has seen.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -101,6 +101,10 @@
   /** Formats the headers of an attempt; names and values alternate. */
   formatAttempt(attempt: AttemptFacts): readonly string[];
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
+  /** Path at which a server states what it is. */
+  readonly statePath: string;
+  /** Reads the wall time of a server's start from what it states; undefined when it is not stated. */
+  readStart(body: string): number | undefined;
 }
 
 /** One piece of a call to a stage server. */
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -15,17 +15,16 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
-import type { RequestFormat, StageFormat } from '../ports.js';
+import type { StageFormat } from '../ports.js';
 import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
 import type { AnswerMemory } from '../servers/createAnswerMemory.js';
-import type { ServerPools } from '../servers/createServerPools.js';
-import openAttempt from '../servers/openAttempt.js';
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
 import estimateWork from './estimateWork.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
+import openChecked, { type OpeningPorts } from './openChecked.js';
 import reportAttempt from './reportAttempt.js';
 import trackAttempt, { classifyEnd } from './trackAttempt.js';
 import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
@@ -37,15 +36,13 @@
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
 /** Dependencies of {@link ForwardRun}. */
-export interface ForwardPorts {
+export interface ForwardPorts extends OpeningPorts {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly directory: BackendDirectory;
   readonly limits: RateLimits;
-  readonly pools: ServerPools;
   readonly queues: PoolQueues;
   readonly stages: StageClient;
-  readonly format: RequestFormat;
   readonly stageFormat: StageFormat;
   readonly scheduler: SchedulerClient;
   readonly region: string;
@@ -241,31 +238,29 @@
   }
 
   private async sendAttempt(server: ServerView): Promise<AttemptResult> {
-    const { pools, format, clock } = this.ports;
+    const { clock } = this.ports;
     const { fingerprint, partKeys } = this.request;
     // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
     const freshConnection = this.record.hasSentTo(server.serverId);
     this.record.noteSend(server);
-    this.binding.prepare(server);
     const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
     const idleTimeout = this.startAttemptTimeout();
     let sentAtMs = clock.monotonicMs();
-    const opened = await openAttempt(pools.clientOf(server.pool), format, {
-      target: server,
-      requestId: this.request.requestId,
-      method: this.request.method,
-      path: this.request.path,
-      headers: this.formatHeaders(server),
-      body: this.request.body,
-      signal: AbortSignal.any([this.abort.signal, idleTimeout.signal]),
+    const attempt = {
+      server,
+      request: this.request,
+      binding: this.binding,
       freshConnection,
+      formatHeaders: () => this.formatHeaders(server),
+      signal: AbortSignal.any([this.abort.signal, idleTimeout.signal]),
       onSending: () => {
         this.attemptInFlight = true;
         sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
       maySend: () => !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
-    });
+    };
+    const { opened, isReplaced } = await openChecked(attempt, this.ports);
     this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
     if (this.isAnswering) {
       tracked.noteAnswering();
@@ -277,7 +272,8 @@
     this.reservation.noteAttemptEnd(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
     const timedOut = idleTimeout.expired;
     await tracked.end(classifyEnd({ opened, result, timedOut, requestEnded: this.answer.ended }));
-    return result.type === 'ended' && timedOut ? { ...result, retryReserved: true } : result;
+    // Nothing was sent to a server that has started again, so the next attempt is no retry.
+    return result.type === 'ended' && (timedOut || isReplaced) ? { ...result, retryReserved: true } : result;
   }
 
   /** Starts the idle timeout of an attempt. It applies only to streams that another engine may run again. */
--- a/packages/gateway/src/requests/StreamBinding.ts
+++ b/packages/gateway/src/requests/StreamBinding.ts
@@ -57,6 +57,11 @@
     return origins.isWritable ? undefined : this.findAgreedWithServers()?.softwareVersion;
   }
 
+  /** Whether only servers of one version may go on with the stream. */
+  get isBound(): boolean {
+    return this.origin !== undefined;
+  }
+
   /** Starts to record the origin of the stream, if it has to be, while the server prepares its first event. */
   prepare(server: ServerDescription): void {
     if (!isResumable(this.request.route)) {
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { AttemptFailure } from '@bergamotcove/decide';
 import { isFlooding, TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
+import isConnectionRefused from './isConnectionRefused.js';
 import filterHeaders from '../requests/filterHeaders.js';
 import type { AnswerHead } from '../requests/types.js';
 import type { AnswerFacts, RequestFormat, ServerNotice } from '../ports.js';
@@ -20,7 +22,7 @@
   /** Called when the request is written to the connection. */
   readonly onSending: () => void;
   /** Called just before sending; false cancels the attempt. */
-  readonly maySend: () => boolean;
+  readonly maySend: (socket: Socket) => boolean;
 }
 
 /** Head of an answer, or the failure. */
@@ -54,12 +56,6 @@
     ? { type: 'not-sent' }
     : { type: 'connection-lost' };
 
-/** Whether the connection was refused because nothing listens at the server's address. */
-const isRefused = (cause: unknown): boolean => {
-  const reason: NodeJS.ErrnoException | undefined = cause instanceof TransportError ? cause.cause() : undefined;
-  return reason?.code === 'ECONNREFUSED';
-};
-
 /**
  * Whether the response is this server's answer to this attempt. On a kept-alive connection, a late or duplicate answer
  * to an earlier attempt can arrive instead.
@@ -116,7 +112,7 @@
     return {
       type: 'failed',
       failure: sent ? toFailure(cause) : { type: 'not-sent' },
-      refused: isRefused(cause),
+      refused: isConnectionRefused(cause),
       isFlooding: isFlooding(cause),
     };
   }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -36,6 +36,7 @@
 import createRequestHandler from './requests/createRequestHandler.js';
 import reportEnd from './requests/reportEnd.js';
 import createAnswerMemory from './servers/createAnswerMemory.js';
+import createProcessChecks from './servers/createProcessChecks.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
 import createGatewayDrain, { type StopState } from './createGatewayDrain.js';
@@ -218,6 +219,7 @@
     ...base,
     pools,
     scheduler,
+    processChecks: createProcessChecks({ ...base, format: base.formats.requests, clientOf: pools.clientOf }),
     drain,
     stageFormat: base.formats.stages,
     stages,
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -79,6 +79,8 @@
   streamOriginsUnreadable: 'The agreed origins cannot be parsed; another program wrote them.',
   streamEventMisplaced:
     'An event of a server does not follow the last one that the caller has; it is not passed on, and the attempt ends.',
+  serverRestartUnlisted:
+    'A server has started again under its id, and the store does not show it yet; no stream is sent there.',
   streamOriginAgreed:
     'Streams of a route that are not recorded began at this pool and software version from now on; with an empty pool, they may have begun anywhere.',
   callerMessageInvalid: 'A message of a caller could not be parsed.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -68,6 +68,7 @@
   streamOriginsUnreadable: { id: 2214, level: 'warn' },
   streamOriginAgreed: { id: 2215, level: 'info' },
   streamEventMisplaced: { id: 2216, level: 'warn' },
+  serverRestartUnlisted: { id: 2221, level: 'warn' },
   callerMessageInvalid: { id: 2203, level: 'info' },
   stageOwnerLost: { id: 2204, level: 'warn' },
   requestDelayed: { id: 2205, level: 'info' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -43,6 +43,12 @@
     tags: ['result'],
     text: 'Writes of the origins of streams to the store; one may hold many origins.',
   },
+  'streams.process_checks': {
+    type: 'counter',
+    unit: '1',
+    tags: ['result'],
+    text: 'Questions to servers for their start before streams are sent over a new connection.',
+  },
   'streams.misplaced_events': {
     type: 'counter',
     unit: '1',
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,4 +1,5 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import createSmallReadConnection from './_lib/createSmallReadConnection.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
 import readBody from './readBody.js';
@@ -21,7 +22,7 @@
   /** Called once connected, just before the first byte of the request is written. */
   readonly onSending?: () => void;
   /** Called once connected; false cancels the request as `not-connected` before any byte is written. */
-  readonly maySend?: () => boolean;
+  readonly maySend?: (socket: Socket) => boolean;
   /**
    * Sends the headers with `Expect: 100-continue`, and the body only after the server has answered `100 Continue`.
    * Without that answer within this time, the request fails as `not-connected`: a server cannot execute a request whose
@@ -47,6 +48,8 @@
   send(target: Target, request: HttpRequest): Promise<HttpResponse>;
   /** Sends a request and resolves with the response as soon as its headers arrive. */
   open(target: Target, request: HttpRequest): Promise<IncomingMessage>;
+  /** Idle connection that the next request to a target uses unless it needs a fresh one. */
+  findIdle(target: Target): Socket | undefined;
   /** Closes every connection; later requests fail as `not-connected`. */
   close(): void;
 }
@@ -64,12 +67,12 @@
  * Runs the callback once the request has a connection. On a reused one it waits for a turn of the event loop, so that
  * bytes that had already arrived are read before the request is sent.
  */
-const whenConnected = (outgoing: http.ClientRequest, run: () => void): void => {
+const whenConnected = (outgoing: http.ClientRequest, run: (socket: Socket) => void): void => {
   outgoing.on('socket', (socket) => {
     if (socket.connecting) {
-      socket.once('connect', run);
+      socket.once('connect', () => run(socket));
     } else {
-      setImmediate(run);
+      setImmediate(run, socket);
     }
   });
 };
@@ -228,11 +231,11 @@
         received.destroy(cause);
       }
     });
-    const sendBody = (): void => {
+    const sendBody = (socket: Socket): void => {
       if (outgoing.destroyed) {
         return;
       }
-      if (request.signal?.aborted === true || request.maySend?.() === false) {
+      if (request.signal?.aborted === true || request.maySend?.(socket) === false) {
         outgoing.destroy(new Error('the request was cancelled before it was sent'));
         return;
       }
@@ -240,11 +243,11 @@
       request.onSending?.();
       outgoing.end(request.body ?? '');
     };
-    whenConnected(outgoing, () => {
+    whenConnected(outgoing, (socket) => {
       if (request.expectContinueMs === undefined) {
-        sendBody();
+        sendBody(socket);
       } else {
-        whenContinued(outgoing, request.expectContinueMs, sendBody);
+        whenContinued(outgoing, request.expectContinueMs, () => sendBody(socket));
       }
     });
   });
@@ -286,6 +289,7 @@
   return {
     open,
     send,
+    findIdle: ({ address, port }) => agent.freeSockets[agent.getName({ host: address, port })]?.at(-1),
     close: () => {
       closed = true;
       [agent, freshAgent].forEach((each) => each.destroy());
