Write agreed origins again that a restored store lacks

After a restore to a copy from before the agreement, hosts kept the agreed origins in memory and began streams there without a record, but the store had none: such streams were refused when they were taken up (not-agreed), for as long as the hosts lived. The host that proposes changes compared its plan with what it knew only, and planned from nothing when the key was missing.

It now looks every 5 s whether the key is there, and writes what it knows, under the condition that there is still none. For the life of a stream after a restore, streams without a record are refused as before.

--- a/packages/gateway/src/streams/createStreamOrigins.ts
+++ b/packages/gateway/src/streams/createStreamOrigins.ts
@@ -59,6 +59,8 @@
 /** Name by which the hosts of a region are ranked to choose the one that updates the agreed origins. */
 const AGREEMENT_DUTY = 'stream-origins';
 const REVIEW_MS = 1_000;
+/** Time between two looks at whether the store still holds the agreed origins; a restored one may lack them. */
+const STORED_CHECK_MS = 5_000;
 /** A host whose reviews are further apart was paused, and may have missed servers. */
 const MAX_REVIEW_GAP_MS = 3_000;
 /** Callers take a stream up within the deadline of their first request, which may exceed the timeout of a route. */
@@ -103,6 +105,8 @@
 
   private reviewedAtMs = -Infinity;
 
+  private storedCheckAtMs = -Infinity;
+
   private hosts: HostRegistry | undefined;
 
   constructor(private readonly options: StreamOriginsOptions) {
@@ -290,15 +294,20 @@
     const known = this.agreed ?? new Map();
     const expected = this.plan(known, (pool) => directory.list(pool).map(({ softwareVersion }) => softwareVersion));
     this.unservedSinceMs = expected.unservedSinceMs;
-    if (expected.agreed === known) {
+    const isUnchanged = expected.agreed === known;
+    if (isUnchanged && (known.size === 0 || nowMs - this.storedCheckAtMs < STORED_CHECK_MS)) {
       return;
     }
     // The list of this host may be old: the decision is made on entries that are read now.
     const stored = await store.get(format.agreedOriginsKey);
-    const agreed = stored === undefined ? new Map<string, StreamOrigin>() : parseAgreed(stored.value);
+    this.storedCheckAtMs = nowMs;
+    if (isUnchanged && stored !== undefined) {
+      return;
+    }
+    const agreed = stored === undefined ? known : parseAgreed(stored.value);
     const versions = await this.readVersions();
     const next = this.plan(agreed ?? new Map(), (pool) => versions.get(pool) ?? []).agreed;
-    if (next === agreed) {
+    if (next === agreed && (stored !== undefined || next.size === 0)) {
       this.putAgreed(stored?.value ?? formatAgreed(next));
       return;
     }
