--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -37,6 +37,7 @@
 import reportRefusedConnection from './observe/reportRefusedConnection.js';
 import reportEnd from './requests/reportEnd.js';
 import createAnswerMemory from './servers/createAnswerMemory.js';
+import createProcessChecks from './servers/createProcessChecks.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
 import createGatewayDrain, { type StopState } from './createGatewayDrain.js';
@@ -219,6 +220,7 @@
     ...base,
     pools,
     scheduler,
+    processChecks: createProcessChecks({ ...base, format: base.formats.requests, clientOf: pools.clientOf }),
     drain,
     stageFormat: base.formats.stages,
     stages,
