--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -21,6 +21,13 @@
     .slice(0, 12);
 };
 
+/** Leaves out the parts of pino that write to several streams or to worker threads; the program logs to standard output. */
+const withoutPinoTransports = {
+  name: 'without-pino-transports',
+  setup: (build) =>
+    build.onLoad({ filter: /[\\/]pino[\\/]lib[\\/](?:transport|multistream)\.js$/ }, () => ({ contents: '' })),
+};
+
 /** Options of esbuild. */
 const bundleOptions = {
   entryPoints: [path.join(rootDir, 'platform/dist/main.js')],
@@ -37,11 +44,10 @@
     rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js'),
     // The main module of debug chooses between its builds for browsers and for Node.js when it runs.
     debug: path.join(rootDir, 'node_modules/debug/src/node.js'),
-    // Only the transports of pino, which run in worker threads, use thread-stream; the program logs to standard output.
-    'thread-stream': path.join(rootDir, 'tools/emptyModule.cjs'),
     // Optional for debug, which selects namespaces here and prints nothing; installed only for the linter.
     'supports-color': path.join(rootDir, 'tools/emptyModule.cjs'),
   },
+  plugins: [withoutPinoTransports],
   banner: { js: REQUIRE_BANNER },
   logLevel: 'warning',
 };
