Take back the check of servers that close an idle connection

It also opened a second connection for each answer of servers that close after it (20 for 10 requests).

--- a/packages/decide/src/poison/createCrashDetector.ts
+++ b/packages/decide/src/poison/createCrashDetector.ts
@@ -7,7 +7,6 @@
   MAX_LAST_ANSWERS,
   toSuspect,
   type Attempt,
-  type ProcessRecord,
 } from './_lib/processRecord.js';
 import { STALE_LIST_LOSS_WINDOW_MS, LAST_ANSWERS_WINDOW_MS, LOSS_WINDOW_MS } from './constants.js';
 import type { LossKind, ProcessCrash, ProcessEnd, RunningAttempt, ServerProcess } from './processTypes.js';
@@ -39,10 +38,6 @@
   noteRefused(attempt: RunningAttempt, nowMs: number): ProcessCrash;
   /** Records that the server refused the connection of an attempt. Returns the crash if its process ran requests. */
   noteUnreachable(attempt: RunningAttempt, nowMs: number): ProcessCrash | undefined;
-  /** Whether a process has just answered and runs no attempt, so that no attempt would show its crash. */
-  hasOnlyAnswered(process: ServerProcess, nowMs: number): boolean;
-  /** Records that a process refuses connections. Returns the crash if it ran requests. */
-  noteDown(process: ServerProcess, nowMs: number): ProcessCrash | undefined;
   /** Records the end of a process that the list of servers reports. Returns the crash if the process ran requests. */
   noteEnded(process: ServerProcess, end: ProcessEnd, nowMs: number): ProcessCrash | undefined;
 }
@@ -111,18 +106,11 @@
 
   noteUnreachable(running: RunningAttempt, nowMs: number): ProcessCrash | undefined {
     const attempt = running as Attempt;
+    const { record } = attempt;
     this.processes.removeAttempt(attempt);
-    return AttemptTracker.endIfCrashed(attempt.record, nowMs);
-  }
-
-  hasOnlyAnswered(process: ServerProcess, nowMs: number): boolean {
-    const record = this.processes.find(process);
-    return record?.running.size === 0 && nowMs - (record.answers.at(-1)?.atMs ?? -Infinity) <= LAST_ANSWERS_WINDOW_MS;
-  }
-
-  noteDown(process: ServerProcess, nowMs: number): ProcessCrash | undefined {
-    const record = this.processes.find(process);
-    return record === undefined ? undefined : AttemptTracker.endIfCrashed(record, nowMs);
+    const isCrash =
+      record.end === undefined && (listRecent(record, nowMs).length > 0 || listLastAnswers(record, nowMs).length > 0);
+    return isCrash ? endProcess(record, 'refused', nowMs) : undefined;
   }
 
   noteEnded(process: ServerProcess, end: ProcessEnd, nowMs: number): ProcessCrash | undefined {
@@ -137,12 +125,6 @@
     return end !== 'left' && (hasLosses || hasAnswered) ? crash : undefined;
   }
 
-  private static endIfCrashed(record: ProcessRecord, nowMs: number): ProcessCrash | undefined {
-    const isCrash =
-      record.end === undefined && (listRecent(record, nowMs).length > 0 || listLastAnswers(record, nowMs).length > 0);
-    return isCrash ? endProcess(record, 'refused', nowMs) : undefined;
-  }
-
   /** Applies the loss of an attempt; returns the crash if its process is known to have ended. */
   private applyLoss(attempt: Attempt, kind: LossKind, nowMs: number): ProcessCrash | undefined {
     const { record, answering } = attempt;
--- a/packages/gateway/src/crashes/createAttemptWatcher.ts
+++ b/packages/gateway/src/crashes/createAttemptWatcher.ts
@@ -11,7 +11,6 @@
   type ProcessCrash,
   type RunHistory,
   type RunningAttempt,
-  type ServerProcess,
 } from '@bergamotcove/decide';
 import { exhaustive } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
@@ -50,11 +49,6 @@
 export interface AttemptWatcher {
   /** Watches an attempt that sends requests to a server: one request, or those whose pieces a call contains. */
   watch(server: KnownServer, fingerprints: readonly string[], parts?: readonly string[]): AttemptWatch;
-  /**
-   * Checks a server that closed an idle connection. A server that crashes right after its answer may get no further
-   * attempt from this host, so that nothing else would connect the crash with the request.
-   */
-  noteIdleClose(server: KnownServer): Promise<void>;
   /** Counts the successful runs of a request since a monotonic time. */
   countRuns(fingerprint: string, sinceMs: number): number;
   /** Summarises the output of servers that this host has seen. */
@@ -71,12 +65,6 @@
   readonly onCrash: (crash: ProcessCrash) => Promise<void>;
 }
 
-const toProcess = ({ serverId, startedAtMs, pool }: KnownServer): ServerProcess => ({
-  serverId,
-  startId: String(startedAtMs),
-  pool,
-});
-
 class Watcher implements AttemptWatcher {
   private readonly crashDetector: CrashDetector;
 
@@ -84,8 +72,6 @@
 
   private readonly outputs: OutputHistory = createOutputHistory();
 
-  private readonly checkedServers = new Set<string>();
-
   constructor(private readonly options: AttemptWatcherOptions) {
     const { clock, directory } = options;
     this.crashDetector = createCrashDetector({ isListStale: () => directory.storeLost });
@@ -97,7 +83,8 @@
 
   watch(server: KnownServer, fingerprints: readonly string[], parts: readonly string[] = []): AttemptWatch {
     const { crashDetector } = this;
-    const attempt = crashDetector.begin(toProcess(server), fingerprints, parts);
+    const { serverId, startedAtMs, pool } = server;
+    const attempt = crashDetector.begin({ serverId, startId: String(startedAtMs), pool }, fingerprints, parts);
     return {
       noteAnswering: () => crashDetector.noteAnswering(attempt),
       noteOutput: () => this.noteOutput(server, attempt),
@@ -105,21 +92,6 @@
     };
   }
 
-  async noteIdleClose(server: KnownServer): Promise<void> {
-    const { clock } = this.options;
-    const { serverId } = server;
-    const process = toProcess(server);
-    if (this.checkedServers.has(serverId) || !this.crashDetector.hasOnlyAnswered(process, clock.monotonicMs())) {
-      return;
-    }
-    this.checkedServers.add(serverId);
-    const check = await checkConnection(server);
-    this.checkedServers.delete(serverId);
-    if (check === 'refused') {
-      await this.handleCrash(this.crashDetector.noteDown(process, clock.monotonicMs()));
-    }
-  }
-
   countRuns(fingerprint: string, sinceMs: number): number {
     return this.history.count(fingerprint, sinceMs, this.options.clock.monotonicMs());
   }
--- a/packages/gateway/src/crashes/createCrashGuard.ts
+++ b/packages/gateway/src/crashes/createCrashGuard.ts
@@ -44,8 +44,6 @@
    * pieces a call contains.
    */
   watch(server: KnownServer, fingerprints: readonly string[], parts?: readonly string[]): AttemptWatch;
-  /** Call it when a server closes an idle connection shortly after an answer. */
-  noteIdleClose(server: KnownServer): void;
   readonly methods: Readonly<Record<string, LinkMethod>>;
   /** Consumer of the blocks in the store. */
   readonly storedBlocks: StoredBlocks;
@@ -205,10 +203,6 @@
     return this.attempts.watch(server, fingerprints, parts);
   }
 
-  noteIdleClose(server: KnownServer): void {
-    this.attempts.noteIdleClose(server).catch(() => undefined);
-  }
-
   /** Applies a crash that this host has observed, and reports it to the collectors. */
   private async handleCrash({ atMs, ...facts }: ProcessCrash): Promise<void> {
     const report = { ...facts, agoMs: this.options.clock.monotonicMs() - atMs };
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -1,16 +1,9 @@
 import type { Clock } from '@bergamotcove/clock';
-import {
-  chooseServer,
-  findContinuers,
-  LAST_ANSWERS_WINDOW_MS,
-  type Choice,
-  type ServerView,
-} from '@bergamotcove/decide';
+import { chooseServer, findContinuers, type Choice, type ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import { createHttpClient, type HttpClient, type Target } from '@bergamotcove/transport';
+import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
-import type { CrashGuard } from '../crashes/createCrashGuard.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import type { ServerLoadFacts } from '../ports.js';
@@ -52,7 +45,6 @@
   readonly limits: Pick<RateLimits, 'closedUntilMs'>;
   readonly tables: RouteTableHolder;
   readonly hosts: HostRegistry;
-  readonly crashes: Pick<CrashGuard, 'noteIdleClose'>;
   readonly failureDomain: string;
   readonly region: string;
 }
@@ -112,19 +104,13 @@
  * @returns the pools; close them to close their connections
  */
 export default function createServerPools(options: ServerPoolsOptions): ServerPools {
-  const { clock, directory, hosts, crashes } = options;
+  const { clock, directory, hosts } = options;
   const clients = new Map<string, HttpClient>();
-  const noteIdleClose = ({ address, port }: Target, idleMs: number): void => {
-    const server = directory.findAt(`${address}:${port}`);
-    if (server?.state === 'live' && idleMs <= LAST_ANSWERS_WINDOW_MS) {
-      crashes.noteIdleClose(server);
-    }
-  };
 
   return {
     choose: (placement) => choose(placement, options),
     clientOf: (pool) => {
-      const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS, onIdleClose: noteIdleClose });
+      const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS });
       clients.set(pool, client);
       return client;
     },
--- a/packages/transport/src/_lib/createKeepAliveAgent.ts
+++ b/packages/transport/src/_lib/createKeepAliveAgent.ts
@@ -1,6 +1,5 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
-import type { Target } from '../createHttpClient.js';
 import createSmallReadConnection from './createSmallReadConnection.js';
 
 /** Options of {@link createKeepAliveAgent}. */
@@ -9,8 +8,6 @@
   readonly maxSockets: number;
   /** Time after which an idle connection is closed, unless the server announces a shorter one; unlimited by default. */
   readonly idleLimitMs?: number;
-  /** Called when a server closes an idle connection, with the time since the last answer on it. */
-  readonly onIdleClose?: (target: Target, idleMs: number) => void;
 }
 
 /** An idle connection is closed this long before the server would close it, so that no request is sent into the close. */
@@ -33,21 +30,20 @@
   this.destroy();
 }
 
-const ignore = (): void => undefined;
-
 /** Agent that closes idle connections before the server does, and those on which a server sends unasked. */
 class KeepAliveAgent extends http.Agent {
-  private readonly closeListeners = new WeakMap<Socket, (hadError: boolean) => void>();
-
-  constructor(private readonly limits: KeepAliveAgentOptions) {
-    super({ keepAlive: true, maxSockets: limits.maxSockets, scheduling: 'lifo' });
+  constructor(
+    maxSockets: number,
+    private readonly idleLimitMs: number,
+  ) {
+    super({ keepAlive: true, maxSockets, scheduling: 'lifo' });
   }
 
   override createConnection = createSmallReadConnection;
 
   /** Called by the base class after a response was read; false closes the connection. */
   override keepSocketAlive(socket: AgentSocket): boolean {
-    const limitMs = Math.min(this.limits.idleLimitMs ?? Infinity, readServerIdleTimeoutMs(socket));
+    const limitMs = Math.min(this.idleLimitMs, readServerIdleTimeoutMs(socket));
     if (limitMs <= 0) {
       return false;
     }
@@ -55,33 +51,14 @@
     socket.unref();
     socket.setTimeout(Number.isFinite(limitMs) ? limitMs : 0);
     socket.on('data', endAtData);
-    this.watchClose(socket);
     return true;
   }
 
   override reuseSocket(socket: Socket, request: http.ClientRequest): void {
     socket.setTimeout(0);
     socket.off('data', endAtData);
-    socket.off('close', this.closeListeners.get(socket) ?? ignore);
     super.reuseSocket(socket, request);
   }
-
-  private watchClose(socket: Socket): void {
-    const { onIdleClose } = this.limits;
-    const { remoteAddress: address = '', remotePort: port = 0 } = socket;
-    if (onIdleClose === undefined) {
-      return;
-    }
-    const idleSinceMs = performance.now();
-    const listener = (hadError: boolean): void => {
-      // A connection that this process closes has neither ended nor failed.
-      if (hadError || socket.readableEnded) {
-        onIdleClose({ address, port }, performance.now() - idleSinceMs);
-      }
-    };
-    this.closeListeners.set(socket, listener);
-    socket.once('close', listener);
-  }
 }
 
 /**
@@ -91,5 +68,5 @@
  * @returns the agent; destroy it to close its connections
  */
 export default function createKeepAliveAgent(options: KeepAliveAgentOptions): http.Agent {
-  return new KeepAliveAgent(options);
+  return new KeepAliveAgent(options.maxSockets, options.idleLimitMs ?? Infinity);
 }
