Run the stages that wait at a host that stops, if there is no other host

Callers whose request waited for a stage when the host began to stop got 503 with the reason overloaded and Retry-After 0.50, long before the host stopped.

The host hands its jobs that no server has got over to the next owner of the pool. Without another host the stage client falls back to the own owner, which answered every job with moved once the host was stopping; after four attempts the request failed as if its owner were lost.

The owner of the pool now answers only jobs of other hosts with moved. Own jobs reach it while it stops only when the registry, which leaves this host out, lists no other, so they wait in its queue until they run or are refused as stopping.

--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -32,7 +32,10 @@
   onInputsUsed(sink: ResultSink): void;
   /** Hands over the pools that this host no longer owns. */
   updateOwnership(isOwner: (pool: string) => boolean): void;
-  /** Hands over all pools and answers further jobs with `moved`, because this host stops. */
+  /**
+   * Hands over all pools and answers further jobs of other hosts with `moved`, because this host stops. Own jobs come
+   * back only when there is no other host, and are run.
+   */
   leave(): void;
   close(): void;
 }
@@ -101,9 +104,7 @@
   }
 
   run(job: StageJob): Promise<StageJobResult> {
-    return this.leaving
-      ? Promise.resolve(MOVED)
-      : (this.findOrCreate(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL));
+    return this.findOrCreate(job.pool)?.run(job) ?? Promise.resolve(UNKNOWN_POOL);
   }
 
   cancel(pool: string, jobId: string): void {
@@ -148,7 +149,7 @@
   private async runForPeer(peer: LinkPeer, job: StageJob): Promise<StageJobResult> {
     const stopListening = peer.onClose(() => this.cancel(job.pool, job.jobId));
     try {
-      return this.peerResults.add(peer, job.pool, await this.run(job));
+      return this.leaving ? MOVED : this.peerResults.add(peer, job.pool, await this.run(job));
     } finally {
       stopListening();
     }
