Judge whether a peer answers only after its answer was read

A host that asks the one which hands out sends, or the scheduler of its region, waits 120 ms. After a pause of its process that timer ran before the sockets were read, so an answer that had come in time was dropped: the peer was taken for silent for 2 s, another host took over its duties without what callers had been told, and the request was sent elsewhere or asked again.

The judgement now comes after the reading of the sockets. When the timer was late by more than 20 ms the peer gets its time once more, because it may have been paused too; a host that does not answer then is still taken for silent.

--- a/packages/gateway/src/limits/createRateLimits.ts
+++ b/packages/gateway/src/limits/createRateLimits.ts
@@ -13,6 +13,7 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import createServerBackoffs, { type ServerBackoffs } from '../catalogue/createServerBackoffs.js';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import scheduleSilence from '../hosts/scheduleSilence.js';
 import type { RateLimitNotice } from '../ports.js';
 import createLimitAnnouncer, { type LimitAnnouncer } from './createLimitAnnouncer.js';
 import createLimitDuty, { type LimitDuty } from './createLimitDuty.js';
@@ -267,7 +268,7 @@
     const { clock, links, region } = this.options;
     return new Promise((resolve) => {
       const limitMs = owner.region === region ? ANSWER_TIMEOUT_MS : REMOTE_ANSWER_TIMEOUT_MS;
-      const timer = clock.schedule(limitMs, () => {
+      const timer = scheduleSilence(clock, limitMs, () => {
         this.hosts?.noteSilent(owner.hostId);
         resolve(undefined);
       });
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import scheduleSilence from '../hosts/scheduleSilence.js';
 import { SCHEDULER_DUTY, type RegionScheduler } from './createRegionScheduler.js';
 import {
   ENTER,
@@ -216,7 +217,7 @@
           resolve(undefined);
         }
       };
-      const timer = clock.schedule(limitMs, fail);
+      const timer = scheduleSilence(clock, limitMs, fail);
       links
         .call(owner.target, method, request)
         .then(resolve, fail)
