Ignore entries of servers that name no usable server

Other writers put entries among those of the servers.

The directory looked the failure domain up in a plain object, which also finds inherited properties.

--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -56,8 +56,9 @@
   const { directory, put, list, events } = createFixture();
   directory.put({ serverId: 's1', revision: 1, text: '' });
   put('s2', 2, { failureDomain: 'elsewhere' });
+  put('s3', 3, { failureDomain: 'constructor' });
   assert.deepEqual(list(), []);
-  assert.deepEqual(events, ['serverEntryIgnored', 'serverEntryIgnored']);
+  assert.deepEqual(events, ['serverEntryIgnored', 'serverEntryIgnored', 'serverEntryIgnored']);
 });
 
 test('applies new regions to the entries that it has', () => {
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -291,8 +291,10 @@
   /** Parses an entry; undefined when it names no server, or names an unknown failure domain. */
   private read({ serverId, text }: StoredServer): KnownServer | undefined {
     const entry = this.options.format.readServer(serverId, text);
-    const region = entry === undefined ? undefined : this.regions[entry.failureDomain];
-    return entry === undefined || region === undefined ? undefined : { ...entry, region };
+    if (entry === undefined || !Object.hasOwn(this.regions, entry.failureDomain)) {
+      return undefined;
+    }
+    return { ...entry, region: this.regions[entry.failureDomain] as string };
   }
 
   private log(stored: StoredServer, server: KnownServer | undefined): void {
