Treat an answer with a status below 200 as no answer

A server that answered 101 left its caller without an answer until the timeout of the route (504, idempotent requests included) when it named a protocol; without one, the caller got the 101 itself, which is no answer to its request. On an answer with the status 099 or 000 the caller's connection was closed without an answer.

Node closes a request whose response switches protocols with neither a response nor an error, so the attempt never settled. Other statuses below 200 were taken for final responses, and writing one on to the caller throws.

Such a response now fails the request as a broken connection does, and a request that closes without a response always fails.

--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -210,6 +210,17 @@
   outgoing.on('continue', count);
 };
 
+/** Lowest status of a final response. Node also takes 101 and statuses below 100 for final ones. */
+const MIN_FINAL_STATUS = 200;
+
+/** Reason for which a response cannot be the answer to its request; undefined when there is none. */
+const findFault = ({ statusCode = 0 }: IncomingMessage, sent: boolean): Error | undefined => {
+  if (!sent) {
+    return new Error('an answer arrived before the request was sent');
+  }
+  return statusCode < MIN_FINAL_STATUS ? new Error('the server sent no final response') : undefined;
+};
+
 /** Sends a request and resolves with the response as soon as its headers arrive. */
 const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
@@ -221,8 +232,9 @@
     setConnectTimeout(outgoing, request.connectLimitMs);
     limitInformationalResponses(outgoing);
     outgoing.on('response', (response) => {
-      if (!sent) {
-        outgoing.destroy(new Error('an answer arrived before the request was sent'));
+      const fault = findFault(response, sent);
+      if (fault !== undefined) {
+        outgoing.destroy(fault);
         return;
       }
       received = response;
@@ -240,6 +252,10 @@
         received.destroy(cause);
       }
     });
+    // A switch of protocols that was not requested closes the request with neither a response nor an error.
+    outgoing.on('close', () =>
+      reject(toTransportError(new Error('no response'), request.signal?.aborted === true, sent)),
+    );
     const sendBody = (socket: Socket): void => {
       // A connection that ends before the request is sent fails the request, which is destroyed only later.
       if (outgoing.destroyed || failed) {
