Test drains with unread answers, and clients that leave behind a part of a head

Three tests that are red on this code:

- At a drain, the server destroys each connection whose answer was ended, also if most of it waits for its caller to read.
A caller got 3,919,872 bytes of 12,000,000, and nothing of the answer behind.
- A client that leaves after a request and a part of the next head is not noticed: the error of the parser at the end of the input refuses further requests and discards the input, and nothing closes the connection.
The request counted as open until its answer.
- A body that comes after an answer that left the connection open, as a 417 to an unknown expectation does, counts as a part of a head: 408 was written on the idle connection.

--- a/packages/gateway/src/callers/connectionGuard.test.ts
+++ b/packages/gateway/src/callers/connectionGuard.test.ts
@@ -37,7 +37,10 @@
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
 };
 
-/** Answers with the path, at once or, for paths below /late, after a while. */
+/** Larger than what the buffers of a connection hold. */
+const LARGE = Buffer.alloc(12_000_000, 'x');
+
+/** Answers with the path, at once or, for paths below /late, after a while; paths below /large have a large answer. */
 const serve = async (exchange: CallerExchange, run: string[]): Promise<void> => {
   const path = exchange.request.url ?? '';
   const memory = createAnswerMemory().open();
@@ -54,8 +57,9 @@
   }
   run.push(path);
   await wait(path.startsWith('/late') ? ANSWER_MS : 0);
-  exchange.sendHead({ status: 200, headers: ['Content-Length', String(path.length)] });
-  exchange.finish(Buffer.from(path));
+  const body = path.startsWith('/large') ? LARGE : Buffer.from(path);
+  exchange.sendHead({ status: 200, headers: ['Content-Length', String(body.length)] });
+  exchange.finish(body);
 };
 
 const withServer = async (play: (scene: Scene) => Promise<void>): Promise<void> => {
@@ -278,3 +282,37 @@
     await wait(100);
     assert.equal(server.openRequests(), 0);
   }));
+
+test('at a drain, answers that wait for their caller to read are not cut', () =>
+  withServer(async ({ connect, server }) => {
+    const client = await connect();
+    client.socket.pause();
+    client.socket.write(get('/large') + get('/late'));
+    await wait(100);
+    server.drain();
+    await wait(50);
+    client.socket.resume();
+    await wait(ANSWER_MS + 500);
+    assert.deepEqual(statusesOf(client), ['200', '200']);
+    assert.ok(client.received().length > LARGE.length);
+  }));
+
+test('a client that leaves with a part of a head behind its request ends the request', () =>
+  withServer(async ({ connect, server }) => {
+    const client = await connect();
+    client.socket.write(get('/late') + get('/b').slice(0, 9));
+    await wait(100);
+    client.socket.destroy();
+    await wait(100);
+    assert.equal(server.openRequests(), 0);
+  }));
+
+test('a body that comes after the answer to its head is not taken for the head of another request', () =>
+  withServer(async ({ connect, refusals }) => {
+    const client = await connect();
+    client.socket.write(`POST /a HTTP/1.1\r\nHost: site.example\r\nExpect: other\r\nContent-Length: 5\r\n\r\n`);
+    await wait(50);
+    client.socket.write('12345');
+    await wait(2 * LIMITS.headerTimeoutMs + 100);
+    assert.deepEqual([statusesOf(client), refusals], [['417'], []]);
+  }));
