Handle the requests of a connection one after the other

An answer whose head was written before its turn could not be replaced either. And a request that waited to send its body got its whole deadline again when its turn came: its server was given 1,992 of 2,000 ms after a wait of 1,200 ms.

A request now begins when the answers before it are sent. One that breaks off ends the connection before anything behind it has run, and such requests may be sent again. The time of arrival still counts for the deadline.

--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -54,7 +54,7 @@
     this.guard = createConnectionGuard(this.server, {
       ...options,
       limits: FIRST_LIMITS,
-      onRequest: (request, response) => this.accept(request, response),
+      onRequest: (request, response, arrivedAtMs) => this.accept(request, response, arrivedAtMs),
     });
   }
 
@@ -85,8 +85,8 @@
     return this.open.size;
   }
 
-  private accept(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = new CallerExchange(request, response, this.options.clock.monotonicMs());
+  private accept(request: http.IncomingMessage, response: http.ServerResponse, arrivedAtMs: number): void {
+    const exchange = new CallerExchange(request, response, arrivedAtMs);
     this.open.add(exchange);
     response.once('close', () => this.open.delete(exchange));
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? '').length);
--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '@bergamotcove/clock';
+import findConnectionPhase, {
+  countHeadBytes,
+  type Connection,
+  type ConnectionPhase,
+} from './_lib/findConnectionPhase.js';
 
 /** Time limits of a connection that has no request. */
 export interface ConnectionLimits {
@@ -33,7 +38,8 @@
 export interface ConnectionGuardOptions {
   readonly clock: Clock;
   readonly limits: ConnectionLimits;
-  readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Called for one request of a connection at a time. It may have waited for its turn since it arrived. */
+  readonly onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void;
   readonly onRefused?: (refusal: ConnectionRefusal) => void;
   /** Called when a request comes on a connection that is about to be closed; it is neither run nor answered. */
   readonly onNotAdmitted?: (requests: number, openRequests: number) => void;
@@ -46,29 +52,11 @@
   drain(): void;
 }
 
-type Phase = 'idle' | 'head' | 'request' | 'ending';
-
-interface Connection {
-  readonly socket: Socket;
-  readonly open: Set<ServerResponse>;
-  requests: number;
-  /** Answer to the newest request, until it is sent. */
-  newest: ServerResponse | undefined;
-  /** Bytes up to the end of the newest request, as far as they had come then. */
-  requestBytes: number;
-  /** Whether no further request is admitted. */
-  closing: boolean;
-  phase: Phase | undefined;
-  phaseBeganMs: number;
-}
-
 const MIN_INTERVAL_MS = 25;
 const MAX_INTERVAL_MS = 500;
 const INTERVALS_PER_LIMIT = 4;
 /** An answer is lost if its connection is closed while bytes of the client arrive. */
 const LINGER_MS = 500;
-/** Clients may send an empty line after a request. */
-const EMPTY_LINE_BYTES = 2;
 
 const BAD_REQUEST = '400 Bad Request';
 const HEAD_TIMEOUT = '408 Request Timeout';
@@ -77,23 +65,6 @@
   ERR_HTTP_REQUEST_TIMEOUT: HEAD_TIMEOUT,
 };
 
-const headBytesOf = ({ socket, requestBytes }: Connection): number => Math.max(0, socket.bytesRead - requestBytes);
-
-const findPhase = (connection: Connection): Phase => {
-  const { socket, open, newest, closing } = connection;
-  if (closing) {
-    return open.size > 0 ? 'request' : 'ending';
-  }
-  // A head cannot arrive while the socket is paused because answers wait to be sent.
-  if (newest?.req.complete === false || (open.size > 0 && socket.isPaused())) {
-    return 'request';
-  }
-  if (headBytesOf(connection) > EMPTY_LINE_BYTES) {
-    return 'head';
-  }
-  return open.size > 0 ? 'request' : 'idle';
-};
-
 /** Has an answer close its connection, unless another request of the connection comes before its head is sent. */
 const endAfter = (response: ServerResponse | undefined): void => {
   if (response?.headersSent === false) {
@@ -102,8 +73,8 @@
 };
 
 /**
- * Runs the callback when the answers before a response are sent. Until then, Node buffers an interim answer and writes it
- * between the head and the body of the final one.
+ * Runs the callback when the answers before a response are sent. An answer that breaks off ends the connection, and a
+ * pipelined request that ran by then would get no answer.
  */
 const whenInTurn = (response: ServerResponse, run: () => void): void => {
   if (response.socket === null) {
@@ -113,6 +84,13 @@
   }
 };
 
+/** Ends the newest request if its body cannot be parsed; what reads the body answers it. */
+const reportBodyError = ({ newestRequest, bodyError }: Connection): void => {
+  if (bodyError !== undefined && newestRequest !== undefined && newestRequest.listenerCount('error') > 0) {
+    newestRequest.emit('error', bodyError);
+  }
+};
+
 /** Reads and ignores what still arrives, so that it reaches neither the parser nor the client as a reset. */
 const discardInput = (socket: Socket): void => {
   socket.removeAllListeners('data');
@@ -148,12 +126,10 @@
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('request', (request, response) => this.admit(request, response, onRequest));
     server.on('checkContinue', (request, response) =>
-      this.admit(request, response, () =>
-        whenInTurn(response, () => {
-          response.writeContinue();
-          onRequest(request, response);
-        }),
-      ),
+      this.admit(request, response, (...admitted) => {
+        response.writeContinue();
+        onRequest(...admitted);
+      }),
     );
     server.on('checkExpectation', (request, response) =>
       this.admit(request, response, () => response.writeHead(417).end()),
@@ -189,6 +165,8 @@
       open: new Set(),
       requests: 0,
       newest: undefined,
+      newestRequest: undefined,
+      bodyError: undefined,
       requestBytes: 0,
       closing: false,
       phase: undefined,
@@ -225,6 +203,8 @@
     }
     connection.requests += 1;
     connection.newest = response;
+    connection.newestRequest = request;
+    connection.bodyError = undefined;
     connection.requestBytes = request.socket.bytesRead;
     connection.phase = undefined;
     open.add(response);
@@ -237,7 +217,13 @@
     if (this.draining) {
       endAfter(response);
     }
-    run(request, response);
+    const arrivedAtMs = this.options.clock.monotonicMs();
+    whenInTurn(response, () => {
+      run(request, response, arrivedAtMs);
+      if (connection.newestRequest === request) {
+        reportBodyError(connection);
+      }
+    });
   }
 
   private release(connection: Connection, response: ServerResponse): void {
@@ -258,10 +244,13 @@
     if (connection === undefined || error.code === 'ECONNRESET' || socket.destroyed) {
       socket.destroy();
     } else if (!connection.closing && socket.writable) {
-      this.refuse(connection, error.code ?? error.message, STATUS_OF_ERROR[error.code ?? ''] ?? BAD_REQUEST);
       const { newest } = connection;
-      if (newest?.req.complete === false && newest.req.listenerCount('error') > 0) {
-        newest.req.emit('error', error);
+      this.refuse(connection, error.code ?? error.message, STATUS_OF_ERROR[error.code ?? ''] ?? BAD_REQUEST);
+      if (newest?.req.complete === false) {
+        connection.bodyError = error;
+        if (newest.socket !== null) {
+          reportBodyError(connection);
+        }
       }
     }
   }
@@ -282,7 +271,7 @@
 
   private report(connection: Connection, reason: string, status: number | undefined): void {
     const { open, newest, requests, phase, phaseBeganMs } = connection;
-    const headBytes = newest?.req.complete === false ? 0 : headBytesOf(connection);
+    const headBytes = newest?.req.complete === false ? 0 : countHeadBytes(connection);
     const partial = headBytes > 0 ? 'part-of-head' : 'nothing';
     this.options.onRefused?.({
       reason,
@@ -325,7 +314,7 @@
   /** Updates the phase of a connection and tells whether it has exceeded its limit. */
   private isOver(connection: Connection): boolean {
     const one = connection;
-    const phase = findPhase(one);
+    const phase = findConnectionPhase(one);
     if (one.phase !== phase) {
       one.phase = phase;
       one.phaseBeganMs = this.ranMs;
@@ -333,7 +322,7 @@
     return this.ranMs - one.phaseBeganMs >= this.findLimitMs(phase);
   }
 
-  private findLimitMs(phase: Phase): number {
+  private findLimitMs(phase: ConnectionPhase): number {
     switch (phase) {
       case 'idle':
         return this.limits.idleTimeoutMs;
