--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -149,8 +149,14 @@
   drain(): void {
     this.draining = true;
     this.connections.forEach(({ newest }) => endAfter(newest));
-    // A request may wait unread, so the sockets are read first.
-    setImmediate(() => this.server.closeIdleConnections());
+    // A request may wait unread, so the sockets are read first. The server itself would also cut answers that are not sent.
+    setImmediate(() =>
+      this.connections.forEach((connection) => {
+        if (connection.requests > 0 && findConnectionPhase(connection) === 'idle') {
+          connection.socket.destroy();
+        }
+      }),
+    );
   }
 
   private get intervalMs(): number {
--- a/packages/transport/src/createHttpServer.ts
+++ b/packages/transport/src/createHttpServer.ts
@@ -1,5 +1,5 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import net, { type AddressInfo } from 'node:net';
 import { createSystemClock } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
 import createConnectionGuard, { type ConnectionRefusal } from './createConnectionGuard.js';
@@ -80,8 +80,8 @@
   const close = (): Promise<void> =>
     new Promise((resolve) => {
       guard.drain();
-      // The server closes idle connections at once, so it is closed after the sockets are read.
-      setImmediate(() => server.close(() => resolve()));
+      // The close of an HTTP server also cuts answers that are not sent yet.
+      setImmediate(() => net.Server.prototype.close.call(server, () => resolve()));
     });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
