End the requests of a caller that leaves behind a part of a head

A caller that left after the first bytes of a next request went unnoticed until its answer was written: the parser reports the end as an error, and the input of the connection is discarded from then on, its end with it. Servers went on for a caller that had gone.

The end of the client's side now ends the connection, as without these bytes.

--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -58,6 +58,9 @@
 /** An answer is lost if its connection is closed while bytes of the client arrive. */
 const LINGER_MS = 500;
 
+/** Code of the parser when the client ends its side within a message. */
+const CLIENT_END = 'HPE_INVALID_EOF_STATE';
+
 const BAD_REQUEST = '400 Bad Request';
 const HEAD_TIMEOUT = '408 Request Timeout';
 const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
@@ -95,6 +98,7 @@
 const discardInput = (socket: Socket): void => {
   socket.removeAllListeners('data');
   socket.on('data', () => undefined);
+  socket.once('end', () => socket.end());
   socket.resume();
 };
 
@@ -250,13 +254,15 @@
     if (connection === undefined || error.code === 'ECONNRESET' || socket.destroyed) {
       socket.destroy();
     } else if (!connection.closing && socket.writable) {
-      const { newest } = connection;
+      const { newest, open } = connection;
       this.refuse(connection, error.code ?? error.message, STATUS_OF_ERROR[error.code ?? ''] ?? BAD_REQUEST);
       if (newest?.req.complete === false) {
         connection.bodyError = error;
         if (newest.socket !== null) {
           reportBodyError(connection);
         }
+      } else if (error.code === CLIENT_END && open.size > 0) {
+        socket.end();
       }
     }
   }
