Take no late body for the head of a next request

A body that came after the answer to its head (417 to an unknown Expect) was counted as a head once the answer was sent, and the idle connection got a 408 that no request had asked for. The bytes of the newest request now count to its end, answered or not. The test was red before: 417, then 408.

--- a/packages/transport/src/_lib/findConnectionPhase.ts
+++ b/packages/transport/src/_lib/findConnectionPhase.ts
@@ -36,14 +36,14 @@
  * @returns its phase
  */
 export default function findConnectionPhase(connection: Connection): ConnectionPhase {
-  const { socket, open, newest, closing } = connection;
+  const { socket, open, newest, newestRequest, closing } = connection;
   const calm = open.size > 0 ? 'request' : 'idle';
   if (closing) {
     return open.size > 0 ? 'request' : 'ending';
   }
   // A body that waits for its turn is not read, so its bytes cannot be told from those of a next head. No head can arrive
   // while the socket is paused because answers wait to be sent.
-  const isWaiting = newest?.req.complete === false || newest?.socket === null;
+  const isWaiting = newestRequest?.complete === false || newest?.socket === null;
   if (isWaiting || (open.size > 0 && socket.isPaused())) {
     return calm;
   }
--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -219,7 +219,7 @@
     connection.phase = undefined;
     open.add(response);
     request.once('end', () => {
-      if (connection.newest === response) {
+      if (connection.newestRequest === request) {
         connection.requestBytes = request.socket.bytesRead;
       }
     });
@@ -282,8 +282,8 @@
   }
 
   private report(connection: Connection, reason: string, status: number | undefined): void {
-    const { open, newest, requests, phase, phaseBeganMs } = connection;
-    const headBytes = newest?.req.complete === false ? 0 : countHeadBytes(connection);
+    const { open, newestRequest, requests, phase, phaseBeganMs } = connection;
+    const headBytes = newestRequest?.complete === false ? 0 : countHeadBytes(connection);
     const partial = headBytes > 0 ? 'part-of-head' : 'nothing';
     this.options.onRefused?.({
       reason,
