Ask a server that does not answer for its start only once in two seconds

Each new stream at a server whose report hangs waited 0.5 s for it (529 to 534 ms in place of about 31 for the first event), and a stream that was taken up asked every server again until its deadline: 503 after 2.0 s and 12 checks. A server that has started again unlisted was asked for each stream as well. After a standstill, answers that had arrived were discarded, as the timer ran before the sockets were read.

The result now holds for the entry (other start, or none stated) or for 2 s (no answer), and the timer is judged after reading. The new test counts the questions: three before the pause ended, now one.

--- a/packages/gateway/src/servers/createProcessChecks.ts
+++ b/packages/gateway/src/servers/createProcessChecks.ts
@@ -1,8 +1,9 @@
 import type { Socket } from 'node:net';
+import type { Clock } from '@bergamotcove/clock';
 import type { ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import { isFlooding, readBody, type HttpClient } from '@bergamotcove/transport';
+import { isFlooding, readBody, scheduleAfterReading, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory, KnownServer } from '../catalogue/BackendDirectory.js';
 import type { RequestFormat } from '../ports.js';
 import isConnectionRefused from './isConnectionRefused.js';
@@ -34,6 +35,7 @@
 
 /** Options of {@link createProcessChecks}. */
 export interface ProcessCheckOptions {
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: ScrapedMetrics;
   readonly directory: Pick<BackendDirectory, 'find'>;
@@ -43,6 +45,8 @@
 
 const CONNECT_LIMIT_MS = 300;
 const ANSWER_LIMIT_MS = 500;
+/** A server that did not answer delays the streams of this time once only. */
+const SILENT_PAUSE_MS = 2_000;
 const MAX_STATE_BYTES = 65_536;
 /** Statuses of a server that may state its start at another time. */
 const TEMPORARY_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 500, 502, 503, 504]);
@@ -58,8 +62,11 @@
   /** Start of the process that each connection leads to. */
   private readonly starts = new WeakMap<Socket, number>();
 
-  /** Entries of servers that do not state their start. */
-  private readonly unstated = new WeakSet<KnownServer>();
+  /** Entries whose check would end the same way again: the server states no start, or another one than the entry. */
+  private readonly decided = new WeakMap<KnownServer, 'unstated' | 'replaced'>();
+
+  /** Monotonic time until which a server that did not answer is not asked again. */
+  private readonly silentUntilMs = new WeakMap<KnownServer, number>();
 
   constructor(private readonly options: ProcessCheckOptions) {}
 
@@ -70,12 +77,24 @@
   }
 
   async check(server: ServerView): Promise<ProcessCheck> {
-    const { directory, metrics } = this.options;
+    const { clock, directory, metrics } = this.options;
     const listed = directory.find(server.serverId);
-    if (listed === undefined || listed.startedAtMs === 0 || this.unstated.has(listed)) {
+    if (listed === undefined || listed.startedAtMs === 0) {
       return 'unstated';
     }
+    const decided = this.decided.get(listed);
+    if (decided !== undefined) {
+      return decided;
+    }
+    if (clock.monotonicMs() < (this.silentUntilMs.get(listed) ?? 0)) {
+      return 'silent';
+    }
     const result = await this.ask(listed).catch(readFailure);
+    if (result === 'unstated' || result === 'replaced') {
+      this.decided.set(listed, result);
+    } else if (result === 'silent') {
+      this.silentUntilMs.set(listed, clock.monotonicMs() + SILENT_PAUSE_MS);
+    }
     metrics.report('streams.process_checks', 1, { result });
     return result;
   }
@@ -90,13 +109,23 @@
 
   /** Asks the process for its start, over the connection that is used next if no other request comes between. */
   private async ask(listed: KnownServer): Promise<ProcessCheck> {
+    const abort = new AbortController();
+    const timer = scheduleAfterReading(this.options.clock, ANSWER_LIMIT_MS, () => abort.abort());
+    try {
+      return await this.readState(listed, abort.signal);
+    } finally {
+      timer.close();
+    }
+  }
+
+  private async readState(listed: KnownServer, signal: AbortSignal): Promise<ProcessCheck> {
     const { format, clientOf, logger } = this.options;
     const { serverId, pool, startedAtMs: listedStartMs } = listed;
     const response = await clientOf(pool).open(listed, {
       method: 'GET',
       path: format.statePath,
       connectLimitMs: CONNECT_LIMIT_MS,
-      signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
+      signal,
     });
     const { socket } = response;
     const startMs = format.readStart(await readBody(response, { maxBytes: MAX_STATE_BYTES }));
@@ -104,7 +133,6 @@
       return 'silent';
     }
     if (startMs === undefined) {
-      this.unstated.add(listed);
       return 'unstated';
     }
     if (startMs !== listedStartMs) {
