--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -3,7 +3,7 @@
  * Stand-in of one backend server, a process of its own. It reports to its parent what arrives and what it has run, and
  * ends with its parent. The path of a request tells what the server does: `/plain/MS` answers after MS, `/events/N/MS`
  * sends N events, one each MS. Each `unframedEvery`-th answer, from the first on, has no length and ends with its
- * connection; 0 for none.
+ * connection; 0 for none. `/fatal/MS` is answered with a success, and the server crashes MS later.
  */
 import http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -55,6 +55,15 @@
   report({ type: 'ran', id });
 };
 
+const runFatal = async ({ id, response, ms }) => {
+  const body = `answer of ${serverId} to ${id}`;
+  const head = { 'X-Attempt-Id': id, 'X-Response-Seal': `seal-${id}`, 'Content-Length': body.length };
+  response.writeHead(200, head);
+  response.end(body);
+  await delay(ms);
+  process.kill(process.pid, 'SIGKILL');
+};
+
 const server = http.createServer(async (request, response) => {
   response.sendDate = false;
   const url = new URL(request.url, 'http://server');
@@ -89,6 +98,10 @@
   report({ type: 'arrived', id, path: request.url, isUnframed });
   const at = Math.max(parts.indexOf('plain'), parts.indexOf('events'));
   const after = Number(request.headers['last-event-id'] ?? 0);
+  if (parts.includes('fatal')) {
+    await runFatal({ id, response, ms: Number(parts.at(-1)) });
+    return;
+  }
   const run =
     parts[at] === 'events'
       ? runEvents({ id, response, isUnframed, count: Number(parts[at + 1]), ms: Number(parts[at + 2]), after })
