--- a/review/lib-2/config.mjs
+++ b/review/lib-2/config.mjs
@@ -5,8 +5,10 @@
 
 export const LANGUAGE = 'vaart-lm';
 export const BOOKING = 'boekingen';
+/** A second service for bookings, to which a route can be moved. */
+export const OTHER_BOOKING = 'boekingen-2';
 
-export const formatConfig = ({ version = 1 } = {}) => ({
+export const formatConfig = ({ version = 1, statusService = BOOKING, letterTimeoutMs = 6_000 } = {}) => ({
   version,
   limits: LIMITS,
   routes: [
@@ -29,7 +31,7 @@
       prefix: '/letter/',
       kind: 'streaming',
       service: LANGUAGE,
-      timeoutMs: 6_000,
+      timeoutMs: letterTimeoutMs,
       sloMs: 2_500,
       gapSloMs: 250,
       priority: 1,
@@ -51,7 +53,7 @@
       host: 'status.example',
       prefix: '/status/',
       kind: 'idempotent',
-      service: BOOKING,
+      service: statusService,
       timeoutMs: 1_500,
       sloMs: 300,
       priority: 2,
@@ -61,6 +63,7 @@
   services: [
     { name: LANGUAGE, healthPath: '/health', maxConnections: 280, engine },
     { name: BOOKING, healthPath: '/health', maxConnections: 51 },
+    { name: OTHER_BOOKING, healthPath: '/health', maxConnections: 51 },
   ],
 });
 
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -26,6 +26,9 @@
 
   nextLease = 1;
 
+  /** Connections that went silent. */
+  silent = new Set();
+
   /** Watches that wait: each has the response and a function that answers it now. */
   watches = new Set();
 
@@ -67,6 +70,15 @@
     }
   }
 
+  /** The connections on which watches wait now go silent for good, without a reset; all others work. */
+  silenceWatches() {
+    this.watches.forEach(({ response, stop }) => {
+      stop();
+      this.silent.add(response.socket);
+    });
+    return this.silent.size;
+  }
+
   /** Cuts every watch that waits now: its connection closes without an answer. */
   cutWatches() {
     this.watches.forEach(({ response, stop }) => {
@@ -106,6 +118,9 @@
   async answer(request, response) {
     const url = new URL(request.url, 'http://store');
     const text = await readBody(request);
+    if (this.silent.has(request.socket)) {
+      return;
+    }
     const send = (status, body) => {
       response.writeHead(status, { 'Content-Type': 'application/json' });
       response.end(JSON.stringify(body));
