--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -87,6 +87,12 @@
   /** What the servers have reported. */
   events = [];
 
+  constructor() {
+    // Nothing outlives the script, also when it is ended from outside.
+    process.once('exit', () => this.stop());
+    process.once('SIGTERM', () => process.exit(2));
+  }
+
   async start({ hosts, config, servers }) {
     this.store = await startStore(STORE_ADDRESS);
     this.store.put('op/config', config);
