Read residency, cold starts and evacuation keys from the platform's configuration

Two new deployments state regions that may serve a request, rates that a started server tolerates and failure domains that are evacuated.

--- a/packages/config/src/routes/types.ts
+++ b/packages/config/src/routes/types.ts
@@ -45,6 +45,8 @@
   readonly stages: readonly RouteStage[];
   /** Whether callers need no key. */
   readonly keyless: boolean;
+  /** Regions that may serve and hold the requests; any region when undefined. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** How the servers of a pool run pieces of stages. */
@@ -73,6 +75,13 @@
   readonly capacityTokens: number;
 }
 
+/** What a server tolerates for some time after it has started. */
+export interface ColdStartSpec {
+  readonly durationMs: number;
+  /** Requests a second from all hosts together; a server crashes at a rate well above it. */
+  readonly requestsPerSecond: number;
+}
+
 /** Backend servers that serve the same requests. */
 export interface PoolSpec {
   readonly name: string;
@@ -81,6 +90,8 @@
   readonly maxConnections: number;
   readonly batch: BatchSpec | undefined;
   readonly engine: EngineSpec | undefined;
+  /** Undefined when servers take their full load from the start. */
+  readonly coldStart?: ColdStartSpec | undefined;
 }
 
 /** Limits on the requests of callers. */
@@ -97,6 +108,8 @@
   readonly keys: readonly string[];
   /** Takes precedence over the priority of a route. */
   readonly priority: number | undefined;
+  /** Regions that may serve and hold the organisation's requests; any region when undefined. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** One version of all routes. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -150,12 +150,16 @@
   readonly softwareVersion: string;
   /** Wall time of the server's start; another value means a new process without the state of the previous one. */
   readonly startedAtMs: number;
+  /** Time for which the server says that it stays cold, as of the write; undefined when it is warm. */
+  readonly coldMs?: number;
 }
 
 /** Keys and formats of the entries in the store. */
 export interface CatalogueFormat {
   readonly routeTableKey: string;
   readonly serverPrefix: string;
+  /** Prefix of the keys of failure domains that are evacuated; the name of the domain follows. */
+  readonly evacuationPrefix: string;
   /** Prefix of the keys of gateway hosts, which this system writes. */
   readonly hostPrefix: string;
   /** Prefix of the keys of requests that are blocked because they crash servers; this system writes them too. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -38,6 +38,8 @@
   store: targetSchema,
   /** Retry budget of the whole fleet for one pool. */
   retries: z.object({ ratio: z.number(), slack: z.number(), windowSeconds: z.number() }),
+  /** Bound on the requests to a cold server in one second: its rate times `overage`, and `slack`. */
+  coldStart: z.optional(z.object({ overage: z.number(), slack: z.number() })),
   /** Grace period: time from the stop signal until the process is killed. */
   stop: z.object({ graceSeconds: z.number() }),
 });
--- a/packages/gateway/src/testing/sampleFormat.ts
+++ b/packages/gateway/src/testing/sampleFormat.ts
@@ -4,6 +4,7 @@
 const sampleFormat: CatalogueFormat = {
   routeTableKey: 'table',
   serverPrefix: 'servers/',
+  evacuationPrefix: 'evacuations/',
   hostPrefix: 'hosts/',
   blockPrefix: 'blocks/',
   releasePrefix: 'releases/',
