Send nothing new to servers of evacuated failure domains

Nothing read the operators' evacuation keys. Hosts now keep the set of evacuated domains by position of the store, pass it on by relays and the host exchange, and leave the servers out of the directory. Requests to a pool that is evacuated as a whole are refused at once.

Tests: the set by position and era, 30 hosts whose relays lose the store, the directory.

--- a/packages/ctl/src/format/formatStatus.ts
+++ b/packages/ctl/src/format/formatStatus.ts
@@ -31,6 +31,14 @@
   ];
 };
 
+const formatEvacuated = (hosts: readonly HostStatusAnswer[]): readonly string[] => {
+  const domains = new Set(hosts.flatMap(({ evacuated = [] }) => evacuated));
+  return [...domains].map((domain) => {
+    const known = hosts.filter(({ evacuated = [] }) => evacuated.includes(domain)).length;
+    return `failure domain ${domain} is evacuated (known to ${known} of ${hosts.length} hosts)`;
+  });
+};
+
 const toServiceRow = (service: string, hosts: readonly HostStatusAnswer[]): readonly string[] => {
   const versions = hosts.map((host) => host.services.find((entry) => entry.service === service)?.version);
   const differs = new Set(versions).size > 1 ? 'versions differ' : '';
@@ -87,6 +95,6 @@
   const serviceTable =
     services.length === 0 ? '' : formatTable([heading, ...services.map((service) => toServiceRow(service, hosts))]);
   const limits = services.flatMap((service) => formatLimitingStage(service, hosts)).join('\n');
-  const findings = formatFindings(hosts).join('\n');
+  const findings = [...formatFindings(hosts), ...formatEvacuated(hosts)].join('\n');
   return [hostTable, serviceTable, limits, findings].filter((part) => part !== '').join('\n\n');
 }
--- a/packages/ctl/src/hosts/schemas.ts
+++ b/packages/ctl/src/hosts/schemas.ts
@@ -6,6 +6,8 @@
   hostId: z.string(),
   failureDomain: z.string(),
   region: z.string(),
+  /** Failure domains whose servers get nothing new; sent by gateways. */
+  evacuated: z.array(z.string()).optional(),
   ready: z.boolean(),
   draining: z.boolean(),
   inFlight: z.number(),
--- a/packages/gateway/src/catalogue/BackendDirectory.ts
+++ b/packages/gateway/src/catalogue/BackendDirectory.ts
@@ -37,6 +37,8 @@
   list(pool: string): readonly KnownServer[];
   /** Servers of a pool in a region, or all servers of the pool when the region has none. */
   listNear(pool: string, region: string): readonly KnownServer[];
+  /** Whether all live servers of a pool are in evacuated failure domains. */
+  isEvacuated(pool: string): boolean;
   find(serverId: string): KnownServer | undefined;
   /** The server at an address, `IP:PORT`. */
   findAt(address: string): KnownServer | undefined;
@@ -55,7 +57,10 @@
   suspendFlooding(serverId: string): void;
   /** End of the back-off that a server asked for, monotonic time; -Infinity without one. */
   readBackoffEndMs(serverId: string): number;
-  /** Time until the first back-off in a pool ends; undefined unless all of its servers are in back-off. */
+  /**
+   * Time after which a caller may try a pool again: until the first back-off ends, or a second when all of its servers are
+   * in evacuated failure domains. Undefined when a server may be used now, or none is listed.
+   */
   readBackoffRemainingMs(pool: string): number | undefined;
   /** Servers of a pool that are listed as live but excluded on this host: leaving, replaced or in back-off. */
   listExcluded(pool: string): readonly string[];
--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -4,18 +4,21 @@
 import type { ServerEntry } from '../ports.js';
 import sampleFormat from '../testing/sampleFormat.js';
 import createBackendDirectory from './createBackendDirectory.js';
+import createEvacuations from './createEvacuations.js';
 
 const createFixture = () => {
   const clock = createManualClock();
   const events: string[] = [];
   const logger = { event: (name: string) => events.push(name) };
-  const directory = createBackendDirectory({ clock, logger, format: sampleFormat, regions: { a: 'r1', b: 'r2' } });
+  const regions = { a: 'r1', b: 'r2' };
+  const evacuations = createEvacuations({ logger, regions: () => regions });
+  const directory = createBackendDirectory({ clock, logger, format: sampleFormat, regions, evacuations });
   const put = (serverId: string, revision: number, changes: Partial<ServerEntry> = {}): void => {
     const entry = { serverId, pool: 'p', address: '10.0.0.1', port: revision, failureDomain: 'a', state: 'live' };
     directory.put({ serverId, revision, text: JSON.stringify({ ...entry, startedAtMs: 1, ...changes }) });
   };
   const list = (): readonly string[] => directory.list('p').map(({ serverId }) => serverId);
-  return { clock, directory, events, put, list };
+  return { clock, directory, evacuations, events, put, list };
 };
 
 test('lists live servers with their region, and omits leaving ones', () => {
@@ -203,3 +206,19 @@
   put('s2', 95, { startedAtMs: 2 });
   assert.deepEqual(list(), ['s3', 's2']);
 });
+
+// Guards against requests to servers of a domain that operators evacuate, and against a pool that never comes back.
+test('servers of an evacuated failure domain get nothing until the evacuation ends', () => {
+  const { directory, evacuations, put, list, events } = createFixture();
+  put('s1', 1);
+  put('s2', 2, { failureDomain: 'b' });
+  evacuations.put('a', { era: 0, revision: 3 });
+  put('s3', 4);
+  assert.deepEqual([list(), directory.isEvacuated('p'), directory.find('s1')?.state], [['s2'], false, 'live']);
+  evacuations.put('b', { era: 0, revision: 5 });
+  assert.deepEqual([list(), directory.isEvacuated('p'), directory.readBackoffRemainingMs('p')], [[], true, 1_000]);
+  evacuations.remove('a', { era: 0, revision: 6 });
+  evacuations.remove('b', { era: 0, revision: 6 });
+  assert.deepEqual([list(), directory.isEvacuated('p')], [['s1', 's2', 's3'], false]);
+  assert.equal(events.filter((event) => event === 'evacuationEnded').length, 2);
+});
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -11,9 +11,11 @@
 import type { CatalogueFormat, ServerNotice } from '../ports.js';
 import type { BackendDirectory, EndedProcess, KnownServer, ServerSnapshot, StoredServer } from './BackendDirectory.js';
 import type { StorePosition } from './comparePositions.js';
+import type { Evacuations } from './createEvacuations.js';
 import createExcludedProcesses from './createExcludedProcesses.js';
 import createRemovedEntries from './createRemovedEntries.js';
 import createServerBackoffs from './createServerBackoffs.js';
+import indexServers from './indexServers.js';
 
 /** Options of {@link createBackendDirectory}. */
 export interface BackendDirectoryOptions {
@@ -21,6 +23,7 @@
   readonly logger: Logger;
   readonly format: CatalogueFormat;
   readonly regions: Readonly<Record<string, string>>;
+  readonly evacuations: Pick<Evacuations, 'has' | 'onChange'>;
 }
 
 interface Entry {
@@ -34,6 +37,8 @@
 const FLOODING_BACKOFF_MS = 2_000;
 /** Live servers register again within this time after an outage of the store. */
 const REREGISTER_MS = 2_000;
+/** Retry-After of requests to a pool all of whose servers are in evacuated failure domains. */
+const EVACUATED_RETRY_MS = 1_000;
 
 class Directory implements BackendDirectory {
   private readonly entries = new Map<string, Entry>();
@@ -50,9 +55,7 @@
 
   private readonly endListeners: ((process: EndedProcess) => void)[] = [];
 
-  private pools = new Map<string, KnownServer[]>();
-
-  private byAddress = new Map<string, KnownServer>();
+  private index = indexServers([], { isExcluded: () => false, isEvacuated: () => false });
 
   position: StorePosition = { era: 0, revision: 0 };
 
@@ -65,10 +68,11 @@
   constructor(private readonly options: BackendDirectoryOptions) {
     this.regions = options.regions;
     this.backoffs = createServerBackoffs(options.clock, () => this.notifyListeners());
+    options.evacuations.onChange(() => this.rebuildIndexes());
   }
 
   list(pool: string): readonly KnownServer[] {
-    return this.pools.get(pool) ?? [];
+    return this.index.pools.get(pool) ?? [];
   }
 
   listNear(pool: string, region: string): readonly KnownServer[] {
@@ -77,12 +81,16 @@
     return near.length > 0 ? near : all;
   }
 
+  isEvacuated(pool: string): boolean {
+    return this.index.evacuatedPools.has(pool) && this.list(pool).length === 0;
+  }
+
   find(serverId: string): KnownServer | undefined {
     return this.entries.get(serverId)?.server;
   }
 
   findAt(address: string): KnownServer | undefined {
-    return this.byAddress.get(address);
+    return this.index.byAddress.get(address);
   }
 
   view(pool: string): PoolView {
@@ -142,6 +150,9 @@
 
   readBackoffRemainingMs(pool: string): number | undefined {
     const servers = this.list(pool);
+    if (this.isEvacuated(pool)) {
+      return EVACUATED_RETRY_MS;
+    }
     return servers.length > 0 && servers.every(({ serverId }) => this.backoffs.has(serverId))
       ? Math.min(...servers.map(({ serverId }) => this.backoffs.endMs(serverId))) - this.options.clock.monotonicMs()
       : undefined;
@@ -345,18 +356,12 @@
   }
 
   private rebuildIndexes(): void {
-    const pools = new Map<string, KnownServer[]>();
-    const byAddress = new Map<string, KnownServer>();
-    this.entries.forEach(({ server }) => {
-      if (server !== undefined) {
-        byAddress.set(`${server.address}:${server.port}`, server);
-      }
-      if (server?.state === 'live' && !this.excluded.has(server)) {
-        pools.set(server.pool, [...(pools.get(server.pool) ?? []), server]);
-      }
+    const { evacuations } = this.options;
+    const servers = [...this.entries.values()].flatMap(({ server }) => server ?? []);
+    this.index = indexServers(servers, {
+      isExcluded: (server) => this.excluded.has(server),
+      isEvacuated: ({ failureDomain }) => evacuations.has(failureDomain),
     });
-    this.pools = pools;
-    this.byAddress = byAddress;
     this.poolTracker.retain(new Set(this.entries.keys()));
     this.notifyListeners();
   }
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -2,6 +2,7 @@
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
 import type { BackendDirectory, StoredServer } from './BackendDirectory.js';
+import type { Evacuations } from './createEvacuations.js';
 import type { CatalogueChange, CatalogueEntry, CatalogueSink } from './createCatalogueLog.js';
 import type { StreamOrigins } from '../streams/createStreamOrigins.js';
 import type { RouteTableHolder } from './createRouteTableHolder.js';
@@ -11,6 +12,7 @@
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly evacuations: Pick<Evacuations, 'put' | 'remove' | 'replace'>;
   readonly blocks: StoredBlocks;
   readonly origins: Pick<StreamOrigins, 'putAgreed'>;
 }
@@ -30,7 +32,10 @@
   ) {}
 
   readonly onSnapshot: CatalogueSink['onSnapshot'] = ({ entries, revision, era }, isNewEra) => {
-    const { format, directory, blocks } = this.consumers;
+    const { format, directory, evacuations, blocks } = this.consumers;
+    const evacuated = entries.filter(({ key }) => key.startsWith(format.evacuationPrefix));
+    const domains = evacuated.map(({ key }) => key.slice(format.evacuationPrefix.length));
+    evacuations.replace({ domains, revision, era });
     const ownKeys = [format.routeTableKey, format.agreedOriginsKey];
     entries.filter(({ key }) => ownKeys.includes(key)).forEach((entry) => this.put(entry, era));
     const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
@@ -69,7 +74,7 @@
   }
 
   private put(entry: CatalogueEntry, era: number): void {
-    const { format, tables, directory, blocks, origins } = this.consumers;
+    const { format, tables, directory, evacuations, blocks, origins } = this.consumers;
     const { key, value, revision } = entry;
     if (key === format.routeTableKey) {
       tables.offer({ text: value, revision }, 'store');
@@ -77,6 +82,8 @@
       origins.putAgreed(value);
     } else if (key.startsWith(format.serverPrefix)) {
       directory.put(this.toServer(entry), era);
+    } else if (key.startsWith(format.evacuationPrefix)) {
+      evacuations.put(key.slice(format.evacuationPrefix.length), { era, revision });
     } else if (key.startsWith(format.blockPrefix)) {
       blocks.put(toText(entry, format.blockPrefix));
     } else if (key.startsWith(format.releasePrefix)) {
@@ -85,9 +92,11 @@
   }
 
   private remove({ key, revision }: CatalogueChange, era: number): void {
-    const { format, directory, blocks } = this.consumers;
+    const { format, directory, evacuations, blocks } = this.consumers;
     if (key.startsWith(format.serverPrefix)) {
       directory.remove(key.slice(format.serverPrefix.length), { era, revision });
+    } else if (key.startsWith(format.evacuationPrefix)) {
+      evacuations.remove(key.slice(format.evacuationPrefix.length), { era, revision });
     } else if (key.startsWith(format.blockPrefix)) {
       blocks.remove(key.slice(format.blockPrefix.length));
     } else if (key.startsWith(format.releasePrefix)) {
--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -76,3 +76,19 @@
   assert.ok(hosts.every(({ directory }) => !directory.storeLost));
   close();
 });
+
+// Guards against requests to an evacuated failure domain from hosts that lost the store: the bound is 5 s.
+test('an evacuation and its end reach all hosts, also when the relays lose the store', async () => {
+  const { store, hosts, advance, close } = createFleet();
+  const countEvacuated = (): number => hosts.filter(({ evacuations }) => evacuations.has('d0')).length;
+  await advance(4_000);
+  store.put('evacuations/d0', {});
+  await advance(500);
+  assert.equal(countEvacuated(), HOSTS);
+  const relays = store.listWatchers();
+  store.isUnreachable = (hostId) => relays.includes(hostId);
+  store.remove('evacuations/d0');
+  await advance(4_000);
+  assert.equal(countEvacuated(), 0);
+  close();
+});
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -18,6 +18,7 @@
 import type { StorePosition } from './comparePositions.js';
 import createCatalogueLog, { type CatalogueChange, type CatalogueLog } from './createCatalogueLog.js';
 import createCatalogueRelay, { type CatalogueRelay, type RelayStatus } from './createCatalogueRelay.js';
+import type { Evacuations } from './createEvacuations.js';
 import createCatalogueSink from './createCatalogueSink.js';
 import type { RouteTableHolder } from './createRouteTableHolder.js';
 
@@ -31,6 +32,7 @@
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly evacuations: Evacuations;
   readonly blocks: StoredBlocks;
   readonly origins: Pick<StreamOrigins, 'putAgreed'>;
   readonly random: () => number;
--- a/packages/gateway/src/catalogue/storeSchedules.test.ts
+++ b/packages/gateway/src/catalogue/storeSchedules.test.ts
@@ -6,6 +6,7 @@
 import type { CatalogueFormat, ServerEntry } from '../ports.js';
 import sampleFormat from '../testing/sampleFormat.js';
 import createBackendDirectory from './createBackendDirectory.js';
+import createEvacuations from './createEvacuations.js';
 import createCatalogueLog, { type CatalogueChange, type CatalogueEntry } from './createCatalogueLog.js';
 import createCatalogueSink from './createCatalogueSink.js';
 import createRouteTableHolder from './createRouteTableHolder.js';
@@ -80,7 +81,9 @@
 const createHost = () => {
   const clock = createManualClock();
   const logger = { event: () => undefined };
-  const directory = createBackendDirectory({ clock, logger, format: FORMAT, regions: { a: 'r1' } });
+  const regions = { a: 'r1' };
+  const evacuations = createEvacuations({ logger, regions: () => regions });
+  const directory = createBackendDirectory({ clock, logger, format: FORMAT, regions, evacuations });
   const tables = createRouteTableHolder({ clock, logger, format: FORMAT });
   const blocks = {
     put: () => undefined,
@@ -91,7 +94,7 @@
   };
   const origins = { putAgreed: () => undefined };
   const log = createCatalogueLog(
-    createCatalogueSink({ format: FORMAT, tables, directory, blocks, origins }, () => undefined),
+    createCatalogueSink({ format: FORMAT, tables, directory, evacuations, blocks, origins }, () => undefined),
   );
   return { clock, directory, tables, log };
 };
--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -2,8 +2,9 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
-import comparePositions from '../catalogue/comparePositions.js';
+import comparePositions, { type StorePosition } from '../catalogue/comparePositions.js';
 import type { BackendDirectory, ServerSnapshot } from '../catalogue/BackendDirectory.js';
+import type { Evacuations, EvacuationSnapshot } from '../catalogue/createEvacuations.js';
 import type { RouteTableHolder, StoredTable } from '../catalogue/createRouteTableHolder.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
 import type { StreamOrigins } from '../streams/createStreamOrigins.js';
@@ -25,6 +26,7 @@
   readonly links: LinkClient;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
+  readonly evacuations: Pick<Evacuations, 'snapshot' | 'replace'>;
   readonly blocks: BlockExchange;
   readonly origins: Pick<StreamOrigins, 'agreedText' | 'putAgreed'>;
   readonly eras: EraTracker;
@@ -39,6 +41,8 @@
   readonly serversRevision: number;
   /** Era of the revision of the servers; undefined from hosts of earlier versions. */
   readonly serversEra?: number;
+  /** Position of the known evacuations; undefined from hosts of earlier versions, which cannot use newer ones. */
+  readonly evacuations?: StorePosition;
   /** Number of listed hosts, without the requesting one. */
   readonly otherHosts: number;
   /** Digest of the blocked requests; undefined from hosts of earlier versions. */
@@ -53,6 +57,7 @@
   readonly servers?: ServerSnapshot;
   /** Agreed origins of streams, with newer servers; a host must not learn of servers without them. */
   readonly agreedOrigins?: string;
+  readonly evacuations?: EvacuationSnapshot;
   readonly hosts?: readonly HostRecord[];
   readonly blocks?: readonly BlockNotice[];
 }
@@ -106,12 +111,14 @@
   }
 
   private describeState(hosts: HostRegistry): SyncRequest {
-    const { tables, directory, blocks } = this.options;
+    const { tables, directory, evacuations, blocks } = this.options;
+    const { era, revision } = evacuations.snapshot();
     return {
       tableRevision: tables.stored()?.revision ?? 0,
       tableVersion: tables.current()?.table.version ?? 0,
       serversRevision: directory.position.revision,
       serversEra: directory.position.era,
+      evacuations: { era, revision },
       otherHosts: listOthers(hosts).length,
       blocks: blocks.digest(),
       target: hosts.self.target,
@@ -128,19 +135,22 @@
       return {};
     }
     const table = this.options.tables.stored();
-    const { directory, blocks, origins } = this.options;
+    const { directory, evacuations, blocks, origins } = this.options;
     const own = this.describeState(hosts);
     const isTableNewer = compareTables(own, request);
     const areServersNewer = comparePositions(directory.position, {
       era: request.serversEra ?? directory.position.era,
       revision: request.serversRevision,
     });
-    if (isTableNewer < 0 || areServersNewer < 0) {
+    const known = evacuations.snapshot();
+    const areEvacuationsNewer = request.evacuations === undefined ? 0 : comparePositions(known, request.evacuations);
+    if (isTableNewer < 0 || areServersNewer < 0 || areEvacuationsNewer < 0) {
       this.requestNewer(request.target, hosts);
     }
     return {
       ...(table !== undefined && isTableNewer > 0 ? { table } : {}),
       ...(areServersNewer > 0 ? { servers: directory.snapshot(), ...readAgreed(origins) } : {}),
+      ...(areEvacuationsNewer > 0 ? { evacuations: known } : {}),
       ...(request.otherHosts === 0 ? { hosts: hosts.snapshot() } : {}),
       ...(request.blocks !== own.blocks ? { blocks: blocks.list() } : {}),
     };
@@ -164,15 +174,18 @@
   }
 
   private apply(
-    { table, servers, agreedOrigins, hosts: listed, blocks: notices = [] }: SyncResponse,
+    { table, servers, evacuations: evacuated, agreedOrigins, hosts: listed, blocks: notices = [] }: SyncResponse,
     target: Target,
     hosts: HostRegistry,
   ): void {
-    const { tables, directory, blocks, origins, eras, logger } = this.options;
+    const { tables, directory, evacuations, blocks, origins, eras, logger } = this.options;
     const peer = `${target.address}:${target.port}`;
     if (table !== undefined) {
       tables.offer(table, peer);
     }
+    if (evacuated !== undefined) {
+      evacuations.replace(evacuated);
+    }
     if (servers !== undefined) {
       logger.event('serversLearnt', { peer, era: servers.era, revision: servers.revision });
       eras.observe(servers.era ?? directory.position.era);
@@ -189,7 +202,7 @@
 }
 
 /**
- * Creates the exchange of route tables, server lists and blocked requests between hosts. Once a second a host requests
+ * Creates the exchange of route tables, server lists, evacuations and blocked requests between hosts. Once a second a host requests
  * newer state from one other host, in turn. A host that receives a request from one with newer state sends a request
  * back, because a host that starts while the store is unavailable knows no other host to which it could send one.
  *
--- a/packages/gateway/src/observe/describeStatus.ts
+++ b/packages/gateway/src/observe/describeStatus.ts
@@ -6,10 +6,12 @@
 export interface GatewayStatus extends HostStatus {
   /** Latest position of the store that the gateway knows. */
   readonly store: StorePosition;
+  /** Failure domains whose servers get nothing new. */
+  readonly evacuated: readonly string[];
 }
 
 /** State from which the status is derived. */
-export interface GatewayState extends Pick<GatewayStatus, 'ready' | 'draining' | 'inFlight' | 'store'> {
+export interface GatewayState extends Pick<GatewayStatus, 'ready' | 'draining' | 'inFlight' | 'store' | 'evacuated'> {
   readonly self: HostEntry;
   readonly hosts: readonly HostEntry[];
   /** Version of the route table in force; undefined before the first one. */
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -149,6 +149,7 @@
 
   private async serve(): Promise<void> {
     this.refuseBlocked();
+    this.refuseEvacuated();
     while (!this.answer.ended) {
       // Each step depends on the previous one.
       /* eslint-disable no-await-in-loop */
@@ -376,6 +377,17 @@
     this.answer.refuse('timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
 
+  /** Refuses a request at once that needs a pool all of whose servers are in evacuated failure domains. */
+  private refuseEvacuated(): void {
+    const { directory } = this.ports;
+    const { route, facts } = this.request;
+    const stagePools = route.stages.filter((_, stage) => (facts.pieceCounts[stage] ?? 0) > 0).map(({ pool }) => pool);
+    const evacuated = [this.pool, ...stagePools].find((pool) => directory.isEvacuated(pool));
+    if (evacuated !== undefined) {
+      this.answer.refuse('no-server', directory.readBackoffRemainingMs(evacuated) ?? NO_SERVER_RETRY_AFTER_MS);
+    }
+  }
+
   /** Refuses a request that is blocked, or has a blocked part in its prompt, unless its answer is already arriving. */
   private refuseBlocked(): void {
     const block = this.ports.crashes.findBlock(this.request);
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -72,6 +72,10 @@
     if (blockMs !== undefined) {
       return Promise.resolve({ type: 'failed', reason: 'poisoned', retryAfterMs: blockMs });
     }
+    const evacuated = this.findEvacuated();
+    if (evacuated !== undefined) {
+      return Promise.resolve(evacuated);
+    }
     const nowMs = this.options.clock.monotonicMs();
     this.ownerSinceMs = Math.min(this.ownerSinceMs, nowMs);
     const { jobId, kind, priority, value, progress, resultBytes, pieceCount } = job;
@@ -164,6 +168,10 @@
       return { ...server, restsUntilMs, callIntervalMs: limits.readIntervalMs(serverId) };
     });
     this.queue.setServers(servers, clock.monotonicMs());
+    const evacuated = this.findEvacuated();
+    if (evacuated !== undefined) {
+      this.queue.takeUnsent().forEach((jobId) => this.abortJob(jobId, evacuated));
+    }
     this.requestAdvance();
   }
 
@@ -172,6 +180,14 @@
     this.timer?.close();
   }
 
+  /** The result of jobs that cannot be run, because all servers of the pool are in evacuated failure domains. */
+  private findEvacuated(): StageJobResult | undefined {
+    const { directory, pool } = this.options;
+    return directory.isEvacuated(pool)
+      ? { type: 'failed', reason: 'refused', retryAfterMs: directory.readBackoffRemainingMs(pool) ?? 0 }
+      : undefined;
+  }
+
   /** Advances the queue now, or at the end of the minimum interval since the last advance. */
   private requestAdvance(): void {
     const nowMs = this.options.clock.monotonicMs();
--- a/packages/gateway/src/testing/createCatalogueFleet.ts
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -4,6 +4,7 @@
 import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import createBackendDirectory from '../catalogue/createBackendDirectory.js';
+import createEvacuations, { type Evacuations } from '../catalogue/createEvacuations.js';
 import createRouteTableHolder, { type RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from '../catalogue/followCatalogue.js';
 import createHostRegistry, { type HostEntry, type HostRegistry } from '../hosts/createHostRegistry.js';
@@ -15,6 +16,7 @@
 export interface FleetHost {
   readonly hostId: string;
   readonly directory: BackendDirectory;
+  readonly evacuations: Evacuations;
   readonly tables: RouteTableHolder;
   readonly registry: HostRegistry;
   readonly follower: CatalogueFollower;
@@ -113,7 +115,8 @@
   const { clock, regions } = context;
   const eras = createEraTracker();
   const store = context.store.createClient(self.hostId, eras);
-  const directory = createBackendDirectory({ clock, logger: LOGGER, format: FORMAT, regions });
+  const evacuations = createEvacuations({ logger: LOGGER, regions: () => regions });
+  const directory = createBackendDirectory({ clock, logger: LOGGER, format: FORMAT, regions, evacuations });
   const tables = createRouteTableHolder({ clock, logger: LOGGER, format: FORMAT });
   const follower = followCatalogue({
     clock,
@@ -132,6 +135,7 @@
     format: FORMAT,
     tables,
     directory,
+    evacuations,
     random: () => 0.5,
   });
   context.network.set(self.target.port, follower.methods);
@@ -139,7 +143,7 @@
     kind === 'fixed' ? createFixedRegistry(context, self) : createLeasedRegistry(context, self, { store, eras });
   follower.start(registry);
   registry.start();
-  return { hostId: self.hostId, directory, tables, registry, follower };
+  return { hostId: self.hostId, directory, evacuations, tables, registry, follower };
 };
 
 /**
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,37 +1,12 @@
 import { rateCapacity, type DrainTimes } from '@bergamotcove/decide';
-import {
-  createEraTracker,
-  createStoreClient,
-  type EraTracker,
-  type StoreClient,
-  type StoreDialect,
-} from '@bergamotcove/backends';
-import { createSystemClock, type Clock } from '@bergamotcove/clock';
-import { createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
-import { createLogger, type Logger } from '@bergamotcove/log';
-import { createScrapedMetrics, type ScrapedMetrics } from '@bergamotcove/telemetry';
-import {
-  createLinkClient,
-  createLinkServer,
-  type LinkClient,
-  type LinkMethod,
-  type LinkServer,
-  type PortWatch,
-} from '@bergamotcove/transport';
+import { createLinkServer, type LinkMethod, type LinkServer } from '@bergamotcove/transport';
 import type CallerExchange from './callers/CallerExchange.js';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
 import startHealthServer from './callers/startHealthServer.js';
-import type { BackendDirectory } from './catalogue/BackendDirectory.js';
-import createBackendDirectory from './catalogue/createBackendDirectory.js';
-import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from './catalogue/followCatalogue.js';
-import logEraEvent from './catalogue/logEraEvent.js';
-import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
-import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
-import type { GatewayFormats } from './ports.js';
-import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
+import { SCHEDULER_DUTY } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
 import reportRefusedConnection from './observe/reportRefusedConnection.js';
@@ -40,14 +15,11 @@
 import createProcessChecks from './servers/createProcessChecks.js';
 import createRetryBudgets from './servers/createRetryBudgets.js';
 import createServerPools, { type ServerPools } from './servers/createServerPools.js';
+import createBaseParts, { type BaseParts, type GatewayOptions } from './createBaseParts.js';
 import createGatewayDrain, { type StopState } from './createGatewayDrain.js';
-import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import type { GatewaySettings } from './settings.js';
 import describeStatus, { type GatewayStatus } from './observe/describeStatus.js';
-import createStreamOrigins, { type StreamOrigins } from './streams/createStreamOrigins.js';
-import watchPorts from './observe/watchPorts.js';
 import startMetricsServer, { type MetricsServer } from './observe/startMetricsServer.js';
-import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
 import createStageClient from './stages/createStageClient.js';
 
 /** A running gateway. */
@@ -64,41 +36,6 @@
   close(): Promise<void>;
 }
 
-/** Options of {@link startGateway}. */
-export interface GatewayOptions {
-  readonly formats: GatewayFormats;
-  readonly storeDialect: StoreDialect;
-  readonly clock?: Clock;
-}
-
-/** Parts that the other parts of the gateway depend on. */
-interface BaseParts {
-  /** Settings at the start. */
-  readonly settings: GatewaySettings;
-  readonly liveSettings: SettingsHolder;
-  readonly formats: GatewayFormats;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: ScrapedMetrics;
-  /** Watches the ports of this host. */
-  readonly watch: PortWatch;
-  readonly failureDomain: string;
-  readonly region: string;
-  readonly store: StoreClient;
-  readonly eras: EraTracker;
-  readonly tables: RouteTableHolder;
-  readonly directory: BackendDirectory;
-  readonly limits: RateLimits;
-  readonly links: LinkClient;
-  readonly owners: BatchOwners;
-  readonly scheduler: RegionScheduler;
-  readonly queues: PoolQueues;
-  readonly crashes: CrashGuard;
-  readonly origins: StreamOrigins;
-}
-
-const LINK_LIMITS = { connectLimitMs: 300, pingMs: 200, silenceLimitMs: 700 };
-const STORE_TIMEOUT_MS = 1_000;
 /** Budget of the bodies of callers' requests that are open at the same time. */
 const CALLER_BODIES_BYTES = 48 * 1_048_576;
 /** Method that returns the status of a host to an operator. */
@@ -107,53 +44,6 @@
 /** Refusal of the requests that arrive while this host starts. */
 const STARTING = { status: 503, reason: 'no-route-table', retryAfterMs: 500 } as const;
 
-const createBase = (settings: GatewaySettings, options: GatewayOptions): BaseParts => {
-  const clock = options.clock ?? createSystemClock();
-  const { formats } = options;
-  const { id: hostId, failureDomain, regions } = settings.host;
-  const region = regions[failureDomain] ?? failureDomain;
-  const logger = createLogger('gateway', { hostId, failureDomain });
-  const eras = createEraTracker();
-  eras.onEvent((event) => logEraEvent(event, logger));
-  const store = createStoreClient({
-    eras,
-    urls: [`http://${settings.store.address}:${settings.store.port}`],
-    timeoutMs: STORE_TIMEOUT_MS,
-    dialect: options.storeDialect,
-  });
-  const tables = createRouteTableHolder({ clock, logger, format: formats.catalogue });
-  const directory = createBackendDirectory({ clock, logger, format: formats.catalogue, regions });
-  const links = createLinkClient({ clock, ...LINK_LIMITS });
-  const metrics = createScrapedMetrics();
-  const watch = watchPorts(logger, metrics);
-  const dutyOf = (pool: string): string =>
-    tables.current()?.pools.get(pool)?.batch === undefined ? SCHEDULER_DUTY : pool;
-  const limits = createRateLimits({ clock, logger, metrics, links, directory, region, dutyOf });
-  const { blockPrefix, releasePrefix } = formats.catalogue;
-  const prefixes = { blocks: blockPrefix, releases: releasePrefix };
-  const { random } = Math;
-  const crashes = createCrashGuard({ clock, logger, metrics, links, directory, store, prefixes, hostId, random });
-  const ownerOptions = { clock, logger, metrics, format: formats.stages, directory, limits, crashes, tables, region };
-  const owners = createBatchOwners(ownerOptions);
-  const scheduler = createRegionScheduler({ clock, logger, links, directory, limits, tables, region });
-  const queues = createPoolQueues(clock);
-  directory.onChange(() => queues.drainAll());
-  limits.onChange(() => queues.drainAll());
-  const origins = createStreamOrigins({
-    clock,
-    logger,
-    metrics,
-    store,
-    eras,
-    directory,
-    tables,
-    format: formats.catalogue,
-  });
-  const liveSettings = createSettingsHolder(settings);
-  const parts = { settings, liveSettings, formats, clock, logger, metrics, watch, failureDomain, region };
-  return { ...parts, store, eras, tables, directory, limits, links, owners, scheduler, queues, crashes, origins };
-};
-
 interface Sources {
   readonly exchange: HostExchange;
   readonly follower: CatalogueFollower;
@@ -267,6 +157,7 @@
     metrics.report('host.ready', isReady() ? 1 : 0);
     metrics.report('table.version', index?.table.version ?? 0);
     metrics.report('store.era', base.eras.era);
+    metrics.report('host.evacuated_domains', base.evacuations.snapshot().domains.length);
     metrics.report('store.connected', directory.storeLost ? 0 : 1);
     const limited = limits.list();
     index?.pools.forEach((_, pool) => {
@@ -287,6 +178,7 @@
     inFlight: callers.openRequests(),
     tableVersion: base.tables.current()?.table.version,
     store: base.directory.position,
+    evacuated: base.evacuations.snapshot().domains,
   });
 
 /** Registers this host, and takes over and hands over duties whenever the list of hosts changes. */
@@ -349,7 +241,7 @@
  * @returns the running gateway, once it listens
  */
 export default async function startGateway(settings: GatewaySettings, options: GatewayOptions): Promise<Gateway> {
-  const base = createBase(settings, options);
+  const base = createBaseParts(settings, options);
   const { logger, tables, directory } = base;
   const { exchange, follower } = createSources(base);
   const status = { read: (): GatewayStatus | undefined => undefined };
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -114,6 +114,10 @@
   serverUnlimited: 'The limit that a backend server had stated has ended; `reason` says how this host knows.',
   serverSuspended:
     'A server sent bytes that lead to no answer until it was abandoned; this host sends it nothing for `forMs`.',
+  evacuationBegun:
+    'The servers of the failure domain `evacuated` get nothing new from this host until the evacuation is taken back.',
+  evacuationEnded: 'The servers of the failure domain `evacuated` get requests again.',
+  evacuationUnknown: 'An evacuation names a failure domain that does not exist, `evacuated`; it has no effect.',
   hostListed: 'Another host of the system registered itself.',
   hostDropped: 'The registration of another host ended.',
   hostLeaseLost: 'The lease of this host may have expired; it registers again.',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -30,6 +30,12 @@
   'pool.calls': { type: 'counter', unit: '1', tags: ['pool', 'result'], text: 'Calls to stage servers.' },
   'pool.call_duration': { type: 'timing', unit: 'ms', tags: ['pool'], text: 'Time of one call to a stage server.' },
   'pool.pieces': { type: 'counter', unit: '1', tags: ['pool'], text: 'Pieces sent to stage servers.' },
+  'host.evacuated_domains': {
+    type: 'gauge',
+    unit: '1',
+    tags: [],
+    text: 'Failure domains whose servers get nothing new from this host.',
+  },
   'pool.servers': { type: 'gauge', unit: '1', tags: ['pool'], text: 'Servers that may get new work.' },
   'pool.servers_shunned': {
     type: 'gauge',
