--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -38,7 +38,6 @@
   format: 'esm',
   define: { 'process.env.BERGAMOTCOVE_BUILD': JSON.stringify(hashSources()) },
   minify: true,
-  keepNames: true,
   alias: {
     // For the platform `node`, rxjs resolves to its CommonJS build, which cannot be tree-shaken.
     rxjs: path.join(rootDir, 'node_modules/rxjs/dist/esm/index.js'),
