Take a status above 599 for no answer

Cause: only statuses below 200 were refused; 600 and 999 reached callers unchanged. Change: the HTTP client accepts final statuses from 200 to 599. Measured: the tests of 600 and 999 were red before and are green now. 000, 001, 099, 20, 2000 and text were refused at once before too: each test, with the start of two sites, took 227 to 415 ms; the time limit of the route is 2,000 ms. Where the route may be repeated the next server is asked.

--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -210,15 +210,17 @@
   outgoing.on('continue', count);
 };
 
-/** Lowest status of a final response. Node also takes 101 and statuses below 100 for final ones. */
+/** Statuses of final responses. Node also takes 101, statuses below 100 and those above 599 for final ones. */
 const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 
 /** Reason for which a response cannot be the answer to its request; undefined when there is none. */
 const findFault = ({ statusCode = 0 }: IncomingMessage, sent: boolean): Error | undefined => {
   if (!sent) {
     return new Error('an answer arrived before the request was sent');
   }
-  return statusCode < MIN_FINAL_STATUS ? new Error('the server sent no final response') : undefined;
+  const isFinal = statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_FINAL_STATUS;
+  return isFinal ? undefined : new Error('the server sent no final response');
 };
 
 /** Sends a request and resolves with the response as soon as its headers arrive. */
