Write the rest of a request that was answered early

Cause: the end of a request aborts its attempts. Change: an abort after a whole response leaves a request that is still being written alone, for at most 10 s.

--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -124,17 +124,33 @@
   });
 };
 
+/** Time for a server to read the rest of a request that it has answered; a server that reads is faster by far. */
+const REST_LIMIT_MS = 10_000;
+
 /**
  * Cancels a request on abort. Node's own option `signal` is not used, because it attaches further listeners to request
- * and response.
+ * and response. The abort that follows a whole response leaves the request alone until it is written: its server may
+ * read on, and has been promised the rest.
  */
 const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal | undefined): void => {
   if (signal === undefined) {
     return;
   }
-  const destroy = (): void => {
+  let isAnswered = (): boolean => false;
+  outgoing.once('response', (response) => {
+    isAnswered = () => response.complete;
+  });
+  const cancel = (): void => {
     outgoing.destroy(new Error('the request was cancelled'));
   };
+  const destroy = (): void => {
+    if (!isAnswered() || outgoing.writableFinished) {
+      cancel();
+      return;
+    }
+    const timer = setTimeout(cancel, REST_LIMIT_MS);
+    outgoing.once('close', () => clearTimeout(timer));
+  };
   if (signal.aborted) {
     destroy();
     return;
