Do not take an answer for complete that ends before its request is written

Cause: the parser takes the end of the connection for the end of an answer without a length, and nothing compared it with the request. Node.js counts a write as finished when the kernel has the bytes, which on loopback was up to 3 MB ahead of a server that had read 64 KB. Change: the HTTP client destroys such an answer when the request is not written, when the kernel still has bytes of it that the server did not acknowledge, or when the connection is reset within 300 ms. The last two apply to bodies above 64 KB. An encoding other than chunks is no framing.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -2,6 +2,7 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
+import { endsWithConnection } from '@bergamotcove/transport';
 import type CallerExchange from '../callers/CallerExchange.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import checkConnection from '../crashes/checkConnection.js';
@@ -54,8 +55,6 @@
 }
 
 const MIN_REDIRECT_STATUS = 300;
-/** Statuses of answers that have no body, whatever their headers say. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
 /** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
@@ -185,9 +184,7 @@
     { serverId, pool, address, port }: ServerView,
     response: IncomingMessage,
   ): Promise<boolean> {
-    const { headers, statusCode = 0 } = response;
-    const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (isFramed || BODILESS_STATUSES.has(statusCode)) {
+    if (!endsWithConnection(this.run.request.method, response)) {
       return false;
     }
     const isRefused = (await checkConnection({ address, port })) === 'refused';
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,7 +1,9 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import createSmallReadConnection from './_lib/createSmallReadConnection.js';
+import detectCut from './_lib/detectCut.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
+import endsWithConnection from './endsWithConnection.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
 
@@ -182,34 +184,6 @@
   outgoing.flushHeaders();
 };
 
-/** Statuses of responses that never have a body, whatever their headers say about its length. */
-const BODILESS_STATUSES: readonly (number | undefined)[] = [204, 304];
-
-/** Whether the body is delimited only by the end of the connection. */
-const endsWithConnection = (method: string, { headers, statusCode }: IncomingMessage): boolean =>
-  method !== 'HEAD' &&
-  !BODILESS_STATUSES.includes(statusCode) &&
-  headers['content-length'] === undefined &&
-  headers['transfer-encoding'] === undefined;
-
-/**
- * Destroys a response without a length whose connection was reset. The parser takes a reset for the end of the body. The
- * event loop reports a reset that it finds together with the last bytes as an orderly end; then only a write reveals it.
- */
-const detectReset = (method: string, response: IncomingMessage): void => {
-  if (!endsWithConnection(method, response)) {
-    return;
-  }
-  const { socket } = response;
-  socket.prependOnceListener('end', () => {
-    socket.write('', (cause) => {
-      if (cause) {
-        response.destroy(cause);
-      }
-    });
-  });
-};
-
 /** Largest number of informational (1xx) responses before the final one; a server that sends more counts as faulty. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -256,7 +230,7 @@
         return;
       }
       received = response;
-      detectReset(request.method, response);
+      detectCut(outgoing, response, request);
       // A response that is cancelled after it was read emits an error that nobody handles.
       response.on('error', () => undefined);
       resolve(response);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -7,6 +7,7 @@
 export type { ConnectionGuard, ConnectionLimits, ConnectionRefusal } from './createConnectionGuard.js';
 export { default as createHttpServer, sendJson } from './createHttpServer.js';
 export type { HttpExchange, HttpHandler, HttpServer, HttpServerOptions } from './createHttpServer.js';
+export { default as endsWithConnection } from './endsWithConnection.js';
 export { default as formatStreamEvent } from './formatStreamEvent.js';
 export { default as readEventStream } from './readEventStream.js';
 export type { StreamEvent } from './readEventStream.js';
