--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -1,7 +1,9 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import createSmallReadConnection from './_lib/createSmallReadConnection.js';
+import detectCut from './_lib/detectCut.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
+import endsWithConnection from './endsWithConnection.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
 
@@ -124,17 +126,33 @@
   });
 };
 
+/** Time for a server to read the rest of a request that it has answered; a server that reads is faster by far. */
+const REST_LIMIT_MS = 10_000;
+
 /**
  * Cancels a request on abort. Node's own option `signal` is not used, because it attaches further listeners to request
- * and response.
+ * and response. The abort that follows a whole response leaves the request alone until it is written: its server may
+ * read on, and has been promised the rest.
  */
 const destroyOnAbort = (outgoing: ClientRequest, signal: AbortSignal | undefined): void => {
   if (signal === undefined) {
     return;
   }
-  const destroy = (): void => {
+  let isAnswered = (): boolean => false;
+  outgoing.once('response', (response) => {
+    isAnswered = () => response.complete;
+  });
+  const cancel = (): void => {
     outgoing.destroy(new Error('the request was cancelled'));
   };
+  const destroy = (): void => {
+    if (!isAnswered() || outgoing.writableFinished) {
+      cancel();
+      return;
+    }
+    const timer = setTimeout(cancel, REST_LIMIT_MS);
+    outgoing.once('close', () => clearTimeout(timer));
+  };
   if (signal.aborted) {
     destroy();
     return;
@@ -166,34 +184,6 @@
   outgoing.flushHeaders();
 };
 
-/** Statuses of responses that never have a body, whatever their headers say about its length. */
-const BODILESS_STATUSES: readonly (number | undefined)[] = [204, 304];
-
-/** Whether the body is delimited only by the end of the connection. */
-const endsWithConnection = (method: string, { headers, statusCode }: IncomingMessage): boolean =>
-  method !== 'HEAD' &&
-  !BODILESS_STATUSES.includes(statusCode) &&
-  headers['content-length'] === undefined &&
-  headers['transfer-encoding'] === undefined;
-
-/**
- * Destroys a response without a length whose connection was reset. The parser takes a reset for the end of the body. The
- * event loop reports a reset that it finds together with the last bytes as an orderly end; then only a write reveals it.
- */
-const detectReset = (method: string, response: IncomingMessage): void => {
-  if (!endsWithConnection(method, response)) {
-    return;
-  }
-  const { socket } = response;
-  socket.prependOnceListener('end', () => {
-    socket.write('', (cause) => {
-      if (cause) {
-        response.destroy(cause);
-      }
-    });
-  });
-};
-
 /** Largest number of informational (1xx) responses before the final one; a server that sends more counts as faulty. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -210,15 +200,17 @@
   outgoing.on('continue', count);
 };
 
-/** Lowest status of a final response. Node also takes 101 and statuses below 100 for final ones. */
+/** Statuses of final responses. Node also takes 101, statuses below 100 and those above 599 for final ones. */
 const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 
 /** Reason for which a response cannot be the answer to its request; undefined when there is none. */
 const findFault = ({ statusCode = 0 }: IncomingMessage, sent: boolean): Error | undefined => {
   if (!sent) {
     return new Error('an answer arrived before the request was sent');
   }
-  return statusCode < MIN_FINAL_STATUS ? new Error('the server sent no final response') : undefined;
+  const isFinal = statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_FINAL_STATUS;
+  return isFinal ? undefined : new Error('the server sent no final response');
 };
 
 /** Sends a request and resolves with the response as soon as its headers arrive. */
@@ -238,7 +230,7 @@
         return;
       }
       received = response;
-      detectReset(request.method, response);
+      detectCut(outgoing, response, request);
       // A response that is cancelled after it was read emits an error that nobody handles.
       response.on('error', () => undefined);
       resolve(response);
