--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -7,6 +7,7 @@
 export * from './duties/index.js';
 export * from './forwarding/index.js';
 export * from './relay/index.js';
+export * from './residency/index.js';
 export * from './routes/index.js';
 export * from './scheduling/index.js';
 export * from './streams/index.js';
