--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -1,6 +1,8 @@
 import type { BatchSpec } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
 import choosePieces from './_lib/choosePieces.js';
+import findUnservable from './_lib/findUnservable.js';
+import isNearer, { mayRun } from './_lib/isNearer.js';
 import recordResults from './_lib/recordResults.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
@@ -150,7 +152,8 @@
   advance(nowMs: number): BatchStep {
     this.requeueOverdue(nowMs);
     const ranked = this.rank([...this.jobs.values()], nowMs);
-    const ended = [...this.expire(nowMs), ...this.endUnreachable(ranked, nowMs)];
+    const refused = findUnservable(this.jobs, this.servers).map((jobId) => this.endJob(jobId, 'failed'));
+    const ended = [...refused, ...this.expire(nowMs), ...this.endUnreachable(ranked, nowMs)];
     return { ended, calls: this.plan(ranked, nowMs) };
   }
 
@@ -171,11 +174,11 @@
       }
       candidates.delete(state);
       const freeRoom = readFreeRoom([...candidates], spec, nowMs);
-      const pieces = choosePieces(waiting, {
+      const runnable = waiting.filter(({ job }) => mayRun(job, state.server));
+      const pieces = choosePieces(runnable, {
         maxPieces: spec.maxPieces,
         roomBytes: readRoom(state, spec, nowMs).usableBytes,
-        isNearer: ({ failureDomain, resultBytes }) =>
-          failureDomain !== state.server.failureDomain && (freeRoom.get(failureDomain) ?? 0) > resultBytes,
+        isNearer: (job) => isNearer(job, state.server, { candidates, freeRoom }),
         mayBePartial: (job) => this.mayBePartial(job),
         isIsolated,
       });
@@ -377,12 +380,9 @@
 
   /** Returns by how many ms a job would end after its expiry if it is served with and after the given jobs. */
   private latenessMs(entry: QueuedJob, ahead: readonly QueuedJob[], nowMs: number): number {
-    return (
-      nowMs +
-      readFreeInMs([...this.servers.values()], nowMs) +
-      predictSpanMs(sumLoad(ahead, this.pieceTimes), this.spec, countServers([...this.servers.values()], this.spec)) -
-      entry.job.expiresAtMs
-    );
+    const states = [...this.servers.values()];
+    const spanMs = predictSpanMs(sumLoad(ahead, this.pieceTimes), this.spec, countServers(states, this.spec));
+    return nowMs + readFreeInMs(states, nowMs) + spanMs - entry.job.expiresAtMs;
   }
 }
 
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -20,12 +20,15 @@
   readonly expiresAtMs: number;
   /** Failure domain whose servers are preferred when other costs are equal. */
   readonly failureDomain: string;
+  /** Regions whose servers may run its pieces; undefined when any may. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** A stage server as the queue sees it. */
 export interface BatchServer {
   readonly serverId: string;
   readonly failureDomain: string;
+  readonly region?: string;
   /** Monotonic time before which the server accepts no calls. */
   readonly restsUntilMs?: number;
   /** Least time between two calls that its rate limit allows; undefined without a limit. */
