Serve restricted requests in their regions only

A request was served in the region of the host that its caller was connected to, or wherever the region's scheduler sent it. Each choice now obeys the regions that the newest table names for the route and the organisation: plain servers and those with rate limits, engines, stage regions and owners, other regions' help, resumed streams. Messages to schedulers and batch owners carry the regions in an optional field; answers of hosts of an earlier build are checked. A request that no listed server may get, or whose assigned region a new table forbids, is refused at once with 503 unless something was sent. Event 4104 names regions that do not exist, once for each table.

--- a/packages/gateway/src/createBaseParts.ts
+++ b/packages/gateway/src/createBaseParts.ts
@@ -20,6 +20,7 @@
 import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import watchPorts from './observe/watchPorts.js';
 import type { GatewayFormats } from './ports.js';
+import createResidency, { type Residency } from './residency/createResidency.js';
 import createRegionScheduler, { SCHEDULER_DUTY, type RegionScheduler } from './scheduling/createRegionScheduler.js';
 import type { GatewaySettings } from './settings.js';
 import createBatchOwners, { type BatchOwners } from './stages/createBatchOwners.js';
@@ -48,6 +49,7 @@
   readonly store: StoreClient;
   readonly eras: EraTracker;
   readonly tables: RouteTableHolder;
+  readonly residency: Residency;
   readonly directory: BackendDirectory;
   readonly evacuations: Evacuations;
   readonly links: LinkClient;
@@ -76,6 +78,8 @@
   const liveSettings = createSettingsHolder(settings);
   const evacuations = createEvacuations({ logger, regions: () => liveSettings.current().host.regions });
   eras.onEvent((event) => logEraEvent(event, logger));
+  const tables = createRouteTableHolder({ clock, logger, format: formats.catalogue });
+  const residency = createResidency({ logger, tables, regions: () => liveSettings.current().host.regions });
   return {
     settings,
     liveSettings,
@@ -93,7 +97,8 @@
       dialect: options.storeDialect,
     }),
     eras,
-    tables: createRouteTableHolder({ clock, logger, format: formats.catalogue }),
+    tables,
+    residency,
     directory: createBackendDirectory({ clock, logger, format: formats.catalogue, regions, evacuations }),
     evacuations,
     links: createLinkClient({ clock, ...LINK_LIMITS }),
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
 import {
-  choosePool,
   type DrainTimes,
   decideRetry,
   computeIdleTimeoutMs,
@@ -21,7 +20,9 @@
 import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
+import chooseServedPool from './chooseServedPool.js';
 import estimateWork from './estimateWork.js';
+import findUnservedMs from './findUnservedMs.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
 import isRepeatable from './isRepeatable.js';
@@ -115,7 +116,7 @@
       this.abort.abort();
       this.results.release();
     });
-    this.pool = request.origin?.pool ?? choosePool(request.route.pools, ports.random()) ?? '';
+    this.pool = chooseServedPool(request, ports);
     this.binding = new StreamBinding(request, this.pool, ports);
     this.reservation = new Reservation(request, this.pool, ports);
     const { record, answer, results, reservation, binding, pool, work, avoidServers } = this;
@@ -131,11 +132,13 @@
     this.exchange.onDisconnect(() => this.answer.end('caller-gone', 0, 'caller-gone'));
     this.exchange.onStop((phase) => this.stop(phase));
     const stopListening = this.ports.crashes.onBlocked(this.request, () => this.refuseBlocked());
+    const stopReviews = this.ports.residency.onRestricted(this.request, () => this.refuseUnserved());
     try {
       await this.serve();
     } finally {
       timer.close();
       stopListening();
+      stopReviews();
       this.results.release();
       this.reservation.leave();
     }
@@ -149,7 +152,7 @@
 
   private async serve(): Promise<void> {
     this.refuseBlocked();
-    this.refuseEvacuated();
+    this.refuseUnserved();
     while (!this.answer.ended) {
       // Each step depends on the previous one.
       /* eslint-disable no-await-in-loop */
@@ -377,14 +380,12 @@
     this.answer.refuse('timed-out', TIMED_OUT_RETRY_AFTER_MS);
   }
 
-  /** Refuses a request at once that needs a pool all of whose servers are in evacuated failure domains. */
-  private refuseEvacuated(): void {
-    const { directory } = this.ports;
-    const { route, facts } = this.request;
-    const stagePools = route.stages.filter((_, stage) => (facts.pieceCounts[stage] ?? 0) > 0).map(({ pool }) => pool);
-    const evacuated = [this.pool, ...stagePools].find((pool) => directory.isEvacuated(pool));
-    if (evacuated !== undefined) {
-      this.answer.refuse('no-server', directory.readBackoffRemainingMs(evacuated) ?? NO_SERVER_RETRY_AFTER_MS);
+  /** Refuses a request of which nothing was sent and that no server may get. */
+  private refuseUnserved(): void {
+    const { request, pool, reservation, ports, record } = this;
+    const retryAfterMs = record.mayHaveRun ? undefined : findUnservedMs(request, { pool, reservation }, ports);
+    if (retryAfterMs !== undefined) {
+      this.answer.refuse('no-server', retryAfterMs);
     }
   }
 
--- a/packages/gateway/src/requests/Reservation.ts
+++ b/packages/gateway/src/requests/Reservation.ts
@@ -1,6 +1,7 @@
-import type { EngineEvent } from '@bergamotcove/decide';
+import { chooseRegion, isPermitted, type EngineEvent } from '@bergamotcove/decide';
 import type { ForwardRequest } from './types.js';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
+import type { Residency } from '../residency/createResidency.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import type { StageFormat } from '../ports.js';
 import type { GenerationRequest, PlaceAnswer } from '../scheduling/messages.js';
@@ -12,6 +13,7 @@
 /** Dependencies of {@link Reservation}. */
 export interface ReservationPorts {
   readonly scheduler: SchedulerClient;
+  readonly residency: Pick<Residency, 'findRegions'>;
   readonly directory: BackendDirectory;
   readonly limits: Pick<RateLimits, 'closedUntilMs'>;
   readonly stageFormat: StageFormat;
@@ -22,6 +24,9 @@
 /** Assumed time from the last stage to the first token when nothing is known about the engines. */
 export const DEFAULT_ANSWER_MS = 150;
 
+/** Retry-After of a request whose permitted regions have changed. */
+const MOVED_RETRY_MS = 300;
+
 /** Which engines may get an attempt. */
 export interface EngineConstraints {
   /** Servers that failed this request and are avoided. */
@@ -59,7 +64,9 @@
   async enter(): Promise<EntryResult> {
     const { requestId, value, route, facts, arrivedAtMs, deadlineAtMs } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
-    const entry = await this.ports.scheduler.enter({
+    const { residency, scheduler } = this.ports;
+    const homeRegions = residency.findRegions(this.request);
+    const need = {
       requestId,
       value,
       stages: route.stages.map(({ pool, after, resultBytes }, stage) => ({
@@ -72,16 +79,30 @@
       dueInMs: arrivedAtMs + route.objectiveMs - nowMs,
       deadlineInMs: deadlineAtMs - nowMs,
       generation: this.describeGeneration(),
-    });
+    };
+    const entry =
+      homeRegions === undefined
+        ? await scheduler.enter(need)
+        : await scheduler.enter({ ...need, homeRegions }, this.chooseRegion(this.pool, this.region));
     if (entry.type === 'admitted') {
       this.entered = true;
       this.region = entry.region;
-      this.stageRegions = entry.regions;
+      this.stageRegions = route.stages.map((stage, index) =>
+        this.chooseRegion(stage.pool, entry.regions[index] ?? entry.region),
+      );
       this.failureDomain = entry.failureDomain;
       this.tier = entry.tier;
       this.answerMs = entry.answerMs ?? DEFAULT_ANSWER_MS;
     }
-    return entry;
+    // The regions may have changed while the scheduler was asked.
+    return this.isWithin(residency.findRegions(this.request))
+      ? entry
+      : { type: 'refused', retryAfterMs: MOVED_RETRY_MS };
+  }
+
+  /** Whether the regions to which the request was assigned are permitted; undefined permits any. */
+  isWithin(regions: readonly string[] | undefined): boolean {
+    return !this.entered || [this.region, ...this.stageRegions].every((region) => isPermitted(regions, region));
   }
 
   /** Region whose servers run a stage. */
@@ -90,9 +111,12 @@
   }
 
   /** Options of the stages that follow from the answer of the scheduler. */
-  describeStages(ownDomain: string): Pick<StagePorts, 'regionOf' | 'failureDomain' | 'expectedLate' | 'answerMs'> {
+  describeStages(
+    ownDomain: string,
+  ): Pick<StagePorts, 'regionOf' | 'findRegions' | 'failureDomain' | 'expectedLate' | 'answerMs'> {
     return {
       regionOf: (stage) => this.regionOf(stage),
+      findRegions: () => this.ports.residency.findRegions(this.request),
       failureDomain: this.failureDomain ?? ownDomain,
       expectedLate: this.tier === 'late',
       answerMs: this.answerMs,
@@ -105,13 +129,13 @@
   }
 
   /** Asks for an engine for the generation. Empty for other requests, and when the scheduler names none. */
-  place(results: HeldResults, { avoidServers, softwareVersion }: EngineConstraints): Promise<PlaceAnswer> {
+  async place(results: HeldResults, { avoidServers, softwareVersion }: EngineConstraints): Promise<PlaceAnswer> {
     const generation = this.describeGeneration();
     if (generation === undefined) {
-      return Promise.resolve({});
+      return {};
     }
     const { requestId, fingerprint, deadlineAtMs } = this.request;
-    const { clock, directory, limits, stageFormat } = this.ports;
+    const { clock, directory, limits, stageFormat, residency, scheduler } = this.ports;
     const findDomain = (result: string) => directory.findAt(stageFormat.readHolderAddress(result))?.failureDomain;
     const resultBytes = Object.fromEntries(sumBytesByDomain(results.listLast(), findDomain));
     const nowMs = clock.monotonicMs();
@@ -121,7 +145,18 @@
     const deadlineInMs = deadlineAtMs - nowMs;
     const version = softwareVersion === undefined ? {} : { softwareVersion };
     const facts = { requestId, key: fingerprint, deadlineInMs, resultBytes, avoidServers: avoided, ...version };
-    return this.ports.scheduler.place(this.region, { ...generation, ...facts });
+    const homeRegions = residency.findRegions(this.request);
+    const permitted = homeRegions === undefined ? {} : { homeRegions };
+    const region = this.chooseRegion(this.pool, this.region);
+    const answer = await scheduler.place(region, { ...generation, ...facts, ...permitted });
+    const { serverId } = answer;
+    const permittedNow = residency.findRegions(this.request);
+    if (serverId === undefined || isPermitted(permittedNow, directory.find(serverId)?.region)) {
+      return answer;
+    }
+    // A scheduler of an earlier build does not know the permitted regions.
+    this.noteAttemptEnd('ended');
+    return {};
   }
 
   noteFirstToken(slowness: number | undefined): void {
@@ -147,6 +182,13 @@
     }
   }
 
+  /** Region whose hosts are asked about a pool: the preferred one unless it may not serve the request. */
+  private chooseRegion(pool: string, preferred: string): string {
+    const { directory, residency } = this.ports;
+    const hasServers = (region: string) => directory.list(pool).some((server) => server.region === region);
+    return chooseRegion({ regions: residency.findRegions(this.request), preferred, hasServers }) ?? preferred;
+  }
+
   private describeGeneration(): GenerationRequest | undefined {
     const { generation } = this.request.facts;
     return generation === undefined
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@bergamotcove/clock';
-import { findContinuers, type ServerView } from '@bergamotcove/decide';
+import { findContinuers, isPermitted, type ServerView } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import placeAttempt, { type PlacementPorts } from '../servers/placeAttempt.js';
+import type { Residency } from '../residency/createResidency.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import type { PlaceAnswer } from '../scheduling/messages.js';
 import type { WorkEstimate } from './estimateWork.js';
@@ -35,6 +36,7 @@
   readonly directory: BackendDirectory;
   readonly limits: RateLimits;
   readonly pools: ServerPools;
+  readonly residency: Pick<Residency, 'findRegions'>;
 }
 
 /** A server for an attempt. */
@@ -102,10 +104,13 @@
    */
   private async takeLimited(preferred: ServerView | undefined): Promise<ServerView | undefined | 'again'> {
     const { request, pool, avoidServers, record, answer, binding } = this.run;
-    const { limits, directory } = this.ports;
+    const { limits, directory, residency } = this.ports;
     const listed = directory.view(pool).servers;
+    const regions = residency.findRegions(request);
     const softwareVersion = binding.requiredVersion;
-    const servers = softwareVersion === undefined ? listed : findContinuers(listed, { pool, softwareVersion });
+    const servers = (softwareVersion === undefined ? listed : findContinuers(listed, { pool, softwareVersion })).filter(
+      ({ region }) => isPermitted(regions, region),
+    );
     const usable = servers.filter(({ serverId }) => !avoidServers.includes(serverId));
     const others = usable.length > 0 ? usable : servers;
     const mayWait = preferred === undefined || others.every(({ serverId }) => limits.isLimited(serverId));
--- a/packages/gateway/src/requests/createRequestHandler.test.ts
+++ b/packages/gateway/src/requests/createRequestHandler.test.ts
@@ -17,7 +17,7 @@
 };
 
 /** A request that takes a stream up. Its answer never leaves, as behind an earlier answer that is not read. */
-const createFixture = () => {
+const createFixture = (permits = true) => {
   const accepted: string[] = [];
   const rejected: unknown[] = [];
   let answerRead: ((found: FoundOrigin) => void) | undefined;
@@ -35,6 +35,7 @@
     tables: { current: () => INDEX },
     callerMemory: createAnswerMemory(),
     drain: () => undefined,
+    residency: { permits: () => permits },
     directory: { list: () => [{ ...ORIGIN, state: 'live' }] },
     origins: {
       find: () =>
@@ -96,3 +97,12 @@
   exchange.abort();
   assert.deepEqual([response.statusCode, response.destroyed], [503, false]);
 });
+
+test('a stream is not taken up at servers of a region that may not serve it', async () => {
+  const { body, accepted, rejected, answerRead } = createFixture(false);
+  body.end('b');
+  await settle();
+  answerRead({ type: 'known', origin: ORIGIN, source: 'host' });
+  await settle();
+  assert.deepEqual([accepted, rejected], [[], [{ reason: 'origin-gone' }]]);
+});
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -17,6 +17,7 @@
 import listPartKeys from '../crashes/listPartKeys.js';
 import type { RequestFacts, RequestFormat } from '../ports.js';
 import type { AnswerMemory, AnswerMemoryShare } from '../servers/createAnswerMemory.js';
+import type { ResidentRequest } from '../residency/createResidency.js';
 import ForwardRun, { type ForwardPorts } from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
 import filterHeaders from './filterHeaders.js';
@@ -162,7 +163,11 @@
     const { request, arrivedAtMs } = exchange;
     const { facts, body, requestId } = read;
     const { route, organisation } = read.matched;
-    const takenUp = await this.findTakenUp(route, facts);
+    const callerOrganisation = route.keyless ? undefined : organisation;
+    const host = request.headers.host ?? '';
+    const path = request.url ?? '/';
+    const resident = { host, path, facts, route, organisation: callerOrganisation };
+    const takenUp = await this.findTakenUp(resident);
     if (!exchange.isOpen) {
       return;
     }
@@ -172,20 +177,15 @@
     }
     const sizeTokens = measureSize(facts);
     const method = request.method ?? 'GET';
-    const path = request.url ?? '/';
-    const callerOrganisation = route.keyless ? undefined : organisation;
     const forward: ForwardRequest = {
       requestId,
       fingerprint: formatFingerprint({ method, path, organisation: callerOrganisation?.name, body }),
       partKeys: listPartKeys(facts.generation),
       method,
-      path,
       headers: filterHeaders(request.rawHeaders, this.withheld),
       body: body.length > 0 || request.headers['content-length'] !== undefined ? body : undefined,
-      facts,
-      route,
+      ...resident,
       origin: takenUp.origin,
-      organisation: callerOrganisation,
       priority: rankRequest(route.priority, organisation?.priority),
       value: valueRequest({
         routePriority: route.priority,
@@ -208,8 +208,9 @@
   }
 
   /** Finds the servers that may go on with the stream that a request takes up. It is refused unless there are some. */
-  private async findTakenUp(route: Route, facts: RequestFacts): Promise<TakenUp> {
-    const { origins, directory } = this.options;
+  private async findTakenUp(resident: ResidentRequest): Promise<TakenUp> {
+    const { route, facts } = resident;
+    const { origins, directory, residency } = this.options;
     if (!takesUp(facts) || !isResumable(route)) {
       return { type: 'ready', origin: undefined };
     }
@@ -225,7 +226,8 @@
     }
     const { origin } = found;
     const isRouted = route.pools.some(({ pool }) => pool === origin.pool);
-    if (!isRouted || findContinuers(directory.list(origin.pool), origin).length === 0) {
+    const servers = findContinuers(directory.list(origin.pool), origin);
+    if (!isRouted || !servers.some(({ region }) => residency.permits(resident, region))) {
       const retryAfterMs = ORIGIN_GONE_RETRY_AFTER_MS;
       return { type: 'refused', refusal: { status: 503, reason: 'origin-gone', retryAfterMs } };
     }
--- a/packages/gateway/src/requests/openChecked.ts
+++ b/packages/gateway/src/requests/openChecked.ts
@@ -1,6 +1,7 @@
 import type { ServerView } from '@bergamotcove/decide';
 import type { RequestFormat } from '../ports.js';
 import type { ProcessCheck, ProcessChecks } from '../servers/createProcessChecks.js';
+import type { Residency } from '../residency/createResidency.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import openAttempt, { type AttemptCall, type OpenedAttempt } from '../servers/openAttempt.js';
 import { isResumable } from '../streams/createStreamOrigins.js';
@@ -12,6 +13,7 @@
   readonly pools: ServerPools;
   readonly format: RequestFormat;
   readonly processChecks: ProcessChecks;
+  readonly residency: Residency;
 }
 
 /** An attempt that is sent once the process at the server's address is known. */
@@ -35,7 +37,7 @@
  */
 export default async function openChecked(
   { server, request, binding, formatHeaders, ...attempt }: CheckedAttempt,
-  { pools, format, processChecks }: OpeningPorts,
+  { pools, format, processChecks, residency }: OpeningPorts,
 ): Promise<{ readonly opened: OpenedAttempt; readonly isReplaced: boolean }> {
   const isChecked = isResumable(request.route);
   // Nothing may come between a look at the idle connections and the use of one.
@@ -55,7 +57,10 @@
     path: request.path,
     headers: formatHeaders(),
     body: request.body,
-    maySend: (socket) => attempt.maySend() && (!isChecked || processChecks.accept(check, server, socket)),
+    maySend: (socket) =>
+      attempt.maySend() &&
+      residency.permits(request, server.region) &&
+      (!isChecked || processChecks.accept(check, server, socket)),
   });
   return { opened, isReplaced: false };
 }
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -38,6 +38,8 @@
   /** Keys of the parts of its prompt that other requests may share; the same on every host. */
   readonly partKeys: readonly string[];
   readonly method: string;
+  /** Host name as the caller sent it. */
+  readonly host: string;
   readonly path: string;
   /** Headers to forward, as alternating names and values. */
   readonly headers: readonly string[];
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -4,6 +4,7 @@
   createWorkLedger,
   decideEntry,
   findContinuers,
+  isPermitted,
   LATE_VALUE,
   planPipeline,
   REGION_HOP_MS,
@@ -20,6 +21,7 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import placeGeneration from './placeGeneration.js';
+import splitEngines, { type SplitEngines } from './splitEngines.js';
 import createRegionLoads, { type RegionLoads } from './createRegionLoads.js';
 import { DEFAULT_ANSWER_MS } from '../requests/Reservation.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
@@ -195,9 +197,9 @@
     const outlook: EntryOutlook = {
       nowMs,
       home: this.loads.home(),
-      others: this.loads.others(),
+      others: this.loads.others().filter(({ region }) => isPermitted(request.homeRegions, region)),
       answerMs: engine?.firstTokenMs ?? DEFAULT_ANSWER_MS,
-      engineAtMs: this.predictTurnMs(request.generation?.pool),
+      engineAtMs: this.predictTurnMs(request.generation?.pool, request.homeRegions),
     };
     const decision = decideEntry(need, outlook);
     if (decision.type !== 'on-time' && !request.visiting) {
@@ -227,7 +229,9 @@
 
   place(request: PlaceRequest): PlaceAnswer {
     const nowMs = this.options.clock.monotonicMs();
-    const selector = this.findSelector(request.pool);
+    const { pool, softwareVersion } = request;
+    const { permitted: engines, closedServers } = this.splitEngines(pool, request.homeRegions);
+    const selector = this.findSelector(pool);
     this.unplaced.delete(request.requestId);
     const need: GenerationNeed = {
       requestId: request.requestId,
@@ -235,11 +239,10 @@
       promptTokens: request.promptTokens,
       resultBytes: new Map(Object.entries(request.resultBytes)),
       avoidServers: request.avoidServers,
-      softwareVersion: request.softwareVersion,
+      closedServers,
+      softwareVersion,
       deadlineAtMs: nowMs + (request.deadlineInMs ?? DEFAULT_DEADLINE_MS),
     };
-    const { pool, softwareVersion } = request;
-    const engines = this.options.directory.listNear(pool, this.options.region);
     const placed = placeGeneration(need, {
       selector,
       limits: this.options.limits,
@@ -319,15 +322,16 @@
     if (generation === undefined) {
       return undefined;
     }
-    const noInputs = { resultBytes: new Map<string, number>(), avoidServers: [] };
+    const { closedServers } = this.splitEngines(generation.pool, request.homeRegions);
+    const noInputs = { resultBytes: new Map<string, number>(), avoidServers: [], closedServers };
     const need = { requestId, ...generation, ...noInputs, deadlineAtMs: nowMs + request.deadlineInMs };
     return this.findSelector(generation.pool).choose(need, nowMs);
   }
 
   /** Predicts when a generation gets an engine when all engines have rate limits; undefined otherwise. */
-  private predictTurnMs(pool: string | undefined): number | undefined {
-    const { directory, limits, region } = this.options;
-    const serverIds = directory.listNear(pool ?? '', region).map(({ serverId }) => serverId);
+  private predictTurnMs(pool: string | undefined, homeRegions: EnterRequest['homeRegions']): number | undefined {
+    const { limits } = this.options;
+    const serverIds = this.splitEngines(pool ?? '', homeRegions).permitted.map(({ serverId }) => serverId);
     if (pool === undefined || serverIds.length === 0 || !serverIds.every((serverId) => limits.isOwned(serverId))) {
       return undefined;
     }
@@ -335,6 +339,10 @@
     return limits.predictTurnMs({ queue: pool, serverIds }, unplaced);
   }
 
+  private splitEngines(pool: string, homeRegions: readonly string[] | undefined): SplitEngines {
+    return splitEngines(this.options.directory, this.options.region, { pool, homeRegions });
+  }
+
   private endPlacement(pool: string, requestId: string): void {
     this.engines.get(pool)?.recordEvent({ type: 'ended', requestId }, this.options.clock.monotonicMs());
   }
--- a/packages/gateway/src/scheduling/createSchedulerClient.test.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.test.ts
@@ -53,3 +53,74 @@
   assert.deepEqual(silent, ['other']);
   assert.deepEqual(events, ['schedulerLost']);
 });
+
+/** A client in region `r1` of two; the schedulers of both are other hosts, and `answers` are theirs in turn. */
+const createRegionsFixture = (answers: readonly unknown[]) => {
+  const asked: { readonly region: string; readonly message: Record<string, unknown> }[] = [];
+  const client = createSchedulerClient({
+    clock: createManualClock(),
+    logger: { event: () => undefined },
+    hosts: {
+      self: { hostId: 'self' },
+      rankOwners: (_: string, region: string) => [{ hostId: `scheduler-${region}`, target: region }],
+      noteSilent: () => undefined,
+      onChange: () => undefined,
+    },
+    links: {
+      call: (region: string, _: string, message: Record<string, unknown>) => {
+        asked.push({ region, message });
+        const answer = answers[asked.length - 1];
+        return answer === undefined ? Promise.reject(new Error('the link is lost')) : Promise.resolve(answer);
+      },
+      notify: () => undefined,
+    },
+    local: {},
+    region: 'r1',
+  } as unknown as SchedulerClientOptions);
+  return { asked, client };
+};
+
+const ADMITTED = { type: 'admitted', tier: 'on-time', expectedInMs: 1, answerMs: 1, failureDomain: undefined };
+
+// Guards against schedulers of an earlier build, which ignore the permitted regions.
+test('a scheduler that sends a request to a forbidden region is asked to decide for its own region', async () => {
+  const { asked, client } = createRegionsFixture([
+    { type: 'elsewhere', region: 'r2' },
+    { ...ADMITTED, regions: ['r2', 'r1'] },
+  ]);
+  const entry = await client.enter({ ...REQUEST, homeRegions: ['r1'] });
+  assert.deepEqual(
+    asked.map(({ region, message }) => [region, message.visiting]),
+    [
+      ['r1', false],
+      ['r1', true],
+    ],
+  );
+  assert.deepEqual(entry.type === 'admitted' && [entry.region, entry.regions], ['r1', ['r1', 'r1']]);
+});
+
+test('the scheduler of a permitted region decides for it, and without an answer the request is admitted there', async () => {
+  for (const answer of [{ ...ADMITTED, regions: ['r1'] }, undefined]) {
+    const { asked, client } = createRegionsFixture([answer]);
+    const entry = await client.enter({ ...REQUEST, homeRegions: ['r2'] }, 'r2');
+    assert.deepEqual([asked.length, asked[0]?.region, asked[0]?.message.visiting], [1, 'r2', true]);
+    assert.deepEqual(entry.type === 'admitted' && [entry.region, entry.regions], [
+      'r2',
+      answer === undefined ? [] : ['r2'],
+    ]);
+  }
+});
+
+test('a request without a restriction is redirected as before, and its messages name no regions', async () => {
+  const { asked, client } = createRegionsFixture([
+    { type: 'elsewhere', region: 'r2' },
+    { ...ADMITTED, regions: ['r1'] },
+  ]);
+  const entry = await client.enter(REQUEST);
+  const common = { ...REQUEST };
+  assert.deepEqual(asked, [
+    { region: 'r1', message: { ...common, visiting: false } },
+    { region: 'r2', message: { ...common, visiting: true } },
+  ]);
+  assert.deepEqual(entry.type === 'admitted' && [entry.region, entry.regions], ['r2', ['r1']]);
+});
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
+import { isPermitted } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
@@ -37,8 +38,11 @@
 
 /** Calls the schedulers of the regions, on this host or others. */
 export interface SchedulerClient {
-  /** Asks for the admission of a request. Without an answer in time it is admitted in the own region. */
-  enter(request: Omit<EnterRequest, 'visiting'>): Promise<EntryResult>;
+  /**
+   * Asks the scheduler of a region, by default the own one, for the admission of a request. Without an answer in time it
+   * is admitted in that region.
+   */
+  enter(request: Omit<EnterRequest, 'visiting'>, region?: string): Promise<EntryResult>;
   /** Asks for an engine. The answer is empty when the scheduler does not answer or knows no engine. */
   place(region: string, request: PlaceRequest): Promise<PlaceAnswer>;
   note(region: string, note: RequestNote): void;
@@ -78,21 +82,17 @@
     options.hosts.onChange(() => this.schedulerHosts.forEach((_, region) => this.findOwner(region)));
   }
 
-  async enter(request: Omit<EnterRequest, 'visiting'>): Promise<EntryResult> {
-    const { region } = this.options;
-    const answer = await this.requestEntry(region, { ...request, visiting: false }, ANSWER_TIMEOUT_MS);
+  async enter(request: Omit<EnterRequest, 'visiting'>, region = this.options.region): Promise<EntryResult> {
+    const { homeRegions } = request;
+    const answer = await this.requestEntry(region, { ...request, visiting: region !== this.options.region });
     if (answer?.type !== 'elsewhere') {
-      return this.recordEntry(request, Client.toEntryResult(answer, region));
+      return this.recordEntry(request, Client.toEntryResult(answer, region, homeRegions));
     }
-    const remoteAnswer = await this.requestEntry(
-      answer.region,
-      { ...request, visiting: true },
-      REMOTE_ANSWER_TIMEOUT_MS,
-    );
-    return this.recordEntry(
-      request,
-      Client.toEntryResult(remoteAnswer, remoteAnswer === undefined ? region : answer.region),
-    );
+    // A scheduler of an earlier build may name any region; asked again, it decides for its own one.
+    const otherRegion = isPermitted(homeRegions, answer.region) ? answer.region : region;
+    const nextAnswer = await this.requestEntry(otherRegion, { ...request, visiting: true });
+    const servingRegion = nextAnswer === undefined ? region : otherRegion;
+    return this.recordEntry(request, Client.toEntryResult(nextAnswer, servingRegion, homeRegions));
   }
 
   async place(region: string, request: PlaceRequest): Promise<PlaceAnswer> {
@@ -103,8 +103,7 @@
     if (this.isLocal(owner)) {
       return this.options.local.place(request);
     }
-    const limitMs = region === this.options.region ? ANSWER_TIMEOUT_MS : REMOTE_ANSWER_TIMEOUT_MS;
-    return ((await this.callOwner(owner, PLACE, request, limitMs)) as PlaceAnswer | undefined) ?? {};
+    return ((await this.callOwner(owner, PLACE, request, this.limitAnswerMs(region))) as PlaceAnswer | undefined) ?? {};
   }
 
   note(region: string, note: RequestNote): void {
@@ -120,12 +119,16 @@
     this.notifyOwner(this.options.region, REPORT_POOL, report, () => this.options.local.reportPool(report));
   }
 
-  private static toEntryResult(answer: EnterAnswer | undefined, region: string): EntryResult {
+  private static toEntryResult(
+    answer: EnterAnswer | undefined,
+    region: string,
+    homeRegions: readonly string[] | undefined,
+  ): EntryResult {
     if (answer?.type === 'refused') {
       return answer;
     }
     return answer?.type === 'admitted'
-      ? { ...answer, region }
+      ? { ...answer, region, regions: answer.regions.map((each) => (isPermitted(homeRegions, each) ? each : region)) }
       : {
           type: 'admitted',
           region,
@@ -137,14 +140,18 @@
         };
   }
 
-  private async requestEntry(region: string, request: EnterRequest, limitMs: number): Promise<EnterAnswer | undefined> {
+  private limitAnswerMs(region: string): number {
+    return region === this.options.region ? ANSWER_TIMEOUT_MS : REMOTE_ANSWER_TIMEOUT_MS;
+  }
+
+  private async requestEntry(region: string, request: EnterRequest): Promise<EnterAnswer | undefined> {
     const owner = this.findOwner(region);
     if (owner === undefined) {
       return undefined;
     }
     return this.isLocal(owner)
       ? this.options.local.enter(request)
-      : ((await this.callOwner(owner, ENTER, request, limitMs)) as EnterAnswer | undefined);
+      : ((await this.callOwner(owner, ENTER, request, this.limitAnswerMs(region))) as EnterAnswer | undefined);
   }
 
   private recordEntry(request: Omit<EnterRequest, 'visiting'>, entry: EntryResult): EntryResult {
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -41,8 +41,10 @@
   readonly dueInMs: number;
   readonly deadlineInMs: number;
   readonly generation: GenerationRequest | undefined;
-  /** Whether the request was redirected here by the scheduler of another region. */
+  /** Whether the request must be decided here: the scheduler of another region, or its host, has chosen this region. */
   readonly visiting: boolean;
+  /** Regions that may serve the request, if not any; hosts of an earlier version ignore it. */
+  readonly homeRegions?: readonly string[];
 }
 
 /** Answer to {@link EnterRequest}. */
@@ -73,6 +75,8 @@
   readonly avoidServers: readonly string[];
   /** Version that the engine must have, for a stream that began there; hosts of an earlier version ignore it. */
   readonly softwareVersion?: string;
+  /** Regions whose engines may get the request, if not any; hosts of an earlier version ignore it. */
+  readonly homeRegions?: readonly string[];
   /** Identifies the request, also when its caller sends it again; hosts of an earlier version do not send it. */
   readonly key?: string;
 }
--- a/packages/gateway/src/scheduling/placeGeneration.ts
+++ b/packages/gateway/src/scheduling/placeGeneration.ts
@@ -31,8 +31,9 @@
   const { selector, limits, pool, key, nowMs } = ports;
   const owned = ports.servers.map(({ serverId }) => serverId).filter((serverId) => limits.isOwned(serverId));
   const closed = owned.filter((serverId) => limits.closedUntilMs(serverId) > nowMs);
+  const { closedServers = [] } = need;
   for (;;) {
-    const choice = selector.choose({ ...need, closedServers: closed }, nowMs);
+    const choice = selector.choose({ ...need, closedServers: [...closedServers, ...closed] }, nowMs);
     if (choice === undefined) {
       break;
     }
@@ -55,6 +56,6 @@
     return decision;
   }
   const others = closed.filter((serverId) => serverId !== decision.serverId);
-  const choice = selector.choose({ ...need, closedServers: others }, nowMs);
+  const choice = selector.choose({ ...need, closedServers: [...closedServers, ...others] }, nowMs);
   return choice === undefined ? { type: 'no-engine' } : { type: 'placed', choice, permitted: true };
 }
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { chooseServer, findContinuers, type Choice, type ServerView } from '@bergamotcove/decide';
+import { chooseServer, findContinuers, isPermitted, type Choice, type ServerView } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -7,6 +7,7 @@
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import type { ServerLoadFacts } from '../ports.js';
+import type { Residency } from '../residency/createResidency.js';
 import type { ForwardRequest } from '../requests/types.js';
 
 /** An attempt that needs a server. */
@@ -45,6 +46,7 @@
   readonly limits: Pick<RateLimits, 'closedUntilMs'>;
   readonly tables: RouteTableHolder;
   readonly hosts: HostRegistry;
+  readonly residency: Pick<Residency, 'findRegions'>;
   readonly failureDomain: string;
   readonly region: string;
 }
@@ -62,10 +64,13 @@
 
 /** Chooses the assigned server, or one that may get the attempt now. */
 const choose = (placement: PlacementRequest, options: ServerPoolsOptions): Choice | undefined => {
-  const { clock, directory, limits, failureDomain, region } = options;
+  const { clock, directory, limits, residency, failureDomain, region } = options;
   const { request, pool, serverId, permitted, avoidServers, softwareVersion, tokens, prefillTokens } = placement;
   const view = directory.view(pool);
-  const usable = softwareVersion === undefined ? view.servers : findContinuers(view.servers, { pool, softwareVersion });
+  const regions = residency.findRegions(request);
+  const usable = (
+    softwareVersion === undefined ? view.servers : findContinuers(view.servers, { pool, softwareVersion })
+  ).filter((server) => isPermitted(regions, server.region));
   const nowMs = clock.monotonicMs();
   const isAssigned = (server: ServerView): boolean => server.serverId === serverId;
   const isOpen = (server: ServerView): boolean =>
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -78,7 +78,7 @@
     }
     const nowMs = this.options.clock.monotonicMs();
     this.ownerSinceMs = Math.min(this.ownerSinceMs, nowMs);
-    const { jobId, kind, priority, value, progress, resultBytes, pieceCount } = job;
+    const { jobId, kind, priority, value, progress, resultBytes, pieceCount, homeRegions } = job;
     const expiresAtMs = nowMs + job.expiresInMs;
     const decision = this.queue.submit(
       {
@@ -92,6 +92,7 @@
         pieceCount,
         dueAtMs: nowMs + job.dueInMs,
         expiresAtMs,
+        homeRegions,
       },
       nowMs,
     );
--- a/packages/gateway/src/stages/createStageClient.test.ts
+++ b/packages/gateway/src/stages/createStageClient.test.ts
@@ -43,7 +43,8 @@
       },
     },
   } as unknown as StageClientOptions);
-  return { asked, run: () => client.run('other', JOB, new AbortController().signal) };
+  const run = (changes = {}) => client.run('other', { ...JOB, ...changes }, new AbortController().signal);
+  return { asked, run };
 };
 
 test('runs a job in the own region after one failed call to another region', async () => {
@@ -58,3 +59,10 @@
   assert.deepEqual(await run(), DONE);
   assert.deepEqual(asked, ['far-1', 'far-2']);
 });
+
+test('a restricted job whose owner is lost goes to other owners of its region only, and is then refused', async () => {
+  const { asked, run } = createFixture(() => Promise.reject(new Error('no connection')));
+  const result = await run({ homeRegions: ['other'] });
+  assert.equal(result.type, 'failed');
+  assert.deepEqual(asked, ['far-1', 'far-2']);
+});
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
+import { isPermitted } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
@@ -41,10 +42,15 @@
   async run(region: string, job: StageJob, signal: AbortSignal): Promise<StageJobResult> {
     const { clock, logger, hosts } = this.options;
     const startedAtMs = clock.monotonicMs();
-    // When a host of another region is lost, the whole region may be unreachable; the job falls back to the own region.
+    // When a host of another region is lost, the whole region may be unreachable; the job falls back to the own region
+    // if it may run there.
     let ownerLost = false;
     for (let sends = 0; sends < MAX_OWNER_ATTEMPTS && !signal.aborted; sends += 1) {
-      const [owner = hosts.self] = hosts.rankOwners(job.pool, ownerLost ? hosts.self.region : region);
+      const fallsBack = ownerLost && isPermitted(job.homeRegions, hosts.self.region);
+      const [owner = hosts.self] = hosts.rankOwners(job.pool, fallsBack ? hosts.self.region : region);
+      if (!isPermitted(job.homeRegions, owner.region)) {
+        return OWNER_LOST;
+      }
       const elapsedMs = clock.monotonicMs() - startedAtMs;
       if (elapsedMs >= job.expiresInMs) {
         return { type: 'failed', reason: 'late', retryAfterMs: 0 };
--- a/packages/gateway/src/stages/messages.ts
+++ b/packages/gateway/src/stages/messages.ts
@@ -42,6 +42,8 @@
   readonly key: string;
   /** Results that are the input of every piece. */
   readonly inputs: readonly StageInput[];
+  /** Regions whose servers may run the pieces, if not any; hosts of an earlier version ignore it. */
+  readonly homeRegions?: readonly string[];
 }
 
 /** Outcome of a job. */
--- a/packages/gateway/src/stages/runStages.test.ts
+++ b/packages/gateway/src/stages/runStages.test.ts
@@ -49,6 +49,7 @@
     client,
     index: INDEX,
     regionOf: (stage: number) => (stage === 0 ? 'home' : 'other'),
+    findRegions: () => undefined,
     failureDomain: 'd',
     expectedLate: false,
     answerMs: 100,
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -26,6 +26,8 @@
   readonly index: RouteIndex;
   /** Region whose servers run a stage. */
   readonly regionOf: (stage: number) => string;
+  /** Regions whose servers may run the stages now; undefined when any may. */
+  readonly findRegions: () => readonly string[] | undefined;
   /** Failure domain whose servers are preferred among equals. */
   readonly failureDomain: string;
   /** Whether the request is expected to be late. Then it gives precedence to those that can be on time. */
@@ -125,6 +127,7 @@
     const { requestId, fingerprint, route, facts, priority, value } = this.request;
     const nowMs = this.ports.clock.monotonicMs();
     const { dueAtMs, expiresAtMs } = this.times[stage] as StageTimes;
+    const homeRegions = this.ports.findRegions();
     return {
       jobId: `${requestId}/${stage}/${this.round}`,
       pool: spec.pool,
@@ -147,6 +150,7 @@
         resultBytes: route.stages[before]?.resultBytes ?? 0,
         results: this.results[before] ?? [],
       })),
+      ...(homeRegions === undefined ? {} : { homeRegions }),
     };
   }
 
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -100,6 +100,8 @@
   routeTableApplied: 'A newer route table is in force.',
   routeTableUnreadable: 'The route table in the store cannot be parsed.',
   routeTableRegressed: 'An older route table was offered and is not applied.',
+  homeRegionsUnserved:
+    'The route table names regions that do not exist, `unknown`, or leaves no region for the routes and organisations in `unserved`, whose requests are refused.',
   serverListed: 'A backend server registered itself or changed its entry.',
   serverGone: 'A backend server gets no more work.',
   serverEntryIgnored: 'An entry of the catalogue names no server that can be used.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -83,6 +83,7 @@
   routeTableApplied: { id: 4101, level: 'info' },
   routeTableUnreadable: { id: 4102, level: 'error' },
   routeTableRegressed: { id: 4103, level: 'error' },
+  homeRegionsUnserved: { id: 4104, level: 'warn' },
   serverListed: { id: 5101, level: 'info' },
   serverGone: { id: 5102, level: 'info' },
   serverEntryIgnored: { id: 5103, level: 'warn' },
