Let attempts that wait for one region's servers block only their like

The queue of a pool stops at the first attempt that has to wait. With residency this held up requests that any free server may serve behind one whose own region is full. Attempts of a pool now wait in one queue for each list of permitted regions; the first of all queues are tried in the order of their ranks. Without restrictions there is one queue, as before.

--- a/packages/entry/src/servers/createPoolQueues.test.ts
+++ b/packages/entry/src/servers/createPoolQueues.test.ts
@@ -52,3 +52,29 @@
   assert.equal(tries, 1);
   queues.close();
 });
+
+// Guards against requests of one region that wait for its servers while those of another one are free.
+test('an attempt that waits blocks only its group; all groups start in the order of their ranks', () => {
+  const clock = createManualClock();
+  const queues = createPoolQueues(clock);
+  const started: string[] = [];
+  let free: readonly string[] = [];
+  const add = (rank: number, group: string): void => {
+    const tryStart = (): boolean => free.includes(group) && started.push(`${group}${rank}`) > 0;
+    queues.enqueue(makeAttempt(rank, { group, tryStart }));
+  };
+  add(10, 'a');
+  add(20, 'b');
+  add(30, 'a');
+  add(40, 'b');
+  free = ['b'];
+  queues.drain('engines');
+  assert.deepEqual(started, ['b20', 'b40']);
+  assert.deepEqual([queues.countWaiting('engines'), queues.countShortWaiting()], [2, 2]);
+  free = [];
+  add(20, 'b');
+  free = ['a', 'b'];
+  clock.advance(20);
+  assert.deepEqual(started.slice(2), ['a10', 'b20', 'a30']);
+  queues.close();
+});
--- a/packages/entry/src/servers/createPoolQueues.ts
+++ b/packages/entry/src/servers/createPoolQueues.ts
@@ -6,6 +6,8 @@
   readonly pool: string;
   /** Long work waits in a queue of its own, so that it does not block short work. */
   readonly long: boolean;
+  /** Attempts that may use the same servers; one that has to wait blocks no attempts of other groups. */
+  readonly group?: string;
   /** Order in the queue; the lowest goes first. */
   readonly rank: number;
   /** Sends or gives up the attempt; returns false while it has to wait. */
@@ -30,10 +32,16 @@
 /** Interval of rechecks; servers become free without a message to this host, for example when another host's attempt ends. */
 const RECHECK_MS = 20;
 
+/** Queues of one pool by group. */
+type PoolGroups = Map<string, StageQueue<WaitingAttempt>>;
+
+const countAll = (pools: Iterable<PoolGroups | undefined>): number =>
+  [...pools].flatMap((groups) => [...(groups?.values() ?? [])]).reduce((sum, queue) => sum + queue.length, 0);
+
 class Queues implements PoolQueues {
-  private readonly short = new Map<string, StageQueue<WaitingAttempt>>();
+  private readonly short = new Map<string, PoolGroups>();
 
-  private readonly long = new Map<string, StageQueue<WaitingAttempt>>();
+  private readonly long = new Map<string, PoolGroups>();
 
   private timer: Timer | undefined;
 
@@ -51,8 +59,8 @@
   }
 
   drain(pool: string): void {
-    Queues.drainQueue(this.short.get(pool));
-    Queues.drainQueue(this.long.get(pool));
+    Queues.drainGroups(this.short.get(pool));
+    Queues.drainGroups(this.long.get(pool));
     this.scheduleRecheck();
   }
 
@@ -61,11 +69,11 @@
   }
 
   countShortWaiting(): number {
-    return [...this.short.values()].reduce((sum, queue) => sum + queue.length, 0);
+    return countAll(this.short.values());
   }
 
   countWaiting(pool: string): number {
-    return (this.short.get(pool)?.length ?? 0) + (this.long.get(pool)?.length ?? 0);
+    return countAll([this.short.get(pool), this.long.get(pool)]);
   }
 
   close(): void {
@@ -73,26 +81,34 @@
     this.timer?.close();
   }
 
-  private static drainQueue(queue: StageQueue<WaitingAttempt> | undefined): void {
-    for (let next = queue?.peek(); next !== undefined; next = queue?.peek()) {
+  /** Starts the first attempts of all groups, in the order of their ranks, until each group has one that has to wait. */
+  private static drainGroups(groups: PoolGroups | undefined): void {
+    const open = new Set(groups?.values());
+    while (open.size > 0) {
+      const rankOf = (queue: StageQueue<WaitingAttempt>): number => queue.peek()?.rank ?? Infinity;
+      const queue = [...open].reduce((first, other) => (rankOf(other) < rankOf(first) ? other : first));
       // The attempt leaves the queue first, because starting it may enqueue or remove others.
-      queue?.pop();
-      if (!next.tryStart()) {
-        queue?.push(next, next.rank);
-        return;
+      const next = queue.pop();
+      if (next === undefined) {
+        open.delete(queue);
+      } else if (!next.tryStart()) {
+        queue.push(next, next.rank);
+        open.delete(queue);
       }
     }
   }
 
   private queueOf(attempt: WaitingAttempt): StageQueue<WaitingAttempt> {
-    const queues = attempt.long ? this.long : this.short;
-    const queue = queues.get(attempt.pool) ?? createStageQueue<WaitingAttempt>();
-    queues.set(attempt.pool, queue);
+    const pools = attempt.long ? this.long : this.short;
+    const groups: PoolGroups = pools.get(attempt.pool) ?? new Map();
+    const { group = '' } = attempt;
+    const queue = groups.get(group) ?? createStageQueue<WaitingAttempt>();
+    pools.set(attempt.pool, groups.set(group, queue));
     return queue;
   }
 
   private scheduleRecheck(): void {
-    const waits = [...this.short.values(), ...this.long.values()].some((queue) => queue.length > 0);
+    const waits = countAll([...this.short.values(), ...this.long.values()]) > 0;
     if (waits && !this.closed && this.timer === undefined) {
       this.timer = this.clock.schedule(RECHECK_MS, () => {
         this.timer = undefined;
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -3,7 +3,6 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import placeAttempt, { type PlacementPorts } from '../servers/placeAttempt.js';
-import type { Residency } from '../residency/createResidency.js';
 import type { ServerPools } from '../servers/createServerPools.js';
 import type { PlaceAnswer } from '../scheduling/messages.js';
 import type { WorkEstimate } from './estimateWork.js';
@@ -36,7 +35,6 @@
   readonly directory: BackendDirectory;
   readonly limits: RateLimits;
   readonly pools: ServerPools;
-  readonly residency: Pick<Residency, 'findRegions'>;
 }
 
 /** A server for an attempt. */
--- a/packages/gateway/src/servers/placeAttempt.ts
+++ b/packages/gateway/src/servers/placeAttempt.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { ServerView } from '@bergamotcove/decide';
 import type { PoolQueues } from '@bergamotcove/entry';
+import type { Residency } from '../residency/createResidency.js';
 import type { PlacementRequest, ServerPools } from './createServerPools.js';
 
 /** Result of the placement of an attempt. */
@@ -16,6 +17,7 @@
   readonly clock: Clock;
   readonly pools: ServerPools;
   readonly queues: PoolQueues;
+  readonly residency: Pick<Residency, 'findRegions'>;
   readonly isCancelled: () => boolean;
 }
 
@@ -30,7 +32,7 @@
  * @returns the server, or the reason why there is none
  */
 export default function placeAttempt(placement: PlacementRequest, ports: PlacementPorts): Promise<Placement> {
-  const { clock, pools, queues, isCancelled } = ports;
+  const { clock, pools, queues, residency, isCancelled } = ports;
   const { request, pool } = placement;
   return new Promise((resolve) => {
     const tryStart = (): boolean => {
@@ -50,6 +52,7 @@
       return false;
     };
     const rank = request.priority * PRIORITY_STEP_MS + clock.monotonicMs();
-    queues.enqueue({ pool, long: false, rank, tryStart });
+    const group = residency.findRegions(request)?.join(' ') ?? '';
+    queues.enqueue({ pool, long: false, group, rank, tryStart });
   });
 }
