--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bergamotcove/clock';
-import { findContinuers, type ServerView } from '@bergamotcove/decide';
+import { findContinuers, isPermitted, type ServerView } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RateLimits } from '../limits/createRateLimits.js';
 import placeAttempt, { type PlacementPorts } from '../servers/placeAttempt.js';
@@ -102,10 +102,13 @@
    */
   private async takeLimited(preferred: ServerView | undefined): Promise<ServerView | undefined | 'again'> {
     const { request, pool, avoidServers, record, answer, binding } = this.run;
-    const { limits, directory } = this.ports;
+    const { limits, directory, residency } = this.ports;
     const listed = directory.view(pool).servers;
+    const regions = residency.findRegions(request);
     const softwareVersion = binding.requiredVersion;
-    const servers = softwareVersion === undefined ? listed : findContinuers(listed, { pool, softwareVersion });
+    const servers = (softwareVersion === undefined ? listed : findContinuers(listed, { pool, softwareVersion })).filter(
+      ({ region }) => isPermitted(regions, region),
+    );
     const usable = servers.filter(({ serverId }) => !avoidServers.includes(serverId));
     const others = usable.length > 0 ? usable : servers;
     const mayWait = preferred === undefined || others.every(({ serverId }) => limits.isLimited(serverId));
