Leave pieces to servers near their inputs when these are free soon

Each piece fetches all inputs of its job, but the cost of a server in another failure domain counted them once a job, and a piece was left to a nearer server only when that was idle at the moment. Pieces now wait for a nearer server that is free within the time of the transfer, at most the fixed time of a call and only while the job can still be on time.

--- a/packages/decide/src/batches/_lib/choosePieces.test.ts
+++ b/packages/decide/src/batches/_lib/choosePieces.test.ts
@@ -25,7 +25,7 @@
 const LIMITS: CallLimits = {
   maxPieces: 10,
   roomBytes: 100,
-  isNearer: () => false,
+  reserveNearby: () => false,
   mayBePartial: () => false,
   isIsolated: () => false,
 };
@@ -50,7 +50,7 @@
 
 test('skips jobs that can start nearer to their inputs', () => {
   const waiting = [...createPieces('a', 1, 1), ...createPieces('b', 1, 1)];
-  assert.equal(listIds(choosePieces(waiting, { ...LIMITS, isNearer: ({ jobId }) => jobId === 'a' })), 'b');
+  assert.equal(listIds(choosePieces(waiting, { ...LIMITS, reserveNearby: ({ jobId }) => jobId === 'a' })), 'b');
 });
 
 test('respects both limits and chooses no piece twice', () => {
--- a/packages/decide/src/batches/_lib/choosePieces.ts
+++ b/packages/decide/src/batches/_lib/choosePieces.ts
@@ -6,8 +6,8 @@
   readonly maxPieces: number;
   /** Bytes available for results at the server. */
   readonly roomBytes: number;
-  /** Whether a server nearer to the inputs of the job could start one of its pieces now. */
-  readonly isNearer: (job: BatchJob) => boolean;
+  /** Reserves a call of a server nearer to the inputs of the job; false when this call should take its pieces. */
+  readonly reserveNearby: (job: BatchJob, pieceCount: number) => boolean;
   /** Whether the call may hold only some pieces of the job when the room does not suffice for all. */
   readonly mayBePartial: (job: BatchJob) => boolean;
   /** Whether the pieces of the job share no call with those of other jobs. */
@@ -37,14 +37,15 @@
  */
 export default function choosePieces(
   waiting: readonly WaitingPiece[],
-  { maxPieces, roomBytes, isNearer, mayBePartial, isIsolated }: CallLimits,
+  { maxPieces, roomBytes, reserveNearby, mayBePartial, isIsolated }: CallLimits,
 ): readonly WaitingPiece[] {
   const chosen: WaitingPiece[] = [];
   let leftBytes = roomBytes;
   let isClosed = false;
   groupByJob(waiting).forEach((pieces) => {
     const [{ job }] = pieces as [WaitingPiece];
-    if (isClosed || chosen.length >= maxPieces || isNearer(job) || (isIsolated(job) && chosen.length > 0)) {
+    const isFull = isClosed || chosen.length >= maxPieces || (isIsolated(job) && chosen.length > 0);
+    if (isFull || reserveNearby(job, pieces.length)) {
       return;
     }
     const fitting = job.resultBytes === 0 ? pieces.length : Math.floor(leftBytes / job.resultBytes);
--- a/packages/decide/src/batches/_lib/findUnservable.ts
+++ b/packages/decide/src/batches/_lib/findUnservable.ts
@@ -1,4 +1,4 @@
-import { mayRun } from './isNearer.js';
+import mayRun from './mayRun.js';
 import type { QueuedJob } from './queuedJob.js';
 import type { ServerState } from './serverState.js';
 
--- a/packages/decide/src/batches/_lib/predictCallEnd.ts
+++ b/packages/decide/src/batches/_lib/predictCallEnd.ts
@@ -16,8 +16,12 @@
 export const predictCallEnd = (state: ServerState, workMs: number, nowMs: number): number =>
   Math.max(nowMs, ...state.calls.values()) + workMs * readSlowness(state, nowMs);
 
+/** Returns the cost of data that crosses failure domains, as time in ms. */
+export const toCrossDomainMs = (bytes: number): number => (bytes / BYTES_PER_MB) * CROSS_DOMAIN_MS_PER_MB;
+
 /**
- * Returns the cost of the inputs and results of a call that cross failure domains.
+ * Returns the cost of the inputs and results of a call that cross failure domains. Each piece
+ * fetches all inputs of its job.
  *
  * @param state - the server
  * @param pieces - pieces of the call
@@ -25,7 +29,5 @@
  */
 export const readCrossDomainCostMs = (state: ServerState, pieces: readonly WaitingPiece[]): number => {
   const remotePieces = pieces.filter(({ job }) => job.failureDomain !== state.server.failureDomain);
-  const inputBytes = [...new Set(remotePieces.map(({ job }) => job))].reduce((sum, job) => sum + job.inputBytes, 0);
-  const remoteBytes = remotePieces.reduce((sum, { job }) => sum + job.resultBytes, inputBytes);
-  return (remoteBytes / BYTES_PER_MB) * CROSS_DOMAIN_MS_PER_MB;
+  return toCrossDomainMs(remotePieces.reduce((sum, { job }) => sum + job.inputBytes + job.resultBytes, 0));
 };
--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -29,8 +29,6 @@
 const SLOWNESS_DECAY_MS = 4_000;
 const MIN_SLOWNESS = 0.7;
 const MAX_SLOWNESS = 12;
-/** Pieces are not reserved for servers that are slower than this. */
-const MAX_HEALTHY_SLOWNESS = 1.5;
 /** Back-off of a server after a failed call; doubles with each consecutive failure. */
 const INITIAL_BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 1_200;
@@ -71,23 +69,6 @@
   };
 };
 
-/** Returns the largest room of a healthy server that could start a call now, by failure domain. */
-export const readFreeRoom = (
-  states: readonly ServerState[],
-  spec: BatchSpec,
-  nowMs: number,
-): ReadonlyMap<string, number> => {
-  const roomByDomain = new Map<string, number>();
-  states.forEach((state) => {
-    if (state.calls.size < spec.parallelCalls && readSlowness(state, nowMs) < MAX_HEALTHY_SLOWNESS) {
-      const { failureDomain } = state.server;
-      const { usableBytes } = readRoom(state, spec, nowMs);
-      roomByDomain.set(failureDomain, Math.max(usableBytes, roomByDomain.get(failureDomain) ?? 0));
-    }
-  });
-  return roomByDomain;
-};
-
 /** Returns the shares of the room of all servers that are occupied, and that are evictable. */
 export const readShares = (
   states: readonly ServerState[],
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -2,14 +2,14 @@
 import { exhaustive } from '@bergamotcove/errors';
 import choosePieces from './_lib/choosePieces.js';
 import findUnservable from './_lib/findUnservable.js';
-import isNearer, { mayRun } from './_lib/isNearer.js';
+import createNearbySlots from './_lib/createNearbySlots.js';
+import mayRun from './_lib/mayRun.js';
 import recordResults from './_lib/recordResults.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
   createServerState,
   learnSlowness,
   readFreeInMs,
-  readFreeRoom,
   readRoom,
   readShares,
   readSlowness,
@@ -173,12 +173,12 @@
         break;
       }
       candidates.delete(state);
-      const freeRoom = readFreeRoom([...candidates], spec, nowMs);
+      const nearbySlots = createNearbySlots([...candidates], spec, nowMs);
       const runnable = waiting.filter(({ job }) => mayRun(job, state.server));
       const pieces = choosePieces(runnable, {
         maxPieces: spec.maxPieces,
         roomBytes: readRoom(state, spec, nowMs).usableBytes,
-        isNearer: (job) => isNearer(job, state.server, { candidates, freeRoom }),
+        reserveNearby: (job, pieceCount) => nearbySlots.reserve(job, pieceCount, state.server),
         mayBePartial: (job) => this.mayBePartial(job),
         isIsolated,
       });
