--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -20,6 +20,7 @@
 export * from './lease/index.js';
 export * from './limits/index.js';
 export * from './load/index.js';
+export * from './pace/index.js';
 export { default as createDomainTracker } from './routing/createDomainTracker.js';
 export type { DomainTracker } from './routing/createDomainTracker.js';
 export { default as createPrefixEvidence } from './routing/createPrefixEvidence.js';
