Record how old a host's news of the store are

A host that lost the store must not send to cold servers after 2 s, but storeLost turns true later and relays may lose the store unnoticed for a while. Hosts now record the time of their latest news; relays tell the age of theirs, and polls wait at most 700 ms, when a pool has a cold start. The directory reports each entry that is written.

Tests: 30 hosts in a quiet store always have news younger than 2 s, and none 2.3 s after the store is lost.

--- a/packages/gateway/src/catalogue/BackendDirectory.ts
+++ b/packages/gateway/src/catalogue/BackendDirectory.ts
@@ -77,6 +77,8 @@
   /** Records that the store stopped answering, or answers again. */
   noteStore(state: 'lost' | 'found'): void;
   onChange(run: () => void): void;
+  /** Calls a listener for each entry of a server that is written or read for the first time. */
+  onListed(run: (server: KnownServer) => void): void;
   onProcessEnded(run: (process: EndedProcess) => void): void;
   close(): void;
 }
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -53,6 +53,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  private readonly listedListeners: ((server: KnownServer) => void)[] = [];
+
   private readonly endListeners: ((process: EndedProcess) => void)[] = [];
 
   private index = indexServers([], { isExcluded: () => false, isEvacuated: () => false });
@@ -232,6 +234,10 @@
     this.listeners.push(run);
   }
 
+  onListed(run: (server: KnownServer) => void): void {
+    this.listedListeners.push(run);
+  }
+
   onProcessEnded(run: (process: EndedProcess) => void): void {
     this.endListeners.push(run);
   }
@@ -297,6 +303,7 @@
     }
     this.entries.set(stored.serverId, { stored, server });
     this.log(stored, server);
+    this.listedListeners.forEach((run) => server && run(server));
   }
 
   /** Parses an entry; undefined when it names no server, or names an unknown failure domain. */
--- a/packages/gateway/src/catalogue/createCatalogueRelay.ts
+++ b/packages/gateway/src/catalogue/createCatalogueRelay.ts
@@ -43,8 +43,13 @@
   readonly log: CatalogueLog;
   /** Reads whether this host reaches the store. */
   readonly readState: () => RelayState;
-  /** Called for each message of a relay, with the era of that relay; undefined from hosts of earlier versions. */
-  readonly onMessage: (era: number | undefined) => void;
+  /** Reads the age of this host's news of the store; undefined when nobody needs it. */
+  readonly readNewsAgeMs: () => number | undefined;
+  /**
+   * Called for each message of a relay, with the era of that relay, undefined from hosts of earlier versions, and the age
+   * of its news of the store, undefined when it has none.
+   */
+  readonly onMessage: (era: number | undefined, newsAgeMs: number | undefined) => void;
   /** Called when a relay reports that the store is back from an outage that this host may not have noticed. */
   readonly onReturning: () => void;
 }
@@ -57,6 +62,8 @@
   readonly state: RelayState;
   /** Era of the revision up to which the batch is complete; undefined from hosts of earlier versions. */
   readonly era?: number;
+  /** Age of the relay's news of the store; undefined from hosts of earlier versions, and without cold starts. */
+  readonly newsAgeMs?: number;
   readonly toRevision: number;
   readonly batch: PackedMessage;
 }
@@ -170,16 +177,18 @@
   }
 
   private send(batch: CatalogueBatch, receivers: readonly HostEntry[]): void {
-    const { links, readState } = this.options;
+    const { links, readState, readNewsAgeMs } = this.options;
     const { self } = this;
     if (self === undefined) {
       return;
     }
+    const newsAgeMs = readNewsAgeMs();
     const message: Push = {
       hostId: self.hostId,
       target: self.target,
       state: readState(),
       ...(batch.era === undefined ? {} : { era: batch.era }),
+      ...(newsAgeMs === undefined ? {} : { newsAgeMs }),
       toRevision: batch.toRevision,
       batch: packMessage(batch),
     };
@@ -193,7 +202,7 @@
     });
   }
 
-  private handlePush({ hostId, target, state, era, toRevision, batch }: Push): boolean {
+  private handlePush({ hostId, target, state, era, newsAgeMs, toRevision, batch }: Push): boolean {
     const { clock, log, onMessage, onReturning } = this.options;
     if (state === 'returning' && this.statuses.get(hostId)?.state !== 'returning') {
       onReturning();
@@ -203,7 +212,7 @@
     const position = { era: era ?? log.position.era, revision: toRevision };
     const isKnown = log.isFilled && comparePositions(position, log.position) <= 0;
     const isComplete = isKnown || log.apply(unpackMessage(batch) as CatalogueBatch);
-    onMessage(era);
+    onMessage(era, newsAgeMs ?? (state === 'lost' ? undefined : 0));
     if (!isComplete) {
       this.requestMissing(hostId, target);
     }
--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -77,6 +77,24 @@
   close();
 });
 
+// Cold servers get nothing from hosts whose news of the store are older than 2 s, so a quiet store must not look lost.
+test('with cold starts all hosts know how old their news of the store are, also through relays', async () => {
+  const { store, hosts, advance, close } = createFleet();
+  const countOld = (): number => hosts.filter(({ news }) => news.ageMs() >= 2_000).length;
+  store.put('table', { version: 1, pools: [{ name: 'p', coldStart: { durationMs: 1, requestsPerSecond: 1 } }] });
+  await advance(4_000);
+  for (let step = 0; step < 100; step += 1) {
+    // Sequential: the hosts act between the looks at them.
+     
+    await advance(100);
+    assert.equal(countOld(), 0);
+  }
+  store.isUnreachable = () => true;
+  await advance(2_300);
+  assert.equal(countOld(), HOSTS);
+  close();
+});
+
 // Guards against requests to an evacuated failure domain from hosts that lost the store: the bound is 5 s.
 test('an evacuation and its end reach all hosts, also when the relays lose the store', async () => {
   const { store, hosts, advance, close } = createFleet();
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -5,6 +5,7 @@
   type StoreEntry,
   type StoreFollower,
   type StoreFollowerOptions,
+  type WatchLimits,
 } from '@bergamotcove/backends';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { chooseSource, MAX_DIRECT_HOSTS, RELAY_TIMEOUT_MS, RELAYS, type CatalogueSource } from '@bergamotcove/decide';
@@ -20,6 +21,7 @@
 import createCatalogueRelay, { type CatalogueRelay, type RelayStatus } from './createCatalogueRelay.js';
 import type { Evacuations } from './createEvacuations.js';
 import createCatalogueSink from './createCatalogueSink.js';
+import type { StoreNews } from './createStoreNews.js';
 import type { RouteTableHolder } from './createRouteTableHolder.js';
 
 /** Options of {@link followCatalogue}. */
@@ -36,6 +38,7 @@
   readonly blocks: StoredBlocks;
   readonly origins: Pick<StreamOrigins, 'putAgreed'>;
   readonly random: () => number;
+  readonly news: StoreNews;
 }
 
 /** Follows the route table and the entries of servers, hosts and blocked requests in the configuration store. */
@@ -60,6 +63,8 @@
 const LOST_AFTER_MS = 1_000;
 /** Longest time without a message on a relay's watch, so that a relay that lost the store is detected in time. */
 const RELAY_QUIET_MS = 1_500;
+/** The same with cold starts: with the interval of the relays' heartbeats, news stay younger than `NEWS_LIFETIME_MS`. */
+const NEWS_QUIET_MS = 700;
 /** Number of hosts after the regular relays in rank that take over when those do not reach the store. */
 const STANDBY_RELAYS = 3;
 /** After this time without a relay any host that reaches the store takes over as a relay. */
@@ -98,6 +103,8 @@
   /** Whether the store was reachable at the last review, directly or through a relay; undefined until it first is. */
   private wasReachable: boolean | undefined;
 
+  private hadColdStarts = false;
+
   private timer: Timer | undefined;
 
   private closed = false;
@@ -116,7 +123,11 @@
         }
         return directory.storeLost ? 'returning' : 'live';
       },
-      onMessage: (era) => {
+      readNewsAgeMs: () => (this.hasColdStarts() ? this.options.news.ageMs() : undefined),
+      onMessage: (era, newsAgeMs) => {
+        if (newsAgeMs !== undefined) {
+          options.news.note(newsAgeMs);
+        }
         if (era !== undefined) {
           eras.observe(era);
         }
@@ -144,6 +155,7 @@
     hosts.onChange(() => this.review());
     this.openStore();
     this.tick();
+    this.options.tables.onChange(() => this.updateQuietTime());
   }
 
   probe(): void {
@@ -224,6 +236,26 @@
     return this.source === 'store' && this.storeAnswers && sinceRelayMs > RELAY_TIMEOUT_MS && isStandby;
   }
 
+  /** Reopens the watch when its quiet time changes with the route table. */
+  private updateQuietTime(): void {
+    if (this.hasColdStarts() !== this.hadColdStarts) {
+      this.hadColdStarts = !this.hadColdStarts;
+      this.probe();
+    }
+  }
+
+  private readWatchLimits(): WatchLimits {
+    if (this.hasColdStarts()) {
+      return { quietMs: NEWS_QUIET_MS };
+    }
+    return this.relay.isActive ? { quietMs: RELAY_QUIET_MS } : {};
+  }
+
+  /** Whether hosts have to know how old their news of the store are. */
+  private hasColdStarts(): boolean {
+    return this.options.tables.current()?.table.pools.some(({ coldStart }) => coldStart !== undefined) ?? false;
+  }
+
   private follow({ type }: CatalogueSource): void {
     if (type === 'store' && this.store === undefined) {
       this.openStore();
@@ -251,9 +283,10 @@
       prefix: ALL_KEYS,
       rangeEnd: format.streamPrefix,
       ...(isFilled ? { knownRevision: String(fromRevision), knownEra: era } : {}),
-      limits: () => (this.relay.isActive ? { quietMs: RELAY_QUIET_MS } : {}),
+      limits: () => this.readWatchLimits(),
       onSnapshot: (entries, read, readEra) => {
         era = readEra ?? era;
+        this.options.news.note();
         fromRevision = Number(read);
         changes = [];
         this.applySnapshot(entries, { era, revision: fromRevision });
@@ -269,6 +302,7 @@
         }
       },
       onReached: (reached) => {
+        this.options.news.note();
         const batch = { era, fromRevision, toRevision: Number(reached), changes };
         fromRevision = batch.toRevision;
         changes = [];
--- a/packages/gateway/src/createBaseParts.ts
+++ b/packages/gateway/src/createBaseParts.ts
@@ -16,6 +16,7 @@
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import logEraEvent from './catalogue/logEraEvent.js';
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
+import createStoreNews, { type StoreNews } from './catalogue/createStoreNews.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
 import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import watchPorts from './observe/watchPorts.js';
@@ -50,6 +51,7 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly evacuations: Evacuations;
+  readonly news: StoreNews;
   readonly links: LinkClient;
 }
 
@@ -96,6 +98,7 @@
     tables: createRouteTableHolder({ clock, logger, format: formats.catalogue }),
     directory: createBackendDirectory({ clock, logger, format: formats.catalogue, regions, evacuations }),
     evacuations,
+    news: createStoreNews(clock),
     links: createLinkClient({ clock, ...LINK_LIMITS }),
   };
 };
--- a/packages/gateway/src/testing/createCatalogueFleet.ts
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -1,10 +1,12 @@
 import { createEraTracker, type EraTracker, type StoreClient } from '@bergamotcove/backends';
+import type { RouteTable } from '@bergamotcove/config';
 import { createManualClock, type ManualClock } from '@bergamotcove/clock';
 import { rankByCapacity } from '@bergamotcove/decide';
 import type { LinkClient, LinkMethod, LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import createBackendDirectory from '../catalogue/createBackendDirectory.js';
 import createEvacuations, { type Evacuations } from '../catalogue/createEvacuations.js';
+import createStoreNews, { type StoreNews } from '../catalogue/createStoreNews.js';
 import createRouteTableHolder, { type RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
 import followCatalogue, { type CatalogueFollower } from '../catalogue/followCatalogue.js';
 import createHostRegistry, { type HostEntry, type HostRegistry } from '../hosts/createHostRegistry.js';
@@ -20,6 +22,7 @@
   readonly tables: RouteTableHolder;
   readonly registry: HostRegistry;
   readonly follower: CatalogueFollower;
+  readonly news: StoreNews;
 }
 
 /** Hosts that start at the same time, with models of the store and of the links between them. */
@@ -54,9 +57,9 @@
 const FORMAT: CatalogueFormat = {
   ...sampleFormat,
   readRouteTable: (text) => {
-    const { version } = JSON.parse(text) as { readonly version: number };
+    const { version, pools = [] } = JSON.parse(text) as Pick<RouteTable, 'version'> & Partial<RouteTable>;
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    return { version, routes: [], pools: [], limits, organisations: undefined };
+    return { version, routes: [], pools, limits, organisations: undefined };
   },
 };
 
@@ -118,6 +121,7 @@
   const evacuations = createEvacuations({ logger: LOGGER, regions: () => regions });
   const directory = createBackendDirectory({ clock, logger: LOGGER, format: FORMAT, regions, evacuations });
   const tables = createRouteTableHolder({ clock, logger: LOGGER, format: FORMAT });
+  const news = createStoreNews(clock);
   const follower = followCatalogue({
     clock,
     logger: LOGGER,
@@ -137,13 +141,14 @@
     directory,
     evacuations,
     random: () => 0.5,
+    news,
   });
   context.network.set(self.target.port, follower.methods);
   const registry =
     kind === 'fixed' ? createFixedRegistry(context, self) : createLeasedRegistry(context, self, { store, eras });
   follower.start(registry);
   registry.start();
-  return { hostId: self.hostId, directory, evacuations, tables, registry, follower };
+  return { hostId: self.hostId, directory, evacuations, tables, registry, follower, news };
 };
 
 /**
