Hold servers that started or recovered to a pace

A cold server crashes above 23 requests in one second, and nothing limited what hosts send to it. Servers of pools with a cold start now count as limited: by the cold time of their entry, after an evacuation, after a refused connection, and with less certainty after broken connections, silence and new processes. The owner of the limits hands out their sends; hosts without news of the store for 2 s neither hand out nor send. Permissions are used within 250 ms, checked just before the bytes are written, or taken anew. Owners of earlier builds grant without counting and are passed over for these servers.

--- a/packages/ctl/src/commands/limits.ts
+++ b/packages/ctl/src/commands/limits.ts
@@ -67,7 +67,7 @@
   summary: 'list the rate limits that servers have stated',
   description:
     'Lists the servers that have stated how many requests a second they take from all hosts together, how the hosts ' +
-    'learnt it, and how many sends were handed out. Exit code 1 when a host does not answer.',
+    'learnt it, and how many sends were handed out. Servers that started or recovered are learnt from `cold start`. Exit code 1 when a host does not answer.',
   args: [],
   options: ['host', 'settings'],
   required: ['host'],
--- a/packages/gateway/src/createBaseParts.ts
+++ b/packages/gateway/src/createBaseParts.ts
@@ -18,6 +18,7 @@
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
 import createStoreNews, { type StoreNews } from './catalogue/createStoreNews.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
+import createPaceTable from './limits/createPaceTable.js';
 import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import watchPorts from './observe/watchPorts.js';
 import type { GatewayFormats } from './ports.js';
@@ -51,6 +52,8 @@
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
   readonly evacuations: Evacuations;
+  /** Monotonic times at which evacuations of failure domains ended. */
+  readonly evacuationEnds: ReadonlyMap<string, number>;
   readonly news: StoreNews;
   readonly links: LinkClient;
 }
@@ -77,6 +80,9 @@
   const eras = createEraTracker();
   const liveSettings = createSettingsHolder(settings);
   const evacuations = createEvacuations({ logger, regions: () => liveSettings.current().host.regions });
+  // Comes before the directory, which tells others of servers that may be used again.
+  const evacuationEnds = new Map<string, number>();
+  evacuations.onChange((ended) => ended.forEach((domain) => evacuationEnds.set(domain, clock.monotonicMs())));
   eras.onEvent((event) => logEraEvent(event, logger));
   return {
     settings,
@@ -98,6 +104,7 @@
     tables: createRouteTableHolder({ clock, logger, format: formats.catalogue }),
     directory: createBackendDirectory({ clock, logger, format: formats.catalogue, regions, evacuations }),
     evacuations,
+    evacuationEnds,
     news: createStoreNews(clock),
     links: createLinkClient({ clock, ...LINK_LIMITS }),
   };
@@ -115,7 +122,8 @@
   const { clock, tables, directory, formats } = state;
   const dutyOf = (pool: string): string =>
     tables.current()?.pools.get(pool)?.batch === undefined ? SCHEDULER_DUTY : pool;
-  const limits = createRateLimits({ ...state, dutyOf });
+  const paces = createPaceTable({ ...state, bound: settings.coldStart });
+  const limits = createRateLimits({ ...state, dutyOf, paces });
   const { blockPrefix, releasePrefix } = formats.catalogue;
   const prefixes = { blocks: blockPrefix, releases: releasePrefix };
   const crashes = createCrashGuard({ ...state, prefixes, hostId: settings.host.id, random: Math.random });
--- a/packages/gateway/src/limits/createLimitDuty.ts
+++ b/packages/gateway/src/limits/createLimitDuty.ts
@@ -7,8 +7,11 @@
   findOwner(serverId: string): HostEntry | undefined;
   /** Whether this host hands out the sends to a server. */
   isOwn(serverId: string): boolean;
-  /** Records that a host does not know the protocol, because it is of an earlier version. */
-  noteUnable(host: HostEntry): void;
+  /**
+   * Records that a host does not know the protocol, because it is of an earlier version; with `paces`, only that it does
+   * not regard the pace of servers that started.
+   */
+  noteUnable(host: HostEntry, part?: 'paces'): void;
   start(hosts: HostRegistry): void;
 }
 
@@ -17,6 +20,8 @@
   readonly directory: Pick<BackendDirectory, 'find'>;
   /** Duty of the host that sends most of the requests of a pool. */
   readonly dutyOf: (pool: string) => string;
+  /** Whether a server is held to a pace. */
+  readonly isPaced: (serverId: string) => boolean;
 }
 
 const formatStart = ({ hostId, startId }: HostEntry): string => `${hostId} ${startId}`;
@@ -28,21 +33,24 @@
  * @param options - server directory and duties
  * @returns the choice
  */
-export default function createLimitDuty({ directory, dutyOf }: LimitDutyOptions): LimitDuty {
+export default function createLimitDuty({ directory, dutyOf, isPaced }: LimitDutyOptions): LimitDuty {
   const unable = new Set<string>();
+  const unpaced = new Set<string>();
   let hosts: HostRegistry | undefined;
 
   const findOwner = (serverId: string): HostEntry | undefined => {
     const server = directory.find(serverId);
-    return server === undefined
-      ? undefined
-      : hosts?.rankOwners(dutyOf(server.pool), server.region).find((host) => !unable.has(formatStart(host)));
+    if (server === undefined) {
+      return undefined;
+    }
+    const excluded = unpaced.size > 0 && isPaced(serverId) ? new Set([...unable, ...unpaced]) : unable;
+    return hosts?.rankOwners(dutyOf(server.pool), server.region).find((host) => !excluded.has(formatStart(host)));
   };
 
   return {
     findOwner,
     isOwn: (serverId) => hosts !== undefined && findOwner(serverId)?.hostId === hosts.self.hostId,
-    noteUnable: (host) => unable.add(formatStart(host)),
+    noteUnable: (host, part) => (part === 'paces' ? unpaced : unable).add(formatStart(host)),
     start: (registry) => {
       hosts = registry;
     },
--- /dev/null
+++ b/packages/gateway/src/limits/createOwnerCalls.ts
@@ -0,0 +1,88 @@
+import type { Clock } from '@bergamotcove/clock';
+import { TransportError, type LinkClient } from '@bergamotcove/transport';
+import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import scheduleSilence from '../hosts/scheduleSilence.js';
+import type { LimitDuty } from './createLimitDuty.js';
+import type { PaceTable } from './createPaceTable.js';
+import { REPORT_LIMIT, TAKE_SEND, type PaceNotice, type TakeAnswer, type TakeRequest } from './messages.js';
+
+/** Calls to the hosts that hand out sends. */
+export interface OwnerCalls {
+  /** Asks for a send; undefined when the host does not answer in time, or cannot decide. */
+  ask(owner: HostEntry, request: TakeRequest): Promise<TakeAnswer | undefined>;
+  /** Tells what this host has seen of servers that started or recovered. */
+  report(owner: HostEntry, paces: readonly PaceNotice[]): void;
+  /** Records that a call to a host failed. */
+  noteFailed(owner: HostEntry, cause: unknown): void;
+  start(hosts: HostRegistry): void;
+}
+
+/** Options of {@link createOwnerCalls}. */
+export interface OwnerCallsOptions {
+  readonly clock: Clock;
+  readonly links: LinkClient;
+  readonly region: string;
+  readonly duty: Pick<LimitDuty, 'noteUnable'>;
+  readonly paces: Pick<PaceTable, 'rateOf'>;
+}
+
+/** Time limits for the answer of the host that hands out sends; the request is sent elsewhere after that. */
+const ANSWER_TIMEOUT_MS = 120;
+const REMOTE_ANSWER_TIMEOUT_MS = 250;
+
+/**
+ * Creates the calls of a host to those that hand out sends.
+ *
+ * @param options - links to other hosts, and what is known of their versions
+ * @returns the calls
+ */
+export default function createOwnerCalls(options: OwnerCallsOptions): OwnerCalls {
+  const { clock, links, region, duty } = options;
+  let hosts: HostRegistry | undefined;
+
+  /** Refuses the permission of a host of an earlier version for a server that started: it grants without counting. */
+  const checkPaced = (owner: HostEntry, answer: TakeAnswer): TakeAnswer | undefined => {
+    if (answer.type !== 'granted' || answer.paced === true || options.paces.rateOf(answer.serverId) === undefined) {
+      return answer;
+    }
+    duty.noteUnable(owner, 'paces');
+    return undefined;
+  };
+
+  const noteFailed = (owner: HostEntry, cause: unknown): void => {
+    if (cause instanceof TransportError && cause.code === 'invalid-message') {
+      duty.noteUnable(owner);
+    } else {
+      hosts?.noteSilent(owner.hostId);
+    }
+  };
+
+  return {
+    ask: (owner, { paces = [], askedBy = hosts?.self.hostId, ...request }) =>
+      new Promise((resolve) => {
+        const limitMs = owner.region === region ? ANSWER_TIMEOUT_MS : REMOTE_ANSWER_TIMEOUT_MS;
+        const timer = scheduleSilence(clock, limitMs, () => {
+          hosts?.noteSilent(owner.hostId);
+          resolve(undefined);
+        });
+        links
+          .call(owner.target, TAKE_SEND, paces.length === 0 ? request : { ...request, paces, askedBy })
+          .then(
+            (answer) => resolve(checkPaced(owner, answer as TakeAnswer)),
+            (cause: unknown) => {
+              noteFailed(owner, cause);
+              resolve(undefined);
+            },
+          )
+          .finally(() => timer.close());
+      }),
+    report: (owner, paces) => {
+      const report = { hostId: hosts?.self.hostId, notices: [], paces };
+      links.call(owner.target, REPORT_LIMIT, report).catch((cause: unknown) => noteFailed(owner, cause));
+    },
+    noteFailed,
+    start: (registry) => {
+      hosts = registry;
+    },
+  };
+}
--- a/packages/gateway/src/limits/createRateLimits.ts
+++ b/packages/gateway/src/limits/createRateLimits.ts
@@ -9,20 +9,23 @@
 import type { Logger } from '@bergamotcove/log';
 import { OPERATOR_LIST_LIMITS, type OperatorLimit } from '@bergamotcove/protocol';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
-import { TransportError, type LinkClient, type LinkMethod } from '@bergamotcove/transport';
+import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import createServerBackoffs, { type ServerBackoffs } from '../catalogue/createServerBackoffs.js';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
-import scheduleSilence from '../hosts/scheduleSilence.js';
 import type { RateLimitNotice } from '../ports.js';
 import createLimitAnnouncer, { type LimitAnnouncer } from './createLimitAnnouncer.js';
 import createLimitDuty, { type LimitDuty } from './createLimitDuty.js';
+import createOwnerCalls, { type OwnerCalls } from './createOwnerCalls.js';
 import createLimitTable, {
   OWN_ANSWER,
   type KnownLimit,
   type LimitChange,
   type LimitTable,
 } from './createLimitTable.js';
+import { keepOpen, listLimits, NO_PACES } from './paceHelpers.js';
+import type { PacedServer, PaceTable } from './createPaceTable.js';
+import type { ObservedEnd } from './classifyPace.js';
 import {
   ANNOUNCE_LIMITS,
   REPORT_LIMIT,
@@ -53,6 +56,15 @@
   predictTurnMs(need: Pick<SendNeed, 'queue' | 'serverIds'>, others: number): number;
   /** Asks for one send at servers with limits; a server without one is granted. Never rejects. */
   take(need: SendNeed): Promise<SendDecision>;
+  /**
+   * Whether a request may be sent to a server now. One that started or recovered gets only requests with a recent
+   * permission; `permittedAtMs` is the monotonic time before it was asked for, undefined without one.
+   */
+  maySend(serverId: string, permittedAtMs: number | undefined): boolean;
+  /** Records how a request to a server ended. */
+  noteEnd: PaceTable['noteEnd'];
+  /** Servers that are held to a pace because they started or recovered. */
+  listPaced: PaceTable['list'];
   /** Records what an answer says about the limit of its server, and when the answered request was sent. */
   noteAnswer(serverId: string, notice: RateLimitNotice, sentAtMs: number): void;
   /** Calls a listener when a limit begins, changes or ends, and when this host may ask for a server again. */
@@ -73,11 +85,10 @@
   readonly region: string;
   /** Duty of the host that sends most of the requests of a pool. */
   readonly dutyOf: (pool: string) => string;
+  /** Servers that started or recovered; undefined when no pool has a cold start. */
+  readonly paces?: PaceTable;
 }
 
-/** Time limits for the answer of the host that hands out sends; the request is sent elsewhere after that. */
-const ANSWER_TIMEOUT_MS = 120;
-const REMOTE_ANSWER_TIMEOUT_MS = 250;
 /** Time until a server is asked for again when no host has decided. */
 const UNDECIDED_MS = 200;
 /** Interval at which a statement that changes nothing is reported again, so that the limit does not expire. */
@@ -90,8 +101,12 @@
 
   private readonly table: LimitTable;
 
+  private readonly paces: PaceTable;
+
   private readonly duty: LimitDuty;
 
+  private readonly owners: OwnerCalls;
+
   private readonly announcer: LimitAnnouncer;
 
   private readonly limiter: SendLimiter = createSendLimiter();
@@ -107,19 +122,20 @@
   private hosts: HostRegistry | undefined;
 
   constructor(private readonly options: RateLimitsOptions) {
+    this.paces = options.paces ?? NO_PACES;
     this.table = createLimitTable(options);
-    this.duty = createLimitDuty(options);
-    this.announcer = createLimitAnnouncer({
-      ...options,
-      table: this.table,
-      isOwn: (serverId) => this.duty.isOwn(serverId),
-    });
+    this.duty = createLimitDuty({ ...options, isPaced: (serverId) => this.paces.rateOf(serverId) !== undefined });
+    this.owners = createOwnerCalls({ ...options, duty: this.duty, paces: this.paces });
+    this.announcer = createLimitAnnouncer({ ...options, table: this.table, isOwn: (id) => this.duty.isOwn(id) });
     this.denials = createServerBackoffs(options.clock, () => this.notify());
     this.table.onChange((change) => this.handleChange(change));
+    this.paces.onChange(() => this.notify());
+    this.paces.onSeen((serverId) => this.reportSeen(serverId));
     this.methods = {
       [TAKE_SEND]: (params) => this.answerTake(params as TakeRequest),
       [REPORT_LIMIT]: (params) => {
-        const { hostId, notices } = params as LimitAnnouncement;
+        const { hostId, notices, paces = [] } = params as LimitAnnouncement;
+        this.paces.learn(paces, hostId);
         this.table.learn(notices, hostId);
         return true;
       },
@@ -137,7 +153,7 @@
   }
 
   isLimited(serverId: string): boolean {
-    return this.table.find(serverId) !== undefined;
+    return this.rateOf(serverId) !== undefined;
   }
 
   closedUntilMs(serverId: string): number {
@@ -145,12 +161,12 @@
       return -Infinity;
     }
     const nextMs = this.isOwned(serverId) ? this.nextSendAtMs(serverId) : -Infinity;
-    return Math.max(nextMs, this.denials.endMs(serverId));
+    return Math.max(nextMs, this.denials.endMs(serverId), this.paces.closedUntilMs(serverId));
   }
 
   readIntervalMs(serverId: string): number | undefined {
-    const limit = this.table.find(serverId);
-    return limit === undefined ? undefined : toIntervalMs(limit.requestsPerSecond);
+    const rate = this.rateOf(serverId);
+    return rate === undefined ? undefined : toIntervalMs(rate);
   }
 
   isOwned(serverId: string): boolean {
@@ -158,8 +174,12 @@
   }
 
   takeOwned(need: SendNeed): SendDecision {
+    const open = keepOpen(need, this.paces, this.options);
+    if ('type' in open) {
+      return open;
+    }
     need.serverIds.forEach((serverId) => this.syncLimiter(serverId));
-    const decision = this.limiter.take(need, this.options.clock.monotonicMs());
+    const decision = this.limiter.take(open, this.options.clock.monotonicMs());
     this.options.metrics.report('limit.sends', 1, { pool: need.queue, result: decision.type });
     return decision;
   }
@@ -174,8 +194,12 @@
     if (free !== undefined) {
       return { type: 'granted', serverId: free };
     }
-    const owner = this.duty.findOwner(need.serverIds[0] ?? '');
-    const serverIds = need.serverIds.filter((serverId) => this.duty.findOwner(serverId)?.hostId === owner?.hostId);
+    const open = keepOpen(need, this.paces, this.options);
+    if ('type' in open) {
+      return open;
+    }
+    const owner = this.duty.findOwner(open.serverIds[0] ?? '');
+    const serverIds = open.serverIds.filter((serverId) => this.duty.findOwner(serverId)?.hostId === owner?.hostId);
     const decision = await this.decide({ ...need, serverIds }, owner);
     const nowMs = this.options.clock.monotonicMs();
     if (decision.type === 'later' && need.maxWaitMs === undefined) {
@@ -198,6 +222,18 @@
     this.table.note(server, statement, OWN_ANSWER);
   }
 
+  maySend(serverId: string, permittedAtMs: number | undefined): boolean {
+    return this.paces.maySend(serverId, permittedAtMs);
+  }
+
+  noteEnd(serverId: string, end: ObservedEnd): void {
+    this.paces.noteEnd(serverId, end);
+  }
+
+  listPaced(): readonly PacedServer[] {
+    return this.paces.list();
+  }
+
   onChange(run: () => void): void {
     this.listeners.push(run);
   }
@@ -205,6 +241,7 @@
   start(hosts: HostRegistry): void {
     this.hosts = hosts;
     this.duty.start(hosts);
+    this.owners.start(hosts);
     this.announcer.start(hosts);
   }
 
@@ -214,16 +251,11 @@
   }
 
   private listForOperators(): readonly OperatorLimit[] {
-    const nowMs = this.options.clock.monotonicMs();
-    return this.list().map(({ serverId, pool, requestsPerSecond, sinceMs, statedAtMs, learntFrom }) => ({
-      serverId,
-      pool,
-      requestsPerSecond,
-      sinceMs: nowMs - sinceMs,
-      statedAgoMs: nowMs - statedAtMs,
-      learntFrom,
-      handsOut: this.isOwned(serverId),
-      sends: this.limiter.countSends(serverId),
+    const limits = listLimits(this.list(), this.paces.list(), this.options.clock.monotonicMs());
+    return limits.map((limit) => ({
+      ...limit,
+      handsOut: this.isOwned(limit.serverId),
+      sends: this.limiter.countSends(limit.serverId),
     }));
   }
 
@@ -231,8 +263,8 @@
     if (owner !== undefined && owner.hostId === this.hosts?.self.hostId) {
       return this.takeOwned(need);
     }
-    const answer =
-      owner === undefined ? undefined : await this.ask(owner, { need, known: this.table.describe(need.serverIds) });
+    const asked = { need, known: this.table.describe(need.serverIds), paces: this.paces.describe(need.serverIds) };
+    const answer = owner === undefined ? undefined : await this.owners.ask(owner, asked);
     const nowMs = this.options.clock.monotonicMs();
     if (answer === undefined || answer.type === 'not-owner') {
       return { type: 'later', atMs: nowMs + UNDECIDED_MS };
@@ -244,13 +276,22 @@
   }
 
   /** Answers another host. A request for servers of another owner is passed on once, in case only that host lost it. */
-  private async answerTake({ need, known, forwarded = false }: TakeRequest): Promise<TakeAnswer> {
+  private async answerTake({
+    need,
+    known,
+    forwarded = false,
+    paces = [],
+    askedBy = '',
+  }: TakeRequest): Promise<TakeAnswer> {
     this.table.learn(known, 'another host');
+    this.paces.learn(paces, askedBy);
     const [serverId = ''] = need.serverIds;
     if (!this.duty.isOwn(serverId)) {
       const owner = this.duty.findOwner(serverId);
       const answer =
-        forwarded || owner === undefined ? undefined : await this.ask(owner, { need, known, forwarded: true });
+        forwarded || owner === undefined
+          ? undefined
+          : await this.owners.ask(owner, { need, known, forwarded: true, paces, askedBy });
       if (answer !== undefined || !this.duty.isOwn(serverId)) {
         return answer ?? { type: 'not-owner' };
       }
@@ -259,40 +300,10 @@
     const decision: SendDecision = free === undefined ? this.takeOwned(need) : { type: 'granted', serverId: free };
     const notices = this.table.describe(need.serverIds);
     return decision.type === 'granted'
-      ? { ...decision, notices }
+      ? { ...decision, notices, ...(paces.length === 0 ? {} : { paced: true }) }
       : { type: 'later', inMs: Math.max(0, decision.atMs - this.options.clock.monotonicMs()), notices };
   }
 
-  /** Asks the host that hands out the sends; undefined when it does not answer in time. */
-  private ask(owner: HostEntry, request: TakeRequest): Promise<TakeAnswer | undefined> {
-    const { clock, links, region } = this.options;
-    return new Promise((resolve) => {
-      const limitMs = owner.region === region ? ANSWER_TIMEOUT_MS : REMOTE_ANSWER_TIMEOUT_MS;
-      const timer = scheduleSilence(clock, limitMs, () => {
-        this.hosts?.noteSilent(owner.hostId);
-        resolve(undefined);
-      });
-      links
-        .call(owner.target, TAKE_SEND, request)
-        .then(
-          (answer) => resolve(answer as TakeAnswer),
-          (cause: unknown) => {
-            this.noteFailed(owner, cause);
-            resolve(undefined);
-          },
-        )
-        .finally(() => timer.close());
-    });
-  }
-
-  private noteFailed(owner: HostEntry, cause: unknown): void {
-    if (cause instanceof TransportError && cause.code === 'invalid-message') {
-      this.duty.noteUnable(owner);
-    } else {
-      this.hosts?.noteSilent(owner.hostId);
-    }
-  }
-
   private handleChange({ before, after, source }: LimitChange): void {
     const serverId = (after ?? before)?.serverId ?? '';
     this.syncLimiter(serverId);
@@ -335,10 +346,25 @@
     const notices: readonly LimitNotice[] = this.table.describe([serverId]);
     links.call(owner.target, REPORT_LIMIT, { hostId: hosts.self.hostId, notices }).catch((cause: unknown) => {
       this.reportedAtMs.delete(serverId);
-      this.noteFailed(owner, cause);
+      this.owners.noteFailed(owner, cause);
     });
   }
 
+  /** Tells the host that hands out the sends what this host has seen of a server that started or recovered. */
+  private reportSeen(serverId: string): void {
+    const owner = this.duty.isOwn(serverId) ? undefined : this.duty.findOwner(serverId);
+    if (owner !== undefined) {
+      this.owners.report(owner, this.paces.describe([serverId]));
+    }
+  }
+
+  /** The rate limit of a server: the one that it states, or its pace if that is less. */
+  private rateOf(serverId: string): number | undefined {
+    const { requestsPerSecond = Infinity } = this.table.find(serverId) ?? {};
+    const rate = Math.min(requestsPerSecond, this.paces.rateOf(serverId) ?? Infinity);
+    return rate === Infinity ? undefined : rate;
+  }
+
   private nextSendAtMs(serverId: string): number {
     this.syncLimiter(serverId);
     return this.limiter.nextSendAtMs(serverId, this.options.clock.monotonicMs());
@@ -346,9 +372,9 @@
 
   /** Brings the limiter in line with the table. A host that begins to hand out the sends begins without saved ones. */
   private syncLimiter(serverId: string): void {
-    const limit = this.table.find(serverId);
-    if (limit !== undefined && this.duty.isOwn(serverId)) {
-      this.limiter.setLimit(serverId, limit.requestsPerSecond, this.options.clock.monotonicMs());
+    const rate = this.rateOf(serverId);
+    if (rate !== undefined && this.duty.isOwn(serverId)) {
+      this.limiter.setLimit(serverId, rate, this.options.clock.monotonicMs());
     } else {
       this.limiter.remove(serverId);
     }
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -257,7 +257,7 @@
         sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
-      maySend: () => this.exchange.isOpen && !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
+      maySend: () => this.exchange.isOpen && !this.answer.ended && this.finder.maySend(server),
     };
     const { opened, isReplaced } = await openChecked(attempt, this.ports);
     this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
@@ -272,7 +272,8 @@
     const timedOut = idleTimeout.expired;
     await tracked.end(classifyEnd({ opened, result, timedOut, requestEnded: this.answer.ended }));
     // Nothing was sent to a server that has started again, so the next attempt is no retry.
-    return result.type === 'ended' && (timedOut || isReplaced) ? { ...result, retryReserved: true } : result;
+    const isUnsent = isReplaced || this.finder.isExpired;
+    return result.type === 'ended' && (timedOut || isUnsent) ? { ...result, retryReserved: true } : result;
   }
 
   /** Starts the idle timeout of an attempt. It applies only to streams that another engine may run again. */
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -49,6 +49,12 @@
 
 /** Finds servers for the attempts of one request, and gets permission to send to those that have a rate limit. */
 export default class ServerFinder {
+  /** Whether the permission of the latest server became too old before the request was sent. */
+  isExpired = false;
+
+  /** Monotonic time before the permission of the latest server was asked for; undefined without one. */
+  private permittedAtMs: number | undefined;
+
   constructor(
     private readonly run: PlacedRun,
     private readonly ports: FinderPorts,
@@ -60,10 +66,13 @@
     while (!answer.ended) {
       // Each step depends on the previous one.
       /* eslint-disable no-await-in-loop */
+      const askedAtMs = this.ports.clock.monotonicMs();
+      this.permittedAtMs = undefined;
+      this.isExpired = false;
       const assigned = await reservation.place(results, { avoidServers, softwareVersion: binding.requiredVersion });
       const server =
         assigned.laterInMs === undefined
-          ? await this.choose(assigned)
+          ? await this.choose(assigned, askedAtMs)
           : await this.awaitTurn(this.ports.clock.monotonicMs() + assigned.laterInMs);
       /* eslint-enable no-await-in-loop */
       if (server !== 'again') {
@@ -76,12 +85,22 @@
     return undefined;
   }
 
-  private async choose(assigned: PlaceAnswer): Promise<ServerView | undefined | 'again'> {
+  /** Whether a request may be sent to the server that was found: its permission may have become too old. */
+  maySend({ serverId }: ServerView): boolean {
+    const { clock, limits } = this.ports;
+    this.isExpired = !limits.maySend(serverId, this.permittedAtMs);
+    return !this.isExpired && clock.monotonicMs() < this.run.request.deadlineAtMs;
+  }
+
+  private async choose(assigned: PlaceAnswer, askedAtMs: number): Promise<ServerView | undefined | 'again'> {
     const { request, pool, avoidServers, work, answer, binding } = this.run;
     const { limits } = this.ports;
-    const { serverId, permitted = false } = assigned;
+    const { serverId = '', paced = false } = assigned;
+    // A scheduler of an earlier version does not regard the pace of servers that started.
+    const permittedAtMs = assigned.permitted === true && paced ? askedAtMs : undefined;
+    const permitted = assigned.permitted === true && limits.maySend(serverId, permittedAtMs);
     const softwareVersion = binding.requiredVersion;
-    const placement = { request, pool, serverId, permitted, avoidServers, softwareVersion, ...work };
+    const placement = { request, pool, serverId: assigned.serverId, permitted, avoidServers, softwareVersion, ...work };
     const placed = await placeAttempt(placement, { ...this.ports, isCancelled: () => answer.ended });
     if (placed.type === 'cancelled') {
       return undefined;
@@ -91,6 +110,7 @@
       preferred !== undefined &&
       ((permitted && preferred.serverId === serverId) || !limits.isLimited(preferred.serverId))
     ) {
+      this.permittedAtMs = permittedAtMs;
       return preferred;
     }
     return this.takeLimited(preferred);
@@ -120,6 +140,7 @@
     const serverIds = candidates.map(({ serverId }) => serverId);
     record.noteLimited(serverIds);
     const need = { queue: pool, key: request.fingerprint, serverIds };
+    this.permittedAtMs = this.ports.clock.monotonicMs();
     const decision = await limits.take(mayWait ? { ...need, maxWaitMs: this.readMaxWaitMs() } : need);
     if (decision.type === 'granted') {
       return answer.ended ? undefined : candidates.find(({ serverId }) => serverId === decision.serverId);
--- a/packages/gateway/src/requests/trackAttempt.ts
+++ b/packages/gateway/src/requests/trackAttempt.ts
@@ -4,6 +4,7 @@
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { AttemptEnding } from '../crashes/createAttemptWatcher.js';
 import type { CrashGuard } from '../crashes/createCrashGuard.js';
+import type { RateLimits } from '../limits/createRateLimits.js';
 import type { OpenedAttempt } from '../servers/openAttempt.js';
 import type { AttemptResult, ForwardRequest } from './types.js';
 
@@ -36,6 +37,7 @@
   readonly directory: BackendDirectory;
   readonly queues: PoolQueues;
   readonly crashes: CrashGuard;
+  readonly limits: Pick<RateLimits, 'noteEnd'>;
 }
 
 /** Work of an attempt, and the request that it is for. */
@@ -124,7 +126,7 @@
 export default function trackAttempt(
   server: ServerView,
   { tokens, fingerprint, partKeys }: SentAttempt,
-  { clock, directory, queues, crashes }: TrackPorts,
+  { clock, directory, queues, crashes, limits }: TrackPorts,
 ): TrackedAttempt {
   const { serverId } = server;
   const startedAtMs = clock.monotonicMs();
@@ -141,6 +143,9 @@
       } else if (FAILURES.has(end)) {
         directory.note(serverId, { type: 'failed' });
       }
+      const elapsedMs = clock.monotonicMs() - startedAtMs;
+      const slowness = (): number => elapsedMs / (tokens * directory.view(server.pool).msPerToken);
+      limits.noteEnd(serverId, { type: end, sentAtMs: startedAtMs, elapsedMs, slowness });
       directory.note(serverId, { type: 'done', tokensLeft: tokens, long: false });
       queues.drain(server.pool);
       await watch?.end(WATCHER_ENDINGS[end]);
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -22,6 +22,7 @@
   const limits = {
     isOwned: () => false,
     closedUntilMs: () => -Infinity,
+    maySend: () => true,
     takeOwned: () => assert.fail('no limit'),
     predictTurnMs: () => assert.fail('no limit'),
   };
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -64,7 +64,7 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly directory: BackendDirectory;
-  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'predictTurnMs' | 'closedUntilMs'>;
+  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'predictTurnMs' | 'closedUntilMs' | 'maySend'>;
   readonly tables: RouteTableHolder;
   readonly region: string;
 }
@@ -253,7 +253,11 @@
     }
     const { choice, permitted } = placed;
     selector.place(need, choice, nowMs);
-    return { serverId: choice.serverId, firstTokenMs: choice.firstTokenMs, ...(permitted ? { permitted } : {}) };
+    return {
+      serverId: choice.serverId,
+      firstTokenMs: choice.firstTokenMs,
+      ...(permitted ? { permitted, ...this.describePace(choice.serverId) } : {}),
+    };
   }
 
   note(note: RequestNote): void {
@@ -335,6 +339,11 @@
     return limits.predictTurnMs({ queue: pool, serverIds }, unplaced);
   }
 
+  /** States that a permission regards the pace of an engine. */
+  private describePace(serverId: string): Pick<PlaceAnswer, 'paced'> {
+    return this.options.limits.maySend(serverId, undefined) ? {} : { paced: true };
+  }
+
   private endPlacement(pool: string, requestId: string): void {
     this.engines.get(pool)?.recordEvent({ type: 'ended', requestId }, this.options.clock.monotonicMs());
   }
--- a/packages/gateway/src/scheduling/messages.ts
+++ b/packages/gateway/src/scheduling/messages.ts
@@ -85,6 +85,8 @@
   readonly firstTokenMs?: number;
   /** Whether the request may be sent to the engine without asking for permission, although it has a rate limit. */
   readonly permitted?: boolean;
+  /** Whether that permission regards the pace of an engine that started; undefined from hosts of earlier versions. */
+  readonly paced?: boolean;
   /** Time until the request is expected to get an engine, when all of them have rate limits; ask again then. */
   readonly laterInMs?: number;
 }
--- a/packages/gateway/src/stages/callStageServer.ts
+++ b/packages/gateway/src/stages/callStageServer.ts
@@ -31,7 +31,7 @@
  * @param server - server to call
  * @param items - pieces to run
  * @param ports - clock, HTTP client and call format
- * @param options - timeout of the call in milliseconds
+ * @param options - timeout of the call in milliseconds, and whether it may still be sent once it is connected
  * @returns the answer
  * @throws TransportError when the connection breaks or the timeout expires
  */
@@ -39,7 +39,7 @@
   server: KnownServer,
   items: readonly PieceItem[],
   { clock, http, format }: StageCallPorts,
-  options: { readonly limitMs: number },
+  options: { readonly limitMs: number; readonly maySend: () => boolean },
 ): Promise<StageCallAnswer> {
   const sentAtMs = clock.monotonicMs();
   const response = await http.open(server, {
@@ -49,6 +49,7 @@
     body: format.formatRun(items),
     connectLimitMs: CONNECT_TIMEOUT_MS,
     signal: AbortSignal.timeout(Math.ceil(options.limitMs)),
+    maySend: options.maySend,
   });
   // The response has no socket any more once it was read.
   const { socket } = response;
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -26,8 +26,6 @@
   readonly resolve: (result: StageJobResult) => void;
 }
 
-/** Call timeout as a multiple of the expected time. The pieces of a slow call were queued again long before. */
-const CALL_TIMEOUT_FACTOR = 8;
 /** Time after the start of a call by which the server has fetched its inputs. */
 const INPUT_FETCH_MS = 50;
 /** Time after a change of owner by which the calls of the previous owner have ended. */
@@ -242,16 +240,19 @@
     if (call.needsEviction) {
       await this.evictResults(call.serverId);
     }
+    const permittedAtMs = clock.monotonicMs();
     const permission = await this.takeSend(call);
     if (permission.type === 'later') {
       return { type: 'limited', untilMs: permission.atMs };
     }
     this.noteStarted(call);
-    const { status, answers, totalMs } = await callWithCrashWatch(
-      server,
-      { items, fingerprints: this.listFingerprints(call), limitMs: call.expectedMs * CALL_TIMEOUT_FACTOR },
-      this.options,
-    );
+    const { expectedMs } = call;
+    const stageCall = { items, fingerprints: this.listFingerprints(call), expectedMs, permittedAtMs };
+    const answer = await callWithCrashWatch(server, stageCall, this.options);
+    if (answer === 'not-permitted') {
+      return { type: 'limited', untilMs: clock.monotonicMs() };
+    }
+    const { status, answers, totalMs } = answer;
     const pieces = answers?.map(({ type }) => type);
     reportCall({ pool, call, totalMs, status, pieces, view: this.queue.view(clock.monotonicMs()) }, this.options);
     if (answers === undefined || pieces === undefined) {
--- a/packages/gateway/src/stages/createResultReleaser.ts
+++ b/packages/gateway/src/stages/createResultReleaser.ts
@@ -24,7 +24,7 @@
   readonly logger: Logger;
   readonly format: StageFormat;
   readonly directory: BackendDirectory;
-  readonly limits: Pick<RateLimits, 'isLimited' | 'noteAnswer' | 'readIntervalMs' | 'take'>;
+  readonly limits: Pick<RateLimits, 'isLimited' | 'maySend' | 'noteAnswer' | 'readIntervalMs' | 'take'>;
   readonly pool: string;
   readonly spec: Pick<BatchSpec, 'keepResultMs'>;
 }
@@ -42,6 +42,9 @@
 
   private readonly releasedAtMs = new Map<string, number>();
 
+  /** Monotonic time before the latest permission for a server was asked for. */
+  private readonly permittedAtMs = new Map<string, number>();
+
   constructor(private readonly options: ResultReleaserOptions) {}
 
   findServer(result: string): KnownServer | undefined {
@@ -53,6 +56,9 @@
     const { clock, directory, limits } = this.options;
     if (!limits.isLimited(serverId)) {
       await this.waitUntil(directory.readBackoffEndMs(serverId));
+    }
+    // A server may have started again during the wait.
+    if (!limits.isLimited(serverId)) {
       await this.send(serverId, results);
       return;
     }
@@ -84,6 +90,7 @@
       // Each decision depends on the one before.
       /* eslint-disable no-await-in-loop */
       await this.waitUntil(atMs);
+      this.permittedAtMs.set(serverId, clock.monotonicMs());
       const decision = await limits.take({ queue: pool, key: `release ${serverId}`, serverIds: [serverId] });
       /* eslint-enable no-await-in-loop */
       if (decision.type === 'granted') {
@@ -120,6 +127,7 @@
         body: format.formatRelease(results),
         connectLimitMs: CONNECT_TIMEOUT_MS,
         signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS),
+        maySend: () => limits.maySend(serverId, this.permittedAtMs.get(serverId)),
       });
       if (status !== STATUS_MISDIRECTED) {
         const notice = format.readNotice(status, headers);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -160,8 +160,10 @@
     metrics.report('host.evacuated_domains', base.evacuations.snapshot().domains.length);
     metrics.report('store.connected', directory.storeLost ? 0 : 1);
     const limited = limits.list();
+    const paced = limits.listPaced();
     index?.pools.forEach((_, pool) => {
       metrics.report('pool.servers_limited', limited.filter((limit) => limit.pool === pool).length, { pool });
+      metrics.report('pool.servers_paced', paced.filter((server) => server.pool === pool).length, { pool });
       metrics.report('pool.servers', directory.list(pool).length, { pool });
       metrics.report('pool.servers_shunned', directory.listExcluded(pool).length, { pool });
     });
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -118,6 +118,11 @@
     'The servers of the failure domain `evacuated` get nothing new from this host until the evacuation is taken back.',
   evacuationEnded: 'The servers of the failure domain `evacuated` get requests again.',
   evacuationUnknown: 'An evacuation names a failure domain that does not exist, `evacuated`; it has no effect.',
+  serverPaced:
+    'A backend server started or recovered; all hosts together send it `requestsPerSecond`, more as it answers quickly.',
+  serverUnpaced: 'A backend server that started or recovered gets requests without a limit again.',
+  serverColdCapped:
+    'The entry of a backend server states a cold time that is too long; it counts as cold for `maxMs` at most.',
   hostListed: 'Another host of the system registered itself.',
   hostDropped: 'The registration of another host ended.',
   hostLeaseLost: 'The lease of this host may have expired; it registers again.',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -49,6 +49,18 @@
     tags: ['pool'],
     text: 'Servers that have stated how many requests a second they take from all hosts.',
   },
+  'pool.servers_paced': {
+    type: 'gauge',
+    unit: '1',
+    tags: ['pool'],
+    text: 'Servers that are held to a pace because they started or recovered.',
+  },
+  'pace.sends_denied': {
+    type: 'counter',
+    unit: '1',
+    tags: ['pool'],
+    text: 'Sends that this host denied to cold servers: it has no news of the store, or they tolerate too few requests.',
+  },
   'streams.origin_writes': {
     type: 'counter',
     unit: '1',
