Tell all hosts of a server that refused a connection

A server that crashed and started again is cold before its entry says so, and hosts that saw nothing of it sent without asking for up to 2 s. The host that is refused a connection reports it, and the owner of the limits announces the cold time to all hosts, once for each half of it.

Test: a refused connection at one of four hosts makes the server cold on all of them with one report and three announcements.

--- a/packages/gateway/src/limits/createOwnerCalls.ts
+++ b/packages/gateway/src/limits/createOwnerCalls.ts
@@ -4,7 +4,14 @@
 import scheduleSilence from '../hosts/scheduleSilence.js';
 import type { LimitDuty } from './createLimitDuty.js';
 import type { PaceTable } from './createPaceTable.js';
-import { REPORT_LIMIT, TAKE_SEND, type PaceNotice, type TakeAnswer, type TakeRequest } from './messages.js';
+import {
+  ANNOUNCE_LIMITS,
+  REPORT_LIMIT,
+  TAKE_SEND,
+  type PaceNotice,
+  type TakeAnswer,
+  type TakeRequest,
+} from './messages.js';
 
 /** Calls to the hosts that hand out sends. */
 export interface OwnerCalls {
@@ -12,6 +19,8 @@
   ask(owner: HostEntry, request: TakeRequest): Promise<TakeAnswer | undefined>;
   /** Tells what this host has seen of servers that started or recovered. */
   report(owner: HostEntry, paces: readonly PaceNotice[]): void;
+  /** Tells all hosts of servers that start again before their entries say so. */
+  announce(paces: readonly PaceNotice[]): void;
   /** Records that a call to a host failed. */
   noteFailed(owner: HostEntry, cause: unknown): void;
   start(hosts: HostRegistry): void;
@@ -50,13 +59,12 @@
   };
 
   const noteFailed = (owner: HostEntry, cause: unknown): void => {
-    if (cause instanceof TransportError && cause.code === 'invalid-message') {
-      duty.noteUnable(owner);
-    } else {
-      hosts?.noteSilent(owner.hostId);
-    }
+    const isOlder = cause instanceof TransportError && cause.code === 'invalid-message';
+    return isOlder ? duty.noteUnable(owner) : hosts?.noteSilent(owner.hostId);
   };
 
+  const toReport = (paces: readonly PaceNotice[]) => ({ hostId: hosts?.self.hostId, notices: [], paces });
+
   return {
     ask: (owner, { paces = [], askedBy = hosts?.self.hostId, ...request }) =>
       new Promise((resolve) => {
@@ -77,9 +85,14 @@
           .finally(() => timer.close());
       }),
     report: (owner, paces) => {
-      const report = { hostId: hosts?.self.hostId, notices: [], paces };
-      links.call(owner.target, REPORT_LIMIT, report).catch((cause: unknown) => noteFailed(owner, cause));
+      links.call(owner.target, REPORT_LIMIT, toReport(paces)).catch((cause: unknown) => noteFailed(owner, cause));
     },
+    announce: (paces) =>
+      hosts
+        ?.list()
+        .filter(({ hostId }) => hostId !== hosts?.self.hostId)
+        // A host that misses the message learns of the start from the entry of the server.
+        .forEach(({ target }) => links.call(target, ANNOUNCE_LIMITS, toReport(paces)).catch(() => undefined)),
     noteFailed,
     start: (registry) => {
       hosts = registry;
--- a/packages/gateway/src/limits/createPaceTable.test.ts
+++ b/packages/gateway/src/limits/createPaceTable.test.ts
@@ -126,6 +126,19 @@
   assert.equal(paces.rateOf('s2'), 7);
 });
 
+test('a refused connection at one host makes the server cold on all of them', async () => {
+  const fleet = createFleet();
+  putAll(fleet, 0);
+  fleet.hosts[3]?.limits.noteEnd('s1', { ...broken, type: 'unreachable' });
+  await new Promise(setImmediate);
+  assert.deepEqual(
+    fleet.hosts.map(({ paces }) => paces.rateOf('s1')),
+    [7, 7, 7, 7],
+  );
+  // Each message is sent once: one report, and one announcement for each other host.
+  assert.equal(fleet.calls.length, 4);
+});
+
 test('a host that learns of a cold server first tells the one that hands out its sends', async () => {
   const fleet = createFleet();
   const [owner, , , other] = fleet.hosts as readonly [PaceHost, PaceHost, PaceHost, PaceHost];
--- a/packages/gateway/src/limits/createPaceTable.ts
+++ b/packages/gateway/src/limits/createPaceTable.ts
@@ -47,6 +47,8 @@
   list(): readonly PacedServer[];
   /** Calls a listener when a limit begins or ends. */
   onChange(run: (serverId: string) => void): void;
+  /** Calls a listener when a server is found to start again before its entry says so. */
+  onRestart(run: (serverId: string) => void): void;
   /** Calls a listener when the host that hands out the sends to a server has to know what this one has seen. */
   onSeen(run: (serverId: string) => void): void;
 }
@@ -89,6 +91,7 @@
 const RECHECK_MS = 250;
 /** Least time between two reports about a server. */
 const REPORT_INTERVAL_MS = 200;
+const MAX_DRIFT_MS = 1_000;
 /** Time within which hosts lose a server that ends. */
 const LOST_TOGETHER_MS = 2_000;
 /** Servers that are no longer listed are forgotten beyond this number. */
@@ -109,6 +112,8 @@
 
   private readonly listeners: ((serverId: string) => void)[] = [];
 
+  private readonly restartListeners: ((serverId: string) => void)[] = [];
+
   private readonly seenListeners: ((serverId: string) => void)[] = [];
 
   constructor(private readonly options: PaceTableOptions) {
@@ -158,7 +163,11 @@
     if (event === undefined || (!wasPaced && (event.type === 'quick' || event.type === 'strained'))) {
       return;
     }
+    const remainingMs = this.readColdMs(serverId);
     this.advance(serverId, event, { reason: end.type, isNotified: true });
+    if (event.type === 'assumed' && remainingMs < event.coldMs / 2) {
+      this.restartListeners.forEach((run) => run(serverId));
+    }
     const before = this.seen.get(serverId);
     this.seen.set(
       serverId,
@@ -174,7 +183,6 @@
   }
 
   describe(serverIds: readonly string[]): readonly PaceNotice[] {
-    const nowMs = this.options.clock.monotonicMs();
     return serverIds.flatMap((serverId) => {
       const { quick, isReset } = this.seen.get(serverId) ?? { quick: 0, isReset: false };
       const startedAtMs = this.options.directory.find(serverId)?.startedAtMs;
@@ -182,8 +190,7 @@
         return [];
       }
       this.seen.delete(serverId);
-      const untilMs = readColdUntilMs(this.known.get(serverId)?.state ?? WARM);
-      return [{ serverId, startedAtMs, coldMs: Math.max(0, untilMs - nowMs), quick, isReset }];
+      return [{ serverId, startedAtMs, coldMs: this.readColdMs(serverId), quick, isReset }];
     });
   }
 
@@ -195,8 +202,11 @@
         return;
       }
       if (coldMs > 0) {
-        if (readColdUntilMs(this.known.get(serverId)?.state ?? WARM) <= nowMs) {
+        const remainingMs = this.readColdMs(serverId);
+        // Times that were told and told again grow by the time of their messages.
+        if (remainingMs === 0 || coldMs > remainingMs + MAX_DRIFT_MS) {
           this.advance(serverId, { type: 'assumed', coldMs }, cause);
+          this.restartListeners.forEach((run) => run(serverId));
         }
       } else if (isReset && (this.rateOf(serverId) !== undefined || this.isSeenByTwo(serverId, hostId))) {
         this.advance(serverId, { type: 'suspected' }, cause);
@@ -221,10 +231,20 @@
     this.listeners.push(run);
   }
 
+  onRestart(run: (serverId: string) => void): void {
+    this.restartListeners.push(run);
+  }
+
   onSeen(run: (serverId: string) => void): void {
     this.seenListeners.push(run);
   }
 
+  /** Remaining cold time. */
+  private readColdMs(serverId: string): number {
+    const untilMs = readColdUntilMs(this.known.get(serverId)?.state ?? WARM);
+    return Math.max(0, untilMs - this.options.clock.monotonicMs());
+  }
+
   private findSpec(serverId: string, pool = this.options.directory.find(serverId)?.pool): PaceSpec | undefined {
     const { tables, bound } = this.options;
     const coldStart = pool === undefined ? undefined : tables.current()?.pools.get(pool)?.coldStart;
--- a/packages/gateway/src/limits/createRateLimits.ts
+++ b/packages/gateway/src/limits/createRateLimits.ts
@@ -131,20 +131,20 @@
     this.table.onChange((change) => this.handleChange(change));
     this.paces.onChange(() => this.notify());
     this.paces.onSeen((serverId) => this.reportSeen(serverId));
+    this.paces.onRestart(
+      (serverId) => this.duty.isOwn(serverId) && this.owners.announce(this.paces.describe([serverId])),
+    );
+    const learn: LinkMethod = (params) => {
+      const { hostId, notices, paces = [] } = params as LimitAnnouncement;
+      this.paces.learn(paces, hostId);
+      this.table.learn(notices, hostId);
+      return true;
+    };
     this.methods = {
       [TAKE_SEND]: (params) => this.answerTake(params as TakeRequest),
-      [REPORT_LIMIT]: (params) => {
-        const { hostId, notices, paces = [] } = params as LimitAnnouncement;
-        this.paces.learn(paces, hostId);
-        this.table.learn(notices, hostId);
-        return true;
-      },
+      [REPORT_LIMIT]: learn,
       [OPERATOR_LIST_LIMITS]: () => this.listForOperators(),
-      [ANNOUNCE_LIMITS]: (params) => {
-        const { hostId, notices } = params as LimitAnnouncement;
-        this.table.learn(notices, hostId);
-        return true;
-      },
+      [ANNOUNCE_LIMITS]: learn,
     };
   }
 
--- a/packages/gateway/src/limits/messages.ts
+++ b/packages/gateway/src/limits/messages.ts
@@ -62,6 +62,6 @@
 export interface LimitAnnouncement {
   readonly hostId: string;
   readonly notices: readonly LimitNotice[];
-  /** Reports only: servers that started or recovered. */
+  /** Servers that started or recovered. */
   readonly paces?: readonly PaceNotice[];
 }
--- a/packages/gateway/src/limits/paceHelpers.ts
+++ b/packages/gateway/src/limits/paceHelpers.ts
@@ -15,6 +15,7 @@
   learn: () => undefined,
   list: () => [],
   onChange: () => undefined,
+  onRestart: () => undefined,
   onSeen: () => undefined,
 };
 
