--- a/packages/gateway/src/catalogue/followCatalogue.test.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.test.ts
@@ -85,7 +85,7 @@
   await advance(4_000);
   for (let step = 0; step < 100; step += 1) {
     // Sequential: the hosts act between the looks at them.
-     
+
     await advance(100);
     assert.equal(countOld(), 0);
   }
