--- a/packages/gateway/src/createBaseParts.ts
+++ b/packages/gateway/src/createBaseParts.ts
@@ -16,7 +16,9 @@
 import createRouteTableHolder, { type RouteTableHolder } from './catalogue/createRouteTableHolder.js';
 import logEraEvent from './catalogue/logEraEvent.js';
 import createCrashGuard, { type CrashGuard } from './crashes/createCrashGuard.js';
+import createStoreNews, { type StoreNews } from './catalogue/createStoreNews.js';
 import createSettingsHolder, { type SettingsHolder } from './createSettingsHolder.js';
+import createPaceTable from './limits/createPaceTable.js';
 import createRateLimits, { type RateLimits } from './limits/createRateLimits.js';
 import watchPorts from './observe/watchPorts.js';
 import type { GatewayFormats } from './ports.js';
@@ -52,6 +54,9 @@
   readonly residency: Residency;
   readonly directory: BackendDirectory;
   readonly evacuations: Evacuations;
+  /** Monotonic times at which evacuations of failure domains ended. */
+  readonly evacuationEnds: ReadonlyMap<string, number>;
+  readonly news: StoreNews;
   readonly links: LinkClient;
 }
 
@@ -77,6 +82,9 @@
   const eras = createEraTracker();
   const liveSettings = createSettingsHolder(settings);
   const evacuations = createEvacuations({ logger, regions: () => liveSettings.current().host.regions });
+  // Comes before the directory, which tells others of servers that may be used again.
+  const evacuationEnds = new Map<string, number>();
+  evacuations.onChange((ended) => ended.forEach((domain) => evacuationEnds.set(domain, clock.monotonicMs())));
   eras.onEvent((event) => logEraEvent(event, logger));
   const tables = createRouteTableHolder({ clock, logger, format: formats.catalogue });
   const residency = createResidency({ logger, tables, regions: () => liveSettings.current().host.regions });
@@ -101,6 +109,8 @@
     residency,
     directory: createBackendDirectory({ clock, logger, format: formats.catalogue, regions, evacuations }),
     evacuations,
+    evacuationEnds,
+    news: createStoreNews(clock),
     links: createLinkClient({ clock, ...LINK_LIMITS }),
   };
 };
@@ -117,7 +127,8 @@
   const { clock, tables, directory, formats } = state;
   const dutyOf = (pool: string): string =>
     tables.current()?.pools.get(pool)?.batch === undefined ? SCHEDULER_DUTY : pool;
-  const limits = createRateLimits({ ...state, dutyOf });
+  const paces = createPaceTable({ ...state, bound: settings.coldStart });
+  const limits = createRateLimits({ ...state, dutyOf, paces });
   const { blockPrefix, releasePrefix } = formats.catalogue;
   const prefixes = { blocks: blockPrefix, releases: releasePrefix };
   const crashes = createCrashGuard({ ...state, prefixes, hostId: settings.host.id, random: Math.random });
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,65 +1,31 @@
-import type { Clock } from '@bergamotcove/clock';
 import {
-  type DrainTimes,
   decideRetry,
   computeIdleTimeoutMs,
   type RetryDecision,
   type RouteIndex,
   type ServerView,
 } from '@bergamotcove/decide';
-import type { PoolQueues } from '@bergamotcove/entry';
-import type { Logger } from '@bergamotcove/log';
-import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import { STOPPING_RETRY_AFTER_MS, type default as CallerExchange, type StopPhase } from '../callers/CallerExchange.js';
-import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
-import type { CrashGuard } from '../crashes/createCrashGuard.js';
-import type { RateLimits } from '../limits/createRateLimits.js';
-import type { StageFormat } from '../ports.js';
-import type { SchedulerClient } from '../scheduling/createSchedulerClient.js';
-import type { AnswerMemory } from '../servers/createAnswerMemory.js';
-import type { StageClient } from '../stages/createStageClient.js';
 import runStages from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
 import chooseServedPool from './chooseServedPool.js';
 import estimateWork from './estimateWork.js';
 import findUnservedMs from './findUnservedMs.js';
+import type { ForwardPorts } from './ForwardPorts.js';
 import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
 import isRepeatable from './isRepeatable.js';
-import openChecked, { type OpeningPorts } from './openChecked.js';
+import openChecked from './openChecked.js';
 import reportAttempt from './reportAttempt.js';
 import trackAttempt, { classifyEnd } from './trackAttempt.js';
 import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
 import Reservation, { DEFAULT_ANSWER_MS } from './Reservation.js';
 import RunAnswer from './RunAnswer.js';
-import StreamBinding, { type BindingPorts } from './StreamBinding.js';
+import StreamBinding from './StreamBinding.js';
 import ServerFinder, { NO_SERVER_RETRY_AFTER_MS } from './ServerFinder.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
 import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
-/** Dependencies of {@link ForwardRun}. */
-export interface ForwardPorts extends OpeningPorts {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly directory: BackendDirectory;
-  readonly limits: RateLimits;
-  readonly queues: PoolQueues;
-  readonly stages: StageClient;
-  readonly stageFormat: StageFormat;
-  readonly scheduler: SchedulerClient;
-  readonly region: string;
-  readonly failureDomain: string;
-  readonly random: () => number;
-  readonly metrics: ScrapedMetrics;
-  readonly crashes: CrashGuard;
-  readonly answerMemory: AnswerMemory;
-  readonly origins: BindingPorts['origins'];
-  /** Start and end of the drain of this host; undefined before it begins. */
-  readonly drain: () => DrainTimes | undefined;
-  /** Spends one retry of the budget of a pool; false when the budget is exhausted. */
-  readonly spendRetry: (pool: string) => boolean;
-}
-
 const TIMED_OUT_RETRY_AFTER_MS = 100;
 /** Time after sending by which a server has fetched the stage results that the attempt names. */
 const RESULT_FETCH_MS = 80;
@@ -131,14 +97,15 @@
     const timer = clock.schedule(this.request.deadlineAtMs - clock.monotonicMs(), () => this.expire());
     this.exchange.onDisconnect(() => this.answer.end('caller-gone', 0, 'caller-gone'));
     this.exchange.onStop((phase) => this.stop(phase));
-    const stopListening = this.ports.crashes.onBlocked(this.request, () => this.refuseBlocked());
-    const stopReviews = this.ports.residency.onRestricted(this.request, () => this.refuseUnserved());
+    const subscriptions = [
+      this.ports.crashes.onBlocked(this.request, () => this.refuseBlocked()),
+      this.ports.residency.onRestricted(this.request, () => this.refuseUnserved()),
+    ];
     try {
       await this.serve();
     } finally {
       timer.close();
-      stopListening();
-      stopReviews();
+      subscriptions.forEach((unsubscribe) => unsubscribe());
       this.results.release();
       this.reservation.leave();
     }
@@ -260,7 +227,7 @@
         sentAtMs = clock.monotonicMs();
         clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
       },
-      maySend: () => this.exchange.isOpen && !this.answer.ended && clock.monotonicMs() < this.request.deadlineAtMs,
+      maySend: () => this.exchange.isOpen && !this.answer.ended && this.finder.maySend(server),
     };
     const { opened, isReplaced } = await openChecked(attempt, this.ports);
     this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
@@ -275,7 +242,8 @@
     const timedOut = idleTimeout.expired;
     await tracked.end(classifyEnd({ opened, result, timedOut, requestEnded: this.answer.ended }));
     // Nothing was sent to a server that has started again, so the next attempt is no retry.
-    return result.type === 'ended' && (timedOut || isReplaced) ? { ...result, retryReserved: true } : result;
+    const retryReserved = timedOut || isReplaced || this.finder.isExpired;
+    return result.type === 'ended' && retryReserved ? { ...result, retryReserved } : result;
   }
 
   /** Starts the idle timeout of an attempt. It applies only to streams that another engine may run again. */
--- a/packages/gateway/src/scheduling/createRegionScheduler.test.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.test.ts
@@ -31,6 +31,7 @@
   const limits = {
     isOwned: () => false,
     closedUntilMs: () => -Infinity,
+    maySend: () => true,
     takeOwned: () => assert.fail('no limit'),
     predictTurnMs: () => assert.fail('no limit'),
   };
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -6,9 +6,6 @@
   findContinuers,
   isPermitted,
   LATE_VALUE,
-  planPipeline,
-  REGION_HOP_MS,
-  withMinValue,
   type EngineSelector,
   type EntryDecision,
   type EntryOutlook,
@@ -20,6 +17,7 @@
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
+import findFasterRegion from './findFasterRegion.js';
 import placeGeneration from './placeGeneration.js';
 import splitEngines, { type SplitEngines } from './splitEngines.js';
 import createRegionLoads, { type RegionLoads } from './createRegionLoads.js';
@@ -66,7 +64,7 @@
   readonly logger: Logger;
   readonly links: LinkClient;
   readonly directory: BackendDirectory;
-  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'predictTurnMs' | 'closedUntilMs'>;
+  readonly limits: Pick<RateLimits, 'isOwned' | 'takeOwned' | 'predictTurnMs' | 'closedUntilMs' | 'maySend'>;
   readonly tables: RouteTableHolder;
   readonly region: string;
 }
@@ -82,20 +80,6 @@
 const REPORT_INTERVAL_MS = 250;
 /** Reports are sent until this time after the last request. */
 const REPORT_AFTER_ENTRY_MS = 1_000;
-/** Minimum gain in expected time for which a request is sent to another region. */
-const MIN_REGION_GAIN_MS = 150;
-
-/** Finds the other region that is expected to serve the whole request earliest and on time. */
-const findFasterRegion = (need: PipelineNeed, outlook: EntryOutlook): string | undefined => {
-  const local = planPipeline(need, withMinValue(outlook, need.value / 2));
-  return withMinValue(outlook, 0)
-    .others.map((pools) => {
-      const plan = planPipeline(need, { ...outlook, home: pools, others: [] });
-      return { region: pools.region, endAtMs: plan.endAtMs + 2 * REGION_HOP_MS };
-    })
-    .filter(({ endAtMs }) => endAtMs <= need.dueAtMs && endAtMs + MIN_REGION_GAIN_MS <= local.endAtMs)
-    .sort((a, b) => a.endAtMs - b.endAtMs)[0]?.region;
-};
 
 class Scheduler implements RegionScheduler {
   readonly methods: Readonly<Record<string, LinkMethod>>;
@@ -256,7 +240,11 @@
     }
     const { choice, permitted } = placed;
     selector.place(need, choice, nowMs);
-    return { serverId: choice.serverId, firstTokenMs: choice.firstTokenMs, ...(permitted ? { permitted } : {}) };
+    return {
+      serverId: choice.serverId,
+      firstTokenMs: choice.firstTokenMs,
+      ...(permitted ? { permitted, ...this.describePace(choice.serverId) } : {}),
+    };
   }
 
   note(note: RequestNote): void {
@@ -343,6 +331,11 @@
     return splitEngines(this.options.directory, this.options.region, { pool, homeRegions });
   }
 
+  /** States that a permission regards the pace of an engine. */
+  private describePace(serverId: string): Pick<PlaceAnswer, 'paced'> {
+    return this.options.limits.maySend(serverId, undefined) ? {} : { paced: true };
+  }
+
   private endPlacement(pool: string, requestId: string): void {
     this.engines.get(pool)?.recordEvent({ type: 'ended', requestId }, this.options.clock.monotonicMs());
   }
