Check a configuration before it is sent

Change: checkRouteTable and diffRouteTables in packages/config find entries that are wrong or never take effect, limits that contradict each other, and differences from the version in force, with digests in place of keys.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -19,3 +19,6 @@
 export { default as formatJsonSchemas } from './formatJsonSchemas.js';
 export type { SchemaFile } from './formatJsonSchemas.js';
 export type * from './routes/types.js';
+export type { RouteFinding } from './routes/check/types.js';
+export { default as checkRouteTable } from './routes/check/checkRouteTable.js';
+export { default as diffRouteTables } from './routes/check/diffRouteTables.js';
