Count the memory for results in the admission of requests

Cause: admission counted only the time of the stage servers. When the memory for results binds first, a burst of one kind fills it, and every other kind of request that shares the pool waits behind it or is refused with it. Change: the ledger counts pieces x bytes x predicted holding time by pool and kind, until the readers of the results have ended. When this exceeds the work time of a pool, the wait is that of the kind under an equal share of the memory. findPool tells the memory of the listed servers; a report to another region counts it in the load.

--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -45,7 +45,7 @@
  * Share of the room that is used, because result sizes are estimates. A piece whose result finds no room runs again,
  * without the inputs that were evicted.
  */
-const USABLE_ROOM_SHARE = 0.9;
+export const USABLE_ROOM_SHARE = 0.9;
 
 /** Updates the slowness with a call that took `ratio` times the usual duration. */
 export const learnSlowness = (state: ServerState, ratio: number, nowMs: number): void => {
--- a/packages/decide/src/scheduling/_lib/createValueSums.ts
+++ b/packages/decide/src/scheduling/_lib/createValueSums.ts
@@ -7,12 +7,12 @@
   readonly isEmpty: boolean;
 }
 
-/** Ratio between the lower bounds of adjacent buckets. */
-const BUCKET_RATIO = 1.1;
+/** Logarithm of the ratio between the lower bounds of adjacent buckets. */
+const LOG_BUCKET_RATIO = Math.log(1.1);
 /** Smaller values share one bucket. */
 const MIN_VALUE = 1e-6;
 
-const bucketOf = (value: number): number => Math.floor(Math.log(Math.max(MIN_VALUE, value)) / Math.log(BUCKET_RATIO));
+const bucketOf = (value: number): number => Math.floor(Math.log(Math.max(MIN_VALUE, value)) / LOG_BUCKET_RATIO);
 
 /**
  * Creates sums in logarithmic value buckets, so that the cost of a read does not depend on the number of amounts.
--- a/packages/decide/src/scheduling/createWorkLedger.test.ts
+++ b/packages/decide/src/scheduling/createWorkLedger.test.ts
@@ -51,6 +51,43 @@
   assert.equal(ledger.size, 1);
 });
 
+const HOLDS = [
+  { callMs: 300, waitMs: 100 },
+  { callMs: 300, waitMs: 200 },
+];
+
+test('counts the memory of results until the stages that read them have ended, and of the last until the answer', () => {
+  const ledger = createWorkLedger('a', () => POOL);
+  ledger.add(createNeed('r'), [], HOLDS);
+  assert.equal(ledger.roomByteMs('p', 0), 2 * 400);
+  assert.equal(ledger.roomByteMs('q', 0), 3 * 500);
+  ledger.endStage('r', 0);
+  assert.equal(ledger.roomByteMs('p', 0), 2 * 100);
+  ledger.endStage('r', 1);
+  assert.equal(ledger.roomByteMs('p', 0) ?? 0, 0);
+  assert.equal(ledger.roomByteMs('q', 0), 3 * 200);
+  ledger.releaseResults('r');
+  assert.equal(ledger.roomByteMs('q', 0) ?? 0, 0);
+  ledger.remove('r');
+  assert.equal(ledger.roomByteMs('q', 0) ?? 0, 0);
+});
+
+test('a kind waits for memory of other kinds only as much as it takes itself', () => {
+  const ledger = createWorkLedger('a', () => POOL);
+  const addKind = (requestId: string, kind: string): void =>
+    ledger.add(
+      createNeed(requestId, { stages: [{ pool: 'p', after: [], pieces: 1, kind, resultBytes: 1 }] }),
+      [],
+      HOLDS.slice(0, 1),
+    );
+  ['b1', 'b2', 'b3', 'b4'].forEach((requestId) => addKind(requestId, 'burst'));
+  assert.equal(ledger.roomByteMs('p', 0, { kind: 'other' }) ?? 0, 0);
+  addKind('o', 'other');
+  assert.equal(ledger.roomByteMs('p', 0, { kind: 'other' }), 2 * 400);
+  assert.equal(ledger.roomByteMs('p', 0, { kind: 'burst' }), 5 * 400);
+  assert.equal(ledger.roomByteMs('p', 0, { kind: 'burst', aboveByteMs: 5 * 400 }), undefined);
+});
+
 test('removes requests at their deadline', () => {
   const ledger = createWorkLedger('a', () => POOL);
   ledger.add(createNeed('r'));
@@ -87,7 +124,11 @@
         }
       });
       const counted = [...open.values()].filter(({ value, first }) => first && value >= least).length;
-      return Math.abs(ledger.loadMs('p', least) - counted * 40) < 1e-6;
+      const all = [...open.values()].filter(({ value }) => value >= least).length;
+      const roomByteMs = counted * 2 * 450 + (all - counted) * 2 * 150;
+      return (
+        Math.abs(ledger.loadMs('p', least) - counted * 40) < 1e-6 && (ledger.roomByteMs('p', least) ?? 0) === roomByteMs
+      );
     }),
   );
 });
--- a/packages/decide/src/scheduling/decideEntry.ts
+++ b/packages/decide/src/scheduling/decideEntry.ts
@@ -1,10 +1,13 @@
+import type { RoomOptions } from './createWorkLedger.js';
 import planPipeline, { type PipelineOutlook, type RegionPools } from './planPipeline.js';
 import type { EntryDecision, PipelineNeed } from './types.js';
 
 /** The stage pools of one region, with a load that depends on the value of the request. */
-export interface RankedPools extends Omit<RegionPools, 'loadMs'> {
+export interface RankedPools extends Omit<RegionPools, 'loadMs' | 'roomByteMs'> {
   /** Returns the time in ms that the pool needs for requests of at least the given value. */
   readonly loadMs: (pool: string, minValue: number) => number;
+  /** Returns the memory that results of requests of at least the given value occupy at the pool; see `WorkLedger`. */
+  readonly roomByteMs?: (pool: string, minValue: number, options: RoomOptions) => number | undefined;
 }
 
 /** Conditions under which the admission of a request is decided. */
@@ -26,9 +29,12 @@
 
 /** Returns the outlook in which only requests of at least the given value count as load. */
 export const withMinValue = ({ home, others, ...outlook }: EntryOutlook, minValue: number): PipelineOutlook => {
-  const bindMinValue = (pools: RankedPools): RegionPools => ({
+  const bindMinValue = ({ roomByteMs, ...pools }: RankedPools): RegionPools => ({
     ...pools,
     loadMs: (pool) => pools.loadMs(pool, minValue),
+    ...(roomByteMs === undefined
+      ? {}
+      : { roomByteMs: (pool, kind, aboveByteMs) => roomByteMs(pool, minValue, { kind, aboveByteMs }) }),
   });
   return { ...outlook, home: bindMinValue(home), others: others.map(bindMinValue) };
 };
@@ -44,12 +50,14 @@
 export default function decideEntry(need: PipelineNeed, outlook: EntryOutlook): EntryDecision {
   const behindSimilar = planPipeline(need, withMinValue(outlook, need.value * OUTRANKING_VALUE_SHARE));
   if (behindSimilar.endAtMs <= need.dueAtMs) {
-    return { type: 'on-time', expectedAtMs: behindSimilar.endAtMs, regions: behindSimilar.regions };
+    const { endAtMs, regions, holds } = behindSimilar;
+    return { type: 'on-time', expectedAtMs: endAtMs, regions, holds };
   }
   const behindAll = planPipeline(need, withMinValue(outlook, 0));
   const latestLateAtMs = need.arrivedAtMs + (need.deadlineAtMs - need.arrivedAtMs) * LATE_DEADLINE_SHARE;
   if (behindAll.endAtMs <= latestLateAtMs) {
-    return { type: 'late', expectedAtMs: behindAll.endAtMs, regions: behindAll.regions };
+    const { endAtMs, regions, holds } = behindAll;
+    return { type: 'late', expectedAtMs: endAtMs, regions, holds };
   }
   const remainingMs = need.deadlineAtMs - outlook.nowMs;
   const unboundedRetryMs = Math.max(MIN_RETRY_AFTER_MS, behindAll.endAtMs - latestLateAtMs);
--- a/packages/decide/src/scheduling/index.ts
+++ b/packages/decide/src/scheduling/index.ts
@@ -9,7 +9,7 @@
   GenerationNeed,
 } from './createEngineSelector.js';
 export { default as createWorkLedger } from './createWorkLedger.js';
-export type { WorkLedger } from './createWorkLedger.js';
+export type { RoomOptions, WorkLedger } from './createWorkLedger.js';
 export { default as decideEntry, withMinValue } from './decideEntry.js';
 export type { EntryOutlook, RankedPools } from './decideEntry.js';
 export { default as planPipeline, REGION_HOP_MS } from './planPipeline.js';
--- a/packages/decide/src/scheduling/types.ts
+++ b/packages/decide/src/scheduling/types.ts
@@ -38,13 +38,29 @@
   readonly speed: number;
   /** Learnt processing time of a piece, by kind. */
   readonly pieceMs: ReadonlyMap<string, number>;
+  /** Memory for results of all servers; undefined or 0 when it is not known. */
+  readonly roomBytes?: number;
 }
 
-/** Whether a request is admitted, and the region of each of its stages. */
+/** Predicted time for which the results of a stage occupy memory at their servers. */
+export interface ResultHold {
+  /** Duration of the call that makes them; a server reserves their memory when the call begins. */
+  readonly callMs: number;
+  /** Time from the end of the call until the readers have fetched them. */
+  readonly waitMs: number;
+}
+
+/** Plan for the stages of an admitted request, by stage. */
+export interface AdmittedStages {
+  readonly regions: readonly string[];
+  readonly holds: readonly ResultHold[];
+}
+
+/** Whether a request is admitted, and the plan for its stages. */
 export type EntryDecision =
   /** The answer is expected to be on time. */
-  | { readonly type: 'on-time'; readonly expectedAtMs: number; readonly regions: readonly string[] }
+  | ({ readonly type: 'on-time'; readonly expectedAtMs: number } & AdmittedStages)
   /** The answer is expected to be late, but well within its deadline. */
-  | { readonly type: 'late'; readonly expectedAtMs: number; readonly regions: readonly string[] }
+  | ({ readonly type: 'late'; readonly expectedAtMs: number } & AdmittedStages)
   /** The request would miss its deadline, or take capacity that others need to be on time. */
   | { readonly type: 'refused'; readonly expectedAtMs: number; readonly retryAfterMs: number };
--- a/packages/gateway/src/scheduling/createRegionLoads.test.ts
+++ b/packages/gateway/src/scheduling/createRegionLoads.test.ts
@@ -74,3 +74,17 @@
   a.clock.advance(1_500);
   assert.equal(a.loads.others().length, 0);
 });
+
+test('tells the room of the servers in a region, and another region sees a pool without room as loaded', () => {
+  const [a, b] = [createFixture('a'), createFixture('b')];
+  [a, b].forEach(({ loads }) => loads.notePool({ pool: 'p', speed: 9, pieceMs: {} }));
+  assert.equal(a.loads.findPool('p', 'a')?.roomBytes, 2 * SAMPLE_BATCH.resultMemoryBytes);
+  assert.equal(a.loads.findPool('p', 'b')?.roomBytes, SAMPLE_BATCH.resultMemoryBytes);
+  const need = createNeed('large', 1);
+  const resultBytes = SAMPLE_BATCH.resultMemoryBytes / 4;
+  a.ledger.add({ ...need, stages: need.stages.map((stage) => ({ ...stage, resultBytes })) });
+  b.loads.noteRegion(a.loads.report('b'));
+  // A quarter of a server's room for 4 pieces and 450 ms, at two servers with a tenth of their room left free.
+  assert.equal(b.loads.others()[0]?.loadMs('p', 0), 250);
+  assert.equal(a.loads.home().loadMs('p', 0), 150);
+});
--- a/packages/gateway/src/scheduling/createRegionLoads.ts
+++ b/packages/gateway/src/scheduling/createRegionLoads.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { BatchSpec } from '@bergamotcove/config';
-import type { RankedPools, StagePoolState, WorkLedger } from '@bergamotcove/decide';
+import { USABLE_ROOM_SHARE, type RankedPools, type StagePoolState, type WorkLedger } from '@bergamotcove/decide';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { PoolReport, PoolSpeed, RegionReport } from './messages.js';
 import { measureLoadSteps, readLoadStep } from './valueSteps.js';
@@ -60,29 +60,33 @@
       return undefined;
     }
     const speed = Math.min(reported?.speed ?? Infinity, servers);
-    return { spec, speed, pieceMs: new Map(Object.entries(reported?.pieceMs ?? {})) };
+    const roomBytes = spec.resultMemoryBytes * servers;
+    return { spec, speed, pieceMs: new Map(Object.entries(reported?.pieceMs ?? {})), roomBytes };
   }
 
   home(): RankedPools {
     const { region } = this.options;
     const reports = this.listCurrentReports();
+    const findPool = this.rememberPools(region);
     return {
       region,
-      findPool: (pool) => this.findPool(pool, region),
+      findPool,
       loadMs: (pool, minValue) =>
         reports.reduce(
           (sum, { sentMs }) => sum + readLoadStep(sentMs[pool], minValue),
-          this.options.ledger().loadMs(pool, minValue),
+          this.options.ledger().loadMs(pool, minValue, region, findPool(pool)),
         ),
+      roomByteMs: (pool, minValue, room) => this.options.ledger().roomByteMs(pool, minValue, room),
     };
   }
 
   others(): readonly RankedPools[] {
     return this.listCurrentReports().map(({ region, loadsMs }) => ({
       region,
-      findPool: (pool) => this.findPool(pool, region),
+      findPool: this.rememberPools(region),
       loadMs: (pool, minValue) =>
         readLoadStep(loadsMs[pool], minValue) + this.options.ledger().loadMs(pool, minValue, region),
+      roomByteMs: (pool, minValue, room) => this.options.ledger().roomByteMs(pool, minValue, { ...room, region }),
     }));
   }
 
@@ -99,7 +103,10 @@
           measureLoadSteps((minValue) =>
             otherReports.reduce(
               (sum, { sentMs }) => sum + readLoadStep(sentMs[pool], minValue),
-              ledger.loadMs(pool, minValue),
+              Math.max(
+                ledger.loadMs(pool, minValue),
+                (ledger.roomByteMs(pool, minValue) ?? 0) / this.usableBytes(pool),
+              ),
             ),
           ),
         ]),
@@ -114,6 +121,21 @@
     return [...this.speeds.keys()].map((pool) => `${pool} ${Math.round(this.options.ledger().loadMs(pool, 0))}`);
   }
 
+  /** Finds each pool once, because a decision asks several times for the same ones. */
+  private rememberPools(region: string): RankedPools['findPool'] {
+    const found = new Map<string, StagePoolState | undefined>();
+    return (pool) => {
+      if (!found.has(pool)) {
+        found.set(pool, this.findPool(pool, region));
+      }
+      return found.get(pool);
+    };
+  }
+
+  private usableBytes(pool: string): number {
+    return (this.findPool(pool, this.options.region)?.roomBytes || Infinity) * USABLE_ROOM_SHARE;
+  }
+
   private listCurrentReports(): readonly RegionReport[] {
     const nowMs = this.options.clock.monotonicMs();
     return [...this.reports.values()]
--- a/packages/gateway/src/scheduling/createRegionScheduler.ts
+++ b/packages/gateway/src/scheduling/createRegionScheduler.ts
@@ -210,11 +210,11 @@
     if (decision.type === 'refused') {
       return { type: 'refused', retryAfterMs: decision.retryAfterMs };
     }
-    const { type: tier, regions } = decision;
+    const { type: tier, regions, holds } = decision;
     if (request.generation !== undefined) {
       this.unplaced.set(request.requestId, request.generation.pool);
     }
-    this.ledger.add(tier === 'late' ? { ...need, value: need.value * LATE_VALUE } : need, regions);
+    this.ledger.add(tier === 'late' ? { ...need, value: need.value * LATE_VALUE } : need, regions, holds);
     return {
       type: 'admitted',
       tier,
@@ -266,6 +266,9 @@
         this.ledger.remove(note.requestId);
         break;
       default:
+        if (note.event.type !== 'failed') {
+          this.ledger.releaseResults(note.event.requestId);
+        }
         this.engines.get(note.pool)?.recordEvent(note.event, this.options.clock.monotonicMs());
     }
   }
