Count results of broken calls, running calls and unlisted servers, and free results when their release is answered

Change: broken calls keep their room until the results expire or the server starts again, running calls reserve theirs, a server that is listed again keeps its state, pieces carry the size of their results, and releases free on their answer.

--- a/packages/decide/src/batches/_lib/recordResults.ts
+++ b/packages/decide/src/batches/_lib/recordResults.ts
@@ -12,11 +12,11 @@
  * @param outcomes - one for each piece, in order
  * @param options - batch settings of the pool and monotonic time
  */
-export default function recordResults(
+export const recordResults = (
   { pieces, state }: RunningCall,
   outcomes: readonly PieceOutcome[],
   { spec, nowMs }: { readonly spec: BatchSpec; readonly nowMs: number },
-): void {
+): void => {
   pieces.forEach(({ job }, index) => {
     if (outcomes[index] === 'done') {
       state.held.push({ bytes: job.resultBytes, expiresAtMs: nowMs + spec.keepResultMs, evictable: false });
@@ -25,4 +25,21 @@
       state.held.push({ bytes: spec.resultMemoryBytes, expiresAtMs: nowMs + NO_ROOM_BACKOFF_MS, evictable: false });
     }
   });
-}
+};
+
+/**
+ * Records the room that the results of a call may occupy although its connection broke: its server goes on with the call
+ * unless it crashed, and keeps results that nobody can release, because their handles are not known.
+ *
+ * @param call - broken call
+ * @param options - batch settings of the pool and monotonic time
+ */
+export const recordBrokenCall = (
+  { pieces, state, server, sentAtMs, expectedMs }: RunningCall,
+  { spec, nowMs }: { readonly spec: BatchSpec; readonly nowMs: number },
+): void => {
+  const expiresAtMs = Math.max(nowMs, sentAtMs + expectedMs) + spec.keepResultMs;
+  if (state.server.startedAtMs === server.startedAtMs) {
+    pieces.forEach(({ job }) => state.held.push({ bytes: job.resultBytes, expiresAtMs, evictable: false }));
+  }
+};
--- a/packages/decide/src/batches/_lib/runningCall.ts
+++ b/packages/decide/src/batches/_lib/runningCall.ts
@@ -1,3 +1,4 @@
+import type { BatchServer } from '../types.js';
 import type { WaitingPiece } from './queuedJob.js';
 import type { ServerState } from './serverState.js';
 
@@ -5,6 +6,8 @@
 export interface RunningCall {
   readonly state: ServerState;
   readonly pieces: readonly WaitingPiece[];
+  /** The server as it was when the call was sent; it may have started again since. */
+  readonly server: BatchServer;
   readonly sentAtMs: number;
   readonly expectedMs: number;
   /** Whether its pieces were requeued because it takes too long. */
--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -14,6 +14,8 @@
   server: BatchServer;
   /** Expected end times of the running calls, by call id. */
   readonly calls: Map<number, number>;
+  /** Bytes of the results of the running calls, by call id: a server reserves them when the call begins. */
+  readonly reservedBytes: Map<number, number>;
   /** Duration of calls relative to the usual duration. */
   slowness: number;
   slownessAtMs: number;
@@ -55,7 +57,10 @@
   updated.slownessAtMs = nowMs;
 };
 
-/** Returns the room for results at a server, in bytes: including evictable results, and free without evictions. */
+/**
+ * Returns the room for results at a server, in bytes, with that of running calls reserved: including evictable results,
+ * and free without evictions.
+ */
 export const readRoom = (
   state: ServerState,
   spec: BatchSpec,
@@ -64,7 +69,8 @@
   const updated = state;
   updated.held = state.held.filter((result) => result.expiresAtMs > nowMs);
   const sum = (results: readonly HeldResult[]): number => results.reduce((total, { bytes }) => total + bytes, 0);
-  const roomBytes = spec.resultMemoryBytes * USABLE_ROOM_SHARE;
+  const reservedBytes = [...state.reservedBytes.values()].reduce((total, bytes) => total + bytes, 0);
+  const roomBytes = spec.resultMemoryBytes * USABLE_ROOM_SHARE - reservedBytes;
   return {
     usableBytes: roomBytes - sum(updated.held.filter(({ evictable }) => !evictable)),
     freeBytes: roomBytes - sum(updated.held),
@@ -124,6 +130,7 @@
 export const createServerState = (server: BatchServer, nowMs: number): ServerState => ({
   server,
   calls: new Map(),
+  reservedBytes: new Map(),
   slowness: 1,
   slownessAtMs: nowMs,
   backoffUntilMs: 0,
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -1,10 +1,9 @@
 import type { BatchSpec } from '@bergamotcove/config';
 import { exhaustive } from '@bergamotcove/errors';
 import choosePieces from './_lib/choosePieces.js';
-import recordResults from './_lib/recordResults.js';
+import { recordBrokenCall, recordResults } from './_lib/recordResults.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
-  createServerState,
   learnSlowness,
   readFreeInMs,
   readFreeRoom,
@@ -29,6 +28,7 @@
   type WaitingPiece,
 } from './_lib/queuedJob.js';
 import { readOverdueMs, type RunningCall } from './_lib/runningCall.js';
+import updateServers from './_lib/updateServers.js';
 import type {
   BatchJob,
   BatchPoolState,
@@ -89,6 +89,8 @@
 
   private readonly servers = new Map<string, ServerState>();
 
+  private readonly unlisted = new Map<string, ServerState>();
+
   private readonly calls = new Map<number, RunningCall>();
 
   private readonly pieceTimes;
@@ -133,14 +135,7 @@
   }
 
   setServers(servers: readonly BatchServer[], nowMs: number): void {
-    const listed = new Set(servers.map(({ serverId }) => serverId));
-    [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
-    servers.forEach((server) => {
-      const state = this.servers.get(server.serverId) ?? createServerState(server, nowMs);
-      state.server = server;
-      state.backoffUntilMs = Math.max(state.backoffUntilMs, server.restsUntilMs ?? 0);
-      this.servers.set(server.serverId, state);
-    });
+    updateServers({ listed: this.servers, unlisted: this.unlisted }, servers, nowMs);
   }
 
   /**
@@ -196,6 +191,7 @@
     }
     this.calls.delete(callId);
     call.state.calls.delete(callId);
+    call.state.reservedBytes.delete(callId);
     if (outcome.type === 'limited') {
       call.state.backoffUntilMs = Math.max(call.state.backoffUntilMs, outcome.untilMs);
       call.pieces.forEach(({ job, piece }) => takeBackPiece(this.jobs.get(job.jobId), piece));
@@ -203,13 +199,16 @@
     }
     if (outcome.type !== 'answered') {
       backOffServer(call.state, outcome.type, nowMs);
-      return this.settle(call, () => 'failed');
+      if (outcome.type === 'broken') {
+        recordBrokenCall(call, { spec: this.spec, nowMs });
+      }
+      return call.pieces.flatMap((piece) => this.settlePiece(piece, 'failed'));
     }
     const { state } = call;
     state.failures = 0;
     this.learnTimes(call, outcome, nowMs);
     recordResults(call, outcome.pieces, { spec: this.spec, nowMs });
-    return this.settle(call, (index) => outcome.pieces[index] ?? 'failed');
+    return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcome.pieces[index] ?? 'failed'));
   }
 
   private expire(nowMs: number): readonly JobResult[] {
@@ -241,14 +240,14 @@
   }
 
   markEvictable(serverId: string, resultBytes: number): void {
-    const held = this.servers.get(serverId)?.held.find(({ bytes, evictable }) => bytes === resultBytes && !evictable);
+    const held = this.findState(serverId)?.held.find(({ bytes, evictable }) => bytes === resultBytes && !evictable);
     if (held !== undefined) {
       held.evictable = true;
     }
   }
 
   release(serverId: string, resultBytes: number): void {
-    const held = this.servers.get(serverId)?.held;
+    const held = this.findState(serverId)?.held;
     const evictableIndex = held?.findIndex(({ bytes, evictable }) => bytes === resultBytes && evictable) ?? -1;
     const index = evictableIndex >= 0 ? evictableIndex : (held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1);
     if (index >= 0) {
@@ -311,10 +310,11 @@
       entry.sends[piece] = (entry.sends[piece] ?? 0) + 1;
     });
     state.calls.set(callId, nowMs + expectedMs);
-    const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece }));
-    this.calls.set(callId, { state, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
+    const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece, resultBytes: job.resultBytes }));
+    this.calls.set(callId, { state, server: state.server, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
     const neededBytes = pieces.reduce((sum, { job }) => sum + job.resultBytes, 0);
     const needsEviction = neededBytes > readRoom(state, this.spec, nowMs).freeBytes;
+    state.reservedBytes.set(callId, neededBytes);
     return { callId, serverId: state.server.serverId, pieces: refs, expectedMs, needsEviction };
   }
 
@@ -330,11 +330,7 @@
       });
   }
 
-  /** Applies the outcome of each piece and returns the jobs that end. */
-  private settle(call: RunningCall, outcomeOf: (index: number) => PieceOutcome): readonly JobResult[] {
-    return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcomeOf(index)));
-  }
-
+  /** Applies the outcome of a piece and returns the job that ends with it. */
   private settlePiece(ref: WaitingPiece, outcome: PieceOutcome): readonly JobResult[] {
     const { jobId } = ref.job;
     const entry = this.jobs.get(jobId);
@@ -371,6 +367,10 @@
     }
   }
 
+  private findState(serverId: string): ServerState | undefined {
+    return this.servers.get(serverId) ?? this.unlisted.get(serverId);
+  }
+
   private workMs(pieces: readonly WaitingPiece[]): number {
     return pieces.reduce((sum, { job }) => sum + this.pieceTimes.read(job.kind), 0);
   }
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -26,6 +26,8 @@
 export interface BatchServer {
   readonly serverId: string;
   readonly failureDomain: string;
+  /** Identifies one start of the server. A restarted server holds no results. */
+  readonly startedAtMs?: number;
   /** Monotonic time before which the server accepts no calls. */
   readonly restsUntilMs?: number;
   /** Least time between two calls that its rate limit allows; undefined without a limit. */
@@ -37,6 +39,8 @@
   readonly jobId: string;
   /** Position among the pieces of the job. */
   readonly piece: number;
+  /** Expected size of the result. */
+  readonly resultBytes: number;
 }
 
 /** A call to send now. */
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -10,7 +10,7 @@
 import type { PieceAnswer } from '../ports.js';
 import type { BatchOwner, BatchOwnerOptions } from './BatchOwner.js';
 import callWithCrashWatch from './callWithCrashWatch.js';
-import createResultRegistry from './createResultRegistry.js';
+import createResultRegistry, { type StoredResult } from './createResultRegistry.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import createPieceItem from './createPieceItem.js';
 import locateInputs from './locateInputs.js';
@@ -132,22 +132,27 @@
   }
 
   release(results: readonly string[]): void {
-    const byServer = new Map<string, string[]>();
+    const byServer = new Map<string, { readonly results: string[]; readonly stored: StoredResult[] }>();
     results.forEach((result) => {
       const stored = this.storedResults.take(result);
-      if (stored !== undefined) {
-        this.queue.release(stored.serverId, stored.resultBytes);
-      }
       // Results of calls of a previous owner use memory as well.
       const serverId = stored?.serverId ?? this.releaser.findServer(result)?.serverId;
       if (serverId !== undefined) {
-        byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
+        const released = byServer.get(serverId) ?? { results: [], stored: [] };
+        byServer.set(serverId, released);
+        released.results.push(result);
+        released.stored.push(...(stored === undefined ? [] : [stored]));
       }
     });
-    byServer.forEach((released, serverId) => this.releaser.release(serverId, released));
-    if (byServer.size > 0) {
-      this.requestAdvance();
-    }
+    byServer.forEach(({ results: released, stored }, serverId) => {
+      // The memory counts as free once the server has answered: a call may overtake the release.
+      this.releaser.release(serverId, released).then(() => {
+        const nowMs = this.options.clock.monotonicMs();
+        const kept = stored.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
+        kept.forEach(({ resultBytes }) => this.queue.release(serverId, resultBytes));
+        this.requestAdvance();
+      });
+    });
   }
 
   markEvictable(results: readonly string[]): void {
@@ -267,11 +272,7 @@
     if (!limits.isLimited(serverId)) {
       return { type: 'granted', serverId };
     }
-    const decision = await limits.take({
-      queue: pool,
-      key: `call ${callId}`,
-      serverIds: [serverId],
-    });
+    const decision = await limits.take({ queue: pool, key: `call ${callId}`, serverIds: [serverId] });
     this.refresh();
     return decision;
   }
@@ -304,13 +305,12 @@
   private storeResults(call: PlannedCall, answers: readonly PieceAnswer[], serverId: string): void {
     const nowMs = this.options.clock.monotonicMs();
     const unused: string[] = [];
-    call.pieces.forEach(({ jobId, piece }, index) => {
+    call.pieces.forEach(({ jobId, piece, resultBytes }, index) => {
       const answer = answers[index];
       if (answer?.type !== 'done') {
         return;
       }
       const open = this.jobs.get(jobId);
-      const resultBytes = open?.job.resultBytes ?? 0;
       const expiresAtMs = nowMs + this.options.spec.keepResultMs;
       this.storedResults.add(answer.result, { serverId, resultBytes, expiresAtMs }, nowMs);
       if (open === undefined || open.results[piece] !== undefined) {
