Tell results of one size apart by their expiry

Cause: a release, or a mark as evictable, of an expired result hit another result of the same size. Change: the owner passes the expiry of a result, and the queue changes only a result that expires then. The model forgets expired results as the owner does.

--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -2,7 +2,7 @@
 import type { BatchServer } from '../types.js';
 
 /** A result that occupies room at its server. */
-interface HeldResult {
+export interface HeldResult {
   readonly bytes: number;
   expiresAtMs: number;
   /** Whether the server may evict it when its room is needed. */
@@ -77,6 +77,25 @@
   };
 };
 
+/** Largest difference between the expiry of a result as its owner and as the queue noted it. */
+const MAX_EXPIRY_DIFFERENCE_MS = 20;
+
+/**
+ * Finds a result by its size and expiry, one that may be evicted first. The expiry matters: otherwise the room of an
+ * expired result, which is free already, would be freed again or count as evictable in place of another one.
+ */
+export const findHeldResult = (
+  results: readonly HeldResult[],
+  { bytes, expiresAtMs }: { readonly bytes: number; readonly expiresAtMs: number | undefined },
+): HeldResult | undefined => {
+  const matching = results.filter(
+    (result) =>
+      result.bytes === bytes &&
+      (expiresAtMs === undefined || Math.abs(result.expiresAtMs - expiresAtMs) <= MAX_EXPIRY_DIFFERENCE_MS),
+  );
+  return matching.find(({ evictable }) => evictable) ?? matching[0];
+};
+
 /** Returns the largest room of a healthy server that could start a call now, by failure domain. */
 export const readFreeRoom = (
   states: readonly ServerState[],
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -4,6 +4,7 @@
 import { recordBrokenCall, recordResults } from './_lib/recordResults.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
+  findHeldResult,
   learnSlowness,
   readFreeInMs,
   readFreeRoom,
@@ -59,10 +60,10 @@
   advance(nowMs: number): BatchStep;
   /** Records the outcome of a call and returns the jobs that end with it. */
   finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[];
-  /** Marks a result at a server as evictable when its room is needed. */
-  markEvictable(serverId: string, resultBytes: number): void;
+  /** Marks a result at a server as evictable when its room is needed. Its expiry tells it from others of the same size. */
+  markEvictable(serverId: string, bytes: number, expiresAtMs?: number): void;
   /** Frees the room of a result that is no longer needed. */
-  release(serverId: string, resultBytes: number): void;
+  release(serverId: string, bytes: number, expiresAtMs?: number): void;
   /** Returns the monotonic time of the next `advance` if no other event precedes it, or undefined. */
   nextCheckMs(nowMs: number): number | undefined;
   view(nowMs: number): BatchQueueView;
@@ -239,20 +240,18 @@
     });
   }
 
-  markEvictable(serverId: string, resultBytes: number): void {
-    const held = this.findState(serverId)?.held.find(({ bytes, evictable }) => bytes === resultBytes && !evictable);
+  markEvictable(serverId: string, bytes: number, expiresAtMs?: number): void {
+    const kept = this.findState(serverId)?.held.filter(({ evictable }) => !evictable) ?? [];
+    const held = findHeldResult(kept, { bytes, expiresAtMs });
     if (held !== undefined) {
       held.evictable = true;
     }
   }
 
-  release(serverId: string, resultBytes: number): void {
-    const held = this.findState(serverId)?.held;
-    const evictableIndex = held?.findIndex(({ bytes, evictable }) => bytes === resultBytes && evictable) ?? -1;
-    const index = evictableIndex >= 0 ? evictableIndex : (held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1);
-    if (index >= 0) {
-      held?.splice(index, 1);
-    }
+  release(serverId: string, bytes: number, expiresAtMs?: number): void {
+    const held = this.findState(serverId)?.held ?? [];
+    const released = findHeldResult(held, { bytes, expiresAtMs });
+    held.splice(0, held.length, ...held.filter((result) => result !== released));
   }
 
   nextCheckMs(nowMs: number): number | undefined {
--- a/packages/decide/src/batches/resultRoom.test.ts
+++ b/packages/decide/src/batches/resultRoom.test.ts
@@ -77,6 +77,20 @@
   assert.equal(queue.advance(800).calls.length, 1);
 });
 
+test('neither frees nor marks another result of the same size in place of an expired one', () => {
+  const queue = createQueue();
+  finish(queue, submit(queue, 'a', 0), 220);
+  finish(queue, submit(queue, 'b', 3_000), 3_220);
+  const expiresAtMs = 220 + SPEC.keepResultMs;
+  assert.equal(queue.view(4_300).takenShare.toFixed(2), '0.44');
+  [1, 2].forEach(() => queue.markEvictable('s1', 200, expiresAtMs));
+  [1, 2].forEach(() => queue.release('s1', 200, expiresAtMs));
+  const { takenShare, spareShare } = queue.view(4_300);
+  assert.deepEqual([takenShare.toFixed(2), spareShare.toFixed(2)], ['0.44', '0.00']);
+  queue.release('s1', 200, 3_000 + expiresAtMs);
+  assert.equal(queue.view(4_300).takenShare.toFixed(2), '0.22');
+});
+
 test('servers refuse less than one piece of 1,000 although 2% of the calls break while the server goes on', () => {
   const spec = { ...SPEC, maxPieces: 40, pieceMs: 5, resultMemoryBytes: 900_000 };
   const { pieces, noRoom } = simulateStages({
--- a/packages/decide/src/testing/createOwnerModel.ts
+++ b/packages/decide/src/testing/createOwnerModel.ts
@@ -105,7 +105,7 @@
       const stored = this.stored.get(id);
       if (stored !== undefined && !stored.evictable) {
         stored.evictable = true;
-        this.queue.markEvictable(stored.serverId, stored.resultBytes);
+        this.queue.markEvictable(stored.serverId, stored.resultBytes, stored.expiresAtMs);
       }
     });
     this.advance();
@@ -124,8 +124,7 @@
     });
     byServer.forEach((ids, serverId) => this.later(() => this.servers.get(serverId)?.release(ids)));
     const free = (): void => {
-      const kept = freed.filter(({ expiresAtMs }) => expiresAtMs > this.options.time.nowMs);
-      kept.forEach(({ serverId, resultBytes }) => this.queue.release(serverId, resultBytes));
+      this.freeRoom(freed);
       this.advance();
     };
     if (this.options.freesOnAnswer === true) {
@@ -223,6 +222,13 @@
 
   private store(call: PlannedCall, jobs: readonly OpenJob[], resultIds: readonly (string | undefined)[]): void {
     const unused: string[] = [];
+    // The oldest results come first.
+    for (const [id, { expiresAtMs }] of this.stored) {
+      if (expiresAtMs > this.options.time.nowMs) {
+        break;
+      }
+      this.stored.delete(id);
+    }
     resultIds.forEach((id, index) => {
       const { jobId, piece } = call.pieces[index] as PlannedCall['pieces'][number];
       const { job } = jobs[index] as OpenJob;
@@ -254,13 +260,15 @@
 
   private evict(serverId: string): void {
     const ids = [...this.stored].filter(([, one]) => one.serverId === serverId && one.evictable).map(([id]) => id);
-    ids.forEach((id) => {
-      this.queue.release(serverId, this.stored.get(id)?.resultBytes ?? 0);
-      this.stored.delete(id);
-    });
+    this.freeRoom(ids.flatMap((id) => this.stored.get(id) ?? []));
+    ids.forEach((id) => this.stored.delete(id));
     this.later(() => this.servers.get(serverId)?.release(ids));
   }
 
+  private freeRoom(stored: readonly Stored[]): void {
+    stored.forEach(({ serverId, resultBytes, expiresAtMs }) => this.queue.release(serverId, resultBytes, expiresAtMs));
+  }
+
   private endAll(ended: readonly JobResult[]): void {
     ended.forEach(({ jobId, type }) => this.end(jobId, type));
   }
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -147,9 +147,7 @@
     byServer.forEach(({ results: released, stored }, serverId) => {
       // The memory counts as free once the server has answered: a call may overtake the release.
       this.releaser.release(serverId, released).then(() => {
-        const nowMs = this.options.clock.monotonicMs();
-        const kept = stored.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
-        kept.forEach(({ resultBytes }) => this.queue.release(serverId, resultBytes));
+        stored.forEach(({ resultBytes, expiresAtMs }) => this.queue.release(serverId, resultBytes, expiresAtMs));
         this.requestAdvance();
       });
     });
@@ -159,7 +157,7 @@
     results.forEach((result) => {
       const stored = this.storedResults.markEvictable(result);
       if (stored !== undefined) {
-        this.queue.markEvictable(stored.serverId, stored.resultBytes);
+        this.queue.markEvictable(stored.serverId, stored.resultBytes, stored.expiresAtMs);
       }
     });
     this.requestAdvance();
@@ -381,7 +379,7 @@
   /** Releases all evictable results at a server before a call that needs their memory. */
   private async evictResults(serverId: string): Promise<void> {
     const evicted = this.storedResults.takeEvictable(serverId);
-    evicted.forEach(({ resultBytes }) => this.queue.release(serverId, resultBytes));
+    evicted.forEach(({ resultBytes, expiresAtMs }) => this.queue.release(serverId, resultBytes, expiresAtMs));
     await this.releaser.release(serverId, [...evicted.keys()], { isUrgent: true });
   }
 }
