--- a/packages/decide/src/batches/_lib/pickServer.ts
+++ b/packages/decide/src/batches/_lib/pickServer.ts
@@ -34,7 +34,9 @@
   const batch = waiting.slice(0, spec.maxPieces);
   const workMs = spec.callMs + workMsOf(batch);
   const endMs = (state: ServerState): number => predictCallEnd(state, workMs, nowMs);
-  const costMs = (state: ServerState): number => endMs(state) + readCrossDomainCostMs(state, batch);
+  // A batch does not wait for a nearer server longer than the fixed time of a call.
+  const crossingMs = (state: ServerState): number => Math.min(spec.callMs, readCrossDomainCostMs(state, batch));
+  const costMs = (state: ServerState): number => endMs(state) + crossingMs(state);
   const isAnyFree = candidates.some(({ calls }) => calls.size < spec.parallelCalls);
   return isAnyFree ? findLowest(candidates, costMs) : undefined;
 }
--- a/packages/decide/src/batches/_lib/serverState.ts
+++ b/packages/decide/src/batches/_lib/serverState.ts
@@ -2,7 +2,7 @@
 import type { BatchServer } from '../types.js';
 
 /** A result that occupies room at its server. */
-interface HeldResult {
+export interface HeldResult {
   readonly bytes: number;
   expiresAtMs: number;
   /** Whether the server may evict it when its room is needed. */
@@ -14,6 +14,8 @@
   server: BatchServer;
   /** Expected end times of the running calls, by call id. */
   readonly calls: Map<number, number>;
+  /** Bytes of the results of the running calls, by call id: a server reserves them when the call begins. */
+  readonly reservedBytes: Map<number, number>;
   /** Duration of calls relative to the usual duration. */
   slowness: number;
   slownessAtMs: number;
@@ -43,7 +45,7 @@
  * Share of the room that is used, because result sizes are estimates. A piece whose result finds no room runs again,
  * without the inputs that were evicted.
  */
-const USABLE_ROOM_SHARE = 0.9;
+export const USABLE_ROOM_SHARE = 0.9;
 
 /** Updates the slowness with a call that took `ratio` times the usual duration. */
 export const learnSlowness = (state: ServerState, ratio: number, nowMs: number): void => {
@@ -53,7 +55,10 @@
   updated.slownessAtMs = nowMs;
 };
 
-/** Returns the room for results at a server, in bytes: including evictable results, and free without evictions. */
+/**
+ * Returns the room for results at a server, in bytes, with that of running calls reserved: including evictable results,
+ * and free without evictions.
+ */
 export const readRoom = (
   state: ServerState,
   spec: BatchSpec,
@@ -62,13 +67,33 @@
   const updated = state;
   updated.held = state.held.filter((result) => result.expiresAtMs > nowMs);
   const sum = (results: readonly HeldResult[]): number => results.reduce((total, { bytes }) => total + bytes, 0);
-  const roomBytes = spec.resultMemoryBytes * USABLE_ROOM_SHARE;
+  const reservedBytes = [...state.reservedBytes.values()].reduce((total, bytes) => total + bytes, 0);
+  const roomBytes = spec.resultMemoryBytes * USABLE_ROOM_SHARE - reservedBytes;
   return {
     usableBytes: roomBytes - sum(updated.held.filter(({ evictable }) => !evictable)),
     freeBytes: roomBytes - sum(updated.held),
   };
 };
 
+/** Largest difference between the expiry of a result as its owner and as the queue noted it. */
+const MAX_EXPIRY_DIFFERENCE_MS = 20;
+
+/**
+ * Finds a result by its size and expiry, one that may be evicted first. The expiry matters: otherwise the room of an
+ * expired result, which is free already, would be freed again or count as evictable in place of another one.
+ */
+export const findHeldResult = (
+  results: readonly HeldResult[],
+  { bytes, expiresAtMs }: { readonly bytes: number; readonly expiresAtMs: number | undefined },
+): HeldResult | undefined => {
+  const matching = results.filter(
+    (result) =>
+      result.bytes === bytes &&
+      (expiresAtMs === undefined || Math.abs(result.expiresAtMs - expiresAtMs) <= MAX_EXPIRY_DIFFERENCE_MS),
+  );
+  return matching.find(({ evictable }) => evictable) ?? matching[0];
+};
+
 /** Returns the shares of the room of all servers that are occupied, and that are evictable. */
 export const readShares = (
   states: readonly ServerState[],
@@ -105,6 +130,7 @@
 export const createServerState = (server: BatchServer, nowMs: number): ServerState => ({
   server,
   calls: new Map(),
+  reservedBytes: new Map(),
   slowness: 1,
   slownessAtMs: nowMs,
   backoffUntilMs: 0,
--- a/packages/decide/src/batches/createBatchQueue.ts
+++ b/packages/decide/src/batches/createBatchQueue.ts
@@ -4,10 +4,10 @@
 import findUnservable from './_lib/findUnservable.js';
 import createNearbySlots from './_lib/createNearbySlots.js';
 import mayRun from './_lib/mayRun.js';
-import recordResults from './_lib/recordResults.js';
+import { recordBrokenCall, recordResults } from './_lib/recordResults.js';
 import createPieceTimes from './_lib/createPieceTimes.js';
 import {
-  createServerState,
+  findHeldResult,
   learnSlowness,
   readFreeInMs,
   readRoom,
@@ -31,6 +31,7 @@
   type WaitingPiece,
 } from './_lib/queuedJob.js';
 import { readOverdueMs, type RunningCall } from './_lib/runningCall.js';
+import updateServers from './_lib/updateServers.js';
 import type {
   BatchJob,
   BatchPoolState,
@@ -61,10 +62,10 @@
   advance(nowMs: number): BatchStep;
   /** Records the outcome of a call and returns the jobs that end with it. */
   finish(callId: number, outcome: CallOutcome, nowMs: number): readonly JobResult[];
-  /** Marks a result at a server as evictable when its room is needed. */
-  markEvictable(serverId: string, resultBytes: number): void;
+  /** Marks a result at a server as evictable when its room is needed. Its expiry tells it from others of the same size. */
+  markEvictable(serverId: string, bytes: number, expiresAtMs?: number): void;
   /** Frees the room of a result that is no longer needed. */
-  release(serverId: string, resultBytes: number): void;
+  release(serverId: string, bytes: number, expiresAtMs?: number): void;
   /** Returns the monotonic time of the next `advance` if no other event precedes it, or undefined. */
   nextCheckMs(nowMs: number): number | undefined;
   view(nowMs: number): BatchQueueView;
@@ -91,6 +92,8 @@
 
   private readonly servers = new Map<string, ServerState>();
 
+  private readonly unlisted = new Map<string, ServerState>();
+
   private readonly calls = new Map<number, RunningCall>();
 
   private readonly pieceTimes;
@@ -135,14 +138,7 @@
   }
 
   setServers(servers: readonly BatchServer[], nowMs: number): void {
-    const listed = new Set(servers.map(({ serverId }) => serverId));
-    [...this.servers.keys()].filter((id) => !listed.has(id)).forEach((id) => this.servers.delete(id));
-    servers.forEach((server) => {
-      const state = this.servers.get(server.serverId) ?? createServerState(server, nowMs);
-      state.server = server;
-      state.backoffUntilMs = Math.max(state.backoffUntilMs, server.restsUntilMs ?? 0);
-      this.servers.set(server.serverId, state);
-    });
+    updateServers({ listed: this.servers, unlisted: this.unlisted }, servers, nowMs);
   }
 
   /**
@@ -199,6 +195,7 @@
     }
     this.calls.delete(callId);
     call.state.calls.delete(callId);
+    call.state.reservedBytes.delete(callId);
     if (outcome.type === 'limited') {
       call.state.backoffUntilMs = Math.max(call.state.backoffUntilMs, outcome.untilMs);
       call.pieces.forEach(({ job, piece }) => takeBackPiece(this.jobs.get(job.jobId), piece));
@@ -206,13 +203,16 @@
     }
     if (outcome.type !== 'answered') {
       backOffServer(call.state, outcome.type, nowMs);
-      return this.settle(call, () => 'failed');
+      if (outcome.type === 'broken') {
+        recordBrokenCall(call, { spec: this.spec, nowMs });
+      }
+      return call.pieces.flatMap((piece) => this.settlePiece(piece, 'failed'));
     }
     const { state } = call;
     state.failures = 0;
     this.learnTimes(call, outcome, nowMs);
     recordResults(call, outcome.pieces, { spec: this.spec, nowMs });
-    return this.settle(call, (index) => outcome.pieces[index] ?? 'failed');
+    return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcome.pieces[index] ?? 'failed'));
   }
 
   private expire(nowMs: number): readonly JobResult[] {
@@ -243,20 +243,18 @@
     });
   }
 
-  markEvictable(serverId: string, resultBytes: number): void {
-    const held = this.servers.get(serverId)?.held.find(({ bytes, evictable }) => bytes === resultBytes && !evictable);
+  markEvictable(serverId: string, bytes: number, expiresAtMs?: number): void {
+    const kept = this.findState(serverId)?.held.filter(({ evictable }) => !evictable) ?? [];
+    const held = findHeldResult(kept, { bytes, expiresAtMs });
     if (held !== undefined) {
       held.evictable = true;
     }
   }
 
-  release(serverId: string, resultBytes: number): void {
-    const held = this.servers.get(serverId)?.held;
-    const evictableIndex = held?.findIndex(({ bytes, evictable }) => bytes === resultBytes && evictable) ?? -1;
-    const index = evictableIndex >= 0 ? evictableIndex : (held?.findIndex(({ bytes }) => bytes === resultBytes) ?? -1);
-    if (index >= 0) {
-      held?.splice(index, 1);
-    }
+  release(serverId: string, bytes: number, expiresAtMs?: number): void {
+    const held = this.findState(serverId)?.held ?? [];
+    const released = findHeldResult(held, { bytes, expiresAtMs });
+    held.splice(0, held.length, ...held.filter((result) => result !== released));
   }
 
   nextCheckMs(nowMs: number): number | undefined {
@@ -314,10 +312,11 @@
       entry.sends[piece] = (entry.sends[piece] ?? 0) + 1;
     });
     state.calls.set(callId, nowMs + expectedMs);
-    const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece }));
-    this.calls.set(callId, { state, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
+    const refs = pieces.map(({ job, piece }) => ({ jobId: job.jobId, piece, resultBytes: job.resultBytes }));
+    this.calls.set(callId, { state, server: state.server, pieces, sentAtMs: nowMs, expectedMs, overdue: false });
     const neededBytes = pieces.reduce((sum, { job }) => sum + job.resultBytes, 0);
     const needsEviction = neededBytes > readRoom(state, this.spec, nowMs).freeBytes;
+    state.reservedBytes.set(callId, neededBytes);
     return { callId, serverId: state.server.serverId, pieces: refs, expectedMs, needsEviction };
   }
 
@@ -333,11 +332,7 @@
       });
   }
 
-  /** Applies the outcome of each piece and returns the jobs that end. */
-  private settle(call: RunningCall, outcomeOf: (index: number) => PieceOutcome): readonly JobResult[] {
-    return call.pieces.flatMap((piece, index) => this.settlePiece(piece, outcomeOf(index)));
-  }
-
+  /** Applies the outcome of a piece and returns the job that ends with it. */
   private settlePiece(ref: WaitingPiece, outcome: PieceOutcome): readonly JobResult[] {
     const { jobId } = ref.job;
     const entry = this.jobs.get(jobId);
@@ -374,6 +369,10 @@
     }
   }
 
+  private findState(serverId: string): ServerState | undefined {
+    return this.servers.get(serverId) ?? this.unlisted.get(serverId);
+  }
+
   private workMs(pieces: readonly WaitingPiece[]): number {
     return pieces.reduce((sum, { job }) => sum + this.pieceTimes.read(job.kind), 0);
   }
--- a/packages/decide/src/batches/types.ts
+++ b/packages/decide/src/batches/types.ts
@@ -29,6 +29,8 @@
   readonly serverId: string;
   readonly failureDomain: string;
   readonly region?: string;
+  /** Identifies one start of the server. A restarted server holds no results. */
+  readonly startedAtMs?: number;
   /** Monotonic time before which the server accepts no calls. */
   readonly restsUntilMs?: number;
   /** Least time between two calls that its rate limit allows; undefined without a limit. */
@@ -40,6 +42,8 @@
   readonly jobId: string;
   /** Position among the pieces of the job. */
   readonly piece: number;
+  /** Expected size of the result. */
+  readonly resultBytes: number;
 }
 
 /** A call to send now. */
--- a/packages/gateway/src/stages/createBatchOwner.ts
+++ b/packages/gateway/src/stages/createBatchOwner.ts
@@ -10,7 +10,7 @@
 import type { PieceAnswer } from '../ports.js';
 import type { BatchOwner, BatchOwnerOptions } from './BatchOwner.js';
 import callWithCrashWatch from './callWithCrashWatch.js';
-import createResultRegistry from './createResultRegistry.js';
+import createResultRegistry, { type StoredResult } from './createResultRegistry.js';
 import createResultReleaser, { type ResultReleaser } from './createResultReleaser.js';
 import createPieceItem from './createPieceItem.js';
 import locateInputs from './locateInputs.js';
@@ -131,29 +131,32 @@
   }
 
   release(results: readonly string[]): void {
-    const byServer = new Map<string, string[]>();
+    const byServer = new Map<string, { readonly results: string[]; readonly stored: StoredResult[] }>();
     results.forEach((result) => {
       const stored = this.storedResults.take(result);
-      if (stored !== undefined) {
-        this.queue.release(stored.serverId, stored.resultBytes);
-      }
       // Results of calls of a previous owner use memory as well.
       const serverId = stored?.serverId ?? this.releaser.findServer(result)?.serverId;
       if (serverId !== undefined) {
-        byServer.set(serverId, [...(byServer.get(serverId) ?? []), result]);
+        const released = byServer.get(serverId) ?? { results: [], stored: [] };
+        byServer.set(serverId, released);
+        released.results.push(result);
+        released.stored.push(...(stored === undefined ? [] : [stored]));
       }
     });
-    byServer.forEach((released, serverId) => this.releaser.release(serverId, released));
-    if (byServer.size > 0) {
-      this.requestAdvance();
-    }
+    byServer.forEach(({ results: released, stored }, serverId) => {
+      // The memory counts as free once the server has answered: a call may overtake the release.
+      this.releaser.release(serverId, released).then(() => {
+        stored.forEach(({ resultBytes, expiresAtMs }) => this.queue.release(serverId, resultBytes, expiresAtMs));
+        this.requestAdvance();
+      });
+    });
   }
 
   markEvictable(results: readonly string[]): void {
     results.forEach((result) => {
       const stored = this.storedResults.markEvictable(result);
       if (stored !== undefined) {
-        this.queue.markEvictable(stored.serverId, stored.resultBytes);
+        this.queue.markEvictable(stored.serverId, stored.resultBytes, stored.expiresAtMs);
       }
     });
     this.requestAdvance();
@@ -269,11 +272,7 @@
     if (!limits.isLimited(serverId)) {
       return { type: 'granted', serverId };
     }
-    const decision = await limits.take({
-      queue: pool,
-      key: `call ${callId}`,
-      serverIds: [serverId],
-    });
+    const decision = await limits.take({ queue: pool, key: `call ${callId}`, serverIds: [serverId] });
     this.refresh();
     return decision;
   }
@@ -306,13 +305,12 @@
   private storeResults(call: PlannedCall, answers: readonly PieceAnswer[], serverId: string): void {
     const nowMs = this.options.clock.monotonicMs();
     const unused: string[] = [];
-    call.pieces.forEach(({ jobId, piece }, index) => {
+    call.pieces.forEach(({ jobId, piece, resultBytes }, index) => {
       const answer = answers[index];
       if (answer?.type !== 'done') {
         return;
       }
       const open = this.jobs.get(jobId);
-      const resultBytes = open?.job.resultBytes ?? 0;
       const expiresAtMs = nowMs + this.options.spec.keepResultMs;
       this.storedResults.add(answer.result, { serverId, resultBytes, expiresAtMs }, nowMs);
       if (open === undefined || open.results[piece] !== undefined) {
@@ -383,7 +381,7 @@
   /** Releases all evictable results at a server before a call that needs their memory. */
   private async evictResults(serverId: string): Promise<void> {
     const evicted = this.storedResults.takeEvictable(serverId);
-    evicted.forEach(({ resultBytes }) => this.queue.release(serverId, resultBytes));
+    evicted.forEach(({ resultBytes, expiresAtMs }) => this.queue.release(serverId, resultBytes, expiresAtMs));
     await this.releaser.release(serverId, [...evicted.keys()], { isUrgent: true });
   }
 }
