Bound what connections hold, one by one and together

Cause: Node parses all requests of one read of 64 KiB, up to 2,600, and holds them while one answer is slow or unread; the health listener had no guard; the number of connections and what they hold together had no bound.

Change: the connection guard passes what arrives to the parser in parts of 1 KiB and stops reading while a connection has 8 open requests or an answer that waits; what is left stays unparsed in the socket. It closes a connection whose client takes no byte of an answer for 60 s, the longest idle connection when all are taken (or the new one, if none is idle for 1 s), and, when all connections together hold too much, those that make no progress for longest. planConnections derives the bounds from memory and descriptors, which the settings may state (resources.memoryMb, maxDescriptors). The health listener has a guard and descriptors of its own. A metric counts connections closed by limit; the log has at most one line a second for each limit.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -69,3 +69,5 @@
 export { default as rankUrgency } from './queue/rankUrgency.js';
 export { default as decideHedge } from './hedge/decideHedge.js';
 export type { HedgeFacts, HedgeNorm } from './hedge/decideHedge.js';
+export { default as planConnections } from './connections/planConnections.js';
+export type { ConnectionResources, ListenerBounds } from './connections/planConnections.js';
--- a/packages/gateway/src/callers/createCallerServer.ts
+++ b/packages/gateway/src/callers/createCallerServer.ts
@@ -4,6 +4,7 @@
 import {
   createConnectionGuard,
   listenOnPort,
+  type ConnectionBounds,
   type ConnectionGuard,
   type ConnectionRefusal,
   type ListenOptions,
@@ -13,6 +14,7 @@
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions extends ListenOptions {
   readonly clock: Clock;
+  readonly bounds?: Partial<ConnectionBounds>;
   readonly onRequest: (exchange: CallerExchange) => void;
   /** Called when a connection is refused as a whole or gets no further request. */
   readonly onRefused: (refusal: ConnectionRefusal) => void;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -25,11 +25,27 @@
   }),
   /** Resources of this host; hosts with more of them own more duties. */
   resources: z.pipe(
-    z.object({ cpuShare: z.number(), coreSpeed: z.number(), linkMbps: z.number() }),
-    z.transform(({ cpuShare, coreSpeed, linkMbps }) => ({ cores: cpuShare * coreSpeed, linkMbps })),
+    z.object({
+      cpuShare: z.number(),
+      coreSpeed: z.number(),
+      linkMbps: z.number(),
+      /** By default, the memory of the system and 4,096 descriptors. */
+      memoryMb: z.optional(z.number()),
+      maxDescriptors: z.optional(z.number()),
+    }),
+    z.transform(({ cpuShare, coreSpeed, ...others }) => ({ cores: cpuShare * coreSpeed, ...others })),
   ),
   /** Address on which callers connect. */
   callers: targetSchema,
+  /** Limits of callers' connections in place of the defaults. */
+  callerConnections: z.optional(
+    z.object({
+      maxConnections: z.optional(z.number()),
+      maxHeldMb: z.optional(z.number()),
+      maxOpenRequests: z.optional(z.number()),
+      stallSeconds: z.optional(z.number()),
+    }),
+  ),
   /** Address of the health check of the load balancer, which fails while this host takes no requests. */
   health: targetSchema,
   /** First and last port of the range for links between hosts. */
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -2,14 +2,15 @@
 import { createLinkServer, type LinkMethod, type LinkServer } from '@bergamotcove/transport';
 import type CallerExchange from './callers/CallerExchange.js';
 import createCallerServer, { type CallerServer } from './callers/createCallerServer.js';
-import startHealthServer from './callers/startHealthServer.js';
+import boundConnections from './callers/boundConnections.js';
+import startHealthServer, { type HealthServer } from './callers/startHealthServer.js';
 import followCatalogue, { type CatalogueFollower } from './catalogue/followCatalogue.js';
 import createHostRegistry, { type HostRegistry } from './hosts/createHostRegistry.js';
 import createHostExchange, { type HostExchange } from './hosts/createHostExchange.js';
 import { SCHEDULER_DUTY } from './scheduling/createRegionScheduler.js';
 import createSchedulerClient from './scheduling/createSchedulerClient.js';
 import createRequestHandler from './requests/createRequestHandler.js';
-import reportRefusedConnection from './observe/reportRefusedConnection.js';
+import createRefusalReporter from './observe/createRefusalReporter.js';
 import reportEnd from './requests/reportEnd.js';
 import createAnswerMemory from './servers/createAnswerMemory.js';
 import createProcessChecks from './servers/createProcessChecks.js';
@@ -128,19 +129,23 @@
   });
 };
 
-const startCallers = (
-  { settings, watch, clock, logger, metrics }: BaseParts,
-  state: { readonly handle: HandleRequest },
-): Promise<CallerServer> =>
+const startCallers = (base: BaseParts, state: { readonly handle: HandleRequest }): Promise<CallerServer> =>
   createCallerServer({
-    ...settings.callers,
-    ...watch,
-    clock,
+    ...base.settings.callers,
+    ...base.watch,
+    clock: base.clock,
+    bounds: boundConnections(base.settings).callers,
     onRequest: (exchange) => state.handle(exchange),
-    onRefused: (refusal) => reportRefusedConnection(refusal, { logger, metrics }),
-    onNotAdmitted: (requests, openRequests) => logger.event('requestNotAdmitted', { requests, openRequests }),
+    onRefused: createRefusalReporter('callers', base),
+    onNotAdmitted: (requests, openRequests) => base.logger.event('requestNotAdmitted', { requests, openRequests }),
   });
 
+const startHealth = (base: BaseParts, isReady: () => boolean): Promise<HealthServer> => {
+  const bounds = boundConnections(base.settings).health;
+  const onRefused = createRefusalReporter('health', base);
+  return startHealthServer({ ...base.settings.health, ...base.watch, clock: base.clock, bounds, onRefused }, isReady);
+};
+
 interface SampledParts {
   readonly callers: CallerServer;
   readonly hosts: HostRegistry;
@@ -250,7 +255,7 @@
   const isReady = (): boolean => started.length > 0 && stop.times === undefined && tables.current() !== undefined;
   // The health check answers 503 while the start waits for the other ports. Other hosts reach this one last, because they
   // take a host that answers for one that serves.
-  const health = await startHealthServer({ ...settings.health, ...base.watch }, isReady);
+  const health = await startHealth(base, isReady);
   const requests = { handle: (request: CallerExchange): void => request.refuse(STARTING) };
   const callers = await startCallers(base, requests);
   tables.onChange(({ table }) => callers.setLimits(table.limits));
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -85,6 +85,8 @@
     'Streams of a route that are not recorded began at this pool and software version from now on; with an empty pool, they may have begun anywhere.',
   connectionRefused:
     'A connection gets no further request; `status` was written to it, or its open requests are answered.',
+  connectionsLimited:
+    'Connections of a listener were closed by a limit since the last line; `limit` names it. At most one line a second.',
   requestNotAdmitted: 'A request came on a connection that is about to be closed; it is neither run nor answered.',
   stageOwnerLost: 'The host that fills the batches of a pool did not answer; the next host gets the pieces.',
   requestDelayed: 'The scheduler expects a request to be late or refuses it; see the loads of the stage pools.',
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -70,6 +70,7 @@
   streamEventMisplaced: { id: 2216, level: 'warn' },
   connectionRefused: { id: 2217, level: 'info' },
   requestNotAdmitted: { id: 2218, level: 'info' },
+  connectionsLimited: { id: 2222, level: 'warn' },
   serverRestartUnlisted: { id: 2221, level: 'warn' },
   stageOwnerLost: { id: 2204, level: 'warn' },
   requestDelayed: { id: 2205, level: 'info' },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -103,6 +103,12 @@
     tags: ['reason', 'carried'],
     text: 'Connections of callers that get no further request, by reason and by what they carried then.',
   },
+  'connections.limited': {
+    type: 'counter',
+    unit: '1',
+    tags: ['listener', 'limit'],
+    text: 'Connections that were closed because a limit of their listener was reached, by listener and limit.',
+  },
   'host.open_requests': { type: 'gauge', unit: '1', tags: [], text: 'Requests of callers without a complete answer.' },
   'host.memory_bytes': { type: 'gauge', unit: 'B', tags: [], text: 'Resident memory of the process.' },
   'host.peers': { type: 'gauge', unit: '1', tags: [], text: 'Hosts of the system that are listed.' },
--- a/packages/transport/src/_lib/findConnectionPhase.ts
+++ b/packages/transport/src/_lib/findConnectionPhase.ts
@@ -20,14 +20,48 @@
   closing: boolean;
   phase: ConnectionPhase | undefined;
   phaseBeganMs: number;
+  /** Bytes that the parser got. */
+  parsedBytes: number;
+  /** Lower bound of the bytes of the newest request's body that the parser did not get yet. */
+  bodyLeftBytes: number;
+  /** Whether reading has stopped because the connection is full. */
+  isHeld: boolean;
+  /** What it held when it was measured last. */
+  heldBytes: number;
+  /** Bytes of answers that the system had taken, and when that changed. */
+  sentBytes: number;
+  progressMs: number;
+  /** When it was opened or its newest request came. */
+  activeMs: number;
 }
 
+/** Creates the state of a connection that was just opened. */
+export const createConnection = (socket: Socket, nowMs: number): Connection => ({
+  socket,
+  open: new Set(),
+  requests: 0,
+  newest: undefined,
+  newestRequest: undefined,
+  bodyError: undefined,
+  requestBytes: 0,
+  closing: false,
+  phase: undefined,
+  phaseBeganMs: 0,
+  parsedBytes: 0,
+  bodyLeftBytes: 0,
+  isHeld: false,
+  heldBytes: 0,
+  sentBytes: 0,
+  progressMs: nowMs,
+  activeMs: nowMs,
+});
+
 /** Clients may send an empty line after a request. */
 const EMPTY_LINE_BYTES = 2;
 
 /** Counts the bytes since the newest request, as far as they can be told from its own. */
-export const countHeadBytes = ({ socket, requestBytes }: Connection): number =>
-  Math.max(0, socket.bytesRead - requestBytes);
+export const countHeadBytes = ({ parsedBytes, requestBytes }: Connection): number =>
+  Math.max(0, parsedBytes - requestBytes);
 
 /**
  * Finds what a connection waits for.
--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -1,57 +1,16 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock } from '@bergamotcove/clock';
+import ConnectionMeter, { DEFAULT_BOUNDS, type ConnectionBounds } from './_lib/ConnectionMeter.js';
+import type { ConnectionGuard, ConnectionGuardOptions, ConnectionLimits } from './connectionTypes.js';
+import findIdle from './_lib/findIdle.js';
+import feedParser from './_lib/feedParser.js';
 import findConnectionPhase, {
   countHeadBytes,
+  createConnection,
   type Connection,
   type ConnectionPhase,
 } from './_lib/findConnectionPhase.js';
 
-/** Time limits of a connection that has no request. */
-export interface ConnectionLimits {
-  /** Limit from the first byte of a head to its end. */
-  readonly headerTimeoutMs: number;
-  /** Limit of the time without a byte before the first request and between two requests. */
-  readonly idleTimeoutMs: number;
-}
-
-/** What a connection held when it was refused. */
-export type ConnectionLoad = 'nothing' | 'part-of-head' | 'request';
-
-/** A connection that was refused as a whole, or that gets no further request. */
-export interface ConnectionRefusal {
-  /** Limit that has passed, or the code of the parser. */
-  readonly reason: string;
-  /** Status that was written; none if the open requests are answered instead. */
-  readonly status: number | undefined;
-  readonly carried: ConnectionLoad;
-  readonly requests: number;
-  readonly openRequests: number;
-  /** Bytes since the last request, which are the unfinished head. */
-  readonly headBytes: number;
-  readonly waitedMs: number;
-  /** Whether the process stood still while it waited. */
-  readonly stoodStill: boolean;
-}
-
-/** Options of {@link createConnectionGuard}. */
-export interface ConnectionGuardOptions {
-  readonly clock: Clock;
-  readonly limits: ConnectionLimits;
-  /** Called for one request of a connection at a time. It may have waited for its turn since it arrived. */
-  readonly onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void;
-  readonly onRefused?: (refusal: ConnectionRefusal) => void;
-  /** Called when a request comes on a connection that is about to be closed; it is neither run nor answered. */
-  readonly onNotAdmitted?: (requests: number, openRequests: number) => void;
-}
-
-/** Decides which requests of a connection are admitted, and when the connection is closed. */
-export interface ConnectionGuard {
-  setLimits(limits: ConnectionLimits): void;
-  /** Closes idle connections once what has come on them is read, and every other one after its last answer. */
-  drain(): void;
-}
-
 const MIN_INTERVAL_MS = 25;
 const MAX_INTERVAL_MS = 500;
 const INTERVALS_PER_LIMIT = 4;
@@ -121,11 +80,17 @@
   /** Value of `ranMs` at the end of the last standstill. */
   private stoodStillMs = -1;
 
+  private readonly bounds: ConnectionBounds;
+
+  private readonly meter: ConnectionMeter;
+
   constructor(
     private readonly server: Server,
     private readonly options: ConnectionGuardOptions,
   ) {
     this.limits = options.limits;
+    this.bounds = { ...DEFAULT_BOUNDS, ...options.bounds };
+    this.meter = new ConnectionMeter(this.bounds);
     const { onRequest } = options;
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('request', (request, response) => this.admit(request, response, onRequest));
@@ -170,24 +135,23 @@
   }
 
   private add(socket: Socket): void {
-    const connection: Connection = {
-      socket,
-      open: new Set(),
-      requests: 0,
-      newest: undefined,
-      newestRequest: undefined,
-      bodyError: undefined,
-      requestBytes: 0,
-      closing: false,
-      phase: undefined,
-      phaseBeganMs: 0,
-    };
+    const connection = createConnection(socket, this.ranMs);
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      this.meter.remove(connection);
       // The server reports this only to the answer that is being sent, not to the ones that wait behind it.
       process.nextTick(() => [...connection.open].forEach((response) => response.emit('close')));
     });
+    feedParser(
+      connection,
+      () => this.meter.isFull(connection),
+      () => this.measure(connection),
+    );
+    socket.on('drain', () => this.resume(connection));
+    if (this.connections.size > this.bounds.maxConnections) {
+      this.makeRoom(connection);
+    }
     if (!this.ticking) {
       this.ticking = true;
       this.tickedAtMs = this.options.clock.monotonicMs();
@@ -215,12 +179,14 @@
     connection.newest = response;
     connection.newestRequest = request;
     connection.bodyError = undefined;
-    connection.requestBytes = request.socket.bytesRead;
+    connection.requestBytes = connection.parsedBytes;
+    connection.bodyLeftBytes = Number(request.headers['content-length'] ?? 0);
     connection.phase = undefined;
     open.add(response);
+    this.renew(connection);
     request.once('end', () => {
       if (connection.newestRequest === request) {
-        connection.requestBytes = request.socket.bytesRead;
+        connection.requestBytes = connection.parsedBytes;
       }
     });
     response.once('close', () => this.release(connection, response));
@@ -239,6 +205,8 @@
   private release(connection: Connection, response: ServerResponse): void {
     const one = connection;
     one.open.delete(response);
+    this.measure(one);
+    this.resume(one);
     if (one.newest === response) {
       one.newest = undefined;
     }
@@ -249,6 +217,48 @@
     }
   }
 
+  /** Lists a connection behind the ones that have been idle for longer. */
+  private renew(connection: Connection): void {
+    const one = connection;
+    one.activeMs = this.ranMs;
+    this.connections.delete(one.socket);
+    this.connections.set(one.socket, one);
+    this.measure(one);
+  }
+
+  /** Reads on when a connection holds less. */
+  private resume(connection: Connection): void {
+    const one = connection;
+    if (one.isHeld && !this.meter.isFull(one) && !one.socket.destroyed) {
+      one.isHeld = false;
+      one.socket.resume();
+    }
+  }
+
+  private measure(connection: Connection): void {
+    if (this.connections.has(connection.socket)) {
+      this.meter.measure(connection);
+      if (this.meter.isOver) {
+        this.meter.selectShed(this.connections.values()).forEach((one) => this.cut(one, 'memory'));
+      }
+    }
+  }
+
+  /** Closes the connection that has been idle for longest, or the new one if none has been idle for a while. */
+  private makeRoom(connection: Connection): void {
+    this.cut(findIdle(this.connections.values(), this.ranMs) ?? connection, 'connections');
+  }
+
+  /** Closes a connection at once, with the answers that it is owed. */
+  private cut(connection: Connection, reason: string): void {
+    const one = connection;
+    this.report(one, reason, undefined);
+    one.closing = true;
+    this.connections.delete(one.socket);
+    this.meter.remove(one);
+    one.socket.destroy();
+  }
+
   private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
     if (connection === undefined || error.code === 'ECONNRESET' || socket.destroyed) {
@@ -312,6 +322,12 @@
     if (this.tickIsLate) {
       this.stoodStillMs = this.ranMs;
     }
+    this.connections.forEach((connection) => {
+      this.measure(connection);
+      if (this.meter.isStalled(connection, this.ranMs)) {
+        this.cut(connection, 'unread-answers');
+      }
+    });
     const over = [...this.connections.values()].filter((connection) => this.isOver(connection));
     if (!this.tickIsLate || wasLate) {
       // Timers run before sockets are read, so a request that has come in time may not be parsed yet.
--- a/packages/transport/src/createHttpServer.ts
+++ b/packages/transport/src/createHttpServer.ts
@@ -2,7 +2,8 @@
 import net, { type AddressInfo } from 'node:net';
 import { createSystemClock } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
-import createConnectionGuard, { type ConnectionRefusal } from './createConnectionGuard.js';
+import type { ConnectionRefusal } from './connectionTypes.js';
+import createConnectionGuard from './createConnectionGuard.js';
 import TransportError from './TransportError.js';
 
 /** One request and its response, with the parsed path and query. */
