--- a/packages/transport/src/createConnectionGuard.ts
+++ b/packages/transport/src/createConnectionGuard.ts
@@ -226,12 +226,15 @@
     this.measure(one);
   }
 
-  /** Reads on when a connection holds less. */
+  /**
+   * Reads on when a connection holds less, in a later round of the event loop: requests that are answered at once would
+   * otherwise keep it for as long as the client sends. When this host stops, what was not read by then is not served.
+   */
   private resume(connection: Connection): void {
     const one = connection;
-    if (one.isHeld && !this.meter.isFull(one) && !one.socket.destroyed) {
+    if (one.isHeld && !this.draining && !this.meter.isFull(one)) {
       one.isHeld = false;
-      one.socket.resume();
+      setImmediate(() => one.socket.resume());
     }
   }
 
