Log whether an attempt was given up because its server was silent

Cause: the line attemptEnded said 'unknown' both for an engine that failed and for one that this host's idle timeout gave up, so that the hypotheses of the stream that was cut at a stop could not be told apart. Change: a field 'silent' on attemptEnded. No decision changes.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -243,7 +243,7 @@
     await tracked.end(classifyEnd({ opened, result, timedOut, requestEnded: this.answer.ended }));
     // Nothing was sent to a server that has started again, so the next attempt is no retry.
     const retryReserved = timedOut || isReplaced || this.finder.isExpired;
-    return result.type === 'ended' && retryReserved ? { ...result, retryReserved } : result;
+    return result.type === 'ended' ? { ...result, retryReserved, silent: timedOut } : result;
   }
 
   /** Starts the idle timeout of an attempt. It applies only to streams that another engine may run again. */
@@ -298,8 +298,9 @@
     const fallback: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
     const decision = allowed ? preferred : fallback;
     const { requestId, fingerprint } = this.request;
+    const { silent = false } = result;
     reportAttempt(
-      { requestId, fingerprint, server, end: result.end.type, decision, allowed, runs, sends, remainingMs },
+      { requestId, fingerprint, server, end: result.end.type, silent, decision, allowed, runs, sends, remainingMs },
       this.ports,
     );
     return this.applyDecision(decision, server, result);
--- a/packages/gateway/src/requests/reportAttempt.ts
+++ b/packages/gateway/src/requests/reportAttempt.ts
@@ -9,6 +9,8 @@
   readonly server: ServerView;
   readonly end: AttemptEnd['type'];
   readonly decision: RetryDecision;
+  /** Whether this host gave up the attempt because its server sent nothing. */
+  readonly silent: boolean;
   /** False when the retry budget denied a retry. */
   readonly allowed: boolean;
   readonly runs: number;
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -25,6 +25,8 @@
   readonly unrecorded?: boolean;
   /** Whether the retry is already charged to the budget. */
   readonly retryReserved?: boolean;
+  /** Whether this host gave up the attempt because its server sent nothing. */
+  readonly silent?: boolean;
 }
 
 /** Result of an attempt. */
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -70,7 +70,8 @@
   engineOrdered: 'An engine accepted an order.',
   engineOrderFailed: 'An engine did not accept an order; the next round sends it again.',
   requestEnded: 'A request of a route ended; see outcome, reason and times.',
-  attemptEnded: 'An attempt gave no answer to pass on; see the decision and the counts behind it.',
+  attemptEnded:
+    'An attempt gave no answer to pass on; see the decision and the counts behind it. `silent`: this host gave it up because its server sent nothing.',
   streamOriginUnknown:
     'A caller takes up a stream, and it cannot be known at which software version it began; it is refused.',
   streamOriginsNotStored:
