Keep a silent run until another server has got its request

Callers saw: a stream that had begun ended without its last events when its host stopped, although no engine had failed. Cause: the idle timeout ended the run of an engine that was only silent, before another engine had been found. The stage results that a new run needs were released when the first one began, so the stream was 'between two attempts' for as long as the stages and a place took; at a stop, 'refuse-unsent' breaks off such streams. Change: an attempt is abandoned in the moment in which its successor is sent, and no sooner. Until then the stages run again, a place is found and the connection is made while the silent engine keeps the request; when it sends data again, the search ends. Nothing of an abandoned answer is passed on. The retry is charged when the successor is sent. A host that stops moves no silent run.

--- a/packages/gateway/src/requests/AnswerReader.ts
+++ b/packages/gateway/src/requests/AnswerReader.ts
@@ -56,7 +56,7 @@
 
 const MIN_REDIRECT_STATUS = 300;
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
-/** A stream that pauses this long is resumed at another server; callers give up after two seconds or more. */
+/** A stream that pauses this long moves to another server, if one takes it; callers give up after two seconds or more. */
 const STREAM_IDLE_TIMEOUT_MS = 1_500;
 
 /** Reads the answers to the attempts of one request, and relays streams as they arrive. */
@@ -152,6 +152,7 @@
     };
     idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
     const end = await relayStream(response, this.run.exchange, {
+      signal: idleTimeout.signal,
       position: this.position,
       confirm: async () => (await this.run.binding.confirm()) && !this.run.answer.ended,
       onBytes: sendHead,
@@ -161,6 +162,7 @@
         idleTimeout.restart(STREAM_IDLE_TIMEOUT_MS);
       },
     });
+    idleTimeout.close();
     if (end.type === 'complete' && !(await this.endedInCrash(server, response)) && !this.run.answer.ended) {
       sendHead();
       this.run.exchange.finish(end.rest);
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -1,34 +1,31 @@
 import {
   decideRetry,
-  computeIdleTimeoutMs,
+  findContinuers,
+  isPermitted,
+  type AttemptEnd,
   type RetryDecision,
   type RouteIndex,
   type ServerView,
 } from '@bergamotcove/decide';
 import { STOPPING_RETRY_AFTER_MS, type default as CallerExchange, type StopPhase } from '../callers/CallerExchange.js';
-import runStages from '../stages/runStages.js';
+import runStages, { type StagesOutcome } from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
+import Attempt, { type AttemptedRun, type AttemptTarget } from './Attempt.js';
 import chooseServedPool from './chooseServedPool.js';
 import estimateWork from './estimateWork.js';
 import findUnservedMs from './findUnservedMs.js';
 import type { ForwardPorts } from './ForwardPorts.js';
-import formatAttemptHeaders from './formatAttemptHeaders.js';
 import HeldResults from './HeldResults.js';
 import isRepeatable from './isRepeatable.js';
-import openChecked from './openChecked.js';
 import reportAttempt from './reportAttempt.js';
-import trackAttempt, { classifyEnd } from './trackAttempt.js';
-import startIdleTimeout, { type IdleTimeout } from './startIdleTimeout.js';
-import Reservation, { DEFAULT_ANSWER_MS } from './Reservation.js';
+import Reservation from './Reservation.js';
 import RunAnswer from './RunAnswer.js';
 import StreamBinding from './StreamBinding.js';
-import ServerFinder, { NO_SERVER_RETRY_AFTER_MS } from './ServerFinder.js';
+import ServerFinder, { NO_SERVER_RETRY_AFTER_MS, type PlacedRun } from './ServerFinder.js';
 import RunRecord, { type ForwardEnd } from './RunRecord.js';
-import type { AttemptResult, EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
+import type { EndedAttempt, ForwardRequest, WholeAnswer } from './types.js';
 
 const TIMED_OUT_RETRY_AFTER_MS = 100;
-/** Time after sending by which a server has fetched the stage results that the attempt names. */
-const RESULT_FETCH_MS = 80;
 /** Limit on the runs of the stages of a request. They run again when results are lost with their servers. */
 const MAX_STAGE_ROUNDS = 3;
 
@@ -52,23 +49,21 @@
 
   private readonly reader: AnswerReader;
 
-  private readonly finder: ServerFinder;
+  private readonly placed: PlacedRun;
+
+  private readonly attempted: AttemptedRun;
+
+  private attempt: Attempt | undefined;
 
   private readonly binding: StreamBinding;
 
   private stageRounds = 0;
 
-  /** Time to the first token of the attempt, as predicted by the scheduler. */
-  private expectedFirstTokenMs: number | undefined;
-
   private entryRequested = false;
 
   /** Monotonic time at which the scheduler expects the answer to begin. */
   private expectedAtMs = -Infinity;
 
-  /** Whether the server has begun to answer the current attempt. */
-  private isAnswering = false;
-
   constructor(
     private readonly request: ForwardRequest,
     private readonly index: RouteIndex,
@@ -86,9 +81,14 @@
     this.binding = new StreamBinding(request, this.pool, ports);
     this.reservation = new Reservation(request, this.pool, ports);
     const { record, answer, results, reservation, binding, pool, work, avoidServers } = this;
-    const placed = { request, pool, work, avoidServers, record, answer, results, reservation, binding };
-    this.finder = new ServerFinder({ ...placed, signal: this.abort.signal }, ports);
-    this.reader = new AnswerReader({ request, exchange, record, answer, results, reservation, binding }, ports);
+    const { signal } = this.abort;
+    this.placed = { request, pool, work, avoidServers, record, answer, results, reservation, binding, signal };
+    const answered = { ...this.placed, answer, exchange };
+    this.reader = new AnswerReader(answered, ports);
+    const { reader } = this;
+    const findSuccessor = (silent: ServerView, silence: AbortSignal) => this.findSuccessor(silent, silence);
+    const mayMove = () => this.mayMove() && ports.spendRetry(pool);
+    this.attempted = { ...answered, reader, findSuccessor, mayMove };
   }
 
   /** Serves the request until it is answered or has failed; never rejects. */
@@ -120,30 +120,39 @@
   private async serve(): Promise<void> {
     this.refuseBlocked();
     this.refuseUnserved();
-    while (!this.answer.ended) {
+    this.attempt = await this.startNext();
+    while (this.attempt !== undefined) {
       // Each step depends on the previous one.
       /* eslint-disable no-await-in-loop */
-      if (!(await this.requestEntry()) || !(await this.ensureStageResults())) {
-        return;
-      }
-      const found = await this.finder.find();
-      this.refuseBlocked();
-      if (found === undefined || this.answer.ended) {
-        return;
-      }
-      const { server } = found;
-      this.expectedFirstTokenMs = found.expectedFirstTokenMs;
-      const result = await this.sendAttempt(server);
-      /* eslint-enable no-await-in-loop */
+      const { server, result: ending } = this.attempt;
+      const result = await ending;
       if (result.type === 'delivered' || this.answer.ended) {
         return;
       }
-      if (!this.handleAttemptEnd(server, result)) {
-        return;
+      const { successor } = this.attempt;
+      if (successor !== undefined) {
+        this.avoidServers.push(server.serverId);
+        this.report(server, result, { decision: 'send-again', allowed: true });
       }
+      this.attempt = successor ?? (this.handleAttemptEnd(server, result) ? await this.startNext() : undefined);
+      /* eslint-enable no-await-in-loop */
     }
   }
 
+  /** Starts an attempt at a server that can serve the request now; undefined when the request ends first. */
+  private async startNext(): Promise<Attempt | undefined> {
+    if (this.answer.ended || !(await this.requestEntry()) || !(await this.ensureStageResults())) {
+      return undefined;
+    }
+    const finder = new ServerFinder(this.placed, this.ports);
+    const found = await finder.find();
+    this.refuseBlocked();
+    if (found === undefined || this.answer.ended) {
+      return undefined;
+    }
+    return new Attempt({ ...found, finder }, this.attempted, this.ports);
+  }
+
   /** Asks the scheduler once to admit a request that has stages. False when the request has ended. */
   private async requestEntry(): Promise<boolean> {
     if (this.entryRequested || this.request.route.stages.length === 0) {
@@ -177,21 +186,7 @@
     if (this.results.complete) {
       return true;
     }
-    this.stageRounds += 1;
-    const { clock, stages: client, failureDomain } = this.ports;
-    const options = { signal: this.abort.signal, round: this.stageRounds };
-    const ports = {
-      clock,
-      client,
-      index: this.index,
-      ...this.reservation.describeStages(failureDomain),
-      onStageEnded: (stage: number, elapsedMs: number) => {
-        this.record.noteStage(stage, elapsedMs);
-        this.reservation.endStage(stage);
-      },
-    };
-    const outcome = await runStages(this.request, ports, options);
-    this.record.noteStages();
+    const outcome = await this.runStages(this.abort.signal);
     if (outcome.type === 'failed') {
       const shouldRepeat = outcome.reason === 'input-gone' && this.stageRounds < MAX_STAGE_ROUNDS && !this.answer.ended;
       if (!shouldRepeat) {
@@ -199,113 +194,123 @@
       }
       return shouldRepeat ? this.ensureStageResults() : false;
     }
-    this.results.keep(outcome.results, ports.regionOf);
     if (this.answer.ended) {
       this.results.release();
     }
     return !this.answer.ended;
   }
 
-  private async sendAttempt(server: ServerView): Promise<AttemptResult> {
-    const { clock } = this.ports;
-    const { fingerprint, partKeys } = this.request;
-    // On a kept connection, an earlier answer that the server repeats would bear the id of this attempt too.
-    const freshConnection = this.record.hasSentTo(server);
-    this.record.noteSend(server);
-    const tracked = trackAttempt(server, { tokens: this.work.tokens, fingerprint, partKeys }, this.ports);
-    const idleTimeout = this.startAttemptTimeout();
-    let sentAtMs = clock.monotonicMs();
-    const attempt = {
-      server,
-      request: this.request,
-      binding: this.binding,
-      freshConnection,
-      formatHeaders: () => this.formatHeaders(server),
-      signal: AbortSignal.any([this.abort.signal, idleTimeout.signal]),
-      onSending: () => {
-        this.record.noteSending();
-        sentAtMs = clock.monotonicMs();
-        clock.schedule(RESULT_FETCH_MS, () => this.results.markEvictable());
+  /** Runs the stages once, and keeps their results. */
+  private async runStages(signal: AbortSignal): Promise<StagesOutcome> {
+    this.stageRounds += 1;
+    const { clock, stages: client, failureDomain } = this.ports;
+    const ports = {
+      clock,
+      client,
+      index: this.index,
+      ...this.reservation.describeStages(failureDomain),
+      onStageEnded: (stage: number, elapsedMs: number) => {
+        this.record.noteStage(stage, elapsedMs);
+        this.reservation.endStage(stage);
       },
-      maySend: () => this.exchange.isOpen && !this.answer.ended && this.finder.maySend(server),
     };
-    const { opened, isReplaced } = await openChecked(attempt, this.ports);
-    this.isAnswering = opened.type === 'head' && !opened.facts.notRun;
-    if (this.isAnswering) {
-      tracked.noteAnswering();
+    const outcome = await runStages(this.request, ports, { signal, round: this.stageRounds });
+    this.record.noteStages();
+    if (outcome.type === 'done') {
+      this.results.keep(outcome.results, ports.regionOf);
     }
-    const result = await this.reader.read(server, opened, { idleTimeout, onOutput: tracked.noteOutput, sentAtMs });
-    idleTimeout.close();
-    this.record.noteAttemptEnd();
-    this.isAnswering = false;
-    this.reservation.noteAttemptEnd(opened.type === 'failed' && !this.answer.ended ? 'failed' : 'ended');
-    const timedOut = idleTimeout.expired;
-    await tracked.end(classifyEnd({ opened, result, timedOut, requestEnded: this.answer.ended }));
-    // Nothing was sent to a server that has started again, so the next attempt is no retry.
-    const retryReserved = timedOut || isReplaced || this.finder.isExpired;
-    return result.type === 'ended' ? { ...result, retryReserved, silent: timedOut } : result;
+    return outcome;
   }
 
-  /** Starts the idle timeout of an attempt. It applies only to streams that another engine may run again. */
-  private startAttemptTimeout(): IdleTimeout {
-    const { clock, spendRetry } = this.ports;
-    const { route, deadlineAtMs } = this.request;
-    const { expectedFirstTokenMs = DEFAULT_ANSWER_MS } = this;
-    const mayRepeat = route.kind === 'stream' && this.repeatable && this.record.runs + 1 < route.maxAttempts;
-    return startIdleTimeout({
-      clock,
-      limitMs: mayRepeat ? computeIdleTimeoutMs(expectedFirstTokenMs) : undefined,
-      mayExpire: () =>
-        !this.answer.ended && clock.monotonicMs() + expectedFirstTokenMs < deadlineAtMs && spendRetry(this.pool),
+  /**
+   * Finds another engine for a stream whose engine is silent, and makes the stage results that it needs again. The silent
+   * engine may still deliver, so the request goes on there if none can be found.
+   */
+  private async findSuccessor(silent: ServerView, silence: AbortSignal): Promise<AttemptTarget | undefined> {
+    const avoidServers = [...this.avoidServers, silent.serverId];
+    if (!this.mayMove() || !this.hasOtherServer(avoidServers)) {
+      return undefined;
+    }
+    const signal = AbortSignal.any([this.abort.signal, silence]);
+    if (!this.results.complete) {
+      const outcome = await this.runStages(signal);
+      if (signal.aborted) {
+        this.results.release();
+      }
+      if (outcome.type === 'failed' || signal.aborted) {
+        return undefined;
+      }
+    }
+    const answer = { refuse: () => undefined, ended: false };
+    signal.addEventListener('abort', () => {
+      answer.ended = true;
     });
+    const finder = new ServerFinder({ ...this.placed, avoidServers, answer, signal }, this.ports);
+    const found = await finder.find();
+    return found === undefined || avoidServers.includes(found.server.serverId) ? undefined : { ...found, finder };
   }
 
-  private formatHeaders(server: ServerView): readonly string[] {
-    const { request } = this;
-    return formatAttemptHeaders(
-      request.headers,
-      {
-        serverId: server.serverId,
-        remainingMs: request.deadlineAtMs - this.ports.clock.monotonicMs(),
-        organisation: request.organisation?.name,
-        results: this.results.last,
-        lastEventId: this.reader.position.lastEventId,
-        priority: request.priority,
-      },
-      this.ports.format,
-    );
+  /**
+   * Whether another attempt may take over from the current one. A host that stops leaves silent runs alone: a run that
+   * begins anew would hardly end before the host does.
+   */
+  private mayMove(): boolean {
+    const runs = this.record.runs + (this.attempt?.isAnswering === true ? 0 : 1);
+    const isStopping = this.ports.drain() !== undefined;
+    return !this.answer.ended && !isStopping && this.decide({ type: 'unknown' }, runs) === 'send-again';
+  }
+
+  private hasOtherServer(avoidServers: readonly string[]): boolean {
+    const { directory, residency } = this.ports;
+    const { servers } = directory.view(this.pool);
+    const softwareVersion = this.binding.requiredVersion;
+    const regions = residency.findRegions(this.request);
+    return (
+      softwareVersion === undefined ? servers : findContinuers(servers, { pool: this.pool, softwareVersion })
+    ).some(({ serverId, region }) => !avoidServers.includes(serverId) && isPermitted(regions, region));
   }
 
   /** Decides what follows an attempt that did not deliver and applies it; true when the request is sent again. */
   private handleAttemptEnd(server: ServerView, result: EndedAttempt): boolean {
-    const { clock, pools, spendRetry } = this.ports;
+    const { spendRetry } = this.ports;
     if (result.unrecorded === true) {
       this.answer.refuse('origin-unrecorded', NO_SERVER_RETRY_AFTER_MS);
       return false;
     }
-    const remainingMs = this.request.deadlineAtMs - clock.monotonicMs();
-    const { runs, sends } = this.record;
-    const preferred = decideRetry({
-      end: result.end,
-      repeatable: this.repeatable,
-      runs,
-      sends,
-      maxAttempts: this.request.route.maxAttempts,
-      remainingMs,
-      usualMs: pools.typicalUnitMs(this.pool),
-    });
+    const preferred = this.decide(result.end, this.record.runs);
     const allowed = preferred !== 'send-again' || result.retryReserved === true || spendRetry(this.pool);
     const fallback: RetryDecision = result.answer === undefined ? 'give-up' : 'pass-on';
     const decision = allowed ? preferred : fallback;
-    const { requestId, fingerprint } = this.request;
-    const { silent = false } = result;
-    reportAttempt(
-      { requestId, fingerprint, server, end: result.end.type, silent, decision, allowed, runs, sends, remainingMs },
-      this.ports,
-    );
+    this.report(server, result, { decision, allowed });
     return this.applyDecision(decision, server, result);
   }
 
+  private decide(end: AttemptEnd, runs: number): RetryDecision {
+    const { clock, pools } = this.ports;
+    const { route, deadlineAtMs } = this.request;
+    return decideRetry({
+      end,
+      repeatable: this.repeatable,
+      runs,
+      sends: this.record.sends,
+      maxAttempts: route.maxAttempts,
+      remainingMs: deadlineAtMs - clock.monotonicMs(),
+      usualMs: pools.typicalUnitMs(this.pool),
+    });
+  }
+
+  private report(
+    server: ServerView,
+    { end, silent = false }: EndedAttempt,
+    outcome: { readonly decision: RetryDecision; readonly allowed: boolean },
+  ): void {
+    const { requestId, fingerprint, deadlineAtMs } = this.request;
+    const { runs, sends } = this.record;
+    const remainingMs = deadlineAtMs - this.ports.clock.monotonicMs();
+    const attempt = { requestId, fingerprint, server, end: end.type, silent, runs, sends, remainingMs };
+    reportAttempt({ ...attempt, ...outcome }, this.ports);
+  }
+
   private applyDecision(decision: RetryDecision, server: ServerView, result: EndedAttempt): boolean {
     switch (decision) {
       case 'send-again':
@@ -361,7 +366,7 @@
   /** Refuses a request that is blocked, or has a blocked part in its prompt, unless its answer is already arriving. */
   private refuseBlocked(): void {
     const block = this.ports.crashes.findBlock(this.request);
-    if (block !== undefined && !this.isAnswering && !this.answer.ended) {
+    if (block !== undefined && this.attempt?.isAnswering !== true && !this.answer.ended) {
       this.record.noteBlock(block.key);
       this.answer.refuse('poisoned', block.remainingMs);
     }
--- a/packages/gateway/src/requests/RunRecord.ts
+++ b/packages/gateway/src/requests/RunRecord.ts
@@ -38,8 +38,8 @@
 export default class RunRecord {
   runs = 0;
 
-  /** Whether an attempt has been sent and has not ended. */
-  isInFlight = false;
+  /** Number of attempts that were sent and have not ended; two while one takes over from another. */
+  private attemptsInFlight = 0;
 
   private readonly serverIds: string[] = [];
 
@@ -115,22 +115,27 @@
     serverIds.forEach((serverId) => this.limitedServerIds.add(serverId));
   }
 
+  /** Whether an attempt has been sent and has not ended. */
+  get isInFlight(): boolean {
+    return this.attemptsInFlight > 0;
+  }
+
   /** Whether a server may have begun to run the request. */
   get mayHaveRun(): boolean {
     return this.isInFlight || this.runs > 0;
   }
 
   noteSending(): void {
-    this.isInFlight = true;
+    this.attemptsInFlight += 1;
   }
 
   noteRun(mayHaveRun: boolean): void {
     this.runs += mayHaveRun ? 1 : 0;
   }
 
-  /** Ends the attempt in flight; whether it may have run is noted before. */
+  /** Ends an attempt that was sent; whether it may have run is noted before. */
   noteAttemptEnd(): void {
-    this.isInFlight = false;
+    this.attemptsInFlight -= 1;
   }
 
   noteFirstByte(): void {
--- a/packages/gateway/src/requests/ServerFinder.ts
+++ b/packages/gateway/src/requests/ServerFinder.ts
@@ -21,7 +21,7 @@
   /** Servers that failed this request and are avoided. */
   readonly avoidServers: readonly string[];
   readonly record: RunRecord;
-  readonly answer: RunAnswer;
+  readonly answer: Pick<RunAnswer, 'ended' | 'refuse'>;
   readonly results: HeldResults;
   readonly reservation: Reservation;
   readonly binding: StreamBinding;
--- a/packages/gateway/src/requests/openChecked.ts
+++ b/packages/gateway/src/requests/openChecked.ts
@@ -48,9 +48,12 @@
     const facts = { refused: check === 'refused', isFlooding: check === 'flooding' };
     return { opened: { type: 'failed', failure, ...facts }, isReplaced: check === 'replaced' };
   }
-  binding.prepare(server);
   const opened = await openAttempt(pools.clientOf(server.pool), format, {
     ...attempt,
+    onSending: () => {
+      attempt.onSending();
+      binding.prepare(server);
+    },
     target: server,
     requestId: request.requestId,
     method: request.method,
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -18,6 +18,8 @@
 
 /** Options of {@link relayStream}. */
 export interface RelayOptions {
+  /** Aborted when the attempt is abandoned; nothing is relayed from then on. */
+  readonly signal: AbortSignal;
   /** Position of the caller, which the relayed events advance. */
   readonly position: StreamPosition;
   /** Asked once, when the stream has its first events; they are held until it resolves to true. */
@@ -68,7 +70,7 @@
 
   start(): void {
     const { response } = this;
-    if (response.destroyed) {
+    if (response.destroyed || this.options.signal.aborted) {
       // The connection broke before the listeners were attached, so no event would follow.
       this.end(() => ({ type: 'broken' }));
       return;
@@ -81,6 +83,7 @@
     });
     response.on('error', () => this.end(() => ({ type: 'broken' })));
     response.on('close', () => this.end(() => ({ type: 'broken' })));
+    this.options.signal.addEventListener('abort', () => this.finish({ type: 'broken' }), { once: true });
   }
 
   private receive(chunk: Buffer): void {
--- a/packages/gateway/src/requests/startIdleTimeout.ts
+++ b/packages/gateway/src/requests/startIdleTimeout.ts
@@ -1,13 +1,13 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 
-/** Idle timeout of one attempt. */
+/** Idle timeout of one attempt. A silent server keeps the attempt until it is abandoned. */
 export interface IdleTimeout {
-  /** Aborted when the timeout expires. */
+  /** Aborted when the attempt is abandoned. */
   readonly signal: AbortSignal;
-  /** Whether the timeout has expired. Then the retry is already charged to the budget. */
-  readonly expired: boolean;
   /** Restarts the timeout with the given limit because the server sent data. */
   restart(limitMs: number): void;
+  /** Ends the attempt because another server has got the request. */
+  abandon(): void;
   close(): void;
 }
 
@@ -16,13 +16,21 @@
   readonly clock: Clock;
   /** Limit of the time to the first byte; undefined for an attempt that must not be abandoned. */
   readonly limitMs: number | undefined;
-  /** Called when the limit has passed: charges the retry to the budget, or returns false to let the attempt go on. */
-  readonly mayExpire: () => boolean;
+  /**
+   * Called when the limit has passed: looks for a server that takes over. It is called again a while after it has
+   * resolved, as long as the server is silent. The signal is aborted when the server sends data or the attempt ends.
+   */
+  readonly onSilent: (silence: AbortSignal) => Promise<void>;
 }
 
+/** Time between two searches for a server that takes over from a silent one. */
+const SEARCH_PAUSE_MS = 500;
+
 class ActivityTimeout implements IdleTimeout {
   private readonly abort = new AbortController();
 
+  private silence = new AbortController();
+
   private timer: Timer | undefined;
 
   constructor(private readonly options: IdleTimeoutOptions) {
@@ -33,27 +41,34 @@
     return this.abort.signal;
   }
 
-  get expired(): boolean {
-    return this.abort.signal.aborted;
-  }
-
   restart(limitMs: number): void {
-    if (this.options.limitMs !== undefined) {
+    this.close();
+    if (this.options.limitMs !== undefined && !this.signal.aborted) {
+      this.silence = new AbortController();
       this.arm(limitMs);
     }
   }
 
+  abandon(): void {
+    this.timer?.close();
+    this.abort.abort();
+  }
+
   close(): void {
     this.timer?.close();
+    this.silence.abort();
   }
 
   private arm(limitMs: number | undefined): void {
-    this.timer?.close();
-    if (limitMs !== undefined && !this.expired) {
+    const { signal } = this.silence;
+    if (limitMs !== undefined && !signal.aborted && !this.signal.aborted) {
       this.timer = this.options.clock.schedule(limitMs, () => {
-        if (this.options.mayExpire()) {
-          this.abort.abort();
-        }
+        const searchAgain = (): void => {
+          if (!signal.aborted) {
+            this.arm(SEARCH_PAUSE_MS);
+          }
+        };
+        this.options.onSilent(signal).then(searchAgain, searchAgain);
       });
     }
   }
@@ -62,7 +77,7 @@
 /**
  * Starts the idle timeout of an attempt. Call it when the attempt is sent.
  *
- * @param options - clock, limit and confirmation callback
+ * @param options - clock, limit and search for a server that takes over
  * @returns the timeout; close it when the attempt has ended
  */
 export default function startIdleTimeout(options: IdleTimeoutOptions): IdleTimeout {
