Refuse at once what is expected to end after a host that stops

Callers saw: a request that a stopping host still accepted, and that could not end in time, was broken off or answered 504 at the end of the grace. Cause: the check compared the time at which the answer is expected to begin with the end of the stop, not the time at which it is expected to end. Change: the expected work is added, and the check is repeated before the first send.

--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -147,6 +147,7 @@
     const finder = new ServerFinder(this.placed, this.ports);
     const found = await finder.find();
     this.refuseBlocked();
+    this.refuseBeyondDrain();
     if (found === undefined || this.answer.ended) {
       return undefined;
     }
@@ -170,9 +171,13 @@
     return !this.answer.ended;
   }
 
-  /** Refuses a request that is expected to reach a server only when this host has stopped. */
+  /** Refuses a request that no server has and whose answer is expected to end only after this host has stopped. */
   private refuseBeyondDrain(): void {
-    if (!this.record.mayHaveRun && this.expectedAtMs > (this.ports.drain()?.endsAtMs ?? Infinity)) {
+    const { drain, clock, pools } = this.ports;
+    const { endsAtMs = Infinity } = drain() ?? {};
+    const workMs = this.work.tokens * pools.typicalUnitMs(this.pool);
+    const sentAtMs = Math.max(clock.monotonicMs(), this.expectedAtMs);
+    if (!this.record.mayHaveRun && sentAtMs + workMs > endsAtMs) {
       this.refuseStopping();
     }
   }
