Charge a move of a silent run only when nothing else forbids it

Cause: the retry was charged before the residency and the process at the server's address were checked, so a move that did not take place cost a retry. Change: the check that charges comes last. By reading; no test.

--- a/packages/gateway/src/requests/openChecked.ts
+++ b/packages/gateway/src/requests/openChecked.ts
@@ -61,9 +61,9 @@
     headers: formatHeaders(),
     body: request.body,
     maySend: (socket) =>
-      attempt.maySend() &&
       residency.permits(request, server.region) &&
-      (!isChecked || processChecks.accept(check, server, socket)),
+      (!isChecked || processChecks.accept(check, server, socket)) &&
+      attempt.maySend(),
   });
   return { opened, isReplaced: false };
 }
