Take no message whose Connection header names a field that it depends on

Cause: filterHeaders removes what Connection names, and the answer was judged before, with these fields. The same held for the id, the length and the type of an answer, and for callers' requests: their fields were read, and the server got the request without them.

Change: an answer whose Connection header names a field on which it depends counts as none, so the next server is asked or the caller gets 502. Such a request is refused with 400 before anything is sent. What is judged is now what is passed on. Fields that concern only the connection are removed as before.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -97,6 +97,10 @@
 export interface RequestFormat {
   /** Names of callers' headers that are not forwarded, in lower case, in addition to hop-by-hop headers. */
   readonly withheld: ReadonlySet<string>;
+  /** Names of the headers on which the meaning of a request depends, in lower case. */
+  readonly requestFields: ReadonlySet<string>;
+  /** Names of the headers on which the meaning of an answer depends, in lower case. */
+  readonly answerFields: ReadonlySet<string>;
   readRequest(headers: IncomingHttpHeaders): RequestFacts;
   /** Formats the headers of an attempt; names and values alternate. */
   formatAttempt(attempt: AttemptFacts): readonly string[];
--- a/packages/gateway/src/requests/createRequestHandler.ts
+++ b/packages/gateway/src/requests/createRequestHandler.ts
@@ -21,6 +21,7 @@
 import type { ForwardPorts } from './ForwardPorts.js';
 import ForwardRun from './ForwardRun.js';
 import type { ForwardEnd } from './RunRecord.js';
+import dropsEndToEndField from './dropsEndToEndField.js';
 import filterHeaders from './filterHeaders.js';
 import type { ForwardRequest } from './types.js';
 import { isResumable } from '../streams/createStreamOrigins.js';
@@ -126,6 +127,10 @@
       this.reject(exchange, facts, matched.refusal);
       return;
     }
+    if (dropsEndToEndField(exchange.request.rawHeaders, format.requestFields)) {
+      this.reject(exchange, facts, { status: 400, reason: 'bad-request' });
+      return;
+    }
     const { clock } = this.options;
     const { maxBodyBytes, idleTimeoutMs } = index.table.limits;
     const deadlineAtMs = findDeadline(exchange, facts, matched.route);
--- a/packages/gateway/src/requests/filterHeaders.ts
+++ b/packages/gateway/src/requests/filterHeaders.ts
@@ -1,3 +1,5 @@
+import listConnectionOptions from './listConnectionOptions.js';
+
 /** Hop-by-hop headers, which are never forwarded. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -12,16 +14,6 @@
   'expect',
 ]);
 
-const listConnectionOptions = (rawHeaders: readonly string[]): ReadonlySet<string> => {
-  const options = new Set<string>();
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toLowerCase() === 'connection') {
-      (rawHeaders[index + 1] ?? '').split(',').forEach((name) => options.add(name.trim().toLowerCase()));
-    }
-  }
-  return options;
-};
-
 /**
  * Selects the headers to forward: removes hop-by-hop headers, those that the Connection header names, and the withheld
  * ones. Order and spelling are kept.
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptFailure } from '@bergamotcove/decide';
 import { isFlooding, TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
 import isConnectionRefused from './isConnectionRefused.js';
+import dropsEndToEndField from '../requests/dropsEndToEndField.js';
 import filterHeaders from '../requests/filterHeaders.js';
 import type { AnswerHead } from '../requests/types.js';
 import type { AnswerFacts, RequestFormat, ServerNotice } from '../ports.js';
@@ -60,13 +61,19 @@
  * Whether the response is this server's answer to this attempt. On a kept-alive connection, a late or duplicate answer
  * to an earlier attempt can arrive instead.
  */
-const isOwnAnswer = (call: AttemptCall, response: IncomingMessage, facts: AnswerFacts): boolean => {
+const isOwnAnswer = (
+  call: AttemptCall,
+  response: IncomingMessage,
+  facts: AnswerFacts,
+  answerFields: ReadonlySet<string>,
+): boolean => {
   const status = response.statusCode ?? 0;
   const success = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
   return (
     facts.requestId === call.requestId &&
     (facts.signed || !success) &&
-    response.headers['content-encoding'] === undefined
+    response.headers['content-encoding'] === undefined &&
+    !dropsEndToEndField(response.rawHeaders, answerFields)
   );
 };
 
@@ -100,7 +107,7 @@
       },
     });
     const facts = format.readAnswer(response.statusCode ?? 0, response.headers);
-    if (!isOwnAnswer(call, response, facts)) {
+    if (!isOwnAnswer(call, response, facts, format.answerFields)) {
       response.destroy();
       const failure = { type: 'invalid-answer' } as const;
       const failed = { type: 'failed', failure, refused: false } as const;
