Ignore the answer of a host in trouble to the exchange between hosts

What callers saw: a peer that answered hosts.sync with null, text or a packed message of another shape ended the process that read it; all requests that it was serving were cut.

Cause: the answer was applied in the handler of a fulfilled call, whose rejection nobody waits for, so Node.js ended the process (unhandledRejection). The fields were not checked before.

Change: an answer is unpacked and its fields are checked before any of it is applied. One that cannot be read is logged as peerMessageInvalid and changes nothing; the next turn asks another host.

--- a/packages/gateway/src/hosts/createHostExchange.ts
+++ b/packages/gateway/src/hosts/createHostExchange.ts
@@ -1,5 +1,6 @@
 import type { EraTracker } from '@bergamotcove/backends';
 import type { Clock, Timer } from '@bergamotcove/clock';
+import { toError } from '@bergamotcove/errors';
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import comparePositions, { type StorePosition } from '../catalogue/comparePositions.js';
@@ -11,6 +12,7 @@
 import type { BlockExchange } from '../crashes/createBlockSharing.js';
 import type { BlockNotice } from '../crashes/messages.js';
 import type { HostEntry, HostRecord, HostRegistry } from './createHostRegistry.js';
+import matchesShape, { type Shape } from './matchesShape.js';
 
 /** Exchanges newer state between hosts, so that a host without access to the store stays up to date. */
 export interface HostExchange {
@@ -62,6 +64,19 @@
   readonly blocks?: readonly BlockNotice[];
 }
 
+const SYNC_RESPONSE: Shape = {
+  'table?': { text: 'string', revision: 'number' },
+  'servers?': {
+    servers: [{ serverId: 'string', text: 'string', revision: 'number' }],
+    revision: 'number',
+    'era?': 'number',
+  },
+  'agreedOrigins?': 'string',
+  'evacuations?': { era: 'number', revision: 'number', domains: ['string'] },
+  'hosts?': [{ key: 'string', text: 'string' }],
+  'blocks?': [{ fingerprint: 'string', remainingMs: 'number', 'release?': 'string' }],
+};
+
 /** Interval of the requests, each to one other host; random jitter of up to a quarter is added or subtracted. */
 const INTERVAL_MS = 1_000;
 const SYNC = 'hosts.sync';
@@ -166,13 +181,27 @@
   }
 
   private requestNewer(target: Target, hosts: HostRegistry): void {
+    // A host that does not answer, or not with a state, gets another request in a later turn.
     this.options.links.call(target, SYNC, this.describeState(hosts)).then(
-      (response) => this.apply(unpackMessage(response as PackedMessage) as SyncResponse, target, hosts),
-      // A host that does not answer gets another request in a later turn.
+      (response) => this.applyAnswer(response, target, hosts),
       () => undefined,
     );
   }
 
+  /** Applies the answer of a host; one that cannot be read changes nothing. */
+  private applyAnswer(answer: unknown, target: Target, hosts: HostRegistry): void {
+    try {
+      const response = unpackMessage(answer as PackedMessage);
+      if (!matchesShape(response, SYNC_RESPONSE)) {
+        throw new Error('the answer to hosts.sync has missing or wrong fields');
+      }
+      this.apply(response as SyncResponse, target, hosts);
+    } catch (cause) {
+      const peer = `${target.address}:${target.port}`;
+      this.options.logger.event('peerMessageInvalid', { peer, error: toError(cause).message });
+    }
+  }
+
   private apply(
     { table, servers, evacuations: evacuated, agreedOrigins, hosts: listed, blocks: notices = [] }: SyncResponse,
     target: Target,
