Take a permission to send without its fields for no answer

What callers saw: the host that hands out the sends to a limited server answered null, and the process that asked ended with all its requests; with other shapes, the connection of each request for such a server was closed without an answer.

Cause: the answer was used in a handler whose rejection nobody waits for, and its fields were read unchecked by the request that waited.

Change: the answer is read as one of its variants, inside the promise that waits for it. One that is none counts as silence: the host is not asked for a while, and the request goes to another server.

--- a/packages/gateway/src/limits/createOwnerCalls.ts
+++ b/packages/gateway/src/limits/createOwnerCalls.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@bergamotcove/clock';
 import { TransportError, type LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import type { Shape } from '../hosts/matchesShape.js';
+import readVariant from '../hosts/readVariant.js';
 import scheduleSilence from '../hosts/scheduleSilence.js';
 import type { LimitDuty } from './createLimitDuty.js';
 import type { PaceTable } from './createPaceTable.js';
@@ -35,6 +37,23 @@
   readonly paces: Pick<PaceTable, 'rateOf'>;
 }
 
+const NOTICES: Shape = [
+  { serverId: 'string', pool: 'string', startedAtMs: 'number', agoMs: 'number', 'requestsPerSecond?': 'number' },
+];
+const TAKE_ANSWERS: Readonly<Record<TakeAnswer['type'], Shape>> = {
+  granted: { serverId: 'string', notices: NOTICES },
+  later: { inMs: 'number', notices: NOTICES },
+  'not-owner': {},
+};
+
+const readTakeAnswer = (message: unknown): TakeAnswer => {
+  const answer = readVariant<TakeAnswer>(message, TAKE_ANSWERS);
+  if (answer === undefined) {
+    throw new Error('the answer to limits.take has missing or wrong fields');
+  }
+  return answer;
+};
+
 /** Time limits for the answer of the host that hands out sends; the request is sent elsewhere after that. */
 const ANSWER_TIMEOUT_MS = 120;
 const REMOTE_ANSWER_TIMEOUT_MS = 250;
@@ -75,13 +94,11 @@
         });
         links
           .call(owner.target, TAKE_SEND, paces.length === 0 ? request : { ...request, paces, askedBy })
-          .then(
-            (answer) => resolve(checkPaced(owner, answer as TakeAnswer)),
-            (cause: unknown) => {
-              noteFailed(owner, cause);
-              resolve(undefined);
-            },
-          )
+          .then((message) => checkPaced(owner, readTakeAnswer(message)))
+          .then(resolve, (cause: unknown) => {
+            noteFailed(owner, cause);
+            resolve(undefined);
+          })
           .finally(() => timer.close());
       }),
     report: (owner, paces) => {
