Count an unreadable answer about outputs as none

What callers saw: after the crash of a server, a host asks all others what output they have seen. One that answered null or another shape ended the process that asked; texts in place of numbers made the evidence NaN.

Cause: queryHosts used the answer in a handler whose rejection nobody waits for.

Change: an answer that makes its receiver throw counts as none, and the tally checks the fields first.

--- a/packages/gateway/src/crashes/createOutputTally.ts
+++ b/packages/gateway/src/crashes/createOutputTally.ts
@@ -2,6 +2,7 @@
 import type { OutputQuery, OutputSummary, PartEvidence } from '@bergamotcove/decide';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
+import matchesShape, { type Shape } from '../hosts/matchesShape.js';
 import { SUMMARISE_OUTPUTS, type OutputAnswer, type OutputParams } from './messages.js';
 import queryHosts from './queryHosts.js';
 
@@ -21,6 +22,7 @@
   readonly summarise: (query: OutputQuery) => OutputSummary;
 }
 
+const OUTPUT_ANSWER: Shape = { lastOutputAgesMs: ['number'], outputCounts: ['number'] };
 /** Hosts that do not answer within this time count as having seen no output. */
 const ANSWER_LIMIT_MS = 300;
 
@@ -66,6 +68,9 @@
     const params: OutputParams = { pool, parts, crashAgesMs: crashesAtMs.map((atMs) => nowMs - atMs) };
     const others = hosts?.list().filter(({ hostId }) => hostId !== hosts.self.hostId) ?? [];
     const onAnswer = (answer: unknown): boolean => {
+      if (!matchesShape(answer, OUTPUT_ANSWER)) {
+        return false;
+      }
       const { lastOutputAgesMs, outputCounts } = answer as OutputAnswer;
       const lastOutputsAtMs = lastOutputAgesMs.map((ageMs) => (ageMs === null ? undefined : nowMs - ageMs));
       summary = merge(summary, { lastOutputsAtMs, outputCounts });
--- a/packages/gateway/src/crashes/queryHosts.ts
+++ b/packages/gateway/src/crashes/queryHosts.ts
@@ -8,7 +8,7 @@
   readonly params: object;
   /** Time after which the answers that are still missing are not awaited any more. */
   readonly limitMs: number;
-  /** Called with each answer; true when no more answers are needed. */
+  /** Called with each answer; true when no more answers are needed. An answer that makes it throw counts as none. */
   readonly onAnswer: (answer: unknown) => boolean;
 }
 
@@ -44,14 +44,10 @@
       }
     };
     hosts.forEach(({ target }) => {
-      links.call(target, method, params).then(
-        (answer) => {
-          if (!settled) {
-            settle(onAnswer(answer));
-          }
-        },
-        () => settle(false),
-      );
+      links
+        .call(target, method, params)
+        .then((answer) => !settled && onAnswer(answer))
+        .then(settle, () => settle(false));
     });
   });
 }
