Treat a scheduler that answers without the fields of an answer as silent

What callers saw: the connection of each staged request was closed without an answer while the scheduler of the region answered 'admitted' without regions.

Cause: the fields were read unchecked, and the exception ended the request.

Change: the answer is read as one of its variants; anything else counts as silence, for which the request is admitted without the scheduler and the next host is asked.

--- a/packages/gateway/src/scheduling/createSchedulerClient.test.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
+import listBrokenAnswers from '../testing/listBrokenAnswers.js';
 import createSchedulerClient, { type SchedulerClientOptions } from './createSchedulerClient.js';
+import type { PlaceRequest } from './messages.js';
 
 const REQUEST = { requestId: 'a', value: 1, stages: [], dueInMs: 1_000, deadlineInMs: 3_000, generation: undefined };
 
@@ -124,3 +126,30 @@
   ]);
   assert.deepEqual(entry.type === 'admitted' && [entry.region, entry.regions], ['r2', ['r1']]);
 });
+
+listBrokenAnswers().forEach(({ name, answer }) =>
+  test(`a scheduler that answers with ${name} counts as silent, and the request is admitted without it`, async () => {
+    const { events, silent, calls, client } = createFixture();
+    const entering = client.enter(REQUEST);
+    calls[0]?.resolve(answer);
+    assert.deepEqual(await entering, {
+      type: 'admitted',
+      region: 'r',
+      tier: 'on-time',
+      expectedInMs: undefined,
+      answerMs: undefined,
+      failureDomain: undefined,
+      regions: [],
+    });
+    assert.deepEqual([silent, events], [['other'], ['schedulerLost']]);
+  }),
+);
+
+[null, true, 5, 'abc', { serverId: 5 }, { serverId: 's1', laterInMs: 'x' }, { firstTokenMs: {} }].forEach((answer) =>
+  test(`a scheduler that names an engine with ${JSON.stringify(answer)} has named none`, async () => {
+    const { silent, calls, client } = createFixture();
+    const placing = client.place('r', {} as PlaceRequest);
+    calls[0]?.resolve(answer);
+    assert.deepEqual([await placing, silent], [{}, ['other']]);
+  }),
+);
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -3,6 +3,8 @@
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import matchesShape, { type Shape } from '../hosts/matchesShape.js';
+import readVariant from '../hosts/readVariant.js';
 import scheduleSilence from '../hosts/scheduleSilence.js';
 import { SCHEDULER_DUTY, type RegionScheduler } from './createRegionScheduler.js';
 import {
@@ -59,6 +61,33 @@
   readonly region: string;
 }
 
+const ENTER_ANSWERS: Readonly<Record<EnterAnswer['type'], Shape>> = {
+  admitted: {
+    tier: 'string',
+    'expectedInMs?': 'number',
+    'answerMs?': 'number',
+    'failureDomain?': 'string',
+    regions: ['string'],
+  },
+  refused: { retryAfterMs: 'number' },
+  elsewhere: { region: 'string' },
+};
+const PLACE_ANSWER: Shape = { 'serverId?': 'string', 'firstTokenMs?': 'number', 'laterInMs?': 'number' };
+
+const readEnterAnswer = (answer: unknown): EnterAnswer | undefined => readVariant<EnterAnswer>(answer, ENTER_ANSWERS);
+
+const readPlaceAnswer = (answer: unknown): PlaceAnswer | undefined =>
+  matchesShape(answer, PLACE_ANSWER) ? (answer as PlaceAnswer) : undefined;
+
+/** A call to the scheduler of a region. */
+interface SchedulerCall<Answer> {
+  readonly method: string;
+  readonly request: object;
+  readonly limitMs: number;
+  /** Reads the answer; undefined when it is none. */
+  readonly read: (answer: unknown) => Answer | undefined;
+}
+
 /** A scheduler in the own region answers in a few milliseconds; requests do not wait for one that hangs. */
 const ANSWER_TIMEOUT_MS = 120;
 const REMOTE_ANSWER_TIMEOUT_MS = 250;
@@ -103,7 +132,8 @@
     if (this.isLocal(owner)) {
       return this.options.local.place(request);
     }
-    return ((await this.callOwner(owner, PLACE, request, this.limitAnswerMs(region))) as PlaceAnswer | undefined) ?? {};
+    const limitMs = this.limitAnswerMs(region);
+    return (await this.callOwner(owner, { method: PLACE, request, limitMs, read: readPlaceAnswer })) ?? {};
   }
 
   note(region: string, note: RequestNote): void {
@@ -149,9 +179,10 @@
     if (owner === undefined) {
       return undefined;
     }
+    const limitMs = this.limitAnswerMs(region);
     return this.isLocal(owner)
       ? this.options.local.enter(request)
-      : ((await this.callOwner(owner, ENTER, request, this.limitAnswerMs(region))) as EnterAnswer | undefined);
+      : this.callOwner(owner, { method: ENTER, request, limitMs, read: readEnterAnswer });
   }
 
   private recordEntry(request: Omit<EnterRequest, 'visiting'>, entry: EntryResult): EntryResult {
@@ -211,8 +242,11 @@
     }
   }
 
-  /** Calls a host. Undefined when it does not answer in time; other hosts are asked then for a while. */
-  private callOwner(owner: HostEntry, method: string, request: object, limitMs: number): Promise<unknown> {
+  /** Calls a host. Undefined when it gives no answer in time; other hosts are asked then for a while. */
+  private callOwner<Answer>(
+    owner: HostEntry,
+    { method, request, limitMs, read }: SchedulerCall<Answer>,
+  ): Promise<Answer | undefined> {
     const { clock, hosts, links, logger } = this.options;
     return new Promise((resolve) => {
       let hasFailed = false;
@@ -227,7 +261,10 @@
       const timer = scheduleSilence(clock, limitMs, fail);
       links
         .call(owner.target, method, request)
-        .then(resolve, fail)
+        .then((message) => {
+          const answer = read(message);
+          return answer === undefined ? fail() : resolve(answer);
+        }, fail)
         .finally(() => timer.close());
     });
   }
