Run a stage at another owner when its owner answers without results

Cause: the answer was cast to its type and stored as it was.

Change: an answer without a result for each piece counts as a lost owner, so the next owner gets the job, as after a broken link. The fixture's job now states its one piece.

--- a/packages/gateway/src/stages/createStageClient.test.ts
+++ b/packages/gateway/src/stages/createStageClient.test.ts
@@ -1,10 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createManualClock } from '@bergamotcove/clock';
+import listBrokenAnswers from '../testing/listBrokenAnswers.js';
 import createStageClient, { type StageClientOptions } from './createStageClient.js';
 import type { StageJob, StageJobResult } from './messages.js';
 
-const JOB = { jobId: 'j', pool: 'p', requestId: 'r', stage: 0, dueInMs: 1_000, expiresInMs: 3_000 } as StageJob;
+const JOB = {
+  pieceCount: 1,
+  jobId: 'j',
+  pool: 'p',
+  requestId: 'r',
+  stage: 0,
+  dueInMs: 1_000,
+  expiresInMs: 3_000,
+} as StageJob;
 const DONE: StageJobResult = { type: 'done', results: ['a'] };
 
 /** One host in region `home` and two in region `other`; `answer` is the reply of a host of `other` to a job. */
@@ -66,3 +75,11 @@
   assert.equal(result.type, 'failed');
   assert.deepEqual(asked, ['far-1', 'far-2']);
 });
+
+listBrokenAnswers().forEach(({ name, answer }) =>
+  test(`a job whose owner answers with ${name} is run by another owner`, async () => {
+    const { asked, run } = createFixture(() => Promise.resolve(answer as StageJobResult));
+    assert.deepEqual(await run(), DONE);
+    assert.deepEqual(asked, ['far-1', 'self']);
+  }),
+);
--- a/packages/gateway/src/stages/createStageClient.ts
+++ b/packages/gateway/src/stages/createStageClient.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@bergamotcove/clock';
 import { isPermitted } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
-import type { LinkClient } from '@bergamotcove/transport';
+import { TransportError, type LinkClient } from '@bergamotcove/transport';
 import type { HostEntry, HostRegistry } from '../hosts/createHostRegistry.js';
+import type { Shape } from '../hosts/matchesShape.js';
+import readVariant from '../hosts/readVariant.js';
 import type { BatchOwners } from './createBatchOwners.js';
 import {
   CANCEL_STAGE,
@@ -33,6 +35,20 @@
 
 const OWNER_LOST: StageJobResult = { type: 'failed', reason: 'failed', retryAfterMs: 500 };
 
+const JOB_RESULTS: Readonly<Record<StageJobResult['type'], Shape>> = {
+  done: { results: ['string'] },
+  failed: { reason: 'string', 'retryAfterMs?': 'number' },
+};
+
+/** Reads the outcome of a job; throws when the answer is none, or does not have a result for each piece. */
+const readJobResult = (answer: unknown, { pieceCount }: StageJob): StageJobResult => {
+  const result = readVariant<StageJobResult>(answer, JOB_RESULTS);
+  if (result === undefined || (result.type === 'done' && result.results.length !== pieceCount)) {
+    throw new TransportError('invalid-message', 'the answer to a stage job has missing or wrong fields');
+  }
+  return result;
+};
+
 /** Limit on the calls to owners for one job. */
 const MAX_OWNER_ATTEMPTS = 4;
 
@@ -108,7 +124,7 @@
     };
     signal.addEventListener('abort', cancel, { once: true });
     try {
-      return isLocal ? await local.run(job) : ((await links.call(owner.target, RUN_STAGE, job)) as StageJobResult);
+      return isLocal ? await local.run(job) : readJobResult(await links.call(owner.target, RUN_STAGE, job), job);
     } finally {
       signal.removeEventListener('abort', cancel);
     }
