--- a/packages/gateway/src/catalogue/createCatalogueRelay.ts
+++ b/packages/gateway/src/catalogue/createCatalogueRelay.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod, Target } from '@bergamotcove/transport';
 import type { HostEntry } from '../hosts/createHostRegistry.js';
+import matchesShape, { type Shape } from '../hosts/matchesShape.js';
 import comparePositions from './comparePositions.js';
 import type { CatalogueBatch, CatalogueLog, CatalogueSnapshot } from './createCatalogueLog.js';
 import { packMessage, unpackMessage, type PackedMessage } from '../packMessage.js';
@@ -75,6 +76,18 @@
   readonly afterEra?: number;
 }
 
+const MISSING_CHANGES: Shape = {
+  'era?': 'number',
+  fromRevision: 'number',
+  toRevision: 'number',
+  changes: [{ key: 'string', 'value?': 'string', revision: 'number' }],
+};
+const SNAPSHOT: Shape = {
+  'era?': 'number',
+  revision: 'number',
+  entries: [{ key: 'string', value: 'string', revision: 'number' }],
+};
+
 const PUSH = 'catalogue.push';
 const READ = 'catalogue.read';
 /** Interval of heartbeats while nothing changes. */
@@ -232,11 +245,13 @@
     links
       .call(target, READ, request)
       .then((answer) => {
-        const missing = unpackMessage(answer as PackedMessage) as CatalogueBatch | CatalogueSnapshot;
-        if ('entries' in missing) {
-          log.replace(missing);
+        const missing = unpackMessage(answer as PackedMessage);
+        if (matchesShape(missing, SNAPSHOT)) {
+          log.replace(missing as CatalogueSnapshot);
+        } else if (matchesShape(missing, MISSING_CHANGES)) {
+          log.apply(missing as CatalogueBatch);
         } else {
-          log.apply(missing);
+          throw new Error('the answer to catalogue.read has missing or wrong fields');
         }
       })
       .catch((cause: unknown) => {
