Fail a peer call whose answer names another call

What callers saw: a host or bergamotctl that called a peer over HTTP waited for ever when the answer was '[]', a number, an object without fields or the answer to another call; bergamotctl never ended.

Cause: the JSON-RPC library ignores an answer whose id it does not know, and the time limit of the call ends with its HTTP answer.

--- a/packages/transport/src/peers/createPeerClient.ts
+++ b/packages/transport/src/peers/createPeerClient.ts
@@ -75,6 +75,8 @@
         try {
           const answer = await sendCall(http, target, JSON.stringify(request), { ...clientOptions, ...options });
           client.receive(JSON.parse(answer));
+          // An answer that names another call, or none, would leave this one open for ever.
+          client.rejectAllPendingRequests('the answer is not to this call');
         } catch (cause) {
           failure = cause;
           throw cause;
