Close a link whose peer answers a call that is not open

What callers saw: a batch owner in trouble answered a stage with the id of no call, and went on answering pings. The request waited until its deadline, and a host that was behind never asked a relay again.

Cause: the JSON-RPC library ignores an answer whose id it does not know, and pings keep the link.

Change: the link knows the ids of its open calls, and is closed at any other answer. Its calls fail as lost, so the next host is asked.

--- a/packages/transport/src/links/createLinkClient.ts
+++ b/packages/transport/src/links/createLinkClient.ts
@@ -1,5 +1,6 @@
 import net, { type Socket } from 'node:net';
 import { JSONRPCClient } from 'json-rpc-2.0/dist/client.js';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
 import type { Target } from '../createHttpClient.js';
@@ -44,6 +45,11 @@
 
   private readonly rpc: JSONRPCClient;
 
+  /** Ids of the calls and pings that have no answer yet. */
+  private readonly openIds = new Set<unknown>();
+
+  private lastId = 0;
+
   private pendingCalls = 0;
 
   private lastReceivedAtMs: number;
@@ -56,10 +62,13 @@
   ) {
     this.lastReceivedAtMs = options.clock.monotonicMs();
     this.socket = net.connect({ host: target.address, port: target.port, noDelay: true });
-    this.rpc = new JSONRPCClient((message) => {
-      this.socket.write(`${JSON.stringify(message)}\n`);
-    });
-    const read = createLineReader((line) => this.rpc.receive(JSON.parse(line)));
+    this.rpc = new JSONRPCClient(
+      (message) => {
+        this.socket.write(`${JSON.stringify(message)}\n`);
+      },
+      () => this.takeId(),
+    );
+    const read = createLineReader((line) => this.receive(JSON.parse(line) as JSONRPCResponse));
     this.socket.on('data', (chunk) => {
       this.lastReceivedAtMs = options.clock.monotonicMs();
       try {
@@ -97,6 +106,20 @@
     }
   }
 
+  private takeId(): number {
+    this.lastId += 1;
+    this.openIds.add(this.lastId);
+    return this.lastId;
+  }
+
+  /** Hands an answer to its call. After one that names no open call, the peer's other answers cannot be trusted. */
+  private receive(answer: JSONRPCResponse): void {
+    if (!this.openIds.delete(answer.id)) {
+      throw new TransportError('invalid-message', 'the peer answered a call that is not open');
+    }
+    this.rpc.receive(answer);
+  }
+
   private connect(): Promise<void> {
     return new Promise((resolve, reject) => {
       const fail = (): void => {
--- a/packages/transport/src/links/links.test.ts
+++ b/packages/transport/src/links/links.test.ts
@@ -127,3 +127,63 @@
   client.close();
   endless.close();
 });
+
+/** Calls a peer that answers pings, and each call with a line of its own. */
+const callWrongPeer = async (formatLine: (id: number) => string): Promise<unknown> => {
+  const sockets: net.Socket[] = [];
+  const peer = net.createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) =>
+      chunk
+        .toString('utf8')
+        .split('\n')
+        .filter((line) => line !== '')
+        .forEach((line) => {
+          const { id, method } = JSON.parse(line) as { readonly id: number; readonly method: string };
+          socket.write(method === 'ping' ? `{"jsonrpc":"2.0","id":${id},"result":true}\n` : `${formatLine(id)}\n`);
+        }),
+    );
+  });
+  await new Promise<void>((resolve) => {
+    peer.listen(0, '127.0.0.1', resolve);
+  });
+  const client = createLinkClient(LIMITS);
+  const { port } = peer.address() as net.AddressInfo;
+  try {
+    return await client.call({ address: '127.0.0.1', port }, 'any', {});
+  } finally {
+    client.close();
+    sockets.forEach((socket) => socket.destroy());
+    peer.close();
+  }
+};
+
+[
+  'HTTP/1.1 200 OK',
+  '{',
+  'null',
+  '5',
+  '[]',
+  '[null]',
+  '{}',
+  '{"jsonrpc":"2.0","result":1}',
+  '{"jsonrpc":"2.0","id":{},"result":1}',
+  '{"jsonrpc":"2.0","id":999,"result":1}',
+  `{"id":${'['.repeat(100_000)}${']'.repeat(100_000)}}`,
+].forEach((line) =>
+  test(`a call fails when the peer sends ${line.slice(0, 40)}, although it answers pings`, () =>
+    assert.rejects(
+      callWrongPeer(() => line),
+      { code: 'connection-lost' },
+    )),
+);
+
+test('a call fails when its answer has neither a result nor an error, or an error of another shape', async () => {
+  for (const rest of ['', ',"error":null', ',"error":5', ',"error":{}', ',"error":{"code":"x","message":"%s %d"}']) {
+    await assert.rejects(
+      callWrongPeer((id) => `{"jsonrpc":"2.0","id":${id}${rest}}`),
+      { code: 'invalid-message' },
+    );
+  }
+});
