Take an output that is nested too deeply for no answer

What callers saw: a stage server answered with 100,000 nested lists. The entry host that read it ended when it wrote the output as an event; a caller without a stream got 500 (internal error).

Cause: serializing such a value exceeds the stack, in an observer whose exceptions nobody handles.

Change: an output of more than 500 levels is an invalid answer, so the next server is asked. The text of peerMessageInvalid names the answers that it now covers.

--- a/packages/backends/src/brokenAnswers.test.ts
+++ b/packages/backends/src/brokenAnswers.test.ts
@@ -97,6 +97,7 @@
   'a list': '[null]',
   'an object without fields': '{"header":null,"kvs":5,"result":5,"ID":{},"attemptId":5,"running":"x"}',
   'very deep JSON': deep,
+  'a very deep output': `{"attemptId":"a1","output":${deep}}`,
   'an object with very deep fields': `{"header":${deep},"result":${deep},"ID":${deep},"hosts":${deep},"running":${deep}}`,
 };
 
@@ -131,3 +132,15 @@
     }),
   );
 });
+
+[1, 500].forEach((levels) =>
+  test(`an output of ${levels} levels is passed on`, async () => {
+    const output = '['.repeat(levels) + ']'.repeat(levels);
+    assert.equal(await read(callStage({}), formatBody(`{"attemptId":"a1","output":${output}}`)), undefined);
+  }),
+);
+
+test('an output of 501 levels is no answer', async () => {
+  const output = '['.repeat(501) + ']'.repeat(501);
+  assert.ok(isOwnError(await read(callStage({}), formatBody(`{"attemptId":"a1","output":${output}}`))));
+});
--- a/packages/backends/src/servers/callServer.ts
+++ b/packages/backends/src/servers/callServer.ts
@@ -2,6 +2,7 @@
 import { Observable, type Subscriber } from 'rxjs';
 import { z } from 'zod';
 import { readBody, readEventStream, TransportError, type HttpClient } from '@bergamotcove/transport';
+import isTooDeep from './isTooDeep.js';
 import type { ServerCall, ServerEvent, ServerFailure } from './types.js';
 
 const STATUS_OK = 200;
@@ -155,6 +156,9 @@
   if (answer.attemptId !== call.attemptId) {
     throw new InvalidAnswer('answer belongs to another attempt');
   }
+  if (isTooDeep(answer.output)) {
+    throw new InvalidAnswer('output is nested too deeply');
+  }
   subscriber.next({ type: 'answer', output: answer.output });
 };
 
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -58,7 +58,7 @@
   peerCallRefused: 'A peer call had no valid signature; compare the peer keys.',
   peerKeysChanged: 'The peer keys were reloaded and are in use.',
   settingsUnreadable: 'The settings could not be reloaded; the old ones stay.',
-  peerMessageInvalid: 'A signed datagram is not a message; compare the versions.',
+  peerMessageInvalid: 'A message of another host, or its answer to a call, cannot be read; compare the versions.',
   peerDatagramRefused: 'A datagram was dropped: size, signature or socket error.',
   memberChanged: 'The state of another entry host changed as this host sees it.',
   domainChanged: 'The state of another failure domain changed as this host sees it.',
