List no host whose entry names none that can be called

What callers saw: an entry of a host, in the store or in the answer of another host, without an address or with a port out of range ended each process that read it, in a timer of the exchange between hosts.

Cause: the entry was used as it was parsed, and the link client threw where it should have rejected.

Change: the fields and the port of an entry are checked before it is listed. A call to an address that cannot be used fails as not-connected.

--- a/packages/gateway/src/hosts/createHostRegistry.test.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.test.ts
@@ -154,3 +154,30 @@
   clock.advance(3_000);
   assert.deepEqual(listIds(registry.list()), ['h0', 'h2']);
 });
+
+const SOUND = createHost('h1');
+
+[
+  '',
+  '{',
+  'null',
+  '5',
+  '"text"',
+  '[]',
+  '{}',
+  JSON.stringify({ ...SOUND, target: undefined }),
+  JSON.stringify({ ...SOUND, hostId: 5 }),
+  JSON.stringify({ ...SOUND, region: null }),
+  JSON.stringify({ ...SOUND, target: null }),
+  JSON.stringify({ ...SOUND, target: { address: 5, port: 1 } }),
+  ...[0, -1, 1.5, 65_536, null, '1'].map((port) => JSON.stringify({ ...SOUND, target: { address: '10.0.0.1', port } })),
+].forEach((text) =>
+  test(`an entry that names no host that can be called is not listed: ${text || 'nothing'}`, () => {
+    const { registry, put } = createFixture();
+    put(createHost('h2'));
+    registry.update({ put: [{ key: 'hosts/h1/1', text }] });
+    assert.deepEqual(listIds(registry.list()), ['h0', 'h2']);
+    registry.replace([{ key: 'hosts/h1/1', text }]);
+    assert.deepEqual(listIds(registry.list()), ['h0']);
+  }),
+);
--- a/packages/gateway/src/hosts/createHostRegistry.ts
+++ b/packages/gateway/src/hosts/createHostRegistry.ts
@@ -3,6 +3,7 @@
 import { rankByCapacity } from '@bergamotcove/decide';
 import type { Logger } from '@bergamotcove/log';
 import type { Target } from '@bergamotcove/transport';
+import matchesShape, { type Shape } from './matchesShape.js';
 
 /** A host of the system. */
 export interface HostEntry {
@@ -88,10 +89,27 @@
 /** Capacity of hosts whose entries do not state it. */
 const DEFAULT_CAPACITY = 0.5;
 
+const ENTRY: Shape = {
+  hostId: 'string',
+  target: { address: 'string', port: 'number' },
+  failureDomain: 'string',
+  region: 'string',
+  startId: 'string',
+  'capacity?': 'number',
+};
+const MAX_PORT = 65_535;
+
+/** Parses the entry of a host; undefined when it names none that can be called. */
 const parseEntry = (text: string): HostEntry | undefined => {
   try {
-    const entry = JSON.parse(text) as Omit<HostEntry, 'capacity'> & Partial<HostEntry>;
-    return { ...entry, capacity: entry.capacity ?? DEFAULT_CAPACITY };
+    const parsed: unknown = JSON.parse(text);
+    if (!matchesShape(parsed, ENTRY)) {
+      return undefined;
+    }
+    const entry = parsed as Omit<HostEntry, 'capacity'> & Partial<HostEntry>;
+    const { port } = entry.target;
+    const isCallable = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+    return isCallable ? { ...entry, capacity: entry.capacity ?? DEFAULT_CAPACITY } : undefined;
   } catch {
     return undefined;
   }
--- a/packages/transport/src/links/createLinkClient.ts
+++ b/packages/transport/src/links/createLinkClient.ts
@@ -170,6 +170,15 @@
   }
 }
 
+const createLink = (target: Target, options: LinkClientOptions): Link => {
+  try {
+    return new Link(target, options);
+  } catch (cause) {
+    // Node.js throws for a port out of range.
+    throw new TransportError('not-connected', 'the address of the peer is invalid', { cause });
+  }
+};
+
 const toKey = (target: Target): string => `${target.address}:${target.port}`;
 
 /**
@@ -190,7 +199,7 @@
     if (known !== undefined) {
       return known;
     }
-    const link = new Link(target, options);
+    const link = createLink(target, options);
     links.set(key, link);
     link.socket.once('close', () => {
       if (links.get(key) === link) {
@@ -201,10 +210,12 @@
   };
 
   return {
-    call: (target, method, params) =>
-      closed
-        ? Promise.reject(new TransportError('not-connected', 'the client is closed'))
-        : open(target).call(method, params),
+    call: async (target, method, params) => {
+      if (closed) {
+        throw new TransportError('not-connected', 'the client is closed');
+      }
+      return open(target).call(method, params);
+    },
     notify: (target, method, params) => links.get(toKey(target))?.notify(method, params),
     close: () => {
       closed = true;
--- a/packages/transport/src/links/links.test.ts
+++ b/packages/transport/src/links/links.test.ts
@@ -187,3 +187,9 @@
     );
   }
 });
+
+test('a call to a port out of range fails with not-connected', async () => {
+  const client = createLinkClient(LIMITS);
+  await assert.rejects(client.call({ address: '127.0.0.1', port: 99_999 }, 'any', {}), { code: 'not-connected' });
+  client.close();
+});
