--- a/packages/gateway/src/testing/createCatalogueFleet.ts
+++ b/packages/gateway/src/testing/createCatalogueFleet.ts
@@ -66,10 +66,13 @@
 const LINK_PEER: LinkPeer = { remoteAddress: '10.0.0.1', onClose: () => () => undefined };
 const LOGGER = { event: (): void => undefined };
 
+/** Port of the first host; port 0 cannot be called. */
+const FIRST_PORT = 1;
+
 const listEntries = ({ hosts, failureDomains }: CatalogueFleetOptions): readonly HostEntry[] =>
   Array.from({ length: hosts }, (_, index) => ({
     hostId: `h${index}`,
-    target: { address: '10.0.0.1', port: index },
+    target: { address: '10.0.0.1', port: FIRST_PORT + index },
     failureDomain: `d${index % failureDomains}`,
     region: 'r1',
     capacity: 0.3,
@@ -88,7 +91,7 @@
 const createLinks = ({ network, unlinked }: FleetContext, self: HostEntry): LinkClient => ({
   call: async (target, method, params) => {
     const serve = network.get(target.port)?.[method];
-    if (serve === undefined || unlinked.has(self.hostId) || unlinked.has(`h${target.port}`)) {
+    if (serve === undefined || unlinked.has(self.hostId) || unlinked.has(`h${target.port - FIRST_PORT}`)) {
       throw new Error('the host is unreachable');
     }
     return JSON.parse(JSON.stringify(await serve(JSON.parse(JSON.stringify(params)), LINK_PEER))) as unknown;
