Tell without the table of all connections whether a server has its request

What callers saw: a host ended for lack of memory (SIGABRT, "JavaScript heap out of memory") while answers without a length to uploads above 64 KB were read, and the requests beside them were cut.

Cause: detectCut read the kernel's table of connections for each such answer, to find the send queue of one connection. The table holds the connections of every process on the machine, and was held as text as often as such answers ended at the same time.

Change: when the other side has ended, and has not reset the connection within the 300 ms as before, this side ends too. The system closes the connection once the server has acknowledged all bytes, which costs a few system calls. Whether the system shows this is tried once, on a connection of the process to itself; where it does not, the check is left out, as before without the table.

--- a/packages/transport/src/_lib/detectCut.ts
+++ b/packages/transport/src/_lib/detectCut.ts
@@ -1,7 +1,9 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import endsWithConnection from '../endsWithConnection.js';
-import readSendQueue from './readSendQueue.js';
+import endUntilClosed from './endUntilClosed.js';
+import holdEnd from './holdEnd.js';
+import showsClosedState from './showsClosedState.js';
 
 /** The request whose response is watched. */
 export interface DetectedRequest {
@@ -17,30 +19,36 @@
  */
 const RESET_WAIT_MS = 300;
 
-const EARLY_END = 'the response ended before the request was written';
+const EARLY_END = 'the response ended before its server had the request';
 
 const wait = (ms: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
 
-/** Holds the end of the other side back until the check resolves; this side stays open meanwhile. */
-const holdEnd = (socket: Socket, check: () => Promise<void>): void => {
-  const push = socket.push.bind(socket);
-  // The end is pushed as null. Listeners of the event would come too late: each of them closes this side.
-  Object.assign(socket, {
-    push: (chunk: unknown, encoding?: BufferEncoding): boolean => {
-      if (chunk !== null) {
-        return push(chunk, encoding);
-      }
-      check().then(() => push(null), socket.destroy.bind(socket));
-      return false;
-    },
+/** Finds the error of a reset that arrived after the end of the other side. */
+const findReset = (socket: Socket): Promise<Error | undefined> =>
+  new Promise((resolve) => {
+    socket.write('', (cause) => resolve(cause ?? undefined));
   });
+
+/**
+ * Whether the server has received the whole request; also when the system does not show it. A write counts as finished
+ * once the kernel has the bytes, which may be megabytes ahead of the server.
+ */
+const isReceived = async (socket: Socket): Promise<boolean> => !(await showsClosedState()) || endUntilClosed(socket);
+
+/** Finds why the end of a connection is not the end of the response to a long request; undefined when it is. */
+const findFault = async (outgoing: ClientRequest, socket: Socket): Promise<Error | undefined> => {
+  if (!outgoing.writableFinished) {
+    return new Error(EARLY_END);
+  }
+  await wait(RESET_WAIT_MS);
+  return (await findReset(socket)) ?? ((await isReceived(socket)) ? undefined : new Error(EARLY_END));
 };
 
 /**
- * Destroys a response without a length whose connection was reset, or ended before the request was written. The parser
+ * Destroys a response without a length whose connection was reset, or ended before the server had the request. The parser
  * takes either for the end of the body. The event loop reports a reset that it finds together with the last bytes, or
  * later, as an orderly end; then only a write reveals it.
  *
@@ -57,6 +65,15 @@
     return;
   }
   const { socket } = response;
+  if (Buffer.byteLength(body) > SHORT_BODY_BYTES) {
+    holdEnd(socket, async () => {
+      const fault = await findFault(outgoing, socket);
+      if (fault !== undefined) {
+        response.destroy(fault);
+      }
+    });
+    return;
+  }
   socket.prependOnceListener('end', () => {
     if (!outgoing.writableFinished) {
       response.destroy(new Error(EARLY_END));
@@ -68,13 +85,4 @@
       }
     });
   });
-  if (Buffer.byteLength(body) > SHORT_BODY_BYTES) {
-    holdEnd(socket, async () => {
-      if (!outgoing.writableFinished || (await readSendQueue(socket)) > 0) {
-        response.destroy(new Error(EARLY_END));
-      } else {
-        await wait(RESET_WAIT_MS);
-      }
-    });
-  }
 }
