--- a/packages/transport/src/testing/createRawServer.ts
+++ b/packages/transport/src/testing/createRawServer.ts
@@ -20,18 +20,27 @@
 
 const readLength = (head: string): number => Number(/^content-length: *(\d+)/im.exec(head)?.[1] ?? 0);
 
+/** Options of {@link createRawServer}. */
+export interface RawServerOptions {
+  /** Answers a request of which a part has arrived, and tells whether it did; the rest is read without an answer then. */
+  readonly answerEarly?: (request: RawRequest, socket: Socket) => boolean;
+}
+
 /**
  * Starts a server whose answers are written as they are.
  *
  * @param answer - writes the answer to a request; called once the request was read in full
+ * @param options - what is answered sooner, by default nothing
  * @returns the server once it listens
  */
 export default async function createRawServer(
   answer: (request: RawRequest, socket: Socket) => void,
+  { answerEarly = () => false }: RawServerOptions = {},
 ): Promise<RawServer> {
   const sockets = new Set<Socket>();
   const server = net.createServer((socket) => {
     let text = '';
+    let isAnswered = false;
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
@@ -41,13 +50,17 @@
         const head = text.slice(0, end + 2);
         const bodyStart = end + HEAD_END.length;
         const bodyEnd = bodyStart + readLength(head);
+        const [method = '', path = ''] = head.split(' ');
+        const request = { method, path, head, body: text.slice(bodyStart, bodyEnd) };
         if (text.length < bodyEnd) {
+          isAnswered ||= answerEarly(request, socket);
           return;
         }
-        const [method = '', path = ''] = head.split(' ');
-        const body = text.slice(bodyStart, bodyEnd);
         text = text.slice(bodyEnd);
-        answer({ method, path, head, body }, socket);
+        if (!isAnswered) {
+          answer(request, socket);
+        }
+        isAnswered = false;
       }
     });
   });
