Handle errors of the server that tries whether the system shows a closed connection

Cause: a process without free descriptors cannot accept the connection of the try. The server emits an error then, for which it had no listener. By reading; no test.

Change: the error is ignored, and the try ends by its time limit.

--- a/packages/transport/src/_lib/detectCut.ts
+++ b/packages/transport/src/_lib/detectCut.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 import endsWithConnection from '../endsWithConnection.js';
 import endUntilClosed from './endUntilClosed.js';
 import holdEnd from './holdEnd.js';
@@ -21,11 +22,6 @@
 
 const EARLY_END = 'the response ended before its server had the request';
 
-const wait = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Finds the error of a reset that arrived after the end of the other side. */
 const findReset = (socket: Socket): Promise<Error | undefined> =>
   new Promise((resolve) => {
--- a/packages/transport/src/_lib/showsClosedState.ts
+++ b/packages/transport/src/_lib/showsClosedState.ts
@@ -25,6 +25,8 @@
     socket.end();
     socket.resume();
   });
+  // A process without free descriptors cannot accept; the connection then ends by its time limit.
+  server.on('error', () => undefined);
   try {
     server.listen(0, LOOPBACK);
     await once(server, 'listening');
