Leave the redaction of pino out of the program

Change: the module behind pino's option `redact`, which the logger does not set, is bundled as an empty one, as the optional colours of debug are.

--- a/tools/bundleOptions.mjs
+++ b/tools/bundleOptions.mjs
@@ -45,6 +45,8 @@
     debug: path.join(rootDir, 'node_modules/debug/src/node.js'),
     // Optional for debug, which selects namespaces here and prints nothing; installed only for the linter.
     'supports-color': path.join(rootDir, 'tools/emptyModule.cjs'),
+    // Used by pino only with its option `redact`, which the logger does not set.
+    '@pinojs/redact': path.join(rootDir, 'tools/emptyModule.cjs'),
   },
   plugins: [withoutPinoTransports],
   banner: { js: REQUIRE_BANNER },
