Finish the open requests when an error that nothing caught ends the process

What callers saw: one answer of a server whose reader failed cut every request that the process was serving. Cause: nothing handled an exception in a timer or a listener, or a rejected promise that nobody awaits; Node.js then ends the process at once. The tests so far sent heads that the reader judges rightly, and could not show what happens with the next one. Change: the process stops as it does after SIGTERM: its health check answers 503, open requests are finished within the grace period, then it ends with code 1. The first error goes to standard error as before, and each one to the log. The state in doubt ends with the process.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -19,3 +19,7 @@
 export type { PoolQueues, WaitingAttempt } from './servers/createPoolQueues.js';
 export { default as createDrain } from './drain/createDrain.js';
 export type { DrainOptions } from './drain/createDrain.js';
+export { default as drainOnUncaughtError, EXIT_FAILED } from './drain/drainOnUncaughtError.js';
+export type { UncaughtErrorOptions } from './drain/drainOnUncaughtError.js';
+export { default as reportFailure } from './drain/reportFailure.js';
+export type { FailureOrigin } from './drain/reportFailure.js';
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -11,7 +11,7 @@
   drainFinished: 'All requests in flight finished; the process exits.',
   drainTimedOut: 'The drain timed out with requests still in flight.',
   processFailed:
-    'An unexpected error reached the outermost error handler; with `origin`, the process ends with code 1 because of it.',
+    'An unexpected error reached the outermost error handler; with `origin`, the process stops and ends with code 1 because of it.',
   logLinesDropped: 'More lines were logged in one second than the limit allows; `lines` were dropped.',
   settingsApplied: 'Changed settings are in force; those in `needRestart` only after a restart.',
   portAwaited:
@@ -20,7 +20,7 @@
   settingsAwaited: 'The settings file is missing or not valid at the start; it is read again for 20 s.',
   processStarted: 'The process runs; `build` identifies the program, `memoryBytes` is the memory of the machine.',
   processStopped:
-    'The process ends as ordered by the signal in `reason`; see drainFinished or drainTimedOut before it.',
+    'The process has stopped because of the signal in `reason`, or of the processFailed of this origin; see drainFinished or drainTimedOut before it.',
   requestRefused: 'A request ended without an answer; see its outcome.',
   requestRejected: 'A request had invalid input and was not started.',
   attemptFailed: 'An attempt on a backend server failed.',
