Finish the open requests of an entry daemon when an error that nothing caught ends it

Change: the same stop, within the limits of the daemon's drain. A drain that fails is logged, and ends the daemon with code 1; it was an unhandled rejection before. Test: the host list answers with a field at which the reader throws in a timer. Before, the daemon ended at once (ECONNREFUSED); now its readiness answers 503 first, and it ends with code 1 after the drain.

--- a/packages/bench/src/deployment/daemon.test.ts
+++ b/packages/bench/src/deployment/daemon.test.ts
@@ -5,6 +5,7 @@
 import { after, before, test } from 'node:test';
 import { createSystemClock } from '@bergamotcove/clock';
 import { createHttpClient, createPeerAuth, createPeerClient, type PeerKey } from '@bergamotcove/transport';
+import { createRawServer } from '@bergamotcove/transport/testing';
 import { builtScript } from './paths.js';
 import startProcess, { type BenchProcess } from './startProcess.js';
 
@@ -12,6 +13,7 @@
 const OLD_KEY: PeerKey = { id: 'k1', secret: 'old-secret-of-the-test' };
 const NEW_KEY: PeerKey = { id: 'k2', secret: 'new-secret-of-the-test' };
 const BALANCER_LAG_MS = 20_000;
+const SHORT_LAG_MS = 1_000;
 const RELOAD_TIMEOUT_MS = 3_000;
 const POLL_MS = 50;
 
@@ -32,7 +34,7 @@
   rmSync(directory, { recursive: true });
 });
 
-const writeSettings = (file: string, keys: readonly PeerKey[]): void => {
+const writeSettings = (file: string, keys: readonly PeerKey[], changes: object = {}): void => {
   const [store, hostList] = standins.map(({ ready }) => `http://${ADDRESS}:${String(ready.port)}`);
   const settings = {
     host: { id: 'entry-0', address: ADDRESS, failureDomain: 'd1', region: 'r1' },
@@ -42,6 +44,7 @@
     hostList: { url: `${hostList}/v1/hosts`, pollMs: 200 },
     drain: { balancerLagMs: BALANCER_LAG_MS, timeoutMs: BALANCER_LAG_MS },
     log: { namespaces: '' },
+    ...changes,
   };
   writeFileSync(file, JSON.stringify(settings));
 };
@@ -127,3 +130,50 @@
     /ended with code 2 before it was ready/,
   );
 });
+
+/** Makes the process throw, in a callback that nothing guards, for each answer that has the field `X-Fault`. */
+const THROW_AT_FAULT = `data:text/javascript,${encodeURIComponent(`
+  import http from 'node:http';
+  import { EventEmitter } from 'node:events';
+  http.ClientRequest.prototype.emit = function emit(name, ...values) {
+    if (name === 'response' && values[0].headers['x-fault'] !== undefined) {
+      setTimeout(() => { throw new Error('a fault of this test'); });
+    }
+    return EventEmitter.prototype.emit.call(this, name, ...values);
+  };
+`)}`;
+
+test('a daemon that fails while it reads an answer stops in order, and ends with exit code 1', async () => {
+  let fields = '';
+  const hostList = await createRawServer((_, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${fields}Content-Length: 2\r\n\r\n[]`);
+  });
+  const file = path.join(directory, 'fault.json');
+  writeSettings(file, [OLD_KEY], {
+    hostList: { url: `http://${ADDRESS}:${hostList.port}/v1/hosts`, pollMs: 50 },
+    drain: { balancerLagMs: SHORT_LAG_MS, timeoutMs: BALANCER_LAG_MS },
+  });
+  const args = ['--import', THROW_AT_FAULT, builtScript('entry', 'main.js'), '--settings', file];
+  const daemon = await startProcess('fault', args);
+  const client = createHttpClient();
+  const readReadiness = async (): Promise<string> => {
+    const target = { address: ADDRESS, port: Number(daemon.ready.callersPort) };
+    const { status, body } = await client.send(target, { method: 'GET', path: '/readyz' });
+    return `${status} ${body}`;
+  };
+  try {
+    assert.match(await readReadiness(), /"draining":false/);
+    fields = 'X-Fault: 1\r\n';
+    const startedAtMs = performance.now();
+    while (!(await readReadiness()).includes('"draining":true')) {
+      assert.ok(performance.now() - startedAtMs < RELOAD_TIMEOUT_MS);
+      await delay(POLL_MS);
+    }
+    assert.match(await readReadiness(), /^503 /);
+    assert.equal(await daemon.exited, 1);
+    assert.ok(performance.now() - startedAtMs >= SHORT_LAG_MS);
+  } finally {
+    client.close();
+    hostList.close();
+  }
+});
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,13 +1,15 @@
 /** The daemon of an entry host: `bergamotd --settings FILE`. */
 import { parseArgs } from 'node:util';
+import { createSystemClock } from '@bergamotcove/clock';
 import { ConfigError, readSettings } from '@bergamotcove/config';
 import { toError } from '@bergamotcove/errors';
-import { createLogger, enableLogging } from '@bergamotcove/log';
+import { createLogger, enableLogging, type Logger } from '@bergamotcove/log';
+import drainOnUncaughtError, { EXIT_FAILED } from './drain/drainOnUncaughtError.js';
+import reportFailure from './drain/reportFailure.js';
 import startEntryHost, { type EntryHost } from './wire.js';
 
 const USAGE =
   'usage: bergamotd --settings FILE\n\n  --settings FILE  JSON settings of this entry host\n  --help           show this text';
-const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
 const fail = (message: string, code: number): never => {
@@ -29,8 +31,7 @@
 };
 
 /** Reloads the peer keys from the settings file; unreadable settings leave the keys as they are. */
-const reloadPeerKeys = (file: string, host: EntryHost): void => {
-  const logger = createLogger('entry');
+const reloadPeerKeys = (file: string, host: EntryHost, logger: Logger): void => {
   try {
     const { keys } = readSettings(file).peers;
     host.setPeerKeys(keys);
@@ -44,18 +45,36 @@
   const file = readArguments();
   const settings = readSettings(file);
   enableLogging(settings.log?.namespaces);
+  const logger = createLogger('entry');
   const host = await startEntryHost(settings);
-  let stopping = false;
   const stop = (): void => {
-    if (stopping) {
+    host.drain().then(
+      () => process.exit(),
+      (cause: unknown) => {
+        reportFailure(logger, cause, 'stop');
+        process.exit(EXIT_FAILED);
+      },
+    );
+  };
+  let isTold = false;
+  const stopWhenTold = (): void => {
+    if (isTold) {
       process.exit(EXIT_FAILED);
     }
-    stopping = true;
-    host.drain().then(() => process.exit(0));
+    isTold = true;
+    stop();
   };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
-  process.on('SIGHUP', () => reloadPeerKeys(file, host));
+  const { balancerLagMs, timeoutMs } = settings.drain;
+  drainOnUncaughtError({
+    clock: createSystemClock(),
+    logger,
+    stop,
+    limitMs: () => balancerLagMs + timeoutMs,
+    exit: () => process.exit(),
+  });
+  process.on('SIGTERM', stopWhenTold);
+  process.on('SIGINT', stopWhenTold);
+  process.on('SIGHUP', () => reloadPeerKeys(file, host, logger));
   // A supervisor may send a signal as soon as it reads this line, so the signal handlers are installed first.
   console.log(JSON.stringify({ ready: true, callersPort: host.callersPort, peersPort: host.peersPort }));
 };
