Fail only the request whose answer is being read when its reader throws

Cause: the parser calls these listeners from the read of the socket, or from the next tick when the body came with the head. Nothing stood between them and the process. Change: the connections of the HTTP client destroy themselves with the error `reader-failed` when the parser, or what it calls, throws during a read. `readStream` does the same for the handlers of a body, whenever they are called; `readBody` and `readEventStream` use it in place of four listeners each. The request then fails like one whose connection broke, and the exception is logged with its stack as `answerReaderFailed`. Test: two tests of readerFaults.test.ts (platform) fail a listener of the head, and of an interim head, for plain requests, uploads, streams, generations, stage calls, releases and the checks of processes, one after the other.

--- a/packages/backends/src/store/createStoreClient.ts
+++ b/packages/backends/src/store/createStoreClient.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Observable } from 'rxjs';
-import { createHttpClient, TransportError, type Target } from '@bergamotcove/transport';
+import { createHttpClient, TransportError, type HttpClient, type Target } from '@bergamotcove/transport';
 import BackendError from '../BackendError.js';
 import type { RangePage, StoreCall, StoreDialect } from './dialect.js';
 import fetchAnswer from './_lib/fetchAnswer.js';
@@ -29,6 +29,8 @@
   readonly eras?: EraTracker;
   /** Called after each call, for metrics. */
   readonly onCall?: (call: string, result: 'ok' | 'failed') => void;
+  /** Called with each exception that was thrown while an answer was read; its call has failed. */
+  readonly onFault?: (error: Error) => void;
 }
 
 const JSON_HEADERS = { 'content-type': 'application/json' };
@@ -48,7 +50,7 @@
 
 /** Store client over HTTP and JSON. */
 class HttpStoreClient implements StoreClient {
-  private readonly http = createHttpClient();
+  private readonly http: HttpClient;
 
   private readonly targets: readonly Target[];
 
@@ -59,6 +61,8 @@
   private targetIndex = 0;
 
   constructor(private readonly options: StoreClientOptions) {
+    const { onFault } = options;
+    this.http = createHttpClient(onFault === undefined ? {} : { onFault });
     this.targets = options.urls.map(toTarget);
     this.dialect = options.dialect ?? jsonDialect;
     this.eras = options.eras ?? createEraTracker();
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -1,6 +1,6 @@
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import type { Settings } from '@bergamotcove/config';
-import { createLogger, type Logger } from '@bergamotcove/log';
+import { createLogger, reportReaderFault, type Logger } from '@bergamotcove/log';
 import { createGuardedStore, createStoreClient, fetchHostList, type StoreClient } from '@bergamotcove/backends';
 import { createHostListFollower, type HostListFollower } from '@bergamotcove/membership';
 import type { HostStatus, PeerAddress } from '@bergamotcove/protocol';
@@ -101,10 +101,12 @@
   const { failureDomain } = location;
   const logger = createLogger('entry', { hostId, failureDomain });
   const metrics = createMetrics({ hostId, ...settings.metrics });
-  const http = createHttpClient();
+  const onFault = (error: Error): void => reportReaderFault(logger, error);
+  const http = createHttpClient({ onFault });
   const auth = createPeerAuth({ clock, keys: settings.peers.keys });
   const client = createStoreClient({
     ...settings.store,
+    onFault,
     onCall: (call, result) => metrics.report('store.calls', 1, { call, result }),
   });
   const store = createGuardedStore(client, { clock, random: Math.random });
--- a/packages/gateway/src/createBaseParts.ts
+++ b/packages/gateway/src/createBaseParts.ts
@@ -7,7 +7,7 @@
 } from '@bergamotcove/backends';
 import { createSystemClock, type Clock } from '@bergamotcove/clock';
 import { createPoolQueues, type PoolQueues } from '@bergamotcove/entry';
-import { createLogger, type Logger } from '@bergamotcove/log';
+import { createLogger, reportReaderFault, type Logger } from '@bergamotcove/log';
 import { createScrapedMetrics, type ScrapedMetrics } from '@bergamotcove/telemetry';
 import { createLinkClient, type LinkClient, type PortWatch } from '@bergamotcove/transport';
 import type { BackendDirectory } from './catalogue/BackendDirectory.js';
@@ -103,6 +103,7 @@
       urls: [`http://${settings.store.address}:${settings.store.port}`],
       timeoutMs: STORE_TIMEOUT_MS,
       dialect: options.storeDialect,
+      onFault: (error) => reportReaderFault(logger, error),
     }),
     eras,
     tables,
--- a/packages/gateway/src/servers/createServerPools.ts
+++ b/packages/gateway/src/servers/createServerPools.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import { chooseServer, findContinuers, isPermitted, type Choice, type ServerView } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
+import { reportReaderFault, type Logger } from '@bergamotcove/log';
 import { createHttpClient, type HttpClient } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
 import type { RouteTableHolder } from '../catalogue/createRouteTableHolder.js';
@@ -109,13 +109,14 @@
  * @returns the pools; close them to close their connections
  */
 export default function createServerPools(options: ServerPoolsOptions): ServerPools {
-  const { clock, directory, hosts } = options;
+  const { clock, logger, directory, hosts } = options;
+  const onFault = (error: Error): void => reportReaderFault(logger, error);
   const clients = new Map<string, HttpClient>();
 
   return {
     choose: (placement) => choose(placement, options),
     clientOf: (pool) => {
-      const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS });
+      const client = clients.get(pool) ?? createHttpClient({ idleLimitMs: IDLE_LIMIT_MS, onFault });
       clients.set(pool, client);
       return client;
     },
--- a/packages/gateway/src/stages/createBatchOwners.ts
+++ b/packages/gateway/src/stages/createBatchOwners.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@bergamotcove/clock';
 import type { BatchPoolState } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
+import { reportReaderFault, type Logger } from '@bergamotcove/log';
 import type { ScrapedMetrics } from '@bergamotcove/telemetry';
 import { createHttpClient, type HttpClient, type LinkMethod, type LinkPeer } from '@bergamotcove/transport';
 import type { BackendDirectory } from '../catalogue/BackendDirectory.js';
@@ -73,7 +73,7 @@
 
   private readonly peerResults = createPeerResults((released) => this.release(released));
 
-  private readonly http: HttpClient = createHttpClient({ maxSockets: MAX_CONNECTIONS, idleLimitMs: IDLE_LIMIT_MS });
+  private readonly http: HttpClient;
 
   private leaving = false;
 
@@ -82,6 +82,11 @@
   private inputSink: ResultSink | undefined;
 
   constructor(private readonly options: BatchOwnersOptions) {
+    this.http = createHttpClient({
+      maxSockets: MAX_CONNECTIONS,
+      idleLimitMs: IDLE_LIMIT_MS,
+      onFault: (error) => reportReaderFault(options.logger, error),
+    });
     options.directory.onChange(() => this.owners.forEach((owner) => owner.refresh()));
     options.limits.onChange(() => this.owners.forEach((owner) => owner.refresh()));
     options.crashes.onAnyBlocked((fingerprint) => this.owners.forEach((owner) => owner.block(fingerprint)));
--- a/packages/log/src/eventTexts.ts
+++ b/packages/log/src/eventTexts.ts
@@ -24,6 +24,8 @@
   requestRefused: 'A request ended without an answer; see its outcome.',
   requestRejected: 'A request had invalid input and was not started.',
   attemptFailed: 'An attempt on a backend server failed.',
+  answerReaderFailed:
+    'Reading an answer threw an exception: a fault of this program. Only the request of the answer failed, or was sent again; report the `stack`.',
   requestPoisoned:
     'A request crashes servers and is blocked on all hosts; release it with releasePoison once the cause is known.',
   serverCrashNoted:
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -25,6 +25,7 @@
   requestRefused: { id: 2001, level: 'info' },
   requestRejected: { id: 2002, level: 'debug' },
   attemptFailed: { id: 2003, level: 'debug' },
+  answerReaderFailed: { id: 2004, level: 'error' },
   requestPoisoned: { id: 2101, level: 'warn' },
   serverCrashNoted: { id: 2102, level: 'info' },
   serverLossUnproved: { id: 2103, level: 'info' },
--- a/packages/transport/src/TransportError.ts
+++ b/packages/transport/src/TransportError.ts
@@ -16,6 +16,8 @@
   | 'fragmented'
   /** Too many informational (1xx) responses came before the final one. */
   | 'too-many-interim'
+  /** Reading a message threw an exception: a fault of this process, not of the other side. */
+  | 'reader-failed'
   /** A message has no valid signature, or its signature is too old or was used before. */
   | 'unauthenticated';
 
--- a/packages/transport/src/_lib/holdEnd.ts
+++ b/packages/transport/src/_lib/holdEnd.ts
@@ -15,7 +15,9 @@
       if (chunk !== null) {
         return push(chunk, encoding);
       }
-      check().then(() => push(null), socket.destroy.bind(socket));
+      check()
+        .then(() => push(null))
+        .catch((cause: Error) => socket.destroy(cause));
       return false;
     },
   });
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -37,6 +37,12 @@
   readonly freshConnection?: boolean;
 }
 
+/** Options of {@link createHttpClient}. */
+export interface HttpClientOptions extends Partial<KeepAliveAgentOptions> {
+  /** Called with each exception that was thrown while a response was read; its request has failed. */
+  readonly onFault?: (error: Error) => void;
+}
+
 /** A complete HTTP response. */
 export interface HttpResponse {
   readonly status: number;
@@ -213,8 +219,27 @@
   return isFinal ? undefined : new Error('the server sent no final response');
 };
 
+/** Reports the exceptions of the readers of a response, each of them once. */
+const reportFaults = (outgoing: ClientRequest, onFault: HttpClientOptions['onFault']): void => {
+  let reported: Error | undefined;
+  const report = (error: Error): void => {
+    if (error instanceof TransportError && error.code === 'reader-failed' && error !== reported) {
+      reported = error;
+      onFault?.(error.cause() ?? error);
+    }
+  };
+  outgoing.on('error', report);
+  // Without a listener, an error of a response that is cancelled after it was read would be thrown.
+  outgoing.on('response', (response) => response.on('error', report));
+};
+
+interface OpenOptions {
+  readonly agent: http.Agent;
+  readonly onFault: HttpClientOptions['onFault'];
+}
+
 /** Sends a request and resolves with the response as soon as its headers arrive. */
-const openRequest = (target: Target, request: HttpRequest, agent: http.Agent): Promise<IncomingMessage> =>
+const openRequest = (target: Target, request: HttpRequest, { agent, onFault }: OpenOptions): Promise<IncomingMessage> =>
   new Promise((resolve, reject) => {
     let sent = false;
     let failed = false;
@@ -223,6 +248,7 @@
     destroyOnAbort(outgoing, request.signal);
     setConnectTimeout(outgoing, request.connectLimitMs);
     limitInformationalResponses(outgoing);
+    reportFaults(outgoing, onFault);
     outgoing.on('response', (response) => {
       const fault = findFault(response, sent);
       if (fault !== undefined) {
@@ -231,8 +257,6 @@
       }
       received = response;
       detectCut(outgoing, response, request);
-      // A response that is cancelled after it was read emits an error that nobody handles.
-      response.on('error', () => undefined);
       resolve(response);
     });
     outgoing.on('error', (cause) => {
@@ -273,13 +297,14 @@
 /**
  * Creates an HTTP client.
  *
- * @param options - limits of the kept-alive connections
+ * @param options - limits of the kept-alive connections, and receiver of exceptions
  * @returns the client; close it to close its connections
  * @throws TransportError from `send` and `open`; `not-connected` guarantees that no byte of the request was sent
  * @example
  * const response = await client.send({ address: '10.0.0.1', port: 80 }, { method: 'GET', path: '/load' });
  */
-export default function createHttpClient(options: Partial<KeepAliveAgentOptions> = {}): HttpClient {
+export default function createHttpClient(options: HttpClientOptions = {}): HttpClient {
+  const { onFault } = options;
   const agent = createKeepAliveAgent({ ...options, maxSockets: options.maxSockets ?? Infinity });
   const freshAgent = Object.assign(new http.Agent({ keepAlive: false }), {
     createConnection: createSmallReadConnection,
@@ -289,7 +314,7 @@
   const open = (target: Target, request: HttpRequest): Promise<IncomingMessage> =>
     closed
       ? Promise.reject(new TransportError('not-connected', 'the client is closed'))
-      : openRequest(target, request, request.freshConnection === true ? freshAgent : agent);
+      : openRequest(target, request, { agent: request.freshConnection === true ? freshAgent : agent, onFault });
 
   const send = async (target: Target, request: HttpRequest): Promise<HttpResponse> => {
     const response = await open(target, request);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,7 +2,7 @@
 export { default as TransportError } from './TransportError.js';
 export type { TransportErrorCode } from './TransportError.js';
 export { default as createHttpClient } from './createHttpClient.js';
-export type { HttpClient, HttpRequest, HttpResponse, Target } from './createHttpClient.js';
+export type { HttpClient, HttpClientOptions, HttpRequest, HttpResponse, Target } from './createHttpClient.js';
 export { default as createConnectionGuard } from './createConnectionGuard.js';
 export type { ConnectionGuard, ConnectionLimits, ConnectionRefusal } from './connectionTypes.js';
 export type { ConnectionBounds } from './_lib/ConnectionMeter.js';
@@ -10,6 +10,8 @@
 export type { HttpExchange, HttpHandler, HttpServer, HttpServerOptions } from './createHttpServer.js';
 export { default as endsWithConnection } from './endsWithConnection.js';
 export { default as formatStreamEvent } from './formatStreamEvent.js';
+export { default as readStream } from './readStream.js';
+export type { StreamHandlers } from './readStream.js';
 export { default as readEventStream } from './readEventStream.js';
 export type { StreamEvent } from './readEventStream.js';
 export { default as createByteCollector } from './createByteCollector.js';
--- a/packages/transport/src/readBody.ts
+++ b/packages/transport/src/readBody.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 import createByteCollector from './createByteCollector.js';
+import readStream from './readStream.js';
 import TransportError from './TransportError.js';
 
 /** Default size limit of a request or response body. */
@@ -18,43 +19,24 @@
   stream: Readable,
   options: { readonly maxBytes: number } = { maxBytes: MAX_BODY_BYTES },
 ): Promise<string> {
-  // Listeners are cheaper than an async iterator, and every request and response is read here.
   return new Promise((resolve, reject) => {
     const body = createByteCollector();
-    let settled = false;
-    const endEarly = (cause?: Error): void => {
-      if (settled) {
-        return;
-      }
-      settled = true;
-      reject(new TransportError('connection-lost', 'body ended early', cause === undefined ? {} : { cause }));
-    };
-    if (stream.destroyed) {
-      // The stream broke before the listeners were added and emits no further event.
-      endEarly();
-      return;
-    }
-    stream.on('data', (chunk: Buffer) => {
-      if (settled) {
-        return;
-      }
-      body.push(chunk);
-      if (body.sizeBytes > options.maxBytes || body.isFragmented) {
-        settled = true;
-        reject(
-          body.isFragmented
-            ? new TransportError('fragmented', `body of ${body.sizeBytes} bytes came in too many chunks`)
-            : new TransportError('too-large', `body exceeds ${options.maxBytes} bytes`),
-        );
-        body.clear();
-        stream.destroy();
-      }
+    readStream(stream, {
+      onData: (chunk) => {
+        body.push(chunk);
+        if (body.sizeBytes > options.maxBytes || body.isFragmented) {
+          reject(
+            body.isFragmented
+              ? new TransportError('fragmented', `body of ${body.sizeBytes} bytes came in too many chunks`)
+              : new TransportError('too-large', `body exceeds ${options.maxBytes} bytes`),
+          );
+          body.clear();
+          stream.destroy();
+        }
+      },
+      onEnd: () => resolve(body.read().toString('utf8')),
+      onBroken: (cause) =>
+        reject(new TransportError('connection-lost', 'body ended early', cause === undefined ? {} : { cause })),
     });
-    stream.on('end', () => {
-      settled = true;
-      resolve(body.read().toString('utf8'));
-    });
-    stream.on('error', endEarly);
-    stream.on('close', endEarly);
   });
 }
--- a/packages/transport/src/readEventStream.ts
+++ b/packages/transport/src/readEventStream.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 import { toError } from '@bergamotcove/errors';
+import readStream from './readStream.js';
 import TransportError from './TransportError.js';
 
 /** One server-sent event. */
@@ -34,8 +35,7 @@
 };
 
 /**
- * Reads a server-sent event stream. An event that is cut off before its blank line is not delivered. The stream is read
- * with listeners, which are cheaper than an async iterator, because every generated token passes through here.
+ * Reads a server-sent event stream. An event that is cut off before its blank line is not delivered.
  *
  * @param stream - response body
  * @param onEvent - called with each event in order; if it throws, the stream is destroyed
@@ -59,23 +59,17 @@
     };
     const fail = (cause?: Error): void =>
       reject(new TransportError('connection-lost', 'event stream broke', cause === undefined ? {} : { cause }));
-    const onData = (chunk: Buffer): void => {
-      try {
-        accept(decoder.decode(chunk, { stream: true }));
-      } catch (cause) {
-        stream.off('data', onData);
-        reject(toError(cause));
-        stream.destroy();
-      }
-    };
-    if (stream.destroyed) {
-      // The stream broke before the listeners were added and emits no further event.
-      fail();
-      return;
-    }
-    stream.on('data', onData);
-    stream.on('end', resolve);
-    stream.on('error', fail);
-    stream.on('close', () => fail());
+    readStream(stream, {
+      onData: (chunk) => {
+        try {
+          accept(decoder.decode(chunk, { stream: true }));
+        } catch (cause) {
+          reject(toError(cause));
+          stream.destroy();
+        }
+      },
+      onEnd: resolve,
+      onBroken: fail,
+    });
   });
 }
