Fail only the request whose answer is being passed on when that throws

What callers saw: an exception while a whole answer was handed to its caller cut the caller's connection without an answer. One while the first events of a stream were passed on, which wait for the record of its origin, was an unhandled rejection and ended the process. After one within a stream, another server could go on behind events that the caller did not get. Cause: the promise that opens a relay, the promises of an attempt and the end of a request had nobody who handled them, and the position of a stream is moved before its events are written. Change: an attempt never rejects: an exception ends it as one that may have run, and is logged with its request and server. A request that throws is refused with `internal-error` (502, or 503 if nothing ran) in place of a cut connection. A relay that throws gives its position up, so no other answer goes on.

--- a/packages/ctl/src/format/explainRequest.ts
+++ b/packages/ctl/src/format/explainRequest.ts
@@ -33,6 +33,7 @@
   ['overtaken', 'it would have been late, and requests of higher priority kept its stage busy, see stageTimesMs'],
   ['timed-out', 'its deadline or the time-out of its route passed, see the times reached'],
   ['attempts-exhausted', 'its attempts gave no answer and it could not be sent again, see attemptEnded'],
+  ['internal-error', 'serving it threw an exception, see processFailed'],
   ['stream-broken', 'its stream broke off and could not be resumed on another server'],
   ['poisoned', 'it, or a part of its prompt, crashed servers and is blocked, see blockedBy'],
   ['no-route', 'no route of the table in force matches its host and path'],
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -19,6 +19,8 @@
   | 'overtaken'
   | 'poisoned'
   | 'attempts-exhausted'
+  /** An exception was thrown while it was served. */
+  | 'internal-error'
   | 'timed-out'
   /** A server refused a request that may run once, without stating that it did not run it. */
   | 'refusal-unproved'
--- a/packages/gateway/src/requests/Attempt.ts
+++ b/packages/gateway/src/requests/Attempt.ts
@@ -1,4 +1,7 @@
 import { computeIdleTimeoutMs, type ServerView } from '@bergamotcove/decide';
+import { toError } from '@bergamotcove/errors';
+import { reportReaderFault } from '@bergamotcove/log';
+import { isReaderFault } from '@bergamotcove/transport';
 import type AnswerReader from './AnswerReader.js';
 import type { AnsweredRun } from './AnswerReader.js';
 import type { WorkEstimate } from './estimateWork.js';
@@ -91,7 +94,29 @@
     return this.target.server;
   }
 
-  private open(): ReturnType<typeof openChecked> {
+  /** Sends the request; never rejects. */
+  private async open(): ReturnType<typeof openChecked> {
+    try {
+      return await this.sendRequest();
+    } catch (cause) {
+      this.abandon(cause);
+      const failure = { type: this.sentAtMs === undefined ? 'not-sent' : 'connection-lost' } as const;
+      return { opened: { type: 'failed', failure, refused: false }, isReplaced: false };
+    }
+  }
+
+  /** Ends the attempt after an exception, which concerns no other one. */
+  private abandon(cause: unknown): void {
+    const { requestId } = this.run.request;
+    const { serverId } = this.server;
+    this.idleTimeout.abandon();
+    // The HTTP client has reported those of its own readers.
+    if (!isReaderFault(cause)) {
+      reportReaderFault(this.ports.logger, toError(cause), { requestId, serverId });
+    }
+  }
+
+  private sendRequest(): ReturnType<typeof openChecked> {
     const { target, run, replaced, idleTimeout } = this;
     const { request, record, binding, exchange, answer } = run;
     return openChecked(
@@ -131,8 +156,25 @@
     this.idleTimeout.abandon();
   }
 
-  /** Reads the answer; a successor waits until the attempt from which it takes over passes nothing on any more. */
+  /** Reads the answer; never rejects. */
   private async read(): Promise<AttemptResult> {
+    try {
+      return await this.readAnswer();
+    } catch (cause) {
+      this.abandon(cause);
+      // The run may be counted already; one too many only makes another attempt less likely.
+      this.run.record.noteRun(this.sentAtMs !== undefined);
+      return { type: 'ended', end: { type: 'unknown' }, resultsGone: false };
+    } finally {
+      this.isAnswering = false;
+      if (this.sentAtMs !== undefined) {
+        this.run.record.noteAttemptEnd();
+      }
+    }
+  }
+
+  /** Reads the answer; a successor waits until the attempt from which it takes over passes nothing on any more. */
+  private async readAnswer(): Promise<AttemptResult> {
     const { opened } = await this.opened;
     if (this.replaced !== undefined) {
       if (this.sentAtMs === undefined) {
@@ -146,16 +188,7 @@
     }
     const { idleTimeout, tracked } = this;
     const sentAtMs = this.sentAtMs ?? this.ports.clock.monotonicMs();
-    const result = await this.run.reader.read(this.server, opened, {
-      idleTimeout,
-      onOutput: tracked.noteOutput,
-      sentAtMs,
-    });
-    this.isAnswering = false;
-    if (this.sentAtMs !== undefined) {
-      this.run.record.noteAttemptEnd();
-    }
-    return result;
+    return this.run.reader.read(this.server, opened, { idleTimeout, onOutput: tracked.noteOutput, sentAtMs });
   }
 
   private async finish(): Promise<AttemptResult> {
@@ -169,7 +202,11 @@
       reservation.noteAttemptEnd(opened.type === 'failed' && !answer.ended ? 'failed' : 'ended');
     }
     const requestEnded = answer.ended || (isUnsentSuccessor && this.replaced?.silence.aborted === true);
-    await this.tracked.end(classifyEnd({ opened, result, timedOut: silent, requestEnded }));
+    try {
+      await this.tracked.end(classifyEnd({ opened, result, timedOut: silent, requestEnded }));
+    } catch (cause) {
+      this.abandon(cause);
+    }
     // Nothing was sent to a server that has started again, so the next attempt is no retry.
     const retryReserved = isReplaced || this.target.finder.isExpired;
     return result.type === 'ended' ? { ...result, retryReserved, silent } : result;
--- a/packages/gateway/src/requests/ForwardRun.ts
+++ b/packages/gateway/src/requests/ForwardRun.ts
@@ -7,6 +7,8 @@
   type RouteIndex,
   type ServerView,
 } from '@bergamotcove/decide';
+import { toError } from '@bergamotcove/errors';
+import { describeError } from '@bergamotcove/log';
 import { STOPPING_RETRY_AFTER_MS, type default as CallerExchange, type StopPhase } from '../callers/CallerExchange.js';
 import runStages, { type StagesOutcome } from '../stages/runStages.js';
 import AnswerReader from './AnswerReader.js';
@@ -103,6 +105,9 @@
     ];
     try {
       await this.serve();
+    } catch (cause) {
+      this.ports.logger.event('processFailed', { requestId: this.request.requestId, ...describeError(toError(cause)) });
+      this.answer.refuse('internal-error', NO_SERVER_RETRY_AFTER_MS);
     } finally {
       timer.close();
       subscriptions.forEach((unsubscribe) => unsubscribe());
--- a/packages/gateway/src/requests/StreamPosition.test.ts
+++ b/packages/gateway/src/requests/StreamPosition.test.ts
@@ -48,3 +48,12 @@
   assert.equal(position.advance(listEvents([1, undefined, 2])), undefined);
   assert.deepEqual([position.lastEventId, position.canContinue], ['2', true]);
 });
+
+test('no event follows a position that was given up, and no other answer goes on with the stream', () => {
+  const position = new StreamPosition('1');
+  position.lose();
+  position.beginAnswer();
+  const events = listEvents([2]);
+  assert.equal(position.advance(events), events[0]);
+  assert.equal(position.canContinue, false);
+});
--- a/packages/gateway/src/requests/StreamPosition.ts
+++ b/packages/gateway/src/requests/StreamPosition.ts
@@ -11,6 +11,9 @@
   /** Whether the last event that the caller has bears no id. */
   private isUnnumbered = false;
 
+  /** Whether it is not known what the caller has. */
+  private isLost = false;
+
   /** @param last - id of the last event that the caller already has; undefined for a new stream */
   constructor(private last?: string) {}
 
@@ -21,7 +24,12 @@
 
   /** Whether another answer can go on with the stream. */
   get canContinue(): boolean {
-    return !this.isUnnumbered;
+    return !this.isUnnumbered && !this.isLost;
+  }
+
+  /** Gives the position up, because it is not known which events were passed on; none follows any more. */
+  lose(): void {
+    this.isLost = true;
   }
 
   /** Starts the events of another answer. */
@@ -44,6 +52,9 @@
 
   private follows(id: string | undefined): boolean {
     const { last } = this;
+    if (this.isLost) {
+      return false;
+    }
     // Ids are compared as text too: beyond 2^53, consecutive ids convert to the same number.
     const isOther = id !== last;
     if (this.isNewAnswer) {
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { isReaderFault, readStream } from '@bergamotcove/transport';
 import type CallerExchange from '../callers/CallerExchange.js';
 import createEventSplitter, { type StreamEvent } from './createEventSplitter.js';
 import type StreamPosition from './StreamPosition.js';
@@ -61,6 +62,7 @@
     private readonly exchange: CallerExchange,
     private readonly options: RelayOptions,
     private readonly resolve: (end: RelayEnd) => void,
+    private readonly reject: (cause: unknown) => void,
   ) {
     const isContinuation = options.position.lastEventId !== undefined;
     this.hasEvents = exchange.headSent;
@@ -70,19 +72,16 @@
 
   start(): void {
     const { response } = this;
-    if (response.destroyed || this.options.signal.aborted) {
-      // The connection broke before the listeners were attached, so no event would follow.
-      this.end(() => ({ type: 'broken' }));
+    const endBroken = (): void => this.end(() => ({ type: 'broken' }));
+    if (this.options.signal.aborted) {
+      endBroken();
       return;
     }
-    response.on('data', (chunk: Buffer) => this.receive(chunk));
-    response.on('end', () => {
-      if (response.complete) {
-        this.end(() => this.relayRest());
-      }
+    readStream(response, {
+      onData: (chunk) => this.receive(chunk),
+      onEnd: () => (response.complete ? this.end(() => this.relayRest()) : endBroken()),
+      onBroken: (cause) => (isReaderFault(cause) ? this.fail(cause) : endBroken()),
     });
-    response.on('error', () => this.end(() => ({ type: 'broken' })));
-    response.on('close', () => this.end(() => ({ type: 'broken' })));
     this.options.signal.addEventListener('abort', () => this.finish({ type: 'broken' }), { once: true });
   }
 
@@ -127,10 +126,11 @@
 
   private confirm(): void {
     this.state = 'confirming';
-    this.options.confirm().then(
-      (confirmed) => this.open(confirmed),
-      () => this.open(false),
-    );
+    this.options
+      .confirm()
+      .catch(() => false)
+      .then((confirmed) => this.open(confirmed))
+      .catch((cause: unknown) => this.fail(cause));
   }
 
   private open(confirmed: boolean): void {
@@ -195,6 +195,13 @@
     this.state = 'ended';
     this.resolve(end);
   }
+
+  /** Ends the relay after an exception: the last events may not have been passed on. */
+  private fail(cause: unknown): void {
+    this.state = 'ended';
+    this.options.position.lose();
+    this.reject(cause);
+  }
 }
 
 /**
@@ -203,14 +210,14 @@
  * @param response - stream of the server, not read yet
  * @param exchange - exchange with the caller
  * @param options - position in the stream and progress callbacks
- * @returns how the relay ended
+ * @returns how the relay ended; rejects only when an exception is thrown, and gives the position up
  */
 export default function relayStream(
   response: IncomingMessage,
   exchange: CallerExchange,
   options: RelayOptions,
 ): Promise<RelayEnd> {
-  return new Promise((resolve) => {
-    new Relay(response, exchange, options, resolve).start();
+  return new Promise((resolve, reject) => {
+    new Relay(response, exchange, options, resolve, reject).start();
   });
 }
--- a/packages/gateway/src/servers/openAttempt.ts
+++ b/packages/gateway/src/servers/openAttempt.ts
@@ -78,12 +78,13 @@
 };
 
 /**
- * Sends an attempt and waits for the head of its answer. Never rejects.
+ * Sends an attempt and waits for the head of its answer.
  *
  * @param http - HTTP client of the pool
  * @param format - reader of the answer's headers
  * @param call - attempt to send
- * @returns the head and the response, whose body is not read yet, or the failure
+ * @returns the head and the response, whose body is not read yet, or the failure; rejects only if an exception is thrown
+ *   while the head is read
  */
 export default async function openAttempt(
   http: HttpClient,
@@ -91,8 +92,9 @@
   call: AttemptCall,
 ): Promise<OpenedAttempt> {
   let sent = false;
+  let response: IncomingMessage;
   try {
-    const response = await http.open(call.target, {
+    response = await http.open(call.target, {
       method: call.method,
       path: call.path,
       headers: call.headers,
@@ -106,15 +108,6 @@
         call.onSending();
       },
     });
-    const facts = format.readAnswer(response.statusCode ?? 0, response.headers);
-    if (!isOwnAnswer(call, response, facts, format.answerFields)) {
-      response.destroy();
-      const failure = { type: 'invalid-answer' } as const;
-      const failed = { type: 'failed', failure, refused: false } as const;
-      return facts.otherServer ? failed : { ...failed, notice: facts };
-    }
-    const head = { status: response.statusCode ?? 0, headers: filterHeaders(response.rawHeaders, NONE_WITHHELD) };
-    return { type: 'head', head, facts, response };
   } catch (cause) {
     return {
       type: 'failed',
@@ -123,4 +116,13 @@
       isFlooding: isFlooding(cause),
     };
   }
+  const facts = format.readAnswer(response.statusCode ?? 0, response.headers);
+  if (!isOwnAnswer(call, response, facts, format.answerFields)) {
+    response.destroy();
+    const failure = { type: 'invalid-answer' } as const;
+    const failed = { type: 'failed', failure, refused: false } as const;
+    return facts.otherServer ? failed : { ...failed, notice: facts };
+  }
+  const head = { status: response.statusCode ?? 0, headers: filterHeaders(response.rawHeaders, NONE_WITHHELD) };
+  return { type: 'head', head, facts, response };
 }
--- a/packages/gateway/src/servers/readAnswerBody.test.ts
+++ b/packages/gateway/src/servers/readAnswerBody.test.ts
@@ -64,3 +64,15 @@
   assert.deepEqual(await body, { type: 'fragmented' });
   assert.ok(sent < 5_000, `${sent} chunks were read`);
 });
+
+test('an exception while a body is read breaks the answer, and ends nothing else', async () => {
+  const answer = createAnswer();
+  answer.on('error', () => undefined);
+  const reserve = (): never => {
+    throw new RangeError('a fault of this test');
+  };
+  const body = readAnswerBody(answer, { open: () => ({ sizeBytes: 0, reserve, close: () => undefined }) });
+  answer.write('x');
+  assert.deepEqual(await body, { type: 'broken' });
+  assert.ok(answer.destroyed);
+});
--- a/packages/gateway/src/servers/readAnswerBody.ts
+++ b/packages/gateway/src/servers/readAnswerBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { createByteCollector } from '@bergamotcove/transport';
+import { createByteCollector, readStream } from '@bergamotcove/transport';
 import type { AnswerMemory } from './createAnswerMemory.js';
 
 /** Size limit of an answer that is buffered before it is sent to the caller. */
@@ -26,35 +26,24 @@
   return new Promise((resolve) => {
     const collected = createByteCollector();
     const share = memory.open();
-    let isSettled = false;
     const settle = (answer: ReadAnswer): void => {
-      isSettled = true;
       share.close();
       resolve(answer);
     };
-    if (response.destroyed) {
-      // The connection broke before the listeners were attached, so no event would follow.
-      settle({ type: 'broken' });
-      return;
-    }
-    response.on('data', (chunk: Buffer) => {
-      if (isSettled) {
-        return;
-      }
-      const { heldBytes } = collected;
-      collected.push(chunk);
-      const isWithinBudget = share.reserve(collected.heldBytes - heldBytes);
-      if (!isWithinBudget || collected.sizeBytes > MAX_ANSWER_BYTES || collected.isFragmented) {
-        const type = collected.isFragmented ? 'fragmented' : 'excessive';
-        collected.clear();
-        response.destroy();
-        settle({ type });
-      }
+    readStream(response, {
+      onData: (chunk) => {
+        const { heldBytes } = collected;
+        collected.push(chunk);
+        const isWithinBudget = share.reserve(collected.heldBytes - heldBytes);
+        if (!isWithinBudget || collected.sizeBytes > MAX_ANSWER_BYTES || collected.isFragmented) {
+          const type = collected.isFragmented ? 'fragmented' : 'excessive';
+          collected.clear();
+          response.destroy();
+          settle({ type });
+        }
+      },
+      onEnd: () => settle(response.complete ? { type: 'whole', body: collected.read() } : { type: 'broken' }),
+      onBroken: () => settle({ type: 'broken' }),
     });
-    response.on('end', () =>
-      settle(response.complete ? { type: 'whole', body: collected.read() } : { type: 'broken' }),
-    );
-    response.on('error', () => settle({ type: 'broken' }));
-    response.on('close', () => settle({ type: 'broken' }));
   });
 }
--- a/packages/transport/src/createHttpClient.ts
+++ b/packages/transport/src/createHttpClient.ts
@@ -4,6 +4,7 @@
 import detectCut from './_lib/detectCut.js';
 import createKeepAliveAgent, { type KeepAliveAgentOptions } from './_lib/createKeepAliveAgent.js';
 import endsWithConnection from './endsWithConnection.js';
+import isReaderFault from './isReaderFault.js';
 import readBody from './readBody.js';
 import TransportError from './TransportError.js';
 
@@ -223,7 +224,7 @@
 const reportFaults = (outgoing: ClientRequest, onFault: HttpClientOptions['onFault']): void => {
   let reported: Error | undefined;
   const report = (error: Error): void => {
-    if (error instanceof TransportError && error.code === 'reader-failed' && error !== reported) {
+    if (isReaderFault(error) && error !== reported) {
       reported = error;
       onFault?.(error.cause() ?? error);
     }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,6 +10,7 @@
 export type { HttpExchange, HttpHandler, HttpServer, HttpServerOptions } from './createHttpServer.js';
 export { default as endsWithConnection } from './endsWithConnection.js';
 export { default as formatStreamEvent } from './formatStreamEvent.js';
+export { default as isReaderFault } from './isReaderFault.js';
 export { default as readStream } from './readStream.js';
 export type { StreamHandlers } from './readStream.js';
 export { default as readEventStream } from './readEventStream.js';
