Keep an exception over one entry of the store from all others

What callers would see: the reader of one entry, or what is told of it, throws. Cause: the answers of the store are applied behind promises and watches that expect no exception. Change: each consumer of entries is called by itself, and an entry whose parser throws names no server. Each is logged as `answerReaderFailed`. No entry is known that does this; it is the same class of fault as in answers of servers.

--- a/packages/backends/src/store/followStore.test.ts
+++ b/packages/backends/src/store/followStore.test.ts
@@ -3,7 +3,7 @@
 import { Subject, type Observer } from 'rxjs';
 import { createManualClock } from '@bergamotcove/clock';
 import BackendError from '../BackendError.js';
-import followStore from './followStore.js';
+import followStore, { type StoreFollowerOptions } from './followStore.js';
 import type { StoreEntry, WatchEvent } from './types.js';
 
 const createEntry = (key: string, revision: number): StoreEntry => ({
@@ -15,7 +15,7 @@
 
 const flushPromises = (): Promise<void> => new Promise(setImmediate);
 
-const createFixture = () => {
+const createFixture = (changes: Partial<StoreFollowerOptions> = {}) => {
   const clock = createManualClock();
   const seen: string[] = [];
   const control = { reachable: true, ranges: 0, from: [] as string[], watches: [] as Subject<WatchEvent>[] };
@@ -42,6 +42,8 @@
     onDelete: (key, revision) => seen.push(`delete ${key} at ${revision}`),
     onLost: () => seen.push('lost'),
     onFound: () => seen.push('found'),
+    onFault: ({ message }) => seen.push(message),
+    ...changes,
   });
   const watch = (): Observer<WatchEvent> => control.watches.at(-1) as Subject<WatchEvent>;
   return { clock, seen, control, follower, watch };
@@ -102,3 +104,45 @@
   clock.advance(10_000);
   assert.equal(control.ranges, before);
 });
+
+const throwFault = (): never => {
+  throw new Error('fault');
+};
+
+test('after an exception over a snapshot, all entries are read again after a while', async () => {
+  const { clock, seen, control } = createFixture({ onSnapshot: throwFault });
+  await flushPromises();
+  assert.deepEqual(seen, ['found', 'fault']);
+  assert.deepEqual(control.from, []);
+  clock.advance(500);
+  assert.equal(control.ranges, 1);
+  clock.advance(500);
+  await flushPromises();
+  assert.equal(control.ranges, 2);
+  assert.deepEqual(seen, ['found', 'fault', 'fault']);
+});
+
+test('after an exception over a change, the watch ends, and all entries are read again', async () => {
+  const { clock, seen, control, watch } = createFixture({ onPut: throwFault });
+  await flushPromises();
+  const first = watch();
+  first.next({ type: 'put', entry: createEntry('b', 5) });
+  first.next({ type: 'delete', key: 'a', revision: '6' });
+  assert.deepEqual(seen, ['found', 'snapshot 1 at 4', 'fault']);
+  clock.advance(1_000);
+  await flushPromises();
+  assert.deepEqual(seen, ['found', 'snapshot 1 at 4', 'fault', 'snapshot 1 at 4']);
+  assert.deepEqual(control.from, ['5', '5']);
+});
+
+test('a follower that is closed by a callback that throws reads nothing any more', async () => {
+  const { clock, control, follower } = createFixture({
+    onSnapshot: () => {
+      follower.close();
+      throwFault();
+    },
+  });
+  await flushPromises();
+  clock.advance(1_000);
+  assert.equal(control.ranges, 1);
+});
--- a/packages/backends/src/store/followStore.ts
+++ b/packages/backends/src/store/followStore.ts
@@ -2,7 +2,7 @@
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { toError } from '@bergamotcove/errors';
 import BackendError from '../BackendError.js';
-import type { StoreClient, StoreEntry, WatchLimits } from './types.js';
+import type { RangeResult, StoreClient, StoreEntry, WatchEvent, WatchLimits } from './types.js';
 
 /** Options of {@link followStore}. */
 export interface StoreFollowerOptions {
@@ -30,6 +30,8 @@
   readonly onLost: (reason: string) => void;
   /** Called when the store answers for the first time, or again after a failure. */
   readonly onFound: () => void;
+  /** Called with each exception of the callbacks that receive entries; all entries are read again after it. */
+  readonly onFault?: (error: Error) => void;
 }
 
 /** Follows the entries of the store under a prefix. */
@@ -109,12 +111,9 @@
     const { readNumber } = this;
     const { prefix, rangeEnd } = this.options;
     this.options.store.range(prefix, rangeEnd === undefined ? {} : { rangeEnd }).then(
-      ({ entries, revision, era }) => {
+      (read) => {
         if (readNumber === this.readNumber) {
-          this.handleAnswer();
-          this.knownRevision = revision;
-          this.knownEra = era;
-          this.options.onSnapshot(entries, revision, era);
+          this.contain(() => this.handleRead(read));
         }
         // The callback may have closed the follower.
         if (readNumber === this.readNumber) {
@@ -129,24 +128,18 @@
     );
   }
 
+  private handleRead({ entries, revision, era }: RangeResult): void {
+    this.handleAnswer();
+    this.knownRevision = revision;
+    this.knownEra = era;
+    this.options.onSnapshot(entries, revision, era);
+  }
+
   private watch(): void {
     const fromRevision = String(Number(this.knownRevision) + 1);
     const limits = { ...this.options.limits?.(), ...(this.knownEra === undefined ? {} : { era: this.knownEra }) };
     this.watchSubscription = this.options.store.watch(this.options.prefix, fromRevision, limits).subscribe({
-      next: (event) => {
-        this.handleAnswer();
-        switch (event.type) {
-          case 'put':
-            this.options.onPut(event.entry);
-            break;
-          case 'delete':
-            this.options.onDelete(event.key, event.revision ?? this.knownRevision ?? '0');
-            break;
-          default:
-            this.knownRevision = event.revision;
-            this.options.onReached?.(event.revision);
-        }
-      },
+      next: (event) => this.contain(() => this.handleEvent(event)),
       error: (cause: Error) => {
         const compacted = cause instanceof BackendError && cause.code === 'compacted';
         this.handleFailure(cause, () => (compacted ? this.read() : this.watch()));
@@ -154,6 +147,34 @@
     });
   }
 
+  private handleEvent(event: WatchEvent): void {
+    this.handleAnswer();
+    switch (event.type) {
+      case 'put':
+        this.options.onPut(event.entry);
+        break;
+      case 'delete':
+        this.options.onDelete(event.key, event.revision ?? this.knownRevision ?? '0');
+        break;
+      default:
+        this.knownRevision = event.revision;
+        this.options.onReached?.(event.revision);
+    }
+  }
+
+  /** Runs a callback. Its exception may have left a change out, so all entries are read again after a while. */
+  private contain(run: () => void): void {
+    try {
+      run();
+    } catch (cause) {
+      this.stop();
+      this.options.onFault?.(toError(cause));
+      if (!this.closed) {
+        this.timer = this.options.clock.schedule(MAX_RETRY_MS, () => this.read());
+      }
+    }
+  }
+
   private handleAnswer(): void {
     this.failures = 0;
     if (!this.connected) {
--- a/packages/gateway/src/catalogue/createBackendDirectory.test.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.test.ts
@@ -222,3 +222,27 @@
   assert.deepEqual([list(), directory.isEvacuated('p')], [['s1', 's2', 's3'], false]);
   assert.equal(events.filter((event) => event === 'evacuationEnded').length, 2);
 });
+
+test('an entry whose parser throws names no server, and the others of the snapshot are listed', () => {
+  const clock = createManualClock();
+  const events: string[] = [];
+  const logger = { event: (name: string) => events.push(name) };
+  const regions = { a: 'r1' };
+  const evacuations = createEvacuations({ logger, regions: () => regions });
+  const format = {
+    ...sampleFormat,
+    readServer: (serverId: string, text: string) => {
+      assert.notEqual(serverId, 'faulty', 'a fault of this test');
+      return sampleFormat.readServer(serverId, text);
+    },
+  };
+  const directory = createBackendDirectory({ clock, logger, format, regions, evacuations });
+  const entry = { pool: 'p', address: '10.0.0.1', port: 1, failureDomain: 'a', state: 'live', startedAtMs: 1 };
+  const servers = ['faulty', 'sound'].map((serverId) => ({ serverId, revision: 1, text: JSON.stringify(entry) }));
+  directory.replace({ servers, revision: 1 });
+  assert.deepEqual(
+    directory.list('p').map(({ serverId }) => serverId),
+    ['sound'],
+  );
+  assert.ok(events.includes('answerReaderFailed'));
+});
--- a/packages/gateway/src/catalogue/createBackendDirectory.ts
+++ b/packages/gateway/src/catalogue/createBackendDirectory.ts
@@ -16,6 +16,7 @@
 import createRemovedEntries from './createRemovedEntries.js';
 import createServerBackoffs from './createServerBackoffs.js';
 import indexServers from './indexServers.js';
+import readKnownServer from './readKnownServer.js';
 
 /** Options of {@link createBackendDirectory}. */
 export interface BackendDirectoryOptions {
@@ -208,7 +209,7 @@
   setRegions(regions: Readonly<Record<string, string>>): void {
     this.regions = regions;
     this.entries.forEach((entry, serverId) =>
-      this.entries.set(serverId, { ...entry, server: this.read(entry.stored) }),
+      this.entries.set(serverId, { ...entry, server: readKnownServer(entry.stored, this.regions, this.options) }),
     );
     this.rebuildIndexes();
   }
@@ -288,7 +289,7 @@
     if (revision <= Math.max(known?.stored.revision ?? 0, known?.lapsedAtRevision ?? 0)) {
       return;
     }
-    const server = this.read(stored);
+    const server = readKnownServer(stored, this.regions, this.options);
     const { era } = this.position;
     if (this.removed.isOutdated({ serverId, era, revision, startedAtMs: server?.startedAtMs })) {
       if (this.removed.find(serverId)?.era !== era) {
@@ -306,15 +307,6 @@
     this.listedListeners.forEach((run) => server && run(server));
   }
 
-  /** Parses an entry; undefined when it names no server, or names an unknown failure domain. */
-  private read({ serverId, text }: StoredServer): KnownServer | undefined {
-    const entry = this.options.format.readServer(serverId, text);
-    if (entry === undefined || !Object.hasOwn(this.regions, entry.failureDomain)) {
-      return undefined;
-    }
-    return { ...entry, region: this.regions[entry.failureDomain] as string };
-  }
-
   private log(stored: StoredServer, server: KnownServer | undefined): void {
     const { serverId, revision } = stored;
     if (server === undefined) {
--- a/packages/gateway/src/catalogue/createCatalogueSink.ts
+++ b/packages/gateway/src/catalogue/createCatalogueSink.ts
@@ -1,3 +1,5 @@
+import { toError } from '@bergamotcove/errors';
+import { reportReaderFault, type Logger } from '@bergamotcove/log';
 import type { StoredBlocks, StoredText } from '../crashes/createBlockSharing.js';
 import type { HostRegistry } from '../hosts/createHostRegistry.js';
 import type { CatalogueFormat } from '../ports.js';
@@ -9,6 +11,7 @@
 
 /** Consumers of the entries of the store, and the format of its keys. */
 export interface CatalogueConsumers {
+  readonly logger: Logger;
   readonly format: CatalogueFormat;
   readonly tables: RouteTableHolder;
   readonly directory: BackendDirectory;
@@ -35,32 +38,41 @@
     const { format, directory, evacuations, blocks } = this.consumers;
     const evacuated = entries.filter(({ key }) => key.startsWith(format.evacuationPrefix));
     const domains = evacuated.map(({ key }) => key.slice(format.evacuationPrefix.length));
-    evacuations.replace({ domains, revision, era });
+    this.contain(() => evacuations.replace({ domains, revision, era }));
     const ownKeys = [format.routeTableKey, format.agreedOriginsKey];
-    entries.filter(({ key }) => ownKeys.includes(key)).forEach((entry) => this.put(entry, era));
+    entries.filter(({ key }) => ownKeys.includes(key)).forEach((entry) => this.contain(() => this.put(entry, era)));
     const servers = entries.filter(({ key }) => key.startsWith(format.serverPrefix));
-    directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision, era });
+    this.contain(() => directory.replace({ servers: servers.map((entry) => this.toServer(entry)), revision, era }));
     const hostEntries = entries.filter(({ key }) => key.startsWith(format.hostPrefix));
     const records = hostEntries.map(({ key, value }) => ({ key, text: value }));
-    this.hosts()?.replace(records, { keepsMissing: isNewEra });
-    blocks.replace({
-      blocks: listTexts(entries, format.blockPrefix),
-      releases: listTexts(entries, format.releasePrefix),
-      isNewEra,
-    });
+    this.contain(() => this.hosts()?.replace(records, { keepsMissing: isNewEra }));
+    this.contain(() =>
+      blocks.replace({
+        blocks: listTexts(entries, format.blockPrefix),
+        releases: listTexts(entries, format.releasePrefix),
+        isNewEra,
+      }),
+    );
   };
 
   readonly onChanges: CatalogueSink['onChanges'] = (changes, era) => {
-    changes.forEach(({ key, value, revision }) => {
-      if (value === undefined) {
-        this.remove({ key, revision }, era);
-      } else {
-        this.put({ key, value, revision }, era);
-      }
-    });
-    this.updateHosts(changes);
+    changes.forEach(({ key, value, revision }) =>
+      this.contain(() =>
+        value === undefined ? this.remove({ key, revision }, era) : this.put({ key, value, revision }, era),
+      ),
+    );
+    this.contain(() => this.updateHosts(changes));
   };
 
+  /** Hands entries to a consumer. Its exception must not keep the other entries from their consumers. */
+  private contain(run: () => void): void {
+    try {
+      run();
+    } catch (cause) {
+      reportReaderFault(this.consumers.logger, toError(cause));
+    }
+  }
+
   /** Applies all changes of hosts in one update, because each update makes the listeners review their duties. */
   private updateHosts(changes: readonly CatalogueChange[]): void {
     const { hostPrefix } = this.consumers.format;
--- a/packages/gateway/src/catalogue/followCatalogue.ts
+++ b/packages/gateway/src/catalogue/followCatalogue.ts
@@ -9,7 +9,7 @@
 } from '@bergamotcove/backends';
 import type { Clock, Timer } from '@bergamotcove/clock';
 import { chooseSource, MAX_DIRECT_HOSTS, RELAY_TIMEOUT_MS, RELAYS, type CatalogueSource } from '@bergamotcove/decide';
-import type { Logger } from '@bergamotcove/log';
+import { reportReaderFault, type Logger } from '@bergamotcove/log';
 import type { LinkClient, LinkMethod } from '@bergamotcove/transport';
 import type { StreamOrigins } from '../streams/createStreamOrigins.js';
 import type { StoredBlocks } from '../crashes/createBlockSharing.js';
@@ -309,6 +309,7 @@
         this.log.apply(batch);
         this.relay.push(batch);
       },
+      onFault: (error) => reportReaderFault(this.options.logger, error),
       ...this.createStateHandlers(),
     });
   }
--- a/packages/gateway/src/catalogue/storeSchedules.test.ts
+++ b/packages/gateway/src/catalogue/storeSchedules.test.ts
@@ -94,7 +94,7 @@
   };
   const origins = { putAgreed: () => undefined };
   const log = createCatalogueLog(
-    createCatalogueSink({ format: FORMAT, tables, directory, evacuations, blocks, origins }, () => undefined),
+    createCatalogueSink({ logger, format: FORMAT, tables, directory, evacuations, blocks, origins }, () => undefined),
   );
   return { clock, directory, tables, log };
 };
