Fail the request alone when an answer of a host or of a stage throws

What callers would see: the reader of a scheduler's answer, or what takes the results of a stage, throws. Nothing handled the rejection, which ended the process; the request itself was never answered, because the time limit of the call was closed. Cause: both run behind a promise whose rejection nobody awaits. Change: an answer of a scheduler over which its reader throws counts as none, like one without its fields.

--- a/packages/gateway/src/scheduling/createSchedulerClient.test.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.test.ts
@@ -153,3 +153,16 @@
     assert.deepEqual([await placing, silent], [{}, ['other']]);
   }),
 );
+
+test('counts an answer over which its reader throws as none', async () => {
+  const { events, calls, client } = createFixture();
+  const entering = client.enter(REQUEST);
+  const answer = Object.defineProperty({}, 'type', {
+    get: () => {
+      throw new Error('a fault of this test');
+    },
+  });
+  calls[0]?.resolve(answer);
+  assert.equal((await entering).type, 'admitted');
+  assert.deepEqual(events, ['schedulerLost']);
+});
--- a/packages/gateway/src/scheduling/createSchedulerClient.ts
+++ b/packages/gateway/src/scheduling/createSchedulerClient.ts
@@ -261,10 +261,8 @@
       const timer = scheduleSilence(clock, limitMs, fail);
       links
         .call(owner.target, method, request)
-        .then((message) => {
-          const answer = read(message);
-          return answer === undefined ? fail() : resolve(answer);
-        }, fail)
+        .then(read)
+        .then((answer) => (answer === undefined ? fail() : resolve(answer)), fail)
         .finally(() => timer.close());
     });
   }
--- a/packages/gateway/src/stages/runStages.test.ts
+++ b/packages/gateway/src/stages/runStages.test.ts
@@ -31,9 +31,8 @@
 } as unknown as ForwardRequest;
 
 /** Runs a request whose second stage is in another region. */
-const run = async (answer: (job: StageJob) => StageJobResult) => {
+const run = async (answer: (job: StageJob) => StageJobResult, released: string[] = []) => {
   const jobs: { readonly region: string; readonly job: StageJob }[] = [];
-  const released: string[] = [];
   const client: StageClient = {
     run: (region, job) => {
       jobs.push({ region, job });
@@ -85,3 +84,13 @@
   assert.deepEqual(outcome, failed);
   assert.deepEqual(released, ['home p 0/0', 'home p 0/1']);
 });
+
+test('rejects, and releases the results of earlier stages, when an exception is thrown over the answer of a stage', async () => {
+  const released: string[] = [];
+  const running = run((job) => {
+    assert.equal(job.stage, 0, 'a fault of this test');
+    return answerDone(job);
+  }, released);
+  await assert.rejects(running, /a fault of this test/);
+  assert.deepEqual(released, ['home p 0/0', 'home p 0/1']);
+});
--- a/packages/gateway/src/stages/runStages.ts
+++ b/packages/gateway/src/stages/runStages.ts
@@ -79,7 +79,12 @@
 
   /** Runs stages as their inputs become available; resolves with the first failure, if any. */
   private runReadyStages(): Promise<StagesOutcome | undefined> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      const fail = (cause: unknown): void => {
+        this.abort.abort();
+        this.releaseAll();
+        reject(cause);
+      };
       const started = new Set<number>();
       const advance = (): void => {
         if (this.results.every((results) => results !== undefined)) {
@@ -94,7 +99,8 @@
           started.add(stage);
           const startedAtMs = this.ports.clock.monotonicMs();
           const region = this.ports.regionOf(stage);
-          this.ports.client.run(region, this.createJob(spec, stage), this.abort.signal).then((result) => {
+          const running = this.ports.client.run(region, this.createJob(spec, stage), this.abort.signal);
+          const take = (result: StageJobResult): void => {
             if (result.type === 'failed') {
               this.abort.abort();
               this.releaseAll();
@@ -105,7 +111,8 @@
             this.ports.onStageEnded(stage, this.ports.clock.monotonicMs() - startedAtMs);
             this.releaseConsumed();
             advance();
-          });
+          };
+          running.then(take).catch(fail);
         });
       };
       advance();
@@ -189,7 +196,7 @@
  * @param request - request with the piece counts of its stages
  * @param ports - client of the batch owners, and scheduling options
  * @param options - signal that cancels the stages, and the round, which makes the job ids unique
- * @returns handles of the results, or the first failure
+ * @returns handles of the results, or the first failure; rejects only when an exception is thrown over an answer
  */
 export default function runStages(
   request: ForwardRequest,
