Record the end of an attempt within its own boundary

An exception of the reservation still rejected the result of an attempt, which nobody awaits for one that has not taken over. A relay that has ended does not give its position up any more when something throws after it.

--- a/packages/gateway/src/requests/Attempt.ts
+++ b/packages/gateway/src/requests/Attempt.ts
@@ -2,6 +2,7 @@
 import { toError } from '@bergamotcove/errors';
 import { reportReaderFault } from '@bergamotcove/log';
 import { isReaderFault } from '@bergamotcove/transport';
+import type { OpenedAttempt } from '../servers/openAttempt.js';
 import type AnswerReader from './AnswerReader.js';
 import type { AnsweredRun } from './AnswerReader.js';
 import type { WorkEstimate } from './estimateWork.js';
@@ -191,10 +192,22 @@
     return this.run.reader.read(this.server, opened, { idleTimeout, onOutput: tracked.noteOutput, sentAtMs });
   }
 
+  /** Waits for the result and records the end; never rejects. */
   private async finish(): Promise<AttemptResult> {
-    const { answer, reservation } = this.run;
     const { opened, isReplaced } = await this.opened;
     const result = await this.reading;
+    try {
+      await this.noteEnd(opened, result);
+    } catch (cause) {
+      this.abandon(cause);
+    }
+    // Nothing was sent to a server that has started again, so the next attempt is no retry.
+    const retryReserved = isReplaced || this.target.finder.isExpired;
+    return result.type === 'ended' ? { ...result, retryReserved, silent: this.successor !== undefined } : result;
+  }
+
+  private async noteEnd(opened: OpenedAttempt, result: AttemptResult): Promise<void> {
+    const { answer, reservation } = this.run;
     this.idleTimeout.close();
     const isUnsentSuccessor = this.replaced !== undefined && this.sentAtMs === undefined;
     const silent = this.successor !== undefined;
@@ -202,14 +215,7 @@
       reservation.noteAttemptEnd(opened.type === 'failed' && !answer.ended ? 'failed' : 'ended');
     }
     const requestEnded = answer.ended || (isUnsentSuccessor && this.replaced?.silence.aborted === true);
-    try {
-      await this.tracked.end(classifyEnd({ opened, result, timedOut: silent, requestEnded }));
-    } catch (cause) {
-      this.abandon(cause);
-    }
-    // Nothing was sent to a server that has started again, so the next attempt is no retry.
-    const retryReserved = isReplaced || this.target.finder.isExpired;
-    return result.type === 'ended' ? { ...result, retryReserved, silent } : result;
+    await this.tracked.end(classifyEnd({ opened, result, timedOut: silent, requestEnded }));
   }
 
   /** Starts the idle timeout. It applies only to streams that another engine may run again. */
--- a/packages/gateway/src/requests/relayStream.ts
+++ b/packages/gateway/src/requests/relayStream.ts
@@ -198,9 +198,11 @@
 
   /** Ends the relay after an exception: the last events may not have been passed on. */
   private fail(cause: unknown): void {
-    this.state = 'ended';
-    this.options.position.lose();
-    this.reject(cause);
+    if (this.state !== 'ended') {
+      this.state = 'ended';
+      this.options.position.lose();
+      this.reject(cause);
+    }
   }
 }
 
